--- /dev/null
+++ b/packages/callers/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * HTTP listener for callers.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/cli/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The operators' command line.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/daemon/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The daemon of an entry host.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/decisions/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Pure decision functions of state, event and time.
+ *
+ * @module
+ */
+
+export * from "./admission/mod.ts";
+export * from "./fold/mod.ts";
--- /dev/null
+++ b/packages/endpoints/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Client of executors.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/measure/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Measurements, benchmark and demo.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/operators/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * HTTP listener and client of operators.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/peers/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Calls between entry hosts.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/platform/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Client of the platform's log and host list.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/records/claim_record.ts
@@ -0,0 +1,39 @@
+import { Name } from "@lagoonloom/objects";
+import { z } from "zod";
+
+const Digest = z.string().regex(/^[A-Za-z0-9_-]{22}$/);
+
+/** Schema of one entry of a batch on the stream `claims`. */
+export const ClaimEntry = z.discriminatedUnion("type", [
+  z.strictObject({
+    type: z.literal("claimed"),
+    /** Digest of the caller and the idempotency key. */
+    key: Digest,
+    /** Digest of the request's method, path and body. */
+    request: Digest,
+  }),
+  z.strictObject({
+    /** The order provably did not run; a later claim may follow. */
+    type: z.literal("released"),
+    key: Digest,
+  }),
+  z.strictObject({
+    type: z.literal("completed"),
+    key: Digest,
+    /** Offset of the kept answer in the stream `answers`; absent if none. */
+    answerOffset: z.int().min(0).optional(),
+  }),
+]);
+
+/** One entry of a batch on the stream `claims`. */
+export type ClaimEntry = z.infer<typeof ClaimEntry>;
+
+/** Schema of a record of the stream `claims`. */
+export const ClaimRecord = z.strictObject({
+  holder: Name,
+  incarnation: z.string().max(64),
+  entries: z.array(ClaimEntry).min(1),
+});
+
+/** Batch of claims of one entry host. */
+export type ClaimRecord = z.infer<typeof ClaimRecord>;
--- /dev/null
+++ b/packages/standins/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Small stand-ins of outside systems for tests.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/telemetry/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Numbered log events and metrics.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/workers/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Client of workers.
+ *
+ * @module
+ */
+
+export {};
