--- a/packages/objects/apply_set_change.ts
+++ b/packages/objects/apply_set_change.ts
@@ -12,12 +12,15 @@
 export function applySetChange(set: ObjectSet, change: SetChange): ObjectSet {
   const next: ObjectSet = { ...set };
   for (const kind of OBJECT_KINDS) {
-    const removed = change.removed.filter((object) => object.kind === kind);
+    const removed = new Set(
+      change.removed.filter((object) => object.kind === kind)
+        .map((object) => object.name),
+    );
     const put = change.put[kind];
-    if (put === undefined && removed.length === 0) continue;
-    const objects: Record<string, unknown> = { ...set[kind], ...put };
-    for (const { name } of removed) delete objects[name];
-    Object.assign(next, { [kind]: objects });
+    if (put === undefined && removed.size === 0) continue;
+    const objects = Object.entries({ ...set[kind], ...put })
+      .filter(([name]) => !removed.has(name));
+    Object.assign(next, { [kind]: Object.fromEntries(objects) });
   }
   return next;
 }
