Add log events, metrics, the platform client and stand-ins

The daemon needs numbered events, bounded metrics, the log and the host list before it can start. Appends end as appended, refused or unknown; only an answer that is lost or ambiguous is unknown.

--- /dev/null
+++ b/packages/standins/balancer_standin.ts
@@ -0,0 +1,54 @@
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { splitAddress, type Standin } from "./_http.ts";
+
+/** Load balancer of TCP connections. */
+export type BalancerStandin = Standin & {
+  /** Replaces the back ends for new connections. */
+  setBackends(backends: readonly string[]): void;
+};
+
+/**
+ * Serves a balancer that gives each connection to the next back end. It
+ * retries nothing: if the back end refuses, the client's connection ends.
+ *
+ * @example
+ * ```ts
+ * const balancer = await serveBalancer("127.0.0.1:0", [first, second]);
+ * ```
+ */
+export async function serveBalancer(
+  address: string,
+  backends: readonly string[],
+): Promise<BalancerStandin> {
+  let current = backends;
+  let next = 0;
+  const sockets = new Set<Socket>();
+  const server = createServer((client) => {
+    const backend = current[next++ % current.length];
+    if (backend === undefined) return void client.destroy();
+    const upstream = connect(splitAddress(backend));
+    for (const [socket, other] of [[client, upstream], [upstream, client]]) {
+      sockets.add(socket!);
+      socket!.setNoDelay(true);
+      socket!.on("error", () => other!.destroy());
+      socket!.on("close", () => {
+        sockets.delete(socket!);
+        other!.destroy();
+      });
+      socket!.pipe(other!);
+    }
+  });
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve) => server.listen(port, host, resolve));
+  return {
+    address: `${host}:${(server.address() as AddressInfo).port}`,
+    setBackends(value) {
+      current = value;
+    },
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        for (const socket of sockets) socket.destroy();
+      }),
+  };
+}
--- a/packages/standins/main.ts
+++ b/packages/standins/main.ts
@@ -1,1 +1,103 @@
-export {};
+import { cac } from "cac";
+import { splitAddress, type Standin } from "./_http.ts";
+import {
+  createLogStore,
+  serveBalancer,
+  serveExecutor,
+  serveHostList,
+  serveLog,
+  serveWorker,
+} from "./mod.ts";
+
+type Options = {
+  log?: string;
+  retentionMs?: number;
+  hosts?: string;
+  hostsLagMs?: number;
+  executors?: string;
+  executorCount?: number;
+  runMs?: number;
+  workers?: string;
+  workerCount?: number;
+  reportLagMs?: number;
+  balancer?: string;
+  backends?: string;
+};
+
+/** Starts a stand-in on each of a number of consecutive ports. */
+function serveMany(
+  first: string,
+  count: number,
+  serve: (address: string, index: number) => Promise<Standin>,
+): Promise<Standin>[] {
+  const { host, port } = splitAddress(first);
+  return Array.from(
+    { length: count },
+    (_, index) => serve(`${host}:${port + index}`, index),
+  );
+}
+
+function serveAll(options: Options): Promise<Standin>[] {
+  const started: Promise<Standin>[] = [];
+  if (options.log !== undefined) {
+    const retentionMs = options.retentionMs;
+    const store = createLogStore(
+      retentionMs === undefined ? {} : { retentionMs },
+    );
+    started.push(serveLog(store, options.log));
+  }
+  if (options.hosts !== undefined) {
+    const lagMs = options.hostsLagMs ?? 0;
+    started.push(serveHostList(options.hosts, { lagMs }));
+  }
+  if (options.executors !== undefined) {
+    started.push(...serveMany(
+      options.executors,
+      options.executorCount ?? 1,
+      (address) =>
+        serveExecutor(address, { name: address, runMs: options.runMs ?? 5 }),
+    ));
+  }
+  if (options.workers !== undefined) {
+    const reportLagMs = options.reportLagMs ?? 0;
+    started.push(...serveMany(
+      options.workers,
+      options.workerCount ?? 1,
+      (address) => serveWorker(address, { reportLagMs }),
+    ));
+  }
+  if (options.balancer !== undefined) {
+    const backends = (options.backends ?? "").split(",");
+    started.push(serveBalancer(options.balancer, backends));
+  }
+  return started;
+}
+
+async function main(): Promise<void> {
+  const cli = cac("standins");
+  cli.command("", "Serve stand-ins of the platform and of back ends")
+    .option("--log <address>", "Log")
+    .option("--retention-ms <ms>", "Retention of the log")
+    .option("--hosts <address>", "Host list")
+    .option("--hosts-lag-ms <ms>", "Delay of the host list")
+    .option("--executors <address>", "First of the executors")
+    .option("--executor-count <n>", "Number of executors")
+    .option("--run-ms <ms>", "Run time of a request")
+    .option("--workers <address>", "First of the worker agents")
+    .option("--worker-count <n>", "Number of worker agents")
+    .option("--report-lag-ms <ms>", "Age of usage reports")
+    .option("--balancer <address>", "Balancer")
+    .option("--backends <addresses>", "Back ends, separated by commas")
+    .action(async (options: Options) => {
+      const standins = await Promise.all(serveAll(options));
+      console.log(standins.map((it) => it.address).join("\n"));
+      const stop = () => void Promise.all(standins.map((it) => it.close()));
+      process.once("SIGTERM", stop);
+      process.once("SIGINT", stop);
+    });
+  cli.help();
+  cli.parse(process.argv, { run: false });
+  await cli.runMatchedCommand();
+}
+
+await main();
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -4,4 +4,11 @@
  * @module
  */
 
-export {};
+export * from "./balancer_standin.ts";
+export * from "./executor_standin.ts";
+export * from "./hosts_standin.ts";
+export * from "./log_standin.ts";
+export * from "./log_store.ts";
+export * from "./platform_standin.ts";
+export * from "./test_fleet.ts";
+export * from "./worker_standin.ts";
--- /dev/null
+++ b/packages/standins/platform_standin.ts
@@ -0,0 +1,58 @@
+import type { ListedHost, PlatformClient } from "@lagoonloom/platform";
+import type { LogStore } from "./log_store.ts";
+
+/** Options of {@linkcode createPlatformStandin}. */
+export type PlatformStandinOptions = {
+  /** Returns the entries of the host list. */
+  hosts?: () => readonly ListedHost[];
+  /** Whether this client is cut off from the log, beside the log's faults. */
+  isCutOff?: () => boolean;
+};
+
+/**
+ * Creates a platform client that uses a log in memory without sockets, for
+ * tests under fake timers.
+ *
+ * @example
+ * ```ts
+ * const platform = createPlatformStandin(createLogStore());
+ * ```
+ */
+export function createPlatformStandin(
+  store: LogStore,
+  options: PlatformStandinOptions = {},
+): PlatformClient {
+  const { faults } = store;
+  const reason = "The log stand-in is down.";
+  const isDown = () => faults.isDown || (options.isCutOff?.() ?? false);
+  async function pass(): Promise<void> {
+    if (faults.delayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, faults.delayMs));
+    }
+  }
+  return {
+    async append({ stream, id, body }) {
+      await pass();
+      if (isDown()) return { type: "refused", reason };
+      const { offset, timeMs } = store.append(stream, { id, body });
+      if (faults.lostAnswers > 0) {
+        faults.lostAnswers--;
+        return { type: "unknown", reason: "The answer was lost." };
+      }
+      return { type: "appended", offset, timeMs };
+    },
+    async read({ stream, from, limit, waitMs }) {
+      await pass();
+      if (!isDown()) await store.waitFor(stream, { from, waitMs });
+      if (isDown()) return { type: "unreachable", reason };
+      const page = store.read(stream, { from, limit });
+      return { type: page.oldestOffset > from ? "expired" : "read", page };
+    },
+    async readHosts() {
+      await pass();
+      if (isDown()) return { type: "unreachable", reason };
+      return { type: "read", hosts: options.hosts?.() ?? [] };
+    },
+    close: () => undefined,
+  };
+}
--- /dev/null
+++ b/packages/telemetry/event_log.ts
@@ -0,0 +1,55 @@
+import { Logger } from "tslog";
+import {
+  LOG_EVENTS,
+  type LogEvent,
+  type LogEventFields,
+  type LogEventName,
+} from "./log_events.ts";
+
+/** Writer of numbered log events. */
+export type EventLog = {
+  /** Writes one event with its fields. */
+  log<Name extends LogEventName>(
+    name: Name,
+    fields: LogEventFields<Name>,
+  ): void;
+};
+
+/** Options of {@linkcode createEventLog}. */
+export type EventLogOptions = {
+  /** Fields that every event carries, such as the member's name. */
+  bindings?: Readonly<Record<string, string>>;
+  /** Form of the lines; by default pretty on a terminal and JSON elsewhere. */
+  format?: "json" | "pretty" | "hidden";
+  /** Lowest level that is written. */
+  minLevel?: "DEBUG" | "INFO" | "WARN" | "ERROR";
+  /** Receives each event too, for tests. */
+  onEvent?: (
+    event: LogEvent,
+    fields: Readonly<Record<string, unknown>>,
+  ) => void;
+};
+
+/**
+ * Creates a writer of log events. Each line holds the event's number as `id`.
+ *
+ * @example
+ * ```ts
+ * const events = createEventLog({ bindings: { member: "detroit-1" } });
+ * events.log("daemonReady", { nextOffset: 12, setVersion: 3 });
+ * ```
+ */
+export function createEventLog(options: EventLogOptions = {}): EventLog {
+  const logger = new Logger({
+    type: options.format ?? (process.stdout.isTTY ? "pretty" : "json"),
+    minLevel: options.minLevel ?? "INFO",
+    bindings: { ...options.bindings },
+  });
+  return {
+    log(name, fields) {
+      const event: LogEvent = LOG_EVENTS[name];
+      options.onEvent?.(event, fields);
+      logger[event.level](event.message, { id: event.id, ...fields });
+    },
+  };
+}
--- /dev/null
+++ b/packages/telemetry/log_events.ts
@@ -0,0 +1,170 @@
+/** Type of a field of a log event. */
+export type LogFieldType = "string" | "number" | "boolean";
+
+/** Description of a numbered log event. */
+export type LogEvent = {
+  /** Number that stays the same for as long as the event exists. */
+  id: `LL${number}`;
+  level: "debug" | "info" | "warn" | "error";
+  message: string;
+  fields: Readonly<Record<string, LogFieldType>>;
+};
+
+/**
+ * All log events. Numbers start with 1 for the process, 2 for the log and the
+ * set, 3 for membership and peers, 4 for requests, 5 for capacity and
+ * maintenance. `docs/events.md` lists them too, and a test compares the two.
+ */
+export const LOG_EVENTS = {
+  daemonStarted: {
+    id: "LL1001",
+    level: "info",
+    message: "daemon started",
+    fields: { member: "string", incarnation: "string", dataCentre: "string" },
+  },
+  daemonReady: {
+    id: "LL1002",
+    level: "info",
+    message: "daemon is ready",
+    fields: { nextOffset: "number", setVersion: "number" },
+  },
+  daemonStopping: {
+    id: "LL1003",
+    level: "info",
+    message: "daemon is stopping and finishes the running requests",
+    fields: { signal: "string" },
+  },
+  daemonStopped: {
+    id: "LL1004",
+    level: "info",
+    message: "daemon stopped",
+    fields: { drained: "boolean" },
+  },
+  settingsRefused: {
+    id: "LL1005",
+    level: "error",
+    message: "settings file is not valid",
+    fields: { problem: "string" },
+  },
+  unexpectedFailure: {
+    id: "LL1006",
+    level: "error",
+    message: "unexpected failure in a background task",
+    fields: { task: "string", error: "string" },
+  },
+  listenerFailed: {
+    id: "LL1007",
+    level: "error",
+    message: "listener failed",
+    fields: { listener: "string", error: "string" },
+  },
+  stateLoaded: {
+    id: "LL2001",
+    level: "info",
+    message: "state loaded",
+    fields: { source: "string", nextOffset: "number" },
+  },
+  logUnreachable: {
+    id: "LL2002",
+    level: "warn",
+    message: "platform log is unreachable",
+    fields: { stream: "string", reason: "string" },
+  },
+  logReachable: {
+    id: "LL2003",
+    level: "info",
+    message: "platform log is reachable again",
+    fields: { stream: "string" },
+  },
+  retentionPassed: {
+    id: "LL2004",
+    level: "warn",
+    message: "log no longer holds the next record to fold",
+    fields: { nextOffset: "number", oldestOffset: "number" },
+  },
+  setInForce: {
+    id: "LL2005",
+    level: "info",
+    message: "set in force",
+    fields: { version: "number", operator: "string" },
+  },
+  publicationRefused: {
+    id: "LL2006",
+    level: "info",
+    message: "publication refused",
+    fields: { id: "string", reason: "string" },
+  },
+  publicationUnknown: {
+    id: "LL2007",
+    level: "warn",
+    message: "outcome of a publication is unknown",
+    fields: { id: "string", reason: "string" },
+  },
+  checkpointAppended: {
+    id: "LL2008",
+    level: "info",
+    message: "checkpoint appended",
+    fields: { offset: "number", chunks: "number" },
+  },
+  recordRefused: {
+    id: "LL2009",
+    level: "debug",
+    message: "record refused by the fold",
+    fields: { offset: "number", reason: "string" },
+  },
+  memberJoined: {
+    id: "LL3001",
+    level: "info",
+    message: "entry host joined",
+    fields: { member: "string", incarnation: "string" },
+  },
+  memberGone: {
+    id: "LL3002",
+    level: "info",
+    message: "entry host left or was lost",
+    fields: { member: "string", incarnation: "string" },
+  },
+  watcherNamed: {
+    id: "LL3003",
+    level: "info",
+    message: "watcher named",
+    fields: { watcher: "string" },
+  },
+  lossReported: {
+    id: "LL3004",
+    level: "warn",
+    message: "entry host sends no heartbeats and is reported as lost",
+    fields: { member: "string", silentMs: "number" },
+  },
+  slotRightsLost: {
+    id: "LL3005",
+    level: "warn",
+    message: "slot rights expired; nothing is sent to executors",
+    fields: {},
+  },
+  slotRightsRegained: {
+    id: "LL3006",
+    level: "info",
+    message: "slot rights are valid again",
+    fields: {},
+  },
+  hostListUnreachable: {
+    id: "LL3007",
+    level: "warn",
+    message: "host list of the platform is unreachable",
+    fields: { reason: "string" },
+  },
+} as const satisfies Readonly<Record<string, LogEvent>>;
+
+/** Name of a log event. */
+export type LogEventName = keyof typeof LOG_EVENTS;
+
+type ValueOf = { string: string; number: number; boolean: boolean };
+
+/** Values of the fields of a log event. */
+export type LogEventFields<Name extends LogEventName> = {
+  [Field in keyof (typeof LOG_EVENTS)[Name]["fields"]]:
+    (typeof LOG_EVENTS)[Name]["fields"][Field] extends LogFieldType
+      ? ValueOf[(typeof LOG_EVENTS)[Name]["fields"][Field]]
+      : never;
+};
--- /dev/null
+++ b/packages/telemetry/log_events_test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, test } from "@jest/globals";
+import { readFileSync } from "node:fs";
+import { LOG_EVENTS, type LogEvent } from "./log_events.ts";
+
+function row(event: LogEvent): string {
+  const fields = Object.keys(event.fields).map((name) => `\`${name}\``);
+  return `| ${event.id} | ${event.level} | ${event.message} | ${
+    fields.join(", ") || "none"
+  } |`;
+}
+
+describe("LOG_EVENTS", () => {
+  const events: LogEvent[] = Object.values(LOG_EVENTS);
+
+  // Guards against an event without a line in the catalogue, a changed
+  // message, and a line whose event no longer exists.
+  test("equals the catalogue", () => {
+    const page = readFileSync(
+      new URL("../../docs/events.md", import.meta.url),
+      "utf8",
+    );
+    const rows = page.split("\n").filter((line) => line.startsWith("| LL"));
+    expect(rows.sort()).toEqual(events.map(row).sort());
+  });
+
+  // Guards against a number that is used twice.
+  test("has unique numbers", () => {
+    expect(new Set(events.map((event) => event.id)).size).toBe(events.length);
+  });
+});
--- /dev/null
+++ b/packages/telemetry/metrics.ts
@@ -0,0 +1,135 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { createLabelBound } from "./label_bound.ts";
+
+/** Most services and teams with time series of their own. */
+export const MAX_SERVICE_LABELS = 200;
+
+/** Upper bounds of the buckets of request durations in seconds. */
+const DURATION_BUCKETS_S = [
+  0.002,
+  0.005,
+  0.01,
+  0.02,
+  0.05,
+  0.1,
+  0.2,
+  0.5,
+  1,
+  2,
+  5,
+  10,
+];
+
+const URGENCY_CLASSES = ["urgent", "normal", "deferrable"];
+
+const OUTCOMES = ["succeeded", "failed", "not-run", "unknown", "forwarded"];
+
+/** Labels of one finished request or job start. */
+export type RequestLabels = { service: string; urgency: string };
+
+/** Metrics of one daemon. */
+export type Metrics = {
+  registry: Registry;
+  /** Admits names of services or teams as label values. */
+  allowServices(names: Iterable<string>): void;
+  /** Counts a finished request and its duration in milliseconds. */
+  observeRequest(
+    labels: RequestLabels,
+    result: { durationMs: number; outcome: string },
+  ): void;
+  setSetVersion(version: number): void;
+  setLogPosition(position: { nextOffset: number; ageMs: number }): void;
+  setSlots(slots: { usable: number; running: number }): void;
+  countRecord(outcome: "applied" | "refused" | "duplicate"): void;
+};
+
+type Instruments = ReturnType<typeof createInstruments>;
+
+function createInstruments(registers: Registry[]) {
+  const requestLabels = ["service", "urgency"] as const;
+  const gauge = (name: string, help: string) =>
+    new Gauge({ name: `lagoonloom_${name}`, help, registers });
+  return {
+    durations: new Histogram({
+      name: "lagoonloom_request_duration_seconds",
+      help: "Time from a request's arrival to its end.",
+      labelNames: requestLabels,
+      buckets: DURATION_BUCKETS_S,
+      registers,
+    }),
+    outcomes: new Counter({
+      name: "lagoonloom_request_outcomes_total",
+      help: "Finished requests by outcome.",
+      labelNames: [...requestLabels, "outcome"] as const,
+      registers,
+    }),
+    records: new Counter({
+      name: "lagoonloom_records_folded_total",
+      help: "Records of the stream control by outcome.",
+      labelNames: ["outcome"] as const,
+      registers,
+    }),
+    setVersion: gauge("set_version", "Version of the set in force."),
+    logOffset: gauge("log_next_offset", "Next offset to fold."),
+    logAge: gauge(
+      "log_age_seconds",
+      "Time since the last contact with the log.",
+    ),
+    usableSlots: gauge("slots_usable", "Slots that this entry host may use."),
+    runningSlots: gauge("slots_running", "Slots with a running request."),
+  };
+}
+
+/**
+ * Creates the metrics of one daemon. Label values are bounded: an unknown
+ * service, class or outcome is counted as `other`.
+ *
+ * @example
+ * ```ts
+ * const metrics = createMetrics();
+ * metrics.allowServices(["quoting"]);
+ * await metrics.registry.metrics();
+ * ```
+ */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const instruments = createInstruments([registry]);
+  const services = createLabelBound({ maxValues: MAX_SERVICE_LABELS });
+  const urgencies = createLabelBound({ maxValues: URGENCY_CLASSES.length });
+  const outcomes = createLabelBound({ maxValues: OUTCOMES.length });
+  urgencies.allow(URGENCY_CLASSES);
+  outcomes.allow(OUTCOMES);
+  return {
+    registry,
+    allowServices: (names) => services.allow(names),
+    observeRequest(labels, result) {
+      const bounded = {
+        service: services.label(labels.service),
+        urgency: urgencies.label(labels.urgency),
+      };
+      instruments.durations.observe(bounded, result.durationMs / 1_000);
+      instruments.outcomes.inc({
+        ...bounded,
+        outcome: outcomes.label(result.outcome),
+      });
+    },
+    ...createStateMetrics(instruments),
+  };
+}
+
+function createStateMetrics(instruments: Instruments) {
+  return {
+    setSetVersion: (version: number) => instruments.setVersion.set(version),
+    setLogPosition(position: { nextOffset: number; ageMs: number }) {
+      instruments.logOffset.set(position.nextOffset);
+      instruments.logAge.set(position.ageMs / 1_000);
+    },
+    setSlots(slots: { usable: number; running: number }) {
+      instruments.usableSlots.set(slots.usable);
+      instruments.runningSlots.set(slots.running);
+    },
+    countRecord(outcome: "applied" | "refused" | "duplicate") {
+      instruments.records.inc({ outcome });
+    },
+  };
+}
--- /dev/null
+++ b/packages/telemetry/metrics_test.ts
@@ -0,0 +1,39 @@
+import { describe, expect, test } from "@jest/globals";
+import { createEventLog } from "./event_log.ts";
+import { createMetrics, MAX_SERVICE_LABELS } from "./metrics.ts";
+
+describe("createMetrics()", () => {
+  // Guards against time series that callers can create without limit.
+  test("counts unknown label values as other", async () => {
+    const metrics = createMetrics();
+    const names = Array.from({ length: 300 }, (_, index) => `service-${index}`);
+    metrics.allowServices(names);
+    for (const service of names) {
+      metrics.observeRequest({ service, urgency: service }, {
+        durationMs: 1,
+        outcome: service,
+      });
+    }
+    const text = await metrics.registry.metrics();
+    const lines = text.split("\n").filter((line) =>
+      line.startsWith("lagoonloom_request_outcomes_total{")
+    );
+    expect(lines).toHaveLength(MAX_SERVICE_LABELS + 1);
+    expect(lines.at(-1)).toBe(
+      'lagoonloom_request_outcomes_total{service="other",urgency="other",outcome="other"} 100',
+    );
+  });
+});
+
+describe("createEventLog()", () => {
+  // Guards against an event that reaches the output without its number.
+  test("passes the event and its fields on", () => {
+    const seen: unknown[] = [];
+    const events = createEventLog({
+      format: "hidden",
+      onEvent: (event, fields) => seen.push([event.id, fields]),
+    });
+    events.log("watcherNamed", { watcher: "a" });
+    expect(seen).toEqual([["LL3003", { watcher: "a" }]]);
+  });
+});
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
-export {};
+export * from "./event_log.ts";
+export * from "./label_bound.ts";
+export * from "./log_events.ts";
+export * from "./metrics.ts";
