Fold publications and membership

The daemon needs the state in force before the other records exist. applyRecord folds set.changed and the member records, remembers outcomes for 4,096 offsets and refuses malformed bodies.

--- /dev/null
+++ b/packages/decisions/fold/apply_record.ts
@@ -0,0 +1,81 @@
+import { ControlRecord, type LogRecord } from "@lagoonloom/records";
+import type { FleetState } from "./fleet_state.ts";
+import {
+  foldMemberJoined,
+  foldMemberLeft,
+  foldMemberLost,
+  foldMemberWatched,
+} from "./internal/fold_member.ts";
+import { foldSetChanged } from "./internal/fold_set.ts";
+import { refuse } from "./internal/outcomes.ts";
+import {
+  OUTCOME_WINDOW_OFFSETS,
+  type RecordOutcome,
+} from "./record_outcome.ts";
+
+/**
+ * Folds one record of the stream `control` into the state, in place, and
+ * returns whether it took effect. The result depends on the state and the
+ * record alone. A malformed record is refused; nothing throws.
+ *
+ * Records are given in the order of their offsets. A record below the next
+ * offset is a duplicate delivery. The caller loads a checkpoint when the log no
+ * longer has the next offset.
+ *
+ * @example
+ * ```ts
+ * const outcome = applyRecord(state, record);
+ * ```
+ */
+export function applyRecord(
+  state: FleetState,
+  record: LogRecord,
+): RecordOutcome {
+  if (record.offset < state.nextOffset) return { type: "duplicate" };
+  state.nextOffset = record.offset + 1;
+  state.timeMs = Math.max(state.timeMs, record.timeMs);
+  forgetOutcomes(state);
+  if (state.outcomes.has(record.id)) return { type: "duplicate" };
+  const parsed = ControlRecord.safeParse(record.body);
+  const outcome = parsed.success
+    ? foldBody(state, parsed.data, record)
+    : refuse(describeIssue(parsed.error.issues[0]));
+  const { offset, timeMs, id } = record;
+  state.outcomes.set(id, { offset, timeMs, outcome });
+  return outcome;
+}
+
+function describeIssue(
+  issue: { path: PropertyKey[]; message: string } | undefined,
+): string {
+  if (issue === undefined) return "Malformed record.";
+  return `Malformed record: ${issue.path.join(".")}: ${issue.message}`;
+}
+
+function forgetOutcomes(state: FleetState): void {
+  for (const [id, { offset }] of state.outcomes) {
+    if (offset > state.nextOffset - 1 - OUTCOME_WINDOW_OFFSETS) return;
+    state.outcomes.delete(id);
+  }
+}
+
+function foldBody(
+  state: FleetState,
+  body: ControlRecord,
+  log: LogRecord,
+): RecordOutcome {
+  switch (body.type) {
+    case "set.changed":
+      return foldSetChanged(state, body, log);
+    case "member.joined":
+      return foldMemberJoined(state, body, log);
+    case "member.left":
+      return foldMemberLeft(state, body);
+    case "member.lost":
+      return foldMemberLost(state, body);
+    case "member.watched":
+      return foldMemberWatched(state, body);
+    default:
+      return refuse(`Records of type "${body.type}" are not folded yet.`);
+  }
+}
--- a/packages/decisions/fold/fleet_state.ts
+++ b/packages/decisions/fold/fleet_state.ts
@@ -1,4 +1,6 @@
 import { emptyObjectSet, type ObjectSet } from "@lagoonloom/objects";
+import type { JobState, WorkerState } from "./job_state.ts";
+import type { RememberedOutcome } from "./record_outcome.ts";
 
 /** Entry host that takes part, as the log knows it. */
 export type Member = {
@@ -13,16 +15,111 @@
   joinedAtMs: number;
 };
 
+/** Holder of the decider role of a scope. */
+export type Decider = {
+  holder: string;
+  incarnation: string;
+  epoch: number;
+  /** Log time in milliseconds at which the lease ends. */
+  leaseEndMs: number;
+};
+
+/** Permission for a host to be out of service. */
+export type Permit = {
+  purpose: "drain" | "reboot" | "move";
+  wave: string | undefined;
+  reason: string;
+  grantedAtMs: number;
+};
+
+/** Move of a host to another pool that has begun. */
+export type Move = {
+  to: string;
+  step: "started" | "emptied";
+  reason: string;
+  startedAtMs: number;
+};
+
+/** Health of a host as last observed. */
+export type HostHealth = "in-service" | "failed" | "silent";
+
+/** Host of the set in force, as the log knows it. */
+export type HostState = {
+  /** Pool that owns the host. */
+  owner: string;
+  /** Fences records that were written for an earlier state of the host. */
+  generation: number;
+  health: HostHealth;
+  /** Log time of the last change of health in milliseconds. */
+  healthSinceMs: number;
+  healthReason: string;
+  permit: Permit | undefined;
+  move: Move | undefined;
+  /** End of the last permit: log time, outcome and wave. */
+  lastReturn:
+    | { atMs: number; outcome: "done" | "abandoned"; wave: string | undefined }
+    | undefined;
+  /** Log time of the last finished move; 0 before the first one. */
+  movedAtMs: number;
+};
+
+/** Progress of a wave. */
+export type WaveState = {
+  state: "running" | "paused" | "finished";
+  reason: string;
+  sinceMs: number;
+  /** Evidence from before this log time does not pause the wave. */
+  resumedAtMs: number;
+  /** Log time at which each host returned from this wave. */
+  done: Map<string, number>;
+};
+
+/** Publication that took effect. */
+export type HistoryEntry = {
+  version: number;
+  recordId: string;
+  offset: number;
+  timeMs: number;
+  operator: string;
+  /** Changed objects as `kind/name`. */
+  put: string[];
+  removed: string[];
+};
+
 /** Folded state of the stream `control`. */
 export type FleetState = {
   /** Next offset to fold. */
   nextOffset: number;
+  /** Log time of the last folded record in milliseconds. */
+  timeMs: number;
   /** Version of the set in force; 0 before the first one. */
   setVersion: number;
   set: ObjectSet;
+  /** Last publications that took effect, oldest first. */
+  history: HistoryEntry[];
   /** Counts the changes of membership. */
   generation: number;
   members: Map<string, Member>;
+  /** Incarnations that ended, newest last; they cannot join again. */
+  endedIncarnations: Map<string, string[]>;
+  deciders: Map<string, Decider>;
+  hosts: Map<string, HostState>;
+  /** Hosts by owner, derived from `hosts`. */
+  hostsByPool: Map<string, Set<string>>;
+  /** Generation at which a host that appears in the set begins. */
+  firstHostGeneration: number;
+  waves: Map<string, WaveState>;
+  jobs: Map<string, JobState>;
+  /** Jobs that ended, oldest first; the oldest are forgotten. */
+  endedJobs: string[];
+  workers: Map<string, WorkerState>;
+  /** Outcomes of recent records by id, in the order of their offsets. */
+  outcomes: Map<string, RememberedOutcome>;
+  /** Newest complete checkpoint, and the chunks of one under way. */
+  checkpoint: {
+    offset: number;
+    pending: { offset: number; chunks: number; seen: number[] } | undefined;
+  };
 };
 
 /**
@@ -36,9 +133,22 @@
 export function emptyFleetState(): FleetState {
   return {
     nextOffset: 0,
+    timeMs: 0,
     setVersion: 0,
     set: emptyObjectSet(),
+    history: [],
     generation: 0,
     members: new Map(),
+    endedIncarnations: new Map(),
+    deciders: new Map(),
+    hosts: new Map(),
+    hostsByPool: new Map(),
+    firstHostGeneration: 0,
+    waves: new Map(),
+    jobs: new Map(),
+    endedJobs: [],
+    workers: new Map(),
+    outcomes: new Map(),
+    checkpoint: { offset: -1, pending: undefined },
   };
 }
--- /dev/null
+++ b/packages/decisions/fold/internal/fold_member.ts
@@ -0,0 +1,110 @@
+import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { FleetState } from "../fleet_state.ts";
+import type { RecordOutcome } from "../record_outcome.ts";
+import { APPLIED, refuse } from "./outcomes.ts";
+
+/** Ended incarnations kept per member. */
+const MAX_ENDED_INCARNATIONS = 16;
+
+type Joined = Extract<ControlRecord, { type: "member.joined" }>;
+type Left = Extract<ControlRecord, { type: "member.left" }>;
+type Lost = Extract<ControlRecord, { type: "member.lost" }>;
+type Watched = Extract<ControlRecord, { type: "member.watched" }>;
+
+/** Folds a join; a new incarnation replaces the old one of the same name. */
+export function foldMemberJoined(
+  state: FleetState,
+  record: Joined,
+  log: LogRecord,
+): RecordOutcome {
+  const { member: name, incarnation } = record;
+  const current = state.members.get(name);
+  if (current?.incarnation === incarnation) {
+    return refuse(`Incarnation "${incarnation}" of "${name}" has joined.`);
+  }
+  if (state.endedIncarnations.get(name)?.includes(incarnation) === true) {
+    return refuse(`Incarnation "${incarnation}" of "${name}" has ended.`);
+  }
+  if (current !== undefined) endIncarnation(state, name);
+  state.members.set(name, {
+    name,
+    incarnation,
+    dataCentre: record.dataCentre,
+    peerAddress: record.peerAddress,
+    operatorAddress: record.operatorAddress,
+    watcher: undefined,
+    joinedAtMs: log.timeMs,
+  });
+  state.generation++;
+  return APPLIED;
+}
+
+/** Folds a graceful leave. */
+export function foldMemberLeft(
+  state: FleetState,
+  record: Left,
+): RecordOutcome {
+  const problem = checkIncarnation(state, record);
+  if (problem !== undefined) return refuse(problem);
+  endIncarnation(state, record.member);
+  state.generation++;
+  return APPLIED;
+}
+
+/** Folds a loss, which only the watcher of the member may report. */
+export function foldMemberLost(
+  state: FleetState,
+  record: Lost,
+): RecordOutcome {
+  const problem = checkIncarnation(state, record);
+  if (problem !== undefined) return refuse(problem);
+  const watcher = state.members.get(record.member)?.watcher;
+  if (watcher !== record.watcher || !state.members.has(record.watcher)) {
+    return refuse(
+      `"${record.watcher}" is not the watcher of "${record.member}".`,
+    );
+  }
+  endIncarnation(state, record.member);
+  state.generation++;
+  return APPLIED;
+}
+
+/** Folds the choice of a watcher in the member's own data centre. */
+export function foldMemberWatched(
+  state: FleetState,
+  record: Watched,
+): RecordOutcome {
+  const problem = checkIncarnation(state, record);
+  if (problem !== undefined) return refuse(problem);
+  const member = state.members.get(record.member);
+  const watcher = state.members.get(record.watcher);
+  if (member === undefined || watcher === undefined || member === watcher) {
+    return refuse(`"${record.watcher}" cannot watch "${record.member}".`);
+  }
+  if (member.dataCentre !== watcher.dataCentre) {
+    return refuse(`"${record.watcher}" is in another data centre.`);
+  }
+  if (member.watcher === watcher.name) return refuse("Nothing changes.");
+  member.watcher = watcher.name;
+  return APPLIED;
+}
+
+function checkIncarnation(
+  state: FleetState,
+  record: { member: string; incarnation: string },
+): string | undefined {
+  const member = state.members.get(record.member);
+  if (member === undefined) return `"${record.member}" is not a member.`;
+  if (member.incarnation === record.incarnation) return undefined;
+  return `Incarnation "${member.incarnation}" of "${record.member}" is current.`;
+}
+
+function endIncarnation(state: FleetState, name: string): void {
+  const member = state.members.get(name);
+  if (member === undefined) return;
+  const ended = state.endedIncarnations.get(name) ?? [];
+  ended.push(member.incarnation);
+  if (ended.length > MAX_ENDED_INCARNATIONS) ended.shift();
+  state.endedIncarnations.set(name, ended);
+  state.members.delete(name);
+}
--- /dev/null
+++ b/packages/decisions/fold/internal/fold_set.ts
@@ -0,0 +1,147 @@
+import {
+  applySetChange,
+  checkObjectSet,
+  OBJECT_KINDS,
+  type ObjectSet,
+  type SetChange,
+} from "@lagoonloom/objects";
+import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { FleetState } from "../fleet_state.ts";
+import type { RecordOutcome } from "../record_outcome.ts";
+import { APPLIED, own, refuse } from "./outcomes.ts";
+
+/** Publications kept in the state; 8,900 a day make about 80 minutes. */
+export const MAX_HISTORY = 500;
+
+type SetChanged = Extract<ControlRecord, { type: "set.changed" }>;
+
+/** Folds a publication: all of it or nothing takes effect. */
+export function foldSetChanged(
+  state: FleetState,
+  record: SetChanged,
+  log: LogRecord,
+): RecordOutcome {
+  if (record.expectedVersion !== state.setVersion) {
+    return refuse(describeRace(state, record.expectedVersion));
+  }
+  const next = applySetChange(state.set, record.change);
+  const problem = checkObjectSet(next)[0];
+  if (problem !== undefined) {
+    return refuse(`${problem.kind}/${problem.name}: ${problem.message}`);
+  }
+  const owner = findOwnerWithoutPool(state, next);
+  if (owner !== undefined) {
+    return refuse(`pools/${owner.pool} still owns host "${owner.host}".`);
+  }
+  const previous = state.set;
+  state.set = next;
+  state.setVersion++;
+  reconcileHosts(state);
+  reconcileWaves(state, previous, log.timeMs);
+  remember(state, record, log);
+  return APPLIED;
+}
+
+function describeRace(state: FleetState, expected: number): string {
+  const winner = state.history.at(-1);
+  const by = winner === undefined
+    ? ""
+    : `; "${winner.operator}" published version ${winner.version}`;
+  return `Expected version ${expected}, but version ${state.setVersion} is in force${by}.`;
+}
+
+function findOwnerWithoutPool(state: FleetState, next: ObjectSet) {
+  for (const [pool, hosts] of state.hostsByPool) {
+    if (own(next.pools, pool) !== undefined) continue;
+    for (const host of hosts) {
+      if (own(next.hosts, host) !== undefined) return { pool, host };
+    }
+  }
+  return undefined;
+}
+
+/** Adds and removes hosts; a different pool of a known host moves nothing. */
+function reconcileHosts(state: FleetState): void {
+  for (const [name, host] of state.hosts) {
+    if (own(state.set.hosts, name) !== undefined) continue;
+    state.hosts.delete(name);
+    state.hostsByPool.get(host.owner)?.delete(name);
+    // A host that returns under this name starts above every generation that
+    // the removed one had, so that records of the removed host stay fenced.
+    state.firstHostGeneration = Math.max(
+      state.firstHostGeneration,
+      host.generation + 1,
+    );
+  }
+  for (const [name, host] of Object.entries(state.set.hosts)) {
+    if (state.hosts.has(name)) continue;
+    state.hosts.set(name, {
+      owner: host.pool,
+      generation: state.firstHostGeneration,
+      health: "in-service",
+      healthSinceMs: state.timeMs,
+      healthReason: "added by the set",
+      permit: undefined,
+      move: undefined,
+      lastReturn: undefined,
+      movedAtMs: 0,
+    });
+    indexHost(state, name, host.pool);
+  }
+}
+
+/** Adds a host to the index by owner. */
+export function indexHost(
+  state: FleetState,
+  name: string,
+  pool: string,
+): void {
+  const hosts = state.hostsByPool.get(pool);
+  if (hosts === undefined) state.hostsByPool.set(pool, new Set([name]));
+  else hosts.add(name);
+}
+
+/** An operator resumes a wave, or starts a finished one again, by the set. */
+function reconcileWaves(
+  state: FleetState,
+  previous: ObjectSet,
+  timeMs: number,
+): void {
+  for (const [name, wave] of state.waves) {
+    const now = own(state.set.waves, name);
+    if (now === undefined) {
+      state.waves.delete(name);
+      continue;
+    }
+    const before = own(previous.waves, name);
+    if (now.state !== "active" || before?.state === "active") continue;
+    if (wave.state === "finished") wave.done.clear();
+    wave.state = "running";
+    wave.reason = "resumed by the set";
+    wave.sinceMs = timeMs;
+    wave.resumedAtMs = timeMs;
+  }
+}
+
+function remember(
+  state: FleetState,
+  record: SetChanged,
+  log: LogRecord,
+): void {
+  state.history.push({
+    version: state.setVersion,
+    recordId: log.id,
+    offset: log.offset,
+    timeMs: log.timeMs,
+    operator: record.operator,
+    put: listPut(record.change),
+    removed: record.change.removed.map(({ kind, name }) => `${kind}/${name}`),
+  });
+  if (state.history.length > MAX_HISTORY) state.history.shift();
+}
+
+function listPut(change: SetChange): string[] {
+  return OBJECT_KINDS.flatMap((kind) =>
+    Object.keys(change.put[kind] ?? {}).map((name) => `${kind}/${name}`)
+  );
+}
--- /dev/null
+++ b/packages/decisions/fold/internal/outcomes.ts
@@ -0,0 +1,17 @@
+import type { RecordOutcome } from "../record_outcome.ts";
+
+/** Outcome of a record that took effect. */
+export const APPLIED: RecordOutcome = { type: "applied" };
+
+/** Returns the outcome of a record whose precondition does not hold. */
+export function refuse(reason: string): RecordOutcome {
+  return { type: "refused", reason };
+}
+
+/** Returns an own property; names such as `constructor` are legal. */
+export function own<Value>(
+  dictionary: Record<string, Value>,
+  name: string,
+): Value | undefined {
+  return Object.hasOwn(dictionary, name) ? dictionary[name] : undefined;
+}
--- /dev/null
+++ b/packages/decisions/fold/job_state.ts
@@ -0,0 +1,46 @@
+/** Processors, memory and accelerators of a job. */
+export type JobSize = {
+  cores: number;
+  memory_gb: number;
+  accelerators: number;
+};
+
+/** Job as the log knows it. */
+export type JobState = {
+  team: string;
+  urgency: "urgent" | "normal" | "deferrable";
+  declared: JobSize;
+  declaredRunS: number;
+  dataCentres: string[];
+  state: "queued" | "running" | "succeeded" | "cancelled" | "parked";
+  /** Attempts begun; a record of another attempt is refused. */
+  attempt: number;
+  /** Worker of the current attempt. */
+  worker: string | undefined;
+  /** Log time at which the worker's lease ends, in milliseconds. */
+  leaseEndMs: number;
+  submittedAtMs: number;
+  /** Log time of the last change of state in milliseconds. */
+  sinceMs: number;
+  /** Different workers on which the job failed. */
+  failedWorkers: string[];
+  reason: string;
+};
+
+/** End of an attempt on a worker. */
+export type WorkerStart = {
+  job: string;
+  atMs: number;
+  outcome: "succeeded" | "failed" | "preempted" | "lost";
+};
+
+/** Worker as the log knows it. */
+export type WorkerState = {
+  state: "suspended" | "trial" | "restored";
+  reason: string;
+  sinceMs: number;
+  /** Last attempts that ended on the worker, oldest first. */
+  recent: WorkerStart[];
+  /** Jobs that run on the worker now. */
+  running: string[];
+};
--- a/packages/decisions/fold/mod.ts
+++ b/packages/decisions/fold/mod.ts
@@ -4,5 +4,7 @@
  * @module
  */
 
+export * from "./apply_record.ts";
 export * from "./fleet_state.ts";
+export * from "./job_state.ts";
 export * from "./record_outcome.ts";
