--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
-export {};
+export * from "./create_peer_client.ts";
+export * from "./create_peer_server.ts";
+export * from "./gen/lagoonloom/peers/v1/peers_pb.ts";
+export * from "./peer_handlers.ts";
