Fold the remaining control records under budgets

Permits, moves, waves, jobs and deciders had schemas and no effect. Budgets tell which hosts may be out and why others may not.

--- /dev/null
+++ b/packages/decisions/budgets/hosts_that_may_be_out.ts
@@ -0,0 +1,122 @@
+import type { FleetState } from "../fold/fleet_state.ts";
+import { own } from "../fold/internal/outcomes.ts";
+import { type PoolCapacity, poolCapacity, rackKey } from "./pool_capacity.ts";
+import { takeOut, whyNotOut } from "./why_not_out.ts";
+
+/** Hosts that may be out together, and why the others may not. */
+export type OutChoice = {
+  hosts: string[];
+  /** Reason by host that may not be out besides the chosen ones. */
+  reasons: Map<string, string>;
+};
+
+/** Options of {@linkcode hostsThatMayBeOut}. */
+export type OutOptions = {
+  /** Hosts to choose from. */
+  candidates: readonly string[];
+  /** Most hosts to choose; all that the budgets allow if absent. */
+  limit?: number;
+  /** Counts to go on from, by pool; they are updated. */
+  capacities?: Map<string, PoolCapacity>;
+};
+
+/**
+ * Chooses hosts that may be out together under all budgets. The rack with most
+ * candidates goes first, since the rack limits make it the last to finish; of
+ * equal racks the one with most available hosts goes first, which keeps the
+ * loss of one more rack small.
+ *
+ * @example
+ * ```ts
+ * const { hosts } = hostsThatMayBeOut(state, { candidates: ["host-1"] });
+ * ```
+ */
+export function hostsThatMayBeOut(
+  state: FleetState,
+  options: OutOptions,
+): OutChoice {
+  const capacities = options.capacities ?? new Map<string, PoolCapacity>();
+  const choice: OutChoice = { hosts: [], reasons: new Map() };
+  for (const [pool, names] of groupByOwner(state, options.candidates)) {
+    const capacity = capacities.get(pool) ?? poolCapacity(state, pool);
+    capacities.set(pool, capacity);
+    chooseOfPool(state, capacity, { names, choice, limit: options.limit });
+  }
+  return choice;
+}
+
+type PoolChoice = {
+  names: string[];
+  choice: OutChoice;
+  limit: number | undefined;
+};
+
+function chooseOfPool(
+  state: FleetState,
+  capacity: PoolCapacity,
+  { names, choice, limit }: PoolChoice,
+): void {
+  const racks = groupByRack(state, names);
+  while (racks.size > 0) {
+    const rack = fullestRack(racks, capacity);
+    const name = racks.get(rack)?.shift();
+    if (racks.get(rack)?.length === 0) racks.delete(rack);
+    if (name === undefined) continue;
+    const reason = limit !== undefined && choice.hosts.length >= limit
+      ? `At most ${limit} hosts are taken out now.`
+      : whyNotOut(state, capacity, name);
+    if (reason === undefined) {
+      takeOut(state, capacity, name);
+      choice.hosts.push(name);
+    } else {
+      choice.reasons.set(name, reason);
+    }
+  }
+}
+
+function fullestRack(
+  racks: Map<string, string[]>,
+  capacity: PoolCapacity,
+): string {
+  let best = "";
+  let bestScore = -1;
+  for (const [rack, names] of racks) {
+    const available = capacity.racks.get(rack)?.available ?? 0;
+    const score = names.length * 1_000 + available;
+    if (score > bestScore) {
+      best = rack;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+function groupByOwner(
+  state: FleetState,
+  names: readonly string[],
+): Map<string, string[]> {
+  const groups = new Map<string, string[]>();
+  for (const name of names) {
+    const pool = state.hosts.get(name)?.owner;
+    if (pool !== undefined) push(groups, pool, name);
+  }
+  return groups;
+}
+
+function groupByRack(
+  state: FleetState,
+  names: readonly string[],
+): Map<string, string[]> {
+  const groups = new Map<string, string[]>();
+  for (const name of names) {
+    const object = own(state.set.hosts, name);
+    if (object !== undefined) push(groups, rackKey(object), name);
+  }
+  return groups;
+}
+
+function push(groups: Map<string, string[]>, key: string, value: string) {
+  const group = groups.get(key);
+  if (group === undefined) groups.set(key, [value]);
+  else group.push(value);
+}
--- /dev/null
+++ b/packages/decisions/budgets/pool_capacity.ts
@@ -0,0 +1,125 @@
+import type { FleetState } from "../fold/fleet_state.ts";
+import { own } from "../fold/internal/outcomes.ts";
+import {
+  type Limit,
+  type PoolLimits,
+  poolLimits,
+  requiredHosts,
+} from "./pool_limits.ts";
+
+/** Hosts of a pool in one rack or data centre. */
+export type PlaceCapacity = {
+  total: number;
+  available: number;
+  /** Hosts out by plan. */
+  planned: number;
+};
+
+/** Hosts of a pool with what its budgets demand of them. */
+export type PoolCapacity = {
+  pool: string;
+  total: number;
+  available: number;
+  /** Hosts that are failed or of unknown status, without a permit. */
+  unplanned: number;
+  required: Limit;
+  limits: PoolLimits | undefined;
+  racks: Map<string, PlaceCapacity>;
+  dataCentres: Map<string, PlaceCapacity>;
+  /** Whether the fleet allows the loss of a rack besides a planned stop. */
+  reservesRack: boolean;
+};
+
+/**
+ * Reports whether a host counts as available: it holds no permit, is healthy as
+ * far as is known, and the set does not mark it as leaving.
+ *
+ * @example
+ * ```ts
+ * const available = isAvailable(state, "host-1");
+ * ```
+ */
+export function isAvailable(state: FleetState, name: string): boolean {
+  const host = state.hosts.get(name);
+  return host !== undefined && host.permit === undefined &&
+    host.health === "in-service" &&
+    own(state.set.hosts, name)?.state === "in-service";
+}
+
+/**
+ * Counts the hosts of a pool against its budgets.
+ *
+ * @example
+ * ```ts
+ * const { available, required } = poolCapacity(state, "orders");
+ * ```
+ */
+export function poolCapacity(state: FleetState, pool: string): PoolCapacity {
+  const names = state.hostsByPool.get(pool) ?? new Set();
+  const limits = poolLimits(state.set).get(pool);
+  const capacity: PoolCapacity = {
+    pool,
+    total: names.size,
+    available: 0,
+    unplanned: 0,
+    required: requiredHosts(limits, names.size),
+    limits,
+    racks: new Map(),
+    dataCentres: new Map(),
+    reservesRack: false,
+  };
+  for (const name of names) countHost(state, capacity, name);
+  let largest = 0;
+  for (const { total } of capacity.racks.values()) {
+    largest = Math.max(largest, total);
+  }
+  capacity.reservesRack = capacity.total - largest > capacity.required.value;
+  return capacity;
+}
+
+function countHost(
+  state: FleetState,
+  capacity: PoolCapacity,
+  name: string,
+): void {
+  const host = state.hosts.get(name);
+  const object = own(state.set.hosts, name);
+  if (host === undefined || object === undefined) return;
+  const isPlanned = host.permit !== undefined || object.state === "leaving";
+  const available = isAvailable(state, name) ? 1 : 0;
+  capacity.available += available;
+  if (!isPlanned && available === 0) capacity.unplanned++;
+  const places = [
+    placeOf(capacity.racks, rackKey(object)),
+    placeOf(capacity.dataCentres, object.data_centre),
+  ];
+  for (const place of places) {
+    place.total++;
+    place.available += available;
+    if (isPlanned) place.planned++;
+  }
+}
+
+/**
+ * Returns the name of a host's rack, unique over data centres.
+ *
+ * @example
+ * ```ts
+ * const key = rackKey({ data_centre: "detroit", rack: "r1" });
+ * ```
+ */
+export function rackKey(host: { data_centre: string; rack: string }): string {
+  return `${host.data_centre}/${host.rack}`;
+}
+
+function placeOf(
+  places: Map<string, PlaceCapacity>,
+  name: string,
+): PlaceCapacity {
+  let place = places.get(name);
+  if (place === undefined) {
+    place = { total: 0, available: 0, planned: 0 };
+    places.set(name, place);
+  }
+  return place;
+}
--- /dev/null
+++ b/packages/decisions/budgets/pool_limits.ts
@@ -0,0 +1,95 @@
+import type { ObjectSet } from "@lagoonloom/objects";
+import { own } from "../fold/internal/outcomes.ts";
+
+/** Limit that one budget sets, with its name for reasons. */
+export type Limit = { budget: string; value: number };
+
+/** All budgets of the services whose home is one pool. */
+export type PoolLimits = {
+  counts: Limit[];
+  percents: Limit[];
+  perRack: Limit | undefined;
+  perDataCentre: Limit | undefined;
+};
+
+const cache = new WeakMap<ObjectSet, Map<string, PoolLimits>>();
+
+/**
+ * Returns the budgets of a set by home pool. The result is kept as long as the
+ * set, which is never changed in place.
+ *
+ * @example
+ * ```ts
+ * const limits = poolLimits(state.set).get("orders");
+ * ```
+ */
+export function poolLimits(set: ObjectSet): Map<string, PoolLimits> {
+  const known = cache.get(set);
+  if (known !== undefined) return known;
+  const limits = new Map<string, PoolLimits>();
+  // Sorted, so that of two equal limits every daemon names the same one.
+  for (const name of Object.keys(set.budgets).sort()) {
+    const budget = set.budgets[name]!;
+    const pool = own(set.services, budget.service)?.pool;
+    if (pool === undefined) continue;
+    const entry = limits.get(pool) ?? emptyLimits();
+    limits.set(pool, entry);
+    add(entry.counts, name, budget.min_available);
+    add(entry.percents, name, budget.min_available_percent);
+    entry.perRack = lower(entry.perRack, name, budget.max_out_per_rack);
+    entry.perDataCentre = lower(
+      entry.perDataCentre,
+      name,
+      budget.max_out_per_data_centre,
+    );
+  }
+  cache.set(set, limits);
+  return limits;
+}
+
+/**
+ * Returns the most hosts that any budget demands of a pool of some size.
+ *
+ * @example
+ * ```ts
+ * const required = requiredHosts(limits, 8).value;
+ * ```
+ */
+export function requiredHosts(
+  limits: PoolLimits | undefined,
+  total: number,
+): Limit {
+  let required: Limit = { budget: "none", value: 0 };
+  for (const { budget, value } of limits?.counts ?? []) {
+    if (value > required.value) required = { budget, value };
+  }
+  for (const { budget, value } of limits?.percents ?? []) {
+    // Rounding removes the error of the product, such as 0.07 * 100.
+    const hosts = Math.ceil(Math.round(value * total * 1e6) / 1e8);
+    if (hosts > required.value) required = { budget, value: hosts };
+  }
+  return required;
+}
+
+function emptyLimits(): PoolLimits {
+  return {
+    counts: [],
+    percents: [],
+    perRack: undefined,
+    perDataCentre: undefined,
+  };
+}
+
+function add(limits: Limit[], budget: string, value: number | undefined) {
+  if (value !== undefined) limits.push({ budget, value });
+}
+
+function lower(
+  limit: Limit | undefined,
+  budget: string,
+  value: number | undefined,
+): Limit | undefined {
+  if (value === undefined) return limit;
+  if (limit !== undefined && limit.value <= value) return limit;
+  return { budget, value };
+}
--- /dev/null
+++ b/packages/decisions/budgets/why_not_out.ts
@@ -0,0 +1,88 @@
+import type { FleetState } from "../fold/fleet_state.ts";
+import { own } from "../fold/internal/outcomes.ts";
+import { isAvailable, type PoolCapacity, rackKey } from "./pool_capacity.ts";
+
+/**
+ * Returns why a host of the pool may not be taken out of service now, or
+ * undefined if it may. A host that is out already costs no capacity.
+ *
+ * @example
+ * ```ts
+ * const reason = whyNotOut(state, capacity, "host-1");
+ * ```
+ */
+export function whyNotOut(
+  state: FleetState,
+  capacity: PoolCapacity,
+  name: string,
+): string | undefined {
+  const object = own(state.set.hosts, name);
+  const host = state.hosts.get(name);
+  if (object === undefined || host === undefined) return "The host is unknown.";
+  if (host.permit !== undefined) return "The host holds a permit.";
+  if (object.state === "in-service") {
+    const reason = checkPlaces(capacity, object);
+    if (reason !== undefined) return reason;
+  }
+  if (!isAvailable(state, name)) return undefined;
+  const { budget, value } = capacity.required;
+  const left = capacity.available - 1;
+  if (left < value) {
+    return `Budget "${budget}" demands ${value} of ${capacity.total} hosts of "${capacity.pool}"; ${left} would be left.`;
+  }
+  if (!capacity.reservesRack) return undefined;
+  const worst = left - largestRack(capacity, rackKey(object));
+  if (worst >= value) return undefined;
+  return `Budget "${budget}" demands ${value} hosts of "${capacity.pool}"; ${worst} would be left if one more rack failed.`;
+}
+
+/**
+ * Counts a host as out by plan, so that the next question sees it.
+ *
+ * @example
+ * ```ts
+ * takeOut(state, capacity, "host-1");
+ * ```
+ */
+export function takeOut(
+  state: FleetState,
+  capacity: PoolCapacity,
+  name: string,
+): void {
+  const object = own(state.set.hosts, name);
+  if (object === undefined) return;
+  const rack = capacity.racks.get(rackKey(object));
+  const dataCentre = capacity.dataCentres.get(object.data_centre);
+  const available = isAvailable(state, name) ? 1 : 0;
+  capacity.available -= available;
+  for (const place of [rack, dataCentre]) {
+    if (place === undefined) continue;
+    place.available -= available;
+    if (object.state === "in-service") place.planned++;
+  }
+}
+
+function checkPlaces(
+  capacity: PoolCapacity,
+  object: { data_centre: string; rack: string },
+): string | undefined {
+  const { perRack, perDataCentre } = capacity.limits ?? {};
+  const inRack = capacity.racks.get(rackKey(object))?.planned ?? 0;
+  if (perRack !== undefined && inRack >= perRack.value) {
+    return `Budget "${perRack.budget}" allows ${perRack.value} hosts of "${capacity.pool}" out in rack "${object.rack}".`;
+  }
+  const inPlace = capacity.dataCentres.get(object.data_centre)?.planned ?? 0;
+  if (perDataCentre !== undefined && inPlace >= perDataCentre.value) {
+    return `Budget "${perDataCentre.budget}" allows ${perDataCentre.value} hosts of "${capacity.pool}" out in "${object.data_centre}".`;
+  }
+  return undefined;
+}
+
+/** Available hosts of the fullest rack once one host of `rack` is out. */
+function largestRack(capacity: PoolCapacity, rack: string): number {
+  let largest = 0;
+  for (const [name, { available }] of capacity.racks) {
+    largest = Math.max(largest, name === rack ? available - 1 : available);
+  }
+  return largest;
+}
--- a/packages/decisions/fold/apply_record.ts
+++ b/packages/decisions/fold/apply_record.ts
@@ -1,12 +1,29 @@
 import { ControlRecord, type LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "./fleet_state.ts";
+import { foldCheckpoint } from "./internal/fold_checkpoint.ts";
+import { foldDeciderClaimed } from "./internal/fold_decider.ts";
+import {
+  foldJobCancelled,
+  foldJobEnded,
+  foldJobParked,
+  foldJobPlaced,
+  foldJobSubmitted,
+  foldWorkerChanged,
+} from "./internal/fold_job.ts";
 import {
   foldMemberJoined,
   foldMemberLeft,
   foldMemberLost,
   foldMemberWatched,
 } from "./internal/fold_member.ts";
+import { foldMoveAdvanced } from "./internal/fold_move.ts";
+import {
+  foldHostObserved,
+  foldPermitGranted,
+  foldPermitReturned,
+} from "./internal/fold_permit.ts";
 import { foldSetChanged } from "./internal/fold_set.ts";
+import { foldWaveChanged } from "./internal/fold_wave.ts";
 import { refuse } from "./internal/outcomes.ts";
 import {
   OUTCOME_WINDOW_OFFSETS,
@@ -75,7 +92,31 @@
       return foldMemberLost(state, body);
     case "member.watched":
       return foldMemberWatched(state, body);
-    default:
-      return refuse(`Records of type "${body.type}" are not folded yet.`);
+    case "decider.claimed":
+      return foldDeciderClaimed(state, body, log);
+    case "permit.granted":
+      return foldPermitGranted(state, body, log);
+    case "permit.returned":
+      return foldPermitReturned(state, body, log);
+    case "host.observed":
+      return foldHostObserved(state, body, log);
+    case "move.advanced":
+      return foldMoveAdvanced(state, body, log);
+    case "wave.changed":
+      return foldWaveChanged(state, body, log);
+    case "job.submitted":
+      return foldJobSubmitted(state, body, log);
+    case "job.placed":
+      return foldJobPlaced(state, body, log);
+    case "job.ended":
+      return foldJobEnded(state, body, log);
+    case "job.cancelled":
+      return foldJobCancelled(state, body, log);
+    case "job.parked":
+      return foldJobParked(state, body, log);
+    case "worker.changed":
+      return foldWorkerChanged(state, body, log);
+    case "checkpoint":
+      return foldCheckpoint(state, body, log);
   }
 }
--- a/packages/decisions/fold/fleet_state.ts
+++ b/packages/decisions/fold/fleet_state.ts
@@ -30,6 +30,8 @@
   wave: string | undefined;
   reason: string;
   grantedAtMs: number;
+  /** Log time at which the host was first seen down under the permit. */
+  downSinceMs: number | undefined;
 };
 
 /** Move of a host to another pool that has begun. */
@@ -40,6 +42,15 @@
   startedAtMs: number;
 };
 
+/** End of the last permit of a host. */
+export type PermitReturn = {
+  atMs: number;
+  outcome: "done" | "abandoned";
+  wave: string | undefined;
+  /** Time in milliseconds from the first sight of the host down. */
+  outMs: number;
+};
+
 /** Health of a host as last observed. */
 export type HostHealth = "in-service" | "failed" | "silent";
 
@@ -55,10 +66,7 @@
   healthReason: string;
   permit: Permit | undefined;
   move: Move | undefined;
-  /** End of the last permit: log time, outcome and wave. */
-  lastReturn:
-    | { atMs: number; outcome: "done" | "abandoned"; wave: string | undefined }
-    | undefined;
+  lastReturn: PermitReturn | undefined;
   /** Log time of the last finished move; 0 before the first one. */
   movedAtMs: number;
 };
--- /dev/null
+++ b/packages/decisions/fold/internal/fold_checkpoint.ts
@@ -0,0 +1,33 @@
+import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { FleetState } from "../fleet_state.ts";
+import type { RecordOutcome } from "../record_outcome.ts";
+import { APPLIED, refuse } from "./outcomes.ts";
+
+type Checkpoint = Extract<ControlRecord, { type: "checkpoint" }>;
+
+/** Folds a chunk of a checkpoint; the last one makes it the newest. */
+export function foldCheckpoint(
+  state: FleetState,
+  record: Checkpoint,
+  log: LogRecord,
+): RecordOutcome {
+  const { checkpoint } = state;
+  const { offset, chunk, chunks } = record;
+  if (offset <= checkpoint.offset) return refuse("A newer checkpoint exists.");
+  if (offset > log.offset || chunk >= chunks) return refuse("Malformed chunk.");
+  const pending = checkpoint.pending;
+  if (pending !== undefined && offset < pending.offset) {
+    return refuse("A newer checkpoint is under way.");
+  }
+  if (pending?.offset !== offset || pending.chunks !== chunks) {
+    checkpoint.pending = { offset, chunks, seen: [chunk] };
+  } else if (pending.seen.includes(chunk)) {
+    return refuse("The chunk is known.");
+  } else {
+    pending.seen.push(chunk);
+  }
+  if (checkpoint.pending?.seen.length === chunks) {
+    state.checkpoint = { offset, pending: undefined };
+  }
+  return APPLIED;
+}
--- /dev/null
+++ b/packages/decisions/fold/internal/fold_decider.ts
@@ -0,0 +1,46 @@
+import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { FleetState } from "../fleet_state.ts";
+import type { RecordOutcome } from "../record_outcome.ts";
+import { APPLIED, refuse } from "./outcomes.ts";
+
+type Claimed = Extract<ControlRecord, { type: "decider.claimed" }>;
+
+/** Folds a claim: a renewal by the holder, or a take-over after the lease. */
+export function foldDeciderClaimed(
+  state: FleetState,
+  record: Claimed,
+  log: LogRecord,
+): RecordOutcome {
+  const { scope, holder, incarnation, epoch } = record;
+  if (state.members.get(holder)?.incarnation !== incarnation) {
+    return refuse(`"${holder}" is not a member with this incarnation.`);
+  }
+  const current = state.deciders.get(scope);
+  const expected = (current?.epoch ?? 0) + 1;
+  if (epoch !== expected) {
+    return refuse(`Expected epoch ${expected} of "${scope}".`);
+  }
+  const isRenewal = current?.holder === holder &&
+    current.incarnation === incarnation;
+  if (current !== undefined && !isRenewal && log.timeMs < current.leaseEndMs) {
+    return refuse(`"${current.holder}" decides for "${scope}".`);
+  }
+  const leaseEndMs = log.timeMs + record.leaseMs;
+  state.deciders.set(scope, { holder, incarnation, epoch, leaseEndMs });
+  return APPLIED;
+}
+
+/** Returns why a decision of a scope and epoch is fenced, or undefined. */
+export function checkTerm(
+  state: FleetState,
+  term: { scope: string; epoch: number },
+  timeMs: number,
+): string | undefined {
+  const decider = state.deciders.get(term.scope);
+  if (decider === undefined) return `"${term.scope}" has no decider.`;
+  if (decider.epoch !== term.epoch) {
+    return `Epoch ${term.epoch} of "${term.scope}" is not current; ${decider.epoch} is.`;
+  }
+  if (timeMs < decider.leaseEndMs) return undefined;
+  return `The lease of epoch ${term.epoch} of "${term.scope}" has expired.`;
+}
--- /dev/null
+++ b/packages/decisions/fold/internal/fold_job.ts
@@ -0,0 +1,204 @@
+import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { FleetState } from "../fleet_state.ts";
+import type { JobState, WorkerState } from "../job_state.ts";
+import type { RecordOutcome } from "../record_outcome.ts";
+import { checkTerm } from "./fold_decider.ts";
+import { APPLIED, own, refuse } from "./outcomes.ts";
+
+/** Ended jobs whose ids are kept; a job submitted again later runs again. */
+const MAX_ENDED_JOBS = 5_000;
+
+/** Ended attempts kept per worker. */
+const MAX_RECENT_STARTS = 8;
+
+type Body<Type> = Extract<ControlRecord, { type: Type }>;
+
+/** Folds the submission of a job of a known team. */
+export function foldJobSubmitted(
+  state: FleetState,
+  record: Body<"job.submitted">,
+  log: LogRecord,
+): RecordOutcome {
+  if (state.jobs.has(record.job)) return refuse("The job is known.");
+  if (own(state.set.teams, record.team) === undefined) {
+    return refuse(`Team "${record.team}" is unknown.`);
+  }
+  state.jobs.set(record.job, {
+    team: record.team,
+    urgency: record.urgency,
+    declared: record.declared,
+    declaredRunS: record.declaredRunS,
+    dataCentres: record.dataCentres,
+    state: "queued",
+    attempt: 0,
+    worker: undefined,
+    leaseEndMs: 0,
+    submittedAtMs: log.timeMs,
+    sinceMs: log.timeMs,
+    failedWorkers: [],
+    reason: "submitted",
+  });
+  return APPLIED;
+}
+
+/** Folds the start of the next attempt of a queued job. */
+export function foldJobPlaced(
+  state: FleetState,
+  record: Body<"job.placed">,
+  log: LogRecord,
+): RecordOutcome {
+  const problem = checkTerm(state, record, log.timeMs);
+  if (problem !== undefined) return refuse(problem);
+  const job = state.jobs.get(record.job);
+  if (job === undefined) return refuse("The job is unknown.");
+  if (job.state !== "queued") return refuse(`The job is ${job.state}.`);
+  if (record.attempt !== job.attempt + 1) {
+    return refuse(`Expected attempt ${job.attempt + 1}.`);
+  }
+  const host = own(state.set.hosts, record.worker);
+  if (host?.data_centre !== record.scope) {
+    return refuse(`Worker "${record.worker}" is not in "${record.scope}".`);
+  }
+  const worker = workerOf(state, record.worker);
+  if (worker.state === "suspended") return refuse("The worker is suspended.");
+  if (state.hosts.get(record.worker)?.permit !== undefined) {
+    return refuse("The worker is leaving.");
+  }
+  worker.running.push(record.job);
+  job.worker = record.worker;
+  job.attempt = record.attempt;
+  job.leaseEndMs = log.timeMs + record.leaseMs;
+  change(job, "running", { reason: record.reason, log });
+  return APPLIED;
+}
+
+/** Folds the end of the current attempt. */
+export function foldJobEnded(
+  state: FleetState,
+  record: Body<"job.ended">,
+  log: LogRecord,
+): RecordOutcome {
+  const job = state.jobs.get(record.job);
+  if (job === undefined) return refuse("The job is unknown.");
+  if (job.state !== "running") return refuse(`The job is ${job.state}.`);
+  if (record.attempt !== job.attempt) {
+    return refuse(`Attempt ${job.attempt} is current.`);
+  }
+  const { outcome } = record;
+  leaveWorker(state, record.job, { outcome, atMs: log.timeMs });
+  const worker = job.worker;
+  job.worker = undefined;
+  if (
+    outcome === "failed" && worker !== undefined &&
+    !job.failedWorkers.includes(worker)
+  ) {
+    job.failedWorkers.push(worker);
+  }
+  const next = outcome === "succeeded" ? "succeeded" : "queued";
+  change(job, next, { reason: record.reason, log });
+  if (next === "succeeded") endJob(state, record.job);
+  return APPLIED;
+}
+
+/** Folds a cancellation, after which the job never starts. */
+export function foldJobCancelled(
+  state: FleetState,
+  record: Body<"job.cancelled">,
+  log: LogRecord,
+): RecordOutcome {
+  const job = state.jobs.get(record.job);
+  if (job === undefined) return refuse("The job is unknown.");
+  if (job.state === "succeeded" || job.state === "cancelled") {
+    return refuse(`The job is ${job.state}.`);
+  }
+  leaveWorker(state, record.job, undefined);
+  const reason = `cancelled by ${record.operator}`;
+  change(job, "cancelled", { reason, log });
+  endJob(state, record.job);
+  return APPLIED;
+}
+
+/** Folds the end of attempts to run a job; only an operator can cancel it. */
+export function foldJobParked(
+  state: FleetState,
+  record: Body<"job.parked">,
+  log: LogRecord,
+): RecordOutcome {
+  const problem = checkTerm(state, record, log.timeMs);
+  if (problem !== undefined) return refuse(problem);
+  const job = state.jobs.get(record.job);
+  if (job === undefined) return refuse("The job is unknown.");
+  if (job.state !== "queued") return refuse(`The job is ${job.state}.`);
+  change(job, "parked", { reason: record.reason, log });
+  endJob(state, record.job);
+  return APPLIED;
+}
+
+/** Folds the suspension, trial or restoration of a worker. */
+export function foldWorkerChanged(
+  state: FleetState,
+  record: Body<"worker.changed">,
+  log: LogRecord,
+): RecordOutcome {
+  const problem = checkTerm(state, record, log.timeMs);
+  if (problem !== undefined) return refuse(problem);
+  if (own(state.set.hosts, record.worker)?.data_centre !== record.scope) {
+    return refuse(`Worker "${record.worker}" is not in "${record.scope}".`);
+  }
+  const worker = workerOf(state, record.worker);
+  if (worker.state === record.state) return refuse("Nothing changes.");
+  worker.state = record.state;
+  worker.reason = record.reason;
+  worker.sinceMs = log.timeMs;
+  return APPLIED;
+}
+
+function workerOf(state: FleetState, name: string): WorkerState {
+  let worker = state.workers.get(name);
+  if (worker === undefined) {
+    worker = {
+      state: "restored",
+      reason: "never suspended",
+      sinceMs: 0,
+      recent: [],
+      running: [],
+    };
+    state.workers.set(name, worker);
+  }
+  return worker;
+}
+
+type AttemptEnd = {
+  outcome: Body<"job.ended">["outcome"];
+  atMs: number;
+};
+
+function leaveWorker(
+  state: FleetState,
+  name: string,
+  end: AttemptEnd | undefined,
+): void {
+  const worker = state.workers.get(state.jobs.get(name)?.worker ?? "");
+  if (worker === undefined) return;
+  worker.running = worker.running.filter((job) => job !== name);
+  if (end === undefined) return;
+  worker.recent.push({ job: name, ...end });
+  if (worker.recent.length > MAX_RECENT_STARTS) worker.recent.shift();
+}
+
+function change(
+  job: JobState,
+  next: JobState["state"],
+  { reason, log }: { reason: string; log: LogRecord },
+): void {
+  job.state = next;
+  job.reason = reason;
+  job.sinceMs = log.timeMs;
+}
+
+function endJob(state: FleetState, name: string): void {
+  if (!state.endedJobs.includes(name)) state.endedJobs.push(name);
+  if (state.endedJobs.length <= MAX_ENDED_JOBS) return;
+  const oldest = state.endedJobs.shift();
+  if (oldest !== undefined) state.jobs.delete(oldest);
+}
--- /dev/null
+++ b/packages/decisions/fold/internal/fold_move.ts
@@ -0,0 +1,105 @@
+import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import { poolCapacity } from "../../budgets/pool_capacity.ts";
+import { requiredHosts } from "../../budgets/pool_limits.ts";
+import type { FleetState, HostState } from "../fleet_state.ts";
+import type { RecordOutcome } from "../record_outcome.ts";
+import { findHost } from "./fold_permit.ts";
+import { indexHost } from "./fold_set.ts";
+import { APPLIED, own, refuse } from "./outcomes.ts";
+
+type Advanced = Extract<ControlRecord, { type: "move.advanced" }>;
+
+/** Folds a step of a move; the owner changes at `finished` only. */
+export function foldMoveAdvanced(
+  state: FleetState,
+  record: Advanced,
+  log: LogRecord,
+): RecordOutcome {
+  const host = findHost(state, record, log);
+  if (typeof host === "string") return refuse(host);
+  if (record.step === "started") return start(state, host, { record, log });
+  if (host.move === undefined) return refuse("No move is under way.");
+  if (host.move.to !== record.to) {
+    return refuse(`The host moves to "${host.move.to}".`);
+  }
+  switch (record.step) {
+    case "emptied":
+      if (host.move.step !== "started") return refuse("The host is emptied.");
+      host.move.step = "emptied";
+      return APPLIED;
+    case "finished":
+      return finish(state, host, { record, log });
+    case "abandoned":
+      host.move = undefined;
+      host.generation++;
+      return APPLIED;
+  }
+}
+
+type Step = { record: Advanced; log: LogRecord };
+
+function start(
+  state: FleetState,
+  host: HostState,
+  { record, log }: Step,
+): RecordOutcome {
+  if (host.permit?.purpose !== "move") {
+    return refuse("No permit for a move is open.");
+  }
+  if (host.move !== undefined) return refuse("A move is under way.");
+  if (record.to === host.owner) return refuse("The pool owns the host.");
+  if (own(state.set.pools, record.to) === undefined) {
+    return refuse(`Pool "${record.to}" is unknown.`);
+  }
+  const minimum = own(state.set.pools, host.owner)?.min_hosts ?? 0;
+  if (hostsThatStay(state, host.owner) - 1 < minimum) {
+    return refuse(`Pool "${host.owner}" keeps at least ${minimum} hosts.`);
+  }
+  host.move = {
+    to: record.to,
+    step: "started",
+    reason: record.reason,
+    startedAtMs: log.timeMs,
+  };
+  return APPLIED;
+}
+
+/**
+ * Returns the hosts of a pool that no open move takes away.
+ */
+export function hostsThatStay(state: FleetState, pool: string): number {
+  let staying = 0;
+  for (const name of state.hostsByPool.get(pool) ?? []) {
+    if (state.hosts.get(name)?.move === undefined) staying++;
+  }
+  return staying;
+}
+
+function finish(
+  state: FleetState,
+  host: HostState,
+  { record, log }: Step,
+): RecordOutcome {
+  if (host.move?.step !== "emptied") return refuse("The host is not emptied.");
+  if (own(state.set.pools, record.to) === undefined) {
+    return refuse(`Pool "${record.to}" is unknown.`);
+  }
+  // The host joins while its permit is open: a budget in percent can demand
+  // one host more of the larger pool before the host serves there.
+  const target = poolCapacity(state, record.to);
+  const required = requiredHosts(target.limits, target.total + 1);
+  if (
+    required.value > target.required.value && target.available < required.value
+  ) {
+    return refuse(
+      `Budget "${required.budget}" demands ${required.value} hosts of "${record.to}" once the host belongs to it; ${target.available} are available.`,
+    );
+  }
+  state.hostsByPool.get(host.owner)?.delete(record.host);
+  indexHost(state, record.host, record.to);
+  host.owner = record.to;
+  host.move = undefined;
+  host.movedAtMs = log.timeMs;
+  host.generation++;
+  return APPLIED;
+}
--- /dev/null
+++ b/packages/decisions/fold/internal/fold_permit.ts
@@ -0,0 +1,122 @@
+import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import { poolCapacity } from "../../budgets/pool_capacity.ts";
+import { whyNotOut } from "../../budgets/why_not_out.ts";
+import type { FleetState, HostState } from "../fleet_state.ts";
+import type { RecordOutcome } from "../record_outcome.ts";
+import { checkTerm } from "./fold_decider.ts";
+import { APPLIED, own, refuse } from "./outcomes.ts";
+
+type Granted = Extract<ControlRecord, { type: "permit.granted" }>;
+type Returned = Extract<ControlRecord, { type: "permit.returned" }>;
+type Observed = Extract<ControlRecord, { type: "host.observed" }>;
+
+/** Folds a permit if every budget holds with the host out. */
+export function foldPermitGranted(
+  state: FleetState,
+  record: Granted,
+  log: LogRecord,
+): RecordOutcome {
+  const host = findHost(state, record, log);
+  if (typeof host === "string") return refuse(host);
+  const problem = checkWave(state, record) ??
+    whyNotOut(state, poolCapacity(state, host.owner), record.host);
+  if (problem !== undefined) return refuse(problem);
+  host.permit = {
+    purpose: record.purpose,
+    wave: record.wave,
+    reason: record.reason,
+    grantedAtMs: log.timeMs,
+    downSinceMs: undefined,
+  };
+  return APPLIED;
+}
+
+function checkWave(state: FleetState, record: Granted): string | undefined {
+  if (record.wave === undefined) return undefined;
+  const wave = state.waves.get(record.wave);
+  if (wave?.state !== "running") return `Wave "${record.wave}" does not run.`;
+  if (own(state.set.waves, record.wave)?.state !== "active") {
+    return `The operators do not let wave "${record.wave}" run.`;
+  }
+  if (!wave.done.has(record.host)) return undefined;
+  return `Wave "${record.wave}" has maintained the host.`;
+}
+
+/** Folds the return of a host to service. */
+export function foldPermitReturned(
+  state: FleetState,
+  record: Returned,
+  log: LogRecord,
+): RecordOutcome {
+  const host = findHost(state, record, log);
+  if (typeof host === "string") return refuse(host);
+  if (host.permit === undefined) return refuse("No permit is open.");
+  if (host.move !== undefined) return refuse("A move is under way.");
+  const { wave, downSinceMs } = host.permit;
+  host.lastReturn = {
+    atMs: log.timeMs,
+    outcome: record.outcome,
+    wave,
+    outMs: log.timeMs - (downSinceMs ?? log.timeMs),
+  };
+  host.permit = undefined;
+  host.generation++;
+  if (wave !== undefined && record.outcome === "done") {
+    state.waves.get(wave)?.done.set(record.host, log.timeMs);
+  }
+  return APPLIED;
+}
+
+/** Folds an observation; a replacement fences all that the old host began. */
+export function foldHostObserved(
+  state: FleetState,
+  record: Observed,
+  log: LogRecord,
+): RecordOutcome {
+  const host = state.hosts.get(record.host);
+  if (host === undefined) return refuse("The host is unknown.");
+  const problem = checkGeneration(host, record.generation);
+  if (problem !== undefined) return refuse(problem);
+  const { health } = record;
+  if (health === host.health) return refuse("Nothing changes.");
+  host.healthSinceMs = log.timeMs;
+  host.healthReason = record.reason;
+  if (health === "replaced") {
+    // The replacement counts as unavailable until it is observed in service.
+    host.health = "silent";
+    host.generation++;
+    host.permit = undefined;
+    host.move = undefined;
+    return APPLIED;
+  }
+  host.health = health;
+  if (health !== "in-service" && host.permit !== undefined) {
+    host.permit.downSinceMs ??= log.timeMs;
+  }
+  return APPLIED;
+}
+
+/** Returns the host of a decider's record, or why the record is fenced. */
+export function findHost(
+  state: FleetState,
+  record: { scope: string; epoch: number; host: string; generation: number },
+  log: LogRecord,
+): HostState | string {
+  const problem = checkTerm(state, record, log.timeMs);
+  if (problem !== undefined) return problem;
+  const host = state.hosts.get(record.host);
+  const object = own(state.set.hosts, record.host);
+  if (host === undefined || object === undefined) return "The host is unknown.";
+  if (object.data_centre !== record.scope) {
+    return `The host belongs to data centre "${object.data_centre}".`;
+  }
+  return checkGeneration(host, record.generation) ?? host;
+}
+
+function checkGeneration(
+  host: HostState,
+  generation: number,
+): string | undefined {
+  if (host.generation === generation) return undefined;
+  return `Generation ${generation} is not current; ${host.generation} is.`;
+}
--- a/packages/decisions/fold/internal/fold_set.ts
+++ b/packages/decisions/fold/internal/fold_set.ts
@@ -6,6 +6,8 @@
   type SetChange,
 } from "@lagoonloom/objects";
 import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import { isAvailable } from "../../budgets/pool_capacity.ts";
+import { poolLimits, requiredHosts } from "../../budgets/pool_limits.ts";
 import type { FleetState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../record_outcome.ts";
 import { APPLIED, own, refuse } from "./outcomes.ts";
@@ -25,14 +27,18 @@
     return refuse(describeRace(state, record.expectedVersion));
   }
   const next = applySetChange(state.set, record.change);
-  const problem = checkObjectSet(next)[0];
-  if (problem !== undefined) {
-    return refuse(`${problem.kind}/${problem.name}: ${problem.message}`);
-  }
+  // Sorted, since the order of the objects differs between daemons that folded
+  // the log from different checkpoints.
+  const problem = checkObjectSet(next)
+    .map(({ kind, name, message }) => `${kind}/${name}: ${message}`)
+    .sort()[0];
+  if (problem !== undefined) return refuse(problem);
   const owner = findOwnerWithoutPool(state, next);
   if (owner !== undefined) {
     return refuse(`pools/${owner.pool} still owns host "${owner.host}".`);
   }
+  const broken = findBrokenBudget(state, next, record.change);
+  if (broken !== undefined) return refuse(broken);
   const previous = state.set;
   state.set = next;
   state.setVersion++;
@@ -50,16 +56,59 @@
   return `Expected version ${expected}, but version ${state.setVersion} is in force${by}.`;
 }
 
+/** Finds the first pool that is gone and its first host, by name. */
 function findOwnerWithoutPool(state: FleetState, next: ObjectSet) {
-  for (const [pool, hosts] of state.hostsByPool) {
+  for (const pool of [...state.hostsByPool.keys()].sort()) {
     if (own(next.pools, pool) !== undefined) continue;
-    for (const host of hosts) {
-      if (own(next.hosts, host) !== undefined) return { pool, host };
+    const host = [...state.hostsByPool.get(pool) ?? []].sort()
+      .find((name) => own(next.hosts, name) !== undefined);
+    if (host !== undefined) return { pool, host };
+  }
+  return undefined;
+}
+
+/**
+ * Finds a budget that the removal or the leaving mark of hosts breaks. Nothing
+ * else is refused here: an operator may raise a budget above what is available.
+ */
+function findBrokenBudget(
+  state: FleetState,
+  next: ObjectSet,
+  change: SetChange,
+): string | undefined {
+  const pools = new Set<string>();
+  const removed = change.removed.filter(({ kind }) => kind === "hosts");
+  const marked = Object.entries(change.put.hosts ?? {})
+    .filter(([, host]) => host.state === "leaving").map(([name]) => name);
+  for (const name of [...removed.map((object) => object.name), ...marked]) {
+    const owner = state.hosts.get(name)?.owner;
+    if (owner !== undefined && isAvailable(state, name)) pools.add(owner);
+  }
+  for (const pool of [...pools].sort()) {
+    const { total, available } = countHosts(state, next, pool);
+    const { budget, value } = requiredHosts(poolLimits(next).get(pool), total);
+    if (available < value) {
+      return `budgets/${budget} demands ${value} hosts of "${pool}"; ${available} would be left.`;
     }
   }
   return undefined;
 }
 
+/** Counts the hosts that a pool has once a set is in force. */
+function countHosts(state: FleetState, next: ObjectSet, pool: string) {
+  let total = 0;
+  let available = 0;
+  for (const [name, object] of Object.entries(next.hosts)) {
+    const host = state.hosts.get(name);
+    if ((host?.owner ?? object.pool) !== pool) continue;
+    total++;
+    const isHealthy = host === undefined ||
+      (host.permit === undefined && host.health === "in-service");
+    if (isHealthy && object.state === "in-service") available++;
+  }
+  return { total, available };
+}
+
 /** Adds and removes hosts; a different pool of a known host moves nothing. */
 function reconcileHosts(state: FleetState): void {
   for (const [name, host] of state.hosts) {
--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -5,4 +5,5 @@
  */
 
 export * from "./admission/mod.ts";
+export * from "./budgets/mod.ts";
 export * from "./fold/mod.ts";
