Schedule requests on the slots of an entry host

The request path needs decisions on admission, queues, forwarding and executors. createScheduler and advanceScheduler decide them as a pure function of events and time; routing holds the evidence about executors and retries the retry decision. A pool may state its size over all data centres, since a third of the two executors that one data centre sees would allow no ejection.

--- /dev/null
+++ b/packages/decisions/admission/advance_scheduler.ts
@@ -0,0 +1,232 @@
+import { ejectOutliers, recordResult } from "../routing/mod.ts";
+import { addArrival } from "./arrival_rate.ts";
+import { dispatchPool, refuseWaiting, type Step } from "./dispatch.ts";
+import { forwardWaiting, updateRemoteSlots } from "./forwarding.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+import { insertRequest } from "./request_queue.ts";
+import { addRunTime } from "./run_time_estimate.ts";
+import type { SchedulerAction } from "./scheduler_action.ts";
+import type { SchedulerEvent } from "./scheduler_event.ts";
+import {
+  applyTopology,
+  type SchedulerPool,
+  type SchedulerService,
+  type SchedulerState,
+} from "./scheduler_state.ts";
+import { canMeetDeadline, createRefusal, findRefusal } from "./shedding.ts";
+import { Urgency } from "./urgency.ts";
+
+/** Weight of the newest run time of borrowed work in a pool. */
+const BORROWED_WEIGHT = 0.1;
+
+/** Finished request event. */
+type Finished = Extract<SchedulerEvent, { type: "finished" }>;
+
+/**
+ * Applies one event to the scheduler of an entry host and returns what to do.
+ * The state is changed in place. Each request that arrived is answered with one
+ * `start`, `forward` or `refuse`; after a forward that was `returned`, with one
+ * more. Call it with a `tick` at least every 100 ms, since expired requests and
+ * probes have no event of their own.
+ *
+ * @example
+ * ```ts
+ * const event = { type: "arrived", request } as const;
+ * for (const action of advanceScheduler(state, event, performance.now())) {
+ *   carryOut(action);
+ * }
+ * ```
+ */
+export function advanceScheduler(
+  state: SchedulerState,
+  event: SchedulerEvent,
+  nowMs: number,
+): SchedulerAction[] {
+  const step: Step = { nowMs, actions: [] };
+  switch (event.type) {
+    case "arrived":
+      arrive(state, event.request, step);
+      break;
+    case "finished":
+      finish(state, event, step);
+      break;
+    case "cancelled":
+      removeWaiting(state, event.id);
+      break;
+    case "returned":
+      takeBack(state, event, step);
+      break;
+    case "forward-ended":
+      state.forwarded.delete(event.id);
+      break;
+    case "topology":
+      changeTopology(state, event, step);
+      break;
+    case "remote-slots":
+      updateRemoteSlots(state, event.slots);
+      forwardAll(state, step);
+      break;
+    case "tick":
+      refuseExpired(state, step);
+      dispatchAll(state, step);
+  }
+  return step.actions;
+}
+
+function arrive(
+  state: SchedulerState,
+  request: QueuedRequest,
+  step: Step,
+): void {
+  const { id } = request;
+  if (state.waiting.has(id) || state.running.has(id)) return;
+  if (state.forwarded.has(id)) return;
+  const service = state.services.get(request.service);
+  if (service !== undefined) addArrival(service.arrivals, step.nowMs);
+  enqueue(state, request, step);
+  // A forwarded request came for a free slot; its sender can queue it itself.
+  if (!request.isForwarded || !removeWaiting(state, id)) return;
+  step.actions.push(createRefusal(state, { request, reason: "queue-full" }));
+}
+
+/** Queues a request or refuses it, and starts or forwards what can be. */
+function enqueue(
+  state: SchedulerState,
+  request: QueuedRequest,
+  step: Step,
+): void {
+  const reason = findRefusal(state, request, step.nowMs);
+  if (reason !== undefined) {
+    state.returnedBy.delete(request.id);
+    step.actions.push(createRefusal(state, { request, reason }));
+    return;
+  }
+  const service = state.services.get(request.service)!;
+  const { id, urgency } = request;
+  insertRequest(service.queues[urgency], request);
+  state.waiting.set(id, { service: request.service, urgency });
+  for (const pool of service.pools) dispatchPool(state, pool, step);
+  forwardWaiting(state, service, step);
+}
+
+function finish(state: SchedulerState, event: Finished, step: Step): void {
+  const running = state.running.get(event.id);
+  if (running === undefined) return;
+  state.running.delete(event.id);
+  const service = state.services.get(running.service);
+  if (service !== undefined) noteFinished(service, running.pool, event);
+  const pool = state.pools.get(running.pool);
+  if (pool !== undefined && running.isBorrowed) {
+    const weight = pool.borrowedRunMs === 0 ? 1 : BORROWED_WEIGHT;
+    pool.borrowedRunMs += weight * (event.runMs - pool.borrowedRunMs);
+  }
+  const host = state.hosts.get(running.host);
+  if (host === undefined) return;
+  host.inUse.delete(running.slot);
+  if (host.owned.has(running.slot)) host.free.push(running.slot);
+  recordResult(host.health, {
+    result: event.result,
+    runMs: event.runMs,
+    expectedRunMs: service?.runTime.meanMs ?? event.runMs,
+    nowMs: step.nowMs,
+  });
+  if (pool === undefined) return;
+  ejectOutliers(pool.hosts.map((host) => host.health), {
+    nowMs: step.nowMs,
+    ...(pool.size === undefined ? {} : { poolSize: pool.size }),
+  });
+  dispatchPool(state, pool, step);
+}
+
+function noteFinished(
+  service: SchedulerService,
+  pool: string,
+  event: Finished,
+): void {
+  service.running--;
+  const count = service.runningByPool.get(pool)! - 1;
+  if (count > 0) service.runningByPool.set(pool, count);
+  else service.runningByPool.delete(pool);
+  const isSample = event.result === "succeeded" ||
+    (event.result === "abandoned" && event.runMs > service.runTime.highMs);
+  if (isSample) addRunTime(service.runTime, event.runMs);
+}
+
+function removeWaiting(state: SchedulerState, id: string): boolean {
+  const place = state.waiting.get(id);
+  if (place === undefined) return false;
+  state.waiting.delete(id);
+  state.returnedBy.delete(id);
+  const queue = state.services.get(place.service)?.queues[place.urgency];
+  const index = queue?.items.findIndex((item) => item.id === id) ?? -1;
+  if (index >= 0) queue!.items.splice(index, 1);
+  return true;
+}
+
+function takeBack(
+  state: SchedulerState,
+  event: Extract<SchedulerEvent, { type: "returned" }>,
+  step: Step,
+): void {
+  const forwarded = state.forwarded.get(event.id);
+  if (forwarded === undefined) return;
+  state.forwarded.delete(event.id);
+  // The report was out of date; the next one says what is free.
+  for (const slots of state.remote) {
+    const isSame = slots.member === event.member &&
+      slots.pool === forwarded.pool;
+    if (isSame) slots.free = 0;
+  }
+  const returnedBy = state.returnedBy.get(event.id) ?? [];
+  state.returnedBy.set(event.id, [...returnedBy, event.member]);
+  enqueue(state, forwarded.request, step);
+}
+
+function changeTopology(
+  state: SchedulerState,
+  event: Extract<SchedulerEvent, { type: "topology" }>,
+  step: Step,
+): void {
+  const before = [...state.services.values()];
+  applyTopology(state, event.topology);
+  for (const service of before) {
+    if (state.services.has(service.spec.name)) continue;
+    for (const urgency of Urgency.options) {
+      for (const request of service.queues[urgency].items) {
+        state.waiting.delete(request.id);
+        state.returnedBy.delete(request.id);
+        const reason = "unknown-service";
+        step.actions.push(createRefusal(state, { request, reason }));
+      }
+    }
+  }
+  dispatchAll(state, step);
+}
+
+/** Refuses waiting requests that are too late or have waited too long. */
+function refuseExpired(state: SchedulerState, step: Step): void {
+  for (const service of state.services.values()) {
+    for (const urgency of Urgency.options) {
+      const queue = service.queues[urgency];
+      const isExpired = (request: QueuedRequest) =>
+        !canMeetDeadline(service, request, step.nowMs) ||
+        step.nowMs - request.arrivedAtMs > state.maxWaitMs;
+      const expired = queue.items.filter(isExpired);
+      if (expired.length === 0) continue;
+      queue.items = queue.items.filter((item) => !expired.includes(item));
+      for (const item of expired) refuseWaiting(state, item, step.actions);
+    }
+  }
+}
+
+function dispatchAll(state: SchedulerState, step: Step): void {
+  const pools: Iterable<SchedulerPool> = state.pools.values();
+  for (const pool of pools) dispatchPool(state, pool, step);
+  forwardAll(state, step);
+}
+
+function forwardAll(state: SchedulerState, step: Step): void {
+  for (const service of state.services.values()) {
+    forwardWaiting(state, service, step);
+  }
+}
--- /dev/null
+++ b/packages/decisions/admission/dispatch.ts
@@ -0,0 +1,136 @@
+import { chooseHost } from "../routing/mod.ts";
+import { noteClassStart, orderClasses } from "./class_order.ts";
+import { chooseService, findOpenHosts, isBelowGuarantee } from "./lending.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+import { noteStart } from "./request_queue.ts";
+import type { SchedulerAction } from "./scheduler_action.ts";
+import type {
+  SchedulerHost,
+  SchedulerPool,
+  SchedulerService,
+  SchedulerState,
+} from "./scheduler_state.ts";
+import { canMeetDeadline, createRefusal } from "./shedding.ts";
+
+/** Time of a step and the actions that it adds to. */
+export type Step = {
+  nowMs: number;
+  actions: SchedulerAction[];
+};
+
+/**
+ * Starts waiting requests in the free slots of a pool.
+ *
+ * @example
+ * ```ts
+ * dispatchPool(state, pool, { nowMs, actions });
+ * ```
+ */
+export function dispatchPool(
+  state: SchedulerState,
+  pool: SchedulerPool,
+  step: Step,
+): void {
+  const skipped = new Set<SchedulerService>();
+  for (;;) {
+    const hosts = findOpenHosts(pool, step.nowMs);
+    if (hosts.length === 0) return;
+    const freeSlots = hosts.reduce((sum, host) => sum + host.free.length, 0);
+    const options = { freeSlots, nowMs: step.nowMs, skipped };
+    const service = chooseService(pool, options);
+    if (service === undefined) return;
+    const canUse = (request: QueuedRequest) =>
+      hosts.some((host) => !request.excludedHosts.includes(host.name));
+    const request = takeNext(state, service, { ...step, canUse });
+    if (request === undefined) skipped.add(service);
+    else start(state, request, { hosts, pool, service, step });
+  }
+}
+
+/**
+ * Removes the next waiting request that can be used, and refuses those whose
+ * deadline can no longer be met.
+ *
+ * @example
+ * ```ts
+ * const request = takeNext(state, service, { nowMs, actions, canUse });
+ * ```
+ */
+export function takeNext(
+  state: SchedulerState,
+  service: SchedulerService,
+  options: Step & { canUse: (request: QueuedRequest) => boolean },
+): QueuedRequest | undefined {
+  const { nowMs, actions, canUse } = options;
+  for (const urgency of orderClasses(service)) {
+    const { items } = service.queues[urgency];
+    while (items[0] && !canMeetDeadline(service, items[0], nowMs)) {
+      refuseWaiting(state, items.shift()!, actions);
+    }
+    const index = items.findIndex(canUse);
+    if (index < 0) continue;
+    const [request] = items.splice(index, 1);
+    state.waiting.delete(request!.id);
+    return request;
+  }
+  return undefined;
+}
+
+/**
+ * Refuses a request that was just removed from its queue.
+ *
+ * @example
+ * ```ts
+ * refuseWaiting(state, request, actions);
+ * ```
+ */
+export function refuseWaiting(
+  state: SchedulerState,
+  request: QueuedRequest,
+  actions: SchedulerAction[],
+): void {
+  state.waiting.delete(request.id);
+  state.returnedBy.delete(request.id);
+  actions.push(createRefusal(state, { request, reason: "deadline" }));
+}
+
+function start(
+  state: SchedulerState,
+  request: QueuedRequest,
+  options: {
+    hosts: SchedulerHost[];
+    pool: SchedulerPool;
+    service: SchedulerService;
+    step: Step;
+  },
+): void {
+  const { hosts, pool, service, step } = options;
+  const candidates = hosts
+    .filter((host) => !request.excludedHosts.includes(host.name))
+    .map((host) => ({
+      name: host.name,
+      health: host.health,
+      busy: host.inUse.size,
+      slots: host.owned.size,
+      host,
+    }));
+  const { host } = chooseHost(candidates)!;
+  const slot = host.free.shift()!;
+  host.inUse.add(slot);
+  if (host.health.state === "ejected") host.health.state = "probing";
+  const isBorrowed = !isBelowGuarantee(pool, service);
+  state.running.set(request.id, {
+    service: service.spec.name,
+    pool: pool.name,
+    host: host.name,
+    slot,
+    isBorrowed,
+  });
+  state.returnedBy.delete(request.id);
+  service.running++;
+  const running = service.runningByPool.get(pool.name) ?? 0;
+  service.runningByPool.set(pool.name, running + 1);
+  noteStart(service.queues[request.urgency], step.nowMs);
+  noteClassStart(service, request.urgency);
+  step.actions.push({ type: "start", id: request.id, host: host.name, slot });
+}
--- a/packages/decisions/admission/mod.ts
+++ b/packages/decisions/admission/mod.ts
@@ -4,8 +4,12 @@
  * @module
  */
 
+export * from "./advance_scheduler.ts";
+export { countLendableSlots } from "./lending.ts";
 export * from "./queued_request.ts";
 export * from "./scheduler_action.ts";
 export * from "./scheduler_event.ts";
+export { createScheduler } from "./scheduler_state.ts";
+export type { SchedulerOptions, SchedulerState } from "./scheduler_state.ts";
 export * from "./topology.ts";
 export * from "./urgency.ts";
--- /dev/null
+++ b/packages/decisions/admission/request_queue.ts
@@ -0,0 +1,91 @@
+import type { QueuedRequest } from "./queued_request.ts";
+
+/** Waiting requests of one class of one service. */
+export type RequestQueue = {
+  /** In the order of their deadlines. */
+  items: QueuedRequest[];
+  /** Moving average of the time between two starts while requests wait. */
+  startIntervalMs: number | undefined;
+  lastStartAtMs: number;
+  /** Whether requests were left waiting at the last start. */
+  wasBacklogged: boolean;
+};
+
+/** Weight of the newest interval between two starts. */
+const NEWEST_WEIGHT = 0.1;
+
+/**
+ * Returns an empty queue.
+ *
+ * @example
+ * ```ts
+ * const queue = createRequestQueue();
+ * ```
+ */
+export function createRequestQueue(): RequestQueue {
+  return {
+    items: [],
+    startIntervalMs: undefined,
+    lastStartAtMs: 0,
+    wasBacklogged: false,
+  };
+}
+
+/**
+ * Inserts a request by its deadline, behind requests of the same deadline.
+ *
+ * @example
+ * ```ts
+ * insertRequest(queue, request);
+ * ```
+ */
+export function insertRequest(
+  queue: RequestQueue,
+  request: QueuedRequest,
+): void {
+  queue.items.splice(findPosition(queue, request), 0, request);
+}
+
+/**
+ * Returns how many waiting requests have an earlier or the same deadline.
+ *
+ * @example
+ * ```ts
+ * const ahead = findPosition(queue, request);
+ * ```
+ */
+export function findPosition(
+  queue: RequestQueue,
+  request: QueuedRequest,
+): number {
+  let index = queue.items.length;
+  const { deadlineAtMs } = request;
+  while (index > 0 && queue.items[index - 1]!.deadlineAtMs > deadlineAtMs) {
+    index--;
+  }
+  return index;
+}
+
+/**
+ * Notes that a request left the queue for an executor, to learn the rate at
+ * which the queue drains.
+ *
+ * @example
+ * ```ts
+ * noteStart(queue, nowMs);
+ * ```
+ */
+export function noteStart(queue: RequestQueue, nowMs: number): void {
+  if (queue.wasBacklogged) {
+    const interval = nowMs - queue.lastStartAtMs;
+    queue.startIntervalMs = queue.startIntervalMs === undefined
+      ? interval
+      : queue.startIntervalMs +
+        NEWEST_WEIGHT * (interval - queue.startIntervalMs);
+  } else {
+    // The rate of an earlier backlog says nothing about a new one.
+    queue.startIntervalMs = undefined;
+  }
+  queue.lastStartAtMs = nowMs;
+  queue.wasBacklogged = queue.items.length > 0;
+}
--- /dev/null
+++ b/packages/decisions/admission/shedding.ts
@@ -0,0 +1,124 @@
+import { computeGuarantee } from "./lending.ts";
+import type { QueuedRequest } from "./queued_request.ts";
+import { findPosition } from "./request_queue.ts";
+import type { RefusalReason, SchedulerAction } from "./scheduler_action.ts";
+import type { SchedulerService, SchedulerState } from "./scheduler_state.ts";
+import type { Urgency } from "./urgency.ts";
+
+/** Shortest and longest `retryAfterMs` of a refusal. */
+const MIN_RETRY_AFTER_MS = 100;
+const MAX_RETRY_AFTER_MS = 30_000;
+
+/**
+ * Tells whether a request that starts now probably ends before its deadline. A
+ * service of which nothing runs may always try one, since an estimate that is
+ * too high would otherwise never be corrected.
+ *
+ * @example
+ * ```ts
+ * if (!canMeetDeadline(service, request, nowMs)) refuse(request);
+ * ```
+ */
+export function canMeetDeadline(
+  service: SchedulerService,
+  request: QueuedRequest,
+  nowMs: number,
+): boolean {
+  if (nowMs >= request.deadlineAtMs) return false;
+  return service.running === 0 ||
+    nowMs + service.runTime.highMs <= request.deadlineAtMs;
+}
+
+/**
+ * Returns the time in milliseconds until the given number of requests of a
+ * class have started, at the measured rate of the current backlog, or at the
+ * guaranteed rate before there is a measurement.
+ *
+ * @example
+ * ```ts
+ * const waitMs = estimateWait(service, { urgency: "normal", ahead: 12 });
+ * ```
+ */
+export function estimateWait(
+  service: SchedulerService,
+  options: { urgency: Urgency; ahead: number },
+): number {
+  const queue = service.queues[options.urgency];
+  const home = service.pools[0];
+  const slots = home === undefined ? 1 : computeGuarantee(home, service);
+  const intervalMs = queue.startIntervalMs ??
+    service.runTime.meanMs / Math.max(1, slots);
+  return options.ahead * intervalMs;
+}
+
+/**
+ * Returns the reason against queueing a request, if there is one. A request
+ * that would start too late is refused on arrival rather than after a wait.
+ *
+ * @example
+ * ```ts
+ * const reason = findRefusal(state, request, nowMs);
+ * ```
+ */
+export function findRefusal(
+  state: SchedulerState,
+  request: QueuedRequest,
+  nowMs: number,
+): RefusalReason | undefined {
+  const service = state.services.get(request.service);
+  if (service === undefined) return "unknown-service";
+  if (!hasExecutor(state, service, request)) return "no-executor";
+  const queue = service.queues[request.urgency];
+  if (queue.items.length >= state.maxQueueLength) return "queue-full";
+  if (!canMeetDeadline(service, request, nowMs)) return "deadline";
+  const { urgency } = request;
+  const ahead = findPosition(queue, request);
+  const waitMs = estimateWait(service, { urgency, ahead });
+  const endMs = nowMs + waitMs + service.runTime.highMs;
+  return ahead > 0 && endMs > request.deadlineAtMs ? "deadline" : undefined;
+}
+
+/** Whether any executor, here or at another entry host, may take it. */
+function hasExecutor(
+  state: SchedulerState,
+  service: SchedulerService,
+  request: QueuedRequest,
+): boolean {
+  for (const pool of service.pools) {
+    for (const host of pool.hosts) {
+      if (host.isLeaving || host.owned.size === 0) continue;
+      if (!request.excludedHosts.includes(host.name)) return true;
+    }
+  }
+  if (request.isForwarded) return false;
+  const { pool, overflow } = service.spec;
+  return state.remote.some((slots) =>
+    slots.pool === pool || overflow.includes(slots.pool)
+  );
+}
+
+/**
+ * Returns the action that refuses a request. `retryAfterMs` is the time in
+ * which the present queue of its class drains.
+ *
+ * @example
+ * ```ts
+ * actions.push(createRefusal(state, { request, reason: "deadline" }));
+ * ```
+ */
+export function createRefusal(
+  state: SchedulerState,
+  options: { request: QueuedRequest; reason: RefusalReason },
+): SchedulerAction {
+  const { request, reason } = options;
+  const service = state.services.get(request.service);
+  const { urgency } = request;
+  const ahead = service?.queues[urgency].items.length ?? 0;
+  const waitMs = service === undefined || reason === "no-executor"
+    ? MAX_RETRY_AFTER_MS
+    : estimateWait(service, { urgency, ahead });
+  const retryAfterMs = Math.ceil(
+    Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs)),
+  );
+  return { type: "refuse", id: request.id, reason, retryAfterMs };
+}
--- a/packages/decisions/admission/topology.ts
+++ b/packages/decisions/admission/topology.ts
@@ -11,6 +11,8 @@
 export type TopologyPool = {
   name: string;
   hosts: readonly TopologyHost[];
+  /** Executors of the pool in all data centres; limits outlier ejection. */
+  size?: number;
 };
 
 /** Service with its guarantee. */
--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -6,3 +6,5 @@
 
 export * from "./admission/mod.ts";
 export * from "./fold/mod.ts";
+export * from "./retries/mod.ts";
+export * from "./routing/mod.ts";
--- /dev/null
+++ b/packages/decisions/retries/retry_budget.ts
@@ -0,0 +1,47 @@
+/** Token bucket that limits retries to a share of requests. */
+export type RetryBudget = {
+  tokens: number;
+};
+
+/** Tokens that each request adds, which allows retries for 10% of them. */
+export const TOKENS_PER_REQUEST = 0.1;
+
+/** Most tokens kept, which bounds the burst of retries after a quiet time. */
+export const MAX_RETRY_TOKENS = 10;
+
+/**
+ * Returns a full retry budget.
+ *
+ * @example
+ * ```ts
+ * const budget = createRetryBudget();
+ * ```
+ */
+export function createRetryBudget(): RetryBudget {
+  return { tokens: MAX_RETRY_TOKENS };
+}
+
+/**
+ * Returns the budget after one more first attempt.
+ *
+ * @example
+ * ```ts
+ * budget = earnRetry(budget);
+ * ```
+ */
+export function earnRetry(budget: RetryBudget): RetryBudget {
+  const tokens = budget.tokens + TOKENS_PER_REQUEST;
+  return { tokens: Math.min(MAX_RETRY_TOKENS, tokens) };
+}
+
+/**
+ * Returns the budget after a retry.
+ *
+ * @example
+ * ```ts
+ * if (decideRetry(attempt).retry) budget = spendRetry(budget);
+ * ```
+ */
+export function spendRetry(budget: RetryBudget): RetryBudget {
+  return { tokens: Math.max(0, budget.tokens - 1) };
+}
--- /dev/null
+++ b/packages/decisions/routing/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Choice of an executor and ejection of outliers.
+ *
+ * @module
+ */
+
+export * from "./choose_host.ts";
+export * from "./eject_outliers.ts";
+export * from "./host_health.ts";
+export * from "./record_result.ts";
--- /dev/null
+++ b/packages/decisions/routing/record_result.ts
@@ -0,0 +1,73 @@
+import {
+  FIRST_PROBE_DELAY_MS,
+  type HostHealth,
+  MAX_PROBE_DELAY_MS,
+} from "./host_health.ts";
+
+/** End of one request at an executor. */
+export type HostResult = {
+  result: "succeeded" | "failed" | "abandoned";
+  runMs: number;
+  /** Mean run time of the service in milliseconds. */
+  expectedRunMs: number;
+  nowMs: number;
+};
+
+/** Weight of the newest request in the moving averages. */
+const NEWEST_WEIGHT = 0.15;
+
+/** A probe that takes longer than this multiple of the mean has failed. */
+const SLOW_PROBE_RATIO = 4;
+
+/**
+ * Adds one finished request to the evidence about an executor. A failure says
+ * nothing about its speed, so that one that fails fast does not look fast. An
+ * abandoned request counts by the time it had already taken.
+ *
+ * @example
+ * ```ts
+ * recordResult(health, {
+ *   result: "failed",
+ *   runMs: 3,
+ *   expectedRunMs: 80,
+ *   nowMs: performance.now(),
+ * });
+ * ```
+ */
+export function recordResult(health: HostHealth, end: HostResult): void {
+  const ratio = end.runMs / Math.max(1, end.expectedRunMs);
+  if (health.state === "probing") {
+    endProbe(health, end);
+    return;
+  }
+  health.samples++;
+  const weight = Math.max(NEWEST_WEIGHT, 1 / health.samples);
+  const failed = end.result === "failed" ? 1 : 0;
+  health.failureRate += weight * (failed - health.failureRate);
+  const isSpeed = end.result === "succeeded" ||
+    (end.result === "abandoned" && ratio > health.relativeRunTime);
+  if (isSpeed) {
+    health.relativeRunTime += weight * (ratio - health.relativeRunTime);
+  }
+}
+
+/** Returns a probed executor to use, or ejects it for twice as long. */
+function endProbe(health: HostHealth, end: HostResult): void {
+  const ratio = end.runMs / Math.max(1, end.expectedRunMs);
+  if (end.result === "succeeded" && ratio <= SLOW_PROBE_RATIO) {
+    health.state = "in-use";
+    health.samples = 0;
+    health.failureRate = 0;
+    health.relativeRunTime = 1;
+    // The delay shrinks slowly, so that an executor that alternates between
+    // good and bad stays out longer each time.
+    health.probeDelayMs = Math.max(
+      FIRST_PROBE_DELAY_MS,
+      health.probeDelayMs / 2,
+    );
+    return;
+  }
+  health.state = "ejected";
+  health.probeDelayMs = Math.min(MAX_PROBE_DELAY_MS, health.probeDelayMs * 2);
+  health.probeAtMs = end.nowMs + health.probeDelayMs;
+}
