Name the routing state of an executor ExecutorHealth

The fold and the routing module both exported HostHealth, so the index of the decisions package no longer compiled.

--- a/packages/decisions/admission/scheduler_state.ts
+++ b/packages/decisions/admission/scheduler_state.ts
@@ -1,4 +1,4 @@
-import { createHostHealth, type HostHealth } from "../routing/mod.ts";
+import { createExecutorHealth, type ExecutorHealth } from "../routing/mod.ts";
 import { type ArrivalRate, createArrivalRate } from "./arrival_rate.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 import { createRequestQueue, type RequestQueue } from "./request_queue.ts";
@@ -23,7 +23,7 @@
   name: string;
   pool: string;
   isLeaving: boolean;
-  health: HostHealth;
+  health: ExecutorHealth;
   /** Slots owned now. */
   owned: ReadonlySet<number>;
   /** Owned slots that are not in use. */
@@ -151,7 +151,7 @@
         name: host.name,
         pool: pool.name,
         isLeaving: host.isLeaving,
-        health: old?.health ?? createHostHealth(),
+        health: old?.health ?? createExecutorHealth(),
         owned: new Set(host.slots),
         free: [...new Set(host.slots)].filter((slot) => !inUse.has(slot)),
         inUse,
--- a/packages/decisions/routing/choose_host.ts
+++ b/packages/decisions/routing/choose_host.ts
@@ -1,9 +1,9 @@
-import type { HostHealth } from "./host_health.ts";
+import type { ExecutorHealth } from "./executor_health.ts";
 
 /** Executor with a free slot. */
 export type HostCandidate = {
   name: string;
-  health: HostHealth;
+  health: ExecutorHealth;
   /** Slots in use by this entry host. */
   busy: number;
   /** Slots that this entry host may use. */
@@ -19,7 +19,7 @@
  * const open = hosts.filter((host) => isHostOpen(host.health, nowMs));
  * ```
  */
-export function isHostOpen(health: HostHealth, nowMs: number): boolean {
+export function isHostOpen(health: ExecutorHealth, nowMs: number): boolean {
   return health.state === "in-use" ||
     (health.state === "ejected" && nowMs >= health.probeAtMs);
 }
--- a/packages/decisions/routing/eject_outliers.ts
+++ b/packages/decisions/routing/eject_outliers.ts
@@ -1,4 +1,4 @@
-import type { HostHealth } from "./host_health.ts";
+import type { ExecutorHealth } from "./executor_health.ts";
 
 /** Options of {@linkcode ejectOutliers}. */
 export type EjectOptions = {
@@ -33,7 +33,7 @@
  * @returns Number of executors that were ejected by this call.
  */
 export function ejectOutliers(
-  pool: readonly HostHealth[],
+  pool: readonly ExecutorHealth[],
   options: EjectOptions,
 ): number {
   const size = options.poolSize ?? pool.length;
@@ -54,7 +54,10 @@
   return count;
 }
 
-function isOutlier(health: HostHealth, pool: readonly HostHealth[]): boolean {
+function isOutlier(
+  health: ExecutorHealth,
+  pool: readonly ExecutorHealth[],
+): boolean {
   if (health.samples < MIN_SAMPLES) return false;
   const others = pool.filter((other) =>
     other !== health && other.state === "in-use" && other.samples > 0
--- a/packages/decisions/routing/host_health.ts
+++ b/packages/decisions/routing/executor_health.ts
@@ -1,5 +1,5 @@
 /** Evidence about one executor, collected from its finished requests. */
-export type HostHealth = {
+export type ExecutorHealth = {
   /** Finished requests since the evidence was last cleared. */
   samples: number;
   /** Moving average of failures, from 0 to 1. */
@@ -24,10 +24,10 @@
  *
  * @example
  * ```ts
- * const health = createHostHealth();
+ * const health = createExecutorHealth();
  * ```
  */
-export function createHostHealth(): HostHealth {
+export function createExecutorHealth(): ExecutorHealth {
   return {
     samples: 0,
     failureRate: 0,
--- a/packages/decisions/routing/mod.ts
+++ b/packages/decisions/routing/mod.ts
@@ -6,5 +6,5 @@
 
 export * from "./choose_host.ts";
 export * from "./eject_outliers.ts";
-export * from "./host_health.ts";
+export * from "./executor_health.ts";
 export * from "./record_result.ts";
--- a/packages/decisions/routing/record_result.ts
+++ b/packages/decisions/routing/record_result.ts
@@ -1,8 +1,8 @@
 import {
+  type ExecutorHealth,
   FIRST_PROBE_DELAY_MS,
-  type HostHealth,
   MAX_PROBE_DELAY_MS,
-} from "./host_health.ts";
+} from "./executor_health.ts";
 
 /** End of one request at an executor. */
 export type HostResult = {
@@ -34,7 +34,7 @@
  * });
  * ```
  */
-export function recordResult(health: HostHealth, end: HostResult): void {
+export function recordResult(health: ExecutorHealth, end: HostResult): void {
   const ratio = end.runMs / Math.max(1, end.expectedRunMs);
   if (health.state === "probing") {
     endProbe(health, end);
@@ -52,7 +52,7 @@
 }
 
 /** Returns a probed executor to use, or ejects it for twice as long. */
-function endProbe(health: HostHealth, end: HostResult): void {
+function endProbe(health: ExecutorHealth, end: HostResult): void {
   const ratio = end.runMs / Math.max(1, end.expectedRunMs);
   if (end.result === "succeeded" && ratio <= SLOW_PROBE_RATIO) {
     health.state = "in-use";
