--- /dev/null
+++ b/packages/daemon/control_fold.ts
@@ -0,0 +1,123 @@
+import {
+  applyRecord,
+  emptyFleetState,
+  type FleetState,
+  type RecordOutcome,
+  recordOutcome,
+  type RememberedOutcome,
+} from "@lagoonloom/decisions";
+import type { LogRecord } from "@lagoonloom/records";
+
+/** Records kept for peers that can't reach the log. */
+const MAX_RECENT_RECORDS = 10_000;
+
+/** Change of the folded state. */
+export type FoldChange =
+  | { type: "record"; record: LogRecord; outcome: RecordOutcome }
+  /** The whole state was replaced by a newer one. */
+  | { type: "replaced" }
+  /** All records of one batch are folded. */
+  | { type: "settled" };
+
+/** Folded state of the stream `control` in one daemon. */
+export type ControlFold = {
+  /** State in force; read-only for everything but the fold. */
+  state(): FleetState;
+  /** Folds records in offset order; returns false at a gap. */
+  fold(records: readonly LogRecord[]): boolean;
+  /** Replaces the state by one with a higher offset; otherwise false. */
+  replace(state: FleetState): boolean;
+  /** Returns recent records from an offset on; none if they are not kept. */
+  recentRecords(from: number, limit: number): LogRecord[];
+  /** Returns what became of a record, waiting for it up to a bound. */
+  awaitOutcome(
+    id: string,
+    waitMs: number,
+  ): Promise<RememberedOutcome | undefined>;
+  onChange(listener: (change: FoldChange) => void): void;
+};
+
+/**
+ * Creates the fold of the stream `control`. The offset never goes back, so that
+ * a set in force never reverts.
+ *
+ * @example
+ * ```ts
+ * const fold = createControlFold();
+ * fold.fold(page.records);
+ * ```
+ */
+export function createControlFold(): ControlFold {
+  let state = emptyFleetState();
+  let recent: LogRecord[] = [];
+  const listeners: ((change: FoldChange) => void)[] = [];
+  const waiting = new Set<() => void>();
+  function notify(change: FoldChange): void {
+    for (const listener of listeners) listener(change);
+  }
+  function settle(): void {
+    notify({ type: "settled" });
+    for (const check of [...waiting]) check();
+  }
+  function foldOne(record: LogRecord): void {
+    const outcome = applyRecord(state, record);
+    recent.push(record);
+    if (recent.length > 2 * MAX_RECENT_RECORDS) {
+      recent = recent.slice(-MAX_RECENT_RECORDS);
+    }
+    notify({ type: "record", record, outcome });
+  }
+  return {
+    state: () => state,
+    fold(records) {
+      let isComplete = true;
+      let count = 0;
+      for (const record of records) {
+        if (record.offset < state.nextOffset) continue;
+        isComplete = record.offset === state.nextOffset;
+        if (!isComplete) break;
+        foldOne(record);
+        count++;
+      }
+      if (count > 0) settle();
+      return isComplete;
+    },
+    replace(next) {
+      if (next.nextOffset <= state.nextOffset) return false;
+      state = next;
+      recent = [];
+      notify({ type: "replaced" });
+      settle();
+      return true;
+    },
+    recentRecords(from, limit) {
+      const first = recent[0]?.offset;
+      if (first === undefined || from < first) return [];
+      return recent.slice(from - first, from - first + limit);
+    },
+    awaitOutcome: (id, waitMs) =>
+      awaitOutcome(() => recordOutcome(state, id), { waiting, waitMs }),
+    onChange: (listener) => void listeners.push(listener),
+  };
+}
+
+function awaitOutcome(
+  find: () => RememberedOutcome | undefined,
+  options: { waiting: Set<() => void>; waitMs: number },
+): Promise<RememberedOutcome | undefined> {
+  const { waiting, waitMs } = options;
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => finish(undefined), waitMs);
+    waiting.add(check);
+    check();
+    function check() {
+      const found = find();
+      if (found !== undefined) finish(found);
+    }
+    function finish(found: RememberedOutcome | undefined) {
+      clearTimeout(timer);
+      waiting.delete(check);
+      resolve(found);
+    }
+  });
+}
--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -7,5 +7,7 @@
 export * from "./admission/mod.ts";
 export * from "./budgets/mod.ts";
 export * from "./fold/mod.ts";
+export * from "./membership/mod.ts";
 export * from "./retries/mod.ts";
 export * from "./routing/mod.ts";
+export * from "./slots/mod.ts";
--- /dev/null
+++ b/packages/decisions/slots/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Owners of executor slots and their handover.
+ *
+ * @module
+ */
+
+export * from "./assign_slots.ts";
+export * from "./slot_basis.ts";
+export * from "./slot_handover.ts";
