Follow the log and the other entry hosts

The daemon folds the stream control from the log, from a checkpoint in it, or from a peer. The offset never goes back.

--- /dev/null
+++ b/packages/daemon/log_follower.ts
@@ -0,0 +1,260 @@
+import {
+  decodeCheckpoint,
+  encodeCheckpoint,
+  type FleetState,
+} from "@lagoonloom/decisions";
+import type { PeerClient, TailResponse } from "@lagoonloom/peers";
+import {
+  type LogPage,
+  type PlatformClient,
+  TAIL_PAGE_RECORDS,
+  tailStream,
+} from "@lagoonloom/platform";
+import { ControlRecord, type LogRecord } from "@lagoonloom/records";
+import type { EventLog } from "@lagoonloom/telemetry";
+import type { ControlFold } from "./control_fold.ts";
+
+/** Longest time in milliseconds that a peer's snapshot may take. */
+const SNAPSHOT_TIMEOUT_MS = 10_000;
+
+/** Longest time in milliseconds that a peer's records may take. */
+const TAIL_TIMEOUT_MS = 1_000;
+
+/** Records of one call to a peer. */
+const TAIL_LIMIT = 500;
+
+/** Records of one read while the log is searched for a checkpoint. */
+const SEARCH_LIMIT = 2_000;
+
+/** Options of {@linkcode createLogFollower}. */
+export type LogFollowerOptions = {
+  platform: PlatformClient;
+  fold: ControlFold;
+  events: EventLog;
+  /** Peers that answer and are ahead, newest first. */
+  peersAhead: () => readonly PeerClient[];
+  signal: AbortSignal;
+  random?: () => number;
+};
+
+/** Follower of the stream `control`. */
+export type LogFollower = {
+  /** Follows the log until the signal aborts. */
+  run(): Promise<void>;
+  /** Monotonic time up to which the log was read, if it was. */
+  readAtMs(): number | undefined;
+  /** Whether the state comes from the log or from a peer. */
+  isLoaded(): boolean;
+  /** Retention that the log reported, in milliseconds. */
+  retentionMs(): number | undefined;
+  /** Notes that a peer with no newer records read the log at this time. */
+  noteRelay(readAtMs: number): void;
+  /** Catches up from a peer that is ahead; returns whether it did. */
+  catchUp(peer: PeerClient, targetOffset: number): Promise<boolean>;
+};
+
+/**
+ * Creates the follower of the stream `control`. It starts from a checkpoint if
+ * the log no longer holds the first record, and from a peer if the log holds no
+ * checkpoint or can't be reached.
+ *
+ * @example
+ * ```ts
+ * const follower = createLogFollower(options);
+ * void follower.run();
+ * ```
+ */
+export function createLogFollower(options: LogFollowerOptions): LogFollower {
+  const { platform, fold, events, signal } = options;
+  let readAtMs: number | undefined;
+  let requestedAtMs = 0;
+  let isReachable = true;
+  let retentionMs: number | undefined;
+  let hasLoaded = false;
+  function load(source: string): void {
+    if (!hasLoaded) {
+      const { nextOffset } = fold.state();
+      events.log("stateLoaded", { source, nextOffset });
+    }
+    hasLoaded = true;
+  }
+  function noteRead(page: LogPage): void {
+    retentionMs = page.retentionMs;
+    if (isReachable) return;
+    isReachable = true;
+    events.log("logReachable", { stream: "control" });
+  }
+  const handlers = {
+    nextOffset() {
+      requestedAtMs = performance.now();
+      return fold.state().nextOffset;
+    },
+    onRecords(records: readonly LogRecord[], page: LogPage) {
+      noteRead(page);
+      fold.fold(records);
+      // A full page may not be the end of the log.
+      if (records.length >= TAIL_PAGE_RECORDS) return;
+      readAtMs = requestedAtMs;
+      load("log");
+    },
+    async onExpired(page: LogPage) {
+      noteRead(page);
+      const { nextOffset } = fold.state();
+      const { oldestOffset } = page;
+      events.log("retentionPassed", { nextOffset, oldestOffset });
+      const state = await findCheckpoint(platform, page);
+      if (state !== undefined && fold.replace(state)) return;
+      for (const peer of options.peersAhead()) {
+        if (await loadSnapshot(peer, fold)) return;
+      }
+    },
+    onUnreachable(reason: string) {
+      if (!isReachable) return;
+      isReachable = false;
+      events.log("logUnreachable", { stream: "control", reason });
+    },
+  };
+  return {
+    run: () =>
+      tailStream(platform, handlers, {
+        stream: "control",
+        signal,
+        ...(options.random === undefined ? {} : { random: options.random }),
+      }),
+    readAtMs: () => readAtMs,
+    isLoaded: () => hasLoaded,
+    retentionMs: () => retentionMs,
+    noteRelay(atMs) {
+      if (!hasLoaded) return;
+      readAtMs = Math.max(readAtMs ?? atMs, atMs);
+    },
+    async catchUp(peer, targetOffset) {
+      const isComplete = await copyTail(peer, fold, targetOffset) ||
+        await loadSnapshot(peer, fold);
+      if (isComplete) load("peer");
+      return isComplete;
+    },
+  };
+}
+
+/** Folds the records that a peer holds; false if it lacks some. */
+async function copyTail(
+  peer: PeerClient,
+  fold: ControlFold,
+  targetOffset: number,
+): Promise<boolean> {
+  while (fold.state().nextOffset < targetOffset) {
+    const before = fold.state().nextOffset;
+    const outcome = await peer.tail(
+      { fromOffset: BigInt(before), limit: TAIL_LIMIT },
+      { timeoutMs: TAIL_TIMEOUT_MS },
+    );
+    if (outcome.type === "unreachable") return false;
+    fold.fold(outcome.response.records.flatMap(toLogRecord));
+    // Without progress the peer no longer holds the next record.
+    if (fold.state().nextOffset === before) return false;
+  }
+  return true;
+}
+
+function toLogRecord(record: TailResponse["records"][number]): LogRecord[] {
+  try {
+    const body: unknown = JSON.parse(new TextDecoder().decode(record.body));
+    const { id } = record;
+    const offset = Number(record.offset);
+    return [{ offset, timeMs: Number(record.timeMs), id, body }];
+  } catch {
+    return [];
+  }
+}
+
+async function loadSnapshot(
+  peer: PeerClient,
+  fold: ControlFold,
+): Promise<boolean> {
+  const outcome = await peer.snapshot({ timeoutMs: SNAPSHOT_TIMEOUT_MS });
+  if (outcome.type === "unreachable") return false;
+  const decoder = new TextDecoder();
+  const state = decodeState(
+    outcome.response.map((chunk) => decoder.decode(chunk.data)),
+  );
+  return state !== undefined && fold.replace(state);
+}
+
+/**
+ * Returns the state in chunks for a peer.
+ *
+ * @example
+ * ```ts
+ * const chunks = snapshotChunks(fold.state());
+ * ```
+ */
+export function snapshotChunks(
+  state: FleetState,
+): { nextOffset: bigint; data: Uint8Array }[] {
+  const encoder = new TextEncoder();
+  const nextOffset = BigInt(state.nextOffset);
+  return encodeCheckpoint(state).map((chunk) => ({
+    nextOffset,
+    data: encoder.encode(chunk),
+  }));
+}
+
+function decodeState(chunks: readonly string[]): FleetState | undefined {
+  if (chunks.length === 0) return undefined;
+  try {
+    return decodeCheckpoint(chunks);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Finds the newest complete checkpoint that the log holds. */
+async function findCheckpoint(
+  platform: PlatformClient,
+  first: LogPage,
+): Promise<FleetState | undefined> {
+  const pending = new Map<number, (string | undefined)[]>();
+  let newest: { offset: number; chunks: string[] } | undefined;
+  let from = first.oldestOffset;
+  while (true) {
+    const outcome = await platform.read({
+      stream: "control",
+      from,
+      limit: SEARCH_LIMIT,
+      waitMs: 0,
+    });
+    if (outcome.type === "unreachable") return undefined;
+    const { records, nextOffset } = outcome.page;
+    for (const record of records) {
+      const found = collectChunk(pending, record);
+      if (found !== undefined && found.offset >= (newest?.offset ?? 0)) {
+        newest = found;
+      }
+    }
+    if (records.length === 0) break;
+    from = nextOffset;
+  }
+  return newest === undefined ? undefined : decodeState(newest.chunks);
+}
+
+/** Adds a chunk and returns the checkpoint that it completes. */
+function collectChunk(
+  pending: Map<number, (string | undefined)[]>,
+  record: LogRecord,
+): { offset: number; chunks: string[] } | undefined {
+  const { body } = record;
+  const isCheckpoint = typeof body === "object" && body !== null &&
+    "type" in body && body.type === "checkpoint";
+  if (!isCheckpoint) return undefined;
+  const parsed = ControlRecord.safeParse(body);
+  if (!parsed.success || parsed.data.type !== "checkpoint") return undefined;
+  const { offset, chunk, chunks: count, data } = parsed.data;
+  const chunks = pending.get(offset) ??
+    new Array<string | undefined>(count).fill(undefined);
+  pending.set(offset, chunks);
+  chunks[chunk] = data;
+  if (chunks.some((it) => it === undefined)) return undefined;
+  pending.delete(offset);
+  return { offset, chunks: chunks as string[] };
+}
--- a/packages/platform/tail_stream.ts
+++ b/packages/platform/tail_stream.ts
@@ -3,11 +3,15 @@
 import type { PlatformClient } from "./platform_client.ts";
 import type { LogPage } from "./read_outcome.ts";
 
-/** Longest wait of one read in milliseconds. */
-const WAIT_MS = 1_000;
+/**
+ * Longest wait of one read in milliseconds. A read counts as a contact with the
+ * log from the time at which it was sent, so that two waits have to fit into
+ * the fencing timeout of 2 s with room for the calls themselves.
+ */
+const WAIT_MS = 500;
 
-/** Most records of one read. */
-const PAGE_RECORDS = 500;
+/** Most records of one read; a full page may not be the end of the stream. */
+export const TAIL_PAGE_RECORDS = 500;
 
 /** Bounds of the delay after a failed read in milliseconds. */
 const BACKOFF = { baseMs: 50, maxMs: 1_000 };
@@ -51,7 +55,7 @@
     const outcome = await platform.read({
       stream,
       from: handlers.nextOffset(),
-      limit: PAGE_RECORDS,
+      limit: TAIL_PAGE_RECORDS,
       // After a failure the first answer is wanted at once.
       waitMs: failures === 0 ? WAIT_MS : 0,
     }, signal);
