--- /dev/null
+++ b/packages/objects/_check_names.ts
@@ -0,0 +1,95 @@
+import { type FleetIndex, sortedEntries } from "./_fleet_index.ts";
+import { KIND_WORDS, type ObjectKind, type ObjectSet } from "./object_set.ts";
+import type { Problem } from "./problem.ts";
+
+/** Options for {@linkcode checkNames}. */
+export type CheckNamesOptions = {
+  hosts: FleetIndex["hosts"];
+  problems: Problem[];
+  /** Objects that exist but are not in the set. */
+  invalid: { kind: ObjectKind; name: string }[];
+};
+
+/** Finds names that do not resolve and lists that name an object twice. */
+export function checkNames(set: ObjectSet, options: CheckNamesOptions) {
+  const { problems } = options;
+  const invalid = new Set(
+    options.invalid.map(({ kind, name }) => `${kind} ${name}`),
+  );
+  /** Returns a function that checks one reference to an object of a kind. */
+  const checker =
+    (from: ObjectKind, field: string, to: ObjectKind) =>
+    (name: string, target: string | undefined) => {
+      if (target === undefined || Object.hasOwn(set[to], target)) return;
+      if (invalid.has(`${to} ${target}`)) return;
+      const message = `expected the name of a ${KIND_WORDS[to]}, ` +
+        `found "${target}", which does not exist`;
+      problems.push({ kind: from, name, field, message });
+    };
+  const hostPool = checker("hosts", "pool", "pools");
+  for (const [name, { pool }] of options.hosts) hostPool(name, pool);
+  const servicePool = checker("services", "pool", "pools");
+  const serviceTeam = checker("services", "team", "teams");
+  const overflow = checker("services", "overflow", "pools");
+  for (const [name, service] of sortedEntries(set.services)) {
+    servicePool(name, service.pool);
+    serviceTeam(name, service.team);
+    for (const pool of service.overflow) overflow(name, pool);
+    const pools = [service.pool, ...service.overflow];
+    for (const pool of findRepeated(pools)) {
+      const message = "expected other pools than the home pool, each once, " +
+        `found "${pool}"`;
+      problems.push({ kind: "services", name, field: "overflow", message });
+    }
+  }
+  const budgetService = checker("budgets", "service", "services");
+  for (const [name, budget] of sortedEntries(set.budgets)) {
+    budgetService(name, budget.service);
+  }
+  const wavePool = checker("waves", "pools", "pools");
+  for (const [name, wave] of sortedEntries(set.waves)) {
+    for (const pool of wave.pools) wavePool(name, pool);
+    for (const pool of findRepeated(wave.pools)) {
+      const message = `expected each pool once, found "${pool}" again`;
+      problems.push({ kind: "waves", name, field: "pools", message });
+    }
+  }
+}
+
+function findRepeated(names: string[]) {
+  return new Set(names.filter((name, i) => names.indexOf(name) !== i));
+}
+
+/**
+ * Finds addresses that two hosts share: the same machine would be listed twice
+ * and could belong to two pools.
+ */
+export function checkAddresses(
+  set: ObjectSet,
+  index: FleetIndex,
+  problems: Problem[],
+) {
+  const owners = new Map<string, string>();
+  for (const [name, host] of index.hosts) {
+    for (const field of ["address", "worker_address"] as const) {
+      const address = host[field];
+      if (address === undefined) continue;
+      const key = canonicalAddress(address);
+      const owner = owners.get(key);
+      if (owner === undefined) {
+        owners.set(key, name);
+        continue;
+      }
+      const message = `expected an address of its own, found ${address}, ` +
+        `which is also of host ${owner} in pool ${set.hosts[owner]!.pool}`;
+      problems.push({ kind: "hosts", name, field, message });
+    }
+  }
+}
+
+/** IPv6 addresses have several spellings; the parser of URLs returns one. */
+function canonicalAddress(address: string) {
+  if (!address.startsWith("[")) return address;
+  const url = URL.canParse(`ws://${address}`) && new URL(`ws://${address}`);
+  return url ? `${url.hostname}:${url.port}` : address;
+}
--- /dev/null
+++ b/packages/objects/_check_objects.ts
@@ -0,0 +1,41 @@
+import { checkBudgets, checkPools, checkWaves } from "./_check_capacity.ts";
+import { checkAddresses, checkNames } from "./_check_names.ts";
+import { checkQuotas, checkShares } from "./_check_sums.ts";
+import { createFleetIndex } from "./_fleet_index.ts";
+import { OBJECT_KINDS, type ObjectKind, type ObjectSet } from "./object_set.ts";
+import type { Problem } from "./problem.ts";
+
+/** Options for {@linkcode checkObjects}. */
+export type CheckObjectsOptions = {
+  /** Objects that exist but are not in the set, since they have problems. */
+  invalid: { kind: ObjectKind; name: string }[];
+};
+
+/**
+ * Checks a set. Names of invalid objects resolve, and what depends on the
+ * number of hosts is left out if a host is invalid, so that one mistake does
+ * not cause further problems.
+ */
+export function checkObjects(set: ObjectSet, options: CheckObjectsOptions) {
+  const index = createFleetIndex(set);
+  const problems: Problem[] = [];
+  checkNames(set, { problems, hosts: index.hosts, invalid: options.invalid });
+  checkAddresses(set, index, problems);
+  checkShares(set, problems);
+  if (!options.invalid.some(({ kind }) => kind === "hosts")) {
+    checkPools(set, index, problems);
+    checkBudgets(set, index, problems);
+    checkWaves(set, index, problems);
+    checkQuotas(set, index, problems);
+  }
+  const rank = (problem: Problem) => OBJECT_KINDS.indexOf(problem.kind);
+  return problems.sort((a, b) =>
+    rank(a) - rank(b) || compare(a.name, b.name) ||
+    compare(a.field ?? "", b.field ?? "") || compare(a.message, b.message)
+  );
+}
+
+function compare(a: string, b: string) {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
--- a/packages/objects/check_object_set.ts
+++ b/packages/objects/check_object_set.ts
@@ -1,15 +1,17 @@
+import { checkObjects } from "./_check_objects.ts";
 import type { ObjectSet } from "./object_set.ts";
 import type { Problem } from "./problem.ts";
 
 /**
  * Checks that the objects of a set fit together. The result depends on the set
- * alone, so that every daemon accepts or refuses the same changes.
+ * alone and not on the order of its keys, so that every daemon accepts or
+ * refuses the same changes. Returns every problem.
  *
  * @example
  * ```ts
  * const problems = checkObjectSet(set);
  * ```
  */
-export function checkObjectSet(_set: ObjectSet): Problem[] {
-  return [];
+export function checkObjectSet(set: ObjectSet): Problem[] {
+  return checkObjects(set, { invalid: [] });
 }
--- a/packages/objects/host.ts
+++ b/packages/objects/host.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { Address } from "./address.ts";
 import { Name } from "./name.ts";
 
 /** Slots of an executor unless the set says otherwise. */
@@ -15,15 +16,9 @@
   data_centre: Name,
   rack: Name,
   /** IP address and port of the executor. */
-  address: z.string().regex(
-    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
-    "expected an IP address and a port",
-  ),
+  address: Address,
   /** IP address and port of the worker's agent; absent without one. */
-  worker_address: z.string().regex(
-    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
-    "expected an IP address and a port",
-  ).optional(),
+  worker_address: Address.optional(),
   slots: z.int().min(1).max(1_024).default(DEFAULT_SLOTS),
   connections: z.int().min(1).max(65_535).default(DEFAULT_CONNECTIONS),
   cores: z.number().positive().max(1_024),
--- a/packages/objects/object_set.ts
+++ b/packages/objects/object_set.ts
@@ -33,6 +33,16 @@
 /** Kind of an object. */
 export type ObjectKind = (typeof OBJECT_KINDS)[number];
 
+/** Word for one object of a kind, as in `[host NAME]`. */
+export const KIND_WORDS = {
+  pools: "pool",
+  hosts: "host",
+  services: "service",
+  budgets: "budget",
+  waves: "wave",
+  teams: "team",
+} as const satisfies Record<ObjectKind, string>;
+
 /**
  * Returns a set without objects.
  *
