--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -5,4 +5,7 @@
  */
 
 export * from "./admission/mod.ts";
+export * from "./budgets/mod.ts";
 export * from "./fold/mod.ts";
+export * from "./retries/mod.ts";
+export * from "./routing/mod.ts";
