Add the operators' listener and its client

Cause: operators act only by publishing changes and reading back the set in force, over a listener of its own.

Change: createOperatorApp takes the handlers of a daemon, whose results are values. Bodies are bounded to 4 MiB and 10 s. The client neither repeats requests nor follows redirects and tells whether anything can have been sent.

--- /dev/null
+++ b/packages/operators/_read_body.ts
@@ -0,0 +1,44 @@
+import type { IncomingMessage } from "node:http";
+
+/** Options for {@linkcode readBody}. */
+export type ReadBodyOptions = { maxBytes: number; timeoutMs: number };
+
+/** Body of a request, or why it was not read. */
+export type Body =
+  | { type: "complete"; bytes: Buffer }
+  | { type: "too-large" }
+  | { type: "too-slow" }
+  | { type: "aborted" };
+
+/** Reads a body whole, bounded in size and in time. */
+export function readBody(
+  request: IncomingMessage,
+  { maxBytes, timeoutMs }: ReadBodyOptions,
+): Promise<Body> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const finish = (body: Body) => {
+      clearTimeout(timer);
+      request.off("data", onData);
+      // What follows is discarded, so that the sender can read the response.
+      request.resume();
+      resolve(body);
+    };
+    const onData = (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) finish({ type: "too-large" });
+      else chunks.push(chunk);
+    };
+    const timer = setTimeout(() => finish({ type: "too-slow" }), timeoutMs);
+    request.on("data", onData);
+    request.once(
+      "end",
+      () => finish({ type: "complete", bytes: Buffer.concat(chunks) }),
+    );
+    request.once("error", () => finish({ type: "aborted" }));
+    request.once("close", () => finish({ type: "aborted" }));
+    const declared = Number(request.headers["content-length"] ?? 0);
+    if (declared > maxBytes) finish({ type: "too-large" });
+  });
+}
--- a/packages/operators/mod.ts
+++ b/packages/operators/mod.ts
@@ -4,4 +4,11 @@
  * @module
  */
 
-export {};
+export * from "./daemon_status.ts";
+export * from "./explanation.ts";
+export * from "./operator_app.ts";
+export * from "./operator_client.ts";
+export * from "./operator_handlers.ts";
+export * from "./operator_server.ts";
+export * from "./publication.ts";
+export * from "./refusal.ts";
--- /dev/null
+++ b/packages/operators/operator_app.ts
@@ -0,0 +1,216 @@
+import Koa from "koa";
+import type { z } from "zod";
+import { createKeyCheck } from "./_bearer_key.ts";
+import { readBody } from "./_read_body.ts";
+import { ExplainedKind } from "./explanation.ts";
+import type { OperatorHandlers } from "./operator_handlers.ts";
+import {
+  Publication,
+  PublicationId,
+  type PublicationOutcome,
+} from "./publication.ts";
+import type { Refusal } from "./refusal.ts";
+
+/** Largest body of a request in bytes. */
+export const MAX_BODY_BYTES = 4 * 1_024 * 1_024;
+
+/** Longest time to send a body, in milliseconds. */
+export const BODY_TIMEOUT_MS = 10_000;
+
+const DEFAULT_HISTORY_LIMIT = 50;
+const MAX_HISTORY_LIMIT = 1_000;
+
+/** Options for {@linkcode createOperatorApp}. */
+export type OperatorAppOptions = {
+  /** Keys of operators, any of which is accepted. */
+  keys: readonly string[];
+  /** Called with an error that a handler threw; it contains no key. */
+  onError?: (error: unknown) => void;
+  /** Longest time to send a body, in milliseconds. */
+  bodyTimeoutMs?: number;
+};
+
+/** Response: a status and a body that is sent as JSON. */
+type Reply = { status: number; body: unknown };
+
+type Route = {
+  method: "GET" | "POST";
+  path: RegExp;
+  run: (ctx: Koa.Context, params: string[]) => Promise<Reply>;
+};
+
+/**
+ * Creates the application of the operators' listener. Every path needs a key.
+ *
+ * @example
+ * ```ts
+ * const app = createOperatorApp(handlers, { keys: [settings.operators.key] });
+ * const server = createServer(app.callback());
+ * ```
+ */
+export function createOperatorApp(
+  handlers: OperatorHandlers,
+  options: OperatorAppOptions,
+): Koa {
+  const hasKey = createKeyCheck(options.keys);
+  const routes = createRoutes(handlers, options);
+  const app = new Koa();
+  app.use(async (ctx) => {
+    const reply = hasKey(ctx.get("authorization"))
+      ? await runRoute(ctx, routes).catch((error: unknown) => {
+        options.onError?.(error);
+        return refuse(500, "The daemon failed to handle the request.");
+      })
+      : refuse(401, "The request has no valid operator key.");
+    if (reply.status === 401) ctx.set("WWW-Authenticate", "Bearer");
+    if (reply.status === 408) ctx.set("Connection", "close");
+    ctx.status = reply.status;
+    ctx.body = JSON.stringify(reply.body);
+    ctx.type = "application/json";
+  });
+  // Broken connections of clients are not errors of the daemon.
+  app.on("error", () => undefined);
+  return app;
+}
+
+function createRoutes(
+  handlers: OperatorHandlers,
+  options: OperatorAppOptions,
+): Route[] {
+  const timeoutMs = options.bodyTimeoutMs ?? BODY_TIMEOUT_MS;
+  return [
+    {
+      method: "POST",
+      path: /^\/v1\/changes$/,
+      run: (ctx) => submitChange(ctx, { handlers, timeoutMs }),
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/set$/,
+      run: async () => ok(await handlers.currentSet()),
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/status$/,
+      run: async () => ok(await handlers.status()),
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/history$/,
+      run: async (ctx) => {
+        const text = ctx.URL.searchParams.get("limit");
+        const limit = Number(text ?? DEFAULT_HISTORY_LIMIT);
+        const isValid = Number.isInteger(limit) && limit > 0 &&
+          limit <= MAX_HISTORY_LIMIT;
+        return isValid
+          ? ok(await handlers.history(limit))
+          : refuse(400, `Expected a limit from 1 to ${MAX_HISTORY_LIMIT}.`);
+      },
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/explain\/([^/]+)\/([^/]+)$/,
+      run: async (_ctx, [kindText, name]) => {
+        const kind = ExplainedKind.safeParse(kindText);
+        if (!kind.success) {
+          const kinds = ExplainedKind.options.join(", ");
+          return refuse(404, `Expected one of the kinds ${kinds}.`);
+        }
+        const found = await handlers.explain(kind.data, name ?? "");
+        return found === undefined
+          ? refuse(404, `There is no ${kind.data} of that name.`)
+          : ok(found);
+      },
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/publications\/([^/]+)$/,
+      run: async (_ctx, [id]) => {
+        const parsed = PublicationId.safeParse(id);
+        return parsed.success
+          ? ok(await handlers.publication(parsed.data))
+          : refuse(400, "Expected a publication id.");
+      },
+    },
+  ];
+}
+
+async function runRoute(ctx: Koa.Context, routes: Route[]): Promise<Reply> {
+  const matching = routes.filter(({ path }) => path.test(ctx.path));
+  if (matching.length === 0) return refuse(404, "There is no such path.");
+  const route = matching.find(({ method }) => method === ctx.method);
+  if (route === undefined) {
+    ctx.set("Allow", matching.map(({ method }) => method).join(", "));
+    return refuse(405, "The path does not accept this method.");
+  }
+  const params = route.path.exec(ctx.path)?.slice(1).map(decodeParam) ?? [];
+  if (params.includes(undefined)) {
+    return refuse(400, "The path is not valid percent-encoded text.");
+  }
+  return await route.run(ctx, params as string[]);
+}
+
+function decodeParam(text: string) {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
+type SubmitOptions = { handlers: OperatorHandlers; timeoutMs: number };
+
+async function submitChange(
+  ctx: Koa.Context,
+  { handlers, timeoutMs }: SubmitOptions,
+): Promise<Reply> {
+  if (!ctx.is("application/json") || ctx.get("content-encoding") !== "") {
+    return refuse(415, "Expected an unencoded body of type application/json.");
+  }
+  const body = await readBody(ctx.req, { maxBytes: MAX_BODY_BYTES, timeoutMs });
+  if (body.type === "too-large") {
+    return refuse(413, `Expected a body of at most ${MAX_BODY_BYTES} bytes.`);
+  }
+  if (body.type === "too-slow") {
+    return refuse(408, `Expected the whole body within ${timeoutMs} ms.`);
+  }
+  if (body.type === "aborted") return refuse(400, "The body is incomplete.");
+  const json = parseJson(body.bytes);
+  if (json === undefined) return refuse(400, "The body is not valid JSON.");
+  const publication = Publication.safeParse(json.value);
+  if (!publication.success) return refuseFields(publication.error.issues);
+  const outcome = await handlers.submitChange(publication.data);
+  return { status: statusOf(outcome), body: outcome };
+}
+
+function parseJson(bytes: Buffer) {
+  try {
+    const text = new TextDecoder("utf-8", { fatal: true }).decode(bytes);
+    return { value: JSON.parse(text) as unknown };
+  } catch {
+    return undefined;
+  }
+}
+
+function statusOf(outcome: PublicationOutcome) {
+  if (outcome.type === "accepted") return 200;
+  if (outcome.type === "unknown") return 504;
+  return { conflict: 409, invalid: 422, unavailable: 503 }[outcome.cause];
+}
+
+function ok(body: unknown): Reply {
+  return { status: 200, body };
+}
+
+function refuse(status: number, title: string): Reply {
+  return { status, body: { status, title } satisfies Refusal };
+}
+
+function refuseFields(issues: z.core.$ZodIssue[]): Reply {
+  const problems = issues.map(({ path, message }) => ({
+    field: path.join("."),
+    message,
+  }));
+  const title = "The body is not a valid publication.";
+  return { status: 400, body: { status: 400, title, problems } };
+}
--- /dev/null
+++ b/packages/operators/operator_client.ts
@@ -0,0 +1,127 @@
+import got, { RequestError, type Response } from "got";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import { DaemonStatus } from "./daemon_status.ts";
+import { type ExplainedKind, Explanation } from "./explanation.ts";
+import {
+  HistoryEntry,
+  type Publication,
+  PublicationOutcome,
+  VersionedSet,
+} from "./publication.ts";
+import { Refusal } from "./refusal.ts";
+
+/** Options for {@linkcode createOperatorClient}. */
+export type OperatorClientOptions = {
+  /** IP address and port of a daemon's operators listener. */
+  address: string;
+  key: string;
+  /** Longest time for a whole request, in milliseconds. */
+  timeoutMs: number;
+};
+
+/** Why a request to a daemon has no result. */
+export type OperatorClientError =
+  /**
+   * No complete response arrived. `sent` is false if the connection was
+   * refused, so that the daemon cannot have acted on the request.
+   */
+  | { type: "unreachable"; sent: boolean; message: string }
+  /** The daemon did not accept the request, for example for its key. */
+  | { type: "refused"; refusal: Refusal }
+  /** The response does not have the form that the schemas describe. */
+  | { type: "invalid-response"; message: string };
+
+/** Result of a request to a daemon. */
+export type OperatorResult<Value> = Promise<
+  Either<OperatorClientError, Value>
+>;
+
+/** Client of one daemon's operators listener. */
+export type OperatorClient = {
+  address: string;
+  submitChange: (
+    publication: Publication,
+  ) => OperatorResult<PublicationOutcome>;
+  currentSet: () => OperatorResult<VersionedSet>;
+  status: () => OperatorResult<DaemonStatus>;
+  history: (limit: number) => OperatorResult<HistoryEntry[]>;
+  explain: (kind: ExplainedKind, name: string) => OperatorResult<Explanation>;
+  publication: (id: string) => OperatorResult<PublicationOutcome>;
+};
+
+/** Errors after which provably nothing was sent. */
+const NOT_SENT = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"]);
+
+/**
+ * Creates a client of one daemon. It neither repeats requests nor follows
+ * redirects; results and errors are values.
+ *
+ * @example
+ * ```ts
+ * const client = createOperatorClient({
+ *   address: "127.0.0.1:25001",
+ *   key,
+ *   timeoutMs: 5_000,
+ * });
+ * const status = await client.status();
+ * ```
+ */
+export function createOperatorClient(
+  options: OperatorClientOptions,
+): OperatorClient {
+  const http = got.extend({
+    prefixUrl: `http://${options.address}/v1`,
+    headers: { authorization: `Bearer ${options.key}` },
+    timeout: { request: options.timeoutMs },
+    retry: { limit: 0 },
+    followRedirect: false,
+    throwHttpErrors: false,
+  });
+  const get = <Schema extends z.ZodType>(path: string, schema: Schema) =>
+    readResponse(() => http.get(path), schema);
+  const part = encodeURIComponent;
+  return {
+    address: options.address,
+    submitChange: (publication) =>
+      readResponse(
+        () => http.post("changes", { json: publication }),
+        PublicationOutcome,
+      ),
+    currentSet: () => get("set", VersionedSet),
+    status: () => get("status", DaemonStatus),
+    history: (limit) => get(`history?limit=${limit}`, z.array(HistoryEntry)),
+    explain: (kind, name) =>
+      get(`explain/${part(kind)}/${part(name)}`, Explanation),
+    publication: (id) => get(`publications/${part(id)}`, PublicationOutcome),
+  };
+}
+
+async function readResponse<Schema extends z.ZodType>(
+  send: () => Promise<Response<string>>,
+  schema: Schema,
+): OperatorResult<z.infer<Schema>> {
+  let response: Response<string>;
+  try {
+    response = await send();
+  } catch (error) {
+    if (!(error instanceof RequestError)) throw error;
+    const { code, message } = error;
+    return Left({ type: "unreachable", sent: !NOT_SENT.has(code), message });
+  }
+  const body = parseJson(response.body);
+  const value = schema.safeParse(body);
+  if (value.success) return Right(value.data);
+  const refusal = Refusal.safeParse(body);
+  if (refusal.success) return Left({ type: "refused", refusal: refusal.data });
+  const message = `The response with status ${response.statusCode} is invalid.`;
+  return Left({ type: "invalid-response", message });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/operators/operator_server.ts
@@ -0,0 +1,38 @@
+import { createServer, type Server } from "node:http";
+import {
+  BODY_TIMEOUT_MS,
+  createOperatorApp,
+  type OperatorAppOptions,
+} from "./operator_app.ts";
+import type { OperatorHandlers } from "./operator_handlers.ts";
+
+const HEADERS_TIMEOUT_MS = 5_000;
+const KEEP_ALIVE_TIMEOUT_MS = 10_000;
+const MAX_CONNECTIONS = 256;
+
+/**
+ * Creates the operators' server, which does not listen yet. Slow senders of
+ * headers or bodies are timed out, and the number of connections is bounded.
+ *
+ * @example
+ * ```ts
+ * const server = createOperatorServer(handlers, { keys: [key] });
+ * server.listen(25_001, "127.0.0.1");
+ * ```
+ */
+export function createOperatorServer(
+  handlers: OperatorHandlers,
+  options: OperatorAppOptions,
+): Server {
+  const app = createOperatorApp(handlers, options);
+  const server = createServer({
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    // Later than the timeout of the body, which sends a response.
+    requestTimeout: HEADERS_TIMEOUT_MS +
+      2 * (options.bodyTimeoutMs ?? BODY_TIMEOUT_MS),
+    connectionsCheckingInterval: 1_000,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+  }, app.callback());
+  server.maxConnections = MAX_CONNECTIONS;
+  return server;
+}
