--- /dev/null
+++ b/packages/callers/_parse_request.ts
@@ -0,0 +1,150 @@
+import { Urgency } from "@lagoonloom/decisions";
+import { MAX_NAME_LENGTH } from "@lagoonloom/objects";
+import type { IncomingMessage } from "node:http";
+import type { CallerRequest } from "./caller_request.ts";
+import type { ProblemAnswer } from "./problem_answer.ts";
+
+/** Longest accepted idempotency key in characters. */
+const MAX_KEY_LENGTH = 255;
+
+/** Longest accepted deadline in milliseconds. */
+const MAX_DEADLINE_MS = 600_000;
+
+const METHODS = new Set(["GET", "POST", "PUT", "DELETE"]);
+
+const SERVICE_PATH = /^\/v1\/services\/([a-z0-9-]+)(\/[^?#]*)?(\?[^#]*)?$/;
+
+/** Matches `.` and `..` as path segments, also percent-encoded. */
+const DOT_SEGMENT = /(^|[/\\])(\.|%2e){1,2}([/\\]|$)/i;
+
+/** Encoded separators could hide a dot segment from this check. */
+const ENCODED_SEPARATOR = /%2f|%5c|\\/i;
+
+/** Headers that belong to the caller's connection or are set by the daemon. */
+const DROPPED_HEADERS = new Set([
+  "authorization",
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authorization",
+  "proxy-connection",
+  "request-class",
+  "request-deadline-ms",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "x-caller",
+  "x-request-id",
+]);
+
+/** Fields of a request that its head gives. */
+export type RequestHead = Omit<CallerRequest, "body" | "gone">;
+
+/** Options of {@linkcode parseHead}. */
+export type ParseOptions = {
+  /** Teams by bearer token. */
+  callers: ReadonlyMap<string, string>;
+};
+
+/** Checks the head of a request. */
+export function parseHead(
+  incoming: IncomingMessage,
+  options: ParseOptions,
+): RequestHead | ProblemAnswer {
+  const caller = findCaller(incoming.headers.authorization, options.callers);
+  if (caller === undefined) {
+    return invalid(401, "unauthorized", "The bearer token is not known.");
+  }
+  const path = incoming.url ?? "";
+  const match = SERVICE_PATH.exec(path);
+  const service = match?.[1];
+  if (service === undefined || service.length > MAX_NAME_LENGTH) {
+    return invalid(404, "unknown-path", "The path is not one of a service.");
+  }
+  const rest = match?.[2] ?? "";
+  if (DOT_SEGMENT.test(rest) || ENCODED_SEPARATOR.test(rest)) {
+    return invalid(400, "malformed", "The path has a dot segment.");
+  }
+  const method = incoming.method ?? "";
+  if (!METHODS.has(method)) {
+    return invalid(405, "method", "The method is not GET, POST, PUT, DELETE.");
+  }
+  const urgency = Urgency.safeParse(
+    incoming.headers["request-class"] ?? "normal",
+  );
+  if (!urgency.success) {
+    return invalid(400, "malformed", "Request-Class is not a known class.");
+  }
+  const deadlineMs = parseDeadline(incoming.headers["request-deadline-ms"]);
+  if (deadlineMs === "invalid") {
+    return invalid(400, "malformed", "Request-Deadline-Ms is out of range.");
+  }
+  const idempotencyKey = incoming.headers["idempotency-key"];
+  if (idempotencyKey !== undefined && !isKey(idempotencyKey)) {
+    return invalid(400, "malformed", "Idempotency-Key is not a single token.");
+  }
+  return {
+    service,
+    method: method as RequestHead["method"],
+    path,
+    headers: forwardedHeaders(incoming, caller),
+    urgency: urgency.data,
+    deadlineMs,
+    caller,
+    idempotencyKey: idempotencyKey as string | undefined,
+  };
+}
+
+/** Makes a problem answer for a request that changed no state. */
+export function invalid(
+  status: number,
+  reason: string,
+  detail: string,
+): ProblemAnswer {
+  return { status, outcome: "not-run", reason, detail };
+}
+
+function findCaller(
+  authorization: string | undefined,
+  callers: ReadonlyMap<string, string>,
+): string | undefined {
+  const token = /^Bearer +(\S+)$/i.exec(authorization ?? "")?.[1];
+  return token === undefined ? undefined : callers.get(token);
+}
+
+function parseDeadline(
+  header: string | string[] | undefined,
+): number | undefined | "invalid" {
+  if (header === undefined) return undefined;
+  if (typeof header !== "string" || !/^\d{1,6}$/.test(header)) return "invalid";
+  const deadlineMs = Number(header);
+  const isInRange = deadlineMs > 0 && deadlineMs <= MAX_DEADLINE_MS;
+  return isInRange ? deadlineMs : "invalid";
+}
+
+/** Node joins repeated headers with a comma and a space, which is refused. */
+function isKey(header: string | string[]): boolean {
+  return typeof header === "string" && header.length <= MAX_KEY_LENGTH &&
+    /^[\x21-\x7e]+$/.test(header);
+}
+
+function forwardedHeaders(
+  incoming: IncomingMessage,
+  caller: string,
+): Record<string, string> {
+  const headers: Record<string, string> = { "x-caller": caller };
+  const connection = incoming.headers.connection;
+  const named = connection === undefined || connection === "keep-alive"
+    ? undefined
+    : new Set(connection.toLowerCase().split(/\s*,\s*/));
+  for (const name in incoming.headers) {
+    const value = incoming.headers[name];
+    if (value === undefined || DROPPED_HEADERS.has(name)) continue;
+    if (named?.has(name)) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return headers;
+}
--- /dev/null
+++ b/packages/callers/_read_body.ts
@@ -0,0 +1,45 @@
+import type { IncomingMessage } from "node:http";
+
+const EMPTY_BODY = new Uint8Array(0);
+
+/** Body of a request, or why it can't be read. */
+export type BodyResult =
+  | { type: "body"; body: Uint8Array }
+  | { type: "too-large" | "too-slow" | "broken" };
+
+/** Reads a body within a bound of size and time. */
+export function readBody(
+  incoming: IncomingMessage,
+  options: { maxBytes: number; timeoutMs: number },
+): Promise<BodyResult> | BodyResult {
+  const length = incoming.headers["content-length"];
+  const isChunked = incoming.headers["transfer-encoding"] !== undefined;
+  if (!isChunked && (length === undefined || length === "0")) {
+    return { type: "body", body: EMPTY_BODY };
+  }
+  if (length !== undefined && Number(length) > options.maxBytes) {
+    return { type: "too-large" };
+  }
+  return new Promise((resolve) => {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    const settle = (result: BodyResult) => {
+      clearTimeout(timeout);
+      incoming.off("data", onData);
+      resolve(result);
+    };
+    const timeout = setTimeout(settle, options.timeoutMs, { type: "too-slow" });
+    const onData = (chunk: Uint8Array) => {
+      size += chunk.length;
+      if (size > options.maxBytes) return settle({ type: "too-large" });
+      chunks.push(chunk);
+    };
+    incoming.on("data", onData);
+    incoming.on("end", () => {
+      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+      settle({ type: "body", body });
+    });
+    incoming.on("close", () => settle({ type: "broken" }));
+    incoming.on("error", () => settle({ type: "broken" }));
+  });
+}
--- /dev/null
+++ b/packages/callers/create_caller_app.ts
@@ -0,0 +1,106 @@
+import Koa from "koa";
+import { invalid, parseHead } from "./_parse_request.ts";
+import { readBody } from "./_read_body.ts";
+import { writeOutcome, writeProblem } from "./_write_answer.ts";
+import type { CallerOutcome } from "./caller_outcome.ts";
+import type { CallerRequest } from "./caller_request.ts";
+
+/** Largest accepted body unless the settings say otherwise. */
+export const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+
+/** Time in which a body has to arrive unless the settings say otherwise. */
+export const DEFAULT_BODY_TIMEOUT_MS = 5_000;
+
+/** Options of {@linkcode createCallerApp}. */
+export type CallerAppOptions = {
+  /** Teams by bearer token. */
+  callers: ReadonlyMap<string, string>;
+  maxBodyBytes?: number;
+  bodyTimeoutMs?: number;
+  /** Whether the process works at all. */
+  isLive: () => boolean;
+  /** Whether the load balancer should send requests here. */
+  isReady: () => boolean;
+  /** Metrics in the text format of Prometheus. */
+  metrics: () => Promise<string>;
+  /** Whether connections should close after their current answer. */
+  isStopping: () => boolean;
+  handle: (request: CallerRequest) => Promise<CallerOutcome>;
+};
+
+/**
+ * Creates the application for callers.
+ *
+ * @example
+ * ```ts
+ * const app = createCallerApp({
+ *   callers: new Map([["token", "quoting"]]),
+ *   isLive: () => true,
+ *   isReady: () => true,
+ *   isStopping: () => false,
+ *   metrics: () => Promise.resolve(""),
+ *   handle: () => Promise.reject(new Error("Not used.")),
+ * });
+ * app.callback();
+ * ```
+ */
+export function createCallerApp(options: CallerAppOptions): Koa {
+  const app = new Koa();
+  app.use(async (context) => {
+    if (options.isStopping()) context.set("connection", "close");
+    if (await answerProbe(context, options)) return;
+    // The answer is written below, byte for byte as the executor gave it.
+    context.respond = false;
+    await answerCaller(context, options);
+  });
+  return app;
+}
+
+async function answerProbe(
+  context: Koa.Context,
+  options: CallerAppOptions,
+): Promise<boolean> {
+  const path = context.req.url;
+  if (path === "/livez") context.status = options.isLive() ? 200 : 503;
+  else if (path === "/readyz") context.status = options.isReady() ? 200 : 503;
+  else if (path === "/metrics") {
+    context.body = await options.metrics();
+    return true;
+  } else return false;
+  context.body = context.status === 200 ? "ok\n" : "unavailable\n";
+  return true;
+}
+
+async function answerCaller(
+  context: Koa.Context,
+  options: CallerAppOptions,
+): Promise<void> {
+  const { req: incoming, res: response } = context;
+  const head = parseHead(incoming, options);
+  if ("status" in head) return writeProblem(response, head);
+  const result = await readBody(incoming, {
+    maxBytes: options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    timeoutMs: options.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
+  });
+  switch (result.type) {
+    case "broken":
+      response.destroy();
+      return;
+    case "too-large":
+      return writeProblem(
+        response,
+        invalid(413, "too-large", "The body is too large."),
+      );
+    case "too-slow":
+      return writeProblem(
+        response,
+        invalid(408, "too-slow", "The body did not arrive in time."),
+      );
+  }
+  const gone = new AbortController();
+  response.on("close", () => {
+    if (!response.writableFinished) gone.abort();
+  });
+  const request = { ...head, body: result.body, gone: gone.signal };
+  writeOutcome(response, await options.handle(request));
+}
--- /dev/null
+++ b/packages/daemon/requests/_dispatcher.ts
@@ -0,0 +1,228 @@
+import type { SchedulerAction, SchedulerEvent } from "@lagoonloom/decisions";
+import type { ExchangeResult, ExecutorClient } from "@lagoonloom/endpoints";
+import { forwardOrder } from "./_forward_order.ts";
+import {
+  notRun,
+  type Order,
+  type OrderOutcome,
+  unknownOutcome,
+} from "./_order.ts";
+import { createRetryBudget } from "./_retry_budget.ts";
+import type { RequestPathDependencies } from "./dependencies.ts";
+
+/** Time between two ticks of the scheduler. */
+const TICK_MS = 50;
+
+/** A run this many times longer than declared counts against its host. */
+const SLOW_RUN_FACTOR = 2;
+
+/** Scheduled order that has no outcome yet. */
+type Job = {
+  order: Order;
+  excludedHosts: string[];
+  isQueued: boolean;
+  resolve: (outcome: OrderOutcome) => void;
+};
+
+/** Options of {@linkcode createDispatcher}. */
+type DispatcherOptions = {
+  dependencies: RequestPathDependencies;
+  client: ExecutorClient;
+  schedule: (
+    event: SchedulerEvent,
+    nowMs: number,
+  ) => readonly SchedulerAction[];
+};
+
+/** Carries out the scheduler's actions. */
+export type Dispatcher = ReturnType<typeof createDispatcher>;
+
+/** Creates the part that queues, sends, forwards and retries requests. */
+export function createDispatcher(options: DispatcherOptions) {
+  const { dependencies, client, schedule } = options;
+  const jobs = new Map<string, Job>();
+  const running = new Map<string, number>();
+  const retries = createRetryBudget();
+  const ticker = setInterval(() => advance({ type: "tick" }), TICK_MS);
+  ticker.unref();
+  return {
+    advance,
+    run,
+    cancel,
+    /** Slots in use per host. */
+    running,
+    isIdle: () => jobs.size === 0 && running.size === 0,
+    close: () => clearInterval(ticker),
+  };
+
+  function advance(event: SchedulerEvent): void {
+    const actions = schedule(event, dependencies.nowMs());
+    for (const action of actions) perform(action);
+  }
+
+  function run(order: Order): Promise<OrderOutcome> {
+    if (jobs.has(order.id)) {
+      return Promise.resolve(unknownOutcome("duplicate-id"));
+    }
+    retries.countRequest();
+    return new Promise((resolve) => {
+      const job = { order, excludedHosts: [], isQueued: true, resolve };
+      jobs.set(order.id, job);
+      arrive(job);
+    });
+  }
+
+  /** Ends a request whose caller has gone, if it was not started. */
+  function cancel(id: string): void {
+    const job = jobs.get(id);
+    if (!job?.isQueued) return;
+    settle(job, notRun("cancelled"));
+    advance({ type: "cancelled", id });
+  }
+
+  function arrive(job: Job): void {
+    const { order } = job;
+    job.isQueued = true;
+    advance({
+      type: "arrived",
+      request: {
+        id: order.id,
+        service: order.service,
+        urgency: order.urgency,
+        arrivedAtMs: order.arrivedAtMs,
+        deadlineAtMs: order.deadlineAtMs,
+        isForwarded: order.isForwarded,
+        excludedHosts: job.excludedHosts,
+      },
+    });
+  }
+
+  function settle(job: Job, outcome: OrderOutcome): void {
+    jobs.delete(job.order.id);
+    job.resolve(outcome);
+  }
+
+  function perform(action: SchedulerAction): void {
+    const job = jobs.get(action.id);
+    if (job === undefined) {
+      ignore(action);
+    } else if (action.type === "start") {
+      void start(job, action.host, action.slot);
+    } else if (action.type === "forward") {
+      void forward(job, action.member);
+    } else {
+      settle(job, notRun(action.reason, action.retryAfterMs));
+    }
+  }
+
+  /** Gives back what the scheduler assigned to a request that has ended. */
+  function ignore(action: SchedulerAction): void {
+    const { id } = action;
+    if (action.type === "forward") advance({ type: "forward-ended", id });
+    if (action.type !== "start") return;
+    const { host, slot } = action;
+    const result = "abandoned";
+    advance({ type: "finished", id, host, slot, runMs: 0, result });
+  }
+
+  async function start(
+    job: Job,
+    host: string,
+    slot: number,
+  ): Promise<void> {
+    const { order } = job;
+    job.isQueued = false;
+    const startedAtMs = dependencies.nowMs();
+    running.set(host, (running.get(host) ?? 0) + 1);
+    const result = await exchange(order, host, startedAtMs);
+    const finish = () => {
+      const left = (running.get(host) ?? 1) - 1;
+      if (left === 0) running.delete(host);
+      else running.set(host, left);
+      const runMs = dependencies.nowMs() - startedAtMs;
+      const verdict = judge(order, result, runMs);
+      advance({
+        type: "finished",
+        id: order.id,
+        host,
+        slot,
+        runMs,
+        result: verdict,
+      });
+    };
+    if (result.type === "streamed") result.stream.once("close", finish);
+    else finish();
+    if (result.type !== "failed") return settle(job, result);
+    const { notRun: isNotRun, reason } = result;
+    const mayRetry = reason !== "slot-rights" && reason !== "deadline";
+    if (mayRetry && retry(job, isNotRun)) {
+      job.excludedHosts.push(host);
+      return arrive(job);
+    }
+    settle(job, isNotRun ? notRun(reason) : unknownOutcome(reason));
+  }
+
+  function exchange(
+    order: Order,
+    host: string,
+    nowMs: number,
+  ): Promise<ExchangeResult> {
+    const address = dependencies.hostAddress(host);
+    const remainingMs = order.deadlineAtMs - nowMs;
+    if (address === undefined || remainingMs <= 0) {
+      const reason = address === undefined ? "connect" : "deadline";
+      return Promise.resolve({ type: "failed", reason, notRun: true });
+    }
+    return client.exchange({
+      id: order.id,
+      address,
+      method: order.method,
+      path: order.path,
+      headers: order.headers,
+      body: order.body,
+      remainingMs,
+      mayReuseConnection: order.isIdempotent,
+      maySend: dependencies.hasSlotRights,
+    });
+  }
+
+  async function forward(job: Job, member: string): Promise<void> {
+    const { order } = job;
+    job.isQueued = false;
+    const outcome = await forwardOrder(order, member, { dependencies });
+    if (outcome.type === "failed" && outcome.notRun) {
+      // The scheduler queues it again or refuses it.
+      job.isQueued = true;
+      return advance({ type: "returned", id: order.id, member });
+    }
+    advance({ type: "forward-ended", id: order.id });
+    const mayRetry = outcome.type === "failed" && outcome.reason !== "deadline";
+    if (mayRetry && retry(job, false)) return arrive(job);
+    settle(job, outcome);
+  }
+
+  /** Takes a retry if the request may run again and its deadline allows it. */
+  function retry(job: Job, isNotRun: boolean): boolean {
+    const { order } = job;
+    if (!isNotRun && !order.isIdempotent) return false;
+    const service = dependencies.findService(order.service);
+    const neededMs = service?.run_time_ms ?? 0;
+    if (dependencies.nowMs() + neededMs > order.deadlineAtMs) return false;
+    return retries.takeRetry();
+  }
+
+  function judge(
+    order: Order,
+    result: ExchangeResult,
+    runMs: number,
+  ): "succeeded" | "failed" | "abandoned" {
+    if (result.type !== "failed") {
+      return result.status >= 500 ? "failed" : "succeeded";
+    }
+    if (result.reason === "slot-rights") return "abandoned";
+    if (result.reason !== "deadline") return "failed";
+    const service = dependencies.findService(order.service);
+    const slowMs = SLOW_RUN_FACTOR * (service?.run_time_ms ?? 0);
+    return runMs > slowMs ? "failed" : "abandoned";
+  }
+}
--- /dev/null
+++ b/packages/endpoints/executor_client.ts
@@ -0,0 +1,126 @@
+import { Agent, type IncomingMessage, request } from "node:http";
+import { ExecutorAgent } from "./_executor_agent.ts";
+import { readAnswer } from "./_read_answer.ts";
+import type { ExchangeFailure, ExchangeResult } from "./exchange_result.ts";
+import type { ExecutorRequest } from "./executor_request.ts";
+import type { TransitBudget } from "./transit_budget.ts";
+
+/** Idle connections are closed before the usual 5 s of HTTP servers. */
+const IDLE_CONNECTION_MS = 4_000;
+
+/** Options of {@linkcode createExecutorClient}. */
+export type ExecutorClientOptions = {
+  /** Connections that this process may open to one executor. */
+  maxConnections: number;
+  budget: TransitBudget;
+};
+
+/** Client of the executors. */
+export type ExecutorClient = {
+  /** Sends one request and resolves when its outcome is known. */
+  exchange(request: ExecutorRequest): Promise<ExchangeResult>;
+  /** Destroys every connection. */
+  close(): void;
+};
+
+/**
+ * Creates the client of the executors.
+ *
+ * It uses `node:http`, since its `socket` event comes before the first byte is
+ * written: the client writes nothing until the socket is connected and
+ * `maySend` agrees, so a failure before that point provably sent nothing.
+ *
+ * @example
+ * ```ts
+ * const budget = createTransitBudget(32 * 1_024 * 1_024);
+ * const client = createExecutorClient({ maxConnections: 21, budget });
+ * ```
+ */
+export function createExecutorClient(
+  options: ExecutorClientOptions,
+): ExecutorClient {
+  const half = Math.max(1, Math.floor(options.maxConnections / 2));
+  const reusing = new ExecutorAgent(half, IDLE_CONNECTION_MS);
+  const single = new Agent({ maxSockets: half, noDelay: true });
+  return {
+    exchange(order) {
+      const agent = order.mayReuseConnection ? reusing : single;
+      return exchange(order, agent, options.budget);
+    },
+    close() {
+      reusing.destroy();
+      single.destroy();
+    },
+  };
+}
+
+function exchange(
+  order: ExecutorRequest,
+  agent: Agent,
+  budget: TransitBudget,
+): Promise<ExchangeResult> {
+  return new Promise((resolve) => {
+    let wasSent = false;
+    let isSettled = false;
+    const [host, port] = splitAddress(order.address);
+    const outgoing = request({
+      host,
+      port,
+      agent,
+      method: order.method,
+      path: order.path,
+      headers: requestHeaders(order),
+    });
+    const settle = (result: ExchangeResult) => {
+      if (isSettled) return;
+      isSettled = true;
+      resolve(result);
+    };
+    const fail = (reason: ExchangeFailure) => {
+      settle({ type: "failed", reason, notRun: !wasSent });
+      outgoing.destroy();
+    };
+    // Also ends an answer that is still being streamed.
+    const deadline = setTimeout(fail, order.remainingMs, "deadline");
+    const send = () => {
+      if (isSettled) return;
+      if (!order.maySend()) return fail("slot-rights");
+      wasSent = true;
+      outgoing.end(order.body);
+    };
+    outgoing.on("socket", (socket) => {
+      if (socket.connecting) socket.once("connect", send);
+      else send();
+    });
+    outgoing.on("error", () => fail(wasSent ? "broken" : "connect"));
+    // Fires without an error when the connection ends before an answer.
+    outgoing.on("close", () => {
+      clearTimeout(deadline);
+      if (!isSettled) fail(wasSent ? "broken" : "connect");
+    });
+    outgoing.on("response", (incoming: IncomingMessage) => {
+      readAnswer(incoming, { id: order.id, budget, settle, fail });
+    });
+  });
+}
+
+function requestHeaders(order: ExecutorRequest): Record<string, string> {
+  const headers: Record<string, string> = {
+    ...order.headers,
+    "x-request-id": order.id,
+    "request-deadline-ms": String(Math.max(1, Math.floor(order.remainingMs))),
+  };
+  if (order.body.length > 0 || !BODYLESS_METHODS.has(order.method)) {
+    headers["content-length"] = String(order.body.length);
+  }
+  return headers;
+}
+
+const BODYLESS_METHODS = new Set(["GET", "HEAD", "DELETE"]);
+
+/** Splits `10.0.0.1:80` or `[::1]:80`. */
+function splitAddress(address: string): [string, number] {
+  const colon = address.lastIndexOf(":");
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
+  return [host, Number(address.slice(colon + 1))];
+}
--- a/packages/endpoints/mod.ts
+++ b/packages/endpoints/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
-export {};
+export * from "./exchange_result.ts";
+export * from "./executor_client.ts";
+export * from "./executor_request.ts";
+export * from "./transit_budget.ts";
--- /dev/null
+++ b/packages/endpoints/transit_budget.ts
@@ -0,0 +1,32 @@
+/** Memory that answers in transit may use, in bytes. */
+export type TransitBudget = {
+  /** Reserves bytes; returns false if the budget does not have them. */
+  reserve(bytes: number): boolean;
+  release(bytes: number): void;
+  /** Bytes in use. */
+  used(): number;
+};
+
+/**
+ * Creates the memory budget that all answers in transit share.
+ *
+ * @example
+ * ```ts
+ * const budget = createTransitBudget(32 * 1_024 * 1_024);
+ * if (budget.reserve(512)) budget.release(512);
+ * ```
+ */
+export function createTransitBudget(maxBytes: number): TransitBudget {
+  let used = 0;
+  return {
+    reserve(bytes) {
+      if (used + bytes > maxBytes) return false;
+      used += bytes;
+      return true;
+    },
+    release(bytes) {
+      used -= bytes;
+    },
+    used: () => used,
+  };
+}
