--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -6,6 +6,7 @@
 
 export * from "./admission/mod.ts";
 export * from "./budgets/mod.ts";
+export * from "./claims/mod.ts";
 export * from "./fold/mod.ts";
 export * from "./membership/mod.ts";
 export * from "./retries/mod.ts";
