Add the membership, slots and publications of a daemon

A publication is accepted only when it is folded as applied; an entry host counts every watcher that the log may name already.

--- /dev/null
+++ b/packages/daemon/build_topology.ts
@@ -0,0 +1,108 @@
+import {
+  type FleetState,
+  type RemoteSlots,
+  type SlotKey,
+  type Topology,
+  type TopologyHost,
+} from "@lagoonloom/decisions";
+import type { PeerLinks } from "./peer_links.ts";
+
+/** What the topology of an entry host is built from. */
+export type TopologySource = {
+  state: FleetState;
+  dataCentre: string;
+  usable: ReadonlySet<SlotKey>;
+  /** Hosts that the platform's list names as leaving. */
+  listedLeaving: ReadonlySet<string>;
+};
+
+/**
+ * Returns why a host is leaving, or undefined if it is not. The set, an open
+ * permit and the host list each suffice; the list only adds its mark.
+ *
+ * @example
+ * ```ts
+ * const reason = whyLeaving("quoting-1", source);
+ * ```
+ */
+export function whyLeaving(
+  host: string,
+  source: Pick<TopologySource, "state" | "listedLeaving">,
+): string | undefined {
+  const { state, listedLeaving } = source;
+  if (state.set.hosts[host]?.state === "leaving") return "set";
+  const permit = state.hosts.get(host)?.permit;
+  if (permit !== undefined) return `permit to ${permit.purpose}`;
+  return listedLeaving.has(host) ? "host list" : undefined;
+}
+
+/**
+ * Builds the topology that the scheduler of this entry host works on: the
+ * executors of its data centre by the pool that owns them.
+ *
+ * @example
+ * ```ts
+ * const topology = buildTopology(source);
+ * ```
+ */
+export function buildTopology(source: TopologySource): Topology {
+  const { state, dataCentre } = source;
+  const pools = new Map<string, TopologyHost[]>(
+    Object.keys(state.set.pools).map((name) => [name, []]),
+  );
+  const slots = slotsByHost(source.usable);
+  for (const [name, { owner }] of state.hosts) {
+    if (state.set.hosts[name]?.data_centre !== dataCentre) continue;
+    pools.get(owner)?.push({
+      name,
+      slots: slots.get(name) ?? [],
+      isLeaving: whyLeaving(name, source) !== undefined,
+    });
+  }
+  return {
+    pools: [...pools].map(([name, hosts]) => ({ name, hosts })),
+    services: Object.entries(state.set.services).map(([name, service]) => ({
+      name,
+      pool: service.pool,
+      sharePercent: service.share_percent,
+      overflow: service.overflow,
+      runTimeMs: service.run_time_ms,
+    })),
+  };
+}
+
+function slotsByHost(usable: ReadonlySet<SlotKey>): Map<string, number[]> {
+  const slots = new Map<string, number[]>();
+  for (const key of usable) {
+    const slash = key.lastIndexOf("/");
+    const host = key.slice(0, slash);
+    const indexes = slots.get(host) ?? [];
+    indexes.push(Number(key.slice(slash + 1)));
+    slots.set(host, indexes);
+  }
+  return slots;
+}
+
+/**
+ * Lists the free slots that the answering entry hosts reported.
+ *
+ * @example
+ * ```ts
+ * const remote = listRemoteSlots(links, { nowMs, dataCentreOf });
+ * ```
+ */
+export function listRemoteSlots(
+  links: PeerLinks,
+  options: { nowMs: number; isNear: (member: string) => boolean },
+): RemoteSlots[] {
+  return links.all()
+    .filter((link) => links.isAnswering(link, options.nowMs))
+    .flatMap((link) =>
+      [...link.freeSlots].map(([pool, free]) => ({
+        member: link.name,
+        pool,
+        free,
+        isSameDataCentre: options.isNear(link.name),
+      }))
+    );
+}
--- /dev/null
+++ b/packages/daemon/membership.ts
@@ -0,0 +1,218 @@
+import {
+  chooseWatcher,
+  createWatch,
+  findLosses,
+  forgetMembers,
+  hasSlotRights,
+  type Member,
+  noteHeartbeat,
+  type WatchedMember,
+  withdrawReport,
+} from "@lagoonloom/decisions";
+import type { ControlRecord } from "@lagoonloom/records";
+import type { EventLog } from "@lagoonloom/telemetry";
+import type { FoldedOutcome } from "./append_and_fold.ts";
+import type { ControlFold } from "./control_fold.ts";
+import type { PeerLink, PeerLinks } from "./peer_links.ts";
+
+/** Delay in milliseconds before a membership record is tried again. */
+const RETRY_MS = 1_000;
+
+/**
+ * Time in milliseconds without a promise after which another watcher is named,
+ * which leaves half of the fencing timeout for the record.
+ */
+const WATCHER_SILENT_MS = 1_500;
+
+/** Part of this entry host in the membership. */
+export type Membership = {
+  incarnation(): string;
+  isMember(): boolean;
+  hasSlotRights(): boolean;
+  /** Notes a heartbeat; returns the promise in milliseconds. */
+  noteHeartbeat(sender: WatchedMember): number;
+  /** Joins, names a watcher and reports losses as needed. */
+  tick(nowMs: number): void;
+  /** Leaves; resolves when the log has the record or the wait is over. */
+  leave(): Promise<void>;
+};
+
+/** Options of {@linkcode createMembership}. */
+export type MembershipOptions = {
+  name: string;
+  dataCentre: string;
+  peerAddress: string;
+  operatorAddress: string;
+  fold: ControlFold;
+  links: () => PeerLinks;
+  events: EventLog;
+  logReadAtMs: () => number | undefined;
+  /** Whether the state is loaded and as new as the reachable peers'. */
+  isCaughtUp: () => boolean;
+  /** Appends a record once and waits until it is folded. */
+  append: (id: string, body: ControlRecord) => Promise<FoldedOutcome>;
+  createIncarnation: () => string;
+};
+
+/**
+ * Creates the part of this entry host in the membership.
+ *
+ * @example
+ * ```ts
+ * const membership = createMembership(options);
+ * setInterval(() => membership.tick(performance.now()), 100);
+ * ```
+ */
+export function createMembership(options: MembershipOptions): Membership {
+  const { name, fold, events } = options;
+  const watch = createWatch();
+  /** Watchers that the log may name already. */
+  const pendingWatchers = new Set<string>();
+  let incarnation = options.createIncarnation();
+  let isLeaving = false;
+  const notBeforeMs = new Map<string, number>();
+  const own = () => {
+    const member = fold.state().members.get(name);
+    return member?.incarnation === incarnation ? member : undefined;
+  };
+  fold.onChange((change) => {
+    if (change.type !== "settled") return;
+    forgetMembers(watch, [...fold.state().members.values()]);
+    if (fold.state().endedIncarnations.get(name)?.includes(incarnation)) {
+      incarnation = options.createIncarnation();
+      pendingWatchers.clear();
+    }
+  });
+
+  /** Runs one task of a kind at a time, with a delay between two. */
+  function attempt(task: string, run: () => Promise<void>): void {
+    const nowMs = performance.now();
+    if (nowMs < (notBeforeMs.get(task) ?? 0)) return;
+    notBeforeMs.set(task, Infinity);
+    run().catch((error: unknown) => {
+      events.log("unexpectedFailure", { task, error: String(error) });
+    }).finally(() => notBeforeMs.set(task, performance.now() + RETRY_MS));
+  }
+
+  async function join(): Promise<void> {
+    const { dataCentre, peerAddress, operatorAddress } = options;
+    await options.append(`join.${name}.${incarnation}`, {
+      type: "member.joined",
+      member: name,
+      incarnation,
+      dataCentre,
+      peerAddress,
+      operatorAddress,
+    });
+  }
+
+  async function nameWatcher(watcher: string): Promise<void> {
+    pendingWatchers.add(watcher);
+    const id = `watch.${name}.${incarnation}.${fold.state().nextOffset}`;
+    const outcome = await options.append(id, {
+      type: "member.watched",
+      member: name,
+      incarnation,
+      watcher,
+    });
+    // An unknown outcome leaves the watcher among those that may report.
+    if (outcome.type === "unknown") return;
+    pendingWatchers.delete(watcher);
+    if (outcome.type === "folded" && outcome.outcome.type === "applied") {
+      events.log("watcherNamed", { watcher });
+    }
+  }
+
+  async function report(member: WatchedMember): Promise<void> {
+    const id = `lost.${member.name}.${member.incarnation}.${name}`;
+    const outcome = await options.append(id, {
+      type: "member.lost",
+      member: member.name,
+      incarnation: member.incarnation,
+      watcher: name,
+    });
+    const isDecided = outcome.type === "not-appended" ||
+      (outcome.type === "folded" && outcome.outcome.type === "refused");
+    if (isDecided) withdrawReport(watch, member);
+  }
+
+  function tickWatcher(member: Member, nowMs: number): void {
+    const answering = options.links().all().filter((link) =>
+      nowMs - (link.promisedAtMs ?? -Infinity) < WATCHER_SILENT_MS &&
+      isIn(link, fold, options.dataCentre)
+    ).map((link) => link.name);
+    const next = chooseWatcher({
+      self: name,
+      current: member.watcher,
+      answering,
+    });
+    if (next !== undefined) attempt("watch", () => nameWatcher(next));
+  }
+
+  function tickLosses(nowMs: number): void {
+    const watched = [...fold.state().members.values()]
+      .filter((member) => member.watcher === name && member.name !== name);
+    for (const member of findLosses(watch, watched, nowMs)) {
+      const silentMs = nowMs - (watch.heardAtMs.get(keyOf(member)) ?? nowMs);
+      events.log("lossReported", { member: member.name, silentMs });
+    }
+    for (const member of watched) {
+      if (!watch.reported.has(keyOf(member))) continue;
+      attempt(`report ${member.name}`, () => report(member));
+    }
+  }
+
+  function contacts(member: Member) {
+    const names = new Set(pendingWatchers);
+    if (member.watcher !== undefined) names.add(member.watcher);
+    return [...names].map((watcher) => {
+      const address = fold.state().members.get(watcher)?.peerAddress;
+      const link = options.links().all().find((it) => it.address === address);
+      return {
+        promisedAtMs: link?.name === watcher ? link.promisedAtMs : undefined,
+        refusedAtMs: link?.refusedAtMs,
+      };
+    });
+  }
+
+  return {
+    incarnation: () => incarnation,
+    isMember: () => own() !== undefined,
+    hasSlotRights() {
+      const member = own();
+      if (member === undefined) return false;
+      return hasSlotRights({
+        isMember: true,
+        logReadAtMs: options.logReadAtMs(),
+        watchers: contacts(member),
+      }, performance.now());
+    },
+    noteHeartbeat: (sender) => noteHeartbeat(watch, sender, performance.now()),
+    tick(nowMs) {
+      if (isLeaving || !options.isCaughtUp()) return;
+      const member = own();
+      if (member === undefined) return attempt("join", join);
+      tickWatcher(member, nowMs);
+      tickLosses(nowMs);
+    },
+    async leave() {
+      isLeaving = true;
+      if (own() === undefined) return;
+      await options.append(`leave.${name}.${incarnation}`, {
+        type: "member.left",
+        member: name,
+        incarnation,
+      });
+    },
+  };
+}
+
+function keyOf(member: WatchedMember): string {
+  return `${member.name} ${member.incarnation}`;
+}
+
+function isIn(link: PeerLink, fold: ControlFold, dataCentre: string): boolean {
+  const member = fold.state().members.get(link.name);
+  return member?.incarnation === link.incarnation &&
+    member.dataCentre === dataCentre;
+}
--- a/packages/daemon/publication.ts
+++ b/packages/daemon/publication.ts
@@ -1,44 +1,20 @@
 import { applySetChange, checkObjectSet } from "@lagoonloom/objects";
-import type { Problem, SetChange } from "@lagoonloom/objects";
+import type { Problem } from "@lagoonloom/objects";
+import type {
+  HistoryEntry,
+  Publication,
+  PublicationOutcome,
+} from "@lagoonloom/operators";
 import type { EventLog } from "@lagoonloom/telemetry";
 import { appendAndFold, type AppendAndFoldOptions } from "./append_and_fold.ts";
-
-/** Change of the set that an operator publishes. */
-export type Publication = {
-  /** Id that the operator chose, by which the outcome is found again. */
-  id: string;
-  expectedVersion: number;
-  change: SetChange;
-  operator: string;
-};
-
-/** Publication that took effect before another one could. */
-export type Winner = {
-  version: number;
-  operator: string;
-  /** Objects that the winner changed, as `kind/name`. */
-  changed: readonly string[];
-};
-
-/** Outcome of a publication. */
-export type PublicationOutcome =
-  | { type: "accepted"; version: number; offset: number }
-  | {
-    type: "refused";
-    reason: string;
-    problems: readonly Problem[];
-    /** Publication that took effect instead, if another one won. */
-    winner: Winner | undefined;
-  }
-  | { type: "not-accepted"; reason: string }
-  | { type: "unknown"; id: string; reason: string };
+import type { ControlFold } from "./control_fold.ts";
 
 /** Options of {@linkcode publish}. */
 export type PublishOptions = AppendAndFoldOptions & { events: EventLog };
 
 /**
  * Publishes a change of the set. It is accepted only after this daemon folded
- * it as applied.
+ * it as applied; the same id is never appended again once its outcome is known.
  *
  * @example
  * ```ts
@@ -49,78 +25,102 @@
   publication: Publication,
   options: PublishOptions,
 ): Promise<PublicationOutcome> {
-  const { id } = publication;
-  const known = findPublication(id, options);
-  if (known !== undefined) return known;
-  const problems = findProblems(publication, options);
+  const { fold, events } = options;
+  const { publicationId, expectedVersion, change, operator } = publication;
+  const known = findPublication(publicationId, fold);
+  if (known.type !== "unknown") return known;
+  const problems = findProblems(publication, fold);
   if (problems.length > 0) {
-    const reason = "The set is not valid.";
-    return { type: "refused", reason, problems, winner: undefined };
+    return {
+      type: "refused",
+      cause: "invalid",
+      reason: "The set is not valid.",
+      problems,
+    };
   }
-  const { expectedVersion, change, operator } = publication;
   const result = await appendAndFold({
-    id,
+    id: publicationId,
     body: { type: "set.changed", expectedVersion, change, operator },
   }, options);
-  switch (result.type) {
-    case "folded":
-      return findPublication(id, options) ??
-        { type: "unknown", id, reason: "The record is no longer remembered." };
-    case "not-appended":
-      return { type: "not-accepted", reason: result.reason };
-    case "unknown":
-      options.events.log("publicationUnknown", { id, reason: result.reason });
-      return { type: "unknown", id, reason: result.reason };
+  if (result.type === "not-appended") {
+    const { reason } = result;
+    return { type: "refused", cause: "unavailable", reason };
+  }
+  if (result.type === "unknown") {
+    events.log("publicationUnknown", {
+      id: publicationId,
+      reason: result.reason,
+    });
+    return { type: "unknown", publicationId };
   }
+  const outcome = findPublication(publicationId, fold, expectedVersion);
+  if (outcome.type === "refused") {
+    const { reason } = outcome;
+    events.log("publicationRefused", { id: publicationId, reason });
+  }
+  return outcome;
 }
 
 /**
- * Returns the outcome of an earlier publication, or undefined if this daemon
- * does not remember it.
+ * Returns the outcome of an earlier publication; `unknown` if this daemon has
+ * not folded it.
  *
  * @example
  * ```ts
- * const outcome = findPublication("publish-17", { fold, events });
+ * const outcome = findPublication("publication-17", fold);
  * ```
  */
 export function findPublication(
-  id: string,
-  options: Pick<PublishOptions, "fold" | "events">,
-): PublicationOutcome | undefined {
-  const state = options.fold.state();
-  const entry = state.history.find((entry) => entry.recordId === id);
+  publicationId: string,
+  fold: ControlFold,
+  expectedVersion?: number,
+): PublicationOutcome {
+  const state = fold.state();
+  const entry = state.history.find((it) => it.recordId === publicationId);
   if (entry !== undefined) {
-    const { version, offset } = entry;
-    return { type: "accepted", version, offset };
+    return { type: "accepted", version: entry.version, offset: entry.offset };
+  }
+  const remembered = state.outcomes.get(publicationId);
+  if (remembered?.outcome.type !== "refused") {
+    return { type: "unknown", publicationId };
   }
-  const remembered = state.outcomes.get(id);
-  if (remembered?.outcome.type !== "refused") return undefined;
   const { reason } = remembered.outcome;
-  options.events.log("publicationRefused", { id, reason });
-  // The winner is the last publication before the refused record.
-  const winner = state.history
-    .filter((entry) => entry.offset < remembered.offset).at(-1);
+  // Publications before the refused record that its author did not expect.
+  const winners = listHistory(fold).filter((it) =>
+    it.offset < remembered.offset &&
+    it.version > (expectedVersion ?? Infinity)
+  );
+  const isConflict = winners.length > 0;
   return {
     type: "refused",
+    cause: isConflict ? "conflict" : "invalid",
     reason,
-    problems: [],
-    winner: winner && {
-      version: winner.version,
-      operator: winner.operator,
-      changed: [...winner.put, ...winner.removed],
-    },
+    currentVersion: state.setVersion,
+    ...(isConflict ? { winners } : {}),
   };
 }
 
+/**
+ * Returns the publications that took effect, oldest first.
+ *
+ * @example
+ * ```ts
+ * const newest = listHistory(fold).at(-1);
+ * ```
+ */
+export function listHistory(fold: ControlFold): HistoryEntry[] {
+  return fold.state().history.map(({ recordId, ...entry }) => ({
+    ...entry,
+    publicationId: recordId,
+  }));
+}
+
 /**
  * Finds the problems of the resulting set, if it is based on the version in
  * force. Otherwise the fold decides, which names the winner.
  */
-function findProblems(
-  publication: Publication,
-  options: PublishOptions,
-): Problem[] {
-  const state = options.fold.state();
+function findProblems(publication: Publication, fold: ControlFold): Problem[] {
+  const state = fold.state();
   if (publication.expectedVersion !== state.setVersion) return [];
   return checkObjectSet(applySetChange(state.set, publication.change));
 }
--- a/packages/daemon/settings.ts
+++ b/packages/daemon/settings.ts
@@ -1,24 +1,21 @@
-import { Name } from "@lagoonloom/objects";
-import { parse } from "ini";
-import { type Either, Left, Right } from "purify-ts";
+import {
+  Address,
+  describeProblem,
+  Name,
+  parseSettings,
+} from "@lagoonloom/objects";
+import type { Either } from "purify-ts";
 import { z } from "zod";
 
-const Address = z.string().regex(
-  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/,
-  "expected an IP address and a port",
-);
-
-const Addresses = z.string().default("").transform((text) =>
-  text.split(/[\s,]+/).filter((address) => address !== "")
-).pipe(z.array(Address));
-
 const Key = z.string().min(16, "expected at least 16 characters").max(200);
 
-const Milliseconds = z.coerce.number().int().min(1).max(86_400_000);
+const Milliseconds = z.int().min(1).max(86_400_000);
 
-const Bytes = z.coerce.number().int().min(1_024).max(2 ** 32);
+const Bytes = z.int().min(1_024).max(2 ** 32);
 
 const Bounds = z.strictObject({
+  /** Time between the signal and the refusal of new work. */
+  unready_ms: z.int().min(0).max(60_000).default(2_000),
   /** Longest time between the first signal and the end of the process. */
   shutdown_ms: Milliseconds.default(30_000),
   /** Longest time that a publication waits for its outcome. */
@@ -27,16 +24,20 @@
   platform_ms: Milliseconds.default(2_000),
   /** Longest run time of a request on an executor. */
   longest_request_ms: Milliseconds.default(10_000),
+  /** Connections that this entry host may open to one executor. */
+  executor_connections: z.int().min(1).max(65_535).default(8),
   /** Largest body of a caller's request. */
   body_bytes: Bytes.default(1_048_576),
   /** Longest time in which a caller's body has to arrive. */
-  body_ms: Milliseconds.default(10_000),
+  body_ms: Milliseconds.default(5_000),
   /** Memory for answers in transit. */
   transit_bytes: Bytes.default(33_554_432),
   /** Time for which claims are remembered. */
   claim_window_ms: Milliseconds.default(86_400_000),
 });
 
+const Party = z.strictObject({ key: Key });
+
 /** Schema of the daemon's settings. */
 export const DaemonSettings = z.strictObject({
   daemon: z.strictObject({
@@ -51,7 +52,7 @@
     /** Key that every call between entry hosts carries. */
     key: Key,
     /** Peer addresses that are asked before the members are known. */
-    seeds: Addresses,
+    seeds: z.array(Address).default([]),
   }),
   /** Separate listener for metrics; they are on the callers' one too. */
   metrics: z.strictObject({ address: Address }).optional(),
@@ -60,14 +61,13 @@
     /** Address of the host list, if it is not the log's. */
     hosts: Address.optional(),
   }),
-  /** Keys of operators by their names. */
-  operator_keys: z.record(Name, Key),
-  /** Keys of callers by the names of their teams. */
-  caller_keys: z.record(Name, Key).default({}),
+  /** Operators by name. */
+  operator: z.record(Name, Party),
+  /** Callers by the names of their teams. */
+  caller: z.record(Name, Party).default({}),
   bounds: Bounds.prefault({}),
-  log: z.strictObject({
+  events: z.strictObject({
     level: z.enum(["DEBUG", "INFO", "WARN", "ERROR"]).default("INFO"),
-    format: z.enum(["json", "pretty"]).optional(),
   }).prefault({}),
 });
 
@@ -75,21 +75,19 @@
 export type DaemonSettings = z.infer<typeof DaemonSettings>;
 
 /**
- * Parses the settings of the daemon from INI text. Returns one sentence per
- * problem if they are not valid.
+ * Parses the settings of the daemon from INI text. Returns one line per problem
+ * if they are not valid.
  *
  * @example
  * ```ts
- * const settings = parseDaemonSettings(readFileSync(path, "utf8"));
+ * const text = readFileSync(file, "utf8");
+ * const settings = parseDaemonSettings(text, { file });
  * ```
  */
 export function parseDaemonSettings(
   text: string,
+  options: { file: string },
 ): Either<string[], DaemonSettings> {
-  const parsed = DaemonSettings.safeParse(parse(text));
-  if (parsed.success) return Right(parsed.data);
-  return Left(parsed.error.issues.map((issue) => {
-    const place = issue.path.map(String);
-    return `[${place[0] ?? ""}] ${place.slice(1).join(".")}: ${issue.message}.`;
-  }));
+  return parseSettings(text, DaemonSettings, options)
+    .mapLeft((problems) => problems.map(describeProblem));
 }
--- /dev/null
+++ b/packages/daemon/slot_control.ts
@@ -0,0 +1,167 @@
+import {
+  assignSlots,
+  changeSlotOwners,
+  createSlotHandover,
+  dropAllSlots,
+  FENCE_MS,
+  fenceSlots,
+  hearSlots,
+  heldSlots,
+  slotBasis,
+  type SlotHandover,
+  type SlotKey,
+  type SlotStatement,
+  takeOverSlots,
+} from "@lagoonloom/decisions";
+import type { ControlFold, FoldChange } from "./control_fold.ts";
+import type { RunningSlots } from "./running_slots.ts";
+
+/** Slots of this entry host, as the fold and the other ones leave them. */
+export type SlotControl = {
+  /** Slots that may be used now. */
+  usable(): ReadonlySet<SlotKey>;
+  /** What this entry host says of its slots in heartbeats. */
+  statement(nowMs: number): { slotBasis: bigint; held: SlotKey[] };
+  hear(member: string, statement: SlotStatement): void;
+  /** Takes over free slots; returns whether the usable ones changed. */
+  advance(nowMs: number): boolean;
+};
+
+/** Options of {@linkcode createSlotControl}. */
+export type SlotControlOptions = {
+  name: string;
+  dataCentre: string;
+  incarnation: () => string;
+  fold: ControlFold;
+  running: RunningSlots;
+  /** Longest run time of a request in milliseconds. */
+  longestRequestMs: number;
+};
+
+/**
+ * Creates the control of this entry host's slots, which follows the fold.
+ *
+ * @example
+ * ```ts
+ * const slots = createSlotControl(options);
+ * if (slots.advance(performance.now())) updateTopology();
+ * ```
+ */
+export function createSlotControl(options: SlotControlOptions): SlotControl {
+  const { fold, running } = options;
+  const handover = createSlotHandover(options.name);
+  const fences = createFences(handover, options);
+  let generation = -1;
+  let setVersion = -1;
+  let hasChanged = false;
+  function assign(): void {
+    const state = fold.state();
+    if (state.generation === generation && state.setVersion === setVersion) {
+      return;
+    }
+    generation = state.generation;
+    setVersion = state.setVersion;
+    const own = state.members.get(options.name);
+    if (own?.incarnation !== options.incarnation()) dropAllSlots(handover);
+    const input = slotInput(fold, options.dataCentre);
+    const basis = slotBasis({ generation, hosts: input.hosts });
+    if (handover.history.at(-1)?.basis === basis) return;
+    const owners = new Map<SlotKey, string>();
+    for (const [host, names] of assignSlots(input)) {
+      for (const [slot, name] of names.entries()) {
+        if (name !== undefined) owners.set(`${host}/${slot}`, name);
+      }
+    }
+    const others = input.members
+      .filter(({ name }) => name !== options.name)
+      .map(({ name, incarnation }) => [name, incarnation] as const);
+    const { nextOffset } = state;
+    const next = { basis, nextOffset, owners };
+    changeSlotOwners(handover, next, new Map(others));
+    hasChanged = true;
+  }
+  fold.onChange((change) => {
+    if (change.type === "settled") assign();
+    else fences.note(change);
+  });
+  return {
+    usable: () => handover.usable,
+    statement: (nowMs) => ({
+      slotBasis: handover.history.at(-1)?.basis ?? 0n,
+      held: heldSlots(handover, running.list(nowMs)),
+    }),
+    hear: (member, statement) => hearSlots(handover, member, statement),
+    advance(nowMs) {
+      const tookOver = takeOverSlots(handover, nowMs);
+      const result = tookOver || hasChanged;
+      hasChanged = false;
+      return result;
+    },
+  };
+}
+
+/** Executors and entry hosts of one data centre. */
+function slotInput(fold: ControlFold, dataCentre: string) {
+  const state = fold.state();
+  const hosts = Object.entries(state.set.hosts)
+    .filter(([, host]) => host.data_centre === dataCentre)
+    .map(([name, { slots }]) => ({ name, dataCentre, slots }));
+  const members = [...state.members.values()]
+    .filter((member) => member.dataCentre === dataCentre);
+  return { hosts, members };
+}
+
+/**
+ * Notes the losses that the fold shows. Before the own join, their age is known
+ * from the log's times; afterwards the fence starts when the loss is folded.
+ */
+function createFences(handover: SlotHandover, options: SlotControlOptions) {
+  const { fold, name: self, dataCentre, longestRequestMs } = options;
+  const fenceMs = FENCE_MS + longestRequestMs;
+  const known = new Map<string, string>();
+  let newestLossMs: number | undefined;
+  let isMember = false;
+  function noteLoss(lossMs: number): void {
+    newestLossMs = Math.max(newestLossMs ?? lossMs, lossMs);
+    if (isMember) fenceSlots(handover, performance.now() + fenceMs);
+  }
+  function noteJoin(joinMs: number): void {
+    isMember = true;
+    const ageMs = joinMs - (newestLossMs ?? -Infinity);
+    if (ageMs < fenceMs) {
+      fenceSlots(handover, performance.now() + fenceMs - ageMs);
+    }
+  }
+  function noteMembers(): void {
+    known.clear();
+    for (const member of fold.state().members.values()) {
+      if (member.dataCentre === dataCentre) {
+        known.set(member.name, member.incarnation);
+      }
+    }
+  }
+  return {
+    note(change: Exclude<FoldChange, { type: "settled" }>): void {
+      if (change.type === "replaced") {
+        // The skipped records may hold losses up to the time of the state.
+        noteLoss(fold.state().timeMs);
+        return noteMembers();
+      }
+      if (change.outcome.type !== "applied") return;
+      const { body, timeMs } = change.record;
+      const type = (body as { type: string }).type;
+      if (!type.startsWith("member.")) return;
+      const { member, incarnation } = body as {
+        member: string;
+        incarnation: string;
+      };
+      const isReplaced = type === "member.joined" && known.has(member);
+      const isLost = type === "member.lost" && known.has(member);
+      if (isReplaced || isLost) noteLoss(timeMs);
+      noteMembers();
+      if (member !== self || incarnation !== options.incarnation()) return;
+      if (type === "member.joined") noteJoin(timeMs);
+      else if (type !== "member.watched") isMember = false;
+    },
+  };
+}
