--- a/packages/measure/main.ts
+++ b/packages/measure/main.ts
@@ -1,1 +1,33 @@
-export {};
+import { cac } from "cac";
+import { formatJson, formatTable } from "./format_rows.ts";
+import type { MeasureRow } from "./measure_row.ts";
+import { MEASURES } from "./measures.ts";
+
+/** Runs the measures and prints their rows. */
+function main(): void {
+  const cli = cac("measure");
+  cli.option("--json", "Print one JSON object per line");
+  cli.option("--only <name>", "Run only this measure; may be repeated");
+  cli.help();
+  const { options } = cli.parse();
+  if (options.help) return;
+  const only = [options.only ?? []].flat().map(String);
+  const unknown = only.filter((name) => MEASURES[name] === undefined);
+  if (unknown.length > 0) {
+    const known = Object.keys(MEASURES).join(", ");
+    console.error(`Unknown measure ${unknown.join(", ")}; expected ${known}.`);
+    process.exitCode = 2;
+    return;
+  }
+  const rows: MeasureRow[] = [];
+  for (const [name, measure] of Object.entries(MEASURES)) {
+    if (only.length > 0 && !only.includes(name)) continue;
+    for (const row of measure()) {
+      if (options.json) console.log(formatJson(row));
+      else rows.push(row);
+    }
+  }
+  if (!options.json) console.log(formatTable(rows));
+}
+
+main();
--- /dev/null
+++ b/packages/measure/measures.ts
@@ -0,0 +1,7 @@
+import type { Measure } from "./measure_row.ts";
+import { measureFlood } from "./requests/measure_flood.ts";
+
+/** Measures by the name that `--only` selects. */
+export const MEASURES: Readonly<Record<string, Measure>> = {
+  flood: measureFlood,
+};
--- a/packages/measure/mod.ts
+++ b/packages/measure/mod.ts
@@ -4,4 +4,6 @@
  * @module
  */
 
-export {};
+export * from "./format_rows.ts";
+export * from "./measure_row.ts";
+export * from "./measures.ts";
--- /dev/null
+++ b/packages/measure/requests/shared_queue.ts
@@ -0,0 +1,52 @@
+import type {
+  QueuedRequest,
+  SchedulerAction,
+  Topology,
+} from "@lagoonloom/decisions";
+import type { Decider } from "./policy.ts";
+
+/** Longest queue of the baseline. */
+const MAX_LENGTH = 4_096;
+
+/**
+ * Returns the baseline with one first-come queue for every service and class.
+ * Any request may use any slot; requests past their deadline are dropped.
+ *
+ * @example
+ * ```ts
+ * const decider = createSharedQueue(topology);
+ * ```
+ */
+export function createSharedQueue(topology: Topology): Decider {
+  const free = topology.pools.flatMap((pool) =>
+    pool.hosts.flatMap((host) =>
+      host.slots.map((slot) => ({ host: host.name, slot }))
+    )
+  );
+  const queue: QueuedRequest[] = [];
+  const refuse = (id: string): SchedulerAction => ({
+    type: "refuse",
+    id,
+    reason: "queue-full",
+    retryAfterMs: 1_000,
+  });
+  return {
+    reportFree: () => new Map(),
+    advance: (event, nowMs) => {
+      const actions: SchedulerAction[] = [];
+      if (event.type === "finished") {
+        free.push({ host: event.host, slot: event.slot });
+      } else if (event.type === "arrived") {
+        if (queue.length >= MAX_LENGTH) return [refuse(event.request.id)];
+        queue.push(event.request);
+      }
+      while (queue.length > 0 && free.length > 0) {
+        const request = queue.shift()!;
+        const { id, deadlineAtMs } = request;
+        if (deadlineAtMs <= nowMs) actions.push(refuse(id));
+        else actions.push({ type: "start", id, ...free.shift()! });
+      }
+      return actions;
+    },
+  };
+}
