Plan waves, moves, claims and observations

The daemon needs the records to append next. planWave, planMoves, planClaim and planObservations read the folded state and return records with reasons; mayDecide ends a term before its lease does. A permit for a move names its target, so that another decider can go on after a crash, and a renewal keeps its epoch, so that it does not fence records under way. explainHost, explainWave and explainService answer from the same state.

--- a/packages/decisions/budgets/hosts_that_may_be_out.ts
+++ b/packages/decisions/budgets/hosts_that_may_be_out.ts
@@ -1,6 +1,11 @@
 import type { FleetState } from "../fold/fleet_state.ts";
 import { own } from "../fold/internal/outcomes.ts";
-import { type PoolCapacity, poolCapacity, rackKey } from "./pool_capacity.ts";
+import {
+  isAvailable,
+  type PoolCapacity,
+  poolCapacity,
+  rackKey,
+} from "./pool_capacity.ts";
 import { takeOut, whyNotOut } from "./why_not_out.ts";
 
 /** Hosts that may be out together, and why the others may not. */
@@ -59,8 +64,9 @@
   const racks = groupByRack(state, names);
   while (racks.size > 0) {
     const rack = fullestRack(racks, capacity);
-    const name = racks.get(rack)?.shift();
-    if (racks.get(rack)?.length === 0) racks.delete(rack);
+    const rest = racks.get(rack) ?? [];
+    const name = rest.shift();
+    if (rest.length === 0) racks.delete(rack);
     if (name === undefined) continue;
     const reason = limit !== undefined && choice.hosts.length >= limit
       ? `At most ${limit} hosts are taken out now.`
@@ -68,9 +74,12 @@
     if (reason === undefined) {
       takeOut(state, capacity, name);
       choice.hosts.push(name);
-    } else {
-      choice.reasons.set(name, reason);
+      continue;
     }
+    // What holds for one host of the rack holds for the others, which are
+    // sorted so that those that cost no capacity come first.
+    for (const refused of [name, ...rest]) choice.reasons.set(refused, reason);
+    racks.delete(rack);
   }
 }
 
@@ -112,6 +121,11 @@
     const object = own(state.set.hosts, name);
     if (object !== undefined) push(groups, rackKey(object), name);
   }
+  for (const group of groups.values()) {
+    group.sort((left, right) =>
+      Number(isAvailable(state, left)) - Number(isAvailable(state, right))
+    );
+  }
   return groups;
 }
 
--- /dev/null
+++ b/packages/decisions/explain/explain_service.ts
@@ -0,0 +1,53 @@
+import { poolCapacity } from "../budgets/pool_capacity.ts";
+import type { FleetState } from "../fold/fleet_state.ts";
+import { own } from "../fold/internal/outcomes.ts";
+import { type Explanation, unknownObject } from "./explanation.ts";
+
+/**
+ * Explains what capacity a service has, what its budgets demand and why no more
+ * hosts may be out.
+ *
+ * @example
+ * ```ts
+ * const { sentences } = explainService(state, "orders");
+ * ```
+ */
+export function explainService(state: FleetState, name: string): Explanation {
+  const object = own(state.set.services, name);
+  if (object === undefined) return unknownObject("service", name);
+  const capacity = poolCapacity(state, object.pool);
+  const { total, available, unplanned, required } = capacity;
+  const planned = total - available - unplanned;
+  const left = available - required.value;
+  const sentences = [
+    `Service "${name}" has ${object.share_percent}% of pool "${object.pool}", of which ${available} of ${total} hosts are available, ${planned} are out by plan and ${unplanned} failed or silent.`,
+    required.value === 0
+      ? "No budget demands a number of hosts."
+      : `Budget "${required.budget}" demands ${required.value} hosts.`,
+    left > 0
+      ? `At most ${left} more may be out now${
+        capacity.reservesRack
+          ? ", fewer if the loss of one more rack would break the budget"
+          : ""
+      }.`
+      : "No more hosts may be out until others return, hosts join the pool or an operator publishes a lower budget.",
+  ];
+  const incoming = [...state.hosts].filter(([, host]) =>
+    host.permit?.to === object.pool && host.owner !== object.pool
+  ).map(([host]) => host);
+  if (incoming.length > 0) {
+    sentences.push(`Hosts on the way to the pool: ${incoming.join(", ")}.`);
+  }
+  return {
+    sentences,
+    facts: {
+      service: object,
+      total,
+      available,
+      planned,
+      unplanned,
+      required,
+      incoming,
+    },
+  };
+}
--- a/packages/decisions/fold/fleet_state.ts
+++ b/packages/decisions/fold/fleet_state.ts
@@ -28,6 +28,8 @@
 export type Permit = {
   purpose: "drain" | "reboot" | "move";
   wave: string | undefined;
+  /** Target pool of a move. */
+  to: string | undefined;
   reason: string;
   grantedAtMs: number;
   /** Log time at which the host was first seen down under the permit. */
@@ -67,6 +69,8 @@
   permit: Permit | undefined;
   move: Move | undefined;
   lastReturn: PermitReturn | undefined;
+  /** Pool that a later set named; a wish for a move until it is finished. */
+  wish: string | undefined;
   /** Log time of the last finished move; 0 before the first one. */
   movedAtMs: number;
 };
--- a/packages/decisions/fold/internal/fold_decider.ts
+++ b/packages/decisions/fold/internal/fold_decider.ts
@@ -16,14 +16,17 @@
     return refuse(`"${holder}" is not a member with this incarnation.`);
   }
   const current = state.deciders.get(scope);
-  const expected = (current?.epoch ?? 0) + 1;
-  if (epoch !== expected) {
-    return refuse(`Expected epoch ${expected} of "${scope}".`);
-  }
-  const isRenewal = current?.holder === holder &&
-    current.incarnation === incarnation;
-  if (current !== undefined && !isRenewal && log.timeMs < current.leaseEndMs) {
-    return refuse(`"${current.holder}" decides for "${scope}".`);
+  const isHeld = current !== undefined && log.timeMs < current.leaseEndMs;
+  // A renewal keeps the epoch, so that it does not fence records that the
+  // holder has sent and not yet folded.
+  const isRenewal = isHeld && current.holder === holder &&
+    current.incarnation === incarnation && current.epoch === epoch;
+  if (!isRenewal) {
+    if (isHeld) return refuse(`"${current.holder}" decides for "${scope}".`);
+    const expected = (current?.epoch ?? 0) + 1;
+    if (epoch !== expected) {
+      return refuse(`Expected epoch ${expected} of "${scope}".`);
+    }
   }
   const leaseEndMs = log.timeMs + record.leaseMs;
   state.deciders.set(scope, { holder, incarnation, epoch, leaseEndMs });
--- a/packages/decisions/fold/internal/fold_move.ts
+++ b/packages/decisions/fold/internal/fold_move.ts
@@ -99,6 +99,7 @@
   indexHost(state, record.host, record.to);
   host.owner = record.to;
   host.move = undefined;
+  if (host.wish === record.to) host.wish = undefined;
   host.movedAtMs = log.timeMs;
   host.generation++;
   return APPLIED;
--- a/packages/decisions/fold/internal/fold_permit.ts
+++ b/packages/decisions/fold/internal/fold_permit.ts
@@ -24,6 +24,7 @@
   host.permit = {
     purpose: record.purpose,
     wave: record.wave,
+    to: record.to,
     reason: record.reason,
     grantedAtMs: log.timeMs,
     downSinceMs: undefined,
--- a/packages/decisions/fold/internal/fold_set.ts
+++ b/packages/decisions/fold/internal/fold_set.ts
@@ -42,7 +42,7 @@
   const previous = state.set;
   state.set = next;
   state.setVersion++;
-  reconcileHosts(state);
+  reconcileHosts(state, previous);
   reconcileWaves(state, previous, log.timeMs);
   remember(state, record, log);
   return APPLIED;
@@ -110,7 +110,7 @@
 }
 
 /** Adds and removes hosts; a different pool of a known host moves nothing. */
-function reconcileHosts(state: FleetState): void {
+function reconcileHosts(state: FleetState, previous: ObjectSet): void {
   for (const [name, host] of state.hosts) {
     if (own(state.set.hosts, name) !== undefined) continue;
     state.hosts.delete(name);
@@ -123,7 +123,13 @@
     );
   }
   for (const [name, host] of Object.entries(state.set.hosts)) {
-    if (state.hosts.has(name)) continue;
+    const known = state.hosts.get(name);
+    if (known !== undefined) {
+      if (own(previous.hosts, name)?.pool !== host.pool) {
+        known.wish = host.pool === known.owner ? undefined : host.pool;
+      }
+      continue;
+    }
     state.hosts.set(name, {
       owner: host.pool,
       generation: state.firstHostGeneration,
@@ -133,6 +139,7 @@
       permit: undefined,
       move: undefined,
       lastReturn: undefined,
+      wish: undefined,
       movedAtMs: 0,
     });
     indexHost(state, name, host.pool);
--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -6,4 +6,9 @@
 
 export * from "./admission/mod.ts";
 export * from "./budgets/mod.ts";
+export * from "./deciders/mod.ts";
+export * from "./explain/mod.ts";
 export * from "./fold/mod.ts";
+export * from "./observations/mod.ts";
+export * from "./pools/mod.ts";
+export * from "./waves/mod.ts";
--- /dev/null
+++ b/packages/decisions/pools/internal/plan_open_moves.ts
@@ -0,0 +1,87 @@
+import type { ControlRecord } from "@lagoonloom/records";
+import { type DeciderTerm, planRecord } from "../../deciders/planned_record.ts";
+import type { FleetState, HostState } from "../../fold/fleet_state.ts";
+import { own } from "../../fold/internal/outcomes.ts";
+import {
+  isBack,
+  isEmptied,
+  type WorkObservation,
+  type WorkObservations,
+} from "../../waves/work_observation.ts";
+import type { MovePlan } from "../plan_moves.ts";
+
+type Options = { plan: MovePlan; term: DeciderTerm };
+
+/** Plans the next step of each open move from the folded state alone. */
+export function planOpenMoves(
+  state: FleetState,
+  observations: WorkObservations,
+  { plan, term }: Options,
+): void {
+  for (const [name, host] of state.hosts) {
+    if (host.permit?.purpose !== "move") continue;
+    if (own(state.set.hosts, name)?.data_centre !== term.scope) continue;
+    const observation = observations.get(name);
+    const step = nextStep(state, host, observation);
+    if (step === "reboot") plan.reboots.push(name);
+    if (step === "reboot" || step === undefined) continue;
+    const { generation } = host;
+    const body = { ...step, ...term, host: name, generation };
+    plan.records.push(planRecord(state, body as ControlRecord));
+  }
+}
+
+function nextStep(
+  state: FleetState,
+  host: HostState,
+  observation: WorkObservation | undefined,
+) {
+  const { permit, move } = host;
+  const to = move?.to ?? permit?.to;
+  if (permit === undefined) return undefined;
+  const hasTarget = to !== undefined && to !== host.owner &&
+    own(state.set.pools, to) !== undefined;
+  if (move !== undefined) {
+    if (!hasTarget) {
+      return advance("abandoned", move.to, "The target pool is gone.");
+    }
+    if (move.step === "emptied") {
+      return advance("finished", move.to, "The host is empty.");
+    }
+    if (!isEmptied(observation)) return undefined;
+    return advance("emptied", move.to, "No request is in progress.");
+  }
+  if (host.movedAtMs >= permit.grantedAtMs) {
+    return planRestart(host, observation);
+  }
+  if (hasTarget) return advance("started", to, permit.reason);
+  return {
+    type: "permit.returned" as const,
+    outcome: "abandoned" as const,
+    reason: "The permit names no pool that the host can move to.",
+  };
+}
+
+/** After the change of owner the host restarts and then serves its new pool. */
+function planRestart(
+  host: HostState,
+  observation: WorkObservation | undefined,
+) {
+  if (isBack(host, observation, { sinceMs: host.movedAtMs })) {
+    return {
+      type: "permit.returned" as const,
+      outcome: "done" as const,
+      reason: `The host serves pool "${host.owner}".`,
+    };
+  }
+  if (host.health !== "in-service") return undefined;
+  return "reboot" as const;
+}
+
+function advance(
+  step: "started" | "emptied" | "finished" | "abandoned",
+  to: string,
+  reason: string,
+) {
+  return { type: "move.advanced" as const, step, to, reason };
+}
--- /dev/null
+++ b/packages/decisions/pools/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Hosts per pool: demand, moves and the buffer.
+ *
+ * @module
+ */
+
+export * from "./demand_estimate.ts";
+export * from "./needed_hosts.ts";
+export * from "./plan_moves.ts";
+export * from "./pool_balance.ts";
+export * from "./required_buffer.ts";
+export * from "./shortage.ts";
--- /dev/null
+++ b/packages/decisions/pools/plan_moves.ts
@@ -0,0 +1,184 @@
+import { hostsThatMayBeOut } from "../budgets/hosts_that_may_be_out.ts";
+import {
+  type DeciderTerm,
+  type PlannedRecord,
+  planRecord,
+} from "../deciders/planned_record.ts";
+import type { FleetState } from "../fold/fleet_state.ts";
+import { own } from "../fold/internal/outcomes.ts";
+import type { WorkObservations } from "../waves/work_observation.ts";
+import { planOpenMoves } from "./internal/plan_open_moves.ts";
+import { balancePools, type PoolBalance } from "./pool_balance.ts";
+import type { Shortage } from "./shortage.ts";
+
+/** Cost of a move in host seconds: drain, restart and warm-up. */
+export const DEFAULT_MOVE_COST_S = 900;
+
+/** Gain over cost that a move has to promise. */
+export const GAIN_FACTOR = 1.5;
+
+/** Hosts that a pool keeps above its need when it gives one away. */
+export const DONOR_MARGIN = 0.5;
+
+/** Options of {@linkcode planMoves}. */
+export type PlanMovesOptions = {
+  term: DeciderTerm;
+  /** Log time now in milliseconds. */
+  nowMs: number;
+  /** Average busy hosts by pool. */
+  demand: ReadonlyMap<string, number>;
+  /** Shortages and since when, from {@linkcode trackShortages}. */
+  shortages: readonly Shortage[];
+  moveCostS?: number;
+};
+
+/** Next steps of the moves in one data centre. */
+export type MovePlan = {
+  records: PlannedRecord[];
+  /** Hosts that belong to their new pool and restart now. */
+  reboots: string[];
+  /** Reason by pool that is short and gets no host now. */
+  waiting: Map<string, string>;
+};
+
+/**
+ * Plans the next steps of open moves and begins new ones: wishes of the set
+ * first, then moves to pools that are short. The expected end of a shortage
+ * lies as far ahead as its beginning lies back, so short floods move nothing.
+ *
+ * @example
+ * ```ts
+ * const plan = planMoves(state, observations, options);
+ * ```
+ */
+export function planMoves(
+  state: FleetState,
+  observations: WorkObservations,
+  options: PlanMovesOptions,
+): MovePlan {
+  const plan: MovePlan = { records: [], reboots: [], waiting: new Map() };
+  planOpenMoves(state, observations, { plan, term: options.term });
+  planWishes(state, plan, options);
+  const balances = balancePools(state, options.demand);
+  const shortages = [...options.shortages].sort((left, right) =>
+    right.hosts - left.hosts || (left.pool < right.pool ? -1 : 1)
+  );
+  for (const shortage of shortages) {
+    planShortage(state, shortage, { plan, options, balances });
+  }
+  return plan;
+}
+
+function planWishes(
+  state: FleetState,
+  plan: MovePlan,
+  { term }: PlanMovesOptions,
+): void {
+  const names = [...state.hosts.keys()].filter((name) => {
+    const host = state.hosts.get(name);
+    return host?.wish !== undefined && host.permit === undefined &&
+      own(state.set.hosts, name)?.data_centre === term.scope;
+  }).sort();
+  const { hosts } = hostsThatMayBeOut(state, { candidates: names });
+  for (const host of hosts) {
+    const to = state.hosts.get(host)?.wish ?? "";
+    const reason = `The set names pool "${to}" for the host.`;
+    plan.records.push(grant(state, { host, to, term, reason }));
+  }
+}
+
+type ShortageOptions = {
+  plan: MovePlan;
+  options: PlanMovesOptions;
+  balances: Map<string, PoolBalance>;
+};
+
+function planShortage(
+  state: FleetState,
+  shortage: Shortage,
+  { plan, options, balances }: ShortageOptions,
+): void {
+  const { pool } = shortage;
+  const lastsS = (options.nowMs - shortage.sinceMs) / 1_000;
+  const costS = options.moveCostS ?? DEFAULT_MOVE_COST_S;
+  const gainS = Math.min(1, shortage.hosts) * lastsS;
+  if (gainS <= GAIN_FACTOR * costS) {
+    plan.waiting.set(
+      pool,
+      `The gain of ${
+        Math.round(gainS)
+      } host seconds until the expected end is not above ${GAIN_FACTOR} x ${costS}.`,
+    );
+    return;
+  }
+  for (const donor of donors(balances, pool)) {
+    const host = pickHost(state, donor, options);
+    if (host === undefined) continue;
+    const reason = `Pool "${pool}" lacks ${
+      shortage.hosts.toFixed(1)
+    } hosts since ${Math.round(lastsS)} s; "${donor.pool}" has ${
+      (donor.hosts - donor.needed).toFixed(1)
+    } more than it needs.`;
+    plan.records.push(
+      grant(state, { host, to: pool, term: options.term, reason }),
+    );
+    donor.hosts--;
+    return;
+  }
+  plan.waiting.set(pool, "No pool can give away a host of the data centre.");
+}
+
+/** Pools that can give away a host: spare ones first, then by surplus. */
+function donors(
+  balances: Map<string, PoolBalance>,
+  pool: string,
+): PoolBalance[] {
+  const order = (balance: PoolBalance) => balance.isSpare ? 1 : 0;
+  return [...balances.values()]
+    .filter((donor) => {
+      const margin = donor.isSpare ? 0 : DONOR_MARGIN;
+      return donor.pool !== pool && donor.hosts - 1 >= donor.needed + margin;
+    })
+    .sort((left, right) =>
+      order(right) - order(left) ||
+      (right.hosts - right.needed) - (left.hosts - left.needed) ||
+      (left.pool < right.pool ? -1 : 1)
+    );
+}
+
+function pickHost(
+  state: FleetState,
+  donor: PoolBalance,
+  { term }: PlanMovesOptions,
+): string | undefined {
+  const candidates = [...state.hostsByPool.get(donor.pool) ?? []]
+    .filter((name) => {
+      const host = state.hosts.get(name);
+      return host?.permit === undefined && host?.health === "in-service" &&
+        host.wish === undefined &&
+        own(state.set.hosts, name)?.data_centre === term.scope;
+    }).sort();
+  return hostsThatMayBeOut(state, { candidates, limit: 1 }).hosts[0];
+}
+
+type GrantOptions = {
+  host: string;
+  to: string;
+  term: DeciderTerm;
+  reason: string;
+};
+
+function grant(
+  state: FleetState,
+  { host, to, term, reason }: GrantOptions,
+): PlannedRecord {
+  return planRecord(state, {
+    type: "permit.granted",
+    ...term,
+    host,
+    generation: state.hosts.get(host)?.generation ?? 0,
+    purpose: "move",
+    to,
+    reason,
+  });
+}
--- /dev/null
+++ b/packages/decisions/pools/pool_balance.ts
@@ -0,0 +1,44 @@
+import type { FleetState } from "../fold/fleet_state.ts";
+import { neededHosts } from "./needed_hosts.ts";
+
+/** Hosts of a pool once its open moves have ended, against its need. */
+export type PoolBalance = {
+  pool: string;
+  hosts: number;
+  needed: number;
+  isSpare: boolean;
+};
+
+/**
+ * Compares the hosts of each pool with its need. Failed hosts do not count; a
+ * host counts for the pool that it moves to.
+ *
+ * @example
+ * ```ts
+ * const balances = balancePools(state, new Map([["orders", 4.2]]));
+ * ```
+ */
+export function balancePools(
+  state: FleetState,
+  demand: ReadonlyMap<string, number>,
+): Map<string, PoolBalance> {
+  const balances = new Map<string, PoolBalance>();
+  for (const pool of Object.keys(state.set.pools).sort()) {
+    balances.set(pool, {
+      pool,
+      hosts: 0,
+      needed: neededHosts(state, pool, { demand: demand.get(pool) ?? 0 }),
+      isSpare: state.set.pools[pool]?.spare === true,
+    });
+  }
+  for (const host of state.hosts.values()) {
+    const isDown = host.health !== "in-service" && host.permit === undefined;
+    if (isDown) continue;
+    const isMoving = host.permit?.purpose === "move" &&
+      host.movedAtMs < host.permit.grantedAtMs;
+    const pool = isMoving ? host.permit?.to ?? host.owner : host.owner;
+    const balance = balances.get(pool);
+    if (balance !== undefined) balance.hosts++;
+  }
+  return balances;
+}
--- /dev/null
+++ b/packages/decisions/waves/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Maintenance waves: which hosts go out next, and when a wave pauses.
+ *
+ * @module
+ */
+
+export * from "./plan_wave.ts";
+export * from "./wave_evidence.ts";
+export * from "./work_observation.ts";
--- a/packages/records/control_record.ts
+++ b/packages/records/control_record.ts
@@ -60,6 +60,8 @@
     ...Host.shape,
     purpose: z.enum(["drain", "reboot", "move"]),
     wave: Name.optional(),
+    /** Target pool of a move, so that another decider can go on with it. */
+    to: Name.optional(),
     reason: Reason,
   }),
   z.strictObject({
