--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -11,4 +11,6 @@
 export * from "./fold/mod.ts";
 export * from "./observations/mod.ts";
 export * from "./pools/mod.ts";
+export * from "./retries/mod.ts";
+export * from "./routing/mod.ts";
 export * from "./waves/mod.ts";
