Start the daemon from its settings

The daemon folds the log, joins, takes its slots, publishes for operators and serves callers; SIGTERM makes it not ready, ends the running requests and leaves.

--- /dev/null
+++ b/packages/daemon/incarnation.ts
@@ -0,0 +1,14 @@
+import { randomBytes } from "node:crypto";
+
+/**
+ * Creates an identifier that distinguishes this process from earlier ones of
+ * the same name. It begins with the time, which helps people to order them.
+ *
+ * @example
+ * ```ts
+ * const incarnation = createIncarnation();
+ * ```
+ */
+export function createIncarnation(): string {
+  return `${Date.now().toString(36)}-${randomBytes(6).toString("hex")}`;
+}
--- a/packages/daemon/main.ts
+++ b/packages/daemon/main.ts
@@ -1,1 +1,45 @@
-export {};
+import { createEventLog } from "@lagoonloom/telemetry";
+import { cac } from "cac";
+import { readFileSync } from "node:fs";
+import type { DaemonSettings } from "./settings.ts";
+import { parseDaemonSettings } from "./settings.ts";
+import { startDaemon } from "./start_daemon.ts";
+
+/** Runs the daemon until a signal; a second signal ends it at once. */
+async function run(settings: DaemonSettings): Promise<void> {
+  const running = await startDaemon(settings);
+  let isStopping = false;
+  const onSignal = (signal: NodeJS.Signals) => {
+    if (isStopping) process.exit(1);
+    isStopping = true;
+    void running.stop(signal).then(() => process.exit(0));
+  };
+  process.on("SIGTERM", onSignal);
+  process.on("SIGINT", onSignal);
+}
+
+function readSettings(file: string): DaemonSettings {
+  const settings = parseDaemonSettings(readFileSync(file, "utf8"), { file });
+  return settings.mapLeft((problems) => {
+    const events = createEventLog();
+    for (const problem of problems) events.log("settingsRefused", { problem });
+    process.exitCode = 2;
+    throw new Error("The settings are not valid.");
+  }).unsafeCoerce();
+}
+
+async function main(): Promise<void> {
+  const cli = cac("lagoonloomd");
+  cli.command("<settings>", "Run the daemon of an entry host")
+    .action((file: string) => run(readSettings(file)));
+  cli.help();
+  try {
+    cli.parse(process.argv, { run: false });
+    await cli.runMatchedCommand();
+  } catch (error) {
+    console.error(error instanceof Error ? error.message : String(error));
+    process.exitCode ||= 1;
+  }
+}
+
+await main();
--- a/packages/daemon/membership.ts
+++ b/packages/daemon/membership.ts
@@ -66,8 +66,8 @@
 export function createMembership(options: MembershipOptions): Membership {
   const { name, fold, events } = options;
   const watch = createWatch();
-  /** Watchers that the log may name already. */
-  const pendingWatchers = new Set<string>();
+  /** Watchers that the log may name already, by record id. */
+  const pendingWatchers = new Map<string, string>();
   let incarnation = options.createIncarnation();
   let isLeaving = false;
   const notBeforeMs = new Map<string, number>();
@@ -76,6 +76,7 @@
     return member?.incarnation === incarnation ? member : undefined;
   };
   fold.onChange((change) => {
+    if (change.type === "record") pendingWatchers.delete(change.record.id);
     if (change.type !== "settled") return;
     forgetMembers(watch, [...fold.state().members.values()]);
     if (fold.state().endedIncarnations.get(name)?.includes(incarnation)) {
@@ -107,8 +108,8 @@
   }
 
   async function nameWatcher(watcher: string): Promise<void> {
-    pendingWatchers.add(watcher);
     const id = `watch.${name}.${incarnation}.${fold.state().nextOffset}`;
+    pendingWatchers.set(id, watcher);
     const outcome = await options.append(id, {
       type: "member.watched",
       member: name,
@@ -116,8 +117,7 @@
       watcher,
     });
     // An unknown outcome leaves the watcher among those that may report.
-    if (outcome.type === "unknown") return;
-    pendingWatchers.delete(watcher);
+    if (outcome.type === "not-appended") pendingWatchers.delete(id);
     if (outcome.type === "folded" && outcome.outcome.type === "applied") {
       events.log("watcherNamed", { watcher });
     }
@@ -163,7 +163,7 @@
   }
 
   function contacts(member: Member) {
-    const names = new Set(pendingWatchers);
+    const names = new Set(pendingWatchers.values());
     if (member.watcher !== undefined) names.add(member.watcher);
     return [...names].map((watcher) => {
       const address = fold.state().members.get(watcher)?.peerAddress;
--- a/packages/daemon/mod.ts
+++ b/packages/daemon/mod.ts
@@ -4,4 +4,6 @@
  * @module
  */
 
-export {};
+export * from "./create_daemon.ts";
+export * from "./settings.ts";
+export * from "./start_daemon.ts";
--- /dev/null
+++ b/packages/daemon/peer_handlers.ts
@@ -0,0 +1,149 @@
+import {
+  type AwaitOutcomeResponse_State,
+  AwaitOutcomeResponse_State as State,
+  type HeartbeatRequest,
+  type PeerClient,
+  type PeerHandlers,
+} from "@lagoonloom/peers";
+import type { ControlFold } from "./control_fold.ts";
+import { snapshotChunks } from "./log_follower.ts";
+import { type OwnHeartbeat, toHeldSlot } from "./peer_links.ts";
+import type {
+  ForwardedRequest,
+  ForwardedResult,
+  HeldOutcome,
+  RequestPath,
+} from "./requests/mod.ts";
+
+/** Most records in one answer to a peer. */
+const MAX_TAIL_RECORDS = 500;
+
+/** Longest wait of a peer for the outcome of an order in milliseconds. */
+const MAX_AWAIT_MS = 10_000;
+
+/** Time in milliseconds that a forwarded call gets beyond the deadline. */
+const FORWARD_GRACE_MS = 250;
+
+/** Options of {@linkcode createPeerHandlers}. */
+export type PeerHandlersOptions = {
+  fold: ControlFold;
+  path: Pick<RequestPath, "handleForward" | "awaitOutcome">;
+  describe: () => OwnHeartbeat;
+  /** Notes a heartbeat; returns the promise in milliseconds. */
+  onHeartbeat: (request: HeartbeatRequest) => number;
+};
+
+/**
+ * Creates what this entry host does for the calls of other ones.
+ *
+ * @example
+ * ```ts
+ * const handlers = createPeerHandlers({ fold, path, describe, onHeartbeat });
+ * ```
+ */
+export function createPeerHandlers(options: PeerHandlersOptions): PeerHandlers {
+  const { fold, path } = options;
+  return {
+    heartbeat(request) {
+      const promiseMs = options.onHeartbeat(request);
+      const { held, ...own } = options.describe();
+      return {
+        ...own,
+        nextOffset: BigInt(own.nextOffset),
+        generation: BigInt(own.generation),
+        setVersion: BigInt(own.setVersion),
+        held: held.map(toHeldSlot),
+        promiseMs,
+      };
+    },
+    async forward(request) {
+      const { requestId } = request;
+      const result = await path.handleForward(request);
+      return {
+        requestId,
+        result: result.type === "answer"
+          ? { case: "answer", value: result.answer }
+          : { case: "failure", value: result },
+      };
+    },
+    async awaitOutcome({ key, waitMs }) {
+      const bounded = Math.min(waitMs, MAX_AWAIT_MS);
+      const outcome = await path.awaitOutcome(key, bounded);
+      return outcome.type === "completed"
+        ? { state: State.COMPLETED, answer: outcome.answer }
+        : { state: STATE_BY_OUTCOME[outcome.type] };
+    },
+    snapshot: () =>
+      fold.state().nextOffset === 0 ? [] : snapshotChunks(fold.state()),
+    tail({ fromOffset, limit }) {
+      const count = Math.min(limit, MAX_TAIL_RECORDS);
+      const records = fold.recentRecords(Number(fromOffset), count);
+      const encoder = new TextEncoder();
+      return {
+        records: records.map(({ offset, timeMs, id, body }) => ({
+          offset: BigInt(offset),
+          timeMs: BigInt(timeMs),
+          id,
+          body: encoder.encode(JSON.stringify(body)),
+        })),
+        nextOffset: BigInt(fold.state().nextOffset),
+      };
+    },
+  };
+}
+
+const STATE_BY_OUTCOME: Readonly<
+  Record<Exclude<HeldOutcome["type"], "completed">, AwaitOutcomeResponse_State>
+> = {
+  "running": State.RUNNING,
+  "not-run": State.NOT_RUN,
+  "unknown": State.UNKNOWN,
+};
+
+/**
+ * Forwards a request to another entry host.
+ *
+ * @example
+ * ```ts
+ * const result = await forwardTo(client, request);
+ * ```
+ */
+export async function forwardTo(
+  client: PeerClient,
+  request: ForwardedRequest,
+): Promise<ForwardedResult | { type: "not-sent" } | { type: "unknown" }> {
+  const timeoutMs = request.remainingMs + FORWARD_GRACE_MS;
+  const outcome = await client.forward(request, { timeoutMs });
+  if (outcome.type === "unreachable") {
+    return { type: outcome.mayHaveArrived ? "unknown" : "not-sent" };
+  }
+  const { result } = outcome.response;
+  if (result.case === "answer") return { type: "answer", answer: result.value };
+  if (result.case === undefined) return { type: "unknown" };
+  const { notRun, reason, retryAfterMs } = result.value;
+  return { type: "failure", notRun, reason, retryAfterMs };
+}
+
+/**
+ * Waits at another entry host for the outcome of an order that it holds.
+ *
+ * @example
+ * ```ts
+ * const outcome = await awaitOutcomeAt(client, { key, waitMs: 1_000 });
+ * ```
+ */
+export async function awaitOutcomeAt(
+  client: PeerClient,
+  wait: { key: string; waitMs: number },
+): Promise<HeldOutcome> {
+  const timeoutMs = wait.waitMs + FORWARD_GRACE_MS;
+  const outcome = await client.awaitOutcome(wait, { timeoutMs });
+  if (outcome.type === "unreachable") return { type: "unknown" };
+  const { state, answer } = outcome.response;
+  if (state === State.RUNNING) return { type: "running" };
+  if (state === State.NOT_RUN) return { type: "not-run" };
+  if (state !== State.COMPLETED || answer === undefined) {
+    return { type: "unknown" };
+  }
+  return { type: "completed", answer };
+}
--- a/packages/telemetry/log_events.ts
+++ b/packages/telemetry/log_events.ts
@@ -154,6 +154,12 @@
     message: "host list of the platform is unreachable",
     fields: { reason: "string" },
   },
+  requestPathEvent: {
+    id: "LL4001",
+    level: "info",
+    message: "event of the request path",
+    fields: { number: "number", message: "string", details: "string" },
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** Name of a log event. */
