--- /dev/null
+++ b/packages/daemon/_fixtures.ts
@@ -0,0 +1,179 @@
+import {
+  create,
+  type DescMessage,
+  type MessageInitShape,
+} from "@bufbuild/protobuf";
+import type { ObjectSet } from "@lagoonloom/objects";
+import {
+  AwaitOutcomeRequestSchema,
+  AwaitOutcomeResponseSchema,
+  ForwardRequestSchema,
+  ForwardResponseSchema,
+  HeartbeatRequestSchema,
+  HeartbeatResponseSchema,
+  type PeerClient,
+  type PeerOutcome,
+  SnapshotChunkSchema,
+  TailRequestSchema,
+  TailResponseSchema,
+} from "@lagoonloom/peers";
+import type { ListedHost } from "@lagoonloom/platform";
+import {
+  createLogStore,
+  createPlatformStandin,
+  createTestFleet,
+} from "@lagoonloom/standins";
+import { createEventLog, createMetrics } from "@lagoonloom/telemetry";
+import { createDaemon, type Daemon } from "./create_daemon.ts";
+import { parseDaemonSettings } from "./settings.ts";
+
+/** Daemon of a test with what its log events said. */
+export type TestDaemon = Daemon & {
+  name: string;
+  address: string;
+  events: string[];
+  /** Cuts this daemon off from the log. */
+  isCutOff: boolean;
+};
+
+/** Deployment in one process: a log in memory and daemons without sockets. */
+export function createDeployment(options: { retentionMs?: number } = {}) {
+  const store = createLogStore(options);
+  const byAddress = new Map<string, TestDaemon>();
+  const hosts: ListedHost[] = [];
+  let incarnations = 0;
+
+  /** Starts daemon number 1, 2 and so on; the others are its seeds. */
+  function start(number: number, isCutOff = false): TestDaemon {
+    const name = `detroit-${number}`;
+    const address = addressOf(number);
+    const events: string[] = [];
+    const daemon = createDaemon({
+      settings: createSettings(number),
+      platform: createPlatformStandin(store, {
+        hosts: () => hosts,
+        isCutOff: () => result.isCutOff,
+      }),
+      connectPeer: (peer) => connect(() => byAddress.get(peer)),
+      events: createEventLog({
+        format: "hidden",
+        onEvent: ({ id }) => events.push(id),
+      }),
+      metrics: createMetrics(),
+      createIncarnation: () => `i${++incarnations}`,
+    });
+    const result: TestDaemon = { ...daemon, name, address, events, isCutOff };
+    byAddress.set(address, result);
+    daemon.start();
+    return result;
+  }
+
+  return {
+    store,
+    hosts,
+    start,
+    /** Ends a daemon without a leave; its address refuses connections. */
+    async kill(daemon: TestDaemon): Promise<void> {
+      byAddress.delete(daemon.address);
+      await daemon.stop({ isDrained: false });
+    },
+  };
+}
+
+function addressOf(number: number): string {
+  return `127.0.0.1:${25_000 + number}`;
+}
+
+function createSettings(number: number) {
+  const seeds = [1, 2, 3].map(addressOf).join(",");
+  const text = `
+[daemon]
+name = detroit-${number}
+region = great-lakes
+data_centre = detroit
+[callers]
+address = 127.0.0.1:24001
+[operators]
+address = 127.0.0.1:24002
+[peers]
+address = ${addressOf(number)}
+key = sixteen-characters
+seeds = ${seeds}
+[platform]
+log = 127.0.0.1:24003
+[operator ada]
+key = sixteen-characters
+`;
+  return parseDaemonSettings(text, { file: "test.ini" }).unsafeCoerce();
+}
+
+/** Publication of a whole set. */
+export function publicationOf(
+  publicationId: string,
+  fields: { expectedVersion: number; set?: ObjectSet },
+) {
+  const { expectedVersion, set = createTestFleet() } = fields;
+  const change = { put: set, removed: [] };
+  return { publicationId, expectedVersion, operator: "ada", change };
+}
+
+const REFUSED = {
+  type: "unreachable" as const,
+  mayHaveArrived: false,
+  isConnectionRefused: true,
+  reason: "refused",
+};
+
+/** Calls the handlers of a daemon directly. */
+function connect(find: () => TestDaemon | undefined): PeerClient {
+  type Handlers = Daemon["peerHandlers"];
+  async function call<Response extends DescMessage>(
+    schema: Response,
+    run: (
+      handlers: Handlers,
+    ) =>
+      | MessageInitShape<Response>
+      | Promise<MessageInitShape<Response>>,
+  ) {
+    await new Promise((resolve) => setTimeout(resolve, 1));
+    const daemon = find();
+    if (daemon === undefined) return REFUSED;
+    const response = create(schema, await run(daemon.peerHandlers));
+    return { type: "answered" as const, response };
+  }
+  const { signal } = new AbortController();
+  return {
+    heartbeat: (request) =>
+      call(
+        HeartbeatResponseSchema,
+        (it) => it.heartbeat(create(HeartbeatRequestSchema, request)),
+      ),
+    forward: (request) =>
+      call(
+        ForwardResponseSchema,
+        (it) => it.forward(create(ForwardRequestSchema, request), signal),
+      ),
+    awaitOutcome: (request) =>
+      call(
+        AwaitOutcomeResponseSchema,
+        (it) =>
+          it.awaitOutcome(create(AwaitOutcomeRequestSchema, request), signal),
+      ),
+    tail: (request) =>
+      call(
+        TailResponseSchema,
+        (it) => it.tail(create(TailRequestSchema, request)),
+      ),
+    snapshot() {
+      const daemon = find();
+      if (daemon === undefined) return Promise.resolve(REFUSED);
+      const response = [...daemon.peerHandlers.snapshot()]
+        .map((chunk) => create(SnapshotChunkSchema, chunk));
+      return Promise.resolve<PeerOutcome<typeof response>>({
+        type: "answered",
+        response,
+      });
+    },
+    close: () => undefined,
+  };
+}
--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -14,6 +14,7 @@
   createClaimsFollower,
 } from "./claims_follower.ts";
 import { type ControlFold, createControlFold } from "./control_fold.ts";
+import { createCheckpoints } from "./checkpoints.ts";
 import { createHostListCopy } from "./host_list.ts";
 import { createLogFollower } from "./log_follower.ts";
 import { createMembership, type Membership } from "./membership.ts";
@@ -141,6 +142,16 @@
     fold: requestPath.foldClaim,
     signal: stopped.signal,
   });
+  const checkpoints = createCheckpoints({
+    platform,
+    fold,
+    events,
+    retentionMs: follower.retentionMs,
+    rank() {
+      const names = [...fold.state().members.keys()].sort();
+      return membership.isMember() ? names.indexOf(name) : undefined;
+    },
+  });
   const links: PeerLinks = createPeerLinks({
     connect: dependencies.connectPeer,
     describe,
@@ -256,6 +267,7 @@
     void hostList.tick(nowMs).then((hasChanged) => {
       if (hasChanged) updateTopology();
     });
+    void checkpoints.tick(nowMs);
     updateMetrics();
     if (wasReady || !isReady()) return;
     wasReady = true;
--- /dev/null
+++ b/packages/daemon/create_daemon_test.ts
@@ -0,0 +1,260 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import { createTestFleet, serveExecutor } from "@lagoonloom/standins";
+import { createDeployment, publicationOf } from "./_fixtures.ts";
+
+const pass = (ms: number) => jest.advanceTimersByTimeAsync(ms);
+
+beforeEach(() => {
+  jest.useFakeTimers({
+    doNotFake: ["nextTick", "queueMicrotask", "setImmediate"],
+  });
+});
+
+afterEach(() => {
+  jest.restoreAllMocks();
+  jest.clearAllTimers();
+  jest.useRealTimers();
+});
+
+function usableSlots(
+  daemon: { requestPath: { freeSlotsByPool(): Map<string, number> } },
+) {
+  return daemon.requestPath.freeSlotsByPool().get("quoting") ?? 0;
+}
+
+/** Passes time until a promise that waits for sockets is settled. */
+async function settle<Value>(promise: Promise<Value>): Promise<Value> {
+  let isSettled = false;
+  void promise.finally(() => {
+    isSettled = true;
+  });
+  while (!isSettled) {
+    await new Promise((resolve) => setImmediate(resolve));
+    await pass(1);
+  }
+  return await promise;
+}
+
+async function submit(
+  daemon: ReturnType<ReturnType<typeof createDeployment>["start"]>,
+  publication: ReturnType<typeof publicationOf>,
+) {
+  const outcome = daemon.operatorHandlers.submitChange(publication);
+  await pass(4_000);
+  return await outcome;
+}
+
+describe("createDaemon()", () => {
+  // Guards against a publication that is reported as lost, or is appended
+  // twice, when only the log's answer was lost.
+  test("accepts a publication whose append answer is lost", async () => {
+    const { start, store } = createDeployment();
+    const daemon = start(1);
+    await pass(2_000);
+    store.faults.lostAnswers = 1;
+    const outcome = await submit(
+      daemon,
+      publicationOf("p1", { expectedVersion: 0 }),
+    );
+    expect(outcome).toMatchObject({ type: "accepted", version: 1 });
+    const { records } = store.read("control", { from: 0, limit: 100 });
+    expect(records.filter(({ id }) => id === "p1")).toHaveLength(1);
+    expect(usableSlots(daemon)).toBe(16);
+  });
+
+  // Guards against a publication that is accepted or forgotten without the log.
+  test("refuses a publication while the log is down", async () => {
+    const { start, store } = createDeployment();
+    const daemon = start(1);
+    await pass(2_000);
+    store.faults.isDown = true;
+    const outcome = await submit(
+      daemon,
+      publicationOf("p1", { expectedVersion: 0 }),
+    );
+    expect(outcome).toMatchObject({ type: "refused", cause: "unavailable" });
+  });
+
+  // Guards against two winners, and against a loser who is not told who won.
+  test("lets one of two racing publications win everywhere", async () => {
+    const { start } = createDeployment();
+    const daemons = [start(1), start(2)] as const;
+    await pass(2_000);
+    const outcomes = daemons.map((daemon, index) =>
+      daemon.operatorHandlers.submitChange(
+        publicationOf(`p${index}`, { expectedVersion: 0 }),
+      )
+    );
+    await pass(4_000);
+    const [first, second] = await Promise.all(outcomes);
+    expect(first).toMatchObject({ type: "accepted", version: 1 });
+    expect(second).toMatchObject({
+      type: "refused",
+      cause: "conflict",
+      winners: [{ publicationId: "p0", operator: "ada", version: 1 }],
+    });
+    const versions = daemons.map(({ fold }) => fold.state().setVersion);
+    expect(versions).toEqual([1, 1]);
+  });
+
+  // Guards against a daemon that can't start, or starts without the set in
+  // force, while the platform is down.
+  test("starts from a peer while the log is down", async () => {
+    const { start, store } = createDeployment();
+    const first = start(1);
+    await pass(2_000);
+    await submit(first, publicationOf("p1", { expectedVersion: 0 }));
+    store.faults.isDown = true;
+    const second = start(2);
+    expect(second.isReady()).toBe(false);
+    await pass(3_000);
+    expect(second.isReady()).toBe(true);
+    expect(second.fold.state().setVersion).toBe(1);
+    // Without the log it cannot join, so that it uses no slot.
+    expect(usableSlots(second)).toBe(0);
+  });
+
+  // Guards against a daemon that is ready without any state.
+  test("is not ready without the log and without a peer", async () => {
+    const { start, store } = createDeployment();
+    store.faults.isDown = true;
+    const daemon = start(1);
+    await pass(10_000);
+    expect(daemon.isReady()).toBe(false);
+  });
+
+  // Guards against a daemon that stays behind, or loses its slots, when only
+  // other entry hosts reach the log.
+  test("follows the log through a peer", async () => {
+    const { start } = createDeployment();
+    const first = start(1);
+    const second = start(2);
+    await pass(3_000);
+    second.isCutOff = true;
+    await submit(first, publicationOf("p1", { expectedVersion: 0 }));
+    await pass(5_000);
+    expect(second.fold.state().setVersion).toBe(1);
+    expect(usableSlots(second)).toBe(8);
+    expect(second.membership.hasSlotRights()).toBe(true);
+  });
+
+  // Guards against a set that reverts when a peer is behind.
+  test("never goes back to a peer's older state", async () => {
+    const { start } = createDeployment();
+    const first = start(1);
+    await pass(2_000);
+    await submit(first, publicationOf("p1", { expectedVersion: 0 }));
+    const old = first.peerHandlers.snapshot();
+    await submit(first, publicationOf("p2", { expectedVersion: 1 }));
+    const versions: number[] = [];
+    first.fold.onChange(() => versions.push(first.fold.state().setVersion));
+    const second = start(2);
+    second.peerHandlers.snapshot = () => old;
+    second.isCutOff = true;
+    await pass(5_000);
+    expect(versions.every((version) => version === 2)).toBe(true);
+    expect(second.fold.state().setVersion).toBe(2);
+  });
+
+  // Guards against a state that cannot be recovered once the log dropped its
+  // first records.
+  test("starts from a checkpoint after retention has passed", async () => {
+    const { start, store, kill } = createDeployment({ retentionMs: 60_000 });
+    const first = start(1);
+    await pass(2_000);
+    await submit(first, publicationOf("p1", { expectedVersion: 0 }));
+    await pass(150_000);
+    await kill(first);
+    const page = store.read("control", { from: 0, limit: 1_000 });
+    expect(page.oldestOffset).toBeGreaterThan(1);
+    const second = start(2);
+    await pass(5_000);
+    expect(second.isReady()).toBe(true);
+    expect(second.fold.state().setVersion).toBe(1);
+  });
+
+  // Guards against slots of a dead entry host that are used too early, or are
+  // never used again.
+  test("takes over the slots of a lost entry host after the fence", async () => {
+    const { start, kill } = createDeployment();
+    const daemons = [start(1), start(2)] as const;
+    await pass(2_000);
+    await submit(daemons[0], publicationOf("p1", { expectedVersion: 0 }));
+    expect(daemons.map(usableSlots)).toEqual([8, 8]);
+    await kill(daemons[1]);
+    await pass(11_000);
+    expect(usableSlots(daemons[0])).toBe(8);
+    await pass(5_000);
+    expect(usableSlots(daemons[0])).toBe(16);
+  });
+
+  // Guards against slots that wait for the fence after a graceful leave.
+  test("takes over the slots of a leaving entry host at once", async () => {
+    const { start } = createDeployment();
+    const daemons = [start(1), start(2)] as const;
+    await pass(2_000);
+    await submit(daemons[0], publicationOf("p1", { expectedVersion: 0 }));
+    const left = daemons[1].stop({ isDrained: true });
+    await pass(1_500);
+    await left;
+    expect(usableSlots(daemons[0])).toBe(16);
+  });
+
+  // Guards against a process that resumes after a pause and sends requests in
+  // slots that others may own by now.
+  test("sends nothing after a pause", async () => {
+    const executor = await serveExecutor("127.0.0.1:0", { name: "e1" });
+    const { start } = createDeployment();
+    const [daemon] = [start(1), start(2)];
+    await pass(2_000);
+    const set = createTestFleet({
+      pools: { quoting: 1 },
+      addressOf: () => executor.address,
+    });
+    await submit(daemon!, publicationOf("p1", { expectedVersion: 0, set }));
+    const send = (requestId: string) =>
+      settle(daemon!.requestPath.handleForward({
+        requestId,
+        service: "quoting",
+        urgency: "normal",
+        method: "GET",
+        path: "/v1/services/quoting/x",
+        headers: [],
+        body: new Uint8Array(),
+        remainingMs: 500,
+        idempotent: true,
+      }));
+    expect(await send("r1")).toMatchObject({ type: "answer" });
+    const resumedAtMs = performance.now() + 2_500;
+    jest.spyOn(performance, "now").mockReturnValue(resumedAtMs);
+    expect(await send("r2")).toMatchObject({ type: "failure", notRun: true });
+    expect(executor.stats.runs).toBe(1);
+    await executor.close();
+  });
+
+  // Guards against new work on a leaving host, and against a stale list that
+  // ends a mark that the log made.
+  test("adds the marks of the host list to those of the log", async () => {
+    const { start, hosts } = createDeployment();
+    const daemon = start(1);
+    await pass(2_000);
+    const set = createTestFleet();
+    set.hosts["quoting-2"]!.state = "leaving";
+    await submit(daemon, publicationOf("p1", { expectedVersion: 0, set }));
+    expect(usableSlots(daemon)).toBe(8);
+    hosts.push({ host: "quoting-1", state: "leaving", timeMs: 0 });
+    hosts.push({ host: "quoting-2", state: "live", timeMs: 0 });
+    await pass(2_000);
+    expect(usableSlots(daemon)).toBe(0);
+    hosts.shift();
+    await pass(2_000);
+    expect(usableSlots(daemon)).toBe(8);
+  });
+});
--- a/packages/daemon/running_slots.ts
+++ b/packages/daemon/running_slots.ts
@@ -24,8 +24,9 @@
 };
 
 /**
- * Notes which slots a scheduler uses. A request that was abandoned may go on
- * running on the executor, so its slot counts as used for the longest run time.
+ * Notes which slots a scheduler uses. A request that did not succeed, for
+ * example at its deadline, may go on running on the executor, so that its slot
+ * counts as used for the longest run time.
  *
  * @example
  * ```ts
@@ -38,15 +39,15 @@
   options: RunningSlotsOptions,
 ): RunningSlots {
   const running = new Map<SlotKey, number>();
-  const abandonedUntilMs = new Map<SlotKey, number>();
+  const unclearUntilMs = new Map<SlotKey, number>();
   return {
     schedule(event, nowMs) {
       if (event.type === "finished") {
         const key: SlotKey = `${event.host}/${event.slot}`;
         running.delete(key);
-        if (event.result === "abandoned") {
+        if (event.result !== "succeeded") {
           const startedAtMs = nowMs - event.runMs;
-          abandonedUntilMs.set(key, startedAtMs + options.longestRequestMs);
+          unclearUntilMs.set(key, startedAtMs + options.longestRequestMs);
         }
       }
       const actions = schedule(event, nowMs);
@@ -57,10 +58,10 @@
       return actions;
     },
     list(nowMs) {
-      for (const [key, untilMs] of abandonedUntilMs) {
-        if (untilMs <= nowMs) abandonedUntilMs.delete(key);
+      for (const [key, untilMs] of unclearUntilMs) {
+        if (untilMs <= nowMs) unclearUntilMs.delete(key);
       }
-      return [...new Set([...running.keys(), ...abandonedUntilMs.keys()])];
+      return [...new Set([...running.keys(), ...unclearUntilMs.keys()])];
     },
   };
 }
--- a/packages/daemon/slot_control.ts
+++ b/packages/daemon/slot_control.ts
@@ -62,7 +62,8 @@
     generation = state.generation;
     setVersion = state.setVersion;
     const own = state.members.get(options.name);
-    if (own?.incarnation !== options.incarnation()) dropAllSlots(handover);
+    const isMember = own?.incarnation === options.incarnation();
+    if (!isMember) dropAllSlots(handover);
     const input = slotInput(fold, options.dataCentre);
     const basis = slotBasis({ generation, hosts: input.hosts });
     if (handover.history.at(-1)?.basis === basis) return;
@@ -77,7 +78,7 @@
       .map(({ name, incarnation }) => [name, incarnation] as const);
     const { nextOffset } = state;
     const next = { basis, nextOffset, owners };
-    changeSlotOwners(handover, next, new Map(others));
+    changeSlotOwners(handover, next, { others: new Map(others), isMember });
     hasChanged = true;
   }
   fold.onChange((change) => {
@@ -121,16 +122,17 @@
   const known = new Map<string, string>();
   let newestLossMs: number | undefined;
   let isMember = false;
-  function noteLoss(lossMs: number): void {
+  function noteLoss(lossMs: number, member: string | undefined): void {
     newestLossMs = Math.max(newestLossMs ?? lossMs, lossMs);
-    if (isMember) fenceSlots(handover, performance.now() + fenceMs);
+    if (!isMember) return;
+    fenceSlots(handover, { untilMs: performance.now() + fenceMs, member });
   }
   function noteJoin(joinMs: number): void {
     isMember = true;
     const ageMs = joinMs - (newestLossMs ?? -Infinity);
-    if (ageMs < fenceMs) {
-      fenceSlots(handover, performance.now() + fenceMs - ageMs);
-    }
+    if (ageMs >= fenceMs) return;
+    const untilMs = performance.now() + fenceMs - ageMs;
+    fenceSlots(handover, { untilMs, member: undefined });
   }
   function noteMembers(): void {
     known.clear();
@@ -144,7 +146,7 @@
     note(change: Exclude<FoldChange, { type: "settled" }>): void {
       if (change.type === "replaced") {
         // The skipped records may hold losses up to the time of the state.
-        noteLoss(fold.state().timeMs);
+        noteLoss(fold.state().timeMs, undefined);
         return noteMembers();
       }
       if (change.outcome.type !== "applied") return;
@@ -157,7 +159,7 @@
       };
       const isReplaced = type === "member.joined" && known.has(member);
       const isLost = type === "member.lost" && known.has(member);
-      if (isReplaced || isLost) noteLoss(timeMs);
+      if (isReplaced || isLost) noteLoss(timeMs, member);
       noteMembers();
       if (member !== self || incarnation !== options.incarnation()) return;
       if (type === "member.joined") noteJoin(timeMs);
--- a/packages/decisions/slots/slot_handover.ts
+++ b/packages/decisions/slots/slot_handover.ts
@@ -32,8 +32,14 @@
   /** Owned slots that this entry host may use. */
   usable: Set<SlotKey>;
   statements: Map<string, SlotStatement>;
-  /** Monotonic time in milliseconds until which lost ones may use slots. */
-  fencedUntilMs: number;
+  fences: SlotFence[];
+};
+
+/** Time for which a lost entry host may still use slots. */
+type SlotFence = {
+  /** Monotonic time in milliseconds. */
+  untilMs: number;
+  mayUse: (slot: SlotKey) => boolean;
 };
 
 /**
@@ -58,24 +64,35 @@
     owned: new Set(),
     usable: new Set(),
     statements: new Map(),
-    fencedUntilMs: 0,
+    fences: [],
   };
 }
 
+/** Options of {@linkcode changeSlotOwners}. */
+export type SlotMembers = {
+  /** Other entry hosts of the data centre and their incarnations. */
+  others: ReadonlyMap<string, string>;
+  /**
+   * Whether the own incarnation has joined. Before that, the slots under the
+   * own name still belong to the process that had the name before.
+   */
+  isMember: boolean;
+};
+
 /**
  * Takes over new owners. Slots that this entry host no longer owns stop being
  * usable at once.
  *
  * @example
  * ```ts
- * const others = new Map([["detroit-2", "i1"]]);
- * changeSlotOwners(handover, { basis, nextOffset, owners }, others);
+ * const members = { others: new Map([["detroit-2", "i1"]]), isMember: true };
+ * changeSlotOwners(handover, { basis, nextOffset, owners }, members);
  * ```
  */
 export function changeSlotOwners(
   handover: SlotHandover,
   next: SlotOwners,
-  others: ReadonlyMap<string, string>,
+  { others, isMember }: SlotMembers,
 ): void {
   handover.others = others;
   if (handover.history.at(-1)?.basis === next.basis) return;
@@ -83,7 +100,7 @@
   if (handover.history.length > MAX_HISTORY) handover.history.shift();
   const owned = new Set<SlotKey>();
   for (const [slot, owner] of next.owners) {
-    if (owner === handover.self) owned.add(slot);
+    if (isMember && owner === handover.self) owned.add(slot);
   }
   handover.owned = owned;
   for (const slot of handover.usable) {
@@ -110,16 +127,26 @@
 }
 
 /**
- * Delays take-overs after an entry host was lost or its incarnation replaced,
- * until it has stopped and its last requests have ended.
+ * Delays the take-over of the slots that a lost entry host can use, until it
+ * has stopped and its last requests have ended. Call it before the owners
+ * change; without a member, every slot is delayed.
  *
  * @example
  * ```ts
- * fenceSlots(handover, performance.now() + 12_000);
+ * const untilMs = performance.now() + 12_000;
+ * fenceSlots(handover, { untilMs, member: "detroit-2" });
  * ```
  */
-export function fenceSlots(handover: SlotHandover, untilMs: number): void {
-  handover.fencedUntilMs = Math.max(handover.fencedUntilMs, untilMs);
+export function fenceSlots(
+  handover: SlotHandover,
+  fence: { untilMs: number; member: string | undefined },
+): void {
+  const { untilMs, member } = fence;
+  const incarnation = member && handover.others.get(member);
+  const mayUse = member === undefined || incarnation === undefined
+    ? () => true
+    : slotsInUse(handover, member, incarnation);
+  handover.fences.push({ untilMs, mayUse });
 }
 
 /**
@@ -143,9 +170,7 @@
 
 /**
  * Takes over the owned slots that nobody else can use any more, and returns
- * whether any became usable. Another entry host can use the slots that its last
- * statement holds and those that it owned at any time since; without a
- * statement that this entry host can interpret, it can use every slot.
+ * whether any became usable.
  *
  * @example
  * ```ts
@@ -154,35 +179,39 @@
  */
 export function takeOverSlots(handover: SlotHandover, nowMs: number): boolean {
   const { owned, usable } = handover;
-  if (usable.size === owned.size || nowMs < handover.fencedUntilMs) {
-    return false;
-  }
-  const wanted = [...owned].filter((slot) => !usable.has(slot));
-  for (const [member, incarnation] of handover.others) {
-    const statement = handover.statements.get(member);
-    if (statement?.incarnation !== incarnation) return false;
-    const since = indexOfBasis(handover.history, statement);
-    if (since < 0) return false;
-    const owners = handover.history.slice(since);
-    for (let index = wanted.length - 1; index >= 0; index--) {
-      const slot = wanted[index]!;
-      const isPossible = statement.held.has(slot) ||
-        owners.some((entry) => entry.owners.get(slot) === member);
-      if (isPossible) wanted.splice(index, 1);
-    }
+  handover.fences = handover.fences.filter(({ untilMs }) => nowMs < untilMs);
+  if (usable.size === owned.size) return false;
+  const users = [...handover.others].map(([member, incarnation]) =>
+    slotsInUse(handover, member, incarnation)
+  );
+  users.push(...handover.fences.map(({ mayUse }) => mayUse));
+  const before = usable.size;
+  for (const slot of owned) {
+    if (!users.some((mayUse) => mayUse(slot))) usable.add(slot);
   }
-  for (const slot of wanted) usable.add(slot);
-  return wanted.length > 0;
+  return usable.size > before;
 }
 
-/** Finds the owners that a statement refers to; -1 if they are not known. */
-function indexOfBasis(
-  history: readonly SlotOwners[],
-  statement: SlotStatement,
-): number {
-  return history.findLastIndex((entry) =>
-    entry.basis === statement.basis && entry.nextOffset <= statement.nextOffset
+/**
+ * Returns whether another entry host can use a slot: those that its last
+ * statement holds and those that it owned at any time since. Without a
+ * statement that this entry host can interpret, it can use every slot.
+ */
+function slotsInUse(
+  handover: SlotHandover,
+  member: string,
+  incarnation: string,
+): (slot: SlotKey) => boolean {
+  const statement = handover.statements.get(member);
+  if (statement?.incarnation !== incarnation) return () => true;
+  const { basis, nextOffset, held } = statement;
+  const since = handover.history.findLastIndex((entry) =>
+    entry.basis === basis && entry.nextOffset <= nextOffset
   );
+  if (since < 0) return () => true;
+  const history = handover.history.slice(since);
+  return (slot) =>
+    held.has(slot) || history.some((it) => it.owners.get(slot) === member);
 }
 
 /**
