--- /dev/null
+++ b/packages/cli/_fixtures.ts
@@ -0,0 +1,73 @@
+import type {
+  OperatorClient,
+  OperatorClientError,
+  OperatorHandlers,
+} from "@lagoonloom/operators";
+import { Left, Right } from "purify-ts";
+import type { RemoteContext } from "./command_context.ts";
+
+/** Error after which the request may have been carried out. */
+export const LOST: OperatorClientError = {
+  type: "unreachable",
+  sent: true,
+  message: "timeout",
+};
+
+/** Error after which nothing can have been sent. */
+export const CLOSED: OperatorClientError = {
+  type: "unreachable",
+  sent: false,
+  message: "connection refused",
+};
+
+/** Returns a client that calls the handlers of a daemon directly. */
+export function clientOf(
+  handlers: OperatorHandlers,
+  overrides: Partial<OperatorClient> = {},
+): OperatorClient {
+  return {
+    address: "127.0.0.1:1",
+    submitChange: async (value) => Right(await handlers.submitChange(value)),
+    currentSet: async () => Right(await handlers.currentSet()),
+    status: async () => Right(await handlers.status()),
+    history: async (limit) => Right(await handlers.history(limit)),
+    explain: async (kind, name) => Right((await handlers.explain(kind, name))!),
+    publication: async (id) => Right(await handlers.publication(id)),
+    ...overrides,
+  };
+}
+
+/** Returns a client of a daemon that gives only an error. */
+export function failingClient(error: OperatorClientError): OperatorClient {
+  const fail = () => Promise.resolve(Left(error));
+  return {
+    address: "127.0.0.1:2",
+    submitChange: fail,
+    currentSet: fail,
+    status: fail,
+    history: fail,
+    explain: fail,
+    publication: fail,
+  };
+}
+
+/** Returns a context that collects the output in lists of lines. */
+export function exampleContext(overrides: Partial<RemoteContext> = {}) {
+  const out: string[] = [];
+  const err: string[] = [];
+  const context: RemoteContext = {
+    print: (line) => out.push(line),
+    printError: (line) => err.push(line),
+    isJson: false,
+    useColour: false,
+    readFile: () => Promise.resolve("[pool quoting]\n"),
+    clients: [],
+    operator: "ada",
+    publishAttempts: 3,
+    retryDelayMs: 1,
+    createId: () => "own-id",
+    wait: () => Promise.resolve(),
+    ...overrides,
+  };
+  return { context, out, err };
+}
--- /dev/null
+++ b/packages/cli/diff_command.ts
@@ -0,0 +1,34 @@
+import { describeChange, diffObjectSets } from "@lagoonloom/objects";
+import { askDaemons, newestAnswer, reportNoAnswer } from "./_ask_daemons.ts";
+import { readSet } from "./_read_set.ts";
+import type { RemoteContext } from "./command_context.ts";
+import { EXIT_CODE, type ExitCode } from "./exit_code.ts";
+
+/**
+ * Prints what publishing the files would change in the set in force.
+ *
+ * @example
+ * ```ts
+ * const exitCode = await diffCommand(["set.ini"], context);
+ * ```
+ */
+export async function diffCommand(
+  paths: string[],
+  context: RemoteContext,
+): Promise<ExitCode> {
+  const read = await readSet(paths, context);
+  if (read.type === "failed") return read.exitCode;
+  const answers = await askDaemons(context.clients, (c) => c.currentSet());
+  const newest = newestAnswer(answers, ({ version }) => version);
+  if (newest === undefined) return reportNoAnswer(answers, context);
+  const { version, set } = newest.value;
+  const change = diffObjectSets(set, read.set);
+  const lines = describeChange(change, set);
+  if (context.isJson) {
+    context.print(JSON.stringify({ version, change, lines }));
+    return EXIT_CODE.ok;
+  }
+  for (const line of lines) context.print(line);
+  context.print(`${lines.length} difference(s) to version ${version}.`);
+  return EXIT_CODE.ok;
+}
