--- a/packages/objects/min_available_hosts.ts
+++ b/packages/objects/min_available_hosts.ts
@@ -1,8 +1,5 @@
 import type { Budget } from "./budget.ts";
 
-/** Rounding error of percentages that must not add a host. */
-const ROUNDING_ERROR = 1e-9;
-
 /**
  * Returns the fewest hosts of a pool that a budget keeps in service: the larger
  * one of its count and its share, which is rounded up.
@@ -13,9 +10,8 @@
  * ```
  */
 export function minAvailableHosts(budget: Budget, poolSize: number): number {
-  const share = poolSize * (budget.min_available_percent ?? 0) / 100;
-  return Math.max(
-    budget.min_available ?? 0,
-    Math.ceil(share - ROUNDING_ERROR),
-  );
+  const percent = budget.min_available_percent ?? 0;
+  // Rounding removes the error of the product, such as 0.07 * 100.
+  const share = Math.round(percent * poolSize * 1e6) / 1e8;
+  return Math.max(budget.min_available ?? 0, Math.ceil(share));
 }
