Return problems from the checks and show values as written

Cause: the checks filled a list that was passed in, the reading of sections was one long function, and a list in a problem was shown in its converted form.

Change: each check returns its problems; sections are placed one at a time; problems quote the value as it stands in the file.

--- a/packages/objects/_check_capacity.ts
+++ b/packages/objects/_check_capacity.ts
@@ -12,11 +12,8 @@
 const SECONDS_PER_HOUR = 3_600;
 
 /** Finds pools with fewer hosts than they need. */
-export function checkPools(
-  set: ObjectSet,
-  index: FleetIndex,
-  problems: Problem[],
-) {
+export function checkPools(set: ObjectSet, index: FleetIndex) {
+  const problems: Problem[] = [];
   for (const [name, pool] of sortedEntries(set.pools)) {
     const { hosts } = poolOf(index, name);
     if (hosts >= pool.min_hosts) continue;
@@ -24,14 +21,12 @@
       `found ${pool.min_hosts}`;
     problems.push({ kind: "pools", name, field: "min_hosts", message });
   }
+  return problems;
 }
 
 /** Finds budgets that their pool cannot meet with all its hosts in service. */
-export function checkBudgets(
-  set: ObjectSet,
-  index: FleetIndex,
-  problems: Problem[],
-) {
+export function checkBudgets(set: ObjectSet, index: FleetIndex) {
+  const problems: Problem[] = [];
   for (const [name, budget] of sortedEntries(set.budgets)) {
     const add = (field: string | undefined, message: string) =>
       problems.push({
@@ -62,14 +57,12 @@
       );
     }
   }
+  return problems;
 }
 
 /** Finds waves that cannot finish, or not in time, under the budgets. */
-export function checkWaves(
-  set: ObjectSet,
-  index: FleetIndex,
-  problems: Problem[],
-) {
+export function checkWaves(set: ObjectSet, index: FleetIndex) {
+  const problems: Problem[] = [];
   for (const [name, wave] of sortedEntries(set.waves)) {
     for (const pool of new Set(wave.pools)) {
       const problem = checkWavePool(wave, pool, poolOf(index, pool));
@@ -78,6 +71,7 @@
       }
     }
   }
+  return problems;
 }
 
 function checkWavePool(wave: Wave, name: string, pool: PoolIndex) {
--- a/packages/objects/_check_names.ts
+++ b/packages/objects/_check_names.ts
@@ -5,14 +5,13 @@
 /** Options for {@linkcode checkNames}. */
 export type CheckNamesOptions = {
   hosts: FleetIndex["hosts"];
-  problems: Problem[];
   /** Objects that exist but are not in the set. */
   invalid: { kind: ObjectKind; name: string }[];
 };
 
 /** Finds names that do not resolve and lists that name an object twice. */
 export function checkNames(set: ObjectSet, options: CheckNamesOptions) {
-  const { problems } = options;
+  const problems: Problem[] = [];
   const invalid = new Set(
     options.invalid.map(({ kind, name }) => `${kind} ${name}`),
   );
@@ -54,6 +53,7 @@
       problems.push({ kind: "waves", name, field: "pools", message });
     }
   }
+  return problems;
 }
 
 function findRepeated(names: string[]) {
@@ -64,11 +64,8 @@
  * Finds addresses that two hosts share: the same machine would be listed twice
  * and could belong to two pools.
  */
-export function checkAddresses(
-  set: ObjectSet,
-  index: FleetIndex,
-  problems: Problem[],
-) {
+export function checkAddresses(set: ObjectSet, index: FleetIndex) {
+  const problems: Problem[] = [];
   const owners = new Map<string, string>();
   for (const [name, host] of index.hosts) {
     for (const field of ["address", "worker_address"] as const) {
@@ -85,6 +82,7 @@
       problems.push({ kind: "hosts", name, field, message });
     }
   }
+  return problems;
 }
 
 /** IPv6 addresses have several spellings; the parser of URLs returns one. */
--- a/packages/objects/_check_objects.ts
+++ b/packages/objects/_check_objects.ts
@@ -18,15 +18,19 @@
  */
 export function checkObjects(set: ObjectSet, options: CheckObjectsOptions) {
   const index = createFleetIndex(set);
-  const problems: Problem[] = [];
-  checkNames(set, { problems, hosts: index.hosts, invalid: options.invalid });
-  checkAddresses(set, index, problems);
-  checkShares(set, problems);
+  const { hosts } = index;
+  const problems: Problem[] = [
+    ...checkNames(set, { hosts, invalid: options.invalid }),
+    ...checkAddresses(set, index),
+    ...checkShares(set),
+  ];
   if (!options.invalid.some(({ kind }) => kind === "hosts")) {
-    checkPools(set, index, problems);
-    checkBudgets(set, index, problems);
-    checkWaves(set, index, problems);
-    checkQuotas(set, index, problems);
+    problems.push(
+      ...checkPools(set, index),
+      ...checkBudgets(set, index),
+      ...checkWaves(set, index),
+      ...checkQuotas(set, index),
+    );
   }
   const rank = (problem: Problem) => OBJECT_KINDS.indexOf(problem.kind);
   return problems.sort((a, b) =>
--- a/packages/objects/_check_sums.ts
+++ b/packages/objects/_check_sums.ts
@@ -9,7 +9,8 @@
 type Part = [name: string, value: number];
 
 /** Finds pools whose services' shares exceed the pool. */
-export function checkShares(set: ObjectSet, problems: Problem[]) {
+export function checkShares(set: ObjectSet) {
+  const problems: Problem[] = [];
   const pools = new Map<string, Part[]>();
   for (const [name, service] of sortedEntries(set.services)) {
     const parts = pools.get(service.pool) ?? [];
@@ -29,14 +30,12 @@
       message,
     });
   }
+  return problems;
 }
 
 /** Finds quotas that exceed the fleet together. */
-export function checkQuotas(
-  set: ObjectSet,
-  index: FleetIndex,
-  problems: Problem[],
-) {
+export function checkQuotas(set: ObjectSet, index: FleetIndex) {
+  const problems: Problem[] = [];
   const teams = sortedEntries(set.teams);
   for (const resource of ["cores", "memory_gb", "accelerators"] as const) {
     const field = `quota_${resource}` as const;
@@ -49,6 +48,7 @@
       `(${list(parts)})`;
     problems.push({ kind: "teams", name: largest(parts), field, message });
   }
+  return problems;
 }
 
 function sum(parts: Part[]) {
--- a/packages/objects/_describe_issue.ts
+++ b/packages/objects/_describe_issue.ts
@@ -1,5 +1,5 @@
 import type { z } from "zod";
-import { describeSchema, suggestNumber } from "./_field_value.ts";
+import { describeSchema, PLAIN_NUMBER, suggestNumber } from "./_field_value.ts";
 
 /** Field with the value that an issue is about. */
 export type IssueField = { name: string; schema: unknown; value: unknown };
@@ -45,7 +45,8 @@
 }
 
 function formatFound(value: unknown) {
-  const text = JSON.stringify(value) ?? String(value);
+  const isPlain = typeof value === "string" && PLAIN_NUMBER.test(value);
+  const text = isPlain ? value : JSON.stringify(value) ?? String(value);
   return text.length > MAX_FOUND_LENGTH
     ? `${text.slice(0, MAX_FOUND_LENGTH)}...`
     : text;
--- a/packages/objects/_field_value.ts
+++ b/packages/objects/_field_value.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 
-const PLAIN_NUMBER = /^[+-]?(\d+\.?\d*|\.\d+)(e[+-]?\d+)?$/i;
+/** Number without a unit. */
+export const PLAIN_NUMBER = /^[+-]?(\d+\.?\d*|\.\d+)(e[+-]?\d+)?$/i;
 const NUMBER_WITH_UNIT = /^([+-]?\d+(?:\.\d+)?)\s*([a-zA-Z%]+)$/;
 
 /** Units by the suffix of the field that is given in them. */
@@ -63,7 +64,7 @@
   }
   if (inner instanceof z.ZodBoolean) return "true or false";
   if (inner instanceof z.ZodEnum) return inner.options.join(" or ");
-  if (inner instanceof z.ZodArray) return "names separated by commas";
+  if (inner instanceof z.ZodArray) return "a list separated by commas";
   if (inner instanceof z.ZodString) return "a text";
   return "another value";
 }
--- a/packages/objects/_parse_document.ts
+++ b/packages/objects/_parse_document.ts
@@ -4,7 +4,7 @@
 import { type IniSection, readIniSections } from "./_ini_sections.ts";
 import { repairObject } from "./_repair_object.ts";
 import type { FileProblem, SourceFile } from "./file_problem.ts";
-import { Name } from "./name.ts";
+import { MAX_NAME_LENGTH, Name } from "./name.ts";
 
 /** Options for {@linkcode parseDocument}. */
 export type ParseDocumentOptions = {
@@ -76,96 +76,87 @@
     : { isNamed: false, fields: part as z.ZodObject };
 }
 
-function collectSections(
-  found: IniSection[],
+/** Sections of a document by part, and their converted values. */
+type Collected = { raw: Raw; sections: Map<string, IniSection> };
+
+function collectSections(found: IniSection[], options: ParseDocumentOptions) {
+  const collected: Collected = { raw: {}, sections: new Map() };
+  for (const [key, part] of Object.entries(options.schema.shape)) {
+    if (!(part instanceof z.ZodOptional)) collected.raw[key] = {};
+  }
+  const problems = found.flatMap((section): FileProblem[] => {
+    const message = addSection(section, collected, options);
+    const { file, line, title: object } = section;
+    return message === undefined ? [] : [{ file, line, object, message }];
+  });
+  return { ...collected, problems };
+}
+
+/** Adds a section to the document, or returns why it has no place there. */
+function addSection(
+  section: IniSection,
+  { raw, sections }: Collected,
   { schema, keys }: ParseDocumentOptions,
-) {
-  const raw: Raw = {};
-  for (const [key, part] of Object.entries(schema.shape)) {
-    if (!(part instanceof z.ZodOptional)) raw[key] = {};
+): string | undefined {
+  const [word = "", ...names] = section.title.split(" ");
+  if (!Object.hasOwn(keys, word)) {
+    return `expected a section of ${Object.keys(keys).join(", ")}`;
   }
-  const sections = new Map<string, IniSection>();
-  const problems: FileProblem[] = [];
-  for (const section of found) {
-    const [word = "", ...names] = section.title.split(" ");
-    const add = (message: string) =>
-      problems.push({
-        file: section.file,
-        line: section.line,
-        object: section.title,
-        message,
-      });
-    const key = Object.hasOwn(keys, word) ? keys[word]! : undefined;
-    if (key === undefined) {
-      add(`expected a section of ${Object.keys(keys).join(", ")}`);
-      continue;
-    }
-    const { isNamed, fields } = sectionSchema(schema, key);
-    const name = isNamed ? names.join(" ") : undefined;
-    if (isNamed && !Name.safeParse(name).success) {
-      add(
-        `expected [${word} NAME] with a name of up to 63 lower-case letters, ` +
-          "digits and hyphens",
-      );
-      continue;
-    }
-    if (!isNamed && names.length > 0) {
-      add(`expected [${word}] without a name`);
-      continue;
-    }
-    const first = sections.get(partKey(key, name));
-    if (first !== undefined) {
-      add(`expected the section once, found it at ${first.file}:${first.line}`);
-      continue;
-    }
-    sections.set(partKey(key, name), section);
-    const values = Object.fromEntries(
-      [...section.fields].map(([field, { value }]) => [
-        field,
-        convertFieldValue(value, fields.shape[field]),
-      ]),
-    );
-    if (name === undefined) raw[key] = values;
-    else (raw[key] ??= {})[name] = values;
+  const key = keys[word]!;
+  const { isNamed, fields } = sectionSchema(schema, key);
+  const name = isNamed ? names.join(" ") : undefined;
+  if (isNamed && !Name.safeParse(name).success) {
+    return `expected [${word} NAME] with a name of up to ${MAX_NAME_LENGTH} ` +
+      "lower-case letters, digits and hyphens";
+  }
+  if (!isNamed && names.length > 0) return `expected [${word}] without a name`;
+  const first = sections.get(partKey(key, name));
+  if (first !== undefined) {
+    return `expected the section once, found it at ${first.file}:${first.line}`;
   }
-  return { raw, sections, problems };
+  sections.set(partKey(key, name), section);
+  const values = Object.fromEntries(
+    [...section.fields].map(([field, { value }]) => [
+      field,
+      convertFieldValue(value, fields.shape[field]),
+    ]),
+  );
+  if (name === undefined) raw[key] = values;
+  else (raw[key] ??= {})[name] = values;
+  return undefined;
 }
 
 type IssueContext = {
-  raw: Raw;
   sections: Map<string, IniSection>;
   files: SourceFile[];
   schema: z.ZodObject;
 };
 
 /** Turns an issue of the schema into problems with their lines. */
-function locateIssue(issue: z.core.$ZodIssue, context: IssueContext) {
+function locateIssue(
+  issue: z.core.$ZodIssue,
+  context: IssueContext,
+): FileProblem[] {
   const path = issue.path.map(String);
   const key = path[0] ?? "";
   const { isNamed, fields } = sectionSchema(context.schema, key);
   const name = isNamed ? path[1] : undefined;
   const section = context.sections.get(partKey(key, name));
-  const values = isNamed ? context.raw[key]?.[name ?? ""] : context.raw[key];
-  const names = issue.code === "unrecognized_keys"
-    ? issue.keys
-    : [path[isNamed ? 2 : 1]];
-  return names.map((field): FileProblem => {
-    const file = section?.file ?? context.files[0]?.file ?? "";
-    const object = section?.title ?? partKey(key, name);
-    const line = section?.fields.get(field ?? "")?.line ?? section?.line ?? 1;
-    if (field === undefined) {
-      const message = issue.message;
-      return { file, line, object, message };
-    }
-    const message = issue.code === "unrecognized_keys"
-      ? `expected one of ${Object.keys(fields.shape).join(", ")}`
-      : describeIssue(issue, {
-        name: field,
-        schema: fields.shape[field],
-        value: (values as Record<string, unknown> | undefined)?.[field],
-      });
-    return { file, line, object, field, message };
+  const place = (field = "") => ({
+    file: section?.file ?? context.files[0]?.file ?? "",
+    line: section?.fields.get(field)?.line ?? section?.line ?? 1,
+    object: section?.title ?? partKey(key, name),
   });
+  if (issue.code === "unrecognized_keys") {
+    const message = `expected one of ${Object.keys(fields.shape).join(", ")}`;
+    return issue.keys.map((field) => ({ ...place(field), field, message }));
+  }
+  const field = path[isNamed ? 2 : 1];
+  if (field === undefined) return [{ ...place(), message: issue.message }];
+  const schema = fields.shape[field];
+  const value = section?.fields.get(field)?.value;
+  const message = describeIssue(issue, { name: field, schema, value });
+  return [{ ...place(field), field, message }];
 }
 
 /** Puts stand-ins in the place of the fields that have issues. */
--- a/packages/objects/parse_object_set_test.ts
+++ b/packages/objects/parse_object_set_test.ts
@@ -57,6 +57,7 @@
 6 | run_time_ms = -1 | 6: [service quotes] run_time_ms: expected more than 0, found -1
 7 | team = nobody | 7: [service quotes] team: expected the name of a team, found "nobody", which does not exist
 7 | overflow = quoting | 7: [service quotes] overflow: expected other pools than the home pool, each once, found "quoting"
+7 | constructor = 3 | 7: [service quotes] constructor: expected one of pool, share_percent, overflow, team, run_time_ms, deadline_ms, idempotent_posts
 7 | shares = 3 | 7: [service quotes] shares: expected one of pool, share_percent, overflow, team, run_time_ms, deadline_ms, idempotent_posts
 7 | run_time_ms = 9 | 7: [service quotes]: expected the field run_time_ms once, found it at line 6 too
 7 | overflow[] = orders | 7: [service quotes]: expected a field name of lower-case letters, digits and _
@@ -71,6 +72,7 @@
 14 |  | 12: [budget quotes]: expected min_available or min_available_percent
 14 | min_available = 2 | 16: [wave kernel] pools: expected a budget that lets a host of pool quoting be out, found one that keeps all 2 in service
 14 | min_available_percent = 60 | 16: [wave kernel] pools: expected a budget that lets a host of pool quoting be out, found one that keeps all 2 in service
+16 | pools = | 16: [wave kernel] pools: expected at least 1 items, found ""
 16 | pools = quoting, order | 16: [wave kernel] pools: expected the name of a pool, found "order", which does not exist
 16 | pools = quoting, quoting | 16: [wave kernel] pools: expected each pool once, found "quoting" again
 17 | outage_s = 72000\nfinish_within_h = 30 | 18: [wave kernel] finish_within_h: expected at least 40, since the budgets of pool quoting let its 2 hosts be out in no fewer than 2 batches of 72000 s, found 30
--- a/packages/objects/parse_settings_test.ts
+++ b/packages/objects/parse_settings_test.ts
@@ -39,7 +39,7 @@
       "cli.ini:1: [operator] name: expected a text, found none",
       "cli.ini:2: [operator] key: expected at least 16 characters",
       `cli.ini:4: [limits] timeout_ms: expected a whole number in milliseconds, without a unit, found "5s"; write 5000`,
-      `cli.ini:6: [daemons] addresses: expected an IP address and a port, such as 127.0.0.1:21001, found ["localhost"]`,
+      `cli.ini:6: [daemons] addresses: expected an IP address and a port, such as 127.0.0.1:21001, found "localhost"`,
       "cli.ini:7: [other]: expected a section of operator, daemons, limits, caller",
     ]);
   });
