--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -1,7 +1,6 @@
-import { parseSettings } from "@lagoonloom/objects";
+import { describeProblem, parseSettings } from "@lagoonloom/objects";
 import { createOperatorClient } from "@lagoonloom/operators";
 import { type CAC, cac, type Command } from "cac";
-import { describeProblem } from "@lagoonloom/objects";
 import { checkCommand } from "./check_command.ts";
 import { type CliSettings, CliSettings as Settings } from "./cli_settings.ts";
 import type { CommandContext, RemoteContext } from "./command_context.ts";
@@ -77,33 +76,53 @@
   throw new UsageError(`There is no command "${program.args[0] ?? args[0]}"`);
 }
 
-function createCommands(args: string[], select: (run: Run) => void): CAC {
+/** Takes the command that the command line selects. */
+type Select = (run: Run) => void;
+
+function createCommands(args: string[], select: Select): CAC {
   const program = cac(NAME);
-  const add = (command: Command, example: string) =>
-    command
-      .option("--json", "Print one line of JSON")
-      .example(`  $ ${NAME} ${example}`);
-  const remote = (command: Command, example: string) =>
-    add(command, example).option(
-      "--settings <file>",
-      `Settings file (default: $${SETTINGS_VARIABLE})`,
-    );
-  add(
+  addFileCommands(program, { args, select });
+  addPublishCommand(program, { args, select });
+  addReadCommands(program, { args, select });
+  program.help((sections) => [
+    ...sections,
+    { title: "Exit codes", body: EXIT_CODE_HELP },
+  ]);
+  return program;
+}
+
+type AddOptions = { args: string[]; select: Select };
+
+function addFileCommands(program: CAC, { select }: AddOptions) {
+  withOptions(
     program.command("check [...files]", "Check files that form one set"),
-    "check examples/lakeshore.ini",
-  ).action((files: string[], options: Options) => {
+    { example: "check examples/lakeshore.ini" },
+  ).action((files: unknown[], options: Options) => {
     const paths = requireFiles(files);
     select((environment) =>
       checkCommand(paths, createContext(environment, options))
     );
   });
-  remote(
+  withOptions(
+    program.command("diff [...files]", "Compare files with the set in force"),
+    { example: "diff examples/lakeshore.ini", isRemote: true },
+  ).action((files: unknown[], options: Options) => {
+    const paths = requireFiles(files);
+    select(withRemote(options, (context) => diffCommand(paths, context)));
+  });
+}
+
+function addPublishCommand(program: CAC, { args, select }: AddOptions) {
+  withOptions(
     program.command("publish [...files]", "Publish files as the set in force"),
-    "publish examples/lakeshore.ini --expected-version 4",
+    {
+      example: "publish examples/lakeshore.ini --expected-version 4",
+      isRemote: true,
+    },
   )
     .option("--expected-version <n>", "Version that the change is made for")
     .option("--id <id>", "Id of a publication whose outcome is unknown")
-    .action((files: string[], options: Options) => {
+    .action((files: unknown[], options: Options) => {
       const request = {
         files: requireFiles(files),
         expectedVersion: requireNumber(args, "--expected-version"),
@@ -113,20 +132,23 @@
         withRemote(options, (context) => publishCommand(request, context)),
       );
     });
-  remote(
+}
+
+function addReadCommands(program: CAC, { args, select }: AddOptions) {
+  withOptions(
     program.command("status", "Show the version in force on each daemon"),
-    "status",
+    { example: "status", isRemote: true },
   ).action((options: Options) => select(withRemote(options, statusCommand)));
-  remote(
+  withOptions(
     program.command("get [kind] [name]", "Print objects of the set in force"),
-    "get host quoting-1",
+    { example: "get host quoting-1", isRemote: true },
   ).action((kind: unknown, name: unknown, options: Options) => {
     const request = { kind: optionalText(kind), name: optionalText(name) };
     select(withRemote(options, (context) => getCommand(request, context)));
   });
-  remote(
+  withOptions(
     program.command("history", "Print the publications that took effect"),
-    "history --limit 5",
+    { example: "history --limit 5", isRemote: true },
   )
     .option("--limit <n>", `Most lines (default: ${DEFAULT_HISTORY_LIMIT})`)
     .action((options: Options) => {
@@ -140,25 +162,29 @@
         withRemote(options, (context) => historyCommand({ limit }, context)),
       );
     });
-  remote(
-    program.command("diff [...files]", "Compare files with the set in force"),
-    "diff examples/lakeshore.ini",
-  ).action((files: string[], options: Options) => {
-    const paths = requireFiles(files);
-    select(withRemote(options, (context) => diffCommand(paths, context)));
-  });
-  remote(
+  withOptions(
     program.command("explain <kind> <name>", "Print reasons for decisions"),
-    "explain host quoting-1",
+    { example: "explain host quoting-1", isRemote: true },
   ).action((kind: unknown, name: unknown, options: Options) => {
     const request = { kind: String(kind), name: String(name) };
     select(withRemote(options, (context) => explainCommand(request, context)));
   });
-  program.help((sections) => [
-    ...sections,
-    { title: "Exit codes", body: EXIT_CODE_HELP },
-  ]);
-  return program;
+}
+
+/** Adds the options that commands share, and an example to the help text. */
+function withOptions(
+  command: Command,
+  { example, isRemote = false }: { example: string; isRemote?: boolean },
+): Command {
+  command
+    .option("--json", "Print one line of JSON")
+    .example(`  $ ${NAME} ${example}`);
+  return isRemote
+    ? command.option(
+      "--settings <file>",
+      `Settings file (default: $${SETTINGS_VARIABLE})`,
+    )
+    : command;
 }
 
 function requireFiles(files: unknown[]): string[] {
@@ -167,11 +193,14 @@
 }
 
 /** Text of an option; cac would turn it into a number. */
-function rawOption(args: string[], option: string) {
-  const i = args.findIndex((arg) => arg === option);
-  if (i >= 0) return args[i + 1] ?? "";
+function rawOption(args: string[], option: string): string | undefined {
   const prefix = `${option}=`;
-  return args.find((arg) => arg.startsWith(prefix))?.slice(prefix.length);
+  const found = args.flatMap((arg, i) => {
+    if (arg === option) return [args[i + 1] ?? ""];
+    return arg.startsWith(prefix) ? [arg.slice(prefix.length)] : [];
+  });
+  if (found.length > 1) throw new UsageError(`Expected ${option} once`);
+  return found[0];
 }
 
 function requireNumber(args: string[], option: string): number {
--- a/packages/cli/program_test.ts
+++ b/packages/cli/program_test.ts
@@ -95,6 +95,11 @@
     ["publish bad.ini --expected-version 0", EXIT_CODE.refused, "bad.ini:2"],
     ["publish set.ini", EXIT_CODE.usage, "Expected --expected-version N"],
     ["publish set.ini --expected-version 1e1", EXIT_CODE.usage, `found "1e1"`],
+    [
+      "publish set.ini --expected-version=0 --expected-version=1",
+      EXIT_CODE.usage,
+      "once",
+    ],
     ["publish set.ini --expected-version 0 --id a/b", EXIT_CODE.usage, "--id"],
     ["publish set.ini --expected-version 0", EXIT_CODE.ok, "Version 1 was"],
     [
--- a/packages/objects/parse_object_set_test.ts
+++ b/packages/objects/parse_object_set_test.ts
@@ -170,9 +170,13 @@
       ),
       fc.string({ unit: "binary" }),
     );
+    const lines = fc.dictionary(fc.nat({ max: 37 }).map(String), piece);
+    const text = fc.oneof(
+      fc.array(piece, { maxLength: 30 }).map((pieces) => pieces.join("")),
+      lines.map(broken),
+    );
     fc.assert(
-      fc.property(fc.array(piece, { maxLength: 30 }), (pieces) => {
-        const text = pieces.join("");
+      fc.property(text, (text) => {
         const result = checkObjectFiles([{ file: "a.ini", text }]);
         expect(result.isLeft() || result.isRight()).toBe(true);
       }),
--- a/packages/objects/parse_settings_test.ts
+++ b/packages/objects/parse_settings_test.ts
@@ -20,10 +20,10 @@
 describe("parseSettings()", () => {
   test("reads sections with and without names and fills in defaults", () => {
     const text =
-      "[operator]\nname = ada\nkey = 0123456789abcdef\n[caller shop]" +
+      '[operator]\nname = ada\nkey = "0123456789;bcd#f"\n[caller shop]' +
       "\nweight = 2\n[daemons]\naddresses = 127.0.0.1:1, 127.0.0.1:2\n";
     expect(parse(text).extract()).toEqual({
-      operator: { name: "ada", key: "0123456789abcdef" },
+      operator: { name: "ada", key: "0123456789;bcd#f" },
       daemons: { addresses: ["127.0.0.1:1", "127.0.0.1:2"] },
       limits: { timeout_ms: 5_000 },
       caller: { shop: { weight: 2 } },
--- a/packages/operators/operator_app_test.ts
+++ b/packages/operators/operator_app_test.ts
@@ -19,6 +19,7 @@
 import { MAX_BODY_BYTES } from "./operator_app.ts";
 import { createOperatorClient } from "./operator_client.ts";
 import type { OperatorHandlers } from "./operator_handlers.ts";
+import type { PublicationOutcome } from "./publication.ts";
 
 const onError = jest.fn();
 const submitChange = jest.fn<OperatorHandlers["submitChange"]>();
@@ -177,6 +178,17 @@
       .toMatchObject({ version: 1 });
   });
 
+  // Guards against an unknown outcome that reads as accepted or refused.
+  test.each<PublicationOutcome>([
+    { type: "unknown", publicationId: "publication-1" },
+    { type: "refused", cause: "unavailable", reason: "no log" },
+    { type: "refused", cause: "invalid", reason: "bad", problems: [] },
+  ])("returns the outcome %j as it is", async (outcome) => {
+    submitChange.mockReturnValue(outcome);
+    const found = await client().submitChange(examplePublication());
+    expect(found.extract()).toEqual(outcome);
+  });
+
   test("returns the refusal of a bad key and of an unknown object", async () => {
     expect((await client({ key: "other" }).status()).extract())
       .toMatchObject({ type: "refused", refusal: { status: 401 } });
