Test the scheduler, routing and retries

A property over random events found that the list of entry hosts that had returned a request stayed in memory when a later forward of it ended; it is now removed. Results of requests from before an ejection no longer end the probe of the ejected host.

--- a/packages/decisions/admission/advance_scheduler.ts
+++ b/packages/decisions/admission/advance_scheduler.ts
@@ -147,6 +147,7 @@
     runMs: event.runMs,
     expectedRunMs: service?.runTime.meanMs ?? event.runMs,
     nowMs: step.nowMs,
+    isProbe: running.isProbe,
   });
   if (pool === undefined) return;
   ejectOutliers(pool.hosts.map((host) => host.health), {
--- a/packages/decisions/admission/advance_scheduler_test.ts
+++ b/packages/decisions/admission/advance_scheduler_test.ts
@@ -1,77 +1,228 @@
 import { describe, expect, test } from "@jest/globals";
+import { arrive, createService, createTopology, finish } from "./_fixtures.ts";
 import {
   advanceScheduler,
   createScheduler,
   type QueuedRequest,
+  reportSlots,
+  type SchedulerAction,
+  type SchedulerEvent,
+  type SchedulerState,
   type Topology,
 } from "./mod.ts";
 
-const TOPOLOGY: Topology = {
-  pools: [
-    { name: "huye", hosts: [{ name: "h1", slots: [0, 1], isLeaving: false }] },
-    { name: "spare", hosts: [{ name: "s1", slots: [4], isLeaving: false }] },
-  ],
-  services: [
-    {
-      name: "huye",
-      pool: "huye",
-      sharePercent: 100,
-      overflow: ["spare"],
-      runTimeMs: 100,
-    },
-    {
-      name: "spare",
-      pool: "spare",
-      sharePercent: 100,
-      overflow: ["huye"],
-      runTimeMs: 100,
-    },
-  ],
-};
-
-function createRequest(
-  id: string,
-  options: Partial<QueuedRequest> = {},
-): QueuedRequest {
-  return {
-    id,
-    service: "huye",
-    urgency: "normal",
-    arrivedAtMs: 0,
-    deadlineAtMs: 2_000,
-    isForwarded: false,
-    excludedHosts: [],
-    ...options,
-  };
+const TOPOLOGY = createTopology({ huye: [[0, 1]], spare: [[4]] }, [
+  createService("huye", { overflow: ["spare"] }),
+  createService("spare", { overflow: ["huye"] }),
+]);
+
+const OWN_ONLY = createTopology({ huye: [[0]] }, [createService("huye")]);
+
+/** Applies events at time zero and returns the actions in short form. */
+function run(state: SchedulerState, events: SchedulerEvent[]): string[] {
+  return events.flatMap((event) => advanceScheduler(state, event, 0))
+    .map(describeAction);
+}
+
+function describeAction(action: SchedulerAction): string {
+  if (action.type === "start") return `${action.id} at ${action.host}`;
+  if (action.type === "forward") return `${action.id} to ${action.member}`;
+  return `${action.id} ${action.reason}`;
 }
 
-function arrive(id: string, options: Partial<QueuedRequest> = {}) {
-  return { type: "arrived", request: createRequest(id, options) } as const;
+function reportFree(
+  member: string,
+  options: { free?: number; lent?: number; isSameDataCentre?: boolean },
+): SchedulerEvent {
+  const defaults = { pool: "huye", free: 0, isSameDataCentre: true };
+  return { type: "remote-slots", slots: [{ ...defaults, ...options, member }] };
+}
+
+/** Makes the only slot busy and returns the order of later starts. */
+function listStarts(state: SchedulerState, requests: SchedulerEvent[]) {
+  const started: string[] = [];
+  let id = "first";
+  advanceScheduler(state, arrive(id), 0);
+  for (const request of requests) advanceScheduler(state, request, 0);
+  while (id !== "") {
+    const end = finish(id, { host: "huye-0", slot: 0 }, { runMs: 1 });
+    const start = advanceScheduler(state, end, 1)
+      .find((action) => action.type === "start");
+    id = start?.id ?? "";
+    started.push(id);
+  }
+  return started;
 }
 
 describe("advanceScheduler", () => {
   // Guards against borrowed slots that do not return to their owner first.
   test("gives a free slot to the owner before borrowers", () => {
     const state = createScheduler({ topology: TOPOLOGY });
-    const starts = ["a", "b", "c", "d"].flatMap((id) =>
-      advanceScheduler(state, arrive(id), 0)
+    expect(run(state, ["a", "b", "c", "d"].map((id) => arrive(id))))
+      .toEqual(["a at huye-0", "b at huye-0", "c at spare-0"]);
+    expect(run(state, [
+      arrive("o", { service: "spare" }),
+      finish("c", { host: "spare-0", slot: 4 }),
+    ])).toEqual(["o at spare-0"]);
+  });
+
+  // Guards against a flood with the same claim as a short peak.
+  test("lends to the service that borrowed less recently", () => {
+    const pools = { spare: [[0, 1]], flood: [], peak: [] };
+    const overflow = ["spare"];
+    const topology = createTopology(pools, [
+      createService("flood", { overflow }),
+      createService("peak", { overflow }),
+    ]);
+    const state = createScheduler({ topology });
+    const flood = { service: "flood", deadlineAtMs: 90_000 };
+    run(state, ["f1", "f2", "f3"].map((id) => arrive(id, flood)));
+    const peak = { service: "peak", deadlineAtMs: 90_000 };
+    const place = { host: "spare-0", slot: 0 };
+    const late = 20_000;
+    advanceScheduler(state, arrive("p1", peak), late);
+    advanceScheduler(state, arrive("p2", peak), late);
+    const first = advanceScheduler(state, finish("f1", place), late);
+    expect(first.map(describeAction)).toEqual(["p1 at spare-0"]);
+    const second = advanceScheduler(
+      state,
+      finish("f2", { host: "spare-0", slot: 1 }),
+      late,
+    );
+    expect(second.map(describeAction)).toEqual(["p2 at spare-0"]);
+  });
+
+  // Guards against urgent work that starves the other classes of its desk,
+  // and against ordinary work that delays urgent work without need.
+  test.each(
+    [
+      ["urgent", ["normal"], 4],
+      ["urgent", ["deferrable"], 4],
+      ["normal", ["deferrable"], 9],
+    ] as const,
+  )("serves others after %s work (%s)", (flood, others, before) => {
+    const state = createScheduler({ topology: OWN_ONLY });
+    const requests = Array.from(
+      { length: 15 },
+      (_, index) => arrive(`f${index}`, { urgency: flood }),
     );
-    expect(starts).toEqual([
-      { type: "start", id: "a", host: "h1", slot: 0 },
-      { type: "start", id: "b", host: "h1", slot: 1 },
-      { type: "start", id: "c", host: "s1", slot: 4 },
+    for (const urgency of others) requests.push(arrive("other", { urgency }));
+    expect(listStarts(state, requests).indexOf("other")).toBe(before);
+  });
+
+  // Guards against work that is sent although its answer comes too late.
+  test.each<[string, Partial<QueuedRequest>, string[]]>([
+    ["an unknown service", { service: "none" }, ["x unknown-service"]],
+    ["a past deadline", { deadlineAtMs: -1 }, ["x deadline"]],
+    ["too short a deadline", { deadlineAtMs: 120 }, ["x deadline"]],
+    ["no usable executor", { excludedHosts: ["huye-0"] }, ["x no-executor"]],
+    ["no slot for a forward", { isForwarded: true }, ["x queue-full"]],
+    ["nothing", {}, []],
+  ])("refuses for %s", (_, options, expected) => {
+    const state = createScheduler({ topology: OWN_ONLY });
+    run(state, [arrive("busy")]);
+    expect(run(state, [arrive("x", options)])).toEqual(expected);
+  });
+
+  // Guards against queues that serve late instead of shedding early.
+  test("refuses on arrival what the queue cannot serve in time", () => {
+    const state = createScheduler({ topology: OWN_ONLY });
+    const events = Array.from(
+      { length: 40 },
+      (_, index) => arrive(`r${index}`),
+    );
+    const actions = events.flatMap((event) =>
+      advanceScheduler(state, event, 0)
+    );
+    const refused = actions.filter((action) => action.type === "refuse");
+    expect(refused.length).toBeGreaterThan(15);
+    // Nineteen requests of 100 ms wait before the next one could start.
+    for (const action of refused) {
+      expect(action).toMatchObject({ reason: "deadline" });
+      expect(action.retryAfterMs).toBeGreaterThanOrEqual(1_000);
+    }
+  });
+
+  // Guards against an estimate that is never corrected, because every request
+  // is refused by it.
+  test("tries a service whose declared run time is too long", () => {
+    const services = [createService("huye", { runTimeMs: 60_000 })];
+    const topology = createTopology({ huye: [[0]] }, services);
+    const state = createScheduler({ topology });
+    expect(run(state, [arrive("a")])).toEqual(["a at huye-0"]);
+  });
+
+  // Guards against expired requests that stay in the queue without an event.
+  test("refuses expired requests on a tick", () => {
+    const state = createScheduler({ topology: OWN_ONLY });
+    run(state, [arrive("a"), arrive("b")]);
+    const actions = advanceScheduler(state, { type: "tick" }, 1_900);
+    expect(actions.map(describeAction)).toEqual(["b deadline"]);
+  });
+
+  // Guards against a herd that follows one report, and against far forwards.
+  test("spends each reported slot once, own data centre first", () => {
+    const state = createScheduler({ topology: OWN_ONLY });
+    expect(run(state, [
+      reportFree("far", { free: 1, isSameDataCentre: false }),
+      reportFree("near", { free: 1 }),
+      ...["a", "b", "c", "d"].map((id) => arrive(id)),
+    ])).toEqual(["a at huye-0", "b to near", "c to far"]);
+    const returned = { type: "returned", id: "b", member: "near" } as const;
+    expect(run(state, [returned, reportFree("near", { free: 2 })]))
+      .toEqual(["d to near"]);
+  });
+
+  // Guards against a desk whose callers reach few entry hosts in a flood.
+  test("claims lent slots elsewhere when it uses its guarantee", () => {
+    const state = createScheduler({ topology: OWN_ONLY });
+    expect(run(state, [
+      arrive("a"),
+      reportFree("b", { lent: 1 }),
+      arrive("b"),
+      arrive("c"),
+      { type: "forward-ended", id: "b" },
+    ])).toEqual(["a at huye-0", "b to b", "c to b"]);
+  });
+
+  // Guards against an owner's forwarded request that is sent back although a
+  // borrowed slot returns to it next.
+  test("queues a forwarded request of an owner below its guarantee", () => {
+    const state = createScheduler({ topology: TOPOLOGY });
+    run(state, ["a", "b", "c"].map((id) => arrive(id)));
+    expect(reportSlots(state, 0)).toEqual([
+      { pool: "huye", free: 0, lent: 0 },
+      { pool: "spare", free: 0, lent: 1 },
     ]);
-    expect(advanceScheduler(state, arrive("o", { service: "spare" }), 1))
-      .toEqual([]);
-    const finished = {
-      type: "finished",
-      id: "c",
-      host: "s1",
-      slot: 4,
-      runMs: 50,
-      result: "succeeded",
-    } as const;
-    expect(advanceScheduler(state, finished, 50))
-      .toEqual([{ type: "start", id: "o", host: "s1", slot: 4 }]);
+    const owner = { service: "spare", isForwarded: true };
+    expect(run(state, [
+      arrive("o", owner),
+      arrive("p", owner),
+      finish("c", { host: "spare-0", slot: 4 }),
+    ])).toEqual(["p queue-full", "o at spare-0"]);
+  });
+
+  // Guards against new work on a leaving host, and against a slot that is
+  // used again while its request of an earlier topology still runs.
+  test("follows the topology", () => {
+    const state = createScheduler({ topology: OWN_ONLY });
+    run(state, [arrive("a")]);
+    const leaving: Topology = {
+      ...OWN_ONLY,
+      pools: OWN_ONLY.pools.map((pool) => ({
+        ...pool,
+        hosts: pool.hosts.map((host) => ({ ...host, isLeaving: true })),
+      })),
+    };
+    const nothing: Topology = { pools: [], services: OWN_ONLY.services };
+    expect(run(state, [
+      { type: "topology", topology: nothing },
+      { type: "topology", topology: OWN_ONLY },
+      arrive("b"),
+      { type: "topology", topology: leaving },
+      finish("a", { host: "huye-0", slot: 0 }),
+    ])).toEqual([]);
+    expect(run(state, [{ type: "topology", topology: OWN_ONLY }]))
+      .toEqual(["b at huye-0"]);
   });
 });
--- a/packages/decisions/admission/dispatch.ts
+++ b/packages/decisions/admission/dispatch.ts
@@ -122,7 +122,8 @@
   const { host } = chooseHost(candidates)!;
   const slot = host.free.shift()!;
   host.inUse.add(slot);
-  if (host.health.state === "ejected") host.health.state = "probing";
+  const isProbe = host.health.state === "ejected";
+  if (isProbe) host.health.state = "probing";
   const isBorrowed = !isBelowGuarantee(pool, service);
   state.running.set(request.id, {
     service: service.spec.name,
@@ -130,6 +131,7 @@
     host: host.name,
     slot,
     isBorrowed,
+    isProbe,
   });
   state.returnedBy.delete(request.id);
   updateBorrowedAverage(service, step.nowMs);
--- a/packages/decisions/admission/forwarding.ts
+++ b/packages/decisions/admission/forwarding.ts
@@ -104,6 +104,7 @@
 export function endForward(state: SchedulerState, id: string): void {
   const forwarded = state.forwarded.get(id);
   state.forwarded.delete(id);
+  state.returnedBy.delete(id);
   if (forwarded === undefined || !forwarded.isForLent) return;
   const slots = state.remote.find((slots) =>
     slots.member === forwarded.member && slots.pool === forwarded.pool
--- a/packages/decisions/admission/scheduler_state.ts
+++ b/packages/decisions/admission/scheduler_state.ts
@@ -71,6 +71,8 @@
   host: string;
   slot: number;
   isBorrowed: boolean;
+  /** Whether it tests an ejected host. */
+  isProbe: boolean;
 };
 
 /** Request in progress at another entry host. */
--- /dev/null
+++ b/packages/decisions/retries/retries_test.ts
@@ -0,0 +1,50 @@
+import { describe, expect, test } from "@jest/globals";
+import {
+  createRetryBudget,
+  decideRetry,
+  earnRetry,
+  type FailedAttempt,
+  MAX_ATTEMPTS,
+  spendRetry,
+} from "./mod.ts";
+
+const ATTEMPT: FailedAttempt = {
+  sent: "nothing",
+  isIdempotent: false,
+  budget: createRetryBudget(),
+  attempts: 1,
+  nowMs: 0,
+  deadlineAtMs: 1_000,
+  expectedRunMs: 100,
+};
+
+describe("decideRetry", () => {
+  // Guards against orders that run twice and retries that cannot help.
+  test.each<[string, Partial<FailedAttempt>, string]>([
+    ["nothing sent", {}, "retry"],
+    ["maybe sent, idempotent", { sent: "maybe", isIdempotent: true }, "retry"],
+    ["maybe sent, not idempotent", { sent: "maybe" }, "may-have-run"],
+    ["too many attempts", { attempts: MAX_ATTEMPTS }, "attempts"],
+    ["past the deadline", { nowMs: 1_001 }, "deadline"],
+    ["no time to run", { nowMs: 900 }, "deadline"],
+    ["no tokens", { budget: { tokens: 0.9 } }, "budget"],
+  ])("decides on %s", (_, options, expected) => {
+    const decision = decideRetry({ ...ATTEMPT, ...options });
+    expect(decision.retry ? "retry" : decision.reason).toBe(expected);
+  });
+
+  // Guards against retries that multiply the load when everything fails.
+  test("retries at most 10% of requests after the first burst", () => {
+    let budget = { tokens: 0 };
+    let retries = 0;
+    for (let count = 0; count < 1_000; count++) {
+      budget = earnRetry(budget);
+      if (!decideRetry({ ...ATTEMPT, budget }).retry) continue;
+      budget = spendRetry(budget);
+      retries++;
+    }
+    expect(retries).toBe(100);
+    for (let count = 0; count < 1_000; count++) budget = earnRetry(budget);
+    expect(budget).toEqual(createRetryBudget());
+  });
+});
--- a/packages/decisions/routing/record_result.ts
+++ b/packages/decisions/routing/record_result.ts
@@ -11,6 +11,8 @@
   /** Mean run time of the service in milliseconds. */
   expectedRunMs: number;
   nowMs: number;
+  /** Whether it was the probe of an ejected executor. */
+  isProbe: boolean;
 };
 
 /** Weight of the newest request in the moving averages. */
@@ -31,15 +33,15 @@
  *   runMs: 3,
  *   expectedRunMs: 80,
  *   nowMs: performance.now(),
+ *   isProbe: false,
  * });
  * ```
  */
 export function recordResult(health: ExecutorHealth, end: HostResult): void {
   const ratio = end.runMs / Math.max(1, end.expectedRunMs);
-  if (health.state === "probing") {
-    endProbe(health, end);
-    return;
-  }
+  if (end.isProbe) endProbe(health, end);
+  // Requests from before the ejection say nothing about the time since.
+  if (end.isProbe || health.state !== "in-use") return;
   health.samples++;
   const weight = Math.max(NEWEST_WEIGHT, 1 / health.samples);
   const failed = end.result === "failed" ? 1 : 0;
