Run orders at most once on the request path

Orders are claimed on the log before they are queued, repeats wait for the holder or read the kept answer, and an order that did not run is released. Before a caller is told that an order was not run on other grounds than an own claim, the other entry hosts are asked whether they know it: an entry host that is cut off from the log may not have folded a claim under which the order ran elsewhere.

--- a/packages/daemon/requests/_problem_of.ts
+++ b/packages/daemon/requests/_problem_of.ts
@@ -6,6 +6,7 @@
   "key-reused": 422,
   "key-required": 400,
   deadline: 504,
+  "answer-too-large": 502,
 };
 
 const DETAIL_BY_REASON: Record<string, string> = {
@@ -16,15 +17,34 @@
   "key-reused": "The idempotency key was used with another request.",
   "key-required": "An Idempotency-Key is required for this request.",
   "log-unavailable": "The claim of the order can't be decided now.",
+  "claim-timeout": "The claim of the order was not decided in time.",
+  "claim-pending": "An earlier claim of the key is not decided yet.",
+  "claims-full": "This entry host remembers as many claims as it may.",
   stopping: "This entry host is stopping.",
   "holder-gone": "The entry host that took the order is gone.",
+  "holder-released": "The entry host that took the order did not run it.",
   "answer-not-kept": "The order ran, but its answer was not kept.",
+  "answer-unavailable": "The order ran, but its answer can't be read now.",
+  "outcome-unknown": "The order may have run; its outcome is not known.",
 };
 
+/** Reasons for which an outcome may be known later. */
+const TRANSIENT_REASONS = new Set([
+  "log-unavailable",
+  "claim-timeout",
+  "stopping",
+  "answer-unavailable",
+]);
+
+/** Delay before a repeat, unless the failure states one. */
+const DEFAULT_RETRY_AFTER_MS = 1_000;
+
 /** Makes the problem answer for a request without an answer. */
 export function problemOf(failure: OrderFailure): ProblemAnswer {
-  const { reason, retryAfterMs } = failure;
-  const status = failure.notRun && reason === "deadline"
+  const { reason, retryAfterMs = DEFAULT_RETRY_AFTER_MS } = failure;
+  const isTransient = TRANSIENT_REASONS.has(reason) ||
+    (failure.notRun && reason === "deadline");
+  const status = isTransient
     ? 503
     : STATUS_BY_REASON[reason] ?? (failure.notRun ? 503 : 502);
   return {
--- a/packages/daemon/requests/create_request_path.ts
+++ b/packages/daemon/requests/create_request_path.ts
@@ -3,25 +3,30 @@
   type CallerRequest,
   createCallerApp,
 } from "@lagoonloom/callers";
-import type { RemoteSlots, Topology, Urgency } from "@lagoonloom/decisions";
+import {
+  countLendableSlots,
+  type RemoteSlots,
+  type Topology,
+} from "@lagoonloom/decisions";
 import {
   createExecutorClient,
   createTransitBudget,
 } from "@lagoonloom/endpoints";
-import type { Service } from "@lagoonloom/objects";
-import type { LogRecord } from "@lagoonloom/records";
 import { createDispatcher } from "./_dispatcher.ts";
-import { createFirstComeScheduler } from "./_first_come_scheduler.ts";
-import { notRun, type Order, type OrderOutcome } from "./_order.ts";
+import { createIntake } from "./_intake.ts";
+import { notRun, type OrderOutcome } from "./_order.ts";
+import { createOrderKeeper } from "./_order_keeper.ts";
 import { problemOf } from "./_problem_of.ts";
 import { toWireAnswer } from "./_wire.ts";
 import type { RequestPathDependencies } from "./dependencies.ts";
 import type { ForwardedRequest, ForwardedResult } from "./forwarded.ts";
-import type { HeldOutcome } from "./held_outcome.ts";
 
 /** Memory for answers in transit unless the settings say otherwise. */
 const DEFAULT_TRANSIT_BYTES = 32 * 1_048_576;
 
+/** Time between two ticks of the scheduler and the claims. */
+const TICK_MS = 50;
+
 /** Path of requests through this entry host. */
 export type RequestPath = ReturnType<typeof createRequestPath>;
 
@@ -38,20 +43,21 @@
  * ```
  */
 export function createRequestPath(dependencies: RequestPathDependencies) {
-  const { settings } = dependencies;
+  const { settings, metrics } = dependencies;
   const client = createExecutorClient({
     maxConnections: settings.maxConnections,
     budget: createTransitBudget(
       settings.maxTransitBytes ?? DEFAULT_TRANSIT_BYTES,
     ),
   });
-  const schedule = dependencies.schedule ?? createFirstComeScheduler();
-  const dispatcher = createDispatcher({ dependencies, client, schedule });
-  let topology: Topology = { pools: [], services: [] };
+  const dispatcher = createDispatcher(dependencies, client);
+  const keeper = createOrderKeeper(dependencies, dispatcher);
+  const intake = createIntake(dependencies, { dispatcher, keeper });
   let isStopping = false;
-  let lastId = 0;
   let inProgress = 0;
-  const drainWaiters: (() => void)[] = [];
+  let drainWaiters: (() => void)[] = [];
+  const ticker = setInterval(tick, TICK_MS);
+  ticker.unref();
   const app = createCallerApp({
     callers: settings.callers,
     ...(settings.maxBodyBytes && { maxBodyBytes: settings.maxBodyBytes }),
@@ -59,78 +65,50 @@
     isLive: dependencies.isLive,
     isReady: () => !isStopping && dependencies.isReady(),
     isStopping: () => isStopping,
-    metrics: () => dependencies.metrics.metrics(),
+    metrics: () => metrics.registry.metrics(),
     handle: (request) => track(handleCaller(request)),
   });
   return {
     /** Application for callers. */
     app,
     handleForward: (request: ForwardedRequest) => track(handleForward(request)),
-    awaitOutcome,
-    freeSlotsByPool,
+    awaitOutcome: keeper.awaitOutcome,
+    /** Slots that a forwarded request could use now, by pool. */
+    freeSlotsByPool: () =>
+      countLendableSlots(dispatcher.scheduler, dependencies.nowMs()),
     updateTopology,
-    foldClaim,
+    foldClaim: keeper.foldClaim,
     /** Number of requests that this entry host has on executors. */
-    runningSlots: () =>
-      [...dispatcher.running.values()].reduce((sum, count) => sum + count, 0),
-    /** Refuses new requests; those in progress go on. */
-    stopAccepting() {
-      isStopping = true;
-    },
+    runningSlots: dispatcher.running,
+    stopAccepting,
     drained,
-    close() {
-      dispatcher.close();
-      client.close();
-    },
+    close,
   };
 
+  function tick(): void {
+    dispatcher.advance({ type: "tick" });
+    keeper.tick();
+    settleDrained();
+  }
+
   async function handleCaller(request: CallerRequest): Promise<CallerOutcome> {
-    const outcome = await runCaller(request);
+    const startedAtMs = dependencies.nowMs();
+    const outcome = await intake.takeCaller(request, { isStopping });
+    metrics.observeRequest(request, {
+      durationMs: dependencies.nowMs() - startedAtMs,
+      outcome: nameOutcome(outcome),
+    });
     return outcome.type === "failed"
       ? { type: "problem", problem: problemOf(outcome) }
       : outcome;
   }
 
-  function runCaller(
-    request: CallerRequest,
-  ): Promise<OrderOutcome> | OrderOutcome {
-    const service = dependencies.findService(request.service);
-    if (service === undefined) return notRun("unknown-service");
-    if (isStopping) return notRun("stopping");
-    const order = makeOrder(request, service);
-    if (!order.isIdempotent) {
-      if (request.idempotencyKey === undefined) return notRun("key-required");
-      return notRun("log-unavailable");
-    }
-    request.gone.addEventListener("abort", () => dispatcher.cancel(order.id));
-    return dispatcher.run(order);
-  }
-
-  function makeOrder(request: CallerRequest, service: Service): Order {
-    const nowMs = dependencies.nowMs();
-    lastId += 1;
-    return {
-      id: `${settings.member}.${settings.incarnation}.${lastId}`,
-      service: request.service,
-      method: request.method,
-      path: request.path,
-      headers: request.headers,
-      body: request.body,
-      urgency: request.urgency,
-      arrivedAtMs: nowMs,
-      deadlineAtMs: nowMs + (request.deadlineMs ?? service.deadline_ms),
-      isIdempotent: request.method !== "POST" || service.idempotent_posts,
-      isForwarded: false,
-      caller: request.caller,
-    };
-  }
-
   async function handleForward(
     request: ForwardedRequest,
   ): Promise<ForwardedResult> {
     const outcome = isStopping
       ? notRun("stopping")
-      : await dispatcher.run(fromForwarded(request, dependencies.nowMs()));
+      : await intake.takeForwarded(request);
     if (outcome.type === "failed") {
       const { notRun, reason, retryAfterMs = 0 } = outcome;
       return { type: "failure", notRun, reason, retryAfterMs };
@@ -141,71 +119,58 @@
     return { type: "failure", notRun: false, reason, retryAfterMs: 0 };
   }
 
-  function awaitOutcome(_key: string, _waitMs: number): Promise<HeldOutcome> {
-    return Promise.resolve({ type: "unknown" });
-  }
-
-  function freeSlotsByPool(): Map<string, number> {
-    const free = new Map<string, number>();
-    for (const pool of topology.pools) {
-      let count = 0;
-      for (const host of pool.hosts) {
-        if (host.isLeaving) continue;
-        const used = dispatcher.running.get(host.name) ?? 0;
-        count += Math.max(0, host.slots.length - used);
-      }
-      free.set(pool.name, count);
-    }
-    return free;
-  }
-
+  /** Takes the slots of this entry host and what others reported as free. */
   function updateTopology(
-    next: Topology,
+    topology: Topology,
     remoteSlots: readonly RemoteSlots[],
   ): void {
-    topology = next;
+    metrics.allowServices(topology.services.map(({ name }) => name));
     dispatcher.advance({ type: "topology", topology });
     dispatcher.advance({ type: "remote-slots", slots: remoteSlots });
   }
 
-  function foldClaim(_record: LogRecord): void {
-    return;
-  }
-
   async function track<Result>(result: Promise<Result>): Promise<Result> {
     inProgress += 1;
     try {
       return await result;
     } finally {
       inProgress -= 1;
-      if (inProgress === 0) {
-        for (const resolve of drainWaiters.splice(0)) resolve();
-      }
+      settleDrained();
     }
   }
 
-  /** Resolves when no request is in progress. */
+  /** Refuses new requests; those in progress go on. */
+  function stopAccepting(): void {
+    isStopping = true;
+  }
+
+  /**
+   * Resolves when no request is in progress and each claim has its end on the
+   * log. The daemon bounds the wait, since the log may be down.
+   */
   function drained(): Promise<void> {
-    if (inProgress === 0) return Promise.resolve();
-    return new Promise((resolve) => drainWaiters.push(resolve));
+    return new Promise((resolve) => {
+      drainWaiters.push(resolve);
+      settleDrained();
+    });
+  }
+
+  function settleDrained(): void {
+    if (drainWaiters.length === 0) return;
+    if (inProgress > 0 || dispatcher.running() > 0 || !keeper.isIdle()) return;
+    for (const resolve of drainWaiters) resolve();
+    drainWaiters = [];
+  }
+
+  /** Stops the timers and destroys the connections to executors. */
+  function close(): void {
+    clearInterval(ticker);
+    keeper.close();
+    client.close();
   }
 }
 
-function fromForwarded(request: ForwardedRequest, nowMs: number): Order {
-  const headers: Record<string, string> = {};
-  for (const { name, value } of request.headers) headers[name] = value;
-  return {
-    id: request.requestId,
-    service: request.service,
-    method: request.method,
-    path: request.path,
-    headers,
-    body: request.body,
-    urgency: request.urgency as Urgency,
-    arrivedAtMs: nowMs,
-    deadlineAtMs: nowMs + request.remainingMs,
-    isIdempotent: request.idempotent,
-    isForwarded: true,
-    caller: "",
-  };
+function nameOutcome(outcome: OrderOutcome): string {
+  if (outcome.type === "failed") return outcome.notRun ? "not-run" : "unknown";
+  return outcome.status >= 500 ? "failed" : "succeeded";
 }
--- a/packages/decisions/claims/_fold_claims.ts
+++ b/packages/decisions/claims/_fold_claims.ts
@@ -2,6 +2,9 @@
 import type { ClaimAction } from "./claim_action.ts";
 import type { ClaimsState, LocalClaim } from "./claims_state.ts";
 
+/** Log time between two removals of old claims. */
+const EVICTION_INTERVAL_MS = 1_000;
+
 type FoldedBatch = { id: string; timeMs: number; body: ClaimRecord };
 
 /** Callback that takes up an order again. */
@@ -176,10 +179,12 @@
 }
 
 function evict(state: ClaimsState, timeMs: number): void {
+  if (timeMs < state.evictAtMs) return;
+  state.evictAtMs = timeMs + EVICTION_INTERVAL_MS;
   const startMs = timeMs - state.options.windowMs;
   state.table.evictBefore(Math.floor(startMs / 1_000));
   for (const [id, holder] of state.holders) {
-    if (holder.lastTimeMs >= startMs) break;
+    if (holder.lastTimeMs >= startMs) continue;
     state.holders.delete(id);
     state.holderIds.delete(`${holder.member}/${holder.incarnation}`);
   }
