Run deciders against a model of the fleet with its faults

Nothing showed that permits, moves, waves and publications hold their invariants when deciders crash, pause or race.

Found and corrected by it: a host with an emptied move waited while waves took the places it needed, so open moves now count in the budget of their target; a permit for a host that was already silent could let the planned stops alone break a budget; several deciders moved one host each for the same shortage; slow hosts paused a wave for one round only.

--- a/packages/decisions/budgets/mod.ts
+++ b/packages/decisions/budgets/mod.ts
@@ -7,4 +7,5 @@
 export * from "./hosts_that_may_be_out.ts";
 export * from "./pool_capacity.ts";
 export * from "./pool_limits.ts";
+export * from "./why_not_join.ts";
 export * from "./why_not_out.ts";
--- a/packages/decisions/budgets/pool_capacity.ts
+++ b/packages/decisions/budgets/pool_capacity.ts
@@ -20,6 +20,8 @@
   pool: string;
   total: number;
   available: number;
+  /** Hosts out by plan: with a permit, or marked as leaving. */
+  planned: number;
   /** Hosts that are failed or of unknown status, without a permit. */
   unplanned: number;
   required: Limit;
@@ -56,13 +58,17 @@
  */
 export function poolCapacity(state: FleetState, pool: string): PoolCapacity {
   const names = state.hostsByPool.get(pool) ?? new Set();
+  // Hosts that move to the pool count already, so that its own planned stops
+  // leave them the room to join.
+  const size = names.size + (state.incomingByPool.get(pool) ?? 0);
   const limits = poolLimits(state.set).get(pool);
   const capacity: PoolCapacity = {
     pool,
     total: names.size,
     available: 0,
+    planned: 0,
     unplanned: 0,
-    required: requiredHosts(limits, names.size),
+    required: requiredHosts(limits, size),
     limits,
     racks: new Map(),
     dataCentres: new Map(),
@@ -88,7 +94,8 @@
   const isPlanned = host.permit !== undefined || object.state === "leaving";
   const available = isAvailable(state, name) ? 1 : 0;
   capacity.available += available;
-  if (!isPlanned && available === 0) capacity.unplanned++;
+  if (isPlanned) capacity.planned++;
+  else if (available === 0) capacity.unplanned++;
   const places = [
     placeOf(capacity.racks, rackKey(object)),
     placeOf(capacity.dataCentres, object.data_centre),
--- a/packages/decisions/budgets/why_not_out.ts
+++ b/packages/decisions/budgets/why_not_out.ts
@@ -4,7 +4,8 @@
 
 /**
  * Returns why a host of the pool may not be taken out of service now, or
- * undefined if it may. A host that is out already costs no capacity.
+ * undefined if it may. A host that is out already costs no capacity, but the
+ * planned stops alone never break a budget: the host could come back otherwise.
  *
  * @example
  * ```ts
@@ -24,13 +25,16 @@
     const reason = checkPlaces(capacity, object);
     if (reason !== undefined) return reason;
   }
-  if (!isAvailable(state, name)) return undefined;
+  if (object.state === "leaving") return undefined;
   const { budget, value } = capacity.required;
-  const left = capacity.available - 1;
+  const isUp = isAvailable(state, name);
+  const left = isUp
+    ? capacity.available - 1
+    : capacity.total - capacity.planned - 1;
   if (left < value) {
     return `Budget "${budget}" demands ${value} of ${capacity.total} hosts of "${capacity.pool}"; ${left} would be left.`;
   }
-  if (!capacity.reservesRack) return undefined;
+  if (!isUp || !capacity.reservesRack) return undefined;
   const worst = left - largestRack(capacity, rackKey(object));
   if (worst >= value) return undefined;
   return `Budget "${budget}" demands ${value} hosts of "${capacity.pool}"; ${worst} would be left if one more rack failed.`;
@@ -55,6 +59,7 @@
   const dataCentre = capacity.dataCentres.get(object.data_centre);
   const available = isAvailable(state, name) ? 1 : 0;
   capacity.available -= available;
+  if (object.state === "in-service") capacity.planned++;
   for (const place of [rack, dataCentre]) {
     if (place === undefined) continue;
     place.available -= available;
--- a/packages/decisions/explain/explain_host.ts
+++ b/packages/decisions/explain/explain_host.ts
@@ -1,4 +1,5 @@
 import { poolCapacity } from "../budgets/pool_capacity.ts";
+import { whyNotJoin } from "../budgets/why_not_join.ts";
 import { whyNotOut } from "../budgets/why_not_out.ts";
 import type { FleetState, HostState } from "../fold/fleet_state.ts";
 import { own } from "../fold/internal/outcomes.ts";
@@ -65,9 +66,11 @@
       `It moves to "${move.to}" and waits until no request is in progress; no deadline cuts requests.`,
     );
   } else if (move?.step === "emptied") {
-    const { total, available, required } = poolCapacity(state, move.to);
+    const reason = whyNotJoin(state, move.to);
     sentences.push(
-      `It is empty and changes its owner to "${move.to}" once the budgets of that pool hold with one host more; ${available} of ${total} are available and ${required.value} are demanded.`,
+      reason === undefined
+        ? `It is empty and changes its owner to "${move.to}" next.`
+        : `It is empty and waits to join "${move.to}": ${reason}`,
     );
   } else if (permit.downSinceMs === undefined) {
     sentences.push(
--- a/packages/decisions/explain/explain_service.ts
+++ b/packages/decisions/explain/explain_service.ts
@@ -16,8 +16,7 @@
   const object = own(state.set.services, name);
   if (object === undefined) return unknownObject("service", name);
   const capacity = poolCapacity(state, object.pool);
-  const { total, available, unplanned, required } = capacity;
-  const planned = total - available - unplanned;
+  const { total, available, planned, unplanned, required } = capacity;
   const left = available - required.value;
   const sentences = [
     `Service "${name}" has ${object.share_percent}% of pool "${object.pool}", of which ${available} of ${total} hosts are available, ${planned} are out by plan and ${unplanned} failed or silent.`,
--- /dev/null
+++ b/packages/decisions/fleet_model_test.ts
@@ -0,0 +1,206 @@
+import { describe, expect, test } from "@jest/globals";
+import {
+  createFleetModel,
+  createFleetSet,
+  dropRecords,
+  failHost,
+  type FleetModel,
+  publish,
+  stepFleet,
+} from "@lagoonloom/standins/fleet";
+import fc from "fast-check";
+import { createHash } from "node:crypto";
+import {
+  applyRecord,
+  encodeCheckpoint,
+  type FleetState,
+  planMoves,
+  planWave,
+  type Shortage,
+} from "./mod.ts";
+
+const PLACES = ["detroit", "cleveland", "milwaukee"];
+const SHORT: Shortage[] = [{ pool: "orders", hosts: 1.5, sinceMs: -1e7 }];
+const DEMAND = new Map([["orders", 6], ["quoting", 2], ["spare", 0]]);
+
+function createModel(): FleetModel {
+  const set = createFleetSet({
+    dataCentres: PLACES.map((name) => ({ name, region: "great-lakes" })),
+    pools: { orders: 6, quoting: 6, spare: 4 },
+    sparePool: "spare",
+    minAvailablePercent: 60,
+    maxOutPerRack: 2,
+    cores: 16,
+    memoryGb: 32,
+    waves: { kernel: { outage_s: 20 } },
+  });
+  return createFleetModel({
+    set,
+    drainMs: 5_000,
+    restartMs: () => 20_000,
+    daemons: PLACES.map((dataCentre, index) => ({
+      name: `e${index}`,
+      dataCentre,
+      scopes: PLACES,
+    })),
+    planner: (state, { term, nowMs, observations }) => {
+      const wave = planWave(state, observations, { term, nowMs });
+      const options = { term, nowMs, demand: DEMAND, shortages: SHORT };
+      const moves = planMoves(state, observations, options);
+      return {
+        records: [...wave.records, ...moves.records],
+        reboots: [...wave.reboots, ...moves.reboots],
+      };
+    },
+  });
+}
+
+type Fault = (model: FleetModel, after: number) => void;
+
+/** Faults that begin now; `after` counts actions of a daemon. */
+const FAULTS: Record<string, Fault> = {
+  "decider crashes": ({ daemons, nowMs }, after) => {
+    daemons[0]!.stop = { after, kind: "crash", untilMs: nowMs + 40_000 };
+  },
+  "decider pauses beyond its lease": ({ daemons, nowMs }, after) => {
+    daemons[0]!.stop = { after, kind: "pause", untilMs: nowMs + 40_000 };
+  },
+  "log is down": (model) => {
+    model.log.downUntilMs = model.nowMs + 30_000;
+  },
+  "log is slow": (model, after) => {
+    model.log.delayMs = 1_000 * (after % 5);
+  },
+  "answers are lost": ({ log }, after) => {
+    log.lostAnswers = 1 + after;
+  },
+  "records are duplicated": ({ log }, after) => {
+    log.duplicates = 1 + after;
+  },
+  "retention lapses": ({ log, truth, daemons, nowMs }, after) => {
+    if (truth.checkpoint.offset < 0) return;
+    dropRecords(log, truth.checkpoint.offset);
+    daemons[after % 3]!.crashedUntilMs = nowMs + 1;
+  },
+  "host list is wrong": (model, after) => {
+    const names = Object.keys(model.truth.set.hosts);
+    model.falselySilent.add(names[after % names.length]!);
+  },
+  "host list lags": (model) => {
+    model.listFrozenUntilMs = model.nowMs + 20_000;
+  },
+  "data centre is cut off": ({ daemons }, after) => {
+    daemons[after % 3]!.isCut = true;
+  },
+  "operators race": (model, after) => {
+    const expectedVersion = model.truth.setVersion;
+    const { teams } = model.truth.set;
+    for (const name of ["ana", "ben"]) {
+      const id = `${name}-${model.nowMs}-${after}`;
+      publish(model, { put: { teams }, expectedVersion, id });
+    }
+  },
+  "wave breaks hosts": (model) => {
+    for (const [name, host] of model.hosts.hosts) {
+      if (host.phase !== "restarting") continue;
+      failHost(model.hosts, name, {
+        nowMs: model.nowMs,
+        untilMs: model.nowMs + 120_000,
+      });
+    }
+  },
+  "rack fails": (model) => {
+    for (
+      const [name, { rack, data_centre }] of Object.entries(
+        model.truth.set.hosts,
+      )
+    ) {
+      if (rack !== "rack-1" || data_centre !== "detroit") continue;
+      const { nowMs } = model;
+      failHost(model.hosts, name, { nowMs, untilMs: nowMs + 60_000 });
+    }
+  },
+};
+
+function clearFaults(model: FleetModel): void {
+  model.log.delayMs = 0;
+  model.falselySilent.clear();
+  for (const daemon of model.daemons) daemon.isCut = false;
+}
+
+type Event = { atStep: number; fault: string; after: number };
+
+/** Runs faults for 150 s and then lets the fleet settle. */
+function run(events: Event[]): FleetModel {
+  const model = createModel();
+  for (let step = 0; step < 900; step++) {
+    for (const { atStep, fault, after } of events) {
+      if (atStep === step) FAULTS[fault]!(model, after);
+    }
+    if (step === 150) clearFaults(model);
+    stepFleet(model, { stepMs: 1_000 });
+  }
+  return model;
+}
+
+function expectInvariants(model: FleetModel): void {
+  expect(model.checker.violations).toEqual({
+    budget: [],
+    owner: [],
+    revert: [],
+    fenced: [],
+  });
+  expect(model.disagreements).toEqual([]);
+  expect(model.restartsWithoutPermit).toEqual([]);
+  expect(model.hosts.cutRequests).toBe(0);
+}
+
+function expectFinished(model: FleetModel): void {
+  const { truth, daemons, log } = model;
+  expect(truth.waves.get("kernel")).toMatchObject({ state: "finished" });
+  // A host that was failed while others came keeps its place in the pool.
+  expect(truth.hostsByPool.get("orders")?.size).toBeGreaterThanOrEqual(8);
+  const open = [...truth.hosts].filter(([, host]) => host.permit);
+  expect(open).toEqual([]);
+  for (const { state } of daemons) {
+    for (const record of log.records) applyRecord(state, record);
+    expect(digest(state)).toBe(digest(truth));
+  }
+}
+
+function digest(state: FleetState): string {
+  return createHash("sha256").update(encodeCheckpoint(state).join(""))
+    .digest("hex");
+}
+
+function check(events: Event[]): void {
+  const model = run(events);
+  expectInvariants(model);
+  expectFinished(model);
+}
+
+describe("a fleet under faults", () => {
+  // Guards against a fault, at any step of a decision, that breaks a budget,
+  // doubles an owner, reverts a set, revives a fenced decider or stops work.
+  test.each(
+    Object.keys(FAULTS).flatMap((fault) =>
+      [0, 1, 2, 3, 5].map((after) => ({ fault, after }))
+    ),
+  )("keeps its invariants when $fault ($after)", ({ fault, after }) => {
+    const times = [3, 12, 20, 31, 40, 75, 110];
+    check(times.map((atStep) => ({ atStep, fault, after })));
+  });
+
+  // Guards against combinations of faults that no table names.
+  test("keeps its invariants in generated schedules", () => {
+    const event = fc.record({
+      atStep: fc.integer({ min: 1, max: 140 }),
+      fault: fc.constantFrom(...Object.keys(FAULTS)),
+      after: fc.integer({ min: 0, max: 8 }),
+    });
+    fc.assert(
+      fc.property(fc.array(event, { minLength: 2, maxLength: 8 }), check),
+      { seed: 20_261_204, numRuns: 40, includeErrorInReport: true },
+    );
+  });
+});
--- a/packages/decisions/fold/encode_checkpoint.ts
+++ b/packages/decisions/fold/encode_checkpoint.ts
@@ -1,5 +1,5 @@
 import type { FleetState } from "./fleet_state.ts";
-import { indexHost } from "./internal/fold_set.ts";
+import { countIncoming, indexHost } from "./internal/host_index.ts";
 
 /** Longest chunk of a checkpoint in characters, below the log's 1 MiB. */
 export const CHUNK_LENGTH = 200_000;
@@ -48,18 +48,22 @@
   const state: FleetState = {
     ...fields,
     hostsByPool: new Map(),
+    incomingByPool: new Map(),
     outcomes: new Map(fields.outcomes),
   };
   for (const field of SORTED_MAPS) {
     Object.assign(state, { [field]: new Map(fields[field]) });
   }
   for (const wave of state.waves.values()) wave.done = new Map(wave.done);
-  for (const [name, host] of state.hosts) indexHost(state, name, host.owner);
+  for (const [name, host] of state.hosts) {
+    indexHost(state, name, host.owner);
+    if (host.move !== undefined) countIncoming(state, host.move.to, 1);
+  }
   return state;
 }
 
 function replaceValue(key: string, value: unknown): unknown {
-  if (key === "hostsByPool") return undefined;
+  if (key === "hostsByPool" || key === "incomingByPool") return undefined;
   if (value instanceof Map) {
     const entries = [...value];
     // Outcomes stay in the order of their offsets, in which they are forgotten.
--- a/packages/decisions/fold/fleet_state.ts
+++ b/packages/decisions/fold/fleet_state.ts
@@ -118,6 +118,8 @@
   hosts: Map<string, HostState>;
   /** Hosts by owner, derived from `hosts`. */
   hostsByPool: Map<string, Set<string>>;
+  /** Open moves by target pool, derived from `hosts`. */
+  incomingByPool: Map<string, number>;
   /** Generation at which a host that appears in the set begins. */
   firstHostGeneration: number;
   waves: Map<string, WaveState>;
@@ -155,6 +157,7 @@
     deciders: new Map(),
     hosts: new Map(),
     hostsByPool: new Map(),
+    incomingByPool: new Map(),
     firstHostGeneration: 0,
     waves: new Map(),
     jobs: new Map(),
--- a/packages/decisions/fold/internal/fold_move.ts
+++ b/packages/decisions/fold/internal/fold_move.ts
@@ -1,10 +1,9 @@
 import type { ControlRecord, LogRecord } from "@lagoonloom/records";
-import { poolCapacity } from "../../budgets/pool_capacity.ts";
-import { requiredHosts } from "../../budgets/pool_limits.ts";
+import { whyNotJoin } from "../../budgets/why_not_join.ts";
 import type { FleetState, HostState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../record_outcome.ts";
 import { findHost } from "./fold_permit.ts";
-import { indexHost } from "./fold_set.ts";
+import { indexHost, setMove } from "./host_index.ts";
 import { APPLIED, own, refuse } from "./outcomes.ts";
 
 type Advanced = Extract<ControlRecord, { type: "move.advanced" }>;
@@ -30,7 +29,7 @@
     case "finished":
       return finish(state, host, { record, log });
     case "abandoned":
-      host.move = undefined;
+      setMove(state, host, undefined);
       host.generation++;
       return APPLIED;
   }
@@ -55,12 +54,12 @@
   if (hostsThatStay(state, host.owner) - 1 < minimum) {
     return refuse(`Pool "${host.owner}" keeps at least ${minimum} hosts.`);
   }
-  host.move = {
+  setMove(state, host, {
     to: record.to,
     step: "started",
     reason: record.reason,
     startedAtMs: log.timeMs,
-  };
+  });
   return APPLIED;
 }
 
@@ -84,21 +83,12 @@
   if (own(state.set.pools, record.to) === undefined) {
     return refuse(`Pool "${record.to}" is unknown.`);
   }
-  // The host joins while its permit is open: a budget in percent can demand
-  // one host more of the larger pool before the host serves there.
-  const target = poolCapacity(state, record.to);
-  const required = requiredHosts(target.limits, target.total + 1);
-  if (
-    required.value > target.required.value && target.available < required.value
-  ) {
-    return refuse(
-      `Budget "${required.budget}" demands ${required.value} hosts of "${record.to}" once the host belongs to it; ${target.available} are available.`,
-    );
-  }
+  const problem = whyNotJoin(state, record.to);
+  if (problem !== undefined) return refuse(problem);
   state.hostsByPool.get(host.owner)?.delete(record.host);
   indexHost(state, record.host, record.to);
   host.owner = record.to;
-  host.move = undefined;
+  setMove(state, host, undefined);
   if (host.wish === record.to) host.wish = undefined;
   host.movedAtMs = log.timeMs;
   host.generation++;
--- a/packages/decisions/fold/internal/fold_permit.ts
+++ b/packages/decisions/fold/internal/fold_permit.ts
@@ -4,6 +4,7 @@
 import type { FleetState, HostState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../record_outcome.ts";
 import { checkTerm } from "./fold_decider.ts";
+import { setMove } from "./host_index.ts";
 import { APPLIED, own, refuse } from "./outcomes.ts";
 
 type Granted = Extract<ControlRecord, { type: "permit.granted" }>;
@@ -87,7 +88,7 @@
     host.health = "silent";
     host.generation++;
     host.permit = undefined;
-    host.move = undefined;
+    setMove(state, host, undefined);
     return APPLIED;
   }
   host.health = health;
--- a/packages/decisions/fold/internal/fold_set.ts
+++ b/packages/decisions/fold/internal/fold_set.ts
@@ -10,6 +10,7 @@
 import { poolLimits, requiredHosts } from "../../budgets/pool_limits.ts";
 import type { FleetState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../record_outcome.ts";
+import { indexHost, setMove } from "./host_index.ts";
 import { APPLIED, own, refuse } from "./outcomes.ts";
 
 /** Publications kept in the state; 8,900 a day make about 80 minutes. */
@@ -113,6 +114,7 @@
 function reconcileHosts(state: FleetState, previous: ObjectSet): void {
   for (const [name, host] of state.hosts) {
     if (own(state.set.hosts, name) !== undefined) continue;
+    setMove(state, host, undefined);
     state.hosts.delete(name);
     state.hostsByPool.get(host.owner)?.delete(name);
     // A host that returns under this name starts above every generation that
@@ -146,17 +148,6 @@
   }
 }
 
-/** Adds a host to the index by owner. */
-export function indexHost(
-  state: FleetState,
-  name: string,
-  pool: string,
-): void {
-  const hosts = state.hostsByPool.get(pool);
-  if (hosts === undefined) state.hostsByPool.set(pool, new Set([name]));
-  else hosts.add(name);
-}
-
 /** An operator resumes a wave, or starts a finished one again, by the set. */
 function reconcileWaves(
   state: FleetState,
--- /dev/null
+++ b/packages/decisions/fold/internal/host_index.ts
@@ -0,0 +1,34 @@
+import type { FleetState, HostState, Move } from "../fleet_state.ts";
+
+/** Adds a host to the index by owner. */
+export function indexHost(
+  state: FleetState,
+  name: string,
+  pool: string,
+): void {
+  const hosts = state.hostsByPool.get(pool);
+  if (hosts === undefined) state.hostsByPool.set(pool, new Set([name]));
+  else hosts.add(name);
+}
+
+/** Sets or ends the move of a host. */
+export function setMove(
+  state: FleetState,
+  host: HostState,
+  move: Move | undefined,
+): void {
+  if (host.move !== undefined) countIncoming(state, host.move.to, -1);
+  host.move = move;
+  if (move !== undefined) countIncoming(state, move.to, 1);
+}
+
+/** Counts the open moves to a pool. */
+export function countIncoming(
+  state: FleetState,
+  pool: string,
+  change: number,
+): void {
+  const count = (state.incomingByPool.get(pool) ?? 0) + change;
+  if (count === 0) state.incomingByPool.delete(pool);
+  else state.incomingByPool.set(pool, count);
+}
--- a/packages/decisions/pools/internal/plan_open_moves.ts
+++ b/packages/decisions/pools/internal/plan_open_moves.ts
@@ -1,4 +1,5 @@
 import type { ControlRecord } from "@lagoonloom/records";
+import { whyNotJoin } from "../../budgets/why_not_join.ts";
 import { type DeciderTerm, planRecord } from "../../deciders/planned_record.ts";
 import type { FleetState, HostState } from "../../fold/fleet_state.ts";
 import { own } from "../../fold/internal/outcomes.ts";
@@ -46,6 +47,7 @@
       return advance("abandoned", move.to, "The target pool is gone.");
     }
     if (move.step === "emptied") {
+      if (whyNotJoin(state, move.to) !== undefined) return undefined;
       return advance("finished", move.to, "The host is empty.");
     }
     if (!isEmptied(observation)) return undefined;
--- a/packages/decisions/pools/plan_moves.ts
+++ b/packages/decisions/pools/plan_moves.ts
@@ -9,7 +9,7 @@
 import type { WorkObservations } from "../waves/work_observation.ts";
 import { planOpenMoves } from "./internal/plan_open_moves.ts";
 import { balancePools, type PoolBalance } from "./pool_balance.ts";
-import type { Shortage } from "./shortage.ts";
+import { MIN_SHORTAGE, type Shortage } from "./shortage.ts";
 
 /** Cost of a move in host seconds: drain, restart and warm-up. */
 export const DEFAULT_MOVE_COST_S = 900;
@@ -99,9 +99,13 @@
   { plan, options, balances }: ShortageOptions,
 ): void {
   const { pool } = shortage;
+  const balance = balances.get(pool);
+  // Moves that began since the shortage was seen count already.
+  const lacking = (balance?.needed ?? 0) - (balance?.hosts ?? 0);
+  if (lacking < MIN_SHORTAGE) return;
   const lastsS = (options.nowMs - shortage.sinceMs) / 1_000;
   const costS = options.moveCostS ?? DEFAULT_MOVE_COST_S;
-  const gainS = Math.min(1, shortage.hosts) * lastsS;
+  const gainS = Math.min(1, lacking) * lastsS;
   if (gainS <= GAIN_FACTOR * costS) {
     plan.waiting.set(
       pool,
@@ -114,9 +118,14 @@
   for (const donor of donors(balances, pool)) {
     const host = pickHost(state, donor, options);
     if (host === undefined) continue;
-    const reason = `Pool "${pool}" lacks ${
-      shortage.hosts.toFixed(1)
-    } hosts since ${Math.round(lastsS)} s; "${donor.pool}" has ${
+    const scope = own(state.set.hosts, host)?.data_centre;
+    if (scope !== options.term.scope) {
+      plan.waiting.set(pool, `The decider of "${scope}" moves "${host}".`);
+      return;
+    }
+    const reason = `Pool "${pool}" lacks ${lacking.toFixed(1)} hosts since ${
+      Math.round(lastsS)
+    } s; "${donor.pool}" has ${
       (donor.hosts - donor.needed).toFixed(1)
     } more than it needs.`;
     plan.records.push(
@@ -125,7 +134,7 @@
     donor.hosts--;
     return;
   }
-  plan.waiting.set(pool, "No pool can give away a host of the data centre.");
+  plan.waiting.set(pool, "No pool can give away a host now.");
 }
 
 /** Pools that can give away a host: spare ones first, then by surplus. */
@@ -146,17 +155,22 @@
     );
 }
 
+/**
+ * Picks a host in any data centre that has a decider now. Deciders with the
+ * same state pick the same host, so that one shortage moves one host at a time.
+ */
 function pickHost(
   state: FleetState,
   donor: PoolBalance,
-  { term }: PlanMovesOptions,
+  { nowMs }: PlanMovesOptions,
 ): string | undefined {
   const candidates = [...state.hostsByPool.get(donor.pool) ?? []]
     .filter((name) => {
       const host = state.hosts.get(name);
+      const scope = own(state.set.hosts, name)?.data_centre ?? "";
       return host?.permit === undefined && host?.health === "in-service" &&
         host.wish === undefined &&
-        own(state.set.hosts, name)?.data_centre === term.scope;
+        nowMs < (state.deciders.get(scope)?.leaseEndMs ?? 0);
     }).sort();
   return hostsThatMayBeOut(state, { candidates, limit: 1 }).hosts[0];
 }
--- a/packages/decisions/waves/plan_wave.ts
+++ b/packages/decisions/waves/plan_wave.ts
@@ -25,6 +25,13 @@
 /** Hosts that have to return well before a wave runs at full width. */
 export const FIRST_GOOD_HOSTS = 2;
 
+/**
+ * Multiple of the outage for which slow hosts pause a wave. Unlike a failed
+ * host, a slow one that is back does not show whether the cause is gone, so the
+ * wave tries a few hosts again.
+ */
+export const SLOW_PAUSE_FACTOR = 5;
+
 /** Most permits of one round, which keeps a round short. */
 export const MAX_PERMITS_PER_ROUND = 64;
 
@@ -144,7 +151,9 @@
   if (current.state === "finished") return undefined;
   const { bad, slow } = waveEvidence(state, { wave: name, ...options });
   if (current.state === "paused") {
-    if (bad.length > 0) return undefined;
+    const pausedMs = options.nowMs - current.sinceMs;
+    const isTooEarly = pausedMs < 1_000 * SLOW_PAUSE_FACTOR * wave.outage_s;
+    if (bad.length > 0 || (slow.length > 0 && isTooEarly)) return undefined;
     return change("running", "All hosts of the wave are back in service.");
   }
   if (bad.length + slow.length >= BAD_HOSTS) {
--- /dev/null
+++ b/packages/decisions/waves/plan_wave_test.ts
@@ -0,0 +1,133 @@
+import { describe, expect, test } from "@jest/globals";
+import type { Wave } from "@lagoonloom/objects";
+import {
+  createFleetModel,
+  createFleetSet,
+  failHost,
+  type FleetModel,
+  publish,
+  stepFleet,
+} from "@lagoonloom/standins/fleet";
+import { planWave } from "./plan_wave.ts";
+
+const OUTAGE_MS = 20_000;
+
+type Options = {
+  hosts?: number;
+  waves?: Record<string, Partial<Wave>>;
+  restartMs?: number;
+};
+
+function createModel({ hosts = 24, waves, restartMs }: Options): FleetModel {
+  const place = { name: "detroit", region: "great-lakes" };
+  return createFleetModel({
+    set: createFleetSet({
+      dataCentres: [place],
+      pools: { orders: hosts, spare: 0 },
+      sparePool: "spare",
+      minAvailablePercent: 50,
+      maxOutPerRack: 4,
+      cores: 16,
+      memoryGb: 32,
+      waves: waves ?? { kernel: { outage_s: OUTAGE_MS / 1_000 } },
+    }),
+    drainMs: 2_000,
+    restartMs: () => restartMs ?? OUTAGE_MS,
+    daemons: [{ name: "e1", dataCentre: "detroit", scopes: ["detroit"] }],
+    planner: (state, { term, nowMs, observations }) =>
+      planWave(state, observations, { term, nowMs }),
+  });
+}
+
+function runFor(
+  model: FleetModel,
+  { seconds, onStep }: { seconds: number; onStep?: () => void },
+): void {
+  for (let step = 0; step < seconds; step++) {
+    onStep?.();
+    stepFleet(model, { stepMs: 1_000 });
+  }
+}
+
+function failRestarting(model: FleetModel, untilMs: number): void {
+  for (const [name, { phase }] of model.hosts.hosts) {
+    if (phase !== "restarting") continue;
+    failHost(model.hosts, name, { nowMs: model.nowMs, untilMs });
+  }
+}
+
+describe("planWave", () => {
+  // Guards against a faulty version that takes a whole fleet down.
+  test("pauses after few hosts and resumes when they are back", () => {
+    const model = createModel({});
+    const onStep = () => failRestarting(model, 300_000);
+    runFor(model, { seconds: 150, onStep });
+    expect(model.truth.waves.get("kernel")).toMatchObject({
+      state: "paused",
+      reason: expect.stringContaining("not back in time"),
+    });
+    expect(model.hosts.restarts).toBeLessThanOrEqual(4);
+    runFor(model, { seconds: 500 });
+    expect(model.truth.waves.get("kernel")?.state).toBe("finished");
+  });
+
+  // Guards against a wave that goes on although every host takes too long, and
+  // against one that an operator cannot resume.
+  test("pauses on slow hosts until they are back", () => {
+    const model = createModel({ restartMs: 2.5 * OUTAGE_MS });
+    runFor(model, { seconds: 65 });
+    const wave = model.truth.waves.get("kernel");
+    expect(wave?.reason).toContain("slow");
+    const paused = { ...model.truth.set.waves["kernel"]! };
+    for (const [index, state] of (["paused", "active"] as const).entries()) {
+      const expectedVersion = index + 1;
+      const put = { waves: { kernel: { ...paused, state } } };
+      publish(model, { put, expectedVersion, id: state });
+    }
+    expect(model.truth.waves.get("kernel")).toMatchObject({
+      state: "running",
+      reason: "resumed by the set",
+    });
+  });
+
+  // Guards against a routine wave that takes the places of an urgent one, and
+  // against a host that one wave maintains twice.
+  test("maintains every host once per wave, urgent waves first", () => {
+    const model = createModel({
+      waves: {
+        "a-routine": { outage_s: 20 },
+        "b-urgent": { outage_s: 20, priority: "urgent" },
+      },
+    });
+    const finishedAt: string[] = [];
+    const onStep = () => {
+      for (const [name, { state }] of model.truth.waves) {
+        const isNew = state === "finished" && !finishedAt.includes(name);
+        if (isNew) finishedAt.push(name);
+      }
+    };
+    runFor(model, { seconds: 400, onStep });
+    expect(finishedAt).toEqual(["b-urgent", "a-routine"]);
+    expect(model.hosts.restarts).toBe(48);
+    expect(model.hosts.cutRequests).toBe(0);
+  });
+
+  // Guards against losing a rack in the middle of a wave breaking the budget.
+  test("leaves the budget intact when one more rack fails", () => {
+    const model = createModel({});
+    let worst = Infinity;
+    const onStep = () => {
+      const perRack = new Map<string, number>();
+      for (const [name, host] of model.truth.hosts) {
+        if (host.permit !== undefined) continue;
+        const { rack } = model.truth.set.hosts[name]!;
+        perRack.set(rack, (perRack.get(rack) ?? 0) + 1);
+      }
+      const up = [...perRack.values()].reduce((sum, it) => sum + it, 0);
+      if (up > 0) worst = Math.min(worst, up - Math.max(...perRack.values()));
+    };
+    runFor(model, { seconds: 200, onStep });
+    expect(model.truth.waves.get("kernel")?.state).toBe("finished");
+    expect(worst).toBeGreaterThanOrEqual(12);
+  });
+});
--- /dev/null
+++ b/packages/standins/fleet/model_hosts.ts
@@ -0,0 +1,157 @@
+import type { HostContact, WorkObservation } from "@lagoonloom/decisions";
+
+/** Physical state of a host. */
+export type ModelHost = {
+  phase: "up" | "restarting" | "failed";
+  sinceMs: number;
+  /** Time in milliseconds at which it is up again. */
+  untilMs: number;
+  bootedAtMs: number;
+  /** Time at which it got its last work, or undefined while it serves. */
+  leavingSinceMs: number | undefined;
+};
+
+/** Physical hosts of a fleet and what they were made to do. */
+export type ModelHosts = {
+  hosts: Map<string, ModelHost>;
+  /** Time in milliseconds until a leaving host has no request in progress. */
+  drainMs: number;
+  /** Time in milliseconds that a restart of a host takes. */
+  restartMs: (host: string) => number;
+  /** Restarts that interrupted requests. */
+  cutRequests: number;
+  restarts: number;
+};
+
+/** Options of {@linkcode createModelHosts}. */
+export type ModelHostsOptions = {
+  drainMs: number;
+  restartMs: (host: string) => number;
+};
+
+/**
+ * Creates hosts that are up.
+ *
+ * @example
+ * ```ts
+ * const hosts = createModelHosts(names, { drainMs, restartMs: () => 300_000 });
+ * ```
+ */
+export function createModelHosts(
+  names: readonly string[],
+  options: ModelHostsOptions,
+): ModelHosts {
+  const hosts = new Map<string, ModelHost>(names.map((name) => [name, {
+    phase: "up",
+    sinceMs: 0,
+    untilMs: Infinity,
+    bootedAtMs: 0,
+    leavingSinceMs: undefined,
+  }]));
+  return { hosts, ...options, cutRequests: 0, restarts: 0 };
+}
+
+/**
+ * Advances the hosts to a time.
+ *
+ * @example
+ * ```ts
+ * stepHosts(hosts, { nowMs, isLeaving: (name) => false });
+ * ```
+ */
+export function stepHosts(
+  model: ModelHosts,
+  options: { nowMs: number; isLeaving: (name: string) => boolean },
+): void {
+  const { nowMs } = options;
+  for (const [name, host] of model.hosts) {
+    if (host.phase !== "up" && host.untilMs <= nowMs) {
+      host.phase = "up";
+      host.sinceMs = nowMs;
+      host.bootedAtMs = nowMs;
+    }
+    const isLeaving = options.isLeaving(name);
+    if (!isLeaving) host.leavingSinceMs = undefined;
+    else host.leavingSinceMs ??= nowMs;
+  }
+}
+
+/**
+ * Restarts a host that is up.
+ *
+ * @example
+ * ```ts
+ * restartHost(hosts, "host-1", { nowMs });
+ * ```
+ */
+export function restartHost(
+  model: ModelHosts,
+  name: string,
+  { nowMs }: { nowMs: number },
+): void {
+  const host = model.hosts.get(name);
+  if (host?.phase !== "up") return;
+  model.restarts++;
+  if (requestsOf(model, host, nowMs) > 0) model.cutRequests++;
+  host.phase = "restarting";
+  host.sinceMs = nowMs;
+  host.untilMs = nowMs + model.restartMs(name);
+}
+
+/**
+ * Makes a host fail until a time.
+ *
+ * @example
+ * ```ts
+ * failHost(hosts, "host-1", { nowMs, untilMs: nowMs + 60_000 });
+ * ```
+ */
+export function failHost(
+  model: ModelHosts,
+  name: string,
+  { nowMs, untilMs }: { nowMs: number; untilMs: number },
+): void {
+  const host = model.hosts.get(name);
+  if (host === undefined) return;
+  if (host.phase !== "failed") host.sinceMs = nowMs;
+  host.phase = "failed";
+  host.untilMs = untilMs;
+}
+
+/**
+ * Returns what a data centre sees of its hosts.
+ *
+ * @example
+ * ```ts
+ * const { contacts, observations } = observeHosts(hosts, { nowMs });
+ * ```
+ */
+export function observeHosts(
+  model: ModelHosts,
+  { nowMs }: { nowMs: number },
+): {
+  contacts: Map<string, HostContact>;
+  observations: Map<string, WorkObservation>;
+} {
+  const contacts = new Map<string, HostContact>();
+  const observations = new Map<string, WorkObservation>();
+  for (const [name, host] of model.hosts) {
+    const health = host.phase === "up" ? "in-service" : "silent";
+    contacts.set(name, { health, sinceMs: host.sinceMs });
+    const requests = requestsOf(model, host, nowMs);
+    observations.set(name, { requests, bootedAtMs: host.bootedAtMs });
+  }
+  return { contacts, observations };
+}
+
+function requestsOf(
+  model: ModelHosts,
+  host: ModelHost,
+  nowMs: number,
+): number {
+  if (host.phase !== "up") return 0;
+  const { leavingSinceMs } = host;
+  return leavingSinceMs !== undefined && nowMs - leavingSinceMs >= model.drainMs
+    ? 0
+    : 1;
+}
