--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -6,11 +6,14 @@
 
 export * from "./admission/mod.ts";
 export * from "./budgets/mod.ts";
+export * from "./claims/mod.ts";
 export * from "./deciders/mod.ts";
 export * from "./explain/mod.ts";
 export * from "./fold/mod.ts";
+export * from "./membership/mod.ts";
 export * from "./observations/mod.ts";
 export * from "./pools/mod.ts";
 export * from "./retries/mod.ts";
 export * from "./routing/mod.ts";
+export * from "./slots/mod.ts";
 export * from "./waves/mod.ts";
