Give the model's teams quotas that the set check accepts

Teams now share half of the fleet. The budgets use minAvailableHosts of the objects package instead of a copy.

--- a/packages/decisions/budgets/pool_limits.ts
+++ b/packages/decisions/budgets/pool_limits.ts
@@ -1,4 +1,8 @@
-import type { ObjectSet } from "@lagoonloom/objects";
+import {
+  type Budget,
+  minAvailableHosts,
+  type ObjectSet,
+} from "@lagoonloom/objects";
 import { own } from "../fold/internal/outcomes.ts";
 
 /** Limit that one budget sets, with its name for reasons. */
@@ -6,8 +10,7 @@
 
 /** All budgets of the services whose home is one pool. */
 export type PoolLimits = {
-  counts: Limit[];
-  percents: Limit[];
+  budgets: { name: string; budget: Budget }[];
   perRack: Limit | undefined;
   perDataCentre: Limit | undefined;
 };
@@ -34,8 +37,7 @@
     if (pool === undefined) continue;
     const entry = limits.get(pool) ?? emptyLimits();
     limits.set(pool, entry);
-    add(entry.counts, name, budget.min_available);
-    add(entry.percents, name, budget.min_available_percent);
+    entry.budgets.push({ name, budget });
     entry.perRack = lower(entry.perRack, name, budget.max_out_per_rack);
     entry.perDataCentre = lower(
       entry.perDataCentre,
@@ -60,30 +62,21 @@
   total: number,
 ): Limit {
   let required: Limit = { budget: "none", value: 0 };
-  for (const { budget, value } of limits?.counts ?? []) {
-    if (value > required.value) required = { budget, value };
-  }
-  for (const { budget, value } of limits?.percents ?? []) {
-    // Rounding removes the error of the product, such as 0.07 * 100.
-    const hosts = Math.ceil(Math.round(value * total * 1e6) / 1e8);
-    if (hosts > required.value) required = { budget, value: hosts };
+  for (const { name, budget } of limits?.budgets ?? []) {
+    const value = minAvailableHosts(budget, total);
+    if (value > required.value) required = { budget: name, value };
   }
   return required;
 }
 
 function emptyLimits(): PoolLimits {
   return {
-    counts: [],
-    percents: [],
+    budgets: [],
     perRack: undefined,
     perDataCentre: undefined,
   };
 }
 
-function add(limits: Limit[], budget: string, value: number | undefined) {
-  if (value !== undefined) limits.push({ budget, value });
-}
-
 function lower(
   limit: Limit | undefined,
   budget: string,
--- a/packages/decisions/fold/fold_hosts_test.ts
+++ b/packages/decisions/fold/fold_hosts_test.ts
@@ -243,6 +243,52 @@
   });
 });
 
+describe("a decider's lease", () => {
+  // Guards against records of a daemon that was paused beyond its lease.
+  test("ends by log time and fences older epochs", () => {
+    const state = createState();
+    const at = (timeMs: number, body: object) => {
+      const offset = state.nextOffset;
+      const record = { offset, timeMs, id: `r${offset}`, body };
+      return applyRecord(state, record).type;
+    };
+    const claim = (epoch: number) => ({
+      type: "decider.claimed",
+      scope: "detroit",
+      holder: "e1",
+      incarnation: "i1",
+      epoch,
+      leaseMs: 10_000,
+    });
+    const endMs = 2_000 + 600_000;
+    expect([
+      at(endMs - 1, claim(2)),
+      at(endMs - 1, permit("orders-1")),
+      at(endMs, permit("orders-2")),
+      at(endMs, claim(1)),
+      at(endMs, claim(2)),
+      at(endMs, permit("orders-2")),
+      at(endMs, permit("orders-2", 0, { epoch: 2 })),
+      at(endMs, permit("spare-1", 0, { epoch: 2, scope: "cleveland" })),
+      at(endMs + 9_000, claim(2)),
+      at(endMs + 18_999, permit("spare-1", 0, { epoch: 2 })),
+      at(endMs + 19_000, permit("spare-2", 0, { epoch: 2 })),
+    ]).toEqual([
+      "refused",
+      "applied",
+      "refused",
+      "refused",
+      "applied",
+      "refused",
+      "applied",
+      "refused",
+      "applied",
+      "applied",
+      "refused",
+    ]);
+  });
+});
+
 describe("explain", () => {
   // Guards against an answer that leaves out what the object waits for.
   test("says what a host, wave and service wait for", () => {
--- a/packages/standins/fleet/create_fleet_set.ts
+++ b/packages/standins/fleet/create_fleet_set.ts
@@ -33,10 +33,12 @@
 export function createFleetSet(shape: FleetShape): ObjectSet {
   const names = Object.keys(shape.pools);
   const served = names.filter((name) => name !== shape.sparePool);
-  const teams = Array.from({ length: shape.teams ?? 1 }, (_, index) => [
-    `team-${index + 1}`,
-    { quota_cores: 1_000, quota_memory_gb: 10_000 },
-  ]);
+  const teams = Object.fromEntries(
+    Array.from({ length: shape.teams ?? 1 }, (_, index) => [
+      `team-${index + 1}`,
+      createQuota(shape),
+    ]),
+  );
   return ObjectSet.parse({
     pools: Object.fromEntries(
       names.map((name) => [name, { spare: name === shape.sparePool }]),
@@ -62,10 +64,20 @@
         { pools: names, outage_s: 300, state: "active", ...wave },
       ]),
     ),
-    teams: Object.fromEntries(teams),
+    teams,
   });
 }
 
+/** Quota of a team; all teams together get half of the fleet. */
+function createQuota(shape: FleetShape) {
+  const hosts = Object.values(shape.pools).reduce((sum, it) => sum + it, 0);
+  const share = hosts / (2 * (shape.teams ?? 1));
+  return {
+    quota_cores: Math.floor(share * shape.cores),
+    quota_memory_gb: Math.floor(share * shape.memoryGb),
+  };
+}
+
 function createHosts(shape: FleetShape): Record<string, Partial<Host>> {
   const hosts: Record<string, Partial<Host>> = {};
   const total = Object.values(shape.pools).reduce((sum, it) => sum + it, 0);
