--- a/packages/decisions/admission/dispatch.ts
+++ b/packages/decisions/admission/dispatch.ts
@@ -1,6 +1,11 @@
 import { chooseHost } from "../routing/mod.ts";
 import { noteClassStart, orderClasses } from "./class_order.ts";
-import { chooseService, findOpenHosts, isBelowGuarantee } from "./lending.ts";
+import {
+  chooseService,
+  findOpenHosts,
+  isBelowGuarantee,
+  updateBorrowedAverage,
+} from "./lending.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 import { noteStart } from "./request_queue.ts";
 import type { SchedulerAction } from "./scheduler_action.ts";
@@ -117,7 +122,8 @@
   const { host } = chooseHost(candidates)!;
   const slot = host.free.shift()!;
   host.inUse.add(slot);
-  if (host.health.state === "ejected") host.health.state = "probing";
+  const isProbe = host.health.state === "ejected";
+  if (isProbe) host.health.state = "probing";
   const isBorrowed = !isBelowGuarantee(pool, service);
   state.running.set(request.id, {
     service: service.spec.name,
@@ -125,8 +131,10 @@
     host: host.name,
     slot,
     isBorrowed,
+    isProbe,
   });
   state.returnedBy.delete(request.id);
+  updateBorrowedAverage(service, step.nowMs);
   service.running++;
   const running = service.runningByPool.get(pool.name) ?? 0;
   service.runningByPool.set(pool.name, running + 1);
