--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -1,8 +1,4 @@
-import {
-  advanceScheduler,
-  createScheduler,
-  type FleetState,
-} from "@lagoonloom/decisions";
+import { type FleetState } from "@lagoonloom/decisions";
 import type { OperatorHandlers } from "@lagoonloom/operators";
 import type { PeerClient, PeerHandlers } from "@lagoonloom/peers";
 import type { PlatformClient } from "@lagoonloom/platform";
@@ -101,11 +97,7 @@
     signal: stopped.signal,
     peersAhead: () => peersAhead(links, fold).map((link) => link.client),
   });
-  const scheduler = createScheduler({ topology: { pools: [], services: [] } });
-  const running = createRunningSlots(
-    (event, nowMs) => advanceScheduler(scheduler, event, nowMs),
-    { longestRequestMs },
-  );
+  const running = createRunningSlots({ longestRequestMs });
   const membership = createMembership({
     name,
     dataCentre,
@@ -132,7 +124,7 @@
     dependencies,
     fold,
     membership,
-    schedule: running.schedule,
+    running,
     links: () => links,
     isReady,
     logIsFresh: () => claims.isFresh(),
--- a/packages/daemon/request_path.ts
+++ b/packages/daemon/request_path.ts
@@ -5,14 +5,14 @@
 import { awaitOutcomeAt, forwardTo } from "./peer_handlers.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import { createRequestPath, type RequestPath } from "./requests/mod.ts";
-import type { Schedule } from "./running_slots.ts";
+import type { RunningSlots } from "./running_slots.ts";
 
 /** Options of {@linkcode createDaemonRequestPath}. */
 export type DaemonRequestPathOptions = {
   dependencies: DaemonDependencies;
   fold: ControlFold;
   membership: Membership;
-  schedule: Schedule;
+  running: RunningSlots;
   links: () => PeerLinks;
   isReady: () => boolean;
   logIsFresh: () => boolean;
@@ -82,15 +82,13 @@
     },
     isCurrentMember: (name, incarnation) =>
       fold.state().members.get(name)?.incarnation === incarnation,
+    otherMembers: () =>
+      [...fold.state().members.keys()]
+        .filter((name) => name !== settings.daemon.name),
     liveMembers: () => fold.state().members.size,
-    schedule: options.schedule,
-    events: ({ number, message, fields }) =>
-      events.log("requestPathEvent", {
-        number,
-        message,
-        details: JSON.stringify(fields),
-      }),
-    metrics: metrics.registry,
+    observeSchedule: options.running.observe,
+    events,
+    metrics,
     nowMs: () => performance.now(),
   });
 }
--- a/packages/daemon/requests/_dispatcher.ts
+++ b/packages/daemon/requests/_dispatcher.ts
@@ -1,4 +1,13 @@
-import type { SchedulerAction, SchedulerEvent } from "@lagoonloom/decisions";
+import {
+  advanceScheduler,
+  createRetryBudget,
+  createScheduler,
+  decideRetry,
+  earnRetry,
+  type SchedulerAction,
+  type SchedulerEvent,
+  spendRetry,
+} from "@lagoonloom/decisions";
 import type { ExchangeResult, ExecutorClient } from "@lagoonloom/endpoints";
 import { forwardOrder } from "./_forward_order.ts";
 import {
@@ -7,12 +16,8 @@
   type OrderOutcome,
   unknownOutcome,
 } from "./_order.ts";
-import { createRetryBudget } from "./_retry_budget.ts";
 import type { RequestPathDependencies } from "./dependencies.ts";
 
-/** Time between two ticks of the scheduler. */
-const TICK_MS = 50;
-
 /** A run this many times longer than declared counts against its host. */
 const SLOW_RUN_FACTOR = 2;
 
@@ -20,43 +25,38 @@
 type Job = {
   order: Order;
   excludedHosts: string[];
+  attempts: number;
   isQueued: boolean;
   resolve: (outcome: OrderOutcome) => void;
 };
 
-/** Options of {@linkcode createDispatcher}. */
-type DispatcherOptions = {
-  dependencies: RequestPathDependencies;
-  client: ExecutorClient;
-  schedule: (
-    event: SchedulerEvent,
-    nowMs: number,
-  ) => readonly SchedulerAction[];
-};
-
 /** Carries out the scheduler's actions. */
 export type Dispatcher = ReturnType<typeof createDispatcher>;
 
 /** Creates the part that queues, sends, forwards and retries requests. */
-export function createDispatcher(options: DispatcherOptions) {
-  const { dependencies, client, schedule } = options;
+export function createDispatcher(
+  dependencies: RequestPathDependencies,
+  client: ExecutorClient,
+) {
+  const scheduler = createScheduler({
+    topology: { pools: [], services: [] },
+  });
   const jobs = new Map<string, Job>();
-  const running = new Map<string, number>();
-  const retries = createRetryBudget();
-  const ticker = setInterval(() => advance({ type: "tick" }), TICK_MS);
-  ticker.unref();
+  let running = 0;
+  let budget = createRetryBudget();
   return {
     advance,
     run,
     cancel,
-    /** Slots in use per host. */
-    running,
-    isIdle: () => jobs.size === 0 && running.size === 0,
-    close: () => clearInterval(ticker),
+    scheduler,
+    /** Number of requests on executors. */
+    running: () => running,
   };
 
   function advance(event: SchedulerEvent): void {
-    const actions = schedule(event, dependencies.nowMs());
+    const nowMs = dependencies.nowMs();
+    const actions = advanceScheduler(scheduler, event, nowMs);
+    dependencies.observeSchedule?.(event, actions, nowMs);
     for (const action of actions) perform(action);
   }
 
@@ -64,9 +64,15 @@
     if (jobs.has(order.id)) {
       return Promise.resolve(unknownOutcome("duplicate-id"));
     }
-    retries.countRequest();
+    budget = earnRetry(budget);
     return new Promise((resolve) => {
-      const job = { order, excludedHosts: [], isQueued: true, resolve };
+      const job: Job = {
+        order,
+        excludedHosts: [],
+        attempts: 0,
+        isQueued: true,
+        resolve,
+      };
       jobs.set(order.id, job);
       arrive(job);
     });
@@ -133,12 +139,11 @@
     const { order } = job;
     job.isQueued = false;
     const startedAtMs = dependencies.nowMs();
-    running.set(host, (running.get(host) ?? 0) + 1);
+    job.attempts += 1;
+    running += 1;
     const result = await exchange(order, host, startedAtMs);
     const finish = () => {
-      const left = (running.get(host) ?? 1) - 1;
-      if (left === 0) running.delete(host);
-      else running.set(host, left);
+      running -= 1;
       const runMs = dependencies.nowMs() - startedAtMs;
       const verdict = judge(order, result, runMs);
       advance({
@@ -150,6 +155,7 @@
         result: verdict,
       });
     };
+    if (result.type === "failed") reportFailure(host, result);
     if (result.type === "streamed") result.stream.once("close", finish);
     else finish();
     if (result.type !== "failed") return settle(job, result);
@@ -189,6 +195,7 @@
   async function forward(job: Job, member: string): Promise<void> {
     const { order } = job;
     job.isQueued = false;
+    job.attempts += 1;
     const outcome = await forwardOrder(order, member, { dependencies });
     if (outcome.type === "failed" && outcome.notRun) {
       // The scheduler queues it again or refuses it.
@@ -204,11 +211,29 @@
   /** Takes a retry if the request may run again and its deadline allows it. */
   function retry(job: Job, isNotRun: boolean): boolean {
     const { order } = job;
-    if (!isNotRun && !order.isIdempotent) return false;
     const service = dependencies.findService(order.service);
-    const neededMs = service?.run_time_ms ?? 0;
-    if (dependencies.nowMs() + neededMs > order.deadlineAtMs) return false;
-    return retries.takeRetry();
+    const decision = decideRetry({
+      sent: isNotRun ? "nothing" : "maybe",
+      isIdempotent: order.isIdempotent,
+      budget,
+      attempts: job.attempts,
+      nowMs: dependencies.nowMs(),
+      deadlineAtMs: order.deadlineAtMs,
+      expectedRunMs: service?.run_time_ms ?? 0,
+    });
+    if (decision.retry) budget = spendRetry(budget);
+    return decision.retry;
+  }
+
+  function reportFailure(
+    host: string,
+    result: { reason: string; notRun: boolean },
+  ): void {
+    const { reason, notRun } = result;
+    dependencies.events.log("exchangeFailed", { host, reason, notRun });
+    if (reason === "wrong-answer") {
+      dependencies.events.log("wrongAnswer", { host });
+    }
   }
 
   function judge(
--- a/packages/daemon/requests/_order.ts
+++ b/packages/daemon/requests/_order.ts
@@ -14,8 +14,6 @@
   deadlineAtMs: number;
   isIdempotent: boolean;
   isForwarded: boolean;
-  /** Team of the caller; empty for a forwarded request. */
-  caller: string;
 };
 
 /** Answer of an executor. */
