--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -1,10 +1,8 @@
-import { type FleetState } from "@lagoonloom/decisions";
 import type { OperatorHandlers } from "@lagoonloom/operators";
 import type { PeerClient, PeerHandlers } from "@lagoonloom/peers";
 import type { PlatformClient } from "@lagoonloom/platform";
 import type { EventLog, Metrics } from "@lagoonloom/telemetry";
 import { appendAndFold } from "./append_and_fold.ts";
-import { buildTopology, listRemoteSlots } from "./build_topology.ts";
 import {
   type ClaimsFollower,
   createClaimsFollower,
@@ -12,14 +10,15 @@
 import { type ControlFold, createControlFold } from "./control_fold.ts";
 import { createCheckpoints } from "./checkpoints.ts";
 import { createHostListCopy } from "./host_list.ts";
+import { listPeerTargets } from "./list_peer_targets.ts";
 import { createLogFollower } from "./log_follower.ts";
+import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createOperatorHandlers } from "./operator_handlers.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
 import {
   createPeerLinks,
   type OwnHeartbeat,
-  type PeerLink,
   type PeerLinks,
   toStatement,
 } from "./peer_links.ts";
@@ -28,13 +27,11 @@
 import { createRunningSlots } from "./running_slots.ts";
 import type { DaemonSettings } from "./settings.ts";
 import { createSlotControl } from "./slot_control.ts";
+import { createTopologyFeed } from "./topology_feed.ts";
 
 /** Interval of the loop in milliseconds. */
 const TICK_MS = 100;
 
-/** Age of the log in milliseconds from which peers are asked for records. */
-const RELAY_AGE_MS = 700;
-
 /** What the daemon gets from outside. */
 export type DaemonDependencies = {
   settings: DaemonSettings;
@@ -95,7 +92,7 @@
     fold,
     events,
     signal: stopped.signal,
-    peersAhead: () => peersAhead(links, fold).map((link) => link.client),
+    peersAhead: () => peersAhead(links, fold),
   });
   const running = createRunningSlots({ longestRequestMs });
   const membership = createMembership({
@@ -153,10 +150,19 @@
         : requestPath.freeSlotsByPool(),
     onAnswer(link, response, sentAtMs) {
       slots.hear(link.name, toStatement(response));
-      void relay(link, sentAtMs);
+      void relayLog(link, { fold, follower, sentAtMs });
     },
   });
 
+  const feed = createTopologyFeed({
+    dataCentre,
+    fold,
+    slots,
+    hostList,
+    links,
+    requestPath,
+  });
+
   function logAgeMs(): number | undefined {
     const readAtMs = follower.readAtMs();
     return readAtMs === undefined ? undefined : performance.now() - readAtMs;
@@ -172,23 +178,11 @@
       nextOffset,
       generation,
       setVersion,
-      logAgeMs: Math.min(Math.ceil(logAgeMs() ?? MAX_AGE_MS), MAX_AGE_MS),
+      logAgeMs: Math.min(Math.ceil(logAgeMs() ?? NEVER_READ_MS), NEVER_READ_MS),
       ...slots.statement(performance.now()),
     };
   }
 
-  /** Uses what a peer read of the log, if this entry host can't read it. */
-  async function relay(link: PeerLink, sentAtMs: number): Promise<void> {
-    const isBehind = link.nextOffset > fold.state().nextOffset;
-    const readAtMs = sentAtMs - link.logAgeMs;
-    const isOld = (logAgeMs() ?? Infinity) > RELAY_AGE_MS;
-    if (isBehind && isOld) {
-      if (!await follower.catchUp(link.client, link.nextOffset)) return;
-    }
-    if (link.nextOffset > fold.state().nextOffset) return;
-    if (link.logAgeMs < MAX_AGE_MS) follower.noteRelay(readAtMs);
-  }
-
   /** At least as new as every reachable peer, each of which was tried. */
   function isCaughtUp(): boolean {
     if (!follower.isLoaded()) return false;
@@ -203,44 +197,12 @@
     return !isStopping && isCaughtUp();
   }
 
-  function updateTopology(): void {
-    const state = fold.state();
-    const topology = buildTopology({
-      state,
-      dataCentre,
-      usable: slots.usable(),
-      listedLeaving: hostList.leaving(),
-    });
-    requestPath.updateTopology(topology, remoteSlots(state));
-  }
-
-  function remoteSlots(state: FleetState) {
-    return listRemoteSlots(links, {
-      nowMs: performance.now(),
-      isNear: (member) => state.members.get(member)?.dataCentre === dataCentre,
-    });
-  }
-
-  function setTargets(): void {
-    const addresses = new Map<string, boolean>(
-      settings.peers.seeds.map((address) => [address, true]),
-    );
-    for (const member of fold.state().members.values()) {
-      if (!isInRegion(fold.state(), member.dataCentre, settings)) continue;
-      addresses.set(member.peerAddress, member.dataCentre === dataCentre);
-    }
-    addresses.delete(settings.peers.address);
-    links.setTargets(
-      [...addresses].map(([address, isNear]) => ({ address, isNear })),
-    );
-  }
-
   function updateMetrics(): void {
     const state = fold.state();
     metrics.setSetVersion(state.setVersion);
     metrics.setLogPosition({
       nextOffset: state.nextOffset,
-      ageMs: logAgeMs() ?? MAX_AGE_MS,
+      ageMs: logAgeMs() ?? NEVER_READ_MS,
     });
     metrics.setSlots({
       usable: slots.usable().size,
@@ -252,12 +214,10 @@
     const nowMs = performance.now();
     links.tick(nowMs);
     membership.tick(nowMs);
-    slots.advance(nowMs);
-    // Counts of free slots change all the time, so that the topology is
-    // updated with each step of the loop.
-    updateTopology();
+    if (slots.advance(nowMs)) feed.rebuild();
+    feed.tick(nowMs);
     void hostList.tick(nowMs).then((hasChanged) => {
-      if (hasChanged) updateTopology();
+      if (hasChanged) feed.rebuild();
     });
     void checkpoints.tick(nowMs);
     updateMetrics();
@@ -274,9 +234,9 @@
     }
     if (change.type !== "settled") return;
     metrics.allowServices(Object.keys(fold.state().set.services));
-    setTargets();
+    links.setTargets(listPeerTargets(fold.state(), settings));
     slots.advance(performance.now());
-    updateTopology();
+    feed.rebuild();
   });
 
   return {
@@ -307,7 +267,7 @@
     }),
     isReady,
     start() {
-      setTargets();
+      links.setTargets(listPeerTargets(fold.state(), settings));
       void follower.run();
       void claims.run();
       timer = setInterval(tick, TICK_MS);
@@ -326,26 +286,11 @@
   };
 }
 
-/** Age that stands for a log that was never read, in milliseconds. */
-const MAX_AGE_MS = 0xffff_ffff;
-
-function peersAhead(links: PeerLinks, fold: ControlFold): PeerLink[] {
+function peersAhead(links: PeerLinks, fold: ControlFold): PeerClient[] {
   const nowMs = performance.now();
   return links.all()
     .filter((link) => links.isAnswering(link, nowMs))
     .filter((link) => link.nextOffset > fold.state().nextOffset)
-    .sort((a, b) => b.nextOffset - a.nextOffset);
-}
-
-/** A data centre without hosts in the set may be in the region. */
-function isInRegion(
-  state: FleetState,
-  dataCentre: string,
-  settings: DaemonSettings,
-): boolean {
-  for (const host of Object.values(state.set.hosts)) {
-    if (host.data_centre !== dataCentre) continue;
-    return host.region === settings.daemon.region;
-  }
-  return true;
+    .sort((a, b) => b.nextOffset - a.nextOffset)
+    .map((link) => link.client);
 }
--- /dev/null
+++ b/packages/daemon/list_peer_targets.ts
@@ -0,0 +1,33 @@
+import type { FleetState } from "@lagoonloom/decisions";
+import type { PeerTarget } from "./peer_links.ts";
+import type { DaemonSettings } from "./settings.ts";
+
+/**
+ * Lists the entry hosts that get heartbeats: the seeds of the settings and the
+ * members of the own region.
+ *
+ * @example
+ * ```ts
+ * links.setTargets(listPeerTargets(fold.state(), settings));
+ * ```
+ */
+export function listPeerTargets(
+  state: FleetState,
+  settings: DaemonSettings,
+): PeerTarget[] {
+  const { data_centre: own, region } = settings.daemon;
+  const near = new Map<string, boolean>(
+    settings.peers.seeds.map((address) => [address, true]),
+  );
+  const regions = new Map<string, string>();
+  for (const host of Object.values(state.set.hosts)) {
+    regions.set(host.data_centre, host.region);
+  }
+  for (const { dataCentre, peerAddress } of state.members.values()) {
+    // A data centre without hosts in the set may be in the region.
+    if ((regions.get(dataCentre) ?? region) !== region) continue;
+    near.set(peerAddress, dataCentre === own);
+  }
+  near.delete(settings.peers.address);
+  return [...near].map(([address, isNear]) => ({ address, isNear }));
+}
--- /dev/null
+++ b/packages/daemon/log_relay.ts
@@ -0,0 +1,42 @@
+import type { ControlFold } from "./control_fold.ts";
+import type { LogFollower } from "./log_follower.ts";
+import type { PeerLink } from "./peer_links.ts";
+
+/** Age of the log in milliseconds from which peers are asked for records. */
+const RELAY_AGE_MS = 700;
+
+/** Age that stands for a log that was never read, in milliseconds. */
+export const NEVER_READ_MS = 0xffff_ffff;
+
+/** Options of {@linkcode relayLog}. */
+export type RelayOptions = {
+  fold: ControlFold;
+  follower: LogFollower;
+  /** Monotonic time at which the answered heartbeat was sent. */
+  sentAtMs: number;
+};
+
+/**
+ * Uses what another entry host read of the log, as its answer to a heartbeat
+ * tells, if this one lacks it. The contact counts from the time at which the
+ * heartbeat was sent, less the age that the peer reported.
+ *
+ * @example
+ * ```ts
+ * await relayLog(link, { fold, follower, sentAtMs });
+ * ```
+ */
+export async function relayLog(
+  link: PeerLink,
+  options: RelayOptions,
+): Promise<void> {
+  const { fold, follower, sentAtMs } = options;
+  const { nextOffset: target, logAgeMs } = link;
+  const readAtMs = follower.readAtMs() ?? -Infinity;
+  const isOld = performance.now() - readAtMs > RELAY_AGE_MS;
+  if (target > fold.state().nextOffset && isOld) {
+    await follower.catchUp(link.client, target);
+  }
+  if (target > fold.state().nextOffset || logAgeMs >= NEVER_READ_MS) return;
+  follower.noteRelay(sentAtMs - logAgeMs);
+}
