Test membership, stand-ins and daemons in processes of their own

The status lists the members with their versions as heard, and explanations come from the decisions. The fold forgets a watcher that ends, since a later process of the same name was never named and an entry host that is alone would lose its rights while the log is down. Real processes: SIGTERM ends with exit code 0 after its request, SIGKILL's slots are taken over, and a process resumed after SIGSTOP ran no request in lost slots.

--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -253,6 +253,7 @@
       isReady,
       logAgeMs,
       listedLeaving: hostList.leaving,
+      links: () => links,
     }),
     peerHandlers: createPeerHandlers({
       fold,
--- /dev/null
+++ b/packages/daemon/daemon_process_test.ts
@@ -0,0 +1,175 @@
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { createOperatorClient } from "@lagoonloom/operators";
+import {
+  createLogStore,
+  createTestFleet,
+  type ExecutorStandin,
+  serveExecutor,
+  serveLog,
+  type Standin,
+} from "@lagoonloom/standins";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { publicationOf } from "./_fixtures.ts";
+
+const KEY = "sixteen-characters";
+const PROGRAM = new URL("../../dist/lagoonloomd.js", import.meta.url).pathname;
+const FIRST_PORT = 27_300;
+
+const children: ChildProcess[] = [];
+const standins: Standin[] = [];
+
+afterEach(async () => {
+  for (const child of children.splice(0)) child.kill("SIGKILL");
+  await Promise.all(standins.splice(0).map((it) => it.close()));
+});
+
+type Process = {
+  child: ChildProcess;
+  port: number;
+  exited: Promise<number | null>;
+};
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+async function until(isTrue: () => Promise<boolean>): Promise<void> {
+  while (!await isTrue().catch(() => false)) await sleep(50);
+}
+
+/** Starts a daemon; its ports are the given one and the next two. */
+function startProcess(number: number, logAddress: string): Process {
+  const port = FIRST_PORT + 10 * number;
+  const directory = mkdtempSync(join(tmpdir(), "lagoonloom-"));
+  const file = join(directory, "settings.ini");
+  writeFileSync(
+    file,
+    `
+[daemon]
+name = detroit-${number}
+region = great-lakes
+data_centre = detroit
+[callers]
+address = 127.0.0.1:${port}
+[operators]
+address = 127.0.0.1:${port + 1}
+[peers]
+address = 127.0.0.1:${port + 2}
+key = ${KEY}
+[platform]
+log = ${logAddress}
+[operator ada]
+key = ${KEY}
+[caller desk]
+key = ${KEY}
+[bounds]
+unready_ms = 100
+longest_request_ms = 2000
+`,
+  );
+  const child = spawn(process.execPath, [PROGRAM, file], { stdio: "ignore" });
+  children.push(child);
+  const exited = new Promise<number | null>((resolve) =>
+    child.once("exit", (code) => {
+      rmSync(directory, { recursive: true });
+      resolve(code);
+    })
+  );
+  return { child, port, exited };
+}
+
+async function isReady({ port }: Process): Promise<boolean> {
+  return (await fetch(`http://127.0.0.1:${port}/readyz`)).status === 200;
+}
+
+async function usableSlots({ port }: Process): Promise<number> {
+  const response = await fetch(`http://127.0.0.1:${port}/metrics`);
+  const found = /^lagoonloom_slots_usable (\d+)$/m.exec(await response.text());
+  return Number(found?.[1]);
+}
+
+function call({ port }: Process, path: string): Promise<Response> {
+  return fetch(`http://127.0.0.1:${port}/v1/services/quoting/${path}`, {
+    headers: { authorization: `Bearer ${KEY}` },
+  });
+}
+
+/** Starts two daemons that share one executor of 8 slots. */
+async function startFleet(): Promise<
+  { first: Process; second: Process; executor: ExecutorStandin }
+> {
+  const executor = await serveExecutor("127.0.0.1:0", { name: "e1" });
+  const store = createLogStore();
+  const log = await serveLog(store, "127.0.0.1:0");
+  standins.push(executor, log);
+  const first = startProcess(1, log.address);
+  await until(() => isReady(first));
+  const set = createTestFleet({
+    pools: { quoting: 1 },
+    addressOf: () => executor.address,
+  });
+  const operators = createOperatorClient({
+    address: `127.0.0.1:${first.port + 1}`,
+    key: KEY,
+    timeoutMs: 10_000,
+  });
+  const outcome = await operators.submitChange(
+    publicationOf("p1", { expectedVersion: 0, set }),
+  );
+  expect(outcome.extract()).toMatchObject({ type: "accepted", version: 1 });
+  await until(async () => await usableSlots(first) === 8);
+  const second = startProcess(2, log.address);
+  await until(async () => await usableSlots(first) === 4);
+  await until(async () => await usableSlots(second) === 4);
+  // Nobody can report the loss of a member that has not named its watcher.
+  const named = () =>
+    store.read("control", { from: 0, limit: 100 }).records
+      .filter(({ id }) => id.startsWith("watch.")).length === 2;
+  await until(() => Promise.resolve(named()));
+  return { first, second, executor };
+}
+
+describe("lagoonloomd", () => {
+  // Guards against requests that a graceful stop interrupts, and against slots
+  // that wait for the fence afterwards.
+  test("finishes running requests after SIGTERM", async () => {
+    const { first, second } = await startFleet();
+    const running = call(second, "x?run_ms=1500");
+    await sleep(300);
+    second.child.kill("SIGTERM");
+    await until(async () => !await isReady(second));
+    expect((await running).status).toBe(200);
+    expect(await second.exited).toBe(0);
+    await until(async () => await usableSlots(first) === 8);
+  });
+
+  // Guards against slots that stay unused after a process died, and against
+  // callers that are refused meanwhile.
+  test("takes over the slots of a killed process", async () => {
+    const { first, second } = await startFleet();
+    second.child.kill("SIGKILL");
+    await second.exited;
+    expect((await call(first, "x")).status).toBe(200);
+    await until(async () => await usableSlots(first) === 8);
+    expect((await call(first, "y")).status).toBe(200);
+  });
+
+  // Guards against a process that uses its old slots after a pause in which it
+  // was reported as lost.
+  test("runs no request in lost slots after SIGSTOP", async () => {
+    const { first, second, executor } = await startFleet();
+    second.child.kill("SIGSTOP");
+    // The request waits in the paused process's listener.
+    const waiting = call(second, "x").then((it) => it.status);
+    await until(async () => await usableSlots(first) === 8);
+    expect(executor.stats.runs).toBe(0);
+    second.child.kill("SIGCONT");
+    await waiting;
+    // It folds its loss, joins again and gets its share back.
+    await until(async () => await usableSlots(first) === 4);
+    await until(async () => await usableSlots(second) === 4);
+    expect((await call(second, "y")).status).toBe(200);
+    expect(executor.stats.maxConcurrent).toBe(1);
+  });
+});
--- a/packages/daemon/operator_handlers.ts
+++ b/packages/daemon/operator_handlers.ts
@@ -1,10 +1,16 @@
-import type { FleetState } from "@lagoonloom/decisions";
+import {
+  explainHost,
+  explainService,
+  explainWave,
+  type FleetState,
+} from "@lagoonloom/decisions";
 import type {
   DaemonStatus,
   Explanation,
   OperatorHandlers,
 } from "@lagoonloom/operators";
 import { whyLeaving } from "./build_topology.ts";
+import type { PeerLinks } from "./peer_links.ts";
 import {
   findPublication,
   listHistory,
@@ -19,6 +25,8 @@
   isReady: () => boolean;
   logAgeMs: () => number | undefined;
   listedLeaving: () => ReadonlySet<string>;
+  /** Connections to the other entry hosts. */
+  links: () => PeerLinks;
 };
 
 /**
@@ -46,6 +54,24 @@
   };
 }
 
+function describeMembers(
+  { fold, links }: OperatorHandlersOptions,
+): DaemonStatus["members"] {
+  const nowMs = performance.now();
+  return [...fold.state().members.values()].map((member) => {
+    const { name, dataCentre } = member;
+    const link = links().find(name);
+    if (link?.answeredAtMs === undefined) return { name, dataCentre };
+    return {
+      name,
+      dataCentre,
+      version: link.setVersion,
+      offset: link.nextOffset,
+      heardMsAgo: nowMs - link.answeredAtMs,
+    };
+  });
+}
+
 function describeStatus(options: OperatorHandlersOptions): DaemonStatus {
   const state = options.fold.state();
   const source = { state, listedLeaving: options.listedLeaving() };
@@ -54,6 +80,7 @@
   return {
     daemon: options.name,
     dataCentre: options.dataCentre,
+    members: describeMembers(options),
     ready: options.isReady(),
     version: state.setVersion,
     offset: state.nextOffset,
@@ -71,61 +98,39 @@
   };
 }
 
-/** Describes the folded decisions about an object. */
+/** Explains an object; undefined if the set has none of that name. */
 function explain(
   state: FleetState,
   object: Pick<Explanation, "kind" | "name">,
 ): Explanation | undefined {
-  const decisions = decisionsAbout(state, object);
-  if (decisions === undefined) return undefined;
-  return {
-    ...object,
-    decisions: decisions.map((it) => ({ ...it, alternatives: [] })),
-  };
+  const sentences = sentencesAbout(state, object);
+  const [decision, ...reasons] = sentences ?? [];
+  if (decision === undefined) return undefined;
+  const reason = reasons.join(" ");
+  return { ...object, decisions: [{ decision, reason, alternatives: [] }] };
 }
 
-type Decision = { timeMs?: number; decision: string; reason: string };
-
-function decisionsAbout(
+function sentencesAbout(
   state: FleetState,
   { kind, name }: Pick<Explanation, "kind" | "name">,
-): Decision[] | undefined {
+): string[] | undefined {
+  const { set } = state;
   switch (kind) {
     case "host":
-      return aboutHost(state, name);
-    case "wave": {
-      const wave = state.waves.get(name);
-      if (wave === undefined) return state.set.waves[name] && [];
-      const { state: decision, reason, sinceMs: timeMs } = wave;
-      return [{ timeMs, decision, reason }];
-    }
+      return state.hosts.has(name)
+        ? explainHost(state, name).sentences
+        : undefined;
+    case "wave":
+      return Object.hasOwn(set.waves, name)
+        ? explainWave(state, name).sentences
+        : undefined;
+    case "service":
+      return Object.hasOwn(set.services, name)
+        ? explainService(state, name).sentences
+        : undefined;
     case "job": {
       const job = state.jobs.get(name);
-      if (job === undefined) return undefined;
-      const { state: decision, reason, sinceMs: timeMs } = job;
-      return [{ timeMs, decision, reason }];
+      return job && [`Job "${name}" is ${job.state}.`, job.reason];
     }
-    case "service":
-      return state.set.services[name] && [];
-  }
-}
-
-function aboutHost(state: FleetState, name: string): Decision[] | undefined {
-  const host = state.hosts.get(name);
-  if (host === undefined) return undefined;
-  const decisions: Decision[] = [{
-    timeMs: host.healthSinceMs,
-    decision: host.health,
-    reason: host.healthReason,
-  }];
-  if (host.permit !== undefined) {
-    const { purpose, reason, grantedAtMs: timeMs } = host.permit;
-    decisions.unshift({ timeMs, decision: `permit to ${purpose}`, reason });
-  }
-  if (host.move !== undefined) {
-    const { to, step, reason, startedAtMs: timeMs } = host.move;
-    const decision = `move to ${to}: ${step}`;
-    decisions.unshift({ timeMs, decision, reason });
   }
-  return decisions;
 }
--- a/packages/decisions/fold/internal/fold_member.ts
+++ b/packages/decisions/fold/internal/fold_member.ts
@@ -107,4 +107,8 @@
   if (ended.length > MAX_ENDED_INCARNATIONS) ended.shift();
   state.endedIncarnations.set(name, ended);
   state.members.delete(name);
+  // A later process of the same name is not the watcher that was named.
+  for (const other of state.members.values()) {
+    if (other.watcher === name) other.watcher = undefined;
+  }
 }
--- a/packages/operators/daemon_status.ts
+++ b/packages/operators/daemon_status.ts
@@ -12,6 +12,17 @@
   grantedAtMs: z.number(),
 });
 
+/** Schema of an entry host as another one last heard of it. */
+export const KnownMember = z.object({
+  name: Name,
+  dataCentre: Name,
+  /** Version of the set in force there; absent if it was never heard. */
+  version: z.int().min(0).optional(),
+  offset: z.int().min(0).optional(),
+  /** Time since it last answered, in milliseconds. */
+  heardMsAgo: z.number().min(0).optional(),
+});
+
 /** Schema of the state of one daemon. */
 export const DaemonStatus = z.object({
   daemon: Name,
@@ -25,6 +36,8 @@
   logAgeMs: z.number().min(0).optional(),
   leaving: z.array(LeavingHost).optional(),
   permits: z.array(OpenPermit).optional(),
+  /** Entry hosts that take part, this one included. */
+  members: z.array(KnownMember).optional(),
 });
 
 /** State of one daemon. */
--- a/packages/standins/log_standin.ts
+++ b/packages/standins/log_standin.ts
@@ -49,6 +49,9 @@
     return sendJson(response, 200, store.faults);
   }
   const { faults } = store;
+  // The body is read first, so that a delayed append takes effect even if its
+  // sender has given up.
+  const sent = request.method === "POST" ? await readJson(request) : undefined;
   if (faults.delayMs > 0) await sleep(faults.delayMs);
   if (faults.isDown) return void request.socket.destroy();
   const stream = STREAMS.find((name) =>
@@ -56,7 +59,7 @@
   );
   if (stream === undefined) return sendJson(response, 404, {});
   if (request.method === "POST") {
-    const { id, body } = Appended.parse(await readJson(request));
+    const { id, body } = Appended.parse(sent);
     const { offset, timeMs } = store.append(stream, { id, body });
     if (faults.lostAnswers > 0) {
       faults.lostAnswers--;
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export type { Standin } from "./_http.ts";
 export * from "./balancer_standin.ts";
 export * from "./executor_standin.ts";
 export * from "./hosts_standin.ts";
