Measure slot excess while entry hosts fail

The rig runs the slot assignment, handover and fencing with the scheduler of each entry host of a data centre, kills, pauses and cuts off entry hosts, and counts the requests at each executor.

--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -1,7 +1,9 @@
 import type { Measure } from "./measure_row.ts";
 import { measureFlood } from "./requests/measure_flood.ts";
+import { measureSlotExcess } from "./requests/measure_slot_excess.ts";
 
 /** Measures by the name that `--only` selects. */
 export const MEASURES: Readonly<Record<string, Measure>> = {
   flood: measureFlood,
+  "slot-excess": measureSlotExcess,
 };
--- a/packages/measure/requests/topologies.ts
+++ b/packages/measure/requests/topologies.ts
@@ -1,7 +1,8 @@
-import type {
-  Topology,
-  TopologyHost,
-  TopologyPool,
+import {
+  assignSlots,
+  type Topology,
+  type TopologyHost,
+  type TopologyPool,
 } from "@lagoonloom/decisions";
 import { type Deployment, SLOTS_PER_EXECUTOR } from "./deployment.ts";
 
@@ -45,8 +46,7 @@
 }
 
 /**
- * Gives the slots of each executor in turn to the entry hosts of its data
- * centre, each executor starting with another one.
+ * Returns the owners of slots as the entry hosts compute them.
  *
  * @example
  * ```ts
@@ -54,19 +54,20 @@
  * ```
  */
 export function spreadSlots(deployment: Deployment): SlotOwner {
-  const { dataCentres, entryHosts } = deployment;
-  const order = new Map<string, number>();
-  const counts = new Map<number, number>();
-  for (const { name, dataCentre } of listExecutors(deployment)) {
-    const count = counts.get(dataCentre) ?? 0;
-    order.set(name, count * SLOTS_PER_EXECUTOR);
-    counts.set(dataCentre, count + 1);
-  }
-  return ({ name, dataCentre }, slot) => {
-    const members = Math.ceil((entryHosts - dataCentre) / dataCentres);
-    const index = (order.get(name)! + slot) % members;
-    return dataCentre + index * dataCentres;
-  };
+  const members = Array.from(
+    { length: deployment.entryHosts },
+    (_, member) => ({
+      name: String(member),
+      dataCentre: String(locateMember(deployment, member)),
+    }),
+  );
+  const hosts = listExecutors(deployment).map(({ name, dataCentre }) => ({
+    name,
+    dataCentre: String(dataCentre),
+    slots: SLOTS_PER_EXECUTOR,
+  }));
+  const assignment = assignSlots({ hosts, members });
+  return ({ name }, slot) => Number(assignment.get(name)![slot]);
 }
 
 /** Options of {@linkcode createTopology}. */
