--- a/packages/decisions/admission/advance_scheduler_test.ts
+++ b/packages/decisions/admission/advance_scheduler_test.ts
@@ -143,6 +143,16 @@
     }
   });
 
+  // Guards against queues that grow without bound while deadlines are far.
+  test("refuses when the queue of the class is full", () => {
+    const state = createScheduler({ topology: OWN_ONLY, maxQueueLength: 2 });
+    const far = { deadlineAtMs: 900_000 };
+    expect(run(state, ["a", "b", "c", "d"].map((id) => arrive(id, far))))
+      .toEqual(["a at huye-0", "d queue-full"]);
+    const urgent = { ...far, urgency: "urgent" } as const;
+    expect(run(state, [arrive("u", urgent)])).toEqual([]);
+  });
+
   // Guards against an estimate that is never corrected, because every request
   // is refused by it.
   test("tries a service whose declared run time is too long", () => {
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -2,10 +2,12 @@
 import { measureFlood } from "./requests/measure_flood.ts";
 import { measureSettling } from "./requests/measure_settling.ts";
 import { measureSlotExcess } from "./requests/measure_slot_excess.ts";
+import { measureStaleForward } from "./requests/measure_stale_forward.ts";
 
 /** Measures by the name that `--only` selects. */
 export const MEASURES: Readonly<Record<string, Measure>> = {
   flood: measureFlood,
   settling: measureSettling,
   "slot-excess": measureSlotExcess,
+  "stale-forward": measureStaleForward,
 };
--- a/packages/measure/requests/simulate_requests.ts
+++ b/packages/measure/requests/simulate_requests.ts
@@ -38,6 +38,19 @@
   returned: number;
   /** Started, but answered after the deadline. */
   late: number;
+  /** Forwards that ran on an executor that the sender knew to be leaving. */
+  stale: number;
+  /** Starts on an executor that some entry host knew to be leaving. */
+  onLeaving: number;
+};
+
+/** Change of the set as one entry host sees it. */
+export type SetChange = {
+  member: number;
+  atMs: number;
+  version: number;
+  /** Names of the executors that are leaving from then on. */
+  leaving: ReadonlySet<string>;
 };
 
 /** Run that is simulated. */
@@ -45,6 +58,9 @@
   deployment: Deployment;
   policy: Policy;
   arrivals: readonly Arrival[];
+  changes?: readonly SetChange[];
+  /** Whether a receiver refuses forwards from a sender with a newer set. */
+  isVersionChecked?: boolean;
 };
 
 /** Simulation in progress. */
@@ -53,6 +69,11 @@
   events: EventQueue;
   deciders: Decider[];
   requests: Map<string, Arrival>;
+  /** Last change that each entry host has seen. */
+  seen: Map<number, SetChange>;
+  /** Newest change that any entry host has seen. */
+  newest: Pick<SetChange, "version" | "leaving">;
+  isVersionChecked: boolean;
   result: RunResult;
 };
 
@@ -83,6 +104,9 @@
     events: createEventQueue(),
     deciders: createDeciders(deployment, policy),
     requests: new Map(arrivals.map((arrival) => [arrival.id, arrival])),
+    seen: new Map(),
+    newest: { version: 0, leaving: new Set() },
+    isVersionChecked: options.isVersionChecked ?? false,
     result: {
       good: new Set(),
       uses: [],
@@ -90,10 +114,15 @@
       forwarded: 0,
       returned: 0,
       late: 0,
+      stale: 0,
+      onLeaving: 0,
     },
   };
   const endMs = (arrivals.at(-1)?.atMs ?? 0) + DRAIN_MS;
   scheduleArrivals(run, arrivals);
+  for (const change of options.changes ?? []) {
+    schedule(run.events, change.atMs, () => changeSet(run, policy, change));
+  }
   run.deciders.forEach((_, member) => {
     repeat(run, TICK_MS, { member, endMs, act: () => tick(run, member) });
     if (policy.isCentral) return;
@@ -113,6 +142,19 @@
     ));
 }
 
+function changeSet(run: Run, policy: Policy, change: SetChange): void {
+  const { member, leaving } = change;
+  run.seen.set(member, change);
+  if (change.version > run.newest.version) run.newest = change;
+  const topology = createTopology(run.deployment, {
+    member,
+    owner: spreadSlots(run.deployment),
+    isLending: policy.isLending,
+    leaving,
+  });
+  advance(run, member, { type: "topology", topology });
+}
+
 /** Schedules each arrival from the one before, to keep the queue short. */
 function scheduleArrivals(run: Run, arrivals: readonly Arrival[]): void {
   const scheduleNext = (index: number) => {
@@ -165,8 +207,9 @@
       run.result.forwarded++;
       const target = Number(action.member);
       const atMs = run.events.nowMs + findLatency(run, member, target);
+      const known = run.seen.get(member);
       schedule(run.events, atMs, () => {
-        advance(run, target, createArrived(arrival, true));
+        receiveForward(run, target, { arrival, home, known });
       });
       break;
     }
@@ -176,6 +219,28 @@
   }
 }
 
+/** Hands a forwarded request to its receiver, and counts stale starts. */
+function receiveForward(
+  run: Run,
+  member: number,
+  options: { arrival: Arrival; home: number; known: SetChange | undefined },
+): void {
+  const { arrival, home, known } = options;
+  const isOlder = (run.seen.get(member)?.version ?? 0) < (known?.version ?? 0);
+  if (run.isVersionChecked && isOlder) {
+    returnRequest(run, member, { id: arrival.id, home });
+    return;
+  }
+  const event = createArrived(arrival, true);
+  const actions = run.deciders[member]!.advance(event, run.events.nowMs);
+  for (const action of actions) {
+    const isStale = action.type === "start" && action.id === arrival.id &&
+      isOlder && known?.leaving.has(action.host);
+    if (isStale) run.result.stale++;
+    carryOut(run, member, action);
+  }
+}
+
 function returnRequest(
   run: Run,
   member: number,
@@ -198,6 +263,7 @@
   const fromMs = run.events.nowMs;
   const toMs = fromMs + runMs + 2 * LOCAL_LATENCY_MS;
   const isBorrowed = !host.startsWith(`${service}-`);
+  if (run.newest.leaving.has(host)) run.result.onLeaving++;
   run.result.uses.push({ service, isBorrowed, fromMs, toMs });
   schedule(run.events, toMs, () => {
     const result = "succeeded";
