Test forwarded orders and let a repeat claim a released order again

A repeat at another entry host was refused when the holder released the order in the meantime; it now claims the order itself within its deadline.

--- a/packages/daemon/requests/_fault_executor.ts
+++ b/packages/daemon/requests/_fault_executor.ts
@@ -45,6 +45,8 @@
   /** Keys of the orders that ran, in order. */
   runs: string[];
   previous: { id: string; body: string };
+  /** Whether a second request on a connection finds it closed. */
+  closesIdle: boolean;
 };
 
 const SLOW_MS = 60;
@@ -52,6 +54,7 @@
 /** Serves an executor that follows the script of a test. */
 export async function serveFaultExecutor(log: ExecutorLog) {
   const sockets = new Set<Socket>();
+  const used = new WeakSet<Socket>();
   const http = createServer((request, response) => {
     void answer(request, response).catch(() => response.destroy());
   });
@@ -111,6 +114,8 @@
     response: ServerResponse,
   ): Promise<void> {
     const { socket } = request;
+    if (log.closesIdle && used.has(socket)) return void socket.destroy();
+    used.add(socket);
     if (!await reach("half-sent", socket)) return;
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
--- a/packages/daemon/requests/_holder_calls.ts
+++ b/packages/daemon/requests/_holder_calls.ts
@@ -13,6 +13,9 @@
 /** Delay before a holder that can't be reached is called again. */
 const HOLDER_RETRY_MS = 200;
 
+/** Time between two looks for a release that is on its way. */
+const FOLD_POLL_MS = 25;
+
 /** Time in which the other entry hosts have to confirm. */
 const CONFIRM_MS = 500;
 
@@ -35,7 +38,10 @@
   };
 }
 
-/** Waits for the outcome of an order that another entry host holds. */
+/**
+ * Waits for the outcome of an order that another entry host holds. The result
+ * is `released` when the order did not run and may be claimed again.
+ */
 export async function waitForHolder(
   state: ClaimsState,
   wait: {
@@ -45,16 +51,25 @@
     deadlineAtMs: number;
   },
   dependencies: RequestPathDependencies,
-): Promise<OrderOutcome> {
+): Promise<OrderOutcome | "released"> {
   const { key, member, incarnation, deadlineAtMs } = wait;
+  let isReleased = false;
   for (;;) {
     const claim = findClaim(state, key);
     if (claim.type === "completed") {
       return readCompleted(dependencies, { key, offset: claim.offset });
     }
-    if (claim.type !== "open") return notRun("holder-released");
+    if (claim.type !== "open") return "released";
     const remainingMs = deadlineAtMs - dependencies.nowMs();
-    if (remainingMs <= 0) return unknownOutcome("deadline");
+    if (remainingMs <= 0) {
+      return isReleased
+        ? notRun("holder-released")
+        : unknownOutcome("deadline");
+    }
+    if (isReleased) {
+      await sleep(FOLD_POLL_MS);
+      continue;
+    }
     if (!dependencies.isCurrentMember(member, incarnation)) {
       return unknownOutcome("holder-gone");
     }
@@ -67,7 +82,8 @@
       case "completed":
         return fromWireAnswer(held.answer);
       case "not-run":
-        return notRun("holder-released");
+        isReleased = true;
+        break;
       case "running":
         break;
       case "unknown":
--- a/packages/daemon/requests/_order_keeper.ts
+++ b/packages/daemon/requests/_order_keeper.ts
@@ -42,6 +42,7 @@
 type Waiting = {
   order: Order;
   key: string;
+  refuseNew: string | undefined;
   resolve: (outcome: OrderOutcome) => void;
 };
 
@@ -92,19 +93,38 @@
   function run(keyed: KeyedOrder): Promise<OrderOutcome> {
     const { order, key, refuseNew, gone } = keyed;
     return new Promise((resolve) => {
-      waiting.set(order.id, { order, key, resolve });
       gone.addEventListener("abort", () => cancel(order.id, key));
-      advance({
-        type: "ordered",
-        id: order.id,
-        key,
-        request: digestRequest(order),
-        deadlineAtMs: order.deadlineAtMs,
-        ...(refuseNew !== undefined && { refuseNew }),
-      });
+      take({ order, key, refuseNew, resolve });
     });
   }
 
+  function take(entry: Waiting): void {
+    const { order, key, refuseNew } = entry;
+    waiting.set(order.id, entry);
+    advance({
+      type: "ordered",
+      id: order.id,
+      key,
+      request: digestRequest(order),
+      deadlineAtMs: order.deadlineAtMs,
+      ...(refuseNew !== undefined && { refuseNew }),
+    });
+  }
+
+  async function waitElsewhere(
+    action: Extract<ClaimAction, { type: "wait-for-holder" }>,
+  ): Promise<void> {
+    const { id, key, member, incarnation } = action;
+    const entry = waiting.get(id);
+    waiting.delete(id);
+    if (entry === undefined) return;
+    const { deadlineAtMs } = entry.order;
+    const wait = { key, member, incarnation, deadlineAtMs };
+    const outcome = await waitForHolder(state, wait, dependencies);
+    if (outcome === "released") take(entry);
+    else entry.resolve(outcome);
+  }
+
   /** Ends an order that was not sent when its caller goes. */
   function cancel(id: string, key: string): void {
     advance({ type: "cancelled", id, key });
@@ -146,12 +166,9 @@
         return settleWith(action.id, join(action.primary));
       case "read-answer":
         return settleWith(action.id, readCompleted(dependencies, action));
-      case "wait-for-holder": {
-        const { id, key, member, incarnation } = action;
-        const deadlineAtMs = waiting.get(id)?.order.deadlineAtMs ?? 0;
-        const wait = { key, member, incarnation, deadlineAtMs };
-        return settleWith(id, waitForHolder(state, wait, dependencies));
-      }
+      case "wait-for-holder":
+        void waitElsewhere(action);
+        return;
       case "refuse":
         return settleWith(action.id, refuse(action));
     }
--- a/packages/decisions/claims/_append_batch.ts
+++ b/packages/decisions/claims/_append_batch.ts
@@ -46,11 +46,10 @@
   }
   const retryAtMs = nowMs + RETRY_MS;
   state.nextAppendAtMs = Math.max(state.nextAppendAtMs, retryAtMs);
-  // A refusal says nothing about an earlier append that had no answer.
-  if (event.result === "unknown" || batch.isUncertain) {
-    batch.isUncertain = true;
-    return;
-  }
+  // The same batch is appended again, since the log may have it.
+  if (event.result === "unknown") return;
+  // An earlier append of a refused batch may still arrive. Its claims then
+  // take effect early, or not at all if it arrives after the next batch.
   state.batch = undefined;
   for (const claim of batch.claims) {
     if (claim.phase === "appended") requeueClaim(state, claim);
@@ -94,7 +93,6 @@
     recordId: `claims.${member}.${incarnation}.${state.lastSequence}`,
     record: { holder: member, incarnation, entries },
     claims,
-    isUncertain: false,
     isAppending: false,
   };
 }
--- a/packages/decisions/claims/claims_state.ts
+++ b/packages/decisions/claims/claims_state.ts
@@ -47,8 +47,6 @@
   recordId: string;
   record: ClaimRecord;
   claims: LocalClaim[];
-  /** Whether an append of it ended without an answer. */
-  isUncertain: boolean;
   isAppending: boolean;
 };
 
