--- a/packages/daemon/requests/_dispatcher.ts
+++ b/packages/daemon/requests/_dispatcher.ts
@@ -54,7 +54,9 @@
   };
 
   function advance(event: SchedulerEvent): void {
-    const actions = advanceScheduler(scheduler, event, dependencies.nowMs());
+    const nowMs = dependencies.nowMs();
+    const actions = advanceScheduler(scheduler, event, nowMs);
+    dependencies.observeSchedule?.(event, actions, nowMs);
     for (const action of actions) perform(action);
   }
 
--- a/packages/daemon/requests/dependencies.ts
+++ b/packages/daemon/requests/dependencies.ts
@@ -1,3 +1,4 @@
+import type { SchedulerAction, SchedulerEvent } from "@lagoonloom/decisions";
 import type { Service } from "@lagoonloom/objects";
 import type { AnswerRecord, Stream } from "@lagoonloom/records";
 import type { EventLog, Metrics } from "@lagoonloom/telemetry";
@@ -67,6 +68,12 @@
    * a claim of this entry host.
    */
   otherMembers?: () => readonly string[];
+  /** Called with each event of the scheduler and what it led to. */
+  observeSchedule?: (
+    event: SchedulerEvent,
+    actions: readonly SchedulerAction[],
+    nowMs: number,
+  ) => void;
   /** Number of entry hosts that take part, which share the rate of appends. */
   liveMembers: () => number;
   events: EventLog;
--- /dev/null
+++ b/packages/daemon/running_slots.ts
@@ -0,0 +1,61 @@
+import type {
+  SchedulerAction,
+  SchedulerEvent,
+  SlotKey,
+} from "@lagoonloom/decisions";
+
+/** Slots on which an executor may run a request of this entry host. */
+export type RunningSlots = {
+  /** Notes the slots that an event and the resulting actions change. */
+  observe(
+    event: SchedulerEvent,
+    actions: readonly SchedulerAction[],
+    nowMs: number,
+  ): void;
+  list(nowMs: number): SlotKey[];
+};
+
+/** Options of {@linkcode createRunningSlots}. */
+export type RunningSlotsOptions = {
+  /** Longest run time of a request in milliseconds. */
+  longestRequestMs: number;
+};
+
+/**
+ * Notes which slots a scheduler uses. A request that was abandoned may go on
+ * running on the executor, so its slot counts as used for the longest run time.
+ *
+ * @example
+ * ```ts
+ * const running = createRunningSlots({ longestRequestMs: 10_000 });
+ * running.list(performance.now());
+ * ```
+ */
+export function createRunningSlots(
+  options: RunningSlotsOptions,
+): RunningSlots {
+  const running = new Map<SlotKey, number>();
+  const abandonedUntilMs = new Map<SlotKey, number>();
+  return {
+    observe(event, actions, nowMs) {
+      if (event.type === "finished") {
+        const key: SlotKey = `${event.host}/${event.slot}`;
+        running.delete(key);
+        if (event.result === "abandoned") {
+          const startedAtMs = nowMs - event.runMs;
+          abandonedUntilMs.set(key, startedAtMs + options.longestRequestMs);
+        }
+      }
+      for (const action of actions) {
+        if (action.type !== "start") continue;
+        running.set(`${action.host}/${action.slot}`, nowMs);
+      }
+    },
+    list(nowMs) {
+      for (const [key, untilMs] of abandonedUntilMs) {
+        if (untilMs <= nowMs) abandonedUntilMs.delete(key);
+      }
+      return [...new Set([...running.keys(), ...abandonedUntilMs.keys()])];
+    },
+  };
+}
