Never call a request not run after an attempt that may have run

An idempotent request whose first attempt broke was retried, and if the retry found no executor its caller was told not-run. The outcome now stays unknown after such an attempt. A connection that the executor closed while it was idle no longer excludes or blames the executor, and the retry opens a new one. A process that was declared lost and joined again still answers for its orders.

--- a/packages/daemon/requests/_dispatcher.ts
+++ b/packages/daemon/requests/_dispatcher.ts
@@ -21,11 +21,23 @@
 /** A run this many times longer than declared counts against its host. */
 const SLOW_RUN_FACTOR = 2;
 
+/** Failures that say something about the executor. */
+const TELLING_FAILURES = new Set([
+  "connect",
+  "deadline",
+  "broken",
+  "wrong-answer",
+  "unframed-answer",
+  "refused",
+]);
+
 /** Scheduled order that has no outcome yet. */
 type Job = {
   order: Order;
   excludedHosts: string[];
   attempts: number;
+  /** Whether an earlier attempt ended with an unknown outcome. */
+  mayHaveRun: boolean;
   isQueued: boolean;
   resolve: (outcome: OrderOutcome) => void;
 };
@@ -70,6 +82,7 @@
         order,
         excludedHosts: [],
         attempts: 0,
+        mayHaveRun: false,
         isQueued: true,
         resolve,
       };
@@ -105,7 +118,9 @@
 
   function settle(job: Job, outcome: OrderOutcome): void {
     jobs.delete(job.order.id);
-    job.resolve(outcome);
+    const isFalse = outcome.type === "failed" && outcome.notRun &&
+      job.mayHaveRun;
+    job.resolve(isFalse ? unknownOutcome(outcome.reason) : outcome);
   }
 
   function perform(action: SchedulerAction): void {
@@ -141,7 +156,7 @@
     const startedAtMs = dependencies.nowMs();
     job.attempts += 1;
     running += 1;
-    const result = await exchange(order, host, startedAtMs);
+    const result = await exchange(job, host, startedAtMs);
     const finish = () => {
       running -= 1;
       const runMs = dependencies.nowMs() - startedAtMs;
@@ -161,18 +176,20 @@
     if (result.type !== "failed") return settle(job, result);
     const { notRun: isNotRun, reason } = result;
     const mayRetry = reason !== "slot-rights" && reason !== "deadline";
+    job.mayHaveRun ||= !isNotRun;
     if (mayRetry && retry(job, isNotRun)) {
-      job.excludedHosts.push(host);
+      if (reason !== "stale-connection") job.excludedHosts.push(host);
       return arrive(job);
     }
     settle(job, isNotRun ? notRun(reason) : unknownOutcome(reason));
   }
 
   function exchange(
-    order: Order,
+    job: Job,
     host: string,
     nowMs: number,
   ): Promise<ExchangeResult> {
+    const { order } = job;
     const address = dependencies.hostAddress(host);
     const remainingMs = order.deadlineAtMs - nowMs;
     if (address === undefined || remainingMs <= 0) {
@@ -187,7 +204,8 @@
       headers: order.headers,
       body: order.body,
       remainingMs,
-      mayReuseConnection: order.isIdempotent,
+      // A retry must not meet a second connection that is closing.
+      mayReuseConnection: order.isIdempotent && job.attempts === 1,
       maySend: dependencies.hasSlotRights,
     });
   }
@@ -203,6 +221,7 @@
       return advance({ type: "returned", id: order.id, member });
     }
     advance({ type: "forward-ended", id: order.id });
+    job.mayHaveRun ||= outcome.type === "failed";
     const mayRetry = outcome.type === "failed" && outcome.reason !== "deadline";
     if (mayRetry && retry(job, false)) return arrive(job);
     settle(job, outcome);
@@ -244,7 +263,7 @@
     if (result.type !== "failed") {
       return result.status >= 500 ? "failed" : "succeeded";
     }
-    if (result.reason === "slot-rights") return "abandoned";
+    if (!TELLING_FAILURES.has(result.reason)) return "abandoned";
     if (result.reason !== "deadline") return "failed";
     const service = dependencies.findService(order.service);
     const slowMs = SLOW_RUN_FACTOR * (service?.run_time_ms ?? 0);
--- a/packages/daemon/requests/_holder_calls.ts
+++ b/packages/daemon/requests/_holder_calls.ts
@@ -10,6 +10,9 @@
 /** Longest wait of one call to a holder. */
 const HOLDER_WAIT_MS = 2_000;
 
+/** Longest wait for a holder that is no longer a member. */
+const GONE_HOLDER_WAIT_MS = 500;
+
 /** Delay before a holder that can't be reached is called again. */
 const HOLDER_RETRY_MS = 200;
 
@@ -70,13 +73,14 @@
       await sleep(FOLD_POLL_MS);
       continue;
     }
-    if (!dependencies.isCurrentMember(member, incarnation)) {
-      return unknownOutcome("holder-gone");
-    }
-    const waitMs = Math.floor(Math.min(remainingMs, HOLDER_WAIT_MS));
+    // A process that was declared lost has a new incarnation, but still knows
+    // its orders.
+    const isCurrent = dependencies.isCurrentMember(member, incarnation);
+    const longestMs = isCurrent ? HOLDER_WAIT_MS : GONE_HOLDER_WAIT_MS;
+    const waitMs = Math.floor(Math.min(remainingMs, longestMs));
     const held = await withinMs(
       dependencies.awaitOutcomeAt(member, key, waitMs).catch(() => undefined),
-      remainingMs,
+      isCurrent ? remainingMs : waitMs,
     );
     switch (held?.type) {
       case "completed":
@@ -89,10 +93,13 @@
       case "unknown":
         // The end may be on its way here through the log.
         if (findClaim(state, key).type === "open") {
-          return unknownOutcome("outcome-unknown");
+          return unknownOutcome(
+            isCurrent ? "outcome-unknown" : "holder-gone",
+          );
         }
         break;
       default:
+        if (!isCurrent) return unknownOutcome("holder-gone");
         await sleep(HOLDER_RETRY_MS);
     }
   }
--- a/packages/daemon/requests/_order_keeper.ts
+++ b/packages/daemon/requests/_order_keeper.ts
@@ -76,6 +76,8 @@
   const outcomes = new Map<string, Promise<SharedOutcome>>();
   /** Orders whose outcome another caller waits for too. */
   const joined = new Set<string>();
+  /** Whether the claims of the log were folded once since the start. */
+  let hasBeenFresh = false;
   let wakeTimer: NodeJS.Timeout | undefined;
   return {
     run,
@@ -132,6 +134,7 @@
   }
 
   function tick(): void {
+    hasBeenFresh ||= dependencies.logIsFresh();
     advance({ type: "members", live: dependencies.liveMembers() });
     advance({ type: "tick" });
   }
@@ -140,6 +143,7 @@
     const body = ClaimRecord.safeParse(record.body);
     if (!body.success) return;
     const { id, timeMs } = record;
+    hasBeenFresh ||= dependencies.logIsFresh();
     advance({ type: "folded", id, timeMs, body: body.data });
   }
 
@@ -250,23 +254,24 @@
     return held.type === "not-found" ? notRun(reason) : unknownOutcome(reason);
   }
 
+  /** Whether no claim that was folded elsewhere may be unseen here. */
+  function hasSeenClaims(): boolean {
+    const { member, incarnation } = settings;
+    return hasBeenFresh && dependencies.isCurrentMember(member, incarnation);
+  }
+
   /** Tells another entry host what is known of an order. */
   async function awaitOutcome(
     key: string,
     waitMs: number,
   ): Promise<HeldOutcome> {
     const endAtMs = dependencies.nowMs() + waitMs;
-    const { member, incarnation } = settings;
-    // A process that has not joined may have missed claims of its name.
-    if (!dependencies.isCurrentMember(member, incarnation)) {
-      return { type: "unknown" };
-    }
     for (;;) {
       const claim = findClaim(state, key);
       const remainingMs = endAtMs - dependencies.nowMs();
       switch (claim.type) {
         case "none":
-          return { type: "not-found" };
+          return { type: hasSeenClaims() ? "not-found" : "unknown" };
         case "released":
           return { type: "not-run" };
         case "open":
--- a/packages/daemon/requests/request_faults_test.ts
+++ b/packages/daemon/requests/request_faults_test.ts
@@ -27,6 +27,10 @@
     fixture.executors[0]!.kill();
     return [];
   },
+  "other executor down": (fixture) => {
+    fixture.executors[1]!.kill();
+    return [];
+  },
   "caller gone": (_, { gone }) => {
     gone.abort();
     return [];
@@ -198,6 +202,17 @@
   });
 });
 
+describe("faults of all executors", () => {
+  // Guards against "not-run" after a retry that found no executor, although
+  // the first attempt may have run.
+  test.each(["killed", "reset"] as const)("%s", async (fault) => {
+    const happening = "other executor down";
+    const options = { fault, happening, isOrder: false };
+    const [attempt] = await runCase("unanswered", options);
+    expect(attempt).toMatchObject({ outcome: "unknown" });
+  });
+});
+
 describe("faults beside the executors", () => {
   const rows = STEPS.flatMap((step) =>
     Object.keys(HAPPENINGS).map((happening) => ({ step, happening }))
--- a/packages/decisions/claims/advance_claims_test.ts
+++ b/packages/decisions/claims/advance_claims_test.ts
@@ -200,6 +200,50 @@
     expect(ran).toBeGreaterThan(1_000);
   });
 
+  const [key, request] = [KEYS[0]!, REQUESTS[0]!];
+  const claimed = { type: "claimed", key, request } as const;
+  const released = { type: "released", key } as const;
+  const fold = (
+    state: ClaimsState,
+    sequence: number,
+    entry: typeof claimed | typeof released,
+  ) => {
+    const body = { holder: "a", incarnation: "1", entries: [entry] };
+    const id = `claims.a.1.${sequence}`;
+    return advanceClaims(state, { type: "folded", id, timeMs: 0, body }, 0);
+  };
+  const order = (state: ClaimsState) => {
+    const id = "order-1";
+    const event = {
+      type: "ordered",
+      id,
+      key,
+      request,
+      deadlineAtMs: 9,
+    } as const;
+    return advanceClaims(state, event, 0);
+  };
+
+  // Guards against a late copy of a release that frees a newer claim.
+  test("ignores a batch that arrives again", () => {
+    const state = createClaims({ member: "b", incarnation: "1" });
+    fold(state, 1, claimed);
+    fold(state, 2, released);
+    fold(state, 3, claimed);
+    fold(state, 2, released);
+    expect(order(state)).toMatchObject([{ type: "wait-for-holder" }]);
+  });
+
+  // Guards against a key that stays blocked by an order that was given up.
+  test("releases a claim whose order was given up", () => {
+    const state = createClaims({ member: "a", incarnation: "1" });
+    expect(order(state)).toMatchObject([{ type: "append" }]);
+    advanceClaims(state, { type: "cancelled", id: "order-1", key }, 0);
+    fold(state, 1, claimed);
+    expect(advanceClaims(state, { type: "tick" }, 10))
+      .toMatchObject([{ record: { entries: [released] } }]);
+  });
+
   // Guards against more than 200 appends per second of all entry hosts.
   test("spaces appends, but sends the first after idle at once", () => {
     const state = createClaims({ member: "a", incarnation: "1" });
--- a/packages/endpoints/exchange_result.ts
+++ b/packages/endpoints/exchange_result.ts
@@ -7,6 +7,8 @@
   | "slot-rights"
   | "deadline"
   | "broken"
+  /** An idle connection ended before any byte of the answer. */
+  | "stale-connection"
   | "wrong-answer"
   | "unframed-answer"
   | "refused";
