--- a/packages/decisions/claims/advance_claims_test.ts
+++ b/packages/decisions/claims/advance_claims_test.ts
@@ -27,6 +27,7 @@
   const log: { id: string; timeMs: number; body: Batch["record"] }[] = [];
   /** Batches on their way to the log, which may arrive more than once. */
   const travelling: Batch[] = [];
+  const appendCounts = new Map<string, number>();
   const runs = new Map<string, number>();
   const toldNotRun = new Set<string>();
   const problems: string[] = [];
@@ -48,7 +49,11 @@
   }
 
   function perform(holder: Holder, action: ClaimAction): void {
-    if (action.type === "append") travelling.push(action);
+    if (action.type === "append") {
+      travelling.push(action);
+      const { recordId } = action;
+      appendCounts.set(recordId, (appendCounts.get(recordId) ?? 0) + 1);
+    }
     if (action.type === "refuse" && action.notRun) toldNotRun.add(action.id);
     if (action.type !== "send") return;
     const { id, key } = action;
@@ -82,7 +87,8 @@
       const isStored = log.some(({ id }) => id === recordId);
       const isTravelling = travelling.some((it) => it.recordId === recordId);
       // A refusal concerns one append, not an earlier one without an answer.
-      const mayRefuse = batch.isUncertain || !(isStored || isTravelling);
+      const appends = appendCounts.get(recordId) ?? 0;
+      const mayRefuse = appends > 1 || !(isStored || isTravelling);
       const result = choice % 3 === 0 && mayRefuse
         ? "refused"
         : choice % 3 === 1 && isStored
@@ -131,7 +137,28 @@
       Object.assign(holder, next);
     },
   };
-  return { holders, runs, steps, problems };
+  return { holders, runs, steps, problems, settle };
+
+  /** Lets everything on its way arrive, then orders each key everywhere. */
+  function settle(): void {
+    for (let round = 0; round < 8; round += 1) {
+      for (const holder of holders) {
+        if (round === 3) {
+          KEYS.forEach((_, index) => steps.order(holder, index + 6));
+        }
+        while (travelling.length > 0) steps.store(holder, 1);
+        const recordId = holder.state.batch?.recordId;
+        const result = "appended";
+        if (recordId) {
+          advance(holder, { type: "append-result", recordId, result });
+        }
+        while (holder.folded < log.length) steps.fold(holder);
+        while (holder.running.length > 0) steps.end(holder, 0);
+        nowMs += 20;
+        advance(holder, { type: "tick" });
+      }
+    }
+  }
 }
 
 const STEP_NAMES = Object.keys(createModel().steps) as (
@@ -151,7 +178,7 @@
       fc.nat({ max: 1 }),
       fc.nat({ max: 59 }),
     );
-    const steps = fc.array(step, { minLength: 40, maxLength: 150 });
+    const steps = fc.array(step, { minLength: 60, maxLength: 300 });
     let ran = 0;
     fc.assert(
       fc.property(steps, (sequence) => {
@@ -162,6 +189,7 @@
             choice,
           );
         }
+        model.settle();
         const counts = [...model.runs.values()];
         ran += counts.length;
         expect(model.problems).toEqual([]);
@@ -172,6 +200,50 @@
     expect(ran).toBeGreaterThan(1_000);
   });
 
+  const [key, request] = [KEYS[0]!, REQUESTS[0]!];
+  const claimed = { type: "claimed", key, request } as const;
+  const released = { type: "released", key } as const;
+  const fold = (
+    state: ClaimsState,
+    sequence: number,
+    entry: typeof claimed | typeof released,
+  ) => {
+    const body = { holder: "a", incarnation: "1", entries: [entry] };
+    const id = `claims.a.1.${sequence}`;
+    return advanceClaims(state, { type: "folded", id, timeMs: 0, body }, 0);
+  };
+  const order = (state: ClaimsState) => {
+    const id = "order-1";
+    const event = {
+      type: "ordered",
+      id,
+      key,
+      request,
+      deadlineAtMs: 9,
+    } as const;
+    return advanceClaims(state, event, 0);
+  };
+
+  // Guards against a late copy of a release that frees a newer claim.
+  test("ignores a batch that arrives again", () => {
+    const state = createClaims({ member: "b", incarnation: "1" });
+    fold(state, 1, claimed);
+    fold(state, 2, released);
+    fold(state, 3, claimed);
+    fold(state, 2, released);
+    expect(order(state)).toMatchObject([{ type: "wait-for-holder" }]);
+  });
+
+  // Guards against a key that stays blocked by an order that was given up.
+  test("releases a claim whose order was given up", () => {
+    const state = createClaims({ member: "a", incarnation: "1" });
+    expect(order(state)).toMatchObject([{ type: "append" }]);
+    advanceClaims(state, { type: "cancelled", id: "order-1", key }, 0);
+    fold(state, 1, claimed);
+    expect(advanceClaims(state, { type: "tick" }, 10))
+      .toMatchObject([{ record: { entries: [released] } }]);
+  });
+
   // Guards against more than 200 appends per second of all entry hosts.
   test("spaces appends, but sends the first after idle at once", () => {
     const state = createClaims({ member: "a", incarnation: "1" });
