--- a/packages/measure/requests/slot_cluster.ts
+++ b/packages/measure/requests/slot_cluster.ts
@@ -166,7 +166,8 @@
     const isReplaced = record.type === "lost" || known !== undefined;
     if (isReplaced && cluster.isFenced) {
       const fenceMs = FENCE_MS + LONGEST_REQUEST_MS;
-      fenceSlots(member.handover, nowMs + fenceMs);
+      const untilMs = nowMs + fenceMs;
+      fenceSlots(member.handover, { untilMs, member: record.name });
     }
     changeOwners(cluster, member);
   }
@@ -198,7 +199,9 @@
   const { generation } = member;
   const basis = slotBasis({ generation, hosts } satisfies SlotBasisInput);
   const nextOffset = member.nextOffset + 1;
-  changeSlotOwners(member.handover, { basis, nextOffset, owners }, others);
+  const isMember = member.folded.get(member.name) === member.incarnation;
+  const next = { basis, nextOffset, owners };
+  changeSlotOwners(member.handover, next, { others, isMember });
 }
 
 /** Joins again after the own incarnation was reported as lost. */
