Add the demo on separate processes

The whole path was not run end to end yet.

The executor stand-in now counts a run when it starts and a request until its run ends, which is stricter than before.

--- /dev/null
+++ b/packages/measure/demo/wave.ts
@@ -0,0 +1,72 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import { type FleetProcesses, runProgram } from "../processes/mod.ts";
+import type { PromiseRow } from "./promises.ts";
+
+/** Wave that the demo published. */
+export type StartedWave = { name: string; pool: string; minAvailable: number };
+
+const WAVE = `
+[wave demo]
+pools = quoting
+outage_s = 1
+finish_within_h = 1
+state = active
+`;
+
+/**
+ * Publishes a short maintenance wave over one pool.
+ *
+ * @throws {Error} If the publication is refused.
+ *
+ * @example
+ * ```ts
+ * const wave = await startWave(fleet, "/tmp/run/lakeshore.ini");
+ * ```
+ */
+export async function startWave(
+  fleet: FleetProcesses,
+  setFile: string,
+): Promise<StartedWave> {
+  writeFileSync(setFile, readFileSync(setFile, "utf8") + WAVE);
+  const { code, output } = await runProgram("lagoonloom", [
+    "publish",
+    setFile,
+    "--expected-version",
+    "1",
+    "--settings",
+    fleet.cliSettings,
+  ]);
+  if (code !== 0) throw new Error(`The wave was refused: ${output}`);
+  return { name: "demo", pool: "quoting", minAvailable: 4 };
+}
+
+/**
+ * Reads from the entry hosts how far the wave came.
+ *
+ * @example
+ * ```ts
+ * const row = await checkWave(fleet, wave);
+ * ```
+ */
+export async function checkWave(
+  fleet: FleetProcesses,
+  wave: StartedWave,
+): Promise<PromiseRow> {
+  for (const client of fleet.clients.values()) {
+    const explanation = await client.explain("wave", wave.name);
+    if (explanation.isLeft()) continue;
+    const decision = explanation.unsafeCoerce().decisions[0];
+    return {
+      promise: "the wave runs under the budgets",
+      holds: decision !== undefined,
+      detail: decision === undefined
+        ? "not started"
+        : `${decision.decision}: ${decision.reason}`,
+    };
+  }
+  return {
+    promise: "the wave runs under the budgets",
+    holds: false,
+    detail: "no entry host answered",
+  };
+}
--- a/packages/standins/executor_standin.ts
+++ b/packages/standins/executor_standin.ts
@@ -114,25 +114,23 @@
   const { stats } = executor;
   executor.present++;
   stats.maxConcurrent = Math.max(stats.maxConcurrent, executor.present);
-  response.on("close", () => executor.present--);
   const body = await readBody(request);
   await takeSlot(executor);
-  try {
-    const fault = takeFault(executor);
-    const runMs = Number(
-      urlOf(request).searchParams.get("run_ms") ?? executor.options.runMs,
-    );
-    await sleep(fault?.kind === "slow" ? runMs + fault.slowMs : runMs);
-    stats.runs++;
-    const key = request.headers["idempotency-key"];
-    if (typeof key === "string") {
-      stats.runsByKey[key] = (stats.runsByKey[key] ?? 0) + 1;
-    }
-    answer(executor, { request, response, body, fault });
-  } finally {
-    executor.running--;
-    executor.waiting.shift()?.();
+  stats.runs++;
+  const key = request.headers["idempotency-key"];
+  if (typeof key === "string") {
+    stats.runsByKey[key] = (stats.runsByKey[key] ?? 0) + 1;
   }
+  const fault = takeFault(executor);
+  const runMs = Number(
+    urlOf(request).searchParams.get("run_ms") ?? executor.options.runMs,
+  );
+  const wantedMs = fault?.kind === "slow" ? runMs + fault.slowMs : runMs;
+  // An executor gives up at the deadline, since nobody waits any longer.
+  const deadlineMs = Number(request.headers["request-deadline-ms"] ?? "NaN");
+  await sleep(deadlineMs < wantedMs ? deadlineMs : wantedMs);
+  leave(executor);
+  answer(executor, { request, response, body, fault });
 }
 
 function answer(
@@ -186,6 +184,12 @@
   }
 }
 
+function leave(executor: Executor): void {
+  executor.present--;
+  executor.running--;
+  executor.waiting.shift()?.();
+}
+
 async function takeSlot(executor: Executor): Promise<void> {
   while (executor.running >= executor.options.slots) {
     await new Promise<void>((resolve) => executor.waiting.push(resolve));
