Shorten the queues of a lasting overload

A queue as long as its deadline allows served 3% of a flood's requests too late. After 5 s of backlog, arrivals are refused when they would wait for more than 0.6 of the time until they have to start.

Serving the newest request first under overload, tried instead, gave the flood 2% to 7% more goodput but took up to 7% from other desks at peaks of 4 pools or deadlines of 3 run times, so queues stay in the order of deadlines.

--- a/packages/decisions/admission/advance_scheduler_test.ts
+++ b/packages/decisions/admission/advance_scheduler_test.ts
@@ -153,6 +153,36 @@
     expect(run(state, [arrive("u", urgent)])).toEqual([]);
   });
 
+  // Guards against an owner that always has to wait for borrowed slots.
+  test("withholds headroom from a service that borrows for long", () => {
+    const slots = Array.from({ length: 50 }, (_, slot) => slot);
+    const topology = createTopology({ spare: [slots], none: [] }, [
+      createService("owner", { pool: "spare" }),
+      createService("guest", { pool: "none", overflow: ["spare"] }),
+    ]);
+    const state = createScheduler({ topology });
+    const place = { host: "spare-0", slot: 0 };
+    for (let nowMs = 0; nowMs <= 2_000; nowMs += 10) {
+      const isOwner = nowMs < 1_000;
+      const options = {
+        service: isOwner ? "owner" : "guest",
+        deadlineAtMs: 99_000,
+      };
+      advanceScheduler(state, arrive(`r${nowMs}`, options), nowMs);
+      const { host, slot } = state.running.get(`r${nowMs}`) ?? place;
+      if (!isOwner && nowMs !== 1_000) continue;
+      const runMs = isOwner ? 1 : 3_000;
+      const end = finish(`r${nowMs}`, { host, slot }, { runMs });
+      advanceScheduler(state, end, nowMs + 5);
+    }
+    expect(state.running.size).toBe(48);
+    const owner = { service: "owner", deadlineAtMs: 99_000 };
+    const starts = ["a", "b", "c"].flatMap((id) =>
+      advanceScheduler(state, arrive(id, owner), 2_001)
+    );
+    expect(starts).toHaveLength(2);
+  });
+
   // Guards against an estimate that is never corrected, because every request
   // is refused by it.
   test("tries a service whose declared run time is too long", () => {
--- a/packages/decisions/admission/request_queue.ts
+++ b/packages/decisions/admission/request_queue.ts
@@ -9,6 +9,8 @@
   lastStartAtMs: number;
   /** Whether requests were left waiting at the last start. */
   wasBacklogged: boolean;
+  /** Time since which each start left requests waiting. */
+  backlogSinceMs: number | undefined;
 };
 
 /** Weight of the newest interval between two starts. */
@@ -28,6 +30,7 @@
     startIntervalMs: undefined,
     lastStartAtMs: 0,
     wasBacklogged: false,
+    backlogSinceMs: undefined,
   };
 }
 
@@ -88,4 +91,6 @@
   }
   queue.lastStartAtMs = nowMs;
   queue.wasBacklogged = queue.items.length > 0;
+  if (!queue.wasBacklogged) queue.backlogSinceMs = undefined;
+  else queue.backlogSinceMs ??= nowMs;
 }
--- a/packages/decisions/admission/shedding.ts
+++ b/packages/decisions/admission/shedding.ts
@@ -9,6 +9,18 @@
 const MIN_RETRY_AFTER_MS = 100;
 const MAX_RETRY_AFTER_MS = 30_000;
 
+/** Age in milliseconds from which a backlog counts as a lasting overload. */
+const LASTING_BACKLOG_MS = 5_000;
+
+/**
+ * Part of the time until its deadline that a request may be planned to wait in
+ * a lasting overload. The measured rate varies, and a queue as long as the
+ * deadline allows serves a part too late; a queue of 0.6 of it did so for a
+ * quarter as many at the same goodput. A short peak may use the whole time,
+ * since shorter queues cost peaks of 4 pools up to 7% of their requests.
+ */
+const LASTING_WAIT_SHARE = 0.6;
+
 /**
  * Tells whether a request that starts now probably ends before its deadline. A
  * service of which nothing runs may always try one, since an estimate that is
@@ -74,8 +86,10 @@
   const { urgency } = request;
   const ahead = findPosition(queue, request);
   const waitMs = estimateWait(service, { urgency, ahead });
-  const endMs = nowMs + waitMs + service.runTime.highMs;
-  return ahead > 0 && endMs > request.deadlineAtMs ? "deadline" : undefined;
+  const limitMs = request.deadlineAtMs - nowMs - service.runTime.highMs;
+  const backlogMs = nowMs - (queue.backlogSinceMs ?? nowMs);
+  const share = backlogMs > LASTING_BACKLOG_MS ? LASTING_WAIT_SHARE : 1;
+  return ahead > 0 && waitMs > limitMs * share ? "deadline" : undefined;
 }
 
 /** Whether any executor, here or at another entry host, may take it. */
