Choose the hosts of a wave over all data centres

Deciders of several data centres competed for the places of a pool, and the first hosts of a wave cost a whole batch of the fleet. Every decider now chooses over all data centres and grants its own hosts; a return frees its place in the same round; in waves of ten batches or more one host per pool goes first, and in shorter ones only the pools with a batch to spare wait.

The checker blames a move for failed hosts only if it raises the demand of the budget; a schedule with two rack failures had shown a move that changed neither the demand nor the hosts in service.

--- a/packages/decisions/budgets/hosts_that_may_be_out.ts
+++ b/packages/decisions/budgets/hosts_that_may_be_out.ts
@@ -19,8 +19,8 @@
 export type OutOptions = {
   /** Hosts to choose from. */
   candidates: readonly string[];
-  /** Most hosts to choose; all that the budgets allow if absent. */
-  limit?: number;
+  /** Most hosts to choose of a pool; all that budgets allow if absent. */
+  perPool?: (pool: string) => number;
   /** Counts to go on from, by pool; they are updated. */
   capacities?: Map<string, PoolCapacity>;
 };
@@ -45,7 +45,8 @@
   for (const [pool, names] of groupByOwner(state, options.candidates)) {
     const capacity = capacities.get(pool) ?? poolCapacity(state, pool);
     capacities.set(pool, capacity);
-    chooseOfPool(state, capacity, { names, choice, limit: options.limit });
+    const limit = options.perPool?.(pool) ?? Infinity;
+    chooseOfPool(state, capacity, { names, choice, limit });
   }
   return choice;
 }
@@ -53,7 +54,7 @@
 type PoolChoice = {
   names: string[];
   choice: OutChoice;
-  limit: number | undefined;
+  limit: number;
 };
 
 function chooseOfPool(
@@ -62,14 +63,15 @@
   { names, choice, limit }: PoolChoice,
 ): void {
   const racks = groupByRack(state, names);
+  const before = choice.hosts.length;
   while (racks.size > 0) {
     const rack = fullestRack(racks, capacity);
     const rest = racks.get(rack) ?? [];
     const name = rest.shift();
     if (rest.length === 0) racks.delete(rack);
     if (name === undefined) continue;
-    const reason = limit !== undefined && choice.hosts.length >= limit
-      ? `At most ${limit} hosts are taken out now.`
+    const reason = choice.hosts.length - before >= limit
+      ? `At most ${limit} hosts of "${capacity.pool}" are taken out now.`
       : whyNotOut(state, capacity, name);
     if (reason === undefined) {
       takeOut(state, capacity, name);
--- a/packages/decisions/budgets/pool_capacity.ts
+++ b/packages/decisions/budgets/pool_capacity.ts
@@ -30,6 +30,8 @@
   dataCentres: Map<string, PlaceCapacity>;
   /** Whether the fleet allows the loss of a rack besides a planned stop. */
   reservesRack: boolean;
+  /** Hosts of the fullest rack. */
+  largestRack: number;
 };
 
 /**
@@ -73,16 +75,31 @@
     racks: new Map(),
     dataCentres: new Map(),
     reservesRack: false,
+    largestRack: 0,
   };
   for (const name of names) countHost(state, capacity, name);
-  let largest = 0;
   for (const { total } of capacity.racks.values()) {
-    largest = Math.max(largest, total);
+    capacity.largestRack = Math.max(capacity.largestRack, total);
   }
-  capacity.reservesRack = capacity.total - largest > capacity.required.value;
+  capacity.reservesRack =
+    capacity.total - capacity.largestRack > capacity.required.value;
   return capacity;
 }
 
+/**
+ * Returns about how many hosts of a pool may be out by plan when all are
+ * healthy. The limits per rack and data centre can lower it further.
+ *
+ * @example
+ * ```ts
+ * const width = maxPlannedOut(poolCapacity(state, "orders"));
+ * ```
+ */
+export function maxPlannedOut(capacity: PoolCapacity): number {
+  const { total, required, reservesRack, largestRack } = capacity;
+  return Math.max(0, total - required.value - (reservesRack ? largestRack : 0));
+}
+
 function countHost(
   state: FleetState,
   capacity: PoolCapacity,
--- a/packages/decisions/budgets/why_not_out.ts
+++ b/packages/decisions/budgets/why_not_out.ts
@@ -67,6 +67,30 @@
   }
 }
 
+/**
+ * Counts a host that holds a permit as back in service.
+ *
+ * @example
+ * ```ts
+ * giveBack(state, capacity, "host-1");
+ * ```
+ */
+export function giveBack(
+  state: FleetState,
+  capacity: PoolCapacity,
+  name: string,
+): void {
+  const object = own(state.set.hosts, name);
+  if (object?.state !== "in-service") return;
+  const rack = capacity.racks.get(rackKey(object));
+  const dataCentre = capacity.dataCentres.get(object.data_centre);
+  for (const counts of [capacity, rack, dataCentre]) {
+    if (counts === undefined) continue;
+    counts.available++;
+    counts.planned--;
+  }
+}
+
 function checkPlaces(
   capacity: PoolCapacity,
   object: { data_centre: string; rack: string },
--- a/packages/decisions/pools/plan_moves.ts
+++ b/packages/decisions/pools/plan_moves.ts
@@ -172,7 +172,7 @@
         host.wish === undefined &&
         nowMs < (state.deciders.get(scope)?.leaseEndMs ?? 0);
     }).sort();
-  return hostsThatMayBeOut(state, { candidates, limit: 1 }).hosts[0];
+  return hostsThatMayBeOut(state, { candidates, perPool: () => 1 }).hosts[0];
 }
 
 type GrantOptions = {
--- a/packages/decisions/waves/plan_wave.ts
+++ b/packages/decisions/waves/plan_wave.ts
@@ -1,6 +1,11 @@
 import type { Wave } from "@lagoonloom/objects";
 import { hostsThatMayBeOut } from "../budgets/hosts_that_may_be_out.ts";
-import type { PoolCapacity } from "../budgets/pool_capacity.ts";
+import {
+  maxPlannedOut,
+  type PoolCapacity,
+  poolCapacity,
+} from "../budgets/pool_capacity.ts";
+import { giveBack } from "../budgets/why_not_out.ts";
 import {
   type DeciderTerm,
   type PlannedRecord,
@@ -16,12 +21,18 @@
 } from "./work_observation.ts";
 
 /**
- * Hosts that are out before the first ones of a wave have returned well. A
- * fault of the new version then costs few hosts; the ones in the pools with
- * most work left per free place go first, so the wave is hardly longer.
+ * Hosts that are out before the first ones of a wave have returned well, at
+ * least one per pool, so that a fault of the new version costs few hosts.
  */
 export const FIRST_HOSTS = 4;
 
+/**
+ * Batches from which the first hosts go alone. They cost up to one batch, a
+ * tenth of such a wave. In a shorter wave the pools that finish last go at
+ * once, and those with a batch to spare wait for the first returns.
+ */
+export const FIRST_HOSTS_BATCHES = 10;
+
 /** Hosts that have to return well before a wave runs at full width. */
 export const FIRST_GOOD_HOSTS = 2;
 
@@ -32,8 +43,8 @@
  */
 export const SLOW_PAUSE_FACTOR = 5;
 
-/** Most permits of one round, which keeps a round short. */
-export const MAX_PERMITS_PER_ROUND = 64;
+/** Most records of one round, which keeps a round and its appends short. */
+export const MAX_RECORDS_PER_ROUND = 64;
 
 /** Options of {@linkcode planWave}. */
 export type PlanWaveOptions = {
@@ -69,8 +80,8 @@
 ): WavePlan {
   const plan: WavePlan = { records: [], reboots: [], waiting: new Map() };
   const waves = Object.entries(state.set.waves).sort(compareWaves);
-  planHostsThatAreOut(state, observations, { plan, options });
   const capacities = new Map<string, PoolCapacity>();
+  planHostsThatAreOut(state, observations, { plan, options, capacities });
   const taken = new Set<string>();
   for (const [name, wave] of waves) {
     const change = planWaveState(state, name, { wave, options });
@@ -92,12 +103,16 @@
     (leftName < rightName ? -1 : 1);
 }
 
-type OutOptions = { plan: WavePlan; options: PlanWaveOptions };
+type OutOptions = {
+  plan: WavePlan;
+  options: PlanWaveOptions;
+  capacities: Map<string, PoolCapacity>;
+};
 
 function planHostsThatAreOut(
   state: FleetState,
   observations: WorkObservations,
-  { plan, options }: OutOptions,
+  { plan, options, capacities }: OutOptions,
 ): void {
   for (const [name, host] of state.hosts) {
     if (host.permit?.wave === undefined || !isInScope(state, name, options)) {
@@ -113,6 +128,12 @@
         outcome: "done",
         reason: `Maintained by wave "${host.permit.wave}" and in service.`,
       }));
+      // The return is folded before the permits of this round, so its place is
+      // free for them.
+      const capacity = capacities.get(host.owner) ??
+        poolCapacity(state, host.owner);
+      capacities.set(host.owner, capacity);
+      giveBack(state, capacity, name);
     } else if (host.health === "in-service" && isEmptied(observation)) {
       plan.reboots.push(name);
     }
@@ -194,16 +215,30 @@
   name: string,
   { wave, options, plan, capacities, taken }: PermitOptions,
 ): void {
-  const candidates = candidatesOf(state, name, wave)
-    .filter((host) => isInScope(state, host, options) && !taken.has(host));
-  const { good, out } = waveEvidence(state, { wave: name, ...options });
+  const { good } = waveEvidence(state, { wave: name, ...options });
   const isProven = good >= FIRST_GOOD_HOSTS;
-  const room = isProven ? Infinity : Math.max(0, FIRST_HOSTS - out);
-  const limit = Math.min(room, MAX_PERMITS_PER_ROUND - taken.size);
-  const choice = hostsThatMayBeOut(state, { candidates, limit, capacities });
+  const pools = remainingPools(state, name, { wave, options, taken });
+  const batches = Math.max(0, ...pools.map((pool) => pool.batches));
+  const goesAlone = !isProven && batches >= FIRST_HOSTS_BATCHES;
+  const perPool = Math.ceil(FIRST_HOSTS / Math.max(1, pools.length));
+  const room = new Map(pools.map(({ pool, out }) => [
+    pool,
+    goesAlone ? Math.max(0, perPool - out) : Infinity,
+  ]));
+  // Every decider chooses among the hosts of all data centres and grants its
+  // own, so that they do not compete for the places of a pool.
+  const choice = hostsThatMayBeOut(state, {
+    candidates: pools
+      .filter((pool) => isProven || goesAlone || pool.batches + 1 > batches)
+      .flatMap((pool) => pool.hosts),
+    perPool: (pool) => room.get(pool) ?? 0,
+    capacities,
+  });
   for (const [host, reason] of choice.reasons) plan.waiting.set(host, reason);
   for (const host of choice.hosts) {
     taken.add(host);
+    if (!isInScope(state, host, options)) continue;
+    if (plan.records.length >= MAX_RECORDS_PER_ROUND) continue;
     plan.waiting.delete(host);
     plan.records.push(planRecord(state, {
       type: "permit.granted",
@@ -214,21 +249,49 @@
       wave: name,
       reason: isProven
         ? `Wave "${name}": all budgets hold with the host out.`
-        : `Wave "${name}": one of the first hosts, before the others follow.`,
+        : `Wave "${name}": one of the first hosts; all budgets hold with it out.`,
     }));
   }
 }
 
-/** Hosts that the wave still has to maintain, tightest pools first. */
-function candidatesOf(state: FleetState, name: string, wave: Wave): string[] {
+type RemainingPool = {
+  pool: string;
+  hosts: string[];
+  /** Hosts of the pool that are out for the wave. */
+  out: number;
+  batches: number;
+};
+
+/** Hosts that a wave has to maintain by pool, most batches first. */
+function remainingPools(
+  state: FleetState,
+  name: string,
+  { wave, options, taken }: Pick<PermitOptions, "wave" | "options" | "taken">,
+): RemainingPool[] {
   const done = state.waves.get(name)?.done;
-  const pools = wave.pools.map((pool) => {
-    const hosts = [...state.hostsByPool.get(pool) ?? []].filter((host) => {
+  return wave.pools.map((pool) => {
+    const hosts: string[] = [];
+    let out = 0;
+    for (const host of state.hostsByPool.get(pool) ?? []) {
       const known = state.hosts.get(host);
-      return done?.has(host) !== true && known?.permit === undefined &&
-        known?.health === "in-service";
-    }).sort();
-    return hosts;
-  });
-  return pools.sort((left, right) => right.length - left.length).flat();
+      if (known?.permit?.wave === name) out++;
+      if (done?.has(host) === true || taken.has(host)) continue;
+      if (known?.permit !== undefined || known?.health !== "in-service") {
+        continue;
+      }
+      if (hasDecider(state, host, options)) hosts.push(host);
+    }
+    const width = maxPlannedOut(poolCapacity(state, pool));
+    const batches = Math.ceil(hosts.length / Math.max(1, width));
+    return { pool, hosts: hosts.sort(), out, batches };
+  }).sort((left, right) => right.batches - left.batches);
+}
+
+function hasDecider(
+  state: FleetState,
+  host: string,
+  { nowMs }: PlanWaveOptions,
+): boolean {
+  const scope = own(state.set.hosts, host)?.data_centre ?? "";
+  return nowMs < (state.deciders.get(scope)?.leaseEndMs ?? 0);
 }
--- /dev/null
+++ b/packages/measure/capacity/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Measures of capacity and maintenance.
+ *
+ * @module
+ */
+
+export * from "./deployments.ts";
+export * from "./measure_rollout.ts";
--- a/packages/standins/fleet/invariant_checker.ts
+++ b/packages/standins/fleet/invariant_checker.ts
@@ -144,7 +144,12 @@
   for (const [name, budget] of Object.entries(state.set.budgets)) {
     if (state.set.services[budget.service]?.pool !== owner) continue;
     const required = requiredOf(budget, total);
-    const left = total - planned - (wasDown ? 0 : failed);
+    // Failures are no fault of a move that leaves the demand as it was, nor of
+    // a permit for a host that was down already.
+    const isCause = isPermit
+      ? !wasDown
+      : required > requiredOf(budget, total - 1);
+    const left = total - planned - (isCause ? failed : 0);
     if (left < required) {
       violations.budget.push(`${name}: ${left} of ${total}, ${applied.host}`);
     }
