Place jobs on workers and control their tasks

The decisions had no jobs: planJobs, explainJob and the control of workers were missing. planJobs places by best fit under quotas and classes, preempts for urgent work, acts on overuse, parks bad jobs and suspends bad workers. The control keeps reports, answers and leases of one data centre. The fold checks quotas and trials, and a loss needs the term of a decider.

--- a/packages/decisions/fold/encode_checkpoint.ts
+++ b/packages/decisions/fold/encode_checkpoint.ts
@@ -1,5 +1,6 @@
 import type { FleetState } from "./fleet_state.ts";
 import { countIncoming, indexHost } from "./internal/host_index.ts";
+import { countUsage } from "./internal/team_usage.ts";
 
 /** Longest chunk of a checkpoint in characters, below the log's 1 MiB. */
 export const CHUNK_LENGTH = 200_000;
@@ -49,6 +50,7 @@
     ...fields,
     hostsByPool: new Map(),
     incomingByPool: new Map(),
+    usageByTeam: new Map(),
     outcomes: new Map(fields.outcomes),
   };
   for (const field of SORTED_MAPS) {
@@ -59,11 +61,17 @@
     indexHost(state, name, host.owner);
     if (host.move !== undefined) countIncoming(state, host.move.to, 1);
   }
+  for (const job of state.jobs.values()) {
+    if (job.state === "running") countUsage(state, job, 1);
+  }
   return state;
 }
 
+/** Fields that follow from others. */
+const DERIVED = ["hostsByPool", "incomingByPool", "usageByTeam"];
+
 function replaceValue(key: string, value: unknown): unknown {
-  if (key === "hostsByPool" || key === "incomingByPool") return undefined;
+  if (DERIVED.includes(key)) return undefined;
   if (value instanceof Map) {
     const entries = [...value];
     // Outcomes stay in the order of their offsets, in which they are forgotten.
--- a/packages/decisions/fold/fleet_state.ts
+++ b/packages/decisions/fold/fleet_state.ts
@@ -1,5 +1,5 @@
 import { emptyObjectSet, type ObjectSet } from "@lagoonloom/objects";
-import type { JobState, WorkerState } from "./job_state.ts";
+import type { JobState, TeamUsage, WorkerState } from "./job_state.ts";
 import type { RememberedOutcome } from "./record_outcome.ts";
 
 /** Entry host that takes part, as the log knows it. */
@@ -127,6 +127,8 @@
   /** Jobs that ended, oldest first; the oldest are forgotten. */
   endedJobs: string[];
   workers: Map<string, WorkerState>;
+  /** Charged sizes of each team's running jobs, derived from `jobs`. */
+  usageByTeam: Map<string, TeamUsage>;
   /** Outcomes of recent records by id, in the order of their offsets. */
   outcomes: Map<string, RememberedOutcome>;
   /** Newest complete checkpoint, and the chunks of one under way. */
@@ -163,6 +165,7 @@
     jobs: new Map(),
     endedJobs: [],
     workers: new Map(),
+    usageByTeam: new Map(),
     outcomes: new Map(),
     checkpoint: { offset: -1, pending: undefined },
   };
--- a/packages/decisions/fold/internal/fold_job.ts
+++ b/packages/decisions/fold/internal/fold_job.ts
@@ -4,10 +4,14 @@
 import type { RecordOutcome } from "../record_outcome.ts";
 import { checkTerm } from "./fold_decider.ts";
 import { APPLIED, own, refuse } from "./outcomes.ts";
+import { countUsage, exceededQuota } from "./team_usage.ts";
 
 /** Ended jobs whose ids are kept; a job submitted again later runs again. */
 const MAX_ENDED_JOBS = 5_000;
 
+/** Time in milliseconds after which earlier suspensions are forgotten. */
+const FORGET_SUSPENSIONS_MS = 24 * 3_600_000;
+
 /** Ended attempts kept per worker. */
 const MAX_RECENT_STARTS = 8;
 
@@ -64,6 +68,13 @@
   if (state.hosts.get(record.worker)?.permit !== undefined) {
     return refuse("The worker is leaving.");
   }
+  if (host.state === "leaving") return refuse("The set has it leave.");
+  if (worker.state === "trial" && worker.running.length > 0) {
+    return refuse("The worker is on trial with another job.");
+  }
+  const exceeded = exceededQuota(state, job);
+  if (exceeded !== undefined) return refuse(exceeded);
+  countUsage(state, job, 1);
   worker.running.push(record.job);
   job.worker = record.worker;
   job.attempt = record.attempt;
@@ -84,10 +95,16 @@
   if (record.attempt !== job.attempt) {
     return refuse(`Attempt ${job.attempt} is current.`);
   }
-  const { outcome } = record;
+  const { outcome, term } = record;
+  if (outcome === "lost" && term === undefined) {
+    return refuse("A loss needs the term of a decider.");
+  }
+  const problem = term && checkTerm(state, term, log.timeMs);
+  if (problem !== undefined) return refuse(problem);
   leaveWorker(state, record.job, { outcome, atMs: log.timeMs });
   const worker = job.worker;
   job.worker = undefined;
+  if (record.used !== undefined) job.used = record.used;
   if (
     outcome === "failed" && worker !== undefined &&
     !job.failedWorkers.includes(worker)
@@ -147,6 +164,11 @@
   }
   const worker = workerOf(state, record.worker);
   if (worker.state === record.state) return refuse("Nothing changes.");
+  if (record.state === "suspended") {
+    const isLongAgo = worker.state === "restored" &&
+      log.timeMs - worker.sinceMs > FORGET_SUSPENSIONS_MS;
+    worker.suspensions = (isLongAgo ? 0 : worker.suspensions ?? 0) + 1;
+  }
   worker.state = record.state;
   worker.reason = record.reason;
   worker.sinceMs = log.timeMs;
@@ -178,7 +200,9 @@
   name: string,
   end: AttemptEnd | undefined,
 ): void {
-  const worker = state.workers.get(state.jobs.get(name)?.worker ?? "");
+  const job = state.jobs.get(name);
+  if (job?.state === "running") countUsage(state, job, -1);
+  const worker = state.workers.get(job?.worker ?? "");
   if (worker === undefined) return;
   worker.running = worker.running.filter((job) => job !== name);
   if (end === undefined) return;
--- a/packages/decisions/fold/job_state.ts
+++ b/packages/decisions/fold/job_state.ts
@@ -11,6 +11,8 @@
   urgency: "urgent" | "normal" | "deferrable";
   declared: JobSize;
   declaredRunS: number;
+  /** Most that an earlier attempt was seen to use, if known. */
+  used?: JobSize | undefined;
   dataCentres: string[];
   state: "queued" | "running" | "succeeded" | "cancelled" | "parked";
   /** Attempts begun; a record of another attempt is refused. */
@@ -39,8 +41,16 @@
   state: "suspended" | "trial" | "restored";
   reason: string;
   sinceMs: number;
+  /** Suspensions in a row, by which the delay of the next trial grows. */
+  suspensions?: number;
   /** Last attempts that ended on the worker, oldest first. */
   recent: WorkerStart[];
   /** Jobs that run on the worker now. */
   running: string[];
 };
+
+/**
+ * Charged sizes of a team's running jobs in thousandths. Whole numbers add up
+ * to the same sum in any order, which sums of fractions do not.
+ */
+export type TeamUsage = { cores: number; memory: number; accelerators: number };
--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -12,6 +12,7 @@
 export * from "./fold/mod.ts";
 export * from "./membership/mod.ts";
 export * from "./observations/mod.ts";
+export * from "./placement/mod.ts";
 export * from "./pools/mod.ts";
 export * from "./retries/mod.ts";
 export * from "./routing/mod.ts";
--- /dev/null
+++ b/packages/decisions/placement/internal/job_queue.ts
@@ -0,0 +1,97 @@
+import type { FleetState } from "../../fold/fleet_state.ts";
+import type { JobState } from "../../fold/job_state.ts";
+import { whyUnplaceable } from "../why_unplaceable.ts";
+import type { JobRound } from "./job_round.ts";
+import { workersOf } from "./set_workers.ts";
+
+/** Classes in the order in which they are served. */
+export const URGENCIES = ["urgent", "normal", "deferrable"] as const;
+
+/** Class of a job. */
+export type Urgency = (typeof URGENCIES)[number];
+
+/**
+ * Time in milliseconds after which the next data centre may place a job that
+ * the earlier ones have no room for. The data centres take turns, since two
+ * that place the same job at once waste an append.
+ */
+const SCOPE_STEP_MS = { urgent: 200, normal: 1_000, deferrable: 1_000 };
+
+/** Job that waits for a worker. */
+export type Waiting = { name: string; job: JobState };
+
+/** Waiting jobs by class and team, the oldest first. */
+export type JobQueue = Record<Urgency, Map<string, Waiting[]>>;
+
+/** Collects the queued jobs that it is this scope's turn to place. */
+export function collectQueue(
+  round: JobRound,
+  blocked: Map<string, string>,
+): JobQueue {
+  const { state, options, pending } = round;
+  const queue: JobQueue = {
+    urgent: new Map(),
+    normal: new Map(),
+    deferrable: new Map(),
+  };
+  for (const [name, job] of state.jobs) {
+    if (job.state !== "queued" || pending.has(name)) continue;
+    const rank = rankOf(state, { name, job, scope: options.term.scope });
+    if (rank === undefined) continue;
+    const waitedMs = options.nowMs - job.sinceMs;
+    if (waitedMs < rank * SCOPE_STEP_MS[job.urgency]) continue;
+    const reason = whyUnplaceable(state, job);
+    if (reason !== undefined) {
+      if (rank === 0) blocked.set(name, reason);
+      continue;
+    }
+    const teams = queue[job.urgency];
+    const waiting = teams.get(job.team);
+    if (waiting === undefined) teams.set(job.team, [{ name, job }]);
+    else waiting.push({ name, job });
+  }
+  for (const urgency of URGENCIES) {
+    for (const waiting of queue[urgency].values()) sortByAge(waiting);
+  }
+  return queue;
+}
+
+function sortByAge(waiting: Waiting[]): void {
+  const isSorted = waiting.every(({ job }, index) =>
+    index === 0 || waiting[index - 1]!.job.submittedAtMs <= job.submittedAtMs
+  );
+  if (isSorted) return;
+  waiting.sort((a, b) => a.job.submittedAtMs - b.job.submittedAtMs);
+}
+
+const hashes = new WeakMap<JobState, number>();
+
+/**
+ * Returns the place of a scope in the order in which a job's data centres try
+ * to place it, or undefined if the job must not run there. A job whose data
+ * centres have no workers belongs to every scope, so that it is reported.
+ */
+function rankOf(
+  state: FleetState,
+  { name, job, scope }: Waiting & { scope: string },
+): number | undefined {
+  const scopes = [...workersOf(state.set).byScope.keys()];
+  const allowed = job.dataCentres.filter((it) => scopes.includes(it));
+  const turns = allowed.length > 0 ? allowed : scopes;
+  const at = turns.indexOf(scope);
+  if (at < 0) return undefined;
+  let hash = hashes.get(job);
+  if (hash === undefined) {
+    hash = hashName(name);
+    hashes.set(job, hash);
+  }
+  return (at - hash % turns.length + turns.length) % turns.length;
+}
+
+function hashName(name: string): number {
+  let hash = 0x811c9dc5;
+  for (let at = 0; at < name.length; at++) {
+    hash = Math.imul(hash ^ name.charCodeAt(at), 0x01000193) >>> 0;
+  }
+  return hash;
+}
--- /dev/null
+++ b/packages/decisions/placement/internal/plan_preemption.ts
@@ -0,0 +1,133 @@
+import type { JobSize } from "../../fold/job_state.ts";
+import { addSize, fitsInto, knownSize } from "../job_size.ts";
+import type { JobRound, Room, Run } from "./job_round.ts";
+
+/** Workers that are compared for one urgent job. */
+const MAX_ROOMS = 512;
+
+/** Work in core milliseconds that a stop without a checkpoint would lose. */
+export function lossOf(run: Run, nowMs: number): number {
+  const sinceMs = run.task === undefined
+    ? run.job.sinceMs
+    : Math.max(run.task.startedAtMs, run.task.checkpointedAtMs ?? 0);
+  const { cores, accelerators } = run.size;
+  // An accelerator weighs as much as the cores that usually go with it.
+  return Math.max(0, nowMs - sinceMs) * (cores + 8 * accelerators);
+}
+
+/**
+ * Asks a worker to checkpoint and stop a job. The job stays charged until its
+ * end is in the log.
+ */
+export function preempt(
+  round: JobRound,
+  room: Room,
+  { run, reason }: { run: Run; reason: string },
+): void {
+  if (run.isLeaving) return;
+  run.isLeaving = true;
+  if (run.job.state !== "running") return;
+  round.actions.push({
+    type: "preempt",
+    worker: room.name,
+    job: run.name,
+    attempt: run.job.attempt,
+    reason,
+  });
+}
+
+/** Options of {@linkcode preemptFor}. */
+export type PreemptForOptions = {
+  name: string;
+  size: JobSize;
+  failedWorkers: readonly string[];
+};
+
+/**
+ * Preempts the jobs of one worker whose loss is least, to make room for an
+ * urgent job, and reserves the room in this round. Urgent jobs stay.
+ */
+export function preemptFor(
+  round: JobRound,
+  options: PreemptForOptions,
+): boolean {
+  const { nowMs } = round.options;
+  let best: { room: Room; victims: Run[]; loss: number } | undefined;
+  let compared = 0;
+  for (const room of round.rooms.values()) {
+    if (!room.isOpen || room.isTrial) continue;
+    if (!fitsInto(options.size, room.size)) continue;
+    if (options.failedWorkers.includes(room.name)) continue;
+    if (++compared > MAX_ROOMS) break;
+    const victims = chooseVictims(room, options.size, { nowMs });
+    if (victims === undefined) continue;
+    const loss = victims.reduce((sum, run) => sum + lossOf(run, nowMs), 0);
+    if (best === undefined || loss < best.loss) best = { room, victims, loss };
+  }
+  if (best === undefined) return false;
+  for (const run of best.victims) {
+    addSize(best.room.free, run.size, 1);
+    const reason = `urgent job ${options.name} needs its place`;
+    preempt(round, best.room, { run, reason });
+  }
+  addSize(best.room.free, options.size, -1);
+  return true;
+}
+
+function chooseVictims(
+  room: Room,
+  size: JobSize,
+  { nowMs }: { nowMs: number },
+): Run[] | undefined {
+  const free = { ...room.free };
+  if (fitsInto(size, free)) return [];
+  const candidates = room.runs
+    .filter((run) => run.job.urgency !== "urgent" && !run.isLeaving)
+    .map((run) => ({ run, loss: lossOf(run, nowMs) }))
+    .sort((a, b) => a.loss - b.loss);
+  const victims: Run[] = [];
+  for (const { run } of candidates) {
+    addSize(free, run.size, 1);
+    victims.push(run);
+    if (!fitsInto(size, free)) continue;
+    return withoutNeedless(victims, { free, size });
+  }
+  return undefined;
+}
+
+/** Leaves out victims whose room is not needed, the largest loss first. */
+function withoutNeedless(
+  victims: Run[],
+  { free, size }: { free: JobSize; size: JobSize },
+): Run[] {
+  return victims.toReversed().filter((run) => {
+    const rest = { ...free };
+    addSize(rest, run.size, -1);
+    if (!fitsInto(size, rest)) return true;
+    addSize(free, run.size, -1);
+    return false;
+  });
+}
+
+/**
+ * Preempts jobs of an urgent job's own team, least loss first, if the quota
+ * leaves no room for it.
+ */
+export function preemptForQuota(
+  round: JobRound,
+  options: { name: string; team: string; left: JobSize; size: JobSize },
+): void {
+  const { nowMs } = round.options;
+  const runs = [...round.rooms.values()].flatMap((room) =>
+    room.runs.filter(({ job, isLeaving }) =>
+      job.team === options.team && job.urgency !== "urgent" && !isLeaving
+    ).map((run) => ({ room, run, loss: lossOf(run, nowMs) }))
+  ).sort((a, b) => a.loss - b.loss);
+  const reason = `urgent job ${options.name} needs the quota`;
+  for (const { room, run } of runs) {
+    if (fitsInto(options.size, options.left)) break;
+    addSize(options.left, knownSize(run.job), 1);
+    preempt(round, room, { run, reason });
+  }
+  addSize(options.left, options.size, -1);
+}
--- /dev/null
+++ b/packages/decisions/placement/mod.ts
@@ -0,0 +1,15 @@
+/**
+ * Placement of jobs on workers.
+ *
+ * @module
+ */
+
+export * from "./job_control.ts";
+export * from "./job_observations.ts";
+export * from "./job_plan.ts";
+export * from "./job_size.ts";
+export * from "./plan_jobs.ts";
+export * from "./task_lease.ts";
+export * from "./why_unplaceable.ts";
+export * from "./worker_call.ts";
+export * from "./worker_suspicion.ts";
--- /dev/null
+++ b/packages/decisions/placement/plan_jobs_test.ts
@@ -0,0 +1,274 @@
+import { describe, expect, test } from "@jest/globals";
+import {
+  append,
+  createJobModel,
+  createJobSet,
+  type JobModel,
+  type JobSetShape,
+  type ModelJob,
+  stepJobs,
+  submitJob,
+} from "@lagoonloom/standins/jobs";
+import { explainJob } from "../explain/explain_job.ts";
+
+const SHAPE: JobSetShape = {
+  dataCentres: ["detroit"],
+  workers: 4,
+  cores: 16,
+  memoryGb: 32,
+};
+
+const size = (cores: number, memory_gb = cores, accelerators = 0) => ({
+  cores,
+  memory_gb,
+  accelerators,
+});
+
+function createModel(shape: Partial<JobSetShape> = {}, lagMs = 0): JobModel {
+  const model = createJobModel({
+    set: createJobSet({ ...SHAPE, ...shape }),
+    reportLagMs: lagMs,
+  });
+  runFor(model, 5);
+  return model;
+}
+
+function runFor(model: JobModel, seconds: number): void {
+  for (let step = 0; step < 10 * seconds; step++) {
+    stepJobs(model, { stepMs: 100 });
+  }
+  expect(model.checker.violations).toEqual([]);
+}
+
+function submit(model: JobModel, job: string, options: Partial<ModelJob> = {}) {
+  submitJob(model, { job, used: size(4), runMs: 3_600_000, ...options });
+}
+
+const jobOf = (model: JobModel, job: string) => model.truth.jobs.get(job)!;
+const runningOn = (model: JobModel, worker: string) =>
+  model.truth.workers.get(worker)?.running ?? [];
+
+describe("planJobs", () => {
+  // Guards against accelerators that are taken by jobs that need none, and
+  // against jobs of a team that all share a rack.
+  test("fits jobs to workers and keeps accelerators", () => {
+    const model = createModel({ workers: 8, accelerators: 4 });
+    for (let index = 0; index < 4; index++) submit(model, `j${index}`);
+    submit(model, "gpu", { used: size(4, 4, 1) });
+    runFor(model, 3);
+    const worker = (job: string) =>
+      model.truth.set.hosts[jobOf(model, job).worker!]!;
+    expect(worker("gpu").accelerators).toBe(1);
+    const others = [0, 1, 2, 3].map((index) => worker(`j${index}`));
+    expect(others.map(({ accelerators }) => accelerators))
+      .toEqual([0, 0, 0, 0]);
+  });
+
+  // Guards against jobs that wait forever without anyone being told.
+  test.each([
+    [{ used: size(17) }, "needs 17 cores, but the largest worker has 16"],
+    [{ used: size(1, 1, 1) }, "quota of team"],
+    [{ used: size(1), dataCentres: ["erie"] }, 'is in "erie"'],
+    [{ used: size(33) }, 'the quota of team "team-1" is 32'],
+  ])("reports at once why %j can't run", (options, reason) => {
+    const model = createModel();
+    submit(model, "big", options);
+    runFor(model, 1);
+    expect(model.deciders[0]!.blocked.get("big")).toContain(reason);
+    expect(explainJob(model.truth, "big").sentences.join(" "))
+      .toContain(reason);
+  });
+
+  // Guards against a team that takes the whole fleet before others.
+  test("places teams in fair order within their quotas", () => {
+    const model = createModel({ teams: 2 });
+    for (let index = 0; index < 20; index++) {
+      submit(model, `a${index}`);
+      if (index < 10) submit(model, `b${index}`, { team: "team-2" });
+    }
+    runFor(model, 5);
+    const running = [...model.truth.jobs]
+      .filter(([, job]) => job.state === "running").map(([name]) => name);
+    expect(running.sort()).toEqual([
+      ...["a0", "a1", "a2", "a3"],
+      ...["b0", "b1", "b2", "b3"],
+    ]);
+  });
+
+  // Guards against urgent work that waits for a flood, and against victims that
+  // lose more than needed.
+  test("preempts the least loss for urgent work", () => {
+    const model = createModel({ workers: 2 });
+    submit(model, "old", { used: size(8), urgency: "deferrable" });
+    runFor(model, 60);
+    submit(model, "new", { used: size(8), urgency: "deferrable" });
+    runFor(model, 5);
+    submit(model, "urgent", { used: size(8), urgency: "urgent" });
+    const submittedAtMs = model.nowMs;
+    runFor(model, 10);
+    expect(model.startedAtMs.get("urgent")! - submittedAtMs)
+      .toBeLessThan(2_500);
+    expect(jobOf(model, "old").state).toBe("running");
+    expect(jobOf(model, "new").state).toBe("queued");
+    expect(model.savedMs.get("new")).toBeGreaterThan(4_000);
+    expect(model.lostCoreS).toBeLessThan(2);
+  });
+
+  // Guards against a stop without warning, and against a repeated wrong size.
+  test("throttles, checkpoints and stops a job that overuses", () => {
+    const model = createModel({ workers: 1, cores: 16 });
+    model.truth.set.teams["team-1"]!.quota_cores = 32;
+    const seen: (string | undefined)[] = [];
+    submit(model, "liar", { used: size(40), declared: size(2) });
+    for (let second = 0; second < 60; second++) {
+      runFor(model, 1);
+      const task = model.workers.get("main-1")!.agent.tasks.get("liar");
+      const stage = task?.state === "throttled" && task.checkpointedAtMs
+        ? "checkpointed"
+        : task?.state;
+      if (stage !== "running" && seen.at(-1) !== stage) seen.push(stage);
+    }
+    expect(seen).toEqual(["throttled", "checkpointed", "stopped"]);
+    expect(jobOf(model, "liar").used?.cores).toBeGreaterThan(16);
+  });
+
+  // Guards against capacity that declared sizes keep idle.
+  test("uses room that reports show to be free", () => {
+    const model = createModel({ workers: 1 }, 10_000);
+    const options = { declared: size(8), used: size(2) };
+    submit(model, "j1", { ...options });
+    submit(model, "j2", { ...options, declared: size(12), used: size(1) });
+    runFor(model, 30);
+    expect(runningOn(model, "main-1")).toHaveLength(1);
+  });
+
+  // Guards against a bad job that goes round the fleet.
+  test("parks a job that fails on three good workers", () => {
+    const model = createModel();
+    submit(model, "bad", { isBad: true });
+    runFor(model, 20);
+    expect(jobOf(model, "bad").state).toBe("parked");
+    expect(jobOf(model, "bad").failedWorkers).toHaveLength(3);
+    expect([...model.truth.workers.values()].map(({ state }) => state))
+      .not.toContain("suspended");
+  });
+
+  // Guards against a worker that takes and fails all jobs, and against one that
+  // stays suspended after its repair.
+  test("suspends a failing worker and restores it after a trial", () => {
+    const model = createModel();
+    model.workers.get("main-1")!.isFailing = true;
+    for (let index = 0; index < 60; index++) {
+      submit(model, `j${index}`, { used: size(4), runMs: 3_000 });
+    }
+    runFor(model, 30);
+    const state = () => model.truth.workers.get("main-1")!;
+    expect(state().state).toBe("suspended");
+    expect(state().recent.filter(({ outcome }) => outcome === "failed").length)
+      .toBeLessThanOrEqual(6);
+    for (let index = 0; index < 30; index++) {
+      submit(model, `k${index}`, { runMs: 20_000 });
+    }
+    runFor(model, 60);
+    expect(state().suspensions).toBe(2);
+    model.workers.get("main-1")!.isFailing = false;
+    for (let index = 0; index < 60; index++) {
+      submit(model, `l${index}`, { runMs: 20_000 });
+    }
+    runFor(model, 200);
+    expect(state().state).toBe("restored");
+    const parked = [...model.truth.jobs.values()]
+      .filter((job) => job.state === "parked");
+    expect(parked).toEqual([]);
+  });
+
+  // Guards against a bad program of one team that suspends good workers.
+  test("suspends no worker for a flood of bad jobs", () => {
+    const model = createModel({ workers: 6 });
+    for (let index = 0; index < 24; index++) {
+      submit(model, `bad${index}`, { isBad: true });
+    }
+    runFor(model, 60);
+    const states = [...model.truth.workers.values()].map(({ state }) => state);
+    expect(states).not.toContain("suspended");
+    expect([...model.truth.jobs.values()].map(({ state }) => state))
+      .toEqual(Array(24).fill("parked"));
+  });
+
+  // Guards against jobs that are cut off by a drain.
+  test("moves jobs off a worker that leaves", () => {
+    const model = createModel();
+    submit(model, "j1");
+    runFor(model, 10);
+    const worker = jobOf(model, "j1").worker!;
+    const host = { ...model.truth.set.hosts[worker]!, state: "leaving" };
+    append(model, {
+      type: "set.changed",
+      expectedVersion: 1,
+      change: { put: { hosts: { [worker]: host } }, removed: [] },
+      operator: "ana",
+    });
+    runFor(model, 5);
+    expect(jobOf(model, "j1")).toMatchObject({ state: "running", attempt: 2 });
+    expect(jobOf(model, "j1").worker).not.toBe(worker);
+    expect(model.savedMs.get("j1")).toBeGreaterThan(9_000);
+  });
+});
+
+describe("createJobControl", () => {
+  // Guards against a second copy while a cut-off worker still runs the first.
+  test.each(["cutUntilMs", "frozenUntilMs"] as const)(
+    "places a job again only after its lease (%s)",
+    (fault) => {
+      const model = createModel();
+      submit(model, "j1");
+      runFor(model, 10);
+      const worker = model.workers.get(jobOf(model, "j1").worker!)!;
+      worker[fault] = model.nowMs + 30_000;
+      runFor(model, 8);
+      expect(jobOf(model, "j1").attempt).toBe(1);
+      runFor(model, 40);
+      expect(jobOf(model, "j1")).toMatchObject({
+        attempt: 2,
+        state: "running",
+      });
+      expect(worker.agent.tasks.get("j1")?.state).toBe("expired");
+    },
+  );
+
+  // Guards against tasks that end because the store is down.
+  test("keeps tasks running without the log and places nothing", () => {
+    const model = createModel();
+    submit(model, "j1");
+    runFor(model, 5);
+    const offset = model.truth.nextOffset;
+    model.log.downUntilMs = model.nowMs + 600_000;
+    runFor(model, 590);
+    expect(model.truth.nextOffset).toBe(offset);
+    const { worker } = jobOf(model, "j1");
+    expect(model.workers.get(worker!)!.agent.tasks.get("j1")?.state)
+      .toBe("running");
+    runFor(model, 60);
+    expect(jobOf(model, "j1")).toMatchObject({ state: "running", attempt: 1 });
+  });
+
+  // Guards against a cancelled job that starts or goes on.
+  test("stops a wave of cancelled jobs once", () => {
+    const model = createModel({ teams: 1 });
+    for (let index = 0; index < 40; index++) {
+      submit(model, `j${index}`);
+      if (index % 10 === 0) stepJobs(model, { stepMs: 100 });
+    }
+    for (let index = 0; index < 40; index++) {
+      const body = { type: "job.cancelled", job: `j${index}`, operator: "ana" };
+      append(model, body);
+      append(model, body);
+    }
+    runFor(model, 10);
+    expect([...model.truth.jobs.values()].map(({ state }) => state))
+      .toEqual(Array(40).fill("cancelled"));
+    const tasks = [...model.workers.values()]
+      .flatMap(({ agent }) => [...agent.tasks.values()]);
+    expect(tasks.filter(({ state }) => state === "running")).toEqual([]);
+  });
+});
--- a/packages/records/control_record.ts
+++ b/packages/records/control_record.ts
@@ -121,6 +121,13 @@
     job: z.string().max(100),
     attempt: Epoch,
     outcome: z.enum(["succeeded", "failed", "preempted", "lost"]),
+    /**
+     * Term of the decider. A loss needs it: a decider that was paused must not
+     * end an attempt whose lease another one has renewed.
+     */
+    term: z.strictObject({ scope: Name, epoch: Epoch }).optional(),
+    /** What the attempt was seen to use, if it was seen for long enough. */
+    used: Size.optional(),
     reason: Reason,
   }),
   z.strictObject({
--- /dev/null
+++ b/packages/standins/jobs/job_model.ts
@@ -0,0 +1,327 @@
+import {
+  applyRecord,
+  emptyFleetState,
+  type FleetState,
+  type JobSize,
+  type WorkerCall,
+  type WorkerOutcome,
+} from "@lagoonloom/decisions";
+import type { ObjectSet } from "@lagoonloom/objects";
+import { ControlRecord } from "@lagoonloom/records";
+import {
+  appendToLog,
+  createModelLog,
+  type ModelLog,
+} from "../fleet/model_log.ts";
+import {
+  createWorkerTasks,
+  type WorkerTask,
+  type WorkerTasks,
+} from "../worker_tasks.ts";
+import { createJobChecker, type JobChecker } from "./job_checker.ts";
+import {
+  createModelDecider,
+  type ModelDecider,
+  stepDecider,
+} from "./model_decider.ts";
+
+/** Time in milliseconds after which a call without an answer is given up. */
+const CALL_TIMEOUT_MS = 2_000;
+
+/** What a job really needs and does. */
+export type JobBehaviour = {
+  used: JobSize;
+  runMs: number;
+  /** Fails on every worker. */
+  isBad?: boolean;
+};
+
+/** Worker with its faults. */
+export type ModelWorker = {
+  agent: WorkerTasks;
+  frozenUntilMs: number;
+  /** Calls that arrived while it was frozen. */
+  waiting: (() => void)[];
+  /** Unreachable until this time; its tasks go on. */
+  cutUntilMs: number;
+  isFailing: boolean;
+};
+
+/** Workers, deciders and the log in virtual time, with a checker. */
+export type JobModel = {
+  nowMs: number;
+  log: ModelLog;
+  truth: FleetState;
+  workers: Map<string, ModelWorker>;
+  deciders: ModelDecider[];
+  behaviours: Map<string, JobBehaviour>;
+  checker: JobChecker;
+  deliveries: { atMs: number; run: () => void }[];
+  /** One-way latency of a call in milliseconds. */
+  latencyMs: number;
+  lostAnswers: number;
+  duplicates: number;
+  /** Reports show half of the usage. */
+  reportsAreWrong: boolean;
+  mayPreempt: boolean;
+  /** Time in milliseconds that a checkpoint takes per GB. */
+  checkpointMsPerGb: number;
+  /** Run time saved by checkpoints, by job. */
+  savedMs: Map<string, number>;
+  /** Log time of the first start by job. */
+  startedAtMs: Map<string, number>;
+  /** Work that stops lost, in core seconds. */
+  lostCoreS: number;
+  nextId: number;
+};
+
+/** Options of {@linkcode createJobModel}. */
+export type JobModelOptions = {
+  set: ObjectSet;
+  reportLagMs?: number;
+  mayPreempt?: boolean;
+  /** Deciders per data centre. */
+  deciders?: number;
+};
+
+/**
+ * Creates a model whose set is published.
+ *
+ * @example
+ * ```ts
+ * const model = createJobModel({ set: createJobSet(shape) });
+ * ```
+ */
+export function createJobModel(options: JobModelOptions): JobModel {
+  const hosts = Object.entries(options.set.hosts);
+  const scopes = [...new Set(hosts.map(([, host]) => host.data_centre))];
+  const model: JobModel = {
+    nowMs: 1_000,
+    log: createModelLog(),
+    truth: emptyFleetState(),
+    workers: new Map(),
+    deciders: scopes.flatMap((scope) =>
+      Array.from(
+        { length: options.deciders ?? 1 },
+        (_, index) => createModelDecider(`entry-${scope}-${index}`, scope),
+      )
+    ),
+    behaviours: new Map(),
+    checker: createJobChecker(),
+    deliveries: [],
+    latencyMs: 20,
+    lostAnswers: 0,
+    duplicates: 0,
+    reportsAreWrong: false,
+    mayPreempt: options.mayPreempt ?? true,
+    checkpointMsPerGb: 20,
+    savedMs: new Map(),
+    startedAtMs: new Map(),
+    lostCoreS: 0,
+    nextId: 1,
+  };
+  for (const [name] of hosts) {
+    model.workers.set(name, createWorker(model, name, options));
+  }
+  model.log.onRecord = (record) => {
+    const outcome = applyRecord(model.truth, record);
+    const body = ControlRecord.parse(record.body);
+    model.checker.checkRecord(model, body, outcome);
+  };
+  const change = { put: options.set, removed: [] };
+  const operator = "operator";
+  append(model, {
+    type: "set.changed",
+    expectedVersion: 0,
+    change,
+    operator,
+  });
+  if (model.truth.setVersion !== 1) {
+    throw new Error(JSON.stringify([...model.truth.outcomes.values()]));
+  }
+  return model;
+}
+
+/** Appends a record of an operator. */
+export function append(model: JobModel, body: object): void {
+  const id = `model-${model.nextId++}`;
+  appendToLog(model.log, { id, body }, model);
+}
+
+/** Job to submit. */
+export type ModelJob = JobBehaviour & {
+  job: string;
+  team?: string;
+  urgency?: "urgent" | "normal" | "deferrable";
+  declared?: JobSize;
+  dataCentres?: string[];
+};
+
+/**
+ * Submits a job as an operator.
+ *
+ * @example
+ * ```ts
+ * submitJob(model, { job: "j1", used, runMs: 60_000 });
+ * ```
+ */
+export function submitJob(model: JobModel, job: ModelJob): void {
+  const { job: name, used, runMs, isBad = false } = job;
+  model.behaviours.set(name, { used, runMs, isBad });
+  append(model, {
+    type: "job.submitted",
+    job: name,
+    team: job.team ?? "team-1",
+    urgency: job.urgency ?? "normal",
+    declared: job.declared ?? used,
+    declaredRunS: runMs / 1_000,
+    dataCentres: job.dataCentres ?? [],
+  });
+}
+
+function createWorker(
+  model: JobModel,
+  name: string,
+  options: JobModelOptions,
+): ModelWorker {
+  const worker: ModelWorker = {
+    agent: createWorkerTasks({
+      reportLagMs: options.reportLagMs ?? 0,
+      behave: ({ job, size }) => {
+        const found = model.behaviours.get(job);
+        const willFail = worker.isFailing || found?.isBad === true;
+        const leftMs = (found?.runMs ?? 1_000) - (model.savedMs.get(job) ?? 0);
+        const runMs = willFail ? 200 : Math.max(100, leftMs);
+        return { used: found?.used ?? size, willFail, runMs };
+      },
+      onChange: (task) => noteTask(model, name, task),
+    }),
+    frozenUntilMs: 0,
+    waiting: [],
+    cutUntilMs: 0,
+    isFailing: false,
+  };
+  return worker;
+}
+
+function noteTask(model: JobModel, worker: string, task: WorkerTask): void {
+  model.checker.checkTask(model, worker, task);
+  if (task.state === "running") {
+    const { startedAtMs } = model;
+    if (!startedAtMs.has(task.job)) startedAtMs.set(task.job, model.nowMs);
+  }
+  if (task.state !== "stopped") return;
+  const savedAtMs = Math.max(task.checkpointedAtMs ?? 0, task.startedAtMs);
+  const saved = model.savedMs.get(task.job) ?? 0;
+  model.savedMs.set(task.job, saved + savedAtMs - task.startedAtMs);
+  // Only preemption counts; a cancelled job's work is wanted by nobody.
+  if (model.truth.jobs.get(task.job)?.state !== "running") return;
+  model.lostCoreS += task.used.cores * (model.nowMs - savedAtMs) / 1_000;
+}
+
+/**
+ * Advances the workers, deliveries and deciders by one step.
+ *
+ * @example
+ * ```ts
+ * stepJobs(model, { stepMs: 100 });
+ * ```
+ */
+export function stepJobs(
+  model: JobModel,
+  { stepMs }: { stepMs: number },
+): void {
+  model.nowMs += stepMs;
+  const { nowMs } = model;
+  for (const worker of model.workers.values()) {
+    if (nowMs < worker.frozenUntilMs) continue;
+    worker.agent.advance(nowMs);
+    for (const run of worker.waiting.splice(0)) run();
+  }
+  for (;;) {
+    const due = model.deliveries.filter(({ atMs }) => atMs <= nowMs);
+    if (due.length === 0) break;
+    model.deliveries = model.deliveries.filter(({ atMs }) => atMs > nowMs);
+    for (const { run } of due) run();
+  }
+  for (const decider of model.deciders) {
+    stepDecider(decider, {
+      log: model.log,
+      nowMs,
+      mayPreempt: model.mayPreempt,
+      send: (call, answer) => send(model, call, answer),
+      clock: () => model.nowMs,
+    });
+  }
+}
+
+function send(
+  model: JobModel,
+  call: WorkerCall,
+  answer: (outcome: WorkerOutcome) => void,
+): void {
+  const worker = model.workers.get(call.worker)!;
+  const after = (ms: number, run: () => void) => {
+    model.deliveries.push({ atMs: model.nowMs + ms, run });
+  };
+  if (model.nowMs < worker.cutUntilMs) {
+    const outcome = { type: "unreachable", reason: "refused" } as const;
+    return after(model.latencyMs, () => answer(outcome));
+  }
+  let isAnswered = false;
+  const finish = (outcome: WorkerOutcome) => {
+    if (!isAnswered) answer(outcome);
+    isAnswered = true;
+  };
+  const arrive = () => {
+    if (model.nowMs < worker.frozenUntilMs) {
+      worker.waiting.push(arrive);
+      return;
+    }
+    const outcome = perform(model, worker, call);
+    if (model.lostAnswers > 0) model.lostAnswers--;
+    else after(model.latencyMs, () => finish(outcome));
+  };
+  const workMs = call.type === "checkpoint"
+    ? checkpointMs(model, worker, call.job)
+    : 0;
+  after(model.latencyMs + workMs, arrive);
+  if (model.duplicates > 0) {
+    model.duplicates--;
+    after(model.latencyMs + 1_500, arrive);
+  }
+  const lost = { type: "unknown", reason: "timeout" } as const;
+  after(CALL_TIMEOUT_MS, () => finish(lost));
+}
+
+function checkpointMs(model: JobModel, { agent }: ModelWorker, job: string) {
+  const memory = agent.tasks.get(job)?.used.memory_gb ?? 0;
+  return model.checkpointMsPerGb * memory;
+}
+
+function perform(
+  model: JobModel,
+  { agent }: ModelWorker,
+  call: WorkerCall,
+): WorkerOutcome {
+  const { nowMs } = model;
+  if (call.type === "report" || call.type === "renew") {
+    const status = call.type === "renew" ? agent.renew(call, nowMs) : 200;
+    if (status === 409) return { type: "refused", reason: "older epoch" };
+    const report = agent.report(nowMs);
+    if (model.reportsAreWrong) report.tasks = report.tasks.map(halveUsage);
+    return { type: "report", report };
+  }
+  const { status, state } = call.type === "start"
+    ? agent.start(call, nowMs)
+    : agent.act({ ...call, type: call.type }, nowMs);
+  return state === undefined
+    ? { type: "refused", reason: String(status) }
+    : { type: "done", state };
+}
+
+function halveUsage<Task extends Pick<WorkerTask, "used">>(task: Task): Task {
+  const { cores, memory_gb, accelerators } = task.used;
+  const used = { cores: cores / 2, memory_gb: memory_gb / 2, accelerators };
+  return { ...task, used };
+}
--- /dev/null
+++ b/packages/standins/jobs/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Model of workers, deciders and the log, for the jobs' tests and measures.
+ *
+ * @module
+ */
+
+export * from "./create_job_set.ts";
+export * from "./job_checker.ts";
+export * from "./job_model.ts";
+export * from "./model_decider.ts";
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -12,3 +12,4 @@
 export * from "./platform_standin.ts";
 export * from "./test_fleet.ts";
 export * from "./worker_standin.ts";
+export * from "./worker_tasks.ts";
--- a/packages/standins/worker_standin.ts
+++ b/packages/standins/worker_standin.ts
@@ -7,45 +7,52 @@
   urlOf,
   withErrors,
 } from "./_http.ts";
-
-/** Task of a worker agent. */
-export type WorkerTask = {
-  id: string;
-  leaseEpoch: number;
-  state: "running" | "throttled" | "stopped" | "failed";
-  cores: number;
-  memoryGb: number;
-  checkpointedAtMs: number | undefined;
-};
+import {
+  createWorkerTasks,
+  type WorkerTask,
+  type WorkerTasksOptions,
+} from "./worker_tasks.ts";
 
 /** Agent of a worker. */
 export type WorkerStandin = Standin & {
   tasks: Map<string, WorkerTask>;
   /** Makes every further task fail at its start. */
   setFailing(isFailing: boolean): void;
+  /** Carries out further calls without an answer. */
+  loseAnswers(count: number): void;
 };
 
 /** Options of {@linkcode serveWorker}. */
-export type WorkerOptions = {
-  /** Age of the usage in reports in milliseconds. */
-  reportLagMs?: number;
+export type WorkerOptions = Partial<WorkerTasksOptions> & {
+  /** Run time of a task in milliseconds. */
+  runMs?: number;
 };
 
-const TaskRequest = z.object({
-  id: z.string(),
-  leaseEpoch: z.int().min(0),
-  cores: z.number().min(0).default(1),
-  memoryGb: z.number().min(0).default(1),
+const Fence = z.object({
+  job: z.string(),
+  attempt: z.int().min(0),
+  epoch: z.int().min(0),
+});
+
+const Start = Fence.extend({
+  leaseEndMs: z.number(),
+  startByMs: z.number(),
+  size: z.object({
+    cores: z.number().min(0),
+    memory_gb: z.number().min(0),
+    accelerators: z.int().min(0),
+  }),
 });
 
-const Lease = z.object({ leaseEpoch: z.int().min(0) });
+const Lease = z.object({ epoch: z.int().min(0), leaseEndMs: z.number() });
 
 const TASK_PATH = /^\/v1\/tasks\/([^/]+)\/(throttle|checkpoint|stop)$/;
 
 /**
  * Serves a worker agent over HTTP: `POST /v1/tasks`,
- * `/v1/tasks/ID/throttle`, `/checkpoint`, `/stop` and `GET /v1/report`. A call
- * with an older lease epoch than the task's is answered with 409.
+ * `/v1/tasks/ID/throttle`, `/checkpoint`, `/stop`, `POST /v1/leases`, which
+ * renews the leases of all tasks, and `GET /v1/report`. A call with an older
+ * attempt or epoch than the worker knows is answered with 409.
  *
  * @example
  * ```ts
@@ -56,60 +63,53 @@
   address: string,
   options: WorkerOptions = {},
 ): Promise<WorkerStandin> {
-  const tasks = new Map<string, WorkerTask>();
-  const reports: { timeMs: number; tasks: WorkerTask[] }[] = [];
   let isFailing = false;
-  function report(): { timeMs: number; tasks: WorkerTask[] } {
+  let lost = 0;
+  const worker = createWorkerTasks({
+    behave: ({ size }) => ({
+      used: size,
+      willFail: isFailing,
+      runMs: isFailing ? 0 : options.runMs ?? 3_600_000,
+    }),
+    ...options,
+  });
+  const answer = (path: string, body: unknown) => {
     const nowMs = Date.now();
-    reports.push({
-      timeMs: nowMs,
-      tasks: structuredClone([...tasks.values()]),
-    });
-    const visible = reports.filter((it) =>
-      it.timeMs <= nowMs - (options.reportLagMs ?? 0)
-    );
-    reports.splice(0, Math.max(0, visible.length - 1));
-    return visible.at(-1) ?? { timeMs: nowMs, tasks: [] };
-  }
-  function start(request: z.infer<typeof TaskRequest>): number {
-    const known = tasks.get(request.id);
-    if (known !== undefined && known.leaseEpoch > request.leaseEpoch) {
-      return 409;
+    if (path === "/v1/report") return [200, worker.report(nowMs)] as const;
+    if (path === "/v1/leases") {
+      const status = worker.renew(Lease.parse(body), nowMs);
+      return [status, worker.report(nowMs)] as const;
+    }
+    if (path === "/v1/tasks") {
+      const { status, state } = worker.start(Start.parse(body), nowMs);
+      return [status, { state }] as const;
     }
-    tasks.set(request.id, {
-      ...request,
-      state: isFailing ? "failed" : "running",
-      checkpointedAtMs: undefined,
-    });
-    return 201;
-  }
-  function act(id: string, action: string, leaseEpoch: number): number {
-    const task = tasks.get(id);
-    if (task === undefined) return 404;
-    if (task.leaseEpoch > leaseEpoch) return 409;
-    task.leaseEpoch = leaseEpoch;
-    if (action === "throttle") task.state = "throttled";
-    if (action === "stop") task.state = "stopped";
-    if (action === "checkpoint") task.checkpointedAtMs = Date.now();
-    return 200;
-  }
+    const match = TASK_PATH.exec(path);
+    if (match === null) return [404, {}] as const;
+    const job = decodeURIComponent(match[1]!);
+    const type = match[2] as "throttle" | "checkpoint" | "stop";
+    const fence = Fence.parse({ ...body as object, job });
+    const { status, state } = worker.act({ ...fence, type }, nowMs);
+    return [status, { state }] as const;
+  };
   const listener = withErrors(async (request, response) => {
-    const { pathname } = urlOf(request);
-    if (pathname === "/v1/report") return sendJson(response, 200, report());
     const body = await readJson(request);
-    if (pathname === "/v1/tasks") {
-      return sendJson(response, start(TaskRequest.parse(body)), {});
+    const [status, reply] = answer(urlOf(request).pathname, body);
+    if (lost > 0) {
+      lost--;
+      response.destroy();
+      return;
     }
-    const match = TASK_PATH.exec(pathname);
-    if (match === null) return sendJson(response, 404, {});
-    const { leaseEpoch } = Lease.parse(body);
-    sendJson(response, act(match[1]!, match[2]!, leaseEpoch), {});
+    sendJson(response, status, reply);
   });
   return {
     ...await listen(listener, address),
-    tasks,
+    tasks: worker.tasks,
     setFailing: (value) => {
       isFailing = value;
     },
+    loseAnswers: (count) => {
+      lost = count;
+    },
   };
 }
--- /dev/null
+++ b/packages/standins/worker_tasks.ts
@@ -0,0 +1,220 @@
+/** Task of a worker agent; times are of the worker's clock. */
+export type WorkerTask = {
+  job: string;
+  attempt: number;
+  state:
+    | "running"
+    | "throttled"
+    | "succeeded"
+    | "failed"
+    | "stopped"
+    | "expired";
+  leaseEndMs: number;
+  startedAtMs: number;
+  throttledAtMs: number | undefined;
+  checkpointedAtMs: number | undefined;
+  used: { cores: number; memory_gb: number; accelerators: number };
+  /** Time at which it ends by itself. */
+  endsAtMs: number;
+  willFail: boolean;
+};
+
+/** Start of a task. */
+export type WorkerStart = Pick<WorkerTask, "job" | "attempt" | "leaseEndMs"> & {
+  epoch: number;
+  startByMs: number;
+  size: WorkerTask["used"];
+};
+
+/** What a task does once it runs. */
+export type TaskBehaviour = Pick<WorkerTask, "used" | "willFail"> & {
+  runMs: number;
+};
+
+/** Report of a worker. */
+export type TaskReport = {
+  clockMs: number;
+  takenAtMs: number;
+  tasks: Omit<WorkerTask, "leaseEndMs" | "endsAtMs" | "willFail">[];
+};
+
+/** Answer to a call: an HTTP status and the state of the task. */
+export type WorkerReply = { status: number; state?: WorkerTask["state"] };
+
+/** Tasks of a worker, which judges attempts, epochs and leases. */
+export type WorkerTasks = {
+  tasks: Map<string, WorkerTask>;
+  /** Ends the tasks whose lease or run time is over. */
+  advance(nowMs: number): void;
+  start(request: WorkerStart, nowMs: number): WorkerReply;
+  act(action: TaskAct, nowMs: number): WorkerReply;
+  renew(lease: { epoch: number; leaseEndMs: number }, nowMs: number): number;
+  report(nowMs: number): TaskReport;
+};
+
+/** Call about a task. */
+export type TaskAct = {
+  type: "throttle" | "checkpoint" | "stop";
+  job: string;
+  attempt: number;
+  epoch: number;
+};
+
+/** Options of {@linkcode createWorkerTasks}. */
+export type WorkerTasksOptions = {
+  /** Age of reports in milliseconds. */
+  reportLagMs?: number;
+  behave: (start: WorkerStart) => TaskBehaviour;
+  /** Called when a task begins or ends to run. */
+  onChange?: (task: WorkerTask) => void;
+};
+
+/** Ended tasks stay in reports for this time in milliseconds. */
+const KEEP_ENDED_MS = 600_000;
+
+/**
+ * Creates the tasks of a worker. The lease is checked before each call, so that
+ * a worker that was frozen beyond a lease runs no task when it wakes.
+ *
+ * @example
+ * ```ts
+ * const worker = createWorkerTasks({ behave });
+ * worker.start(request, Date.now());
+ * ```
+ */
+export function createWorkerTasks(options: WorkerTasksOptions): WorkerTasks {
+  const tasks = new Map<string, WorkerTask>();
+  const endedAtMs = new Map<string, number>();
+  const reports: TaskReport[] = [];
+  let epoch = 0;
+  function setState(
+    task: WorkerTask,
+    state: WorkerTask["state"],
+    atMs: number,
+  ) {
+    task.state = state;
+    if (!isRunning(task)) endedAtMs.set(task.job, atMs);
+    options.onChange?.(task);
+  }
+  function advance(nowMs: number): void {
+    for (const task of tasks.values()) {
+      if (!isRunning(task)) {
+        const isOld = nowMs - (endedAtMs.get(task.job) ?? 0) > KEEP_ENDED_MS;
+        if (isOld) tasks.delete(task.job);
+      } else if (Math.min(task.endsAtMs, task.leaseEndMs) <= nowMs) {
+        const isExpired = task.leaseEndMs < task.endsAtMs;
+        const end = task.willFail ? "failed" : "succeeded";
+        setState(task, isExpired ? "expired" : end, nowMs);
+      }
+    }
+  }
+  function newTask(
+    { job, attempt, leaseEndMs }: WorkerStart,
+    nowMs: number,
+  ): WorkerTask {
+    return {
+      job,
+      attempt,
+      state: "running",
+      leaseEndMs,
+      startedAtMs: nowMs,
+      throttledAtMs: undefined,
+      checkpointedAtMs: undefined,
+      used: { cores: 0, memory_gb: 0, accelerators: 0 },
+      endsAtMs: Infinity,
+      willFail: false,
+    };
+  }
+  function start(request: WorkerStart, nowMs: number): WorkerReply {
+    advance(nowMs);
+    const known = tasks.get(request.job);
+    if (known !== undefined && known.attempt >= request.attempt) {
+      // A repeated start has no second effect.
+      return known.attempt === request.attempt
+        ? { status: 200, state: known.state }
+        : { status: 409 };
+    }
+    const isLate = nowMs > request.startByMs || nowMs >= request.leaseEndMs;
+    if (request.epoch < epoch || isLate) return { status: 409 };
+    epoch = request.epoch;
+    if (known !== undefined && isRunning(known)) {
+      setState(known, "stopped", nowMs);
+    }
+    const { runMs, ...behaviour } = options.behave(request);
+    const task = { ...newTask(request, nowMs), ...behaviour };
+    task.endsAtMs = nowMs + runMs;
+    tasks.set(request.job, task);
+    options.onChange?.(task);
+    advance(nowMs);
+    return { status: 201, state: task.state };
+  }
+  function act(action: TaskAct, nowMs: number): WorkerReply {
+    advance(nowMs);
+    const { job, attempt, type } = action;
+    const task = tasks.get(job);
+    const isOld = (task?.attempt ?? 0) > attempt || action.epoch < epoch;
+    if (isOld) return { status: 409 };
+    epoch = action.epoch;
+    if (task?.attempt !== attempt) {
+      if (type !== "stop") return { status: 404 };
+      // Remembers the stop, so that a late start of the attempt is refused.
+      const stopped = newTask({ ...NOTHING, ...action }, nowMs);
+      if (task !== undefined && isRunning(task)) {
+        setState(task, "stopped", nowMs);
+      }
+      tasks.set(job, stopped);
+      stopped.state = "stopped";
+      endedAtMs.set(job, nowMs);
+      return { status: 200, state: "stopped" };
+    }
+    if (!isRunning(task)) return { status: 200, state: task.state };
+    if (type === "checkpoint") task.checkpointedAtMs = nowMs;
+    else if (type === "stop") setState(task, "stopped", nowMs);
+    else {
+      task.throttledAtMs = nowMs;
+      task.state = "throttled";
+      task.used = { ...task.used, cores: task.used.cores / 2 };
+    }
+    return { status: 200, state: task.state };
+  }
+  function report(nowMs: number): TaskReport {
+    advance(nowMs);
+    reports.push({
+      clockMs: nowMs,
+      takenAtMs: nowMs,
+      tasks: [...tasks.values()].map((
+        { leaseEndMs: _lease, endsAtMs: _ends, willFail: _fails, ...shown },
+      ) => ({ ...shown, used: { ...shown.used } })),
+    });
+    const before = nowMs - (options.reportLagMs ?? 0);
+    while ((reports[1]?.takenAtMs ?? Infinity) <= before) reports.shift();
+    return { ...reports[0]!, clockMs: nowMs };
+  }
+  return {
+    tasks,
+    advance,
+    start,
+    act,
+    report,
+    renew(lease, nowMs) {
+      advance(nowMs);
+      if (lease.epoch < epoch) return 409;
+      epoch = lease.epoch;
+      for (const task of tasks.values()) {
+        if (!isRunning(task)) continue;
+        task.leaseEndMs = Math.max(task.leaseEndMs, lease.leaseEndMs);
+      }
+      return 200;
+    },
+  };
+}
+
+const NOTHING = {
+  leaseEndMs: 0,
+  startByMs: 0,
+  size: { cores: 0, memory_gb: 0, accelerators: 0 },
+};
+
+function isRunning(task: WorkerTask): boolean {
+  return task.state === "running" || task.state === "throttled";
+}
