--- a/packages/daemon/requests/_holder_calls.ts
+++ b/packages/daemon/requests/_holder_calls.ts
@@ -10,9 +10,15 @@
 /** Longest wait of one call to a holder. */
 const HOLDER_WAIT_MS = 2_000;
 
+/** Longest wait for a holder that is no longer a member. */
+const GONE_HOLDER_WAIT_MS = 500;
+
 /** Delay before a holder that can't be reached is called again. */
 const HOLDER_RETRY_MS = 200;
 
+/** Time between two looks for a release that is on its way. */
+const FOLD_POLL_MS = 25;
+
 /** Time in which the other entry hosts have to confirm. */
 const CONFIRM_MS = 500;
 
@@ -35,7 +41,10 @@
   };
 }
 
-/** Waits for the outcome of an order that another entry host holds. */
+/**
+ * Waits for the outcome of an order that another entry host holds. The result
+ * is `released` when the order did not run and may be claimed again.
+ */
 export async function waitForHolder(
   state: ClaimsState,
   wait: {
@@ -45,38 +54,52 @@
     deadlineAtMs: number;
   },
   dependencies: RequestPathDependencies,
-): Promise<OrderOutcome> {
+): Promise<OrderOutcome | "released"> {
   const { key, member, incarnation, deadlineAtMs } = wait;
+  let isReleased = false;
   for (;;) {
     const claim = findClaim(state, key);
     if (claim.type === "completed") {
       return readCompleted(dependencies, { key, offset: claim.offset });
     }
-    if (claim.type !== "open") return notRun("holder-released");
+    if (claim.type !== "open") return "released";
     const remainingMs = deadlineAtMs - dependencies.nowMs();
-    if (remainingMs <= 0) return unknownOutcome("deadline");
-    if (!dependencies.isCurrentMember(member, incarnation)) {
-      return unknownOutcome("holder-gone");
+    if (remainingMs <= 0) {
+      return isReleased
+        ? notRun("holder-released")
+        : unknownOutcome("deadline");
     }
-    const waitMs = Math.floor(Math.min(remainingMs, HOLDER_WAIT_MS));
+    if (isReleased) {
+      await sleep(FOLD_POLL_MS);
+      continue;
+    }
+    // A process that was declared lost has a new incarnation, but still knows
+    // its orders.
+    const isCurrent = dependencies.isCurrentMember(member, incarnation);
+    const longestMs = isCurrent ? HOLDER_WAIT_MS : GONE_HOLDER_WAIT_MS;
+    const waitMs = Math.floor(Math.min(remainingMs, longestMs));
     const held = await withinMs(
       dependencies.awaitOutcomeAt(member, key, waitMs).catch(() => undefined),
-      remainingMs,
+      isCurrent ? remainingMs : waitMs,
     );
     switch (held?.type) {
       case "completed":
         return fromWireAnswer(held.answer);
       case "not-run":
-        return notRun("holder-released");
+        isReleased = true;
+        break;
       case "running":
         break;
       case "unknown":
         // The end may be on its way here through the log.
         if (findClaim(state, key).type === "open") {
-          return unknownOutcome("outcome-unknown");
+          return unknownOutcome(
+            isCurrent ? "outcome-unknown" : "holder-gone",
+          );
         }
         break;
       default:
+        if (!isCurrent) return unknownOutcome("holder-gone");
         await sleep(HOLDER_RETRY_MS);
     }
   }
--- a/packages/daemon/requests/_order_keeper.ts
+++ b/packages/daemon/requests/_order_keeper.ts
@@ -42,6 +42,7 @@
 type Waiting = {
   order: Order;
   key: string;
+  refuseNew: string | undefined;
   resolve: (outcome: OrderOutcome) => void;
 };
 
@@ -75,6 +76,8 @@
   const outcomes = new Map<string, Promise<SharedOutcome>>();
   /** Orders whose outcome another caller waits for too. */
   const joined = new Set<string>();
+  /** Whether the claims of the log were folded once since the start. */
+  let hasBeenFresh = false;
   let wakeTimer: NodeJS.Timeout | undefined;
   return {
     run,
@@ -92,19 +95,38 @@
   function run(keyed: KeyedOrder): Promise<OrderOutcome> {
     const { order, key, refuseNew, gone } = keyed;
     return new Promise((resolve) => {
-      waiting.set(order.id, { order, key, resolve });
       gone.addEventListener("abort", () => cancel(order.id, key));
-      advance({
-        type: "ordered",
-        id: order.id,
-        key,
-        request: digestRequest(order),
-        deadlineAtMs: order.deadlineAtMs,
-        ...(refuseNew !== undefined && { refuseNew }),
-      });
+      take({ order, key, refuseNew, resolve });
+    });
+  }
+
+  function take(entry: Waiting): void {
+    const { order, key, refuseNew } = entry;
+    waiting.set(order.id, entry);
+    advance({
+      type: "ordered",
+      id: order.id,
+      key,
+      request: digestRequest(order),
+      deadlineAtMs: order.deadlineAtMs,
+      ...(refuseNew !== undefined && { refuseNew }),
     });
   }
 
+  async function waitElsewhere(
+    action: Extract<ClaimAction, { type: "wait-for-holder" }>,
+  ): Promise<void> {
+    const { id, key, member, incarnation } = action;
+    const entry = waiting.get(id);
+    waiting.delete(id);
+    if (entry === undefined) return;
+    const { deadlineAtMs } = entry.order;
+    const wait = { key, member, incarnation, deadlineAtMs };
+    const outcome = await waitForHolder(state, wait, dependencies);
+    if (outcome === "released") take(entry);
+    else entry.resolve(outcome);
+  }
+
   /** Ends an order that was not sent when its caller goes. */
   function cancel(id: string, key: string): void {
     advance({ type: "cancelled", id, key });
@@ -112,6 +134,7 @@
   }
 
   function tick(): void {
+    hasBeenFresh ||= dependencies.logIsFresh();
     advance({ type: "members", live: dependencies.liveMembers() });
     advance({ type: "tick" });
   }
@@ -120,6 +143,7 @@
     const body = ClaimRecord.safeParse(record.body);
     if (!body.success) return;
     const { id, timeMs } = record;
+    hasBeenFresh ||= dependencies.logIsFresh();
     advance({ type: "folded", id, timeMs, body: body.data });
   }
 
@@ -146,12 +170,9 @@
         return settleWith(action.id, join(action.primary));
       case "read-answer":
         return settleWith(action.id, readCompleted(dependencies, action));
-      case "wait-for-holder": {
-        const { id, key, member, incarnation } = action;
-        const deadlineAtMs = waiting.get(id)?.order.deadlineAtMs ?? 0;
-        const wait = { key, member, incarnation, deadlineAtMs };
-        return settleWith(id, waitForHolder(state, wait, dependencies));
-      }
+      case "wait-for-holder":
+        void waitElsewhere(action);
+        return;
       case "refuse":
         return settleWith(action.id, refuse(action));
     }
@@ -233,23 +254,24 @@
     return held.type === "not-found" ? notRun(reason) : unknownOutcome(reason);
   }
 
+  /** Whether no claim that was folded elsewhere may be unseen here. */
+  function hasSeenClaims(): boolean {
+    const { member, incarnation } = settings;
+    return hasBeenFresh && dependencies.isCurrentMember(member, incarnation);
+  }
+
   /** Tells another entry host what is known of an order. */
   async function awaitOutcome(
     key: string,
     waitMs: number,
   ): Promise<HeldOutcome> {
     const endAtMs = dependencies.nowMs() + waitMs;
-    const { member, incarnation } = settings;
-    // A process that has not joined may have missed claims of its name.
-    if (!dependencies.isCurrentMember(member, incarnation)) {
-      return { type: "unknown" };
-    }
     for (;;) {
       const claim = findClaim(state, key);
       const remainingMs = endAtMs - dependencies.nowMs();
       switch (claim.type) {
         case "none":
-          return { type: "not-found" };
+          return { type: hasSeenClaims() ? "not-found" : "unknown" };
         case "released":
           return { type: "not-run" };
         case "open":
