--- a/packages/standins/standins_test.ts
+++ b/packages/standins/standins_test.ts
@@ -125,16 +125,22 @@
 
 describe("serveWorker()", () => {
   // Guards against a stand-in that accepts calls of an expired lease.
-  test("refuses an older lease epoch", async () => {
+  test("refuses an older epoch or attempt", async () => {
     const worker = await opened(serveWorker("127.0.0.1:0"));
     const post = async (path: string, body: unknown) => {
       const url = `http://${worker.address}/v1/tasks${path}`;
       const request = { method: "POST", body: JSON.stringify(body) };
       return (await fetch(url, request)).status;
     };
-    expect(await post("", { id: "t", leaseEpoch: 2 })).toBe(201);
-    expect(await post("/t/stop", { leaseEpoch: 1 })).toBe(409);
-    expect(await post("/t/stop", { leaseEpoch: 2 })).toBe(200);
+    const fence = { job: "t", attempt: 2, epoch: 2 };
+    const leaseEndMs = Date.now() + 60_000;
+    const size = { cores: 1, memory_gb: 1, accelerators: 0 };
+    const start = { ...fence, leaseEndMs, startByMs: leaseEndMs, size };
+    expect(await post("", start)).toBe(201);
+    expect(await post("/t/stop", { ...fence, epoch: 1 })).toBe(409);
+    expect(await post("/t/stop", { ...fence, attempt: 1 })).toBe(409);
+    expect(worker.tasks.get("t")?.state).toBe("running");
+    expect(await post("/t/stop", fence)).toBe(200);
     expect(worker.tasks.get("t")?.state).toBe("stopped");
   });
 });
