Read the claims less often and write each reported loss once

No right to use slots depends on the claims, so that one read in 1.5 s suffices. Settings that are not valid end with exit code 2 and one event per problem.

--- a/packages/daemon/claims_follower.ts
+++ b/packages/daemon/claims_follower.ts
@@ -5,8 +5,14 @@
 } from "@lagoonloom/platform";
 import type { LogRecord } from "@lagoonloom/records";
 
+/**
+ * Longest wait of one read in milliseconds. No right to use slots depends on
+ * this stream, so that it is read less often than the stream `control`.
+ */
+const WAIT_MS = 1_500;
+
 /** Age in milliseconds up to which the folded claims count as recent. */
-const FRESH_MS = 2_000;
+const FRESH_MS = 4_000;
 
 /** Options of {@linkcode createClaimsFollower}. */
 export type ClaimsFollowerOptions = {
@@ -62,6 +68,7 @@
       tailStream(options.platform, handlers, {
         stream: "claims",
         signal: options.signal,
+        waitMs: WAIT_MS,
       }),
     isFresh: () => performance.now() - readAtMs < FRESH_MS,
   };
--- a/packages/daemon/main.ts
+++ b/packages/daemon/main.ts
@@ -5,6 +5,9 @@
 import { parseDaemonSettings } from "./settings.ts";
 import { startDaemon } from "./start_daemon.ts";
 
+/** Exit code after settings that are not valid. */
+const INVALID_SETTINGS = 2;
+
 /** Runs the daemon until a signal; a second signal ends it at once. */
 async function run(settings: DaemonSettings): Promise<void> {
   const running = await startDaemon(settings);
@@ -18,20 +21,25 @@
   process.on("SIGINT", onSignal);
 }
 
-function readSettings(file: string): DaemonSettings {
+/** Runs the daemon, or writes the problems of its settings. */
+async function runFile(file: string): Promise<void> {
   const settings = parseDaemonSettings(readFileSync(file, "utf8"), { file });
-  return settings.mapLeft((problems) => {
-    const events = createEventLog();
-    for (const problem of problems) events.log("settingsRefused", { problem });
-    process.exitCode = 2;
-    throw new Error("The settings are not valid.");
-  }).unsafeCoerce();
+  await settings.caseOf<Promise<void> | void>({
+    Right: run,
+    Left(problems) {
+      const events = createEventLog();
+      for (const problem of problems) {
+        events.log("settingsRefused", { problem });
+      }
+      process.exitCode = INVALID_SETTINGS;
+    },
+  });
 }
 
 async function main(): Promise<void> {
   const cli = cac("lagoonloomd");
   cli.command("<settings>", "Run the daemon of an entry host")
-    .action((file: string) => run(readSettings(file)));
+    .action(runFile);
   cli.help();
   try {
     cli.parse(process.argv, { run: false });
--- a/packages/daemon/membership.ts
+++ b/packages/daemon/membership.ts
@@ -71,6 +71,8 @@
   let incarnation = options.createIncarnation();
   let isLeaving = false;
   const notBeforeMs = new Map<string, number>();
+  /** Reported incarnations whose event was written. */
+  const announced = new Set<string>();
   const own = () => {
     const member = fold.state().members.get(name);
     return member?.incarnation === incarnation ? member : undefined;
@@ -78,7 +80,10 @@
   fold.onChange((change) => {
     if (change.type === "record") pendingWatchers.delete(change.record.id);
     if (change.type !== "settled") return;
-    forgetMembers(watch, [...fold.state().members.values()]);
+    const members = [...fold.state().members.values()];
+    forgetMembers(watch, members);
+    const current = new Set(members.map(keyOf));
+    for (const key of announced) if (!current.has(key)) announced.delete(key);
     if (fold.state().endedIncarnations.get(name)?.includes(incarnation)) {
       incarnation = options.createIncarnation();
       pendingWatchers.clear();
@@ -153,6 +158,9 @@
     const watched = [...fold.state().members.values()]
       .filter((member) => member.watcher === name && member.name !== name);
     for (const member of findLosses(watch, watched, nowMs)) {
+      // Without the log a report is tried again and again.
+      if (announced.has(keyOf(member))) continue;
+      announced.add(keyOf(member));
       const silentMs = nowMs - (watch.heardAtMs.get(keyOf(member)) ?? nowMs);
       events.log("lossReported", { member: member.name, silentMs });
     }
--- a/packages/platform/tail_stream.ts
+++ b/packages/platform/tail_stream.ts
@@ -31,6 +31,8 @@
 export type TailOptions = {
   stream: Stream;
   signal: AbortSignal;
+  /** Longest wait of one read in milliseconds. */
+  waitMs?: number;
   random?: () => number;
 };
 
@@ -57,7 +59,7 @@
       from: handlers.nextOffset(),
       limit: TAIL_PAGE_RECORDS,
       // After a failure the first answer is wanted at once.
-      waitMs: failures === 0 ? WAIT_MS : 0,
+      waitMs: failures === 0 ? options.waitMs ?? WAIT_MS : 0,
     }, signal);
     if (signal.aborted) return;
     if (outcome.type === "read") {
