--- a/packages/measure/main.ts
+++ b/packages/measure/main.ts
@@ -2,12 +2,14 @@
 import { formatJson, formatTable } from "./format_rows.ts";
 import type { MeasureRow } from "./measure_row.ts";
 import { MEASURES } from "./measures.ts";
+import { measureSlopes } from "./slopes/mod.ts";
 
 /** Runs the measures and prints their rows. */
 function main(): void {
   const cli = cac("measure");
   cli.option("--json", "Print one JSON object per line");
   cli.option("--only <name>", "Run only this measure; may be repeated");
+  cli.option("--slopes", "Measure state and time at several sizes");
   cli.help();
   const { options } = cli.parse();
   if (options.help) return;
@@ -19,9 +21,11 @@
     process.exitCode = 2;
     return;
   }
+  const selected = Object.entries(MEASURES)
+    .filter(([name]) => only.length === 0 || only.includes(name))
+    .map(([, measure]) => measure);
   const rows: MeasureRow[] = [];
-  for (const [name, measure] of Object.entries(MEASURES)) {
-    if (only.length > 0 && !only.includes(name)) continue;
+  for (const measure of options.slopes ? [measureSlopes] : selected) {
     for (const row of measure()) {
       if (options.json) console.log(formatJson(row));
       else rows.push(row);
--- /dev/null
+++ b/packages/measure/slopes/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Slopes of state and time over the size of a fleet.
+ *
+ * @module
+ */
+
+export * from "./fit_line.ts";
+export * from "./measure_slopes.ts";
