Draw the requests of neighbouring seeds independently

The first numbers of the generator are nearly the same for neighbouring seeds, so each queue's first request came late and at the same part of its interval. The seed is now spread and the first 32 numbers are skipped.

--- a/packages/measure/random.ts
+++ b/packages/measure/random.ts
@@ -7,6 +7,9 @@
 /** Steps of the unit interval, small enough for run times and gaps. */
 const STEPS = 2 ** 30;
 
+/** Numbers that are skipped at the start of a sequence. */
+const WARM_UP_DRAWS = 32;
+
 /**
  * Returns a source of random numbers with a fixed seed.
  *
@@ -17,7 +20,9 @@
  * ```
  */
 export function createRandom(seed: number): Random {
-  const generator = xoroshiro128plus(seed);
+  const generator = xoroshiro128plus(Math.imul(seed, 0x9e3779b1));
+  // The first numbers of this generator are nearly the same for every seed.
+  for (let count = 0; count < WARM_UP_DRAWS; count++) generator.next();
   return () => uniformInt(generator, 0, STEPS - 1) / STEPS;
 }
 
