--- a/packages/daemon/requests/_dispatcher.ts
+++ b/packages/daemon/requests/_dispatcher.ts
@@ -1,4 +1,13 @@
-import type { SchedulerAction, SchedulerEvent } from "@lagoonloom/decisions";
+import {
+  advanceScheduler,
+  createRetryBudget,
+  createScheduler,
+  decideRetry,
+  earnRetry,
+  type SchedulerAction,
+  type SchedulerEvent,
+  spendRetry,
+} from "@lagoonloom/decisions";
 import type { ExchangeResult, ExecutorClient } from "@lagoonloom/endpoints";
 import { forwardOrder } from "./_forward_order.ts";
 import {
@@ -7,56 +16,59 @@
   type OrderOutcome,
   unknownOutcome,
 } from "./_order.ts";
-import { createRetryBudget } from "./_retry_budget.ts";
 import type { RequestPathDependencies } from "./dependencies.ts";
 
-/** Time between two ticks of the scheduler. */
-const TICK_MS = 50;
-
 /** A run this many times longer than declared counts against its host. */
 const SLOW_RUN_FACTOR = 2;
 
+/** Failures that say something about the executor. */
+const TELLING_FAILURES = new Set([
+  "connect",
+  "deadline",
+  "broken",
+  "wrong-answer",
+  "unframed-answer",
+  "refused",
+]);
+
 /** Scheduled order that has no outcome yet. */
 type Job = {
   order: Order;
   excludedHosts: string[];
+  attempts: number;
+  /** Whether an earlier attempt ended with an unknown outcome. */
+  mayHaveRun: boolean;
   isQueued: boolean;
   resolve: (outcome: OrderOutcome) => void;
 };
 
-/** Options of {@linkcode createDispatcher}. */
-type DispatcherOptions = {
-  dependencies: RequestPathDependencies;
-  client: ExecutorClient;
-  schedule: (
-    event: SchedulerEvent,
-    nowMs: number,
-  ) => readonly SchedulerAction[];
-};
-
 /** Carries out the scheduler's actions. */
 export type Dispatcher = ReturnType<typeof createDispatcher>;
 
 /** Creates the part that queues, sends, forwards and retries requests. */
-export function createDispatcher(options: DispatcherOptions) {
-  const { dependencies, client, schedule } = options;
+export function createDispatcher(
+  dependencies: RequestPathDependencies,
+  client: ExecutorClient,
+) {
+  const scheduler = createScheduler({
+    topology: { pools: [], services: [] },
+  });
   const jobs = new Map<string, Job>();
-  const running = new Map<string, number>();
-  const retries = createRetryBudget();
-  const ticker = setInterval(() => advance({ type: "tick" }), TICK_MS);
-  ticker.unref();
+  let running = 0;
+  let budget = createRetryBudget();
   return {
     advance,
     run,
     cancel,
-    /** Slots in use per host. */
-    running,
-    isIdle: () => jobs.size === 0 && running.size === 0,
-    close: () => clearInterval(ticker),
+    scheduler,
+    /** Number of requests on executors. */
+    running: () => running,
   };
 
   function advance(event: SchedulerEvent): void {
-    const actions = schedule(event, dependencies.nowMs());
+    const nowMs = dependencies.nowMs();
+    const actions = advanceScheduler(scheduler, event, nowMs);
+    dependencies.observeSchedule?.(event, actions, nowMs);
     for (const action of actions) perform(action);
   }
 
@@ -64,9 +76,16 @@
     if (jobs.has(order.id)) {
       return Promise.resolve(unknownOutcome("duplicate-id"));
     }
-    retries.countRequest();
+    budget = earnRetry(budget);
     return new Promise((resolve) => {
-      const job = { order, excludedHosts: [], isQueued: true, resolve };
+      const job: Job = {
+        order,
+        excludedHosts: [],
+        attempts: 0,
+        mayHaveRun: false,
+        isQueued: true,
+        resolve,
+      };
       jobs.set(order.id, job);
       arrive(job);
     });
@@ -99,7 +118,9 @@
 
   function settle(job: Job, outcome: OrderOutcome): void {
     jobs.delete(job.order.id);
-    job.resolve(outcome);
+    const isFalse = outcome.type === "failed" && outcome.notRun &&
+      job.mayHaveRun;
+    job.resolve(isFalse ? unknownOutcome(outcome.reason) : outcome);
   }
 
   function perform(action: SchedulerAction): void {
@@ -133,12 +154,11 @@
     const { order } = job;
     job.isQueued = false;
     const startedAtMs = dependencies.nowMs();
-    running.set(host, (running.get(host) ?? 0) + 1);
-    const result = await exchange(order, host, startedAtMs);
+    job.attempts += 1;
+    running += 1;
+    const result = await exchange(job, host, startedAtMs);
     const finish = () => {
-      const left = (running.get(host) ?? 1) - 1;
-      if (left === 0) running.delete(host);
-      else running.set(host, left);
+      running -= 1;
       const runMs = dependencies.nowMs() - startedAtMs;
       const verdict = judge(order, result, runMs);
       advance({
@@ -150,23 +170,26 @@
         result: verdict,
       });
     };
+    if (result.type === "failed") reportFailure(host, result);
     if (result.type === "streamed") result.stream.once("close", finish);
     else finish();
     if (result.type !== "failed") return settle(job, result);
     const { notRun: isNotRun, reason } = result;
     const mayRetry = reason !== "slot-rights" && reason !== "deadline";
+    job.mayHaveRun ||= !isNotRun;
     if (mayRetry && retry(job, isNotRun)) {
-      job.excludedHosts.push(host);
+      if (reason !== "stale-connection") job.excludedHosts.push(host);
       return arrive(job);
     }
     settle(job, isNotRun ? notRun(reason) : unknownOutcome(reason));
   }
 
   function exchange(
-    order: Order,
+    job: Job,
     host: string,
     nowMs: number,
   ): Promise<ExchangeResult> {
+    const { order } = job;
     const address = dependencies.hostAddress(host);
     const remainingMs = order.deadlineAtMs - nowMs;
     if (address === undefined || remainingMs <= 0) {
@@ -181,7 +204,8 @@
       headers: order.headers,
       body: order.body,
       remainingMs,
-      mayReuseConnection: order.isIdempotent,
+      // A retry must not meet a second connection that is closing.
+      mayReuseConnection: order.isIdempotent && job.attempts === 1,
       maySend: dependencies.hasSlotRights,
     });
   }
@@ -189,6 +213,7 @@
   async function forward(job: Job, member: string): Promise<void> {
     const { order } = job;
     job.isQueued = false;
+    job.attempts += 1;
     const outcome = await forwardOrder(order, member, { dependencies });
     if (outcome.type === "failed" && outcome.notRun) {
       // The scheduler queues it again or refuses it.
@@ -196,6 +221,7 @@
       return advance({ type: "returned", id: order.id, member });
     }
     advance({ type: "forward-ended", id: order.id });
+    job.mayHaveRun ||= outcome.type === "failed";
     const mayRetry = outcome.type === "failed" && outcome.reason !== "deadline";
     if (mayRetry && retry(job, false)) return arrive(job);
     settle(job, outcome);
@@ -204,11 +230,29 @@
   /** Takes a retry if the request may run again and its deadline allows it. */
   function retry(job: Job, isNotRun: boolean): boolean {
     const { order } = job;
-    if (!isNotRun && !order.isIdempotent) return false;
     const service = dependencies.findService(order.service);
-    const neededMs = service?.run_time_ms ?? 0;
-    if (dependencies.nowMs() + neededMs > order.deadlineAtMs) return false;
-    return retries.takeRetry();
+    const decision = decideRetry({
+      sent: isNotRun ? "nothing" : "maybe",
+      isIdempotent: order.isIdempotent,
+      budget,
+      attempts: job.attempts,
+      nowMs: dependencies.nowMs(),
+      deadlineAtMs: order.deadlineAtMs,
+      expectedRunMs: service?.run_time_ms ?? 0,
+    });
+    if (decision.retry) budget = spendRetry(budget);
+    return decision.retry;
+  }
+
+  function reportFailure(
+    host: string,
+    result: { reason: string; notRun: boolean },
+  ): void {
+    const { reason, notRun } = result;
+    dependencies.events.log("exchangeFailed", { host, reason, notRun });
+    if (reason === "wrong-answer") {
+      dependencies.events.log("wrongAnswer", { host });
+    }
   }
 
   function judge(
@@ -219,7 +263,7 @@
     if (result.type !== "failed") {
       return result.status >= 500 ? "failed" : "succeeded";
     }
-    if (result.reason === "slot-rights") return "abandoned";
+    if (!TELLING_FAILURES.has(result.reason)) return "abandoned";
     if (result.reason !== "deadline") return "failed";
     const service = dependencies.findService(order.service);
     const slowMs = SLOW_RUN_FACTOR * (service?.run_time_ms ?? 0);
--- a/packages/daemon/requests/dependencies.ts
+++ b/packages/daemon/requests/dependencies.ts
@@ -1,7 +1,7 @@
 import type { SchedulerAction, SchedulerEvent } from "@lagoonloom/decisions";
 import type { Service } from "@lagoonloom/objects";
 import type { AnswerRecord, Stream } from "@lagoonloom/records";
-import type { Registry } from "prom-client";
+import type { EventLog, Metrics } from "@lagoonloom/telemetry";
 import type { ForwardedRequest, ForwardedResult } from "./forwarded.ts";
 import type { HeldOutcome } from "./held_outcome.ts";
 
@@ -19,8 +19,10 @@
   maxTransitBytes?: number;
   /** Connections that this entry host may open to one executor. */
   maxConnections: number;
-  /** Time for which claims are remembered in milliseconds of the log. */
+  /** Log time for which claims are remembered in milliseconds. */
   claimWindowMs?: number;
+  /** Most claims that are remembered. */
+  maxClaims?: number;
 };
 
 /** Result of an append to the log. */
@@ -31,17 +33,6 @@
   /** The record may be in the log, or may appear in it later. */
   | { type: "unknown" };
 
-/** Level of a log event. */
-export type EventLevel = "info" | "warn" | "error";
-
-/** Numbered log event of the request path. */
-export type RequestEvent = {
-  number: number;
-  level: EventLevel;
-  message: string;
-  fields: Record<string, string | number | boolean>;
-};
-
 /** What the request path needs from the daemon. */
 export type RequestPathDependencies = {
   settings: RequestSettings;
@@ -71,15 +62,22 @@
     waitMs: number,
   ) => Promise<HeldOutcome>;
   isCurrentMember: (name: string, incarnation: string) => boolean;
-  /** Entry hosts that take part, which share the rate of appends. */
-  liveMembers: () => number;
-  /** Scheduler of this entry host; a first-come one if absent. */
-  schedule?: (
+  /**
+   * Other entry hosts that take part. They are asked whether they know an
+   * order before its caller is told that it was not run on other grounds than
+   * a claim of this entry host.
+   */
+  otherMembers?: () => readonly string[];
+  /** Called with each event of the scheduler and what it led to. */
+  observeSchedule?: (
     event: SchedulerEvent,
+    actions: readonly SchedulerAction[],
     nowMs: number,
-  ) => readonly SchedulerAction[];
-  events: (event: RequestEvent) => void;
-  metrics: Registry;
+  ) => void;
+  /** Number of entry hosts that take part, which share the rate of appends. */
+  liveMembers: () => number;
+  events: EventLog;
+  metrics: Metrics;
   /** Monotonic clock in milliseconds. */
   nowMs: () => number;
 };
--- a/packages/decisions/budgets/pool_capacity.ts
+++ b/packages/decisions/budgets/pool_capacity.ts
@@ -20,6 +20,8 @@
   pool: string;
   total: number;
   available: number;
+  /** Hosts out by plan: with a permit, or marked as leaving. */
+  planned: number;
   /** Hosts that are failed or of unknown status, without a permit. */
   unplanned: number;
   required: Limit;
@@ -28,6 +30,8 @@
   dataCentres: Map<string, PlaceCapacity>;
   /** Whether the fleet allows the loss of a rack besides a planned stop. */
   reservesRack: boolean;
+  /** Hosts of the fullest rack. */
+  largestRack: number;
 };
 
 /**
@@ -56,27 +60,46 @@
  */
 export function poolCapacity(state: FleetState, pool: string): PoolCapacity {
   const names = state.hostsByPool.get(pool) ?? new Set();
+  // Hosts that move to the pool count already, so that its own planned stops
+  // leave them the room to join.
+  const size = names.size + (state.incomingByPool.get(pool) ?? 0);
   const limits = poolLimits(state.set).get(pool);
   const capacity: PoolCapacity = {
     pool,
     total: names.size,
     available: 0,
+    planned: 0,
     unplanned: 0,
-    required: requiredHosts(limits, names.size),
+    required: requiredHosts(limits, size),
     limits,
     racks: new Map(),
     dataCentres: new Map(),
     reservesRack: false,
+    largestRack: 0,
   };
   for (const name of names) countHost(state, capacity, name);
-  let largest = 0;
   for (const { total } of capacity.racks.values()) {
-    largest = Math.max(largest, total);
+    capacity.largestRack = Math.max(capacity.largestRack, total);
   }
-  capacity.reservesRack = capacity.total - largest > capacity.required.value;
+  capacity.reservesRack =
+    capacity.total - capacity.largestRack > capacity.required.value;
   return capacity;
 }
 
+/**
+ * Returns about how many hosts of a pool may be out by plan when all are
+ * healthy. The limits per rack and data centre can lower it further.
+ *
+ * @example
+ * ```ts
+ * const width = maxPlannedOut(poolCapacity(state, "orders"));
+ * ```
+ */
+export function maxPlannedOut(capacity: PoolCapacity): number {
+  const { total, required, reservesRack, largestRack } = capacity;
+  return Math.max(0, total - required.value - (reservesRack ? largestRack : 0));
+}
+
 function countHost(
   state: FleetState,
   capacity: PoolCapacity,
@@ -88,7 +111,8 @@
   const isPlanned = host.permit !== undefined || object.state === "leaving";
   const available = isAvailable(state, name) ? 1 : 0;
   capacity.available += available;
-  if (!isPlanned && available === 0) capacity.unplanned++;
+  if (isPlanned) capacity.planned++;
+  else if (available === 0) capacity.unplanned++;
   const places = [
     placeOf(capacity.racks, rackKey(object)),
     placeOf(capacity.dataCentres, object.data_centre),
--- a/packages/endpoints/executor_client.ts
+++ b/packages/endpoints/executor_client.ts
@@ -8,6 +8,9 @@
 /** Idle connections are closed before the usual 5 s of HTTP servers. */
 const IDLE_CONNECTION_MS = 4_000;
 
+/** Time in which a connection has to be ready; all hosts are in one region. */
+const CONNECT_TIMEOUT_MS = 500;
+
 /** Options of {@linkcode createExecutorClient}. */
 export type ExecutorClientOptions = {
   /** Connections that this process may open to one executor. */
@@ -82,7 +85,9 @@
     };
     // Also ends an answer that is still being streamed.
     const deadline = setTimeout(fail, order.remainingMs, "deadline");
+    const connecting = setTimeout(fail, CONNECT_TIMEOUT_MS, "connect");
     const send = () => {
+      clearTimeout(connecting);
       if (isSettled) return;
       if (!order.maySend()) return fail("slot-rights");
       wasSent = true;
@@ -92,11 +97,17 @@
       if (socket.connecting) socket.once("connect", send);
       else send();
     });
-    outgoing.on("error", () => fail(wasSent ? "broken" : "connect"));
+    const end = () => {
+      if (isSettled) return;
+      if (!wasSent) fail("connect");
+      else fail(outgoing.reusedSocket ? "stale-connection" : "broken");
+    };
+    outgoing.on("error", end);
     // Fires without an error when the connection ends before an answer.
     outgoing.on("close", () => {
+      clearTimeout(connecting);
       clearTimeout(deadline);
-      if (!isSettled) fail(wasSent ? "broken" : "connect");
+      end();
     });
     outgoing.on("response", (incoming: IncomingMessage) => {
       readAnswer(incoming, { id: order.id, budget, settle, fail });
