Bound the memory of request bodies and the length of an exchange

Queued requests could hold gigabytes of bodies, since only their number was bounded; bodies now share 32 MiB and further ones are refused as not run. An exchange ends after the longest request of the settings, since another entry host uses the slot of a lost one after that time. A refused caller that is still sending gets time to read its answer before the connection is closed.

--- a/packages/callers/_read_body.ts
+++ b/packages/callers/_read_body.ts
@@ -1,3 +1,4 @@
+import type { TransitBudget } from "@lagoonloom/endpoints";
 import type { IncomingMessage } from "node:http";
 
 const EMPTY_BODY = new Uint8Array(0);
@@ -5,12 +6,15 @@
 /** Body of a request, or why it can't be read. */
 export type BodyResult =
   | { type: "body"; body: Uint8Array }
-  | { type: "too-large" | "too-slow" | "broken" };
+  | { type: "too-large" | "too-slow" | "broken" | "no-memory" };
 
-/** Reads a body within a bound of size and time. */
+/**
+ * Reads a body within a bound of size and time. The caller of this function
+ * releases the length of the body to the budget.
+ */
 export function readBody(
   incoming: IncomingMessage,
-  options: { maxBytes: number; timeoutMs: number },
+  options: { maxBytes: number; timeoutMs: number; budget: TransitBudget },
 ): Promise<BodyResult> | BodyResult {
   const length = incoming.headers["content-length"];
   const isChunked = incoming.headers["transfer-encoding"] !== undefined;
@@ -23,15 +27,24 @@
   return new Promise((resolve) => {
     const chunks: Uint8Array[] = [];
     let size = 0;
+    let isSettled = false;
     const settle = (result: BodyResult) => {
+      if (isSettled) return;
+      isSettled = true;
       clearTimeout(timeout);
       incoming.off("data", onData);
+      if (result.type !== "body") options.budget.release(size);
       resolve(result);
     };
     const timeout = setTimeout(settle, options.timeoutMs, { type: "too-slow" });
     const onData = (chunk: Uint8Array) => {
+      if (size + chunk.length > options.maxBytes) {
+        return settle({ type: "too-large" });
+      }
+      if (!options.budget.reserve(chunk.length)) {
+        return settle({ type: "no-memory" });
+      }
       size += chunk.length;
-      if (size > options.maxBytes) return settle({ type: "too-large" });
       chunks.push(chunk);
     };
     incoming.on("data", onData);
--- a/packages/callers/_write_answer.ts
+++ b/packages/callers/_write_answer.ts
@@ -2,6 +2,9 @@
 import type { CallerOutcome } from "./caller_outcome.ts";
 import { encodeProblem, type ProblemAnswer } from "./problem_answer.ts";
 
+/** Time for which the rest of a refused request is read. */
+const LINGER_MS = 500;
+
 /** Writes the answer to the caller. */
 export function writeOutcome(
   response: ServerResponse,
@@ -38,10 +41,33 @@
     const seconds = Math.max(1, Math.ceil(problem.retryAfterMs / 1_000));
     headers["retry-after"] = String(seconds);
   }
+  if (response.req.complete) {
+    response.writeHead(problem.status, headers);
+    response.end(body);
+    return;
+  }
   // The rest of an unread body must not be taken for the next request.
-  if (!response.req.complete) headers["connection"] = "close";
+  headers["connection"] = "close";
   response.writeHead(problem.status, headers);
-  response.end(body);
+  response.write(body);
+  linger(response);
+}
+
+/**
+ * Ends an answer when the caller has sent its whole request or after a limited
+ * time. A connection that is closed with unread bytes is reset, and the caller
+ * may lose the answer.
+ */
+function linger(response: ServerResponse): void {
+  const { req: incoming } = response;
+  const end = () => {
+    clearTimeout(timeout);
+    response.end();
+  };
+  const timeout = setTimeout(end, LINGER_MS);
+  incoming.once("close", end);
+  incoming.once("end", end);
+  incoming.resume();
 }
 
 /** A stream that breaks destroys the connection, so the caller sees it. */
--- a/packages/callers/create_caller_app.ts
+++ b/packages/callers/create_caller_app.ts
@@ -1,3 +1,4 @@
+import { createTransitBudget, type TransitBudget } from "@lagoonloom/endpoints";
 import Koa from "koa";
 import { invalid, parseHead } from "./_parse_request.ts";
 import { readBody } from "./_read_body.ts";
@@ -8,6 +9,9 @@
 /** Largest accepted body unless the settings say otherwise. */
 export const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 
+/** Memory for the bodies of waiting requests unless the settings say so. */
+export const DEFAULT_MAX_BODIES_BYTES = 33_554_432;
+
 /** Time in which a body has to arrive unless the settings say otherwise. */
 export const DEFAULT_BODY_TIMEOUT_MS = 5_000;
 
@@ -17,6 +21,8 @@
   callers: ReadonlyMap<string, string>;
   maxBodyBytes?: number;
   bodyTimeoutMs?: number;
+  /** Memory for the bodies of all requests in progress. */
+  maxBodiesBytes?: number;
   /** Whether the process works at all. */
   isLive: () => boolean;
   /** Whether the load balancer should send requests here. */
@@ -46,12 +52,15 @@
  */
 export function createCallerApp(options: CallerAppOptions): Koa {
   const app = new Koa();
+  const budget = createTransitBudget(
+    options.maxBodiesBytes ?? DEFAULT_MAX_BODIES_BYTES,
+  );
   app.use(async (context) => {
     if (options.isStopping()) context.set("connection", "close");
     if (await answerProbe(context, options)) return;
     // The answer is written below, byte for byte as the executor gave it.
     context.respond = false;
-    await answerCaller(context, options);
+    await answerCaller(context, options, budget);
   });
   return app;
 }
@@ -74,6 +83,7 @@
 async function answerCaller(
   context: Koa.Context,
   options: CallerAppOptions,
+  budget: TransitBudget,
 ): Promise<void> {
   const { req: incoming, res: response } = context;
   const head = parseHead(incoming, options);
@@ -81,6 +91,7 @@
   const result = await readBody(incoming, {
     maxBytes: options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     timeoutMs: options.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
+    budget,
   });
   switch (result.type) {
     case "broken":
@@ -91,6 +102,11 @@
         response,
         invalid(413, "too-large", "The body is too large."),
       );
+    case "no-memory": {
+      const detail = "The bodies of waiting requests fill the memory.";
+      const problem = invalid(503, "no-memory", detail);
+      return writeProblem(response, { ...problem, retryAfterMs: 1_000 });
+    }
     case "too-slow":
       return writeProblem(
         response,
@@ -102,5 +118,9 @@
     if (!response.writableFinished) gone.abort();
   });
   const request = { ...head, body: result.body, gone: gone.signal };
-  writeOutcome(response, await options.handle(request));
+  try {
+    writeOutcome(response, await options.handle(request));
+  } finally {
+    budget.release(result.body.length);
+  }
 }
--- a/packages/callers/create_caller_app_test.ts
+++ b/packages/callers/create_caller_app_test.ts
@@ -18,6 +18,7 @@
     callers: new Map([["token", "quoting"]]),
     maxBodyBytes: 10,
     bodyTimeoutMs: 50,
+    maxBodiesBytes: 15,
     isLive: () => true,
     isReady: () => false,
     isStopping: () => false,
@@ -196,6 +197,27 @@
     });
   });
 
+  // Guards against bodies of waiting requests that take unbounded memory, and
+  // against memory that is not given back.
+  test("refuses bodies beyond the memory for them", async () => {
+    const held: (() => void)[] = [];
+    const { port } = await serve(async () => {
+      await new Promise<void>((resolve) => held.push(resolve));
+      return await answered();
+    });
+    const text = head(`POST ${PATH}`, `${AUTH}Content-Length: 8\r\n`);
+    const first = exchange(port, `${text}12345678`);
+    while (held.length === 0) await new Promise((go) => setTimeout(go, 5));
+    const second = await exchange(port, `${text}12345678`);
+    expect(second).toMatch(/^HTTP\/1.1 503 /);
+    held[0]!();
+    expect(await first).toMatch(/^HTTP\/1.1 201 /);
+    const third = exchange(port, `${text}12345678`);
+    while (held.length === 1) await new Promise((go) => setTimeout(go, 5));
+    held[1]!();
+    expect(await third).toMatch(/^HTTP\/1.1 201 /);
+  });
+
   // Guards against a cut answer that the caller takes for a whole one.
   test.each([true, false])("streams, cut: %s", async (isCut) => {
     const stream = new PassThrough();
--- a/packages/daemon/request_path.ts
+++ b/packages/daemon/request_path.ts
@@ -49,6 +49,7 @@
       maxTransitBytes: bounds.transit_bytes,
       maxConnections: bounds.executor_connections,
       claimWindowMs: bounds.claim_window_ms,
+      longestRequestMs: bounds.longest_request_ms,
     },
     hasSlotRights: membership.hasSlotRights,
     logIsFresh: options.logIsFresh,
--- a/packages/daemon/requests/_dispatcher.ts
+++ b/packages/daemon/requests/_dispatcher.ts
@@ -18,6 +18,9 @@
 } from "./_order.ts";
 import type { RequestPathDependencies } from "./dependencies.ts";
 
+/** Longest exchange unless the settings say otherwise. */
+const DEFAULT_LONGEST_REQUEST_MS = 10_000;
+
 /** A run this many times longer than declared counts against its host. */
 const SLOW_RUN_FACTOR = 2;
 
@@ -191,7 +194,10 @@
   ): Promise<ExchangeResult> {
     const { order } = job;
     const address = dependencies.hostAddress(host);
-    const remainingMs = order.deadlineAtMs - nowMs;
+    const remainingMs = Math.min(
+      order.deadlineAtMs - nowMs,
+      dependencies.settings.longestRequestMs ?? DEFAULT_LONGEST_REQUEST_MS,
+    );
     if (address === undefined || remainingMs <= 0) {
       const reason = address === undefined ? "connect" : "deadline";
       return Promise.resolve({ type: "failed", reason, notRun: true });
--- a/packages/daemon/requests/_fault_fixture.ts
+++ b/packages/daemon/requests/_fault_fixture.ts
@@ -49,6 +49,7 @@
   overrides?: Partial<RequestPathDependencies>;
   /** Whether the first entry host owns no slots and forwards everything. */
   isForwarding?: boolean;
+  longestRequestMs?: number;
   /** Number of entry hosts, at least 2. */
   entryHosts?: number;
   /** Latency of a call between entry hosts in milliseconds. */
@@ -109,6 +110,7 @@
         callers: new Map([["token", "team"], ["other", "other-team"]]),
         maxConnections: 8,
         maxBodyBytes: 1_000_000,
+        longestRequestMs: options.longestRequestMs ?? 10_000,
       },
       hasSlotRights: () => !host.isLost,
       logIsFresh: () => performance.now() - contactAtMs < 1_100,
--- a/packages/daemon/requests/create_request_path_test.ts
+++ b/packages/daemon/requests/create_request_path_test.ts
@@ -89,6 +89,15 @@
     expect((await fixture.call("entry-b", order)).status).toBe(200);
   });
 
+  // Guards against an exchange that outlasts the time after which another
+  // entry host may use the slot.
+  test("ends an exchange after the longest request", async () => {
+    const fixture = await createFixture({ longestRequestMs: 50 });
+    fixture.log.script = { step: "unanswered", fault: "slow" };
+    const quote = await fixture.call("entry-a", { body: "one" });
+    expect(quote).toMatchObject({ status: 504, outcome: "unknown" });
+  });
+
   // Guards against an unknown outcome, since the executor closed the idle
   // connection on which the request was sent.
   test("survives an executor that closes idle connections", async () => {
--- a/packages/daemon/requests/dependencies.ts
+++ b/packages/daemon/requests/dependencies.ts
@@ -19,6 +19,11 @@
   maxTransitBytes?: number;
   /** Connections that this entry host may open to one executor. */
   maxConnections: number;
+  /**
+   * Longest exchange with an executor in milliseconds, after which the slot of
+   * a lost entry host is used by another one.
+   */
+  longestRequestMs?: number;
   /** Log time for which claims are remembered in milliseconds. */
   claimWindowMs?: number;
   /** Most claims that are remembered. */
