Kill the executor that is not serving in the fault table

The case 'reset' with the other executor down failed in one of four runs: the hook killed executor 1 always, and under load executor 1 served the request, so the retry found executor 0 alive. The hook now gets the serving executor and kills the other one.

--- a/packages/daemon/requests/_fault_cases.ts
+++ b/packages/daemon/requests/_fault_cases.ts
@@ -21,7 +21,7 @@
 /** What happens beside the executors; returns further attempts. */
 type Happening = (
   fixture: Fixture,
-  options: { key: string; gone: AbortController },
+  options: { key: string; gone: AbortController; executor?: string },
 ) => Promise<Attempt>[];
 
 export const HAPPENINGS: Record<string, Happening> = {
@@ -30,8 +30,9 @@
     fixture.executors[0]!.kill();
     return [];
   },
-  "other executor down": (fixture) => {
-    fixture.executors[1]!.kill();
+  "other executor down": (fixture, { executor }) => {
+    // Which executor serves depends on their measured run times.
+    fixture.executors.find(({ address }) => address !== executor)!.kill();
     return [];
   },
   "caller gone": (_, { gone }) => {
@@ -177,8 +178,9 @@
   const key = "order-1";
   const gone = new AbortController();
   const further: Promise<Attempt>[] = [];
-  const onStep = () => {
-    further.push(...HAPPENINGS[happening]!(fixture, { key, gone }));
+  const onStep = (executor?: string) => {
+    const options = { key, gone, ...(executor !== undefined && { executor }) };
+    further.push(...HAPPENINGS[happening]!(fixture, options));
   };
   if (step === "before" && fault === undefined) onStep();
   else fixture.log.script = { step, fault, onStep };
--- a/packages/daemon/requests/_fault_executor.ts
+++ b/packages/daemon/requests/_fault_executor.ts
@@ -36,7 +36,8 @@
 export type Script = {
   step: Step;
   fault?: ExecutorFault | undefined;
-  onStep?: () => void;
+  /** Gets the address of the executor that shows the step. */
+  onStep?: (executor: string) => void;
 };
 
 /** Runs and the script that the executors of a test share. */
@@ -69,7 +70,8 @@
   tcp.listen(0, "127.0.0.1");
   await once(tcp, "listening");
   const { port } = tcp.address() as AddressInfo;
-  return { address: `127.0.0.1:${port}`, kill };
+  const address = `127.0.0.1:${port}`;
+  return { address, kill };
 
   function kill(): void {
     tcp.close();
@@ -81,7 +83,7 @@
     const { script } = log;
     if (script?.step !== step) return true;
     log.script = undefined;
-    script.onStep?.();
+    script.onStep?.(address);
     switch (script.fault) {
       case "killed":
         kill();
