Submit, cancel and list jobs, and run the deciders' loop in the daemon

Only sets could be published, and no daemon acted on jobs. The operators' listener takes POST /v1/jobs, POST /v1/jobs/ID/cancel and GET /v1/jobs under ids that are chosen once, the command line has job submit, cancel and list, and the daemon that holds a data centre's lease places jobs, calls the workers' agents and renews leases.

--- a/packages/cli/_fixtures.ts
+++ b/packages/cli/_fixtures.ts
@@ -33,6 +33,9 @@
     history: async (limit) => Right(await handlers.history(limit)),
     explain: async (kind, name) => Right((await handlers.explain(kind, name))!),
     publication: async (id) => Right(await handlers.publication(id)),
+    submitJob: async (job) => Right(await handlers.submitJob(job)),
+    cancelJob: async (...sent) => Right(await handlers.cancelJob(...sent)),
+    listJobs: async (state) => Right(await handlers.listJobs(state)),
     ...overrides,
   };
 }
@@ -48,6 +51,9 @@
     history: fail,
     explain: fail,
     publication: fail,
+    submitJob: fail,
+    cancelJob: fail,
+    listJobs: fail,
   };
 }
 
--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -12,6 +12,7 @@
 export * from "./explain_command.ts";
 export * from "./get_command.ts";
 export * from "./history_command.ts";
+export * from "./job_command.ts";
 export * from "./program.ts";
 export * from "./publish_command.ts";
 export * from "./status_command.ts";
--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -1,6 +1,7 @@
 import { describeProblem, parseSettings } from "@lagoonloom/objects";
 import { createOperatorClient } from "@lagoonloom/operators";
 import { type CAC, cac, type Command } from "cac";
+import { parseJob } from "./_job_arguments.ts";
 import { checkCommand } from "./check_command.ts";
 import { type CliSettings, CliSettings as Settings } from "./cli_settings.ts";
 import type { CommandContext, RemoteContext } from "./command_context.ts";
@@ -9,6 +10,11 @@
 import { explainCommand } from "./explain_command.ts";
 import { getCommand } from "./get_command.ts";
 import { historyCommand } from "./history_command.ts";
+import {
+  cancelJobCommand,
+  listJobsCommand,
+  submitJobCommand,
+} from "./job_command.ts";
 import { publishCommand } from "./publish_command.ts";
 import { statusCommand } from "./status_command.ts";
 
@@ -84,6 +90,7 @@
   addFileCommands(program, { args, select });
   addPublishCommand(program, { args, select });
   addReadCommands(program, { args, select });
+  addJobCommand(program, { args, select });
   program.help((sections) => [
     ...sections,
     { title: "Exit codes", body: EXIT_CODE_HELP },
@@ -171,6 +178,60 @@
   });
 }
 
+function addJobCommand(program: CAC, { args, select }: AddOptions) {
+  withOptions(
+    program.command("job <action> [name]", "submit, cancel or list jobs"),
+    {
+      example: "job submit render-1 --team archive --cores 4 --memory-gb 8 " +
+        "--run-s 600",
+      isRemote: true,
+    },
+  )
+    .option("--team <name>", "Team of the job")
+    .option("--urgency <class>", "urgent, normal (default) or deferrable")
+    .option("--cores <n>", "Processor cores")
+    .option("--memory-gb <n>", "Memory in gigabytes")
+    .option("--accelerators <n>", "Accelerators (default: 0)")
+    .option("--run-s <n>", "Expected run time in seconds")
+    .option("--data-centres <names>", "Data centres, separated by commas")
+    .option("--state <state>", "With list: only jobs in this state")
+    .option("--id <id>", "Id of a request whose outcome is unknown")
+    .action((action: unknown, _name: unknown, options: Options) => {
+      select(
+        withRemote(options, jobRun(args, String(action), options)),
+      );
+    });
+}
+
+function jobRun(
+  args: string[],
+  action: string,
+  options: Options,
+): (context: RemoteContext) => Promise<ExitCode> {
+  const id = options["id"] === undefined ? undefined : parseId(args);
+  if (action === "list") {
+    const state = rawOption(args, "--state");
+    return (context) => listJobsCommand({ state }, context);
+  }
+  const job = rawName(args, action);
+  if (action === "cancel") {
+    return (context) => cancelJobCommand({ job, id }, context);
+  }
+  if (action !== "submit") {
+    throw new UsageError("Expected job submit, job cancel or job list");
+  }
+  const request = parseJob(job, (option) => rawOption(args, option));
+  if (typeof request === "string") throw new UsageError(request);
+  return (context) => submitJobCommand({ ...request, id }, context);
+}
+
+/** Name after an action; cac would turn a name such as 007 into a number. */
+function rawName(args: string[], action: string): string {
+  const name = args[args.indexOf(action) + 1];
+  if (name !== undefined && !name.startsWith("-")) return name;
+  throw new UsageError(`Expected job ${action} NAME`);
+}
+
 /** Adds the options that commands share, and an example to the help text. */
 function withOptions(
   command: Command,
--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -10,6 +10,7 @@
 import { type ControlFold, createControlFold } from "./control_fold.ts";
 import { createCheckpoints } from "./checkpoints.ts";
 import { createHostListCopy } from "./host_list.ts";
+import { createJobLoop } from "./jobs/mod.ts";
 import { listPeerTargets } from "./list_peer_targets.ts";
 import { createLogFollower } from "./log_follower.ts";
 import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
@@ -27,6 +28,7 @@
 import { createRunningSlots } from "./running_slots.ts";
 import type { DaemonSettings } from "./settings.ts";
 import { createSlotControl } from "./slot_control.ts";
+import { createWorkerClient } from "@lagoonloom/workers";
 import { createTopologyFeed } from "./topology_feed.ts";
 
 /** Interval of the loop in milliseconds. */
@@ -210,9 +212,26 @@
     });
   }
 
+  const workers = createWorkerClient({
+    timeoutMs: settings.bounds.platform_ms,
+  });
+  const jobs = createJobLoop({
+    name,
+    incarnation: membership.incarnation,
+    fold,
+    isReady,
+    hasMemberRights: membership.hasSlotRights,
+    memberOffset: (member) =>
+      links.all().find((link) => link.name === member)?.nextOffset,
+    append: ({ id, body }) => append(id, body),
+    workers,
+    events,
+  });
+
   function tick(): void {
     const nowMs = performance.now();
     links.tick(nowMs);
+    jobs.tick(nowMs);
     membership.tick(nowMs);
     if (slots.advance(nowMs)) feed.rebuild();
     feed.tick(nowMs);
@@ -281,6 +300,7 @@
       if (isDrained) await membership.leave();
       clearInterval(timer);
       stopped.abort();
+      workers.close();
       links.close();
       requestPath.close();
     },
--- a/packages/daemon/operator_handlers.ts
+++ b/packages/daemon/operator_handlers.ts
@@ -1,5 +1,6 @@
 import {
   explainHost,
+  explainJob,
   explainService,
   explainWave,
   type FleetState,
@@ -11,6 +12,7 @@
 } from "@lagoonloom/operators";
 import { whyLeaving } from "./build_topology.ts";
 import type { PeerLinks } from "./peer_links.ts";
+import { cancelJob, listJobs, submitJob } from "./jobs/mod.ts";
 import {
   findPublication,
   listHistory,
@@ -51,6 +53,10 @@
     history: (limit) => listHistory(fold).reverse().slice(0, limit),
     explain: (kind, name) => explain(fold.state(), { kind, name }),
     publication: (id) => findPublication(id, fold),
+    submitJob: (submission) => submitJob(submission, options),
+    cancelJob: (job, cancellation) =>
+      cancelJob({ job, ...cancellation }, options),
+    listJobs: (wanted) => listJobs(wanted, fold),
   };
 }
 
@@ -129,8 +135,8 @@
         ? explainService(state, name).sentences
         : undefined;
     case "job": {
-      const job = state.jobs.get(name);
-      return job && [`Job "${name}" is ${job.state}.`, job.reason];
+      const isKnown = state.jobs.has(name);
+      return isKnown ? explainJob(state, name).sentences : undefined;
     }
   }
 }
--- a/packages/decisions/placement/job_control.ts
+++ b/packages/decisions/placement/job_control.ts
@@ -51,6 +51,8 @@
     outcome: WorkerOutcome,
     times: { sentAtMs: number; nowMs: number },
   ): void;
+  /** Takes that the log did not take a record. */
+  noteNotAppended(id: string): void;
 };
 
 /** Options of {@linkcode createJobControl}. */
@@ -93,6 +95,7 @@
       }
       parts.book.note(call, outcome, times);
     },
+    noteNotAppended: (id) => void parts.pending.delete(id),
   };
 }
 
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -1,4 +1,5 @@
 import type { Measure } from "./measure_row.ts";
+import { measureJobs } from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
 import { measureFlood } from "./requests/measure_flood.ts";
@@ -13,6 +14,7 @@
   faults: measureFaults,
   flood: measureFlood,
   "flood-stress": measureFloodStress,
+  jobs: measureJobs,
   settling: measureSettling,
   "slot-excess": measureSlotExcess,
   "stale-forward": measureStaleForward,
--- a/packages/operators/_fixtures.ts
+++ b/packages/operators/_fixtures.ts
@@ -69,6 +69,12 @@
     explain: (kind, name) =>
       name === "none" ? undefined : { kind, name, decisions: [] },
     publication: find,
+    submitJob: ({ job }) => ({ type: "accepted", job, offset: 1 }),
+    cancelJob: (job) =>
+      job === "none"
+        ? { type: "refused", cause: "invalid", reason: "The job is unknown." }
+        : { type: "accepted", job, offset: 2 },
+    listJobs: () => ({ offset: 2, jobs: [], omitted: 0 }),
     ...overrides,
   };
 }
--- a/packages/operators/mod.ts
+++ b/packages/operators/mod.ts
@@ -6,6 +6,7 @@
 
 export * from "./daemon_status.ts";
 export * from "./explanation.ts";
+export * from "./job_request.ts";
 export * from "./operator_app.ts";
 export * from "./operator_client.ts";
 export * from "./operator_handlers.ts";
--- a/packages/operators/operator_app.ts
+++ b/packages/operators/operator_app.ts
@@ -3,6 +3,12 @@
 import { createKeyCheck } from "./_bearer_key.ts";
 import { readBody } from "./_read_body.ts";
 import { ExplainedKind } from "./explanation.ts";
+import {
+  JobCancellation,
+  type JobOutcome,
+  JobSubmission,
+  ListedJob,
+} from "./job_request.ts";
 import type { OperatorHandlers } from "./operator_handlers.ts";
 import {
   Publication,
@@ -82,8 +88,14 @@
     {
       method: "POST",
       path: /^\/v1\/changes$/,
-      run: (ctx) => submitChange(ctx, { handlers, timeoutMs }),
+      run: async (ctx) => {
+        const body = await readFields(ctx, Publication, timeoutMs);
+        return body.type === "refused"
+          ? body.reply
+          : answer(await handlers.submitChange(body.fields));
+      },
     },
+    ...createJobRoutes(handlers, timeoutMs),
     {
       method: "GET",
       path: /^\/v1\/set$/,
@@ -158,28 +170,78 @@
   }
 }
 
-type SubmitOptions = { handlers: OperatorHandlers; timeoutMs: number };
+/** Routes about jobs. */
+function createJobRoutes(
+  handlers: OperatorHandlers,
+  timeoutMs: number,
+): Route[] {
+  return [
+    {
+      method: "POST",
+      path: /^\/v1\/jobs$/,
+      run: async (ctx) => {
+        const body = await readFields(ctx, JobSubmission, timeoutMs);
+        return body.type === "refused"
+          ? body.reply
+          : answer(await handlers.submitJob(body.fields));
+      },
+    },
+    {
+      method: "POST",
+      path: /^\/v1\/jobs\/([^/]+)\/cancel$/,
+      run: async (ctx, [job]) => {
+        const body = await readFields(ctx, JobCancellation, timeoutMs);
+        return body.type === "refused"
+          ? body.reply
+          : answer(await handlers.cancelJob(job ?? "", body.fields));
+      },
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/jobs$/,
+      run: async (ctx) => {
+        const text = ctx.URL.searchParams.get("state") ?? undefined;
+        const state = ListedJob.shape.state.optional().safeParse(text);
+        return state.success
+          ? ok(await handlers.listJobs(state.data))
+          : refuse(400, "Expected the state of a job.");
+      },
+    },
+  ];
+}
 
-async function submitChange(
+type Fields<Value> =
+  | { type: "read"; fields: Value }
+  | { type: "refused"; reply: Reply };
+
+/** Reads a body of JSON and checks its fields. */
+async function readFields<Schema extends z.ZodType>(
   ctx: Koa.Context,
-  { handlers, timeoutMs }: SubmitOptions,
-): Promise<Reply> {
+  schema: Schema,
+  timeoutMs: number,
+): Promise<Fields<z.infer<Schema>>> {
+  const stop = (status: number, title: string) =>
+    ({ type: "refused", reply: refuse(status, title) }) as const;
   if (!ctx.is("application/json") || ctx.get("content-encoding") !== "") {
-    return refuse(415, "Expected an unencoded body of type application/json.");
+    return stop(415, "Expected an unencoded body of type application/json.");
   }
   const body = await readBody(ctx.req, { maxBytes: MAX_BODY_BYTES, timeoutMs });
   if (body.type === "too-large") {
-    return refuse(413, `Expected a body of at most ${MAX_BODY_BYTES} bytes.`);
+    return stop(413, `Expected a body of at most ${MAX_BODY_BYTES} bytes.`);
   }
   if (body.type === "too-slow") {
-    return refuse(408, `Expected the whole body within ${timeoutMs} ms.`);
+    return stop(408, `Expected the whole body within ${timeoutMs} ms.`);
   }
-  if (body.type === "aborted") return refuse(400, "The body is incomplete.");
+  if (body.type === "aborted") return stop(400, "The body is incomplete.");
   const json = parseJson(body.bytes);
-  if (json === undefined) return refuse(400, "The body is not valid JSON.");
-  const publication = Publication.safeParse(json.value);
-  if (!publication.success) return refuseFields(publication.error.issues);
-  const outcome = await handlers.submitChange(publication.data);
+  if (json === undefined) return stop(400, "The body is not valid JSON.");
+  const parsed = schema.safeParse(json.value);
+  return parsed.success
+    ? { type: "read", fields: parsed.data }
+    : { type: "refused", reply: refuseFields(parsed.error.issues) };
+}
+
+function answer(outcome: PublicationOutcome | JobOutcome): Reply {
   return { status: statusOf(outcome), body: outcome };
 }
 
@@ -192,7 +254,7 @@
   }
 }
 
-function statusOf(outcome: PublicationOutcome) {
+function statusOf(outcome: PublicationOutcome | JobOutcome) {
   if (outcome.type === "accepted") return 200;
   if (outcome.type === "unknown") return 504;
   return { conflict: 409, invalid: 422, unavailable: 503 }[outcome.cause];
@@ -211,6 +273,6 @@
     field: path.join("."),
     message,
   }));
-  const title = "The body is not a valid publication.";
+  const title = "The body is not valid.";
   return { status: 400, body: { status: 400, title, problems } };
 }
--- a/packages/operators/operator_app_test.ts
+++ b/packages/operators/operator_app_test.ts
@@ -116,6 +116,10 @@
     ["/v1/explain/host/none", "GET", 404],
     ["/v1/explain/host/%ff", "GET", 400],
     ["/v1/publications/a%2Fb", "GET", 400],
+    ["/v1/jobs?state=asleep", "GET", 400],
+    ["/v1/jobs?state=queued", "GET", 200],
+    ["/v1/jobs", "POST", 400],
+    ["/v1/jobs/j1/cancel", "GET", 405],
     ["/v1/status", "GET", 500],
   ])("answers %s with %s by %i", async (path, method, expected) => {
     expect((await request(path, { method })).status).toBe(expected);
@@ -198,6 +202,27 @@
       .toMatchObject({ name: "a b/c" });
   });
 
+  // Guards against a request about a job that loses a field or its id.
+  test("sends requests about jobs", async () => {
+    const common = { requestId: "r1", operator: "ada" };
+    const job = { job: "j.1", team: "a", cores: 1, memory_gb: 1, run_s: 1 };
+    const found = await client().submitJob({
+      ...job,
+      ...common,
+      urgency: "urgent",
+      accelerators: 0,
+      data_centres: [],
+    });
+    expect(found.extract()).toMatchObject({ type: "accepted", job: "j.1" });
+    expect((await client().cancelJob("none", common)).extract())
+      .toMatchObject({ type: "refused", cause: "invalid" });
+    expect((await client().listJobs("queued")).extract())
+      .toMatchObject({ jobs: [] });
+    const malformed = { ...common, requestId: "" };
+    expect((await client().cancelJob("j1", malformed)).extract())
+      .toMatchObject({ type: "refused", refusal: { status: 400 } });
+  });
+
   // Guards against a lost response that is taken for a change not made.
   test.each([
     ["a closed connection", { type: "unreachable", sent: true }],
--- a/packages/operators/operator_client.ts
+++ b/packages/operators/operator_client.ts
@@ -3,6 +3,12 @@
 import { z } from "zod";
 import { DaemonStatus } from "./daemon_status.ts";
 import { type ExplainedKind, Explanation } from "./explanation.ts";
+import {
+  type JobCancellation,
+  JobList,
+  JobOutcome,
+  type JobSubmission,
+} from "./job_request.ts";
 import {
   HistoryEntry,
   type Publication,
@@ -48,6 +54,12 @@
   history: (limit: number) => OperatorResult<HistoryEntry[]>;
   explain: (kind: ExplainedKind, name: string) => OperatorResult<Explanation>;
   publication: (id: string) => OperatorResult<PublicationOutcome>;
+  submitJob: (submission: JobSubmission) => OperatorResult<JobOutcome>;
+  cancelJob: (
+    job: string,
+    cancellation: JobCancellation,
+  ) => OperatorResult<JobOutcome>;
+  listJobs: (state?: string) => OperatorResult<JobList>;
 };
 
 /** Errors after which provably nothing was sent. */
@@ -94,6 +106,18 @@
     explain: (kind, name) =>
       get(`explain/${part(kind)}/${part(name)}`, Explanation),
     publication: (id) => get(`publications/${part(id)}`, PublicationOutcome),
+    submitJob: (json) =>
+      readResponse(() => http.post("jobs", { json }), JobOutcome),
+    cancelJob: (job, json) =>
+      readResponse(
+        () => http.post(`jobs/${part(job)}/cancel`, { json }),
+        JobOutcome,
+      ),
+    listJobs: (state) =>
+      get(
+        state === undefined ? "jobs" : `jobs?state=${part(state)}`,
+        JobList,
+      ),
   };
 }
 
--- a/packages/operators/operator_handlers.ts
+++ b/packages/operators/operator_handlers.ts
@@ -1,5 +1,11 @@
 import type { DaemonStatus } from "./daemon_status.ts";
 import type { ExplainedKind, Explanation } from "./explanation.ts";
+import type {
+  JobCancellation,
+  JobList,
+  JobOutcome,
+  JobSubmission,
+} from "./job_request.ts";
 import type {
   HistoryEntry,
   Publication,
@@ -23,4 +29,11 @@
   ) => Awaitable<Explanation | undefined>;
   /** Returns `unknown` for an id that the daemon has not folded. */
   publication: (id: string) => Awaitable<PublicationOutcome>;
+  submitJob: (submission: JobSubmission) => Awaitable<JobOutcome>;
+  cancelJob: (
+    job: string,
+    cancellation: JobCancellation,
+  ) => Awaitable<JobOutcome>;
+  /** Returns the jobs in a state, or all of them, newest change first. */
+  listJobs: (state: string | undefined) => Awaitable<JobList>;
 };
--- a/packages/standins/jobs/create_job_set.ts
+++ b/packages/standins/jobs/create_job_set.ts
@@ -8,11 +8,16 @@
 export type JobSetShape =
   & Pick<FleetShape, "cores" | "memoryGb">
   & Partial<Pick<FleetShape, "accelerators" | "teams">>
-  & { dataCentres: readonly string[]; workers: number };
+  & {
+    dataCentres: readonly string[];
+    workers: number;
+    /** Share of the fleet that the quotas add up to; half unless given. */
+    quotaShare?: number;
+  };
 
 /**
- * Creates the set of a fleet with workers. The quotas of all teams together are
- * half of the fleet's cores and memory, and all of its accelerators.
+ * Creates the set of a fleet with workers. The quotas of all teams add up to a
+ * share of the fleet's cores and memory, and to all of its accelerators.
  *
  * @example
  * ```ts
@@ -20,7 +25,7 @@
  * ```
  */
 export function createJobSet(shape: JobSetShape): ObjectSet {
-  const { dataCentres, workers, ...rest } = shape;
+  const { dataCentres, workers, quotaShare = 0.5, ...rest } = shape;
   const set = createFleetSet({
     ...rest,
     dataCentres: dataCentres.map((name) => ({ name, region: "region" })),
@@ -34,6 +39,9 @@
   }
   const teams = Object.values(set.teams);
   for (const team of teams) {
+    const share = quotaShare * workers / teams.length;
+    team.quota_cores = Math.floor(share * shape.cores);
+    team.quota_memory_gb = Math.floor(share * shape.memoryGb);
     team.quota_accelerators = Math.floor(
       (shape.accelerators ?? 0) / teams.length,
     );
--- a/packages/standins/jobs/job_model.ts
+++ b/packages/standins/jobs/job_model.ts
@@ -68,10 +68,12 @@
   checkpointMsPerGb: number;
   /** Run time saved by checkpoints, by job. */
   savedMs: Map<string, number>;
-  /** Log time of the first start by job. */
+  /** Log time of the first start by job that does not fail. */
   startedAtMs: Map<string, number>;
   /** Work that stops lost, in core seconds. */
   lostCoreS: number;
+  /** Stops of running jobs. */
+  preemptions: number;
   nextId: number;
 };
 
@@ -118,6 +120,7 @@
     savedMs: new Map(),
     startedAtMs: new Map(),
     lostCoreS: 0,
+    preemptions: 0,
     nextId: 1,
   };
   for (const [name] of hosts) {
@@ -206,7 +209,7 @@
 
 function noteTask(model: JobModel, worker: string, task: WorkerTask): void {
   model.checker.checkTask(model, worker, task);
-  if (task.state === "running") {
+  if (task.state === "running" && !task.willFail) {
     const { startedAtMs } = model;
     if (!startedAtMs.has(task.job)) startedAtMs.set(task.job, model.nowMs);
   }
@@ -216,6 +219,7 @@
   model.savedMs.set(task.job, saved + savedAtMs - task.startedAtMs);
   // Only preemption counts; a cancelled job's work is wanted by nobody.
   if (model.truth.jobs.get(task.job)?.state !== "running") return;
+  model.preemptions++;
   model.lostCoreS += task.used.cores * (model.nowMs - savedAtMs) / 1_000;
 }
 
--- a/packages/telemetry/log_events.ts
+++ b/packages/telemetry/log_events.ts
@@ -178,6 +178,58 @@
     message: "orders are accepted again",
     fields: {},
   },
+  jobPlaced: {
+    id: "LL5101",
+    level: "info",
+    message: "job placed",
+    fields: {
+      job: "string",
+      attempt: "number",
+      worker: "string",
+      reason: "string",
+    },
+  },
+  jobEnded: {
+    id: "LL5102",
+    level: "info",
+    message: "attempt of a job ended",
+    fields: {
+      job: "string",
+      attempt: "number",
+      outcome: "string",
+      reason: "string",
+    },
+  },
+  jobParked: {
+    id: "LL5103",
+    level: "warn",
+    message: "job parked",
+    fields: { job: "string", reason: "string" },
+  },
+  jobBlocked: {
+    id: "LL5104",
+    level: "warn",
+    message: "job can't run on any worker",
+    fields: { job: "string", reason: "string" },
+  },
+  workerChanged: {
+    id: "LL5105",
+    level: "warn",
+    message: "worker suspended, on trial or restored",
+    fields: { worker: "string", state: "string", reason: "string" },
+  },
+  taskCallFailed: {
+    id: "LL5106",
+    level: "debug",
+    message: "call to a worker failed",
+    fields: { worker: "string", call: "string", reason: "string" },
+  },
+  leasesKept: {
+    id: "LL5107",
+    level: "warn",
+    message: "log is unreachable; running tasks are kept, nothing is placed",
+    fields: { dataCentre: "string" },
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** Name of a log event. */
--- a/packages/workers/mod.ts
+++ b/packages/workers/mod.ts
@@ -4,4 +4,4 @@
  * @module
  */
 
-export {};
+export * from "./worker_client.ts";
