Keep the room of preempted jobs until they are gone

A room counted as free once its jobs were asked to leave, so that other jobs were placed beside them: the measure found workers over their size. Each round now keeps the room of the moment and that of the future apart. Rounds run after each change instead of every 250 ms.

--- a/packages/daemon/jobs/create_job_loop.ts
+++ b/packages/daemon/jobs/create_job_loop.ts
@@ -10,16 +10,18 @@
   type PlannedRecord,
   type WorkerCall,
 } from "@lagoonloom/decisions";
+import type { LogRecord } from "@lagoonloom/records";
 import type { EventLog } from "@lagoonloom/telemetry";
 import type { WorkerClient } from "@lagoonloom/workers";
 import type { FoldedOutcome } from "../append_and_fold.ts";
 import type { ControlFold } from "../control_fold.ts";
 
 /**
- * Time in milliseconds between two rounds; urgent work waits for two of them,
- * one to stop the jobs in its place and one to start.
+ * Longest time in milliseconds between two rounds. After a change the next step
+ * of the daemon's loop runs one, since urgent work waits for several: to save,
+ * stop and end the jobs in its place, to be placed, and to start.
  */
-export const ROUND_MS = 250;
+export const ROUND_MS = 500;
 
 /** Time in milliseconds between two claims of a scope by one daemon. */
 const CLAIM_INTERVAL_MS = 1_000;
@@ -68,6 +70,11 @@
   const scopes = new Map<string, Scope>();
   const logClock = createLogClock(fold);
   let dueAtMs = 0;
+  fold.onChange((change) => {
+    const isOnJobs = change.type === "record" &&
+      /^(job|worker)\./.test(String(typeOf(change.record)));
+    if (isOnJobs) dueAtMs = 0;
+  });
   function scopeOf(scope: string): Scope {
     let found = scopes.get(scope);
     if (found === undefined) {
@@ -122,6 +129,7 @@
       : await dependencies.workers.call(address, call);
     const times = { sentAtMs, nowMs: logClock(performance.now()) };
     own.control.noteOutcome(call, outcome, times);
+    if ("job" in call) dueAtMs = 0;
     if (outcome.type === "done" || outcome.type === "report") return;
     const { worker, type } = call;
     events.log("taskCallFailed", {
@@ -166,6 +174,10 @@
   return { type: "keeper", term: { scope, epoch: last.epoch } };
 }
 
+function typeOf({ body }: LogRecord): unknown {
+  return (body as { type?: unknown } | null)?.type;
+}
+
 /** Returns a function that estimates the log's time from the last record. */
 function createLogClock(fold: ControlFold): (monotonicMs: number) => number {
   let offsetMs = fold.state().timeMs - performance.now();
--- a/packages/decisions/placement/internal/job_round.ts
+++ b/packages/decisions/placement/internal/job_round.ts
@@ -24,6 +24,11 @@
   rack: string;
   size: JobSize;
   free: JobSize;
+  /**
+   * Room once the jobs that are asked to leave are gone, less what waiting
+   * urgent jobs need. New jobs have to fit into both.
+   */
+  future: JobSize;
   runs: Run[];
   /** Whether it may get new jobs. */
   isOpen: boolean;
@@ -66,6 +71,7 @@
       rack,
       size,
       free: { ...size },
+      future: { ...size },
       runs: [],
       isOpen: isOpen(round, name),
       isTrial: state.workers.get(name)?.state === "trial",
@@ -102,6 +108,7 @@
     : knownSize(job);
   room.runs.push({ name, job, size, task, isLeaving: false });
   addSize(room.free, size, -1);
+  addSize(room.future, size, -1);
 }
 
 function isOpen({ state, observations, options }: JobRound, name: string) {
--- a/packages/decisions/placement/internal/plan_preemption.ts
+++ b/packages/decisions/placement/internal/plan_preemption.ts
@@ -66,11 +66,11 @@
   }
   if (best === undefined) return false;
   for (const run of best.victims) {
-    addSize(best.room.free, run.size, 1);
+    addSize(best.room.future, run.size, 1);
     const reason = `urgent job ${options.name} needs its place`;
     preempt(round, best.room, { run, reason });
   }
-  addSize(best.room.free, options.size, -1);
+  addSize(best.room.future, options.size, -1);
   return true;
 }
 
@@ -79,7 +79,7 @@
   size: JobSize,
   { nowMs }: { nowMs: number },
 ): Run[] | undefined {
-  const free = { ...room.free };
+  const free = { ...room.future };
   if (fitsInto(size, free)) return [];
   const candidates = room.runs
     .filter((run) => run.job.urgency !== "urgent" && !run.isLeaving)
--- a/packages/decisions/placement/internal/room_index.ts
+++ b/packages/decisions/placement/internal/room_index.ts
@@ -76,6 +76,7 @@
       continue;
     }
     if (!fitsInto(size, room.free)) continue;
+    if (!fitsInto(size, room.future)) continue;
     if (options.failedWorkers.includes(room.name)) continue;
     const score = room.free.cores +
       RACK_PENALTY_CORES * (racks?.get(room.rack) ?? 0);
@@ -97,6 +98,7 @@
   { size, team }: { size: JobSize; team: string },
 ): void {
   addSize(room.free, size, -1);
+  addSize(room.future, size, -1);
   countRack(index, team, room.rack);
   putRoom(index, room);
 }
--- a/packages/decisions/placement/plan_jobs.ts
+++ b/packages/decisions/placement/plan_jobs.ts
@@ -173,8 +173,10 @@
   const { round, index, budgets } = placement;
   const { state, options } = round;
   const left = { ...room.free };
-  if (room.isTrial) addSize(room.free, size, -1);
-  else takeRoom(index, room, { size, team: job.team });
+  if (room.isTrial) {
+    addSize(room.free, size, -1);
+    addSize(room.future, size, -1);
+  } else takeRoom(index, room, { size, team: job.team });
   addSize(budgets.get(job.team)!.left, size, -1);
   placement.placed++;
   const reason = room.isTrial
--- a/packages/workers/worker_client_test.ts
+++ b/packages/workers/worker_client_test.ts
@@ -37,6 +37,8 @@
   // decider that take effect.
   test("leaves the judgement of attempts and epochs to the worker", async () => {
     const steps: [WorkerCall, object][] = [
+      [{ ...start(2), startByMs: 1 } as WorkerCall, { type: "refused" }],
+      [{ ...start(2), leaseEndMs: 1 } as WorkerCall, { type: "refused" }],
       [start(2), { type: "done", state: "running" }],
       [start(2), { type: "done", state: "running" }],
       [start(1), { type: "refused" }],
