Run the decider of each data centre in its daemons

Nothing carried out waves, moves and observations yet. One daemon of a data centre holds the decider lease, probes its executors, counts the work on hosts with a permit from the heartbeats of all its entry hosts, and asks the platform to restart a host that is empty.

--- /dev/null
+++ b/packages/daemon/capacity/create_capacity.ts
@@ -0,0 +1,49 @@
+import { FENCE_MS } from "@lagoonloom/decisions";
+import {
+  createDeciderLoop,
+  type DeciderLoop,
+  type DeciderLoopOptions,
+} from "./decider_loop.ts";
+import { createHostProbes } from "./host_probes.ts";
+import { createLogClock } from "./log_clock.ts";
+import {
+  createWorkObserver,
+  type WorkObserverOptions,
+} from "./observe_work.ts";
+import { createPoolDemand, type PoolDemandOptions } from "./pool_demand.ts";
+
+/** Options of {@linkcode createCapacity}. */
+export type CapacityOptions =
+  & Omit<
+    DeciderLoopOptions,
+    "probes" | "work" | "demand" | "logNowMs"
+  >
+  & Omit<WorkObserverOptions, "lossFenceMs">
+  & PoolDemandOptions
+  & {
+    isListed: (host: string) => boolean;
+    /** Longest run time of a request in milliseconds. */
+    longestRequestMs: number;
+  };
+
+/**
+ * Creates the decider loop of a daemon with its probes and observers.
+ *
+ * @example
+ * ```ts
+ * const capacity = createCapacity(options);
+ * capacity.tick(performance.now());
+ * ```
+ */
+export function createCapacity(options: CapacityOptions): DeciderLoop {
+  const logNowMs = createLogClock(options.fold);
+  const lossFenceMs = FENCE_MS + options.longestRequestMs;
+  const { dataCentre, isListed } = options;
+  return createDeciderLoop({
+    ...options,
+    logNowMs,
+    probes: createHostProbes({ dataCentre, isListed, logNowMs }),
+    work: createWorkObserver({ ...options, lossFenceMs }),
+    demand: createPoolDemand(options),
+  });
+}
--- /dev/null
+++ b/packages/daemon/capacity/decider_loop.ts
@@ -0,0 +1,171 @@
+import {
+  DECIDER_LEASE_MS,
+  type DeciderTerm,
+  LEASE_MARGIN_MS,
+  mayDecide,
+  planClaim,
+  planMoves,
+  type PlannedRecord,
+  planObservations,
+  planWave,
+} from "@lagoonloom/decisions";
+import type { PlatformClient } from "@lagoonloom/platform";
+import type { ControlRecord } from "@lagoonloom/records";
+import type { EventLog } from "@lagoonloom/telemetry";
+import type { FoldedOutcome } from "../append_and_fold.ts";
+import type { ControlFold } from "../control_fold.ts";
+import type { HostProbes } from "./host_probes.ts";
+import type { WorkObserver } from "./observe_work.ts";
+import type { PoolDemand } from "./pool_demand.ts";
+
+/** Time between two decision rounds in milliseconds. */
+const ROUND_MS = 500;
+
+/** Options of {@linkcode createDeciderLoop}. */
+export type DeciderLoopOptions = {
+  name: string;
+  dataCentre: string;
+  incarnation: () => string;
+  /** Whether the folded state is recent enough to decide on. */
+  logIsFresh: () => boolean;
+  fold: ControlFold;
+  append: (id: string, body: ControlRecord) => Promise<FoldedOutcome>;
+  platform: Pick<PlatformClient, "rebootHost">;
+  probes: HostProbes;
+  work: WorkObserver;
+  demand: PoolDemand;
+  logNowMs: () => number;
+  events: EventLog;
+};
+
+/** Loop of the decider of this daemon's data centre. */
+export type DeciderLoop = {
+  /** Term in which this daemon may act now, if it is the decider. */
+  term(): DeciderTerm | undefined;
+  tick(nowMs: number): void;
+};
+
+/**
+ * Creates the loop that claims the decider role of the own data centre and,
+ * while it has the role, plans observations, waves and moves. Records of a
+ * decider that lost its role are refused by their epoch at the fold. A restart
+ * has no such fence, so the lease is also counted from the monotonic time at
+ * which its record was sent.
+ *
+ * @example
+ * ```ts
+ * const loop = createDeciderLoop(options);
+ * loop.tick(performance.now());
+ * ```
+ */
+export function createDeciderLoop(options: DeciderLoopOptions): DeciderLoop {
+  const { fold, events } = options;
+  let dueAtMs = 0;
+  let leaseSentAtMs = -Infinity;
+  let hadTerm = false;
+  const identity = () => ({
+    scope: options.dataCentre,
+    holder: options.name,
+    incarnation: options.incarnation(),
+    nowMs: options.logNowMs(),
+  });
+
+  function term(): DeciderTerm | undefined {
+    const ageMs = performance.now() - leaseSentAtMs;
+    if (ageMs >= DECIDER_LEASE_MS - LEASE_MARGIN_MS) return undefined;
+    if (!options.logIsFresh()) return undefined;
+    return mayDecide(fold.state(), identity());
+  }
+
+  async function claim(): Promise<void> {
+    const record = planClaim(fold.state(), identity());
+    if (record === undefined) return;
+    const sentAtMs = performance.now();
+    const result = await options.append(record.id, record.body);
+    if (isApplied(result)) leaseSentAtMs = sentAtMs;
+  }
+
+  async function appendAll(records: readonly PlannedRecord[]): Promise<void> {
+    await Promise.all(records.map(async ({ id, body }) => {
+      const result = await options.append(id, body);
+      events.log("decisionAppended", {
+        record: body.type,
+        subject: subjectOf(body),
+        outcome: describe(result),
+      });
+    }));
+  }
+
+  async function decide(): Promise<void> {
+    const current = term();
+    if ((current !== undefined) !== hadTerm) {
+      hadTerm = current !== undefined;
+      events.log(hadTerm ? "deciderBegan" : "deciderEnded", {
+        scope: options.dataCentre,
+      });
+    }
+    if (current === undefined) return;
+    const state = fold.state();
+    const nowMs = options.logNowMs();
+    const observations = options.work.observe(state, performance.now());
+    options.demand.observe(state, nowMs);
+    const contacts = options.probes.contacts();
+    const seen = planObservations(state, contacts, { term: current, nowMs });
+    const wave = planWave(state, observations, { term: current, nowMs });
+    const moves = planMoves(state, observations, {
+      term: current,
+      nowMs,
+      demand: options.demand.hosts(),
+      shortages: options.demand.shortages(),
+    });
+    await appendAll([...seen, ...wave.records, ...moves.records]);
+    await rebootAll([...wave.reboots, ...moves.reboots]);
+  }
+
+  async function rebootAll(hosts: readonly string[]): Promise<void> {
+    await Promise.all(hosts.map(async (host) => {
+      const generation = fold.state().hosts.get(host)?.generation;
+      if (generation === undefined || term() === undefined) return;
+      // The platform restarts a host once for each id.
+      const id = `${host}.${generation}`;
+      const { type } = await options.platform.rebootHost(host, id);
+      events.log("hostRestartAsked", { host, outcome: type });
+    }));
+  }
+
+  async function round(): Promise<void> {
+    if (!options.logIsFresh()) return;
+    await claim();
+    await decide();
+  }
+
+  return {
+    term,
+    tick(nowMs) {
+      options.probes.tick(fold.state(), nowMs);
+      if (nowMs < dueAtMs) return;
+      dueAtMs = Infinity;
+      round().catch((error: unknown) => {
+        const task = "decider";
+        events.log("unexpectedFailure", { task, error: String(error) });
+      }).finally(() => dueAtMs = performance.now() + ROUND_MS);
+    },
+  };
+}
+
+function isApplied(result: FoldedOutcome): boolean {
+  return result.type === "folded" && result.outcome.type === "applied";
+}
+
+function describe(result: FoldedOutcome): string {
+  if (result.type !== "folded") return `${result.type}: ${result.reason}`;
+  const { outcome } = result;
+  return outcome.type === "refused"
+    ? `refused: ${outcome.reason}`
+    : outcome.type;
+}
+
+function subjectOf(body: ControlRecord): string {
+  if ("host" in body) return body.host;
+  return "wave" in body && body.wave !== undefined ? body.wave : "";
+}
--- /dev/null
+++ b/packages/daemon/capacity/host_probes.ts
@@ -0,0 +1,119 @@
+import type { FleetState, HostContact } from "@lagoonloom/decisions";
+import { connect } from "node:net";
+
+/** Healthy hosts that are probed in one second, in turn. */
+const ROUTINE_PROBES = 2;
+
+/** Time between two rounds of probes in milliseconds. */
+const ROUND_MS = 1_000;
+
+/** Longest time of a probe in milliseconds. */
+const PROBE_TIMEOUT_MS = 800;
+
+/** Most probes of one round, which bounds connections and traffic. */
+const MAX_PROBES = 64;
+
+/** Result of a connection to an executor. */
+export type ProbeResult = "connected" | "refused" | "timeout";
+
+/** Probes of the hosts of one data centre. */
+export type HostProbes = {
+  /** Contacts by host as last seen, in log time. */
+  contacts(): ReadonlyMap<string, HostContact>;
+  /** Probes the hosts that are due. */
+  tick(state: FleetState, nowMs: number): void;
+};
+
+/** Options of {@linkcode createHostProbes}. */
+export type HostProbesOptions = {
+  dataCentre: string;
+  /** Whether the platform's list has the host; true without a list. */
+  isListed: (host: string) => boolean;
+  /** Log time now in milliseconds. */
+  logNowMs: () => number;
+  probe?: (address: string) => Promise<ProbeResult>;
+};
+
+/**
+ * Creates the probes of a data centre's executors. Every host that is out, or
+ * that the platform's list lacks, is probed each second; the others take turns,
+ * two a second, so that 400 hosts cost under 1 KB/s. The list alone proves
+ * nothing, since it is delayed.
+ *
+ * @example
+ * ```ts
+ * const probes = createHostProbes(options);
+ * probes.tick(state, performance.now());
+ * ```
+ */
+export function createHostProbes(options: HostProbesOptions): HostProbes {
+  const probe = options.probe ?? probeAddress;
+  const contacts = new Map<string, HostContact>();
+  let dueAtMs = 0;
+  let turn = 0;
+
+  function note(host: string, result: ProbeResult): void {
+    const health = HEALTH_BY_RESULT[result];
+    if (contacts.get(host)?.health === health) return;
+    contacts.set(host, { health, sinceMs: options.logNowMs() });
+  }
+
+  function choose(state: FleetState): string[] {
+    const names = Object.keys(state.set.hosts)
+      .filter((name) =>
+        state.set.hosts[name]!.data_centre === options.dataCentre
+      );
+    for (const name of contacts.keys()) {
+      if (state.set.hosts[name] === undefined) contacts.delete(name);
+    }
+    const suspects = names.filter((name) => isSuspect(state, name));
+    const routine = Array.from(
+      { length: Math.min(ROUTINE_PROBES, names.length) },
+      () => names[turn++ % names.length]!,
+    );
+    return [...new Set([...suspects, ...routine])].slice(0, MAX_PROBES);
+  }
+
+  function isSuspect(state: FleetState, name: string): boolean {
+    const host = state.hosts.get(name);
+    return host?.health !== "in-service" || host.permit !== undefined ||
+      (contacts.get(name)?.health ?? "in-service") !== "in-service" ||
+      !options.isListed(name);
+  }
+
+  return {
+    contacts: () => contacts,
+    tick(state, nowMs) {
+      if (nowMs < dueAtMs) return;
+      dueAtMs = nowMs + ROUND_MS;
+      for (const name of choose(state)) {
+        void probe(state.set.hosts[name]!.address)
+          .then((result) => note(name, result));
+      }
+    },
+  };
+}
+
+const HEALTH_BY_RESULT: Readonly<Record<ProbeResult, HostContact["health"]>> = {
+  connected: "in-service",
+  refused: "failed",
+  timeout: "silent",
+};
+
+function probeAddress(address: string): Promise<ProbeResult> {
+  const colon = address.lastIndexOf(":");
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
+  const port = Number(address.slice(colon + 1));
+  return new Promise((resolve) => {
+    const socket = connect({ host, port, timeout: PROBE_TIMEOUT_MS });
+    const end = (result: ProbeResult) => {
+      socket.destroy();
+      resolve(result);
+    };
+    socket.once("connect", () => end("connected"));
+    socket.once("timeout", () => end("timeout"));
+    socket.once("error", (error: NodeJS.ErrnoException) => {
+      end(error.code === "ECONNREFUSED" ? "refused" : "timeout");
+    });
+  });
+}
--- /dev/null
+++ b/packages/daemon/capacity/pool_demand.ts
@@ -0,0 +1,94 @@
+import {
+  type DemandEstimate,
+  type FleetState,
+  observeDemand,
+  type Shortage,
+  trackShortages,
+} from "@lagoonloom/decisions";
+import type { PeerLinks } from "../peer_links.ts";
+
+/** Options of {@linkcode createPoolDemand}. */
+export type PoolDemandOptions = {
+  name: string;
+  links: () => PeerLinks;
+  /** Free slots of this entry host by pool. */
+  freeSlots: () => ReadonlyMap<string, number>;
+};
+
+/** Long-term demand of the pools. */
+export type PoolDemand = {
+  /** Takes one observation; nothing is noted while a member is unknown. */
+  observe(state: FleetState, logNowMs: number): void;
+  hosts(): ReadonlyMap<string, number>;
+  shortages(): readonly Shortage[];
+};
+
+/**
+ * Creates the demand estimates of the pools from the free slots that the entry
+ * hosts report. A count that misses an entry host would look like demand, so it
+ * is left out.
+ *
+ * @example
+ * ```ts
+ * const demand = createPoolDemand(options);
+ * demand.observe(state, Date.now());
+ * ```
+ */
+export function createPoolDemand(options: PoolDemandOptions): PoolDemand {
+  const estimates = new Map<string, DemandEstimate>();
+  let shortages: Shortage[] = [];
+  const hosts = () =>
+    new Map([...estimates].map(([pool, estimate]) => [pool, estimate.hosts]));
+
+  function freeByPool(state: FleetState): Map<string, number> | undefined {
+    const free = new Map(options.freeSlots());
+    const nowMs = performance.now();
+    for (const name of state.members.keys()) {
+      if (name === options.name) continue;
+      const link = options.links().find(name);
+      if (link === undefined || !options.links().isAnswering(link, nowMs)) {
+        return undefined;
+      }
+      for (const [pool, count] of link.freeSlots) {
+        free.set(pool, (free.get(pool) ?? 0) + count);
+      }
+    }
+    return free;
+  }
+
+  return {
+    observe(state, logNowMs) {
+      const free = freeByPool(state);
+      if (free === undefined) return;
+      for (const [pool, { slots, hosts: count }] of slotsByPool(state)) {
+        const busySlots = Math.max(0, slots - (free.get(pool) ?? 0));
+        const load = { hosts: count * busySlots / slots, atMs: logNowMs };
+        estimates.set(pool, observeDemand(estimates.get(pool), load));
+      }
+      for (const pool of estimates.keys()) {
+        if (state.set.pools[pool] === undefined) estimates.delete(pool);
+      }
+      const demand = hosts();
+      shortages = trackShortages(state, shortages, {
+        demand,
+        nowMs: logNowMs,
+      });
+    },
+    hosts,
+    shortages: () => shortages,
+  };
+}
+
+/** Slots and hosts in service of each pool that has any. */
+function slotsByPool(state: FleetState) {
+  const pools = new Map<string, { slots: number; hosts: number }>();
+  for (const [name, host] of state.hosts) {
+    const object = state.set.hosts[name];
+    if (object?.state !== "in-service" || host.permit !== undefined) continue;
+    const pool = pools.get(host.owner) ?? { slots: 0, hosts: 0 };
+    pool.slots += object.slots;
+    pool.hosts++;
+    pools.set(host.owner, pool);
+  }
+  return pools;
+}
--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -1,3 +1,4 @@
+import { FENCE_MS } from "@lagoonloom/decisions";
 import type { OperatorHandlers } from "@lagoonloom/operators";
 import type { PeerClient, PeerHandlers } from "@lagoonloom/peers";
 import type { PlatformClient } from "@lagoonloom/platform";
@@ -13,6 +14,8 @@
 import { listPeerTargets } from "./list_peer_targets.ts";
 import { createLogFollower } from "./log_follower.ts";
 import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
+import { createCapacity } from "./capacity/mod.ts";
+import { whyLeaving } from "./build_topology.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createOperatorHandlers } from "./operator_handlers.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
@@ -154,6 +157,23 @@
     },
   });
 
+  const capacity = createCapacity({
+    name,
+    dataCentre,
+    incarnation: membership.incarnation,
+    logIsFresh: () => (logAgeMs() ?? Infinity) < FENCE_MS,
+    fold,
+    append,
+    platform,
+    events,
+    links: () => links,
+    running: running.list,
+    freeSlots: requestPath.freeSlotsByPool,
+    isListed: hostList.isListed,
+    bootedAtMs: hostList.bootedAtMs,
+    longestRequestMs,
+  });
+
   const feed = createTopologyFeed({
     dataCentre,
     fold,
@@ -180,7 +200,19 @@
       setVersion,
       logAgeMs: Math.min(Math.ceil(logAgeMs() ?? NEVER_READ_MS), NEVER_READ_MS),
       ...slots.statement(performance.now()),
+      busyHosts: busyLeavingHosts(),
+    };
+  }
+
+  function busyLeavingHosts(): string[] {
+    const source = {
+      state: fold.state(),
+      listedLeaving: hostList.leaving(),
     };
+    const busy = running.list(performance.now())
+      .map((slot) => slot.slice(0, slot.lastIndexOf("/")));
+    return [...new Set(busy)]
+      .filter((host) => whyLeaving(host, source) !== undefined);
   }
 
   /** At least as new as every reachable peer, each of which was tried. */
@@ -220,6 +252,7 @@
       if (hasChanged) feed.rebuild();
     });
     void checkpoints.tick(nowMs);
+    if (!isStopping && membership.isMember()) capacity.tick(nowMs);
     updateMetrics();
     if (wasReady || !isReady()) return;
     wasReady = true;
--- a/packages/daemon/host_list.ts
+++ b/packages/daemon/host_list.ts
@@ -1,4 +1,4 @@
-import type { PlatformClient } from "@lagoonloom/platform";
+import type { ListedHost, PlatformClient } from "@lagoonloom/platform";
 import type { EventLog } from "@lagoonloom/telemetry";
 
 /** Interval of reads of the host list in milliseconds. */
@@ -8,6 +8,10 @@
 export type HostListCopy = {
   /** Hosts that the list last named as leaving. */
   leaving(): ReadonlySet<string>;
+  /** Whether the last list had the host; true before the first one. */
+  isListed(host: string): boolean;
+  /** Time of the host's last start in milliseconds, if the list has it. */
+  bootedAtMs(host: string): number | undefined;
   /** Reads the list if it is due; resolves to whether the marks changed. */
   tick(nowMs: number): Promise<boolean>;
 };
@@ -27,10 +31,13 @@
   options: { events: EventLog },
 ): HostListCopy {
   let leaving: ReadonlySet<string> = new Set();
+  let entries: ReadonlyMap<string, ListedHost> | undefined;
   let dueAtMs = 0;
   let isReachable = true;
   return {
     leaving: () => leaving,
+    isListed: (host) => entries?.has(host) ?? true,
+    bootedAtMs: (host) => entries?.get(host)?.bootedAtMs,
     async tick(nowMs) {
       if (nowMs < dueAtMs) return false;
       dueAtMs = Infinity;
@@ -43,6 +50,7 @@
         return false;
       }
       isReachable = true;
+      entries = new Map(outcome.hosts.map((entry) => [entry.host, entry]));
       const next = new Set(
         outcome.hosts.filter(({ state }) => state === "leaving")
           .map(({ host }) => host),
--- a/packages/daemon/peer_links.ts
+++ b/packages/daemon/peer_links.ts
@@ -43,6 +43,8 @@
   wasTried: boolean;
   /** Free slots by pool that it reported. */
   freeSlots: Map<string, number>;
+  /** Leaving hosts on which its requests were in progress. */
+  busyHosts: ReadonlySet<string>;
   /** Free slots by pool that it has received from here. */
   sentFreeSlots: Map<string, number>;
   dueAtMs: number;
@@ -60,6 +62,8 @@
   logAgeMs: number;
   slotBasis: bigint;
   held: readonly SlotKey[];
+  /** Leaving hosts on which requests of this entry host are in progress. */
+  busyHosts: string[];
 };
 
 /** Options of {@linkcode createPeerLinks}. */
@@ -157,6 +161,7 @@
     refusedAtMs: undefined,
     wasTried: false,
     freeSlots: new Map(),
+    busyHosts: new Set(),
     sentFreeSlots: new Map(),
     dueAtMs: 0,
     isBusy: false,
@@ -212,6 +217,7 @@
   link.generation = Number(response.generation);
   link.setVersion = Number(response.setVersion);
   link.logAgeMs = response.logAgeMs;
+  link.busyHosts = new Set(response.busyHosts);
   link.answeredAtMs = sentAtMs;
   if (response.promiseMs > 0) link.promisedAtMs = sentAtMs;
 }
--- a/packages/measure/demo/run_demo.ts
+++ b/packages/measure/demo/run_demo.ts
@@ -71,7 +71,7 @@
     region: "great-lakes",
     dataCentres: ["detroit", "cleveland", "milwaukee"],
     daemons: ENTRY_HOSTS,
-    executors: { first: "127.0.0.1:21001", count: EXECUTORS },
+    setFile: EXAMPLE,
     workers: { first: "127.0.0.1:22001", count: EXECUTORS },
     runMs: 40,
     extra: "[bounds]\nunready_ms = 500\n",
@@ -84,8 +84,8 @@
     printRows(rows);
     return rows.every(({ holds }) => holds);
   } finally {
-    await fleet.stop();
-    note("all processes ended");
+    const folder = await fleet.stop();
+    note(`all processes ended${folder ? `; output in ${folder}` : ""}`);
   }
 }
 
--- a/packages/measure/processes/fleet_processes.ts
+++ b/packages/measure/processes/fleet_processes.ts
@@ -24,7 +24,8 @@
   hosts: string;
   balancer: string;
   startDaemon(entryHost: EntryHost): void;
-  stop(): Promise<void>;
+  /** Ends all processes; returns the folder if `LAGOONLOOM_KEEP` is set. */
+  stop(): Promise<string | undefined>;
 };
 
 /** Options of {@linkcode startFleet}. */
@@ -32,7 +33,8 @@
   region: string;
   dataCentres: readonly string[];
   daemons: number;
-  executors: { first: string; count: number };
+  /** Set whose hosts' executors are served. */
+  setFile: string;
   workers?: { first: string; count: number };
   /** Run time of a request without `run_ms` in its query. */
   runMs: number;
@@ -90,7 +92,10 @@
     startDaemon,
     async stop() {
       await group.stop();
+      // Kept output helps to find out why a promise was broken.
+      if (process.env.LAGOONLOOM_KEEP !== undefined) return folder;
       rmSync(folder, { recursive: true, force: true });
+      return undefined;
     },
   };
 }
@@ -121,13 +126,13 @@
 };
 
 function startStandins(group: ProcessGroup, options: StandinOptions): void {
-  const { log, hosts, balancer, executors, workers, entryHosts } = options;
-  group.start("platform", "standins", ["--log", log, "--hosts", hosts]);
-  group.start("executors", "standins", [
-    "--executors",
-    executors.first,
-    "--executor-count",
-    String(executors.count),
+  const { log, hosts, balancer, workers, entryHosts } = options;
+  group.start("log", "standins", ["--log", log]);
+  group.start("hosts", "standins", [
+    "--hosts",
+    hosts,
+    "--set",
+    options.setFile,
     "--run-ms",
     String(options.runMs),
   ]);
--- a/packages/platform/platform_client.ts
+++ b/packages/platform/platform_client.ts
@@ -12,6 +12,8 @@
   state: z.enum(["live", "leaving"]),
   /** Time at which the platform observed the state, in milliseconds. */
   timeMs: z.int().min(0),
+  /** Time of the host's last start in milliseconds, if the platform knows. */
+  bootedAtMs: z.int().min(0).optional(),
 });
 
 /** Entry of the platform's host list. */
@@ -22,6 +24,12 @@
   | { type: "read"; hosts: readonly ListedHost[] }
   | { type: "unreachable"; reason: string };
 
+/** Outcome of a request to restart a host. */
+export type RebootOutcome =
+  | { type: "accepted" }
+  /** The platform may have accepted it; asking again is harmless. */
+  | { type: "unknown"; reason: string };
+
 /** What to append to a stream. */
 export type Append = { stream: Stream; id: string; body: unknown };
 
@@ -39,6 +47,11 @@
   append(append: Append): Promise<AppendOutcome>;
   read(read: Read, signal?: AbortSignal): Promise<ReadOutcome>;
   readHosts(): Promise<HostListOutcome>;
+  /**
+   * Asks the platform to restart a host. The platform restarts it once for each
+   * id, however often it is asked.
+   */
+  rebootHost(host: string, id: string): Promise<RebootOutcome>;
   /** Closes idle connections. */
   close(): void;
 };
@@ -103,6 +116,7 @@
         ...(signal === undefined ? {} : { signal }),
       }),
     readHosts: () => readHostList(client, hostsBase),
+    rebootHost: (host, id) => rebootHost(client, { host, id, base: hostsBase }),
     close: () => agent.destroy(),
   };
 }
@@ -185,6 +199,23 @@
   }
 }
 
+async function rebootHost(
+  client: Got,
+  { host, id, base }: { host: string; id: string; base: string },
+): Promise<RebootOutcome> {
+  try {
+    const response = await client.post(
+      `${base}/v1/hosts/${encodeURIComponent(host)}/reboot`,
+      { json: { id } },
+    );
+    if (response.statusCode === 202) return { type: "accepted" };
+    const reason = `The platform answered with ${response.statusCode}.`;
+    return { type: "unknown", reason };
+  } catch (error) {
+    return { type: "unknown", reason: reasonOf(error) };
+  }
+}
+
 function unreachable(reason: string): { type: "unreachable"; reason: string } {
   return { type: "unreachable", reason };
 }
--- a/packages/standins/executor_standin.ts
+++ b/packages/standins/executor_standin.ts
@@ -37,12 +37,17 @@
   runsByKey: Record<string, number>;
   /** Largest number of requests that were present at once. */
   maxConcurrent: number;
+  reboots: number;
+  /** Requests that were in progress when the executor went down. */
+  cutOff: number;
 };
 
 /** Executor with a number of slots. */
 export type ExecutorStandin = Standin & {
   stats: ExecutorStats;
   setFault(fault: z.input<typeof ExecutorFault> | undefined): void;
+  /** Refuses connections for a time, as a host does that restarts. */
+  reboot(downMs: number): Promise<void>;
 };
 
 /** Options of {@linkcode serveExecutor}. */
@@ -81,7 +86,13 @@
 ): Promise<ExecutorStandin> {
   const executor: Executor = {
     options: { slots: 8, runMs: 5, ...options },
-    stats: { runs: 0, runsByKey: {}, maxConcurrent: 0 },
+    stats: {
+      runs: 0,
+      runsByKey: {},
+      maxConcurrent: 0,
+      reboots: 0,
+      cutOff: 0,
+    },
     fault: undefined,
     present: 0,
     running: 0,
@@ -97,9 +108,18 @@
     }
     await run(executor, request, response);
   });
+  let standin = await listen(listener, address);
   return {
-    ...await listen(listener, address),
+    address: standin.address,
+    close: () => standin.close(),
     stats: executor.stats,
+    async reboot(downMs) {
+      executor.stats.reboots++;
+      executor.stats.cutOff += executor.present;
+      await standin.close();
+      await sleep(downMs);
+      standin = await listen(listener, standin.address);
+    },
     setFault(fault) {
       executor.fault = fault && ExecutorFault.parse(fault);
     },
--- a/packages/standins/hosts_standin.ts
+++ b/packages/standins/hosts_standin.ts
@@ -5,6 +5,7 @@
   readJson,
   sendJson,
   type Standin,
+  urlOf,
   withErrors,
 } from "./_http.ts";
 
@@ -19,8 +20,14 @@
 export type HostListOptions = {
   /** Time in milliseconds after which a change becomes visible. */
   lagMs?: number;
+  /** Restarts a host and resolves when it is up again. */
+  reboot?: (host: string) => Promise<void>;
 };
 
+const Reboot = z.object({ id: z.string() });
+
+const REBOOT_PATH = /^\/v1\/hosts\/([^/]+)\/reboot$/;
+
 const HostChange = z.union([
   z.strictObject({ removed: z.string() }),
   ListedHost.pick({ host: true, state: true }),
@@ -28,7 +35,8 @@
 
 /**
  * Serves a host list over HTTP. `POST /v1/hosts` changes one entry, or removes
- * it with `{"removed": NAME}`.
+ * it with `{"removed": NAME}`. `POST /v1/hosts/NAME/reboot` restarts a host
+ * once for each id.
  *
  * @example
  * ```ts
@@ -51,7 +59,20 @@
     later(() => visible.set(host, entry));
   }
   const remove = (host: string) => later(() => visible.delete(host));
+  const rebootIds = new Set<string>();
+  async function reboot(host: string): Promise<void> {
+    await options.reboot?.(host);
+    const entry = { host, state: "live" as const, timeMs: Date.now() };
+    later(() => visible.set(host, { ...entry, bootedAtMs: Date.now() }));
+  }
   const listener = withErrors(async (request, response) => {
+    const rebooted = REBOOT_PATH.exec(urlOf(request).pathname)?.[1];
+    if (rebooted !== undefined) {
+      const { id } = Reboot.parse(await readJson(request));
+      if (!rebootIds.has(id)) void reboot(decodeURIComponent(rebooted));
+      rebootIds.add(id);
+      return sendJson(response, 202, {});
+    }
     if (request.method === "POST") {
       const change = HostChange.parse(await readJson(request));
       if ("removed" in change) remove(change.removed);
--- a/packages/standins/main.ts
+++ b/packages/standins/main.ts
@@ -1,7 +1,10 @@
+import { parseObjectSet } from "@lagoonloom/objects";
 import { cac } from "cac";
+import { readFileSync } from "node:fs";
 import { splitAddress, type Standin } from "./_http.ts";
 import {
   createLogStore,
+  type ExecutorStandin,
   serveBalancer,
   serveExecutor,
   serveHostList,
@@ -14,6 +17,8 @@
   retentionMs?: number;
   hosts?: string;
   hostsLagMs?: number;
+  set?: string;
+  rebootMs?: number;
   executors?: string;
   executorCount?: number;
   runMs?: number;
@@ -37,8 +42,26 @@
   );
 }
 
-function serveAll(options: Options): Promise<Standin>[] {
+/** Serves the executor of each host of a set, by host. */
+async function serveSet(
+  file: string,
+  options: Options,
+): Promise<Map<string, ExecutorStandin>> {
+  const set = parseObjectSet(readFileSync(file, "utf8"), { file })
+    .unsafeCoerce();
+  const executors = new Map<string, ExecutorStandin>();
+  for (const [name, { address, slots }] of Object.entries(set.hosts)) {
+    const runMs = options.runMs ?? 5;
+    executors.set(name, await serveExecutor(address, { name, slots, runMs }));
+  }
+  return executors;
+}
+
+async function serveAll(options: Options): Promise<Promise<Standin>[]> {
   const started: Promise<Standin>[] = [];
+  const hosts = options.set === undefined
+    ? new Map<string, ExecutorStandin>()
+    : await serveSet(options.set, options);
   if (options.log !== undefined) {
     const retentionMs = options.retentionMs;
     const store = createLogStore(
@@ -48,7 +71,14 @@
   }
   if (options.hosts !== undefined) {
     const lagMs = options.hostsLagMs ?? 0;
-    started.push(serveHostList(options.hosts, { lagMs }));
+    const list = await serveHostList(options.hosts, {
+      lagMs,
+      reboot: async (name) => {
+        await hosts.get(name)?.reboot(options.rebootMs ?? 500);
+      },
+    });
+    for (const host of hosts.keys()) list.put({ host, state: "live" });
+    started.push(Promise.resolve(list));
   }
   if (options.executors !== undefined) {
     started.push(...serveMany(
@@ -80,6 +110,8 @@
     .option("--retention-ms <ms>", "Retention of the log")
     .option("--hosts <address>", "Host list")
     .option("--hosts-lag-ms <ms>", "Delay of the host list")
+    .option("--set <file>", "Set whose executors are served and restart")
+    .option("--reboot-ms <ms>", "Time that a host is down to restart")
     .option("--executors <address>", "First of the executors")
     .option("--executor-count <n>", "Number of executors")
     .option("--run-ms <ms>", "Run time of a request")
@@ -89,7 +121,7 @@
     .option("--balancer <address>", "Balancer")
     .option("--backends <addresses>", "Back ends, separated by commas")
     .action(async (options: Options) => {
-      const standins = await Promise.all(serveAll(options));
+      const standins = await Promise.all(await serveAll(options));
       console.log(standins.map((it) => it.address).join("\n"));
       const stop = () => void Promise.all(standins.map((it) => it.close()));
       process.once("SIGTERM", stop);
--- a/packages/standins/platform_standin.ts
+++ b/packages/standins/platform_standin.ts
@@ -5,6 +5,8 @@
 export type PlatformStandinOptions = {
   /** Returns the entries of the host list. */
   hosts?: () => readonly ListedHost[];
+  /** Restarts a host; called once for each id. */
+  reboot?: (host: string) => void;
   /** Whether this client is cut off from the log, beside the log's faults. */
   isCutOff?: () => boolean;
 };
@@ -24,6 +26,7 @@
 ): PlatformClient {
   const { faults } = store;
   const reason = "The log stand-in is down.";
+  const rebootIds = new Set<string>();
   const isDown = () => faults.isDown || (options.isCutOff?.() ?? false);
   async function pass(): Promise<void> {
     if (faults.delayMs > 0) {
@@ -53,6 +56,13 @@
       if (isDown()) return { type: "unreachable", reason };
       return { type: "read", hosts: options.hosts?.() ?? [] };
     },
+    async rebootHost(host, id) {
+      await pass();
+      if (isDown()) return { type: "unknown", reason };
+      if (!rebootIds.has(id)) options.reboot?.(host);
+      rebootIds.add(id);
+      return { type: "accepted" };
+    },
     close: () => undefined,
   };
 }
--- a/packages/telemetry/log_events.ts
+++ b/packages/telemetry/log_events.ts
@@ -154,6 +154,30 @@
     message: "host list of the platform is unreachable",
     fields: { reason: "string" },
   },
+  deciderBegan: {
+    id: "LL5001",
+    level: "info",
+    message: "this entry host decides for the data centre",
+    fields: { scope: "string" },
+  },
+  deciderEnded: {
+    id: "LL5002",
+    level: "info",
+    message: "this entry host no longer decides for the data centre",
+    fields: { scope: "string" },
+  },
+  decisionAppended: {
+    id: "LL5003",
+    level: "info",
+    message: "decision appended to the log",
+    fields: { record: "string", subject: "string", outcome: "string" },
+  },
+  hostRestartAsked: {
+    id: "LL5004",
+    level: "info",
+    message: "platform asked to restart a host",
+    fields: { host: "string", outcome: "string" },
+  },
   exchangeFailed: {
     id: "LL4001",
     level: "debug",
