--- a/packages/daemon/daemon_process_test.ts
+++ b/packages/daemon/daemon_process_test.ts
@@ -22,10 +22,12 @@
 jest.setTimeout(90_000);
 
 const children: ChildProcess[] = [];
+const exits: Promise<unknown>[] = [];
 const standins: Standin[] = [];
 
 afterEach(async () => {
   for (const child of children.splice(0)) child.kill("SIGKILL");
+  await Promise.all(exits.splice(0));
   await Promise.all(standins.splice(0).map((it) => it.close()));
 });
 
@@ -98,6 +100,7 @@
       resolve(code);
     })
   );
+  exits.push(exited);
   return { child, ports, exited };
 }
 
