Read a stream at once when its tail starts

The first read waited for a new record, so that a daemon without claims refused orders for as long as the longest wait, which the test with two daemons found once that wait was 1.5 s.

--- a/packages/platform/tail_stream.ts
+++ b/packages/platform/tail_stream.ts
@@ -53,21 +53,24 @@
   const { signal, stream } = options;
   const random = options.random ?? Math.random;
   let failures = 0;
+  // At the start and after a failure the first answer is wanted at once.
+  let waitMs = 0;
   while (!signal.aborted) {
     const outcome = await platform.read({
       stream,
       from: handlers.nextOffset(),
       limit: TAIL_PAGE_RECORDS,
-      // After a failure the first answer is wanted at once.
-      waitMs: failures === 0 ? options.waitMs ?? WAIT_MS : 0,
+      waitMs,
     }, signal);
     if (signal.aborted) return;
     if (outcome.type === "read") {
       failures = 0;
+      waitMs = options.waitMs ?? WAIT_MS;
       handlers.onRecords(outcome.page.records, outcome.page);
       continue;
     }
     failures++;
+    waitMs = 0;
     if (outcome.type === "expired") await handlers.onExpired(outcome.page);
     else handlers.onUnreachable(outcome.reason);
     await sleep(backoffMs(failures, { ...BACKOFF, random }), signal);
