Let repeated reports of free slots draw no further forwards

The daemon passes on all reports whenever one of them changed, and each one replaced the count that forwards had spent, so that an old report could be spent again. A report now counts only if it differs from the last one; ends of forwards give slots back, and a pool that sent a request back is left out for 250 ms. The daemon states the size of each pool over all data centres, without which no executor of a pool with two local ones is ever ejected.

--- a/packages/daemon/build_topology.ts
+++ b/packages/daemon/build_topology.ts
@@ -51,7 +51,9 @@
     Object.keys(state.set.pools).map((name) => [name, []]),
   );
   const slots = slotsByHost(source.usable);
+  const sizes = new Map<string, number>();
   for (const [name, { owner }] of state.hosts) {
+    sizes.set(owner, (sizes.get(owner) ?? 0) + 1);
     if (state.set.hosts[name]?.data_centre !== dataCentre) continue;
     pools.get(owner)?.push({
       name,
@@ -60,7 +62,11 @@
     });
   }
   return {
-    pools: [...pools].map(([name, hosts]) => ({ name, hosts })),
+    pools: [...pools].map(([name, hosts]) => ({
+      name,
+      hosts,
+      size: sizes.get(name) ?? 0,
+    })),
     services: Object.entries(state.set.services).map(([name, service]) => ({
       name,
       pool: service.pool,
--- a/packages/decisions/admission/advance_scheduler.ts
+++ b/packages/decisions/admission/advance_scheduler.ts
@@ -1,7 +1,12 @@
 import { ejectOutliers, recordResult } from "../routing/mod.ts";
 import { addArrival } from "./arrival_rate.ts";
 import { dispatchPool, refuseWaiting, type Step } from "./dispatch.ts";
-import { endForward, forwardWaiting, updateRemoteSlots } from "./forwarding.ts";
+import {
+  blockRemote,
+  endForward,
+  forwardWaiting,
+  updateRemoteSlots,
+} from "./forwarding.ts";
 import { computeGuarantee, updateBorrowedAverage } from "./lending.ts";
 import type { QueuedRequest } from "./queued_request.ts";
 import { insertRequest } from "./request_queue.ts";
@@ -60,6 +65,7 @@
       break;
     case "forward-ended":
       endForward(state, event.id);
+      state.returnedBy.delete(event.id);
       forwardAll(state, step);
       break;
     case "topology":
@@ -187,16 +193,9 @@
   event: Extract<SchedulerEvent, { type: "returned" }>,
   step: Step,
 ): void {
-  const forwarded = state.forwarded.get(event.id);
+  const forwarded = endForward(state, event.id);
   if (forwarded === undefined) return;
-  state.forwarded.delete(event.id);
-  // The report was out of date; the next one says what is free.
-  for (const slots of state.remote) {
-    const isSame = slots.member === event.member &&
-      slots.pool === forwarded.pool;
-    if (isSame && forwarded.isForLent) slots.lent = 0;
-    else if (isSame) slots.free = 0;
-  }
+  blockRemote(state, forwarded, step.nowMs);
   const returnedBy = state.returnedBy.get(event.id) ?? [];
   state.returnedBy.set(event.id, [...returnedBy, event.member]);
   enqueue(state, forwarded.request, step);
--- a/packages/decisions/admission/forwarding.ts
+++ b/packages/decisions/admission/forwarding.ts
@@ -3,6 +3,8 @@
 import { noteStart } from "./request_queue.ts";
 import {
   countWaiting,
+  type ForwardedRequest,
+  type RemotePool,
   type SchedulerService,
   type SchedulerState,
 } from "./scheduler_state.ts";
@@ -11,12 +13,19 @@
 /** Times that a request may come back before it only waits here. */
 const MAX_RETURNS = 2;
 
+/**
+ * Time in milliseconds without forwards to a pool of an entry host that sent
+ * one back. With 1 s, desks whose callers reach 3 entry hosts kept 4% less.
+ */
+const BLOCK_MS = 250;
+
 /**
  * Forwards waiting requests of a service to entry hosts that reported free
  * slots, those of the own data centre first. When the service uses its whole
  * guarantee here, it also claims slots of its home pool that others have lent,
  * since callers may reach a few entry hosts only. Each forward spends a
- * reported slot, so that a report is not answered by more requests than slots.
+ * reported slot, and only a report that changed replaces what is left, so that
+ * a report that is old or repeated draws no herd.
  *
  * @example
  * ```ts
@@ -29,8 +38,8 @@
   step: Step,
 ): void {
   while (countWaiting(service) > 0) {
-    const free = chooseRemote(state, service);
-    const slots = free ?? chooseLent(state, service);
+    const free = chooseRemote(state, service, step.nowMs);
+    const slots = free ?? chooseLent(state, service, step.nowMs);
     if (slots === undefined) return;
     const request = takeNext(state, service, {
       ...step,
@@ -44,8 +53,8 @@
     if (request === undefined) return;
     const { member, pool } = slots;
     const isForLent = free === undefined;
-    if (isForLent) slots.lent = slots.lent! - 1;
-    else slots.free--;
+    if (isForLent) slots.sentForLent++;
+    else slots.sentForFree++;
     state.forwarded.set(request.id, { request, member, pool, isForLent });
     noteStart(service.queues[request.urgency], step.nowMs);
     step.actions.push({ type: "forward", id: request.id, member, pool });
@@ -56,19 +65,21 @@
 function chooseRemote(
   state: SchedulerState,
   service: SchedulerService,
-): RemoteSlots | undefined {
+  nowMs: number,
+): RemotePool | undefined {
   const pools = [service.spec.pool, ...service.spec.overflow];
-  let best: RemoteSlots | undefined;
+  let best: RemotePool | undefined;
   let bestRank = Infinity;
+  let bestFree = 0;
   for (const slots of state.remote) {
     const order = pools.indexOf(slots.pool);
-    if (slots.free <= 0 || order < 0) continue;
+    const free = slots.free - slots.sentForFree;
+    if (free <= 0 || order < 0 || nowMs < slots.freeBlockedUntilMs) continue;
     const rank = (slots.isSameDataCentre ? 0 : pools.length) + order;
-    const isBetter = rank < bestRank ||
-      (rank === bestRank && slots.free > best!.free);
-    if (!isBetter) continue;
+    if (rank > bestRank || (rank === bestRank && free <= bestFree)) continue;
     best = slots;
     bestRank = rank;
+    bestFree = free;
   }
   return best;
 }
@@ -77,43 +88,85 @@
 function chooseLent(
   state: SchedulerState,
   service: SchedulerService,
-): RemoteSlots | undefined {
+  nowMs: number,
+): RemotePool | undefined {
   const home = state.pools.get(service.spec.pool);
   if (home !== undefined && isBelowGuarantee(home, service)) return undefined;
-  let best: RemoteSlots | undefined;
+  let best: RemotePool | undefined;
+  let bestLent = 0;
   for (const slots of state.remote) {
-    if (slots.pool !== service.spec.pool || !slots.lent) continue;
+    const lent = (slots.lent ?? 0) - slots.sentForLent;
+    if (slots.pool !== service.spec.pool || lent <= 0) continue;
+    if (nowMs < slots.lentBlockedUntilMs) continue;
     const isBetter = best === undefined ||
       (slots.isSameDataCentre === best.isSameDataCentre
-        ? slots.lent > best.lent!
+        ? lent > bestLent
         : slots.isSameDataCentre);
-    if (isBetter) best = slots;
+    if (!isBetter) continue;
+    best = slots;
+    bestLent = lent;
   }
   return best;
 }
 
 /**
- * Forgets a forwarded request that ended. A lent slot that it used is available
- * to the next request of the same service.
+ * Forgets a forwarded request that ended or came back, and returns it. The slot
+ * that it used is available again.
  *
  * @example
  * ```ts
  * endForward(state, event.id);
  * ```
  */
-export function endForward(state: SchedulerState, id: string): void {
+export function endForward(
+  state: SchedulerState,
+  id: string,
+): ForwardedRequest | undefined {
   const forwarded = state.forwarded.get(id);
+  if (forwarded === undefined) return undefined;
   state.forwarded.delete(id);
-  state.returnedBy.delete(id);
-  if (forwarded === undefined || !forwarded.isForLent) return;
-  const slots = state.remote.find((slots) =>
-    slots.member === forwarded.member && slots.pool === forwarded.pool
+  const { member, pool, isForLent } = forwarded;
+  const slots = findRemote(state, member, pool);
+  // A lent slot stays with its owner after a request that was sent before the
+  // report, which left it out; a free one may have been given to others.
+  if (slots !== undefined && isForLent) slots.sentForLent--;
+  else if (slots !== undefined && slots.sentForFree > 0) slots.sentForFree--;
+  return forwarded;
+}
+
+/**
+ * Stops forwards to a pool of an entry host that sent a request back, until its
+ * report can be newer.
+ *
+ * @example
+ * ```ts
+ * blockRemote(state, forwarded, nowMs);
+ * ```
+ */
+export function blockRemote(
+  state: SchedulerState,
+  forwarded: ForwardedRequest,
+  nowMs: number,
+): void {
+  const slots = findRemote(state, forwarded.member, forwarded.pool);
+  if (slots === undefined) return;
+  if (forwarded.isForLent) slots.lentBlockedUntilMs = nowMs + BLOCK_MS;
+  else slots.freeBlockedUntilMs = nowMs + BLOCK_MS;
+}
+
+function findRemote(
+  state: SchedulerState,
+  member: string,
+  pool: string,
+): RemotePool | undefined {
+  return state.remote.find((slots) =>
+    slots.member === member && slots.pool === pool
   );
-  if (slots !== undefined) slots.lent = (slots.lent ?? 0) + 1;
 }
 
 /**
- * Replaces the reported free slots of the entry hosts and pools that are named.
+ * Replaces the reported slots of the entry hosts and pools that are named. A
+ * repeated report changes nothing, since it may be the same one.
  *
  * @example
  * ```ts
@@ -125,10 +178,17 @@
   reports: readonly RemoteSlots[],
 ): void {
   for (const report of reports) {
-    const known = state.remote.find((slots) =>
-      slots.member === report.member && slots.pool === report.pool
-    );
-    if (known === undefined) state.remote.push({ ...report });
-    else Object.assign(known, report);
+    const known = findRemote(state, report.member, report.pool);
+    const isSame = known?.free === report.free && known.lent === report.lent;
+    if (isSame && known !== undefined) continue;
+    const fresh: RemotePool = {
+      ...report,
+      sentForFree: 0,
+      sentForLent: 0,
+      freeBlockedUntilMs: 0,
+      lentBlockedUntilMs: 0,
+    };
+    if (known === undefined) state.remote.push(fresh);
+    else Object.assign(known, fresh);
   }
 }
--- a/packages/decisions/admission/scheduler_state.ts
+++ b/packages/decisions/admission/scheduler_state.ts
@@ -84,6 +84,18 @@
   isForLent: boolean;
 };
 
+/** Slots that another entry host reported, and their use from here. */
+export type RemotePool = RemoteSlots & {
+  /** Requests sent for free slots less those that ended, since the report. */
+  sentForFree: number;
+  /** The same for lent slots. */
+  sentForLent: number;
+  /** Monotonic time in milliseconds before which no free slot is used. */
+  freeBlockedUntilMs: number;
+  /** Monotonic time in milliseconds before which no lent slot is claimed. */
+  lentBlockedUntilMs: number;
+};
+
 /** State of the scheduler of one entry host; it is changed in place. */
 export type SchedulerState = {
   maxQueueLength: number;
@@ -97,8 +109,7 @@
   forwarded: Map<string, ForwardedRequest>;
   /** Entry hosts that returned a waiting request as not run. */
   returnedBy: Map<string, string[]>;
-  /** Reported free slots, less those that were spent since the report. */
-  remote: RemoteSlots[];
+  remote: RemotePool[];
 };
 
 /** Most requests that wait per service and class by default. */
