--- a/packages/measure/main.ts
+++ b/packages/measure/main.ts
@@ -5,7 +5,7 @@
 import { measureSlopes } from "./slopes/mod.ts";
 
 /** Runs the measures and prints their rows. */
-function main(): void {
+async function main(): Promise<void> {
   const cli = cac("measure");
   cli.option("--json", "Print one JSON object per line");
   cli.option("--only <name>", "Run only this measure; may be repeated");
@@ -26,7 +26,7 @@
     .map(([, measure]) => measure);
   const rows: MeasureRow[] = [];
   for (const measure of options.slopes ? [measureSlopes] : selected) {
-    for (const row of measure()) {
+    for (const row of await measure()) {
       if (options.json) console.log(formatJson(row));
       else rows.push(row);
     }
@@ -34,4 +34,4 @@
   if (!options.json) console.log(formatTable(rows));
 }
 
-main();
+await main();
