Report lent slots in heartbeats

The scheduler of an owner that uses its whole guarantee claims slots of its home pool that other entry hosts have lent; the daemon sent only the counts of free slots, so that it never could.

--- a/packages/daemon/build_topology.ts
+++ b/packages/daemon/build_topology.ts
@@ -104,10 +104,9 @@
   return links.all()
     .filter((link) => links.isAnswering(link, options.nowMs))
     .flatMap((link) =>
-      [...link.freeSlots].map(([pool, free]) => ({
+      [...link.freeSlots.values()].map((report) => ({
+        ...report,
         member: link.name,
-        pool,
-        free,
         isSameDataCentre: options.isNear(link.name),
       }))
     );
--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -144,10 +144,11 @@
   const links: PeerLinks = createPeerLinks({
     connect: dependencies.connectPeer,
     describe,
-    freeSlots: () =>
+    reportSlots: () =>
       isStopping
-        ? new Map(Object.keys(fold.state().set.pools).map((it) => [it, 0]))
-        : requestPath.freeSlotsByPool(),
+        ? Object.keys(fold.state().set.pools)
+          .map((pool) => ({ pool, free: 0, lent: 0 }))
+        : requestPath.reportSlots(),
     onAnswer(link, response, sentAtMs) {
       slots.hear(link.name, toStatement(response));
       void relayLog(link, { fold, follower, sentAtMs });
--- a/packages/daemon/peer_links.ts
+++ b/packages/daemon/peer_links.ts
@@ -1,4 +1,4 @@
-import type { SlotKey, SlotStatement } from "@lagoonloom/decisions";
+import type { SlotKey, SlotReport, SlotStatement } from "@lagoonloom/decisions";
 import type {
   HeartbeatRequest,
   HeartbeatResponse,
@@ -41,10 +41,10 @@
   refusedAtMs: number | undefined;
   /** Whether a first heartbeat was answered or failed. */
   wasTried: boolean;
-  /** Free slots by pool that it reported. */
-  freeSlots: Map<string, number>;
+  /** Free and lent slots by pool that it reported. */
+  freeSlots: Map<string, SlotReport>;
   /** Free slots by pool that it has received from here. */
-  sentFreeSlots: Map<string, number>;
+  sentFreeSlots: Map<string, SlotReport>;
   dueAtMs: number;
   isBusy: boolean;
 };
@@ -66,7 +66,7 @@
 export type PeerLinksOptions = {
   connect: (address: string) => PeerClient;
   describe: () => OwnHeartbeat;
-  freeSlots: () => ReadonlyMap<string, number>;
+  reportSlots: () => readonly SlotReport[];
   /** Called after each answered heartbeat with the time it was sent. */
   onAnswer: (
     link: PeerLink,
@@ -129,8 +129,8 @@
     receive(request) {
       const link = [...links.values()].find((it) => it.name === request.member);
       if (link === undefined) return;
-      for (const { pool, free } of request.freeSlots) {
-        link.freeSlots.set(pool, free);
+      for (const { pool, free, lent } of request.freeSlots) {
+        link.freeSlots.set(pool, { pool, free, lent });
       }
     },
     isAnswering: (link, nowMs) =>
@@ -171,17 +171,17 @@
   const intervalMs = link.isNear ? NEAR_HEARTBEAT_MS : FAR_HEARTBEAT_MS;
   link.dueAtMs = sentAtMs + intervalMs;
   link.isBusy = true;
-  const freeSlots = options.freeSlots();
-  const changed = [...freeSlots].filter(([pool, free]) =>
-    link.sentFreeSlots.get(pool) !== free
-  );
+  const changed = options.reportSlots().filter(({ pool, free, lent }) => {
+    const sent = link.sentFreeSlots.get(pool);
+    return sent?.free !== free || sent.lent !== lent;
+  });
   const { held, ...own } = options.describe();
   const outcome = await link.client.heartbeat({
     ...own,
     nextOffset: BigInt(own.nextOffset),
     generation: BigInt(own.generation),
     setVersion: BigInt(own.setVersion),
-    freeSlots: changed.map(([pool, free]) => ({ pool, free })),
+    freeSlots: changed,
     held: held.map(toHeldSlot),
   }, { timeoutMs: HEARTBEAT_TIMEOUT_MS });
   link.isBusy = false;
@@ -191,7 +191,7 @@
     return;
   }
   noteAnswer(link, outcome.response, sentAtMs);
-  for (const [pool, free] of changed) link.sentFreeSlots.set(pool, free);
+  for (const report of changed) link.sentFreeSlots.set(report.pool, report);
   options.onAnswer(link, outcome.response, sentAtMs);
 }
 
--- a/packages/daemon/requests/create_request_path.ts
+++ b/packages/daemon/requests/create_request_path.ts
@@ -6,6 +6,7 @@
 import {
   countLendableSlots,
   type RemoteSlots,
+  reportSlots,
   type Topology,
 } from "@lagoonloom/decisions";
 import {
@@ -76,6 +77,8 @@
     /** Slots that a forwarded request could use now, by pool. */
     freeSlotsByPool: () =>
       countLendableSlots(dispatcher.scheduler, dependencies.nowMs()),
+    /** Slots that other entry hosts may forward to, by pool. */
+    reportSlots: () => reportSlots(dispatcher.scheduler, dependencies.nowMs()),
     updateTopology,
     foldClaim: keeper.foldClaim,
     /** Number of requests that this entry host has on executors. */
