--- a/packages/daemon/capacity/pool_demand.ts
+++ b/packages/daemon/capacity/pool_demand.ts
@@ -49,7 +49,9 @@
       if (link === undefined || !options.links().isAnswering(link, nowMs)) {
         return undefined;
       }
-      for (const [pool, count] of link.freeSlots) {
+      for (const [pool, report] of link.freeSlots) {
+        // Borrowed slots are no demand of the pool that lends them.
+        const count = report.free + report.lent;
         free.set(pool, (free.get(pool) ?? 0) + count);
       }
     }
