--- a/packages/decisions/pools/demand_estimate.ts
+++ b/packages/decisions/pools/demand_estimate.ts
@@ -1,13 +1,17 @@
 /**
- * Time constant of the demand average in milliseconds. The demand rotates
+ * Time constant of each of the two averages in milliseconds. The demand rotates
  * within seconds to minutes; a move takes minutes, so it follows the average.
+ * Two averages in a row of 300 s leave far less of a rotation of 100 s than one
+ * of 600 s with the same delay.
  */
-export const DEMAND_TIME_CONSTANT_MS = 900_000;
+export const DEMAND_TIME_CONSTANT_MS = 300_000;
 
 /** Long-term demand of a pool. */
 export type DemandEstimate = {
   /** Average number of hosts that the work of the pool keeps busy. */
   hosts: number;
+  /** First average, of which `hosts` is the second. */
+  recentHosts: number;
   updatedAtMs: number;
   /** Time observed so far in milliseconds, up to the time constant. */
   observedMs: number;
@@ -34,15 +38,18 @@
   { hosts, atMs }: LoadObservation,
 ): DemandEstimate {
   if (estimate === undefined) {
-    return { hosts, updatedAtMs: atMs, observedMs: 0 };
+    return { hosts, recentHosts: hosts, updatedAtMs: atMs, observedMs: 0 };
   }
   const elapsedMs = Math.max(0, atMs - estimate.updatedAtMs);
   const observedMs = estimate.observedMs + elapsedMs;
   const weight = observedMs < DEMAND_TIME_CONSTANT_MS
     ? elapsedMs / Math.max(1, observedMs)
     : 1 - Math.exp(-elapsedMs / DEMAND_TIME_CONSTANT_MS);
+  const recentHosts = estimate.recentHosts +
+    weight * (hosts - estimate.recentHosts);
   return {
-    hosts: estimate.hosts + weight * (hosts - estimate.hosts),
+    hosts: estimate.hosts + weight * (recentHosts - estimate.hosts),
+    recentHosts,
     updatedAtMs: atMs,
     observedMs: Math.min(observedMs, DEMAND_TIME_CONSTANT_MS),
   };
--- a/packages/decisions/pools/plan_moves.ts
+++ b/packages/decisions/pools/plan_moves.ts
@@ -1,4 +1,5 @@
 import { hostsThatMayBeOut } from "../budgets/hosts_that_may_be_out.ts";
+import type { PoolCapacity } from "../budgets/pool_capacity.ts";
 import {
   type DeciderTerm,
   type PlannedRecord,
@@ -9,7 +10,7 @@
 import type { WorkObservations } from "../waves/work_observation.ts";
 import { planOpenMoves } from "./internal/plan_open_moves.ts";
 import { balancePools, type PoolBalance } from "./pool_balance.ts";
-import { MIN_SHORTAGE, type Shortage } from "./shortage.ts";
+import { DONOR_MARGIN, MIN_SHORTAGE, type Shortage } from "./shortage.ts";
 
 /** Cost of a move in host seconds: drain, restart and warm-up. */
 export const DEFAULT_MOVE_COST_S = 900;
@@ -17,8 +18,11 @@
 /** Gain over cost that a move has to promise. */
 export const GAIN_FACTOR = 1.5;
 
-/** Hosts that a pool keeps above its need when it gives one away. */
-export const DONOR_MARGIN = 0.5;
+/**
+ * Idle time over the cost of a move after which a pool gives a host back. It is
+ * shorter than for a shortage: floods look like shortages, never like surplus.
+ */
+export const SURPLUS_FACTOR = 0.5;
 
 /** Options of {@linkcode planMoves}. */
 export type PlanMovesOptions = {
@@ -29,6 +33,8 @@
   demand: ReadonlyMap<string, number>;
   /** Shortages and since when, from {@linkcode trackShortages}. */
   shortages: readonly Shortage[];
+  /** Hosts to spare and since when, from {@linkcode trackSurpluses}. */
+  surpluses?: readonly Shortage[];
   moveCostS?: number;
 };
 
@@ -60,25 +66,67 @@
   planOpenMoves(state, observations, { plan, term: options.term });
   planWishes(state, plan, options);
   const balances = balancePools(state, options.demand);
+  const capacities = new Map<string, PoolCapacity>();
+  const picked = new Set<string>();
   const shortages = [...options.shortages].sort((left, right) =>
     right.hosts - left.hosts || (left.pool < right.pool ? -1 : 1)
   );
   for (const shortage of shortages) {
-    planShortage(state, shortage, { plan, options, balances });
+    planShortage(state, shortage, {
+      plan,
+      options,
+      balances,
+      capacities,
+      picked,
+    });
+  }
+  for (const surplus of options.surpluses ?? []) {
+    planSurplus(state, surplus, {
+      plan,
+      options,
+      balances,
+      capacities,
+      picked,
+    });
   }
   return plan;
 }
 
+/** Gives a host that has been idle for long back to the spare pool. */
+function planSurplus(
+  state: FleetState,
+  surplus: Shortage,
+  context: ShortageOptions,
+): void {
+  const { plan, options, balances } = context;
+  const donor = balances.get(surplus.pool);
+  const spare = [...balances.values()].find((balance) => balance.isSpare);
+  if (donor === undefined || spare === undefined) return;
+  // Moves that began since the surplus was seen count already.
+  if (donor.hosts - 1 < donor.needed + DONOR_MARGIN) return;
+  const idleS = (options.nowMs - surplus.sinceMs) / 1_000;
+  const costS = options.moveCostS ?? DEFAULT_MOVE_COST_S;
+  if (idleS <= SURPLUS_FACTOR * costS) return;
+  const host = pickHost(state, donor, context);
+  if (host === undefined) return;
+  donor.hosts--;
+  if (own(state.set.hosts, host)?.data_centre !== options.term.scope) return;
+  const to = spare.pool;
+  const reason = `Pool "${donor.pool}" has had a host to spare for ${
+    Math.round(idleS)
+  } s.`;
+  plan.records.push(grant(state, { host, to, term: options.term, reason }));
+}
+
 function planWishes(
   state: FleetState,
   plan: MovePlan,
   { term }: PlanMovesOptions,
 ): void {
-  const names = [...state.hosts.keys()].filter((name) => {
-    const host = state.hosts.get(name);
-    return host?.wish !== undefined && host.permit === undefined &&
+  const names = [...state.hosts].filter(([name, host]) => {
+    return host.wish !== undefined && host.permit === undefined &&
       own(state.set.hosts, name)?.data_centre === term.scope;
-  }).sort();
+  }).map(([name]) => name).sort();
   const { hosts } = hostsThatMayBeOut(state, { candidates: names });
   for (const host of hosts) {
     const to = state.hosts.get(host)?.wish ?? "";
@@ -91,13 +139,17 @@
   plan: MovePlan;
   options: PlanMovesOptions;
   balances: Map<string, PoolBalance>;
+  /** Counts with the hosts that this round takes out. */
+  capacities: Map<string, PoolCapacity>;
+  picked: Set<string>;
 };
 
 function planShortage(
   state: FleetState,
   shortage: Shortage,
-  { plan, options, balances }: ShortageOptions,
+  context: ShortageOptions,
 ): void {
+  const { plan, options, balances } = context;
   const { pool } = shortage;
   const balance = balances.get(pool);
   // Moves that began since the shortage was seen count already.
@@ -116,11 +168,12 @@
     return;
   }
   for (const donor of donors(balances, pool)) {
-    const host = pickHost(state, donor, options);
+    const host = pickHost(state, donor, context);
     if (host === undefined) continue;
     const scope = own(state.set.hosts, host)?.data_centre;
     if (scope !== options.term.scope) {
       plan.waiting.set(pool, `The decider of "${scope}" moves "${host}".`);
+      donor.hosts--;
       return;
     }
     const reason = `Pool "${pool}" lacks ${lacking.toFixed(1)} hosts since ${
@@ -162,17 +215,21 @@
 function pickHost(
   state: FleetState,
   donor: PoolBalance,
-  { nowMs }: PlanMovesOptions,
+  { options, capacities, picked }: ShortageOptions,
 ): string | undefined {
   const candidates = [...state.hostsByPool.get(donor.pool) ?? []]
     .filter((name) => {
       const host = state.hosts.get(name);
       const scope = own(state.set.hosts, name)?.data_centre ?? "";
       return host?.permit === undefined && host?.health === "in-service" &&
-        host.wish === undefined &&
-        nowMs < (state.deciders.get(scope)?.leaseEndMs ?? 0);
+        host.wish === undefined && !picked.has(name) &&
+        options.nowMs < (state.deciders.get(scope)?.leaseEndMs ?? 0);
     }).sort();
-  return hostsThatMayBeOut(state, { candidates, perPool: () => 1 }).hosts[0];
+  const perPool = () => 1;
+  const chosen = { candidates, perPool, capacities };
+  const host = hostsThatMayBeOut(state, chosen).hosts[0];
+  if (host !== undefined) picked.add(host);
+  return host;
 }
 
 type GrantOptions = {
--- a/packages/decisions/pools/required_buffer.ts
+++ b/packages/decisions/pools/required_buffer.ts
@@ -14,7 +14,7 @@
 export type Buffer = { hosts: number; reason: string };
 
 /** Accepted share of time in which the buffer is too small. */
-export const DEFAULT_SHORT_SHARE = 0.001;
+export const DEFAULT_SHORT_SHARE = 0.005;
 
 /**
  * Returns the smallest number of spare hosts that covers the failed ones except
--- a/packages/decisions/pools/shortage.ts
+++ b/packages/decisions/pools/shortage.ts
@@ -1,7 +1,7 @@
 import type { FleetState } from "../fold/fleet_state.ts";
 import { balancePools } from "./pool_balance.ts";
 
-/** Hosts that a pool lacks, and since when. */
+/** Hosts that a pool lacks or could give away, and since when. */
 export type Shortage = {
   pool: string;
   hosts: number;
@@ -9,7 +9,10 @@
 };
 
 /** Smallest shortage in hosts that counts. */
-export const MIN_SHORTAGE = 0.5;
+export const MIN_SHORTAGE = 0.1;
+
+/** Hosts that a pool keeps above its need when it gives one away. */
+export const DONOR_MARGIN = 0.1;
 
 /** Options of {@linkcode trackShortages}. */
 export type TrackShortagesOptions = {
@@ -43,3 +46,29 @@
   }
   return shortages;
 }
+
+/**
+ * Returns the pools, spare ones apart, that would keep more than they need
+ * without one of their hosts. A pool that had such a host before keeps the time
+ * since which it has one.
+ *
+ * @example
+ * ```ts
+ * const surpluses = trackSurpluses(state, before, { demand, nowMs });
+ * ```
+ */
+export function trackSurpluses(
+  state: FleetState,
+  before: readonly Shortage[],
+  { demand, nowMs }: TrackShortagesOptions,
+): Shortage[] {
+  const since = new Map(before.map((entry) => [entry.pool, entry.sinceMs]));
+  const surpluses: Shortage[] = [];
+  for (const balance of balancePools(state, demand).values()) {
+    const { pool, hosts, needed, isSpare } = balance;
+    if (isSpare || hosts - 1 < needed + DONOR_MARGIN) continue;
+    const sinceMs = since.get(pool) ?? nowMs;
+    surpluses.push({ pool, hosts: hosts - needed, sinceMs });
+  }
+  return surpluses;
+}
--- a/packages/decisions/waves/plan_wave.ts
+++ b/packages/decisions/waves/plan_wave.ts
@@ -13,7 +13,7 @@
 } from "../deciders/planned_record.ts";
 import type { FleetState } from "../fold/fleet_state.ts";
 import { own } from "../fold/internal/outcomes.ts";
-import { BAD_HOSTS, waveEvidence } from "./wave_evidence.ts";
+import { BAD_HOSTS, type WaveEvidence, waveEvidence } from "./wave_evidence.ts";
 import {
   isBack,
   isEmptied,
@@ -84,11 +84,19 @@
   planHostsThatAreOut(state, observations, { plan, options, capacities });
   const taken = new Set<string>();
   for (const [name, wave] of waves) {
-    const change = planWaveState(state, name, { wave, options });
+    const evidence = waveEvidence(state, { wave: name, ...options });
+    const change = planWaveState(state, name, { wave, options, evidence });
     if (change !== undefined) plan.records.push(change);
     const isRunning = state.waves.get(name)?.state === "running";
     if (!isRunning || change !== undefined) continue;
-    planPermits(state, name, { wave, options, plan, capacities, taken });
+    planPermits(state, name, {
+      wave,
+      options,
+      evidence,
+      plan,
+      capacities,
+      taken,
+    });
   }
   return plan;
 }
@@ -148,12 +156,16 @@
   return own(state.set.hosts, host)?.data_centre === term.scope;
 }
 
-type WaveOptions = { wave: Wave; options: PlanWaveOptions };
+type WaveOptions = {
+  wave: Wave;
+  options: PlanWaveOptions;
+  evidence: WaveEvidence;
+};
 
 function planWaveState(
   state: FleetState,
   name: string,
-  { wave, options }: WaveOptions,
+  { wave, options, evidence }: WaveOptions,
 ): PlannedRecord | undefined {
   const current = state.waves.get(name);
   const change = (next: "running" | "paused" | "finished", reason: string) =>
@@ -170,7 +182,7 @@
   }
   if (current === undefined) return change("running", "The wave is active.");
   if (current.state === "finished") return undefined;
-  const { bad, slow } = waveEvidence(state, { wave: name, ...options });
+  const { bad, slow } = evidence;
   if (current.state === "paused") {
     const pausedMs = options.nowMs - current.sinceMs;
     const isTooEarly = pausedMs < 1_000 * SLOW_PAUSE_FACTOR * wave.outage_s;
@@ -213,11 +225,11 @@
 function planPermits(
   state: FleetState,
   name: string,
-  { wave, options, plan, capacities, taken }: PermitOptions,
+  context: PermitOptions,
 ): void {
-  const { good } = waveEvidence(state, { wave: name, ...options });
-  const isProven = good >= FIRST_GOOD_HOSTS;
-  const pools = remainingPools(state, name, { wave, options, taken });
+  const { options, plan, capacities, taken, evidence } = context;
+  const isProven = evidence.good >= FIRST_GOOD_HOSTS;
+  const pools = remainingPools(state, name, context);
   const batches = Math.max(0, ...pools.map((pool) => pool.batches));
   const goesAlone = !isProven && batches >= FIRST_HOSTS_BATCHES;
   const perPool = Math.ceil(FIRST_HOSTS / Math.max(1, pools.length));
@@ -266,7 +278,7 @@
 function remainingPools(
   state: FleetState,
   name: string,
-  { wave, options, taken }: Pick<PermitOptions, "wave" | "options" | "taken">,
+  { wave, options, taken, capacities }: PermitOptions,
 ): RemainingPool[] {
   const done = state.waves.get(name)?.done;
   return wave.pools.map((pool) => {
@@ -281,7 +293,9 @@
       }
       if (hasDecider(state, host, options)) hosts.push(host);
     }
-    const width = maxPlannedOut(poolCapacity(state, pool));
+    const capacity = capacities.get(pool) ?? poolCapacity(state, pool);
+    capacities.set(pool, capacity);
+    const width = maxPlannedOut(capacity);
     const batches = Math.ceil(hosts.length / Math.max(1, width));
     return { pool, hosts: hosts.sort(), out, batches };
   }).sort((left, right) => right.batches - left.batches);
--- /dev/null
+++ b/packages/measure/capacity/simulate_moves.ts
@@ -0,0 +1,209 @@
+import {
+  applyRecord,
+  type DemandEstimate,
+  emptyFleetState,
+  type FleetState,
+  isAvailable,
+  neededHosts,
+  observeDemand,
+  planMoves,
+  type PlannedRecord,
+  planObservations,
+  type Shortage,
+  trackShortages,
+  trackSurpluses,
+} from "@lagoonloom/decisions";
+import {
+  createFleetSet,
+  createModelHosts,
+  failHost,
+  type ModelHosts,
+  observeHosts,
+  restartHost,
+  stepHosts,
+} from "@lagoonloom/standins/fleet";
+import { type CapacityTrace, loadOver, meanAt } from "./capacity_trace.ts";
+import type { CapacityDeployment } from "./deployments.ts";
+
+/** How a simulated decider moves hosts. */
+export type MovePolicy = "chosen" | "static" | "threshold";
+
+/** Result of a simulation. */
+export type MoveResult = {
+  /** Host seconds in service beyond the need of the pools. */
+  idleS: number;
+  /** Host seconds that pools lacked. */
+  shortS: number;
+  moves: number;
+};
+
+/** Options of {@linkcode simulateMoves}. */
+export type SimulateMovesOptions = {
+  trace: CapacityTrace;
+  policy: MovePolicy;
+  stepS: number;
+};
+
+const DRAIN_MS = 20_000;
+const RESTART_MS = 300_000;
+
+type Simulation = SimulateMovesOptions & {
+  state: FleetState;
+  hosts: ModelHosts;
+  scopes: string[];
+  estimates: Map<string, DemandEstimate>;
+  shortages: Shortage[];
+  surpluses: Shortage[];
+  nextFailure: number;
+  result: MoveResult;
+};
+
+/**
+ * Simulates the moves of a deployment over a trace: the planners read the state
+ * that `applyRecord` folds, and hosts fail, drain and restart.
+ *
+ * @example
+ * ```ts
+ * const { idleS } = simulateMoves(deployment, { trace, policy, stepS: 10 });
+ * ```
+ */
+export function simulateMoves(
+  { shape }: CapacityDeployment,
+  options: SimulateMovesOptions,
+): MoveResult {
+  const set = createFleetSet(shape);
+  const simulation: Simulation = {
+    ...options,
+    state: emptyFleetState(),
+    hosts: createModelHosts(Object.keys(set.hosts), {
+      drainMs: DRAIN_MS,
+      restartMs: () => RESTART_MS,
+    }),
+    scopes: shape.dataCentres.map(({ name }) => name),
+    estimates: new Map(),
+    shortages: [],
+    surpluses: [],
+    nextFailure: 0,
+    result: { idleS: 0, shortS: 0, moves: 0 },
+  };
+  const change = { put: set, removed: [] };
+  const body = { expectedVersion: 0, change, operator: "measure" };
+  apply(simulation, { type: "set.changed", ...body }, 0);
+  claimScopes(simulation);
+  for (let atS = 0; atS < options.trace.seconds; atS += options.stepS) {
+    step(simulation, atS);
+  }
+  return simulation.result;
+}
+
+function apply(simulation: Simulation, body: unknown, timeMs: number): boolean {
+  const { state } = simulation;
+  const offset = state.nextOffset;
+  const record = { offset, timeMs, id: `r${offset}`, body };
+  return applyRecord(state, record).type === "applied";
+}
+
+/** One lease for the whole run: this measure is not about deciders. */
+function claimScopes({ state, scopes }: Simulation): void {
+  for (const scope of scopes) {
+    const identity = { holder: "measure", incarnation: "i1" };
+    state.deciders.set(scope, { ...identity, epoch: 1, leaseEndMs: Infinity });
+  }
+}
+
+function step(simulation: Simulation, atS: number): void {
+  const { state, hosts, stepS } = simulation;
+  const nowMs = 1_000 * atS;
+  stepHosts(hosts, {
+    nowMs,
+    isLeaving: (name) => state.hosts.get(name)?.permit !== undefined,
+  });
+  failHosts(simulation, atS);
+  const demand = estimate(simulation, atS);
+  if (simulation.policy !== "static") track(simulation, demand, nowMs);
+  const { contacts, observations } = observeHosts(hosts, { nowMs });
+  for (const scope of simulation.scopes) {
+    const term = { scope, epoch: 1 };
+    const seen = planObservations(state, contacts, { term, nowMs });
+    send(simulation, seen, nowMs);
+    const { shortages, surpluses } = simulation;
+    const options = { term, nowMs, demand, shortages, surpluses };
+    const plan = planMoves(state, observations, options);
+    send(simulation, plan.records, nowMs);
+    for (const host of plan.reboots) restartHost(hosts, host, { nowMs });
+  }
+  count(simulation, { atS, stepS });
+}
+
+function send(
+  simulation: Simulation,
+  records: readonly PlannedRecord[],
+  nowMs: number,
+): void {
+  for (const { body } of records) {
+    const applied = apply(simulation, body, nowMs);
+    if (applied && body.type === "permit.granted") simulation.result.moves++;
+  }
+}
+
+function failHosts(simulation: Simulation, atS: number): void {
+  const { trace, state, hosts } = simulation;
+  for (;;) {
+    const failure = trace.failures[simulation.nextFailure];
+    if (failure === undefined || failure.atS > atS) return;
+    simulation.nextFailure++;
+    const name = [...state.hostsByPool.get(failure.pool) ?? []].sort()
+      .find((host) => isAvailable(state, host));
+    if (name === undefined) continue;
+    const untilMs = 1_000 * failure.untilS;
+    failHost(hosts, name, { nowMs: 1_000 * atS, untilMs });
+  }
+}
+
+function estimate(simulation: Simulation, atS: number): Map<string, number> {
+  const { trace, estimates, policy, stepS } = simulation;
+  const demand = new Map<string, number>();
+  for (const pool of trace.pools) {
+    const hosts = loadOver(trace, pool, { fromS: atS, toS: atS + stepS });
+    const known = policy === "threshold" ? undefined : estimates.get(pool);
+    const next = observeDemand(known, { hosts, atMs: 1_000 * atS });
+    estimates.set(pool, next);
+    demand.set(pool, next.hosts);
+  }
+  return demand;
+}
+
+function track(
+  simulation: Simulation,
+  demand: ReadonlyMap<string, number>,
+  nowMs: number,
+): void {
+  const { state, policy } = simulation;
+  // The baseline acts at once on what it sees.
+  const before = (known: Shortage[]): Shortage[] =>
+    policy === "chosen" ? known : simulation.trace.pools.map((pool) => ({
+      pool,
+      hosts: 0,
+      sinceMs: -1e9,
+    }));
+  const options = { demand, nowMs };
+  const { shortages, surpluses } = simulation;
+  simulation.shortages = trackShortages(state, before(shortages), options);
+  simulation.surpluses = trackSurpluses(state, before(surpluses), options);
+}
+
+function count(
+  { state, trace, result }: Simulation,
+  { atS, stepS }: { atS: number; stepS: number },
+): void {
+  for (const pool of trace.pools) {
+    let available = 0;
+    for (const name of state.hostsByPool.get(pool) ?? []) {
+      if (isAvailable(state, name)) available++;
+    }
+    const demand = meanAt(trace, pool, atS);
+    const idle = available - neededHosts(state, pool, { demand });
+    if (idle > 0) result.idleS += idle * stepS;
+    else result.shortS -= idle * stepS;
+  }
+}
