--- /dev/null
+++ b/packages/daemon/create_daemon.ts
@@ -0,0 +1,297 @@
+import type { OperatorHandlers } from "@lagoonloom/operators";
+import type { PeerClient, PeerHandlers } from "@lagoonloom/peers";
+import type { PlatformClient } from "@lagoonloom/platform";
+import type { EventLog, Metrics } from "@lagoonloom/telemetry";
+import { appendAndFold } from "./append_and_fold.ts";
+import {
+  type ClaimsFollower,
+  createClaimsFollower,
+} from "./claims_follower.ts";
+import { type ControlFold, createControlFold } from "./control_fold.ts";
+import { createCheckpoints } from "./checkpoints.ts";
+import { createHostListCopy } from "./host_list.ts";
+import { listPeerTargets } from "./list_peer_targets.ts";
+import { createLogFollower } from "./log_follower.ts";
+import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
+import { createMembership, type Membership } from "./membership.ts";
+import { createOperatorHandlers } from "./operator_handlers.ts";
+import { createPeerHandlers } from "./peer_handlers.ts";
+import {
+  createPeerLinks,
+  type OwnHeartbeat,
+  type PeerLinks,
+  toStatement,
+} from "./peer_links.ts";
+import { createDaemonRequestPath } from "./request_path.ts";
+import type { RequestPath } from "./requests/mod.ts";
+import { createRunningSlots } from "./running_slots.ts";
+import type { DaemonSettings } from "./settings.ts";
+import { createSlotControl } from "./slot_control.ts";
+import { createTopologyFeed } from "./topology_feed.ts";
+
+/** Interval of the loop in milliseconds. */
+const TICK_MS = 100;
+
+/** What the daemon gets from outside. */
+export type DaemonDependencies = {
+  settings: DaemonSettings;
+  platform: PlatformClient;
+  connectPeer: (address: string) => PeerClient;
+  events: EventLog;
+  metrics: Metrics;
+  createIncarnation: () => string;
+};
+
+/** Daemon of an entry host without its listeners. */
+export type Daemon = {
+  fold: ControlFold;
+  membership: Membership;
+  requestPath: RequestPath;
+  operatorHandlers: OperatorHandlers;
+  peerHandlers: PeerHandlers;
+  isReady(): boolean;
+  /** Starts the loop and the followers of the log. */
+  start(): void;
+  /** Is not ready from now on and offers no slots to other entry hosts. */
+  setStopping(): void;
+  /** Leaves the membership if all requests have ended, and stops the loop. */
+  stop(options: { isDrained: boolean }): Promise<void>;
+};
+
+/**
+ * Creates the daemon of an entry host without its listeners. One loop folds
+ * records, gives events to the decisions and carries out their actions.
+ *
+ * @example
+ * ```ts
+ * const daemon = createDaemon(dependencies);
+ * daemon.start();
+ * ```
+ */
+export function createDaemon(dependencies: DaemonDependencies): Daemon {
+  const { settings, platform, events, metrics } = dependencies;
+  const { name, data_centre: dataCentre } = settings.daemon;
+  const longestRequestMs = settings.bounds.longest_request_ms;
+  const stopped = new AbortController();
+  const fold = createControlFold();
+  const append = (
+    id: string,
+    body: Parameters<typeof appendAndFold>[0]["body"],
+  ) =>
+    appendAndFold({ id, body }, {
+      platform,
+      fold,
+      waitMs: settings.bounds.publish_ms,
+    });
+  let isStopping = false;
+  let wasReady = false;
+  let timer: ReturnType<typeof setInterval> | undefined;
+
+  const follower = createLogFollower({
+    platform,
+    fold,
+    events,
+    signal: stopped.signal,
+    peersAhead: () => peersAhead(links, fold),
+  });
+  const running = createRunningSlots({ longestRequestMs });
+  const membership = createMembership({
+    name,
+    dataCentre,
+    peerAddress: settings.peers.address,
+    operatorAddress: settings.operators.address,
+    fold,
+    links: () => links,
+    events,
+    logReadAtMs: follower.readAtMs,
+    isCaughtUp,
+    append,
+    createIncarnation: dependencies.createIncarnation,
+  });
+  const slots = createSlotControl({
+    name,
+    dataCentre,
+    incarnation: membership.incarnation,
+    fold,
+    running,
+    longestRequestMs,
+  });
+  const hostList = createHostListCopy(platform, { events });
+  const requestPath = createDaemonRequestPath({
+    dependencies,
+    fold,
+    membership,
+    running,
+    links: () => links,
+    isReady,
+    logIsFresh: () => claims.isFresh(),
+  });
+  const claims: ClaimsFollower = createClaimsFollower({
+    platform,
+    fold: requestPath.foldClaim,
+    signal: stopped.signal,
+  });
+  const checkpoints = createCheckpoints({
+    platform,
+    fold,
+    events,
+    retentionMs: follower.retentionMs,
+    rank() {
+      const names = [...fold.state().members.keys()].sort();
+      return membership.isMember() ? names.indexOf(name) : undefined;
+    },
+  });
+  const links: PeerLinks = createPeerLinks({
+    connect: dependencies.connectPeer,
+    describe,
+    freeSlots: () =>
+      isStopping
+        ? new Map(Object.keys(fold.state().set.pools).map((it) => [it, 0]))
+        : requestPath.freeSlotsByPool(),
+    onAnswer(link, response, sentAtMs) {
+      slots.hear(link.name, toStatement(response));
+      void relayLog(link, { fold, follower, sentAtMs });
+    },
+  });
+
+  const feed = createTopologyFeed({
+    dataCentre,
+    fold,
+    slots,
+    hostList,
+    links,
+    requestPath,
+  });
+
+  function logAgeMs(): number | undefined {
+    const readAtMs = follower.readAtMs();
+    return readAtMs === undefined ? undefined : performance.now() - readAtMs;
+  }
+
+  function describe(): OwnHeartbeat {
+    const state = fold.state();
+    const { nextOffset, generation, setVersion } = state;
+    return {
+      member: name,
+      incarnation: membership.incarnation(),
+      dataCentre,
+      nextOffset,
+      generation,
+      setVersion,
+      logAgeMs: Math.min(Math.ceil(logAgeMs() ?? NEVER_READ_MS), NEVER_READ_MS),
+      ...slots.statement(performance.now()),
+    };
+  }
+
+  /** At least as new as every reachable peer, each of which was tried. */
+  function isCaughtUp(): boolean {
+    if (!follower.isLoaded()) return false;
+    const nowMs = performance.now();
+    return links.all().every((link) =>
+      link.wasTried && (!links.isAnswering(link, nowMs) ||
+        link.nextOffset <= fold.state().nextOffset || wasReady)
+    );
+  }
+
+  function isReady(): boolean {
+    return !isStopping && isCaughtUp();
+  }
+
+  function updateMetrics(): void {
+    const state = fold.state();
+    metrics.setSetVersion(state.setVersion);
+    metrics.setLogPosition({
+      nextOffset: state.nextOffset,
+      ageMs: logAgeMs() ?? NEVER_READ_MS,
+    });
+    metrics.setSlots({
+      usable: slots.usable().size,
+      running: requestPath.runningSlots(),
+    });
+  }
+
+  function tick(): void {
+    const nowMs = performance.now();
+    links.tick(nowMs);
+    membership.tick(nowMs);
+    if (slots.advance(nowMs)) feed.rebuild();
+    feed.tick(nowMs);
+    void hostList.tick(nowMs).then((hasChanged) => {
+      if (hasChanged) feed.rebuild();
+    });
+    void checkpoints.tick(nowMs);
+    updateMetrics();
+    if (wasReady || !isReady()) return;
+    wasReady = true;
+    const { nextOffset, setVersion } = fold.state();
+    events.log("daemonReady", { nextOffset, setVersion });
+  }
+
+  fold.onChange((change) => {
+    if (change.type === "record") {
+      metrics.countRecord(change.outcome.type);
+      return;
+    }
+    if (change.type !== "settled") return;
+    metrics.allowServices(Object.keys(fold.state().set.services));
+    links.setTargets(listPeerTargets(fold.state(), settings));
+    slots.advance(performance.now());
+    feed.rebuild();
+  });
+
+  return {
+    fold,
+    membership,
+    requestPath,
+    operatorHandlers: createOperatorHandlers({
+      name,
+      dataCentre,
+      fold,
+      platform,
+      events,
+      waitMs: settings.bounds.publish_ms,
+      isReady,
+      logAgeMs,
+      listedLeaving: hostList.leaving,
+      links: () => links,
+    }),
+    peerHandlers: createPeerHandlers({
+      fold,
+      path: requestPath,
+      describe,
+      onHeartbeat(request) {
+        const { member, incarnation } = request;
+        links.receive(request, performance.now());
+        slots.hear(member, toStatement(request));
+        return membership.noteHeartbeat({ name: member, incarnation });
+      },
+    }),
+    isReady,
+    start() {
+      links.setTargets(listPeerTargets(fold.state(), settings));
+      void follower.run();
+      void claims.run();
+      timer = setInterval(tick, TICK_MS);
+      tick();
+    },
+    setStopping() {
+      isStopping = true;
+    },
+    async stop({ isDrained }) {
+      if (isDrained) await membership.leave();
+      clearInterval(timer);
+      stopped.abort();
+      links.close();
+      requestPath.close();
+    },
+  };
+}
+
+function peersAhead(links: PeerLinks, fold: ControlFold): PeerClient[] {
+  const nowMs = performance.now();
+  return links.all()
+    .filter((link) => links.isAnswering(link, nowMs))
+    .filter((link) => link.nextOffset > fold.state().nextOffset)
+    .sort((a, b) => b.nextOffset - a.nextOffset)
+    .map((link) => link.client);
+}
--- /dev/null
+++ b/packages/daemon/operator_handlers.ts
@@ -0,0 +1,136 @@
+import {
+  explainHost,
+  explainService,
+  explainWave,
+  type FleetState,
+} from "@lagoonloom/decisions";
+import type {
+  DaemonStatus,
+  Explanation,
+  OperatorHandlers,
+} from "@lagoonloom/operators";
+import { whyLeaving } from "./build_topology.ts";
+import type { PeerLinks } from "./peer_links.ts";
+import {
+  findPublication,
+  listHistory,
+  publish,
+  type PublishOptions,
+} from "./publication.ts";
+
+/** Options of {@linkcode createOperatorHandlers}. */
+export type OperatorHandlersOptions = PublishOptions & {
+  name: string;
+  dataCentre: string;
+  isReady: () => boolean;
+  logAgeMs: () => number | undefined;
+  listedLeaving: () => ReadonlySet<string>;
+  /** Connections to the other entry hosts. */
+  links: () => PeerLinks;
+};
+
+/**
+ * Creates what the daemon does for operators.
+ *
+ * @example
+ * ```ts
+ * const app = createOperatorApp(createOperatorHandlers(options), { keys });
+ * ```
+ */
+export function createOperatorHandlers(
+  options: OperatorHandlersOptions,
+): OperatorHandlers {
+  const { fold } = options;
+  return {
+    submitChange: (publication) => publish(publication, options),
+    currentSet: () => {
+      const { setVersion: version, set } = fold.state();
+      return { version, set };
+    },
+    status: () => describeStatus(options),
+    history: (limit) => listHistory(fold).reverse().slice(0, limit),
+    explain: (kind, name) => explain(fold.state(), { kind, name }),
+    publication: (id) => findPublication(id, fold),
+  };
+}
+
+function describeMembers(
+  { fold, links }: OperatorHandlersOptions,
+): DaemonStatus["members"] {
+  const nowMs = performance.now();
+  return [...fold.state().members.values()].map((member) => {
+    const { name, dataCentre } = member;
+    const link = links().find(name);
+    if (link?.answeredAtMs === undefined) return { name, dataCentre };
+    return {
+      name,
+      dataCentre,
+      version: link.setVersion,
+      offset: link.nextOffset,
+      heardMsAgo: nowMs - link.answeredAtMs,
+    };
+  });
+}
+
+function describeStatus(options: OperatorHandlersOptions): DaemonStatus {
+  const state = options.fold.state();
+  const source = { state, listedLeaving: options.listedLeaving() };
+  const logAgeMs = options.logAgeMs();
+  const hosts = [...state.hosts];
+  return {
+    daemon: options.name,
+    dataCentre: options.dataCentre,
+    members: describeMembers(options),
+    ready: options.isReady(),
+    version: state.setVersion,
+    offset: state.nextOffset,
+    ...(logAgeMs === undefined ? {} : { logAgeMs }),
+    leaving: hosts.flatMap(([host, { owner: pool }]) => {
+      const reason = whyLeaving(host, source);
+      return reason === undefined ? [] : [{ host, pool, reason }];
+    }),
+    permits: hosts.flatMap(([host, { permit }]) => {
+      if (permit === undefined) return [];
+      const { purpose, wave, reason, grantedAtMs } = permit;
+      const ofWave = wave === undefined ? {} : { wave };
+      return [{ host, purpose, reason, grantedAtMs, ...ofWave }];
+    }),
+  };
+}
+
+/** Explains an object; undefined if the set has none of that name. */
+function explain(
+  state: FleetState,
+  object: Pick<Explanation, "kind" | "name">,
+): Explanation | undefined {
+  const sentences = sentencesAbout(state, object);
+  const [decision, ...reasons] = sentences ?? [];
+  if (decision === undefined) return undefined;
+  const reason = reasons.join(" ");
+  return { ...object, decisions: [{ decision, reason, alternatives: [] }] };
+}
+
+function sentencesAbout(
+  state: FleetState,
+  { kind, name }: Pick<Explanation, "kind" | "name">,
+): string[] | undefined {
+  const { set } = state;
+  switch (kind) {
+    case "host":
+      return state.hosts.has(name)
+        ? explainHost(state, name).sentences
+        : undefined;
+    case "wave":
+      return Object.hasOwn(set.waves, name)
+        ? explainWave(state, name).sentences
+        : undefined;
+    case "service":
+      return Object.hasOwn(set.services, name)
+        ? explainService(state, name).sentences
+        : undefined;
+    case "job": {
+      const job = state.jobs.get(name);
+      return job && [`Job "${name}" is ${job.state}.`, job.reason];
+    }
+  }
+}
--- a/packages/daemon/requests/create_request_path_test.ts
+++ b/packages/daemon/requests/create_request_path_test.ts
@@ -1,83 +1,138 @@
-import { createCallerServer } from "@lagoonloom/callers";
-import { describe, expect, test } from "@jest/globals";
-import { once } from "node:events";
-import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
-import { Registry } from "prom-client";
-import { createRequestPath } from "./create_request_path.ts";
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { type CallOptions, createFaultFixture } from "./_fault_fixture.ts";
+
+type Fixture = Awaited<ReturnType<typeof createFaultFixture>>;
+
+let open: Fixture | undefined;
+afterEach(() => open?.close());
+
+async function createFixture(
+  options: Parameters<typeof createFaultFixture>[0] = {},
+): Promise<Fixture> {
+  open = await createFaultFixture(options);
+  return open;
+}
 
 describe("createRequestPath", () => {
-  // Guards against a broken chain from the caller to the executor.
-  test("returns the executor's whole answer", async () => {
-    const executor = createServer((request, response) => {
-      const id = request.headers["x-request-id"] ?? "";
-      response.writeHead(200, { "x-request-id": id, "x-kept": "1" });
-      request.pipe(response);
+  const repeats: [string, string, CallOptions, number, number][] = [
+    ["same order here", "entry-a", {}, 200, 1],
+    ["same order elsewhere", "entry-b", {}, 200, 1],
+    ["other content here", "entry-a", { body: "other" }, 422, 1],
+    ["other content elsewhere", "entry-b", { body: "other" }, 422, 1],
+    ["other caller", "entry-b", { token: "other" }, 200, 2],
+    ["other key", "entry-b", { key: "k-2" }, 200, 2],
+  ];
+  // Guards against a key that is mixed up with another request or caller.
+  test.each(repeats)("repeat: %s", async (...row) => {
+    const [, host, changes, status, runs] = row;
+    const fixture = await createFixture();
+    const order = { key: "k-1", body: "one" };
+    const first = await fixture.call("entry-a", order);
+    const second = await fixture.call(host, { ...order, ...changes });
+    expect([first.status, second.status]).toEqual([200, status]);
+    expect(fixture.log.runs.length).toBe(runs);
+    if (status === 422) expect(second.reason).toBe("key-reused");
+  });
+
+  const refusals: [string, CallOptions, number, string][] = [
+    ["order without a key", { service: "orders" }, 400, "key-required"],
+    ["unknown service", { service: "none" }, 404, "unknown-service"],
+    [
+      "unknown service with a key",
+      { service: "none", key: "k" },
+      404,
+      "unknown-service",
+    ],
+  ];
+  // Guards against state that a refused request leaves behind.
+  test.each(refusals)("refuses: %s", async (...row) => {
+    const [, options, status, reason] = row;
+    const fixture = await createFixture();
+    const attempt = await fixture.call("entry-a", options);
+    expect(attempt).toMatchObject({ status, reason, outcome: "not-run" });
+    expect(fixture.log.runs).toEqual([]);
+    expect(fixture.store.read("claims", { from: 0, limit: 1 }).records)
+      .toEqual([]);
+  });
+
+  // Guards against orders without an agreed claim, and against quotes that
+  // depend on the log.
+  test("without a fresh log, serves quotes and refuses orders", async () => {
+    let isFresh = true;
+    const fixture = await createFixture({
+      overrides: { logIsFresh: () => isFresh },
     });
-    const address = await listen(executor);
-    const path = createRequestPath({
-      settings: {
-        member: "entry-1",
-        incarnation: "1",
-        callers: new Map([["token", "quoting"]]),
-        maxConnections: 8,
-      },
-      hasSlotRights: () => true,
-      logIsFresh: () => true,
-      setVersion: () => 1,
-      isLive: () => true,
-      isReady: () => true,
-      findService: () => ({
-        pool: "quoting",
-        share_percent: 100,
-        overflow: [],
-        run_time_ms: 10,
-        deadline_ms: 2_000,
-        idempotent_posts: true,
-      }),
-      hostAddress: () => address,
-      append: () => Promise.resolve({ type: "refused" }),
-      readAnswer: () => Promise.resolve(undefined),
-      forward: () => Promise.resolve({ type: "not-sent" }),
-      awaitOutcomeAt: () => Promise.resolve({ type: "unknown" }),
-      isCurrentMember: () => true,
-      liveMembers: () => 1,
-      events: () => undefined,
-      metrics: new Registry(),
-      nowMs: () => performance.now(),
+    await fixture.call("entry-a", { key: "k-0" });
+    isFresh = false;
+    const quote = await fixture.call("entry-a", { body: "one" });
+    const order = await fixture.call("entry-a", { key: "k-1" });
+    expect(quote.status).toBe(200);
+    expect(order).toMatchObject({
+      status: 503,
+      outcome: "not-run",
+      reason: "log-unavailable",
     });
-    const hosts = [{ name: "q1", slots: [0, 1], isLeaving: false }];
-    path.updateTopology({
-      pools: [{ name: "quoting", hosts }],
-      services: [{
-        name: "quoting",
-        pool: "quoting",
-        sharePercent: 100,
-        overflow: [],
-        runTimeMs: 10,
-      }],
-    }, []);
-    const server = createCallerServer(path.app);
-    const callers = await listen(server);
-    for (let count = 0; count < 3; count += 1) {
-      const answer = await fetch(`http://${callers}/v1/services/quoting/a?b`, {
-        method: "POST",
-        body: `order ${count}`,
-        headers: { authorization: "Bearer token" },
-      });
-      expect(answer.status).toBe(200);
-      expect(answer.headers.get("x-kept")).toBe("1");
-      expect(await answer.text()).toBe(`order ${count}`);
+  });
+
+  // Guards against a request that is sent under expired slot rights, and
+  // against an order that stays claimed after that.
+  test("sends nothing without slot rights", async () => {
+    let hasRights = false;
+    const fixture = await createFixture({
+      overrides: { hasSlotRights: () => hasRights },
+    });
+    const order = { key: "k-1", body: "one" };
+    const refused = await fixture.call("entry-a", order);
+    expect(refused).toMatchObject({ status: 503, outcome: "not-run" });
+    expect(fixture.log.runs).toEqual([]);
+    hasRights = true;
+    expect((await fixture.call("entry-b", order)).status).toBe(200);
+  });
+
+  // Guards against an exchange that outlasts the time after which another
+  // entry host may use the slot.
+  test("ends an exchange after the longest request", async () => {
+    const fixture = await createFixture({ longestRequestMs: 50 });
+    fixture.log.script = { step: "unanswered", fault: "slow" };
+    const quote = await fixture.call("entry-a", { body: "one" });
+    expect(quote).toMatchObject({ status: 504, outcome: "unknown" });
+  });
+
+  // Guards against an unknown outcome, since the executor closed the idle
+  // connection on which the request was sent.
+  test("survives an executor that closes idle connections", async () => {
+    const fixture = await createFixture();
+    for (const body of ["one", "two", "three"]) {
+      expect((await fixture.call("entry-a", { body })).status).toBe(200);
     }
-    path.close();
-    server.close();
-    executor.close();
-    server.closeAllConnections();
+    fixture.log.closesIdle = true;
+    expect((await fixture.call("entry-a", { body: "four" })).status).toBe(200);
+    const order = await fixture.call("entry-a", { key: "k-1" });
+    expect(order.status).toBe(200);
   });
-});
 
-async function listen(server: Server): Promise<string> {
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
+  // Guards against a planned stop that cuts off a request, and against a
+  // repeat that a stopping entry host calls "not-run".
+  test("finishes requests in progress when it stops", async () => {
+    const fixture = await createFixture();
+    const { path } = fixture.hosts.get("entry-a")!;
+    let drained: Promise<void> | undefined;
+    fixture.log.script = {
+      step: "unanswered",
+      fault: "slow",
+      onStep() {
+        path.stopAccepting();
+        drained = path.drained();
+      },
+    };
+    const order = { key: "k-1", body: "one" };
+    expect((await fixture.call("entry-a", order)).status).toBe(200);
+    await drained;
+    const claims = fixture.store.read("claims", { from: 0, limit: 10 });
+    expect(JSON.stringify(claims.records)).toContain('"completed"');
+    expect((await fixture.call("entry-a", order)).status).toBe(200);
+    const later = await fixture.call("entry-a", { key: "k-2" });
+    expect(later).toMatchObject({ outcome: "not-run", reason: "stopping" });
+    expect(fixture.log.runs).toEqual(["k-1"]);
+  });
+});
--- a/packages/daemon/requests/held_outcome.ts
+++ b/packages/daemon/requests/held_outcome.ts
@@ -1,8 +1,10 @@
 import type { WireAnswer } from "./forwarded.ts";
 
-/** Outcome of a claimed order as its holder knows it. */
+/** Outcome of an order as one entry host knows it. */
 export type HeldOutcome =
   | { type: "running" }
   | { type: "completed"; answer: WireAnswer }
   | { type: "not-run" }
-  | { type: "unknown" };
+  | { type: "unknown" }
+  /** The entry host has seen no claim of the order. */
+  | { type: "not-found" };
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export type { Standin } from "./_http.ts";
 export * from "./balancer_standin.ts";
 export * from "./executor_standin.ts";
 export * from "./hosts_standin.ts";
@@ -12,3 +13,4 @@
 export * from "./platform_standin.ts";
 export * from "./test_fleet.ts";
 export * from "./worker_standin.ts";
+export * from "./worker_tasks.ts";
