--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -1,3 +1,9 @@
+import {
+  measureBuffer,
+  measureDecideTime,
+  measureRollout,
+  measureSafety,
+} from "./capacity/mod.ts";
 import type { Measure } from "./measure_row.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
@@ -9,10 +15,14 @@
 
 /** Measures by the name that `--only` selects. */
 export const MEASURES: Readonly<Record<string, Measure>> = {
+  buffer: measureBuffer,
   "claim-cost": measureClaimCost,
+  "decide-time": measureDecideTime,
   faults: measureFaults,
   flood: measureFlood,
   "flood-stress": measureFloodStress,
+  rollout: measureRollout,
+  safety: measureSafety,
   settling: measureSettling,
   "slot-excess": measureSlotExcess,
   "stale-forward": measureStaleForward,
