--- a/packages/decisions/fold/fold_hosts_test.ts
+++ b/packages/decisions/fold/fold_hosts_test.ts
@@ -243,6 +243,22 @@
   });
 });
 
+describe("encodeCheckpoint", () => {
+  // Guards against checkpoints that differ between daemons with equal states.
+  test("does not depend on the order in which objects were added", () => {
+    const { hosts, ...others } = createState().set;
+    const encodings = [Object.entries(hosts), Object.entries(hosts).reverse()]
+      .map((entries) => {
+        const state = emptyFleetState();
+        const put = { ...others, hosts: Object.fromEntries(entries) };
+        expect(append(state, change({ put }))).toBe("applied");
+        state.history = [];
+        return encodeCheckpoint(state);
+      });
+    expect(encodings[0]).toEqual(encodings[1]);
+  });
+});
+
 describe("a decider's lease", () => {
   // Guards against records of a daemon that was paused beyond its lease.
   test("ends by log time and fences older epochs", () => {
