--- a/packages/decisions/fold/fold_hosts_test.ts
+++ b/packages/decisions/fold/fold_hosts_test.ts
@@ -123,6 +123,10 @@
   reason,
 });
 
+const onePerRack = {
+  orders: { service: "orders", min_available: 1, max_out_per_rack: 1 },
+};
+
 type Step = [body: unknown, applied: boolean];
 
 describe("applyRecord", () => {
@@ -138,6 +142,24 @@
       [permit("orders-3"), true],
       [permit("orders-4"), false],
     ]],
+    ["keeps the limit of a rack", [
+      [change({ put: { budgets: onePerRack }, expectedVersion: 1 }), true],
+      [permit("orders-1"), true],
+      [permit("orders-2"), false],
+    ]],
+    ["lets planned stops alone break no budget", [
+      [seen("orders-1", 0, "silent"), true],
+      [permit("orders-2"), true],
+      [permit("orders-1"), true],
+      [seen("orders-3", 0, "silent"), true],
+      [permit("orders-3"), false],
+    ]],
+    ["keeps the places that an open move needs", [
+      [permit("spare-1", 0, toMove), true],
+      [move("started"), true],
+      [permit("orders-1"), true],
+      [permit("orders-2"), false],
+    ]],
     ["fences a returned permit by its generation", [
       [permit("orders-1"), true],
       [back("orders-1", 0), true],
