Move fewer hosts: wait longer before a move and a return

A shortage now has to promise 3 times the cost of a move (1.5 before) and a surplus 1 time (0.5 before).

--- a/packages/decisions/pools/plan_moves.ts
+++ b/packages/decisions/pools/plan_moves.ts
@@ -16,13 +16,13 @@
 export const DEFAULT_MOVE_COST_S = 900;
 
 /** Gain over cost that a move has to promise. */
-export const GAIN_FACTOR = 1.5;
+export const GAIN_FACTOR = 3;
 
 /**
  * Idle time over the cost of a move after which a pool gives a host back. It is
  * shorter than for a shortage: floods look like shortages, never like surplus.
  */
-export const SURPLUS_FACTOR = 0.5;
+export const SURPLUS_FACTOR = 1;
 
 /** Options of {@linkcode planMoves}. */
 export type PlanMovesOptions = {
