Wait for the first read of the claims in the test of two daemons

The test failed in 2 of 3 runs beside other work: a new daemon refuses orders as not run until it has read the stream of claims once, up to a second after it is ready, and the test ordered before that. It now sends orders until one is accepted. The clean-up no longer stops a stopped daemon a second time.

--- a/packages/daemon/requests/two_daemons_test.ts
+++ b/packages/daemon/requests/two_daemons_test.ts
@@ -70,13 +70,21 @@
     });
     const events = createEventLog({ format: "hidden" });
     const running = await startDaemon(settings, { events });
-    return { running, callers };
+    let stopping: Promise<boolean> | undefined;
+    const stop = () => stopping ??= running.stop("test");
+    return { running, callers, stop };
   }));
   closers.push(
-    ...daemons.map(({ running }) => () => running.stop("test")),
+    ...daemons.map(({ stop }) => stop),
     ...[log, hostList, ...executors].map((it) => () => it.close()),
   );
-  for (const { running } of daemons) await waitForSlots(running);
+  for (const { running, callers } of daemons) {
+    await waitForSlots(running);
+    // Orders are refused until the claims of the log were read once.
+    for (let count = 0, status = 0; status !== 200; count += 1) {
+      ({ status } = await order(callers, `warm-up-${callers}-${count}`));
+    }
+  }
   return { daemons, executors, store };
 }
 
@@ -106,7 +114,7 @@
     const running = order(first!.callers, "k-1", query);
     await new Promise((resolve) => setTimeout(resolve, 100));
     const during = order(second!.callers, "k-1", query);
-    const stopped = first!.running.stop("test");
+    const stopped = first!.stop();
     const answers = [await running, await during];
     expect(await stopped).toBe(true);
     answers.push(await order(second!.callers, "k-1", query));
