--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -1,3 +1,4 @@
+import { FENCE_MS } from "@lagoonloom/decisions";
 import type { OperatorHandlers } from "@lagoonloom/operators";
 import type { PeerClient, PeerHandlers } from "@lagoonloom/peers";
 import type { PlatformClient } from "@lagoonloom/platform";
@@ -14,6 +15,8 @@
 import { listPeerTargets } from "./list_peer_targets.ts";
 import { createLogFollower } from "./log_follower.ts";
 import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
+import { createCapacity } from "./capacity/mod.ts";
+import { whyLeaving } from "./build_topology.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createOperatorHandlers } from "./operator_handlers.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
@@ -146,16 +149,34 @@
   const links: PeerLinks = createPeerLinks({
     connect: dependencies.connectPeer,
     describe,
-    freeSlots: () =>
+    reportSlots: () =>
       isStopping
-        ? new Map(Object.keys(fold.state().set.pools).map((it) => [it, 0]))
-        : requestPath.freeSlotsByPool(),
+        ? Object.keys(fold.state().set.pools)
+          .map((pool) => ({ pool, free: 0, lent: 0 }))
+        : requestPath.reportSlots(),
     onAnswer(link, response, sentAtMs) {
       slots.hear(link.name, toStatement(response));
       void relayLog(link, { fold, follower, sentAtMs });
     },
   });
 
+  const capacity = createCapacity({
+    name,
+    dataCentre,
+    incarnation: membership.incarnation,
+    logIsFresh: () => (logAgeMs() ?? Infinity) < FENCE_MS,
+    fold,
+    append,
+    platform,
+    events,
+    links: () => links,
+    running: running.list,
+    freeSlots: requestPath.freeSlotsByPool,
+    isListed: hostList.isListed,
+    bootedAtMs: hostList.bootedAtMs,
+    longestRequestMs,
+  });
+
   const feed = createTopologyFeed({
     dataCentre,
     fold,
@@ -182,7 +203,19 @@
       setVersion,
       logAgeMs: Math.min(Math.ceil(logAgeMs() ?? NEVER_READ_MS), NEVER_READ_MS),
       ...slots.statement(performance.now()),
+      busyHosts: busyLeavingHosts(),
+    };
+  }
+
+  function busyLeavingHosts(): string[] {
+    const source = {
+      state: fold.state(),
+      listedLeaving: hostList.leaving(),
     };
+    const busy = running.list(performance.now())
+      .map((slot) => slot.slice(0, slot.lastIndexOf("/")));
+    return [...new Set(busy)]
+      .filter((host) => whyLeaving(host, source) !== undefined);
   }
 
   /** At least as new as every reachable peer, each of which was tried. */
@@ -239,6 +272,7 @@
       if (hasChanged) feed.rebuild();
     });
     void checkpoints.tick(nowMs);
+    if (!isStopping && membership.isMember()) capacity.tick(nowMs);
     updateMetrics();
     if (wasReady || !isReady()) return;
     wasReady = true;
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -1,3 +1,9 @@
+import {
+  measureBuffer,
+  measureDecideTime,
+  measureRollout,
+  measureSafety,
+} from "./capacity/mod.ts";
 import type { Measure } from "./measure_row.ts";
 import { measureJobs } from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
@@ -10,11 +16,15 @@
 
 /** Measures by the name that `--only` selects. */
 export const MEASURES: Readonly<Record<string, Measure>> = {
+  buffer: measureBuffer,
   "claim-cost": measureClaimCost,
+  "decide-time": measureDecideTime,
   faults: measureFaults,
   flood: measureFlood,
   "flood-stress": measureFloodStress,
   jobs: measureJobs,
+  rollout: measureRollout,
+  safety: measureSafety,
   settling: measureSettling,
   "slot-excess": measureSlotExcess,
   "stale-forward": measureStaleForward,
