Measure the control cost of real daemons

The targets for processor, memory, traffic and time in force of idle daemons had no measure. `--only control` starts 3, 9 and 27 daemons on loopback and measures them idle, at 0.1 changes a second and during a burst of 8,900 changes a minute; `control-N` and `control-idle-N` run one size. They are not part of the default run, since their values depend on the machine.

--- a/packages/measure/main.ts
+++ b/packages/measure/main.ts
@@ -1,7 +1,7 @@
 import { cac } from "cac";
 import { formatJson, formatTable } from "./format_rows.ts";
 import type { MeasureRow } from "./measure_row.ts";
-import { MEASURES } from "./measures.ts";
+import { MEASURES, PROCESS_MEASURES } from "./measures.ts";
 import { measureSlopes } from "./slopes/mod.ts";
 
 /** Runs the measures and prints their rows. */
@@ -14,14 +14,15 @@
   const { options } = cli.parse();
   if (options.help) return;
   const only = [options.only ?? []].flat().map(String);
-  const unknown = only.filter((name) => MEASURES[name] === undefined);
+  const all = { ...MEASURES, ...PROCESS_MEASURES };
+  const unknown = only.filter((name) => all[name] === undefined);
   if (unknown.length > 0) {
-    const known = Object.keys(MEASURES).join(", ");
+    const known = Object.keys(all).join(", ");
     console.error(`Unknown measure ${unknown.join(", ")}; expected ${known}.`);
     process.exitCode = 2;
     return;
   }
-  const selected = Object.entries(MEASURES)
+  const selected = Object.entries(only.length === 0 ? MEASURES : all)
     .filter(([name]) => only.length === 0 || only.includes(name))
     .map(([, measure]) => measure);
   const rows: MeasureRow[] = [];
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -4,6 +4,7 @@
   measureRollout,
   measureSafety,
 } from "./capacity/mod.ts";
+import { CONTROL_SIZES, measureControl } from "./control/mod.ts";
 import type { Measure } from "./measure_row.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
@@ -27,3 +28,19 @@
   "slot-excess": measureSlotExcess,
   "stale-forward": measureStaleForward,
 };
+
+/**
+ * Measures with real processes, which run only if `--only` selects them: they
+ * take minutes, and their values depend on the machine.
+ */
+export const PROCESS_MEASURES: Readonly<Record<string, Measure>> = {
+  control: async () => {
+    const rows = [];
+    for (const size of CONTROL_SIZES) rows.push(...await measureControl(size));
+    return rows;
+  },
+  ...Object.fromEntries(CONTROL_SIZES.flatMap((size) => [
+    [`control-${size}`, () => measureControl(size)],
+    [`control-idle-${size}`, () => measureControl(size, { isIdleOnly: true })],
+  ])),
+};
--- a/packages/measure/processes/fleet_processes.ts
+++ b/packages/measure/processes/fleet_processes.ts
@@ -30,7 +30,8 @@
 
 /** Options of {@linkcode startFleet}. */
 export type FleetOptions = {
-  region: string;
+  /** Region of all daemons, or of those of a data centre. */
+  region: string | ((dataCentre: string) => string);
   dataCentres: readonly string[];
   daemons: number;
   /** Set whose hosts' executors are served. */
@@ -109,7 +110,7 @@
     const port = firstPort + index * PORTS_PER_DAEMON;
     return {
       name: `${dataCentre}-${number}`,
-      region,
+      region: typeof region === "string" ? region : region(dataCentre),
       dataCentre,
       callers: `127.0.0.1:${port}`,
       operators: `127.0.0.1:${port + 1}`,
