Keep the slot of an abandoned exchange until the executor has ended

Cause: a request that was given up at its deadline freed its slot at once, while its executor, whose timer starts later, still ran it. The next request then was one too many there.

Change: the executor client reports when an exchange that failed has ended: at the end of a late answer or of the connection, and after 500 ms at the latest. The dispatcher keeps the slot until then, so that it also counts as running in the handover of slots. A retry has its own name in the scheduler, since its earlier attempt may still hold a slot. The deadline that the executor is told is computed when the request is sent rather than before it connects.

--- a/packages/daemon/requests/_dispatcher.ts
+++ b/packages/daemon/requests/_dispatcher.ts
@@ -37,6 +37,11 @@
 /** Scheduled order that has no outcome yet. */
 type Job = {
   order: Order;
+  /**
+   * Name of the present attempt in the scheduler. An earlier attempt may still
+   * hold its slot there, so that each one has another name.
+   */
+  attemptId: string;
   excludedHosts: string[];
   attempts: number;
   /** Whether an earlier attempt ended with an unknown outcome. */
@@ -57,6 +62,7 @@
     topology: { pools: [], services: [] },
   });
   const jobs = new Map<string, Job>();
+  const jobsByAttempt = new Map<string, Job>();
   let running = 0;
   let budget = createRetryBudget();
   return {
@@ -83,6 +89,7 @@
     return new Promise((resolve) => {
       const job: Job = {
         order,
+        attemptId: order.id,
         excludedHosts: [],
         attempts: 0,
         mayHaveRun: false,
@@ -99,16 +106,19 @@
     const job = jobs.get(id);
     if (!job?.isQueued) return;
     settle(job, notRun("cancelled"));
-    advance({ type: "cancelled", id });
+    advance({ type: "cancelled", id: job.attemptId });
   }
 
   function arrive(job: Job): void {
     const { order } = job;
     job.isQueued = true;
+    jobsByAttempt.delete(job.attemptId);
+    if (job.attempts > 0) job.attemptId = `${order.id}~${job.attempts}`;
+    jobsByAttempt.set(job.attemptId, job);
     advance({
       type: "arrived",
       request: {
-        id: order.id,
+        id: job.attemptId,
         service: order.service,
         urgency: order.urgency,
         arrivedAtMs: order.arrivedAtMs,
@@ -121,13 +131,14 @@
 
   function settle(job: Job, outcome: OrderOutcome): void {
     jobs.delete(job.order.id);
+    jobsByAttempt.delete(job.attemptId);
     const isFalse = outcome.type === "failed" && outcome.notRun &&
       job.mayHaveRun;
     job.resolve(isFalse ? unknownOutcome(outcome.reason) : outcome);
   }
 
   function perform(action: SchedulerAction): void {
-    const job = jobs.get(action.id);
+    const job = jobsByAttempt.get(action.id);
     if (job === undefined) {
       ignore(action);
     } else if (action.type === "start") {
@@ -154,28 +165,29 @@
     host: string,
     slot: number,
   ): Promise<void> {
-    const { order } = job;
+    const { order, attemptId: id } = job;
     job.isQueued = false;
     const startedAtMs = dependencies.nowMs();
     job.attempts += 1;
     running += 1;
     const result = await exchange(job, host, startedAtMs);
-    const finish = () => {
+    const elapsedMs = () => dependencies.nowMs() - startedAtMs;
+    const finish = (runMs: number) => {
       running -= 1;
-      const runMs = dependencies.nowMs() - startedAtMs;
       const verdict = judge(order, result, runMs);
-      advance({
-        type: "finished",
-        id: order.id,
-        host,
-        slot,
-        runMs,
-        result: verdict,
-      });
+      advance({ type: "finished", id, host, slot, runMs, result: verdict });
     };
-    if (result.type === "failed") reportFailure(host, result);
-    if (result.type === "streamed") result.stream.once("close", finish);
-    else finish();
+    if (result.type === "failed") {
+      reportFailure(host, result);
+      const runMs = elapsedMs();
+      // The slot is in use for as long as the executor may run the request.
+      if (result.ended === undefined) finish(runMs);
+      else void result.ended.then(() => finish(runMs));
+    } else if (result.type === "streamed") {
+      result.stream.once("close", () => finish(elapsedMs()));
+    } else {
+      finish(elapsedMs());
+    }
     if (result.type !== "failed") return settle(job, result);
     const { notRun: isNotRun, reason } = result;
     const mayRetry = reason !== "slot-rights" && reason !== "deadline";
@@ -217,16 +229,16 @@
   }
 
   async function forward(job: Job, member: string): Promise<void> {
-    const { order } = job;
+    const { order, attemptId: id } = job;
     job.isQueued = false;
     job.attempts += 1;
     const outcome = await forwardOrder(order, member, { dependencies });
     if (outcome.type === "failed" && outcome.notRun) {
       // The scheduler queues it again or refuses it.
       job.isQueued = true;
-      return advance({ type: "returned", id: order.id, member });
+      return advance({ type: "returned", id, member });
     }
-    advance({ type: "forward-ended", id: order.id });
+    advance({ type: "forward-ended", id });
     job.mayHaveRun ||= outcome.type === "failed";
     const mayRetry = outcome.type === "failed" && outcome.reason !== "deadline";
     if (mayRetry && retry(job, false)) return arrive(job);
--- a/packages/daemon/requests/create_request_path_test.ts
+++ b/packages/daemon/requests/create_request_path_test.ts
@@ -98,6 +98,19 @@
     expect(quote).toMatchObject({ status: 504, outcome: "unknown" });
   });
 
+  // Guards against a ninth request at an executor, which still runs one that
+  // its caller no longer waits for.
+  test("keeps the slot of an abandoned request for a time", async () => {
+    const fixture = await createFixture({ longestRequestMs: 50 });
+    const { path } = fixture.hosts.get("entry-a")!;
+    fixture.log.script = { step: "unanswered", fault: "frozen" };
+    const quote = await fixture.call("entry-a", { body: "one" });
+    expect(quote).toMatchObject({ status: 504, outcome: "unknown" });
+    expect(path.runningSlots()).toBe(1);
+    await path.drained();
+    expect(path.runningSlots()).toBe(0);
+  });
+
   // Guards against an unknown outcome, since the executor closed the idle
   // connection on which the request was sent.
   test("survives an executor that closes idle connections", async () => {
--- a/packages/daemon/running_slots.ts
+++ b/packages/daemon/running_slots.ts
@@ -41,9 +41,9 @@
     observe(event, actions, nowMs) {
       if (event.type === "finished") {
         const key: SlotKey = `${event.host}/${event.slot}`;
+        const startedAtMs = running.get(key) ?? nowMs - event.runMs;
         running.delete(key);
         if (event.result !== "succeeded") {
-          const startedAtMs = nowMs - event.runMs;
           unclearUntilMs.set(key, startedAtMs + options.longestRequestMs);
         }
       }
--- a/packages/endpoints/exchange_result.ts
+++ b/packages/endpoints/exchange_result.ts
@@ -39,4 +39,9 @@
     reason: ExchangeFailure;
     /** True only if no byte was sent or the executor reported it. */
     notRun: boolean;
+    /**
+     * Resolves when the executor can no longer run the request; absent if it
+     * does not run it any more. Until then the slot is in use.
+     */
+    ended?: Promise<void>;
   };
--- a/packages/endpoints/executor_client.ts
+++ b/packages/endpoints/executor_client.ts
@@ -1,4 +1,9 @@
-import { Agent, type IncomingMessage, request } from "node:http";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request,
+} from "node:http";
 import { ExecutorAgent } from "./_executor_agent.ts";
 import { readAnswer } from "./_read_answer.ts";
 import type { ExchangeFailure, ExchangeResult } from "./exchange_result.ts";
@@ -11,6 +16,13 @@
 /** Time in which a connection has to be ready; all hosts are in one region. */
 const CONNECT_TIMEOUT_MS = 500;
 
+/**
+ * Time in milliseconds in which an executor ends a request after its deadline
+ * or after its connection ended. Timers of a busy executor run late, and a
+ * request that starts in the slot before would be one too many there.
+ */
+export const EXECUTOR_GRACE_MS = 500;
+
 /** Options of {@linkcode createExecutorClient}. */
 export type ExecutorClientOptions = {
   /** Connections that this process may open to one executor. */
@@ -63,7 +75,9 @@
   budget: TransitBudget,
 ): Promise<ExchangeResult> {
   return new Promise((resolve) => {
+    const startedAtMs = performance.now();
     let wasSent = false;
+    let isAnswering = false;
     let isSettled = false;
     const [host, port] = splitAddress(order.address);
     const outgoing = request({
@@ -80,8 +94,17 @@
       resolve(result);
     };
     const fail = (reason: ExchangeFailure) => {
-      settle({ type: "failed", reason, notRun: !wasSent });
-      outgoing.destroy();
+      if (isSettled) return void outgoing.destroy();
+      if (!wasSent) {
+        settle({ type: "failed", reason, notRun: true });
+        outgoing.destroy();
+        return;
+      }
+      // The end of a late answer proves that the executor has ended.
+      const mayAnswer = reason === "deadline" && !isAnswering;
+      const ended = mayAnswer ? awaitLateAnswer(outgoing) : graceTime();
+      settle({ type: "failed", reason, notRun: false, ended });
+      if (!mayAnswer) outgoing.destroy();
     };
     // Also ends an answer that is still being streamed.
     const deadline = setTimeout(fail, order.remainingMs, "deadline");
@@ -91,6 +114,9 @@
       if (isSettled) return;
       if (!order.maySend()) return fail("slot-rights");
       wasSent = true;
+      const elapsedMs = performance.now() - startedAtMs;
+      const remainingMs = Math.floor(order.remainingMs - elapsedMs);
+      outgoing.setHeader("request-deadline-ms", Math.max(1, remainingMs));
       outgoing.end(order.body);
     };
     outgoing.on("socket", (socket) => {
@@ -110,16 +136,38 @@
       end();
     });
     outgoing.on("response", (incoming: IncomingMessage) => {
+      isAnswering = true;
+      if (isSettled) {
+        outgoing.shouldKeepAlive = false;
+        return void incoming.resume();
+      }
       readAnswer(incoming, { id: order.id, budget, settle, fail });
     });
   });
 }
 
+/** Resolves when a late answer or its connection ends, or the grace time. */
+function awaitLateAnswer(outgoing: ClientRequest): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => outgoing.destroy(), EXECUTOR_GRACE_MS);
+    timer.unref();
+    outgoing.once("close", () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
+
+function graceTime(): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, EXECUTOR_GRACE_MS).unref();
+  });
+}
+
 function requestHeaders(order: ExecutorRequest): Record<string, string> {
   const headers: Record<string, string> = {
     ...order.headers,
     "x-request-id": order.id,
-    "request-deadline-ms": String(Math.max(1, Math.floor(order.remainingMs))),
   };
   if (order.body.length > 0 || !BODYLESS_METHODS.has(order.method)) {
     headers["content-length"] = String(order.body.length);
--- a/packages/endpoints/executor_client_test.ts
+++ b/packages/endpoints/executor_client_test.ts
@@ -153,6 +153,30 @@
     expect(budget.used()).toBe(0);
   });
 
+  // Guards against a slot that is used again while the executor still runs
+  // the abandoned request, and against one that is never used again.
+  test.each<[string, Answer | undefined]>([
+    ["a late answer", (socket, id) => socket.write(ok(id, "late"))],
+    ["a late end of the connection", (socket) => socket.end()],
+    ["nothing", undefined],
+  ])("an abandoned exchange ends with: %s", async (_, late) => {
+    const { client } = createClient();
+    let finish: (() => void) | undefined;
+    const served = await serveRaw((socket, id) => {
+      finish = () => late?.(socket, id);
+    });
+    const result = await send(client, served.address, { remainingMs: 100 });
+    expect(summary(result)).toBe("deadline unknown");
+    let hasEnded = false;
+    const ended = result.type === "failed" && result.ended
+      ?.then(() => hasEnded = true);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect(hasEnded).toBe(false);
+    finish!();
+    await ended;
+    expect(hasEnded).toBe(true);
+  });
+
   // Guards against "unknown" or a retry ban where nothing was sent, and
   // against a send without the right to the slot.
   test.each([
