Explain objects in sentences with the facts behind them

The daemon squeezed the sentences of the explanation into one decision with one reason, and dropped the facts; the command line therefore printed one long line and no values. The explanation now has the sentences and the facts of packages/decisions/explain for hosts, waves, services and jobs. A name that no daemon knows ends with exit code 1 even when other daemons can't be reached.

--- a/packages/cli/explain_command.ts
+++ b/packages/cli/explain_command.ts
@@ -1,6 +1,5 @@
 import { ExplainedKind } from "@lagoonloom/operators";
-import { askDaemons, reportNoAnswer } from "./_ask_daemons.ts";
-import { formatTime } from "./_output.ts";
+import { type Answer, askDaemons, reportNoAnswer } from "./_ask_daemons.ts";
 import type { RemoteContext } from "./command_context.ts";
 import { EXIT_CODE, type ExitCode } from "./exit_code.ts";
 
@@ -8,8 +7,8 @@
 export type ExplainRequest = { kind: string; name: string };
 
 /**
- * Prints the latest decisions about an object with their reasons and the
- * alternatives that were considered.
+ * Prints where an object is, what it waits for and what would change that, in
+ * sentences; as JSON with the facts behind them.
  *
  * @example
  * ```ts
@@ -31,17 +30,27 @@
     (client) => client.explain(kind.data, request.name),
   );
   const found = answers.find(({ value }) => value !== undefined)?.value;
-  if (found === undefined) return reportNoAnswer(answers, context);
+  if (found === undefined) return reportNoExplanation(answers, context);
   if (context.isJson) {
     context.print(JSON.stringify(found));
     return EXIT_CODE.ok;
   }
   context.print(`${found.kind} ${found.name}`);
-  for (const { timeMs, decision, reason, alternatives } of found.decisions) {
-    const time = timeMs === undefined ? "" : `${formatTime(timeMs)}  `;
-    context.print(`  ${time}${decision}: ${reason}`);
-    for (const other of alternatives) context.print(`    instead of: ${other}`);
-  }
-  if (found.decisions.length === 0) context.print("  no decisions so far");
+  for (const sentence of found.sentences) context.print(`  ${sentence}`);
   return EXIT_CODE.ok;
 }
+
+/**
+ * Reports that no daemon has the object. It is refused if at least one daemon
+ * answered so, whether or not the others could be reached.
+ */
+function reportNoExplanation(
+  answers: Answer<unknown>[],
+  context: RemoteContext,
+): ExitCode {
+  const refused = answers.filter(({ error }) =>
+    error?.type === "refused" && error.refusal.status === 404
+  );
+  const known = refused.length > 0 ? refused : answers;
+  return reportNoAnswer(known, context);
+}
--- a/packages/cli/program_test.ts
+++ b/packages/cli/program_test.ts
@@ -37,11 +37,13 @@
         grantedAtMs: 0,
       }],
     }),
-    explain: (kind, name) => ({
-      kind,
-      name,
-      decisions: [{ decision: "drain", reason: "wave", alternatives: ["q2"] }],
-    }),
+    explain: (kind, name) =>
+      name === "none" ? undefined : ({
+        kind,
+        name,
+        sentences: ["It waits.", "It returns."],
+        facts: { owner: "quoting" },
+      }),
   });
   server = listening.server;
   const settings = (addresses: string, key = EXAMPLE_KEY) =>
@@ -127,7 +129,11 @@
     ["get pool quoting --json", EXIT_CODE.ok, `{"version":1,"set":{"pools":`],
     ["history", EXIT_CODE.ok, "ada       publication-1  2 put"],
     ["history --limit 0", EXIT_CODE.usage, "Expected 1 to 1000"],
-    ["explain host q1", EXIT_CODE.ok, "drain: wave\n    instead of: q2"],
+    ["explain host q1", EXIT_CODE.ok, "host q1\n  It waits.\n  It returns."],
+    ["explain host q1 --json", EXIT_CODE.ok, `"facts":{"owner":"quoting"}`],
+    ["explain host none", EXIT_CODE.refused, `There is no host "none".`],
+    ["explain host none --json", EXIT_CODE.refused, `"type":"refused"`],
+    ["explain host q1 --settings none.ini", EXIT_CODE.unknown, "ECONNREFUSED"],
     ["explain planet q1", EXIT_CODE.usage, "Expected one of the kinds host"],
     ["explain host", EXIT_CODE.usage, "missing required args"],
     ["launch", EXIT_CODE.usage, `There is no command "launch"`],
--- a/packages/daemon/operator_handlers.ts
+++ b/packages/daemon/operator_handlers.ts
@@ -1,8 +1,8 @@
 import {
   explainHost,
+  explainJob,
   explainService,
   explainWave,
-  type FleetState,
 } from "@lagoonloom/decisions";
 import type {
   DaemonStatus,
@@ -49,7 +49,7 @@
     },
     status: () => describeStatus(options),
     history: (limit) => listHistory(fold).reverse().slice(0, limit),
-    explain: (kind, name) => explain(fold.state(), { kind, name }),
+    explain: (kind, name) => explain(options, { kind, name }),
     publication: (id) => findPublication(id, fold),
   };
 }
@@ -98,39 +98,18 @@
   };
 }
 
-/** Explains an object; undefined if the set has none of that name. */
+/** Explains an object; undefined if there is none of that name. */
 function explain(
-  state: FleetState,
+  { fold }: OperatorHandlersOptions,
   object: Pick<Explanation, "kind" | "name">,
 ): Explanation | undefined {
-  const sentences = sentencesAbout(state, object);
-  const [decision, ...reasons] = sentences ?? [];
-  if (decision === undefined) return undefined;
-  const reason = reasons.join(" ");
-  return { ...object, decisions: [{ decision, reason, alternatives: [] }] };
-}
-
-function sentencesAbout(
-  state: FleetState,
-  { kind, name }: Pick<Explanation, "kind" | "name">,
-): string[] | undefined {
-  const { set } = state;
-  switch (kind) {
-    case "host":
-      return state.hosts.has(name)
-        ? explainHost(state, name).sentences
-        : undefined;
-    case "wave":
-      return Object.hasOwn(set.waves, name)
-        ? explainWave(state, name).sentences
-        : undefined;
-    case "service":
-      return Object.hasOwn(set.services, name)
-        ? explainService(state, name).sentences
-        : undefined;
-    case "job": {
-      const job = state.jobs.get(name);
-      return job && [`Job "${name}" is ${job.state}.`, job.reason];
-    }
-  }
+  const state = fold.state();
+  const { kind, name } = object;
+  const [isKnown, describe] = {
+    host: [state.hosts.has(name), explainHost] as const,
+    wave: [Object.hasOwn(state.set.waves, name), explainWave] as const,
+    service: [Object.hasOwn(state.set.services, name), explainService] as const,
+    job: [state.jobs.has(name), explainJob] as const,
+  }[kind];
+  return isKnown ? { ...object, ...describe(state, name) } : undefined;
 }
--- a/packages/measure/demo/wave.ts
+++ b/packages/measure/demo/wave.ts
@@ -55,13 +55,11 @@
   for (const client of fleet.clients.values()) {
     const explanation = await client.explain("wave", wave.name);
     if (explanation.isLeft()) continue;
-    const decision = explanation.unsafeCoerce().decisions[0];
+    const sentence = explanation.unsafeCoerce().sentences[0];
     return {
       promise: "the wave runs under the budgets",
-      holds: decision !== undefined,
-      detail: decision === undefined
-        ? "not started"
-        : `${decision.decision}: ${decision.reason}`,
+      holds: sentence !== undefined,
+      detail: sentence ?? "not started",
     };
   }
   return {
--- a/packages/operators/_fixtures.ts
+++ b/packages/operators/_fixtures.ts
@@ -67,7 +67,7 @@
     }),
     history: (limit) => history.toReversed().slice(0, limit),
     explain: (kind, name) =>
-      name === "none" ? undefined : { kind, name, decisions: [] },
+      name === "none" ? undefined : { kind, name, sentences: [], facts: {} },
     publication: find,
     ...overrides,
   };
--- a/packages/operators/explanation.ts
+++ b/packages/operators/explanation.ts
@@ -6,19 +6,15 @@
 /** Kind of an object whose decisions are explained. */
 export type ExplainedKind = z.infer<typeof ExplainedKind>;
 
-/** Schema of the latest decisions about an object. */
+/** Schema of the reasons why an object is as it is. */
 export const Explanation = z.object({
   kind: ExplainedKind,
   name: z.string(),
-  /** Newest first. */
-  decisions: z.array(z.object({
-    /** Log time in milliseconds. */
-    timeMs: z.number().optional(),
-    decision: z.string(),
-    reason: z.string(),
-    alternatives: z.array(z.string()).default([]),
-  })),
+  /** Where the object is, what it waits for and what would change that. */
+  sentences: z.array(z.string()),
+  /** Values behind the sentences; their fields depend on the kind. */
+  facts: z.record(z.string(), z.unknown()),
 });
 
-/** Latest decisions about an object, with their reasons. */
+/** Reasons why an object is as it is. */
 export type Explanation = z.infer<typeof Explanation>;
--- a/packages/operators/operator_app.ts
+++ b/packages/operators/operator_app.ts
@@ -118,7 +118,7 @@
         }
         const found = await handlers.explain(kind.data, name ?? "");
         return found === undefined
-          ? refuse(404, `There is no ${kind.data} of that name.`)
+          ? refuse(404, `There is no ${kind.data} "${name}".`)
           : ok(found);
       },
     },
