--- a/packages/callers/create_caller_app.ts
+++ b/packages/callers/create_caller_app.ts
@@ -15,6 +15,8 @@
 /** Time in which a body has to arrive unless the settings say otherwise. */
 export const DEFAULT_BODY_TIMEOUT_MS = 5_000;
 
+const CONNECTION_ERRORS = new Set(["ECONNRESET", "ECONNABORTED", "EPIPE"]);
+
 /** Options of {@linkcode createCallerApp}. */
 export type CallerAppOptions = {
   /** Teams by bearer token. */
@@ -62,9 +64,18 @@
     context.respond = false;
     await answerCaller(context, options, budget);
   });
+  // Callers could otherwise fill the output with errors of their own requests.
+  app.on("error", (error: NodeJS.ErrnoException) => {
+    if (!isOfConnection(error)) app.onerror(error);
+  });
   return app;
 }
 
+/** Whether a malformed request or a broken connection caused an error. */
+function isOfConnection({ code = "" }: NodeJS.ErrnoException): boolean {
+  return code.startsWith("HPE_") || CONNECTION_ERRORS.has(code);
+}
+
 async function answerProbe(
   context: Koa.Context,
   options: CallerAppOptions,
--- /dev/null
+++ b/packages/measure/fuzz/answer_properties.ts
@@ -0,0 +1,200 @@
+import {
+  createExecutorClient,
+  createTransitBudget,
+} from "@lagoonloom/endpoints";
+import { createPlatformClient } from "@lagoonloom/platform";
+import fc from "fast-check";
+import { createServer } from "node:net";
+import type { FuzzProperty } from "./fuzz_property.ts";
+import { editedValues } from "./hostile_text.ts";
+import { listenOnLoopback } from "./raw_exchange.ts";
+
+const PAGE = {
+  records: [{ offset: 0, timeMs: 1, id: "a", body: {} }],
+  nextOffset: 1,
+  oldestOffset: 0,
+  retentionMs: 1_000,
+};
+const HOSTS = { hosts: [{ host: "quoting-1", state: "live", timeMs: 1 }] };
+
+const platformAnswer = fc.record({
+  status: fc.constantFrom(200, 201, 204, 302, 404, 500, 503),
+  value: fc.oneof(
+    editedValues({ offset: 0, timeMs: 1 }),
+    editedValues(PAGE),
+    editedValues(HOSTS),
+    fc.jsonValue(),
+  ),
+  /** Bytes by which the stated length is off, or a broken head. */
+  framing: fc.constantFrom("whole", "whole", "short", "cut", "noise", "none"),
+});
+
+type Framing = "whole" | "short" | "cut" | "noise" | "none";
+
+function frame(
+  head: string,
+  { body, framing }: { body: string; framing: Framing },
+): string {
+  const length = Buffer.byteLength(body);
+  switch (framing) {
+    case "whole":
+      return `${head}Content-Length: ${length}\r\n\r\n${body}`;
+    case "short":
+      return `${head}Content-Length: ${length + 9}\r\n\r\n${body}`;
+    case "cut":
+      return head.slice(0, 14);
+    case "noise":
+      return `\0\r\n\r\n${body}`;
+    case "none":
+      return "";
+  }
+}
+
+/** Serves one answer to each connection and closes it. */
+async function serveAnswers(answer: (request: string) => string) {
+  return await listenOnLoopback(createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", (data) => socket.end(answer(data.toString("latin1"))));
+  }));
+}
+
+/** Properties of the clients of outside systems. */
+export const ANSWER_PROPERTIES: readonly FuzzProperty[] = [
+  {
+    // An append counts as stored only by a whole, valid answer; no call throws.
+    name: "platform-answers",
+    async check(run) {
+      let text = "";
+      const server = await serveAnswers(() => text);
+      const address = `127.0.0.1:${server.port}`;
+      const client = createPlatformClient(address, { timeoutMs: 2_000 });
+      const property = fc.asyncProperty(platformAnswer, async (drawn) => {
+        const { status, framing } = drawn;
+        const head = `HTTP/1.1 ${status} A\r\nConnection: close\r\n`;
+        text = frame(head, { body: JSON.stringify(drawn.value), framing });
+        const stream = "control";
+        const appended = await client.append({ stream, id: "a", body: {} });
+        const read = await client.read({
+          stream,
+          from: 0,
+          limit: 1,
+          waitMs: 0,
+        });
+        const hosts = await client.readHosts();
+        const isWhole = framing === "whole";
+        const wasTaken = isWhole && (status === 200 || status === 201);
+        const isRefusal = isWhole && (status === 404 || status === 503);
+        const types = [appended.type, read.type, hosts.type].join(" ");
+        if (
+          (appended.type === "appended" && !wasTaken) ||
+          (appended.type === "refused" && !isRefusal) ||
+          (read.type !== "unreachable" && !(isWhole && status === 200)) ||
+          (hosts.type === "read" && !(isWhole && status === 200))
+        ) throw new Error(`Believed a broken answer: ${types}.`);
+      });
+      await fc.assert(property, run).finally(() => {
+        client.close();
+        return server.close();
+      });
+    },
+  },
+  {
+    // Only a whole answer with the request's own id reaches a caller, and only
+    // the executor's word makes a sent request "not-run".
+    name: "executor-answers",
+    async check(run) {
+      let drawn: ExecutorAnswer = { ...FIRST_ANSWER };
+      const server = await serveAnswers((request) => {
+        const id = /x-request-id: (\S+)/i.exec(request)?.[1] ?? "";
+        return executorText(drawn, id);
+      });
+      const budget = createTransitBudget(1_000_000);
+      const client = createExecutorClient({ maxConnections: 4, budget });
+      const property = fc.asyncProperty(executorAnswer, async (next) => {
+        drawn = next;
+        const result = await client.exchange({
+          id: "r1",
+          address: `127.0.0.1:${server.port}`,
+          method: "POST",
+          path: "/v1/services/orders/a",
+          headers: {},
+          body: Buffer.from("x"),
+          remainingMs: 2_000,
+          mayReuseConnection: false,
+          maySend: () => true,
+        });
+        expectHonest(next, result);
+        if (result.type === "answered") result.release();
+        if (result.type === "streamed") result.stream.destroy();
+      });
+      await fc.assert(property, run).finally(() => {
+        client.close();
+        return server.close();
+      });
+    },
+  },
+];
+
+const executorAnswer = fc.record({
+  status: fc.constantFrom("200", "500", "503", "99", "2x0"),
+  echo: fc.constantFrom("own", "own", "other", "none", "twice"),
+  isNotRun: fc.boolean(),
+  framing: fc.constantFrom<Framing>("whole", "whole", "short", "cut", "noise"),
+  body: fc.string({ maxLength: 50 }),
+});
+
+type ExecutorAnswer = {
+  status: string;
+  echo: string;
+  isNotRun: boolean;
+  framing: Framing;
+  body: string;
+};
+
+const FIRST_ANSWER: ExecutorAnswer = {
+  status: "200",
+  echo: "own",
+  isNotRun: false,
+  framing: "whole",
+  body: "",
+};
+
+function executorText(answer: ExecutorAnswer, id: string): string {
+  const { status, echo, isNotRun, framing, body } = answer;
+  const own = `X-Request-Id: ${id}\r\n`;
+  const other = `X-Request-Id: ${id}0\r\n`;
+  const echoes: Record<string, string> = {
+    own,
+    other,
+    twice: own + other,
+    none: "",
+  };
+  const head = `HTTP/1.1 ${status} A\r\n${echoes[echo] ?? ""}` +
+    (isNotRun ? "X-Not-Run: true\r\n" : "");
+  return frame(head, { body, framing });
+}
+
+type Result = Awaited<
+  ReturnType<ReturnType<typeof createExecutorClient>["exchange"]>
+>;
+
+function expectHonest(answer: ExecutorAnswer, result: Result): void {
+  const { status, echo, isNotRun, framing, body } = answer;
+  const isOwn = /^[1-5]\d\d$/.test(status) && echo === "own";
+  const isWhole = isOwn && framing === "whole";
+  if (result.type === "failed") {
+    // The head alone makes the statement; the body after it may be cut.
+    const hasHead = isOwn && (framing === "whole" || framing === "short");
+    const isStated = hasHead && isNotRun && Number(status) >= 400;
+    if (result.notRun && !isStated) {
+      throw new Error("Called a request not run without a statement.");
+    }
+    return;
+  }
+  const text = result.type === "answered"
+    ? Buffer.from(result.body).toString()
+    : "";
+  if (!isWhole || text !== Buffer.from(body).toString()) {
+    throw new Error("Passed on an answer that is broken or not its own.");
+  }
+}
--- /dev/null
+++ b/packages/measure/fuzz/fuzz_test.ts
@@ -0,0 +1,14 @@
+import { describe, expect, test } from "@jest/globals";
+import { PROPERTIES } from "./properties.ts";
+
+describe("malformed input", () => {
+  // Guards against input from outside that ends a process, blocks it, or takes
+  // effect in part.
+  test.each(PROPERTIES.map((property) => [property.name, property] as const))(
+    "has no effect: %s",
+    async (_, { check }) => {
+      await expect(check({ seed: 20_261_204, numRuns: 40 })).resolves
+        .toBeUndefined();
+    },
+  );
+});
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -11,6 +11,7 @@
   measure: "measure/main.ts",
   bench: "measure/bench/main.ts",
   demo: "measure/demo/main.ts",
+  fuzz: "measure/fuzz/main.ts",
 };
 
 /** Bundles the workspace packages; registry packages stay external. */
