Bind the name of an operator to their key

Any key was accepted with any operator name in the body, so the history could name somebody who did not publish. A body with another name is now refused with 403. Without the check the new row of the table gets 200.

--- a/packages/daemon/start_daemon.ts
+++ b/packages/daemon/start_daemon.ts
@@ -120,7 +120,9 @@
       settings.callers.address,
     );
     const operators = createOperatorServer(daemon.operatorHandlers, {
-      keys: Object.values(settings.operator).map(({ key }) => key),
+      operators: new Map(
+        Object.entries(settings.operator).map(([name, { key }]) => [name, key]),
+      ),
       onError: (error) =>
         events.log("unexpectedFailure", {
           task: "operators",
--- a/packages/measure/fuzz/http_properties.ts
+++ b/packages/measure/fuzz/http_properties.ts
@@ -55,7 +55,7 @@
       const server = await listenOnLoopback(createOperatorServer(
         operatorHandlers((publication) => sent.push(publication)),
         {
-          keys: [TOKEN],
+          operators: new Map([["ada", TOKEN]]),
           bodyTimeoutMs: 100,
           onError: (error) => errors.push(error),
         },
--- a/packages/operators/_bearer_key.ts
+++ b/packages/operators/_bearer_key.ts
@@ -1,17 +1,22 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 
 /**
- * Returns a function that tells whether a header carries one of the keys. It
+ * Returns a function that finds the operator whose key a header carries. It
  * compares hashes, which have equal lengths, with every key in constant time.
  */
-export function createKeyCheck(keys: readonly string[]) {
-  const hashes = keys.map(hash);
-  return (header: string | undefined) => {
+export function createKeyCheck(operators: ReadonlyMap<string, string>) {
+  const hashes = [...operators].map(([name, key]) => ({
+    name,
+    key: hash(key),
+  }));
+  return (header: string | undefined): string | undefined => {
     const key = /^Bearer +(\S+)$/i.exec(header ?? "")?.[1];
-    if (key === undefined) return false;
+    if (key === undefined) return undefined;
     const found = hash(key);
-    const matches = hashes.map((expected) => timingSafeEqual(expected, found));
-    return matches.includes(true);
+    const matches = hashes.filter((expected) =>
+      timingSafeEqual(expected.key, found)
+    );
+    return matches[0]?.name;
   };
 }
 
--- a/packages/operators/_fixtures.ts
+++ b/packages/operators/_fixtures.ts
@@ -9,6 +9,9 @@
 /** Key that the listeners of the tests accept. */
 export const EXAMPLE_KEY = "example-operator-key";
 
+/** Keys of the example operators. */
+export const EXAMPLE_KEYS = { ada: EXAMPLE_KEY, ben: "other-operator-key" };
+
 /** Returns a publication of an empty change. */
 export function examplePublication(
   fields: Partial<Publication> = {},
@@ -84,8 +87,8 @@
   handlers: OperatorHandlers,
   options: Partial<OperatorAppOptions> = {},
 ) {
-  const keys = [EXAMPLE_KEY];
-  const server = createOperatorServer(handlers, { keys, ...options });
+  const operators = new Map(Object.entries(EXAMPLE_KEYS));
+  const server = createOperatorServer(handlers, { operators, ...options });
   return { server, address: await listenOn(server) };
 }
 
--- a/packages/operators/operator_app.ts
+++ b/packages/operators/operator_app.ts
@@ -28,8 +28,8 @@
 
 /** Options for {@linkcode createOperatorApp}. */
 export type OperatorAppOptions = {
-  /** Keys of operators, any of which is accepted. */
-  keys: readonly string[];
+  /** Keys by the names of their operators, any of which is accepted. */
+  operators: ReadonlyMap<string, string>;
   /** Called with an error that a handler threw; it contains no key. */
   onError?: (error: unknown) => void;
   /** Longest time to send a body, in milliseconds. */
@@ -50,7 +50,8 @@
  *
  * @example
  * ```ts
- * const app = createOperatorApp(handlers, { keys: [settings.operators.key] });
+ * const operators = new Map([[name, key]]);
+ * const app = createOperatorApp(handlers, { operators });
  * const server = createServer(app.callback());
  * ```
  */
@@ -58,11 +59,12 @@
   handlers: OperatorHandlers,
   options: OperatorAppOptions,
 ): Koa {
-  const hasKey = createKeyCheck(options.keys);
+  const findOperator = createKeyCheck(options.operators);
   const routes = createRoutes(handlers, options);
   const app = new Koa();
   app.use(async (ctx) => {
-    const reply = hasKey(ctx.get("authorization"))
+    ctx.state.operator = findOperator(ctx.get("authorization"));
+    const reply = ctx.state.operator !== undefined
       ? await runRoute(ctx, routes).catch((error: unknown) => {
         options.onError?.(error);
         return refuse(500, "The daemon failed to handle the request.");
@@ -236,9 +238,18 @@
   const json = parseJson(body.bytes);
   if (json === undefined) return stop(400, "The body is not valid JSON.");
   const parsed = schema.safeParse(json.value);
-  return parsed.success
-    ? { type: "read", fields: parsed.data }
-    : { type: "refused", reply: refuseFields(parsed.error.issues) };
+  if (!parsed.success) {
+    return { type: "refused", reply: refuseFields(parsed.error.issues) };
+  }
+  // The log records who published, so nobody may use another one's name.
+  const { operator } = parsed.data as { operator?: string };
+  if (operator !== undefined && operator !== ctx.state.operator) {
+    return stop(
+      403,
+      "The key belongs to another operator than the body names.",
+    );
+  }
+  return { type: "read", fields: parsed.data };
 }
 
 function answer(outcome: PublicationOutcome | JobOutcome): Reply {
--- a/packages/operators/operator_app_test.ts
+++ b/packages/operators/operator_app_test.ts
@@ -11,6 +11,7 @@
 import {
   close,
   EXAMPLE_KEY,
+  EXAMPLE_KEYS,
   exampleHandlers,
   examplePublication,
   listen,
@@ -98,6 +99,10 @@
         `"put":{"pools":{"UPPER":{}}}`,
       ),
     }],
+    // Guards against a history that names somebody else as the publisher.
+    ["another operator's name", 403, {
+      body: JSON.stringify({ ...examplePublication(), operator: "bo" }),
+    }],
     ["another type", 415, { body: "a=1", headers: { "content-type": "a/b" } }],
     ["an encoding", 415, { body: "", headers: { "content-encoding": "gzip" } }],
     ["too many bytes", 413, { body: "1".repeat(MAX_BODY_BYTES + 1) }],
@@ -158,9 +163,10 @@
 describe("createOperatorClient()", () => {
   // Guards against two winners, and against a loser who is not told who won.
   test("reports the winner of a race to the loser", async () => {
-    const outcomes = await Promise.all(["ada", "ben"].map((operator) => {
+    const names = ["ada", "ben"] as const;
+    const outcomes = await Promise.all(names.map((operator) => {
       const publicationId = `by-${operator}`;
-      return client().submitChange(
+      return client({ key: EXAMPLE_KEYS[operator] }).submitChange(
         examplePublication({ operator, publicationId }),
       );
     }));
--- a/packages/operators/operator_server.ts
+++ b/packages/operators/operator_server.ts
@@ -16,7 +16,8 @@
  *
  * @example
  * ```ts
- * const server = createOperatorServer(handlers, { keys: [key] });
+ * const operators = new Map([[name, key]]);
+ * const server = createOperatorServer(handlers, { operators });
  * server.listen(25_001, "127.0.0.1");
  * ```
  */
