Leave the claim of the decider role to the capacity loop

Two loops that claim the same data centre would each see the other's renewal, and the capacity loop counts its lease from its own claims only. The job loop now acts under the term that the capacity loop holds, and only while the log was read recently.

--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -160,11 +160,12 @@
     },
   });
 
+  const logIsFresh = () => (logAgeMs() ?? Infinity) < FENCE_MS;
   const capacity = createCapacity({
     name,
     dataCentre,
     incarnation: membership.incarnation,
-    logIsFresh: () => (logAgeMs() ?? Infinity) < FENCE_MS,
+    logIsFresh,
     fold,
     append,
     platform,
@@ -253,6 +254,7 @@
     incarnation: membership.incarnation,
     fold,
     isReady,
+    logIsFresh,
     hasMemberRights: membership.hasSlotRights,
     memberOffset: (member) =>
       links.all().find((link) => link.name === member)?.nextOffset,
--- a/packages/daemon/jobs/create_job_loop.ts
+++ b/packages/daemon/jobs/create_job_loop.ts
@@ -6,7 +6,6 @@
   type JobRole,
   mayDecide,
   OFFLINE_RENEWAL_MS,
-  planClaim,
   type PlannedRecord,
   type WorkerCall,
 } from "@lagoonloom/decisions";
@@ -14,6 +13,7 @@
 import type { EventLog } from "@lagoonloom/telemetry";
 import type { WorkerClient } from "@lagoonloom/workers";
 import type { FoldedOutcome } from "../append_and_fold.ts";
+import { createLogClock } from "../capacity/log_clock.ts";
 import type { ControlFold } from "../control_fold.ts";
 
 /**
@@ -23,15 +23,14 @@
  */
 export const ROUND_MS = 500;
 
-/** Time in milliseconds between two claims of a scope by one daemon. */
-const CLAIM_INTERVAL_MS = 1_000;
-
 /** What the loop needs of the daemon. */
 export type JobLoopDependencies = {
   name: string;
   incarnation: () => string;
   fold: ControlFold;
   isReady: () => boolean;
+  /** Whether the folded state is recent enough to decide on. */
+  logIsFresh: () => boolean;
   /** Whether this member's loss cannot have been reported unnoticed. */
   hasMemberRights: () => boolean;
   /** Offset that a member was last heard to have folded. */
@@ -49,15 +48,15 @@
 
 type Scope = {
   control: JobControl;
-  claimedAtMs: number;
   isKeeping: boolean;
   blocked: Map<string, string>;
 };
 
 /**
  * Creates the loop for jobs. Only the daemon that holds the decider's lease of
- * a data centre places jobs on its workers. Without the log it only renews the
- * leases of running tasks, while it is surely the last that decided.
+ * a data centre, which the capacity loop claims, places jobs there. Without the
+ * log it only renews the leases of running tasks, while it is surely the last
+ * that decided.
  *
  * @example
  * ```ts
@@ -68,7 +67,7 @@
 export function createJobLoop(dependencies: JobLoopDependencies): JobLoop {
   const { fold, name, events } = dependencies;
   const scopes = new Map<string, Scope>();
-  const logClock = createLogClock(fold);
+  const logNowMs = createLogClock(fold);
   let dueAtMs = 0;
   fold.onChange((change) => {
     const isOnJobs = change.type === "record" &&
@@ -80,7 +79,6 @@
     if (found === undefined) {
       found = {
         control: createJobControl({ scope, holder: name }),
-        claimedAtMs: -Infinity,
         isKeeping: false,
         blocked: new Map(),
       };
@@ -88,17 +86,12 @@
     }
     return found;
   }
-  function runRound(scope: string, monotonicMs: number): void {
+  function runRound(scope: string): void {
     const state = fold.state();
     const own = scopeOf(scope);
-    const nowMs = logClock(monotonicMs);
+    const nowMs = logNowMs();
     const incarnation = dependencies.incarnation();
     const identity = { holder: name, incarnation, scope, nowMs };
-    const claim = planClaim(state, identity);
-    if (claim && monotonicMs - own.claimedAtMs >= CLAIM_INTERVAL_MS) {
-      own.claimedAtMs = monotonicMs;
-      void dependencies.append(claim);
-    }
     const role = roleOf(state, identity, dependencies);
     const isKeeping = role?.type === "keeper";
     if (isKeeping && !own.isKeeping) {
@@ -122,12 +115,12 @@
     if (result.outcome.type === "applied") logRecord(events, record);
   }
   async function exchange(own: Scope, call: WorkerCall): Promise<void> {
-    const sentAtMs = logClock(performance.now());
+    const sentAtMs = logNowMs();
     const address = fold.state().set.hosts[call.worker]?.worker_address;
     const outcome = address === undefined
       ? { type: "unreachable" as const, reason: "the worker has no address" }
       : await dependencies.workers.call(address, call);
-    const times = { sentAtMs, nowMs: logClock(performance.now()) };
+    const times = { sentAtMs, nowMs: logNowMs() };
     own.control.noteOutcome(call, outcome, times);
     if ("job" in call) dueAtMs = 0;
     if (outcome.type === "done" || outcome.type === "report") return;
@@ -154,7 +147,7 @@
       for (const host of Object.values(hosts)) {
         if (host.worker_address !== undefined) places.add(host.data_centre);
       }
-      for (const scope of places) runRound(scope, nowMs);
+      for (const scope of places) runRound(scope);
     },
   };
 }
@@ -162,9 +155,9 @@
 function roleOf(
   state: FleetState,
   identity: DeciderIdentity & { scope: string; nowMs: number },
-  { hasMemberRights }: Pick<JobLoopDependencies, "hasMemberRights">,
+  { logIsFresh, hasMemberRights }: JobLoopDependencies,
 ): JobRole | undefined {
-  const term = mayDecide(state, identity);
+  const term = logIsFresh() ? mayDecide(state, identity) : undefined;
   if (term !== undefined) return { type: "decider", term };
   const { scope, holder, incarnation, nowMs } = identity;
   const last = state.deciders.get(scope);
@@ -178,22 +171,6 @@
   return (body as { type?: unknown } | null)?.type;
 }
 
-/** Returns a function that estimates the log's time from the last record. */
-function createLogClock(fold: ControlFold): (monotonicMs: number) => number {
-  let offsetMs = fold.state().timeMs - performance.now();
-  let lastMs = 0;
-  fold.onChange(({ type }) => {
-    if (type !== "settled") return;
-    // A record that was read late must not set the clock back.
-    const found = fold.state().timeMs - performance.now();
-    offsetMs = Math.max(offsetMs, found);
-  });
-  return (monotonicMs) => {
-    lastMs = Math.max(lastMs, monotonicMs + offsetMs);
-    return lastMs;
-  };
-}
-
 function logRecord(events: EventLog, { body }: PlannedRecord): void {
   switch (body.type) {
     case "job.placed": {
--- a/packages/decisions/placement/internal/job_queue.ts
+++ b/packages/decisions/placement/internal/job_queue.ts
@@ -1,5 +1,7 @@
+import type { ObjectSet } from "@lagoonloom/objects";
 import type { FleetState } from "../../fold/fleet_state.ts";
-import type { JobState } from "../../fold/job_state.ts";
+import type { JobSize, JobState } from "../../fold/job_state.ts";
+import { knownSize } from "../job_size.ts";
 import { whyUnplaceable } from "../why_unplaceable.ts";
 import type { JobRound } from "./job_round.ts";
 import { workersOf } from "./set_workers.ts";
@@ -40,7 +42,7 @@
     if (rank === undefined) continue;
     const waitedMs = options.nowMs - job.sinceMs;
     if (waitedMs < rank * SCOPE_STEP_MS[job.urgency]) continue;
-    const reason = whyUnplaceable(state, job);
+    const reason = rememberReason(state, job);
     if (reason !== undefined) {
       if (rank === 0) blocked.set(name, reason);
       continue;
@@ -56,6 +58,20 @@
   return queue;
 }
 
+type Remembered = { set: ObjectSet; reason: string | undefined };
+
+const reasons = new WeakMap<JobSize, Remembered>();
+
+/** Returns why a job can't run, which only depends on the set and its size. */
+function rememberReason(state: FleetState, job: JobState): string | undefined {
+  const size = knownSize(job);
+  const found = reasons.get(size);
+  if (found?.set === state.set) return found.reason;
+  const reason = whyUnplaceable(state, job);
+  reasons.set(size, { set: state.set, reason });
+  return reason;
+}
+
 function sortByAge(waiting: Waiting[]): void {
   const isSorted = waiting.every(({ job }, index) =>
     index === 0 || waiting[index - 1]!.job.submittedAtMs <= job.submittedAtMs
@@ -75,8 +91,10 @@
   state: FleetState,
   { name, job, scope }: Waiting & { scope: string },
 ): number | undefined {
-  const scopes = [...workersOf(state.set).byScope.keys()];
-  const allowed = job.dataCentres.filter((it) => scopes.includes(it));
+  const { scopes } = workersOf(state.set);
+  const allowed = job.dataCentres.length === 0
+    ? scopes
+    : job.dataCentres.filter((it) => scopes.includes(it));
   const turns = allowed.length > 0 ? allowed : scopes;
   const at = turns.indexOf(scope);
   if (at < 0) return undefined;
--- a/packages/decisions/placement/internal/job_round.ts
+++ b/packages/decisions/placement/internal/job_round.ts
@@ -30,6 +30,8 @@
    */
   future: JobSize;
   runs: Run[];
+  /** Jobs that may be preempted, least loss first, once they are needed. */
+  victims: { run: Run; loss: number }[] | undefined;
   /** Whether it may get new jobs. */
   isOpen: boolean;
   isTrial: boolean;
@@ -73,6 +75,7 @@
       free: { ...size },
       future: { ...size },
       runs: [],
+      victims: undefined,
       isOpen: isOpen(round, name),
       isTrial: state.workers.get(name)?.state === "trial",
     };
--- a/packages/decisions/placement/internal/plan_attempts.ts
+++ b/packages/decisions/placement/internal/plan_attempts.ts
@@ -4,7 +4,6 @@
 import type { TaskReport } from "../job_observations.ts";
 import { knownSize, SETTLE_MS, USAGE_MARGIN } from "../job_size.ts";
 import type { JobRound } from "./job_round.ts";
-import { workersOf } from "./set_workers.ts";
 
 /**
  * Time in milliseconds after the placement within which a worker accepts the
@@ -33,11 +32,8 @@
   }
   for (const [worker, { running }] of state.workers) {
     if (running.length === 0 || round.rooms.has(worker)) continue;
-    const dataCentre = state.set.hosts[worker]?.data_centre;
     // Hosts with a worker elsewhere belong to other deciders.
-    const isElsewhere = dataCentre !== undefined &&
-      workersOf(state.set).byScope.get(dataCentre)
-        ?.some(({ name }) => name === worker);
+    const isElsewhere = state.set.hosts[worker]?.worker_address !== undefined;
     if (isElsewhere) continue;
     for (const name of running) {
       planAttempt(round, name, state.jobs.get(name)!);
--- a/packages/decisions/placement/internal/plan_preemption.ts
+++ b/packages/decisions/placement/internal/plan_preemption.ts
@@ -59,7 +59,11 @@
     if (!fitsInto(options.size, room.size)) continue;
     if (options.failedWorkers.includes(room.name)) continue;
     if (++compared > MAX_ROOMS) break;
-    const victims = chooseVictims(room, options.size, { nowMs });
+    const candidates = victimsOf(room, nowMs);
+    // The room can't be better if its first victim already loses more.
+    const leastLoss = candidates.find(({ run }) => !run.isLeaving)?.loss ?? 0;
+    if (best !== undefined && leastLoss >= best.loss) continue;
+    const victims = chooseVictims(room, options.size, candidates);
     if (victims === undefined) continue;
     const loss = victims.reduce((sum, run) => sum + lossOf(run, nowMs), 0);
     if (best === undefined || loss < best.loss) best = { room, victims, loss };
@@ -74,19 +78,24 @@
   return true;
 }
 
+function victimsOf(room: Room, nowMs: number) {
+  room.victims ??= room.runs
+    .filter(({ job }) => job.urgency !== "urgent")
+    .map((run) => ({ run, loss: lossOf(run, nowMs) }))
+    .sort((a, b) => a.loss - b.loss);
+  return room.victims;
+}
+
 function chooseVictims(
   room: Room,
   size: JobSize,
-  { nowMs }: { nowMs: number },
+  candidates: readonly { run: Run; loss: number }[],
 ): Run[] | undefined {
+  if (fitsInto(size, room.future)) return [];
   const free = { ...room.future };
-  if (fitsInto(size, free)) return [];
-  const candidates = room.runs
-    .filter((run) => run.job.urgency !== "urgent" && !run.isLeaving)
-    .map((run) => ({ run, loss: lossOf(run, nowMs) }))
-    .sort((a, b) => a.loss - b.loss);
   const victims: Run[] = [];
   for (const { run } of candidates) {
+    if (run.isLeaving) continue;
     addSize(free, run.size, 1);
     victims.push(run);
     if (!fitsInto(size, free)) continue;
--- a/packages/decisions/placement/internal/set_workers.ts
+++ b/packages/decisions/placement/internal/set_workers.ts
@@ -7,6 +7,8 @@
 /** Workers of a set by data centre, and their different sizes. */
 export type SetWorkers = {
   byScope: Map<string, SetWorker[]>;
+  /** Data centres with workers. */
+  scopes: string[];
   shapes: Map<string, JobSize[]>;
 };
 
@@ -37,6 +39,7 @@
   }
   return {
     byScope,
+    scopes: [...byScope.keys()],
     shapes: new Map(
       [...shapes].map(([scope, sizes]) => [scope, [...sizes.values()]]),
     ),
--- a/packages/decisions/placement/worker_suspicion.ts
+++ b/packages/decisions/placement/worker_suspicion.ts
@@ -34,6 +34,9 @@
 ): WorkerSuspicion {
   const found: WorkerSuspicion = { confirmed: [], open: [] };
   const worker = state.workers.get(name);
+  // Most workers have no failure, and every round asks for each of them.
+  const hasFailed = worker?.recent.some(({ outcome }) => outcome === "failed");
+  if (hasFailed !== true) return found;
   const failed = new Set<string>();
   for (const { job, outcome, atMs } of worker?.recent.toReversed() ?? []) {
     if (outcome === "succeeded") break;
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -5,7 +5,7 @@
   measureSafety,
 } from "./capacity/mod.ts";
 import type { Measure } from "./measure_row.ts";
-import { measureJobs } from "./jobs/mod.ts";
+import { measureJobs, measureJobsDecideTime } from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
 import { measureFlood } from "./requests/measure_flood.ts";
@@ -23,6 +23,7 @@
   flood: measureFlood,
   "flood-stress": measureFloodStress,
   jobs: measureJobs,
+  "jobs-decide-time": measureJobsDecideTime,
   rollout: measureRollout,
   safety: measureSafety,
   settling: measureSettling,
