--- a/packages/decisions/placement/plan_jobs.ts
+++ b/packages/decisions/placement/plan_jobs.ts
@@ -34,7 +34,7 @@
 import { addSize, fitsInto, knownSize } from "./job_size.ts";
 
 /** Jobs of one class that a round tries to place. */
-export const MAX_TRIES = 64;
+export const MAX_TRIES = 32;
 
 /** Placements that a round appends, so that a burst leaves room in the log. */
 export const MAX_PLACEMENTS = 24;
