--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -6,7 +6,7 @@
 } from "./capacity/mod.ts";
 import { CONTROL_SIZES, measureControl } from "./control/mod.ts";
 import type { Measure } from "./measure_row.ts";
-import { measureJobs } from "./jobs/mod.ts";
+import { measureJobs, measureJobsDecideTime } from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
 import { measureFlood } from "./requests/measure_flood.ts";
@@ -24,6 +24,7 @@
   flood: measureFlood,
   "flood-stress": measureFloodStress,
   jobs: measureJobs,
+  "jobs-decide-time": measureJobsDecideTime,
   rollout: measureRollout,
   safety: measureSafety,
   settling: measureSettling,
