Read the host list only when it changed

Each daemon read the whole list every second, which grows with the fleet: 35 hosts took about 2 KB/s, 3,600 would take 200 KB/s. A read now carries the entity tag of the last list, an unchanged list is answered with 304 and is not parsed again, and the interval is 1.5 s, half of the time in which a leaving host gets no new work.

--- a/packages/daemon/host_list.ts
+++ b/packages/daemon/host_list.ts
@@ -1,8 +1,11 @@
 import type { ListedHost, PlatformClient } from "@lagoonloom/platform";
 import type { EventLog } from "@lagoonloom/telemetry";
 
-/** Interval of reads of the host list in milliseconds. */
-const READ_INTERVAL_MS = 1_000;
+/**
+ * Interval of reads of the host list in milliseconds, half of the time in which
+ * a leaving host gets no new work any more.
+ */
+const READ_INTERVAL_MS = 1_500;
 
 /** Copy of the platform's host list. */
 export type HostListCopy = {
@@ -32,6 +35,7 @@
 ): HostListCopy {
   let leaving: ReadonlySet<string> = new Set();
   let entries: ReadonlyMap<string, ListedHost> | undefined;
+  let listed: readonly ListedHost[] | undefined;
   let dueAtMs = 0;
   let isReachable = true;
   return {
@@ -50,6 +54,9 @@
         return false;
       }
       isReachable = true;
+      // The client returns the same list until it changes.
+      if (outcome.hosts === listed) return false;
+      listed = outcome.hosts;
       entries = new Map(outcome.hosts.map((entry) => [entry.host, entry]));
       const next = new Set(
         outcome.hosts.filter(({ state }) => state === "leaving")
--- a/packages/platform/platform_client.ts
+++ b/packages/platform/platform_client.ts
@@ -107,6 +107,7 @@
   });
   const base = `http://${address}`;
   const hostsBase = `http://${options.hostsAddress ?? address}`;
+  const lastList: LastHostList = { etag: undefined, hosts: [] };
   return {
     append: (append) => appendRecord(client, append, { base }),
     read: (read, signal) =>
@@ -115,7 +116,7 @@
         timeoutMs: options.timeoutMs,
         ...(signal === undefined ? {} : { signal }),
       }),
-    readHosts: () => readHostList(client, hostsBase),
+    readHosts: () => readHostList(client, hostsBase, lastList),
     rebootHost: (host, id) => rebootHost(client, { host, id, base: hostsBase }),
     close: () => agent.destroy(),
   };
@@ -183,14 +184,29 @@
   }
 }
 
+/** Last complete host list and its entity tag, if it had one. */
+type LastHostList = { etag: string | undefined; hosts: readonly ListedHost[] };
+
+/**
+ * Reads the host list if it differs from the last one: the list of 3,600 hosts
+ * each second would take 200 KB/s.
+ */
 async function readHostList(
   client: Got,
   base: string,
+  last: LastHostList,
 ): Promise<HostListOutcome> {
   try {
-    const response = await client.get(`${base}/v1/hosts`);
+    const response = await client.get(`${base}/v1/hosts`, {
+      headers: { "if-none-match": last.etag },
+    });
+    if (response.statusCode === 304 && last.etag !== undefined) {
+      return { type: "read", hosts: last.hosts };
+    }
     const list = HostList.safeParse(parseJson(response.body));
     if (response.statusCode === 200 && list.success) {
+      last.etag = response.headers.etag;
+      last.hosts = list.data.hosts;
       return { type: "read", hosts: list.data.hosts };
     }
     return unreachable(`The host list answered with ${response.statusCode}.`);
--- a/packages/standins/hosts_standin.ts
+++ b/packages/standins/hosts_standin.ts
@@ -1,4 +1,5 @@
 import { ListedHost } from "@lagoonloom/platform";
+import { createHash } from "node:crypto";
 import { z } from "zod";
 import {
   listen,
@@ -36,7 +37,8 @@
 /**
  * Serves a host list over HTTP. `POST /v1/hosts` changes one entry, or removes
  * it with `{"removed": NAME}`. `POST /v1/hosts/NAME/reboot` restarts a host
- * once for each id.
+ * once for each id. A read with the entity tag of the current list in
+ * `If-None-Match` is answered with 304.
  *
  * @example
  * ```ts
@@ -78,7 +80,14 @@
       if ("removed" in change) remove(change.removed);
       else put(change);
     }
-    sendJson(response, 200, { hosts: [...visible.values()] });
+    const hosts = [...visible.values()];
+    const text = JSON.stringify(hosts);
+    const etag = `"${createHash("sha256").update(text).digest("base64url")}"`;
+    response.setHeader("etag", etag);
+    const isUnchanged = request.method === "GET" &&
+      request.headers["if-none-match"] === etag;
+    if (isUnchanged) return void response.writeHead(304).end();
+    sendJson(response, 200, { hosts });
   });
   return { ...await listen(listener, address), put, remove };
 }
--- a/packages/standins/platform_standin.ts
+++ b/packages/standins/platform_standin.ts
@@ -54,7 +54,7 @@
     async readHosts() {
       await pass();
       if (isDown()) return { type: "unreachable", reason };
-      return { type: "read", hosts: options.hosts?.() ?? [] };
+      return { type: "read", hosts: [...(options.hosts?.() ?? [])] };
     },
     async rebootHost(host, id) {
       await pass();
--- a/packages/standins/standins_test.ts
+++ b/packages/standins/standins_test.ts
@@ -1,5 +1,8 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
-import { createPlatformClient } from "@lagoonloom/platform";
+import {
+  createPlatformClient,
+  type HostListOutcome,
+} from "@lagoonloom/platform";
 import type { Standin } from "./_http.ts";
 import { serveBalancer } from "./balancer_standin.ts";
 import { serveExecutor } from "./executor_standin.ts";
@@ -157,7 +160,13 @@
     expect(await platform.readHosts()).toMatchObject({ hosts: [] });
     await new Promise((resolve) => setTimeout(resolve, 200));
     const host = { host: "quoting-1", state: "leaving" };
-    expect(await platform.readHosts()).toMatchObject({ hosts: [host] });
+    const changed = await platform.readHosts();
+    expect(changed).toMatchObject({ hosts: [host] });
+    // An unchanged list is not sent again; the client returns the last one.
+    const again = await platform.readHosts();
+    const hostsOf = (outcome: HostListOutcome) =>
+      outcome.type === "read" ? outcome.hosts : undefined;
+    expect(hostsOf(again)).toBe(hostsOf(changed));
     platform.close();
   });
 });
