--- /dev/null
+++ b/packages/daemon/capacity/_fixtures.ts
@@ -0,0 +1,196 @@
+import type { RecordOutcome } from "@lagoonloom/decisions";
+import type { ObjectSet } from "@lagoonloom/objects";
+import type { ControlRecord } from "@lagoonloom/records";
+import {
+  createLogStore,
+  createPlatformStandin,
+  createTestFleet,
+} from "@lagoonloom/standins";
+import { createEventLog } from "@lagoonloom/telemetry";
+import { type ControlFold, createControlFold } from "../control_fold.ts";
+import type { PeerLink, PeerLinks } from "../peer_links.ts";
+import { createDeciderLoop } from "./decider_loop.ts";
+import { createLogClock } from "./log_clock.ts";
+import { createWorkObserver } from "./observe_work.ts";
+
+const DATA_CENTRE = "detroit";
+
+/** Time in milliseconds for which a lost entry host may still use slots. */
+export const LOSS_FENCE_MS = 12_000;
+
+/** What the tests set of one entry host. */
+export type TestDecider = {
+  name: string;
+  fold: ControlFold;
+  /** Neither folds nor decides. */
+  isPaused: boolean;
+  isCutOff: boolean;
+  /** Decides on its old state, as if it were recent. */
+  believesFresh: boolean;
+  /** Does not answer the heartbeats of the others. */
+  isSilent: boolean;
+  /** Holds back its appends until it resolves. */
+  gate: Promise<void> | undefined;
+  /** Pauses it between an append and its fold, until it resolves. */
+  foldGate: Promise<void> | undefined;
+  busyHosts: Set<string>;
+  /** Health of the hosts as its probes see it. */
+  contacts: Map<
+    string,
+    { health: "in-service" | "failed"; sinceMs: number }
+  >;
+  /** Outcomes of its records. */
+  outcomes: string[];
+};
+
+/** Entry hosts of one data centre with a log in memory. */
+export function createDeciders(count: number) {
+  const store = createLogStore();
+  const restarts: { host: string; by: string }[] = [];
+  const deciders: TestDecider[] = [];
+  const timers: ReturnType<typeof setInterval>[] = [];
+  const append = (id: string, body: ControlRecord) =>
+    store.append("control", { id, body });
+
+  function pull({ fold }: TestDecider): void {
+    const from = fold.state().nextOffset;
+    fold.fold(store.read("control", { from, limit: 500 }).records);
+  }
+
+  function linkTo(other: TestDecider): PeerLink {
+    return {
+      name: other.name,
+      incarnation: "i1",
+      nextOffset: other.fold.state().nextOffset,
+      busyHosts: other.busyHosts,
+      freeSlots: new Map(),
+    } as Partial<PeerLink> as PeerLink;
+  }
+
+  function start(index: number): TestDecider {
+    const name = `detroit-${index + 1}`;
+    const fold = createControlFold();
+    const decider: TestDecider = {
+      name,
+      fold,
+      isPaused: false,
+      isCutOff: false,
+      believesFresh: false,
+      isSilent: false,
+      gate: undefined,
+      foldGate: undefined,
+      busyHosts: new Set(),
+      contacts: new Map(),
+      outcomes: [],
+    };
+    let readAtMs = -Infinity;
+    const isDown = () => decider.isCutOff || store.faults.isDown;
+    const links = {
+      find: (wanted: string) =>
+        deciders.filter((it) => it.name === wanted).map(linkTo)[0],
+      isAnswering: (link: PeerLink) =>
+        !deciders.find((it) => it.name === link.name)!.isSilent,
+    } as Partial<PeerLinks> as PeerLinks;
+    const loop = createDeciderLoop({
+      name,
+      dataCentre: DATA_CENTRE,
+      incarnation: () => "i1",
+      logIsFresh: () =>
+        decider.believesFresh || performance.now() - readAtMs < 2_000,
+      fold,
+      async append(id, body) {
+        await decider.gate;
+        if (isDown()) return { type: "not-appended", reason: "down" };
+        append(id, body);
+        if (decider.foldGate !== undefined) decider.isPaused = true;
+        await decider.foldGate;
+        pull(decider);
+        const found = await fold.awaitOutcome(id, 0);
+        if (found === undefined) return { type: "unknown", reason: "lost" };
+        decider.outcomes.push(describe(body.type, found.outcome));
+        return { type: "folded", ...found };
+      },
+      // Restarts have their own address, which is up while the log is down.
+      platform: createPlatformStandin(createLogStore(), {
+        reboot: (host) => restarts.push({ host, by: name }),
+      }),
+      probes: { contacts: () => decider.contacts, tick: () => undefined },
+      work: createWorkObserver({
+        name,
+        dataCentre: DATA_CENTRE,
+        links: () => links,
+        running: () => [...decider.busyHosts].map((it) => `${it}/0` as const),
+        bootedAtMs: () => undefined,
+        lossFenceMs: LOSS_FENCE_MS,
+      }),
+      demand: {
+        observe: () => undefined,
+        hosts: () => new Map(),
+        shortages: () => [],
+      },
+      logNowMs: createLogClock(fold),
+      events: createEventLog({ format: "hidden" }),
+    });
+    timers.push(setInterval(() => {
+      if (decider.isPaused) return;
+      if (!isDown()) {
+        pull(decider);
+        readAtMs = performance.now();
+      }
+      loop.tick(performance.now());
+    }, 100));
+    return decider;
+  }
+
+  for (let index = 0; index < count; index++) deciders.push(start(index));
+  for (const { name } of deciders) {
+    append(`join.${name}`, {
+      type: "member.joined",
+      member: name,
+      incarnation: "i1",
+      dataCentre: DATA_CENTRE,
+      peerAddress: "127.0.0.1:1",
+      operatorAddress: "127.0.0.1:2",
+    });
+  }
+  return {
+    store,
+    restarts,
+    deciders,
+    append,
+    stop: () => timers.forEach((timer) => clearInterval(timer)),
+  };
+}
+
+function describe(type: string, outcome: RecordOutcome): string {
+  const reason = outcome.type === "refused" ? outcome.reason : "";
+  return `${type} ${outcome.type} ${reason}`;
+}
+
+/** Publishes a pool of two hosts with a wave that takes one out at a time. */
+export function publishWave(
+  { append }: Pick<ReturnType<typeof createDeciders>, "append">,
+): ObjectSet {
+  const set = createTestFleet();
+  set.budgets.quoting = { service: "quoting", min_available: 1 };
+  set.waves.kernel = {
+    pools: ["quoting"],
+    priority: "urgent",
+    outage_s: 60,
+    finish_within_h: 24,
+    state: "active",
+  };
+  append("set", {
+    type: "set.changed",
+    expectedVersion: 0,
+    operator: "ada",
+    change: { put: set, removed: [] },
+  });
+  return set;
+}
+
+/** Hosts with an open permit. */
+export function hostsOut({ fold }: TestDecider): string[] {
+  return [...fold.state().hosts]
+    .filter(([, { permit }]) => permit !== undefined).map(([name]) => name);
+}
--- /dev/null
+++ b/packages/daemon/capacity/decider_loop_test.ts
@@ -0,0 +1,210 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import {
+  createDeciders,
+  hostsOut,
+  LOSS_FENCE_MS,
+  publishWave,
+  type TestDecider,
+} from "./_fixtures.ts";
+
+const pass = (ms: number) => jest.advanceTimersByTimeAsync(ms);
+
+/** Time in which a decider is elected and takes the first host out. */
+const START_MS = 5_000;
+
+/** Longer than a lease and the turns of three candidates. */
+const TAKE_OVER_MS = 20_000;
+
+let stop: () => void = () => undefined;
+
+beforeEach(() => void jest.useFakeTimers());
+
+afterEach(() => {
+  stop();
+  jest.useRealTimers();
+});
+
+async function startWave(
+  prepare: (all: TestDecider[]) => void = () => undefined,
+) {
+  const deployment = createDeciders(3);
+  stop = deployment.stop;
+  prepare(deployment.deciders);
+  publishWave(deployment);
+  await pass(START_MS);
+  return { ...deployment, first: deployment.deciders[0]! };
+}
+
+const deciderOf = ({ fold }: TestDecider) =>
+  fold.state().deciders.get("detroit");
+
+describe("createDeciderLoop()", () => {
+  // Guards against a data centre that decides nothing once its decider died.
+  test("passes the role on after its holder died", async () => {
+    const { deciders, first } = await startWave();
+    expect(deciderOf(first)).toMatchObject({ holder: "detroit-1", epoch: 1 });
+    first.isPaused = true;
+    await pass(10_000);
+    expect(deciderOf(deciders[1]!)).toMatchObject({ epoch: 1 });
+    await pass(TAKE_OVER_MS);
+    for (const decider of deciders.slice(1)) {
+      expect(deciderOf(decider)).toMatchObject({
+        holder: "detroit-2",
+        epoch: 2,
+      });
+    }
+  });
+
+  // Guards against a process that resumes after its lease and restarts a host
+  // on which it no longer decides, on the state that it had before the pause.
+  test("asks for no restart after a pause beyond the lease", async () => {
+    const { deciders, first, restarts } = await startWave(([one]) => {
+      one!.busyHosts.add("quoting-1").add("quoting-2");
+    });
+    expect(hostsOut(first)).toHaveLength(1);
+    first.isPaused = true;
+    for (const other of deciders.slice(1)) other.isPaused = true;
+    await pass(TAKE_OVER_MS);
+    first.busyHosts.clear();
+    Object.assign(first, {
+      isPaused: false,
+      isCutOff: true,
+      believesFresh: true,
+    });
+    await pass(3_000);
+    expect(restarts).toEqual([]);
+  });
+
+  // Guards against a lease that counts from the fold of its record: a process
+  // that was paused in between would take it for a new one.
+  test("asks for no restart after a pause before a renewal's fold", async () => {
+    let resume: () => void = () => undefined;
+    const { deciders, first, restarts } = await startWave(([one]) => {
+      one!.busyHosts.add("quoting-1").add("quoting-2");
+    });
+    first.foldGate = new Promise((resolve) => resume = resolve);
+    await pass(6_000);
+    for (const decider of deciders) decider.isPaused = true;
+    await pass(TAKE_OVER_MS);
+    first.busyHosts.clear();
+    Object.assign(first, {
+      isPaused: false,
+      isCutOff: true,
+      believesFresh: true,
+      foldGate: undefined,
+    });
+    resume();
+    await pass(3_000);
+    expect(first.outcomes.at(-1)).toContain("decider.claimed applied");
+    expect(restarts).toEqual([]);
+  });
+
+  // Guards against a record that a decider planned before a pause and that
+  // takes effect beside those of its successor.
+  test("has its records refused after its successor took over", async () => {
+    let resume: () => void = () => undefined;
+    const deployment = createDeciders(3);
+    stop = deployment.stop;
+    const [first, second] = deployment.deciders;
+    await pass(START_MS);
+    first!.gate = new Promise((resolve) => resume = resolve);
+    publishWave(deployment);
+    await pass(1_000);
+    first!.isPaused = true;
+    await pass(TAKE_OVER_MS);
+    expect(deciderOf(second!)).toMatchObject({ epoch: 2 });
+    const before = first!.outcomes.length;
+    resume();
+    await pass(1_000);
+    expect(first!.outcomes.slice(before)).toEqual([
+      expect.stringContaining("Epoch 1"),
+    ]);
+    const { restarts } = deployment;
+    expect(restarts.filter(({ by }) => by === first!.name)).toEqual([]);
+  });
+
+  // Guards against a restart that interrupts requests of an entry host which
+  // did not say that it has none.
+  test.each<[string, (other: TestDecider) => void]>([
+    ["is silent", (other) => other.isSilent = true],
+    ["has not folded the permit", (other) => other.isPaused = true],
+    ["has work", (other) => other.busyHosts.add("quoting-1").add("quoting-2")],
+  ])("waits for an entry host that %s", async (_, hold) => {
+    const { deciders, first, restarts } = await startWave((all) => {
+      hold(all[2]!);
+    });
+    await pass(10_000);
+    expect(hostsOut(first)).toHaveLength(1);
+    expect(restarts).toEqual([]);
+    Object.assign(deciders[2]!, { isSilent: false, isPaused: false });
+    deciders[2]!.busyHosts.clear();
+    await pass(2_000);
+    expect(restarts).toEqual([{ host: hostsOut(first)[0], by: first.name }]);
+  });
+
+  // Guards against a restart while a lost entry host may still use its slots.
+  test("waits for the fence of a lost entry host", async () => {
+    const { deciders, first, restarts, append } = await startWave((all) => {
+      all[2]!.isSilent = true;
+    });
+    const [member, watcher] = ["detroit-3", "detroit-1"];
+    const identity = { member, incarnation: "i1", watcher };
+    append("watched", { type: "member.watched", ...identity });
+    append("lost", { type: "member.lost", ...identity });
+    deciders[2]!.isPaused = true;
+    await pass(LOSS_FENCE_MS - 1_000);
+    expect(first.fold.state().members.size).toBe(2);
+    expect(restarts).toEqual([]);
+    await pass(3_000);
+    expect(restarts).toHaveLength(1);
+  });
+
+  // Guards against a host that is taken out, or given back, while nobody can
+  // check the budgets.
+  test("takes nothing out while the log is down", async () => {
+    const { deciders, first, store, restarts } = await startWave((all) => {
+      all[0]!.busyHosts.add("quoting-1").add("quoting-2");
+    });
+    const out = hostsOut(first);
+    const { nextOffset } = store.read("control", { from: 0, limit: 500 });
+    store.faults.isDown = true;
+    // Beyond the age up to which the state counts as recent.
+    await pass(3_000);
+    first.busyHosts.clear();
+    await pass(TAKE_OVER_MS);
+    expect(restarts).toEqual([]);
+    expect(store.read("control", { from: 0, limit: 500 }))
+      .toMatchObject({ nextOffset });
+    for (const decider of deciders) expect(hostsOut(decider)).toEqual(out);
+    store.faults.isDown = false;
+    await pass(TAKE_OVER_MS);
+    expect(restarts).toMatchObject([{ host: out[0] }]);
+  });
+
+  // Guards against a host that stays out for ever, and against a next host that
+  // goes out before the last one is back.
+  test("returns the permit of a host that is back", async () => {
+    const { deciders, first } = await startWave();
+    const [host] = hostsOut(first);
+    const see = (health: "in-service" | "failed") =>
+      deciders.forEach(({ contacts }) =>
+        contacts.set(host!, { health, sinceMs: 0 })
+      );
+    see("failed");
+    await pass(3_000);
+    expect(hostsOut(first)).toEqual([host]);
+    see("in-service");
+    await pass(3_000);
+    expect(first.fold.state().waves.get("kernel")?.done.has(host!)).toBe(true);
+    expect(hostsOut(first)).toEqual(
+      ["quoting-1", "quoting-2"].filter((name) => name !== host),
+    );
+  });
+});
--- a/packages/daemon/capacity/host_probes.ts
+++ b/packages/daemon/capacity/host_probes.ts
@@ -51,6 +51,7 @@
   const contacts = new Map<string, HostContact>();
   let dueAtMs = 0;
   let turn = 0;
+  let suspectTurn = 0;
 
   function note(host: string, result: ProbeResult): void {
     const health = HEALTH_BY_RESULT[result];
@@ -71,7 +72,14 @@
       { length: Math.min(ROUTINE_PROBES, names.length) },
       () => names[turn++ % names.length]!,
     );
-    return [...new Set([...suspects, ...routine])].slice(0, MAX_PROBES);
+    // After the loss of a data centre there are more suspects than one round
+    // has probes, so that they take turns too.
+    const count = Math.min(MAX_PROBES - ROUTINE_PROBES, suspects.length);
+    const due = Array.from(
+      { length: count },
+      () => suspects[suspectTurn++ % suspects.length]!,
+    );
+    return [...new Set([...due, ...routine])];
   }
 
   function isSuspect(state: FleetState, name: string): boolean {
