Exchange one heartbeat per pair instead of two

Both sides of a pair sent heartbeats, although the answer says the same as the request. A received heartbeat now replaces the own one for one and a half intervals. A member still sends its own to every entry host that may report its loss, since only answers carry a promise, and to all peers once its log is older than 1.5 s, since only answers tell the age of the peer's log safely. The fencing rules are unchanged. Answers carry the changed counts of free slots, and numbered reports keep a late message from replacing newer counts. A heartbeat that failed no longer leaves counts at the peer that are never corrected. Members of other regions get no heartbeats, even if they are seeds.

A read of the log waits 700 ms instead of 500 ms, so that the log's age stays below 1.5 s with room for the call.

--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -12,8 +12,9 @@
 import { createCheckpoints } from "./checkpoints.ts";
 import { createHostListCopy } from "./host_list.ts";
 import { listPeerTargets } from "./list_peer_targets.ts";
+import { isStarterOf } from "./is_starter_of.ts";
 import { createLogFollower } from "./log_follower.ts";
-import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
+import { ASK_PEERS_AGE_MS, NEVER_READ_MS, relayLog } from "./log_relay.ts";
 import { createCapacity } from "./capacity/mod.ts";
 import { whyLeaving } from "./build_topology.ts";
 import { createMembership, type Membership } from "./membership.ts";
@@ -152,6 +153,11 @@
         ? Object.keys(fold.state().set.pools)
           .map((pool) => ({ pool, free: 0, lent: 0 }))
         : requestPath.reportSlots(),
+    needsAnswers: (link) =>
+      membership.mayReportSelf(link.name) ||
+      (logAgeMs() ?? Infinity) > ASK_PEERS_AGE_MS,
+    isStartedBy: (link) =>
+      isStarterOf({ self: name, other: link.name }, fold.state()),
     onAnswer(link, response, sentAtMs) {
       slots.hear(link.name, toStatement(response));
       void relayLog(link, { fold, follower, sentAtMs });
@@ -295,9 +301,10 @@
       describe,
       onHeartbeat(request) {
         const { member, incarnation } = request;
-        links.receive(request, performance.now());
+        const reply = links.receive(request, performance.now());
         slots.hear(member, toStatement(request));
-        return membership.noteHeartbeat({ name: member, incarnation });
+        const sender = { name: member, incarnation };
+        return { ...reply, promiseMs: membership.noteHeartbeat(sender) };
       },
     }),
     isReady,
--- a/packages/daemon/list_peer_targets.ts
+++ b/packages/daemon/list_peer_targets.ts
@@ -4,7 +4,8 @@
 
 /**
  * Lists the entry hosts that get heartbeats: the seeds of the settings and the
- * members of the own region.
+ * members of the own region. A seed that is a member of another region gets
+ * none.
  *
  * @example
  * ```ts
@@ -25,7 +26,10 @@
   }
   for (const { dataCentre, peerAddress } of state.members.values()) {
     // A data centre without hosts in the set may be in the region.
-    if ((regions.get(dataCentre) ?? region) !== region) continue;
+    if ((regions.get(dataCentre) ?? region) !== region) {
+      near.delete(peerAddress);
+      continue;
+    }
     near.set(peerAddress, dataCentre === own);
   }
   near.delete(settings.peers.address);
--- a/packages/daemon/log_relay.ts
+++ b/packages/daemon/log_relay.ts
@@ -2,8 +2,18 @@
 import type { LogFollower } from "./log_follower.ts";
 import type { PeerLink } from "./peer_links.ts";
 
-/** Age of the log in milliseconds from which peers are asked for records. */
-const RELAY_AGE_MS = 700;
+/**
+ * Age of the log in milliseconds from which peers are asked for records. A read
+ * in progress reaches it only if the log has no newer records.
+ */
+const RELAY_AGE_MS = 1_000;
+
+/**
+ * Age of the log in milliseconds from which every peer is asked for its own. It
+ * is above that of reads without a fault, and leaves the rest of the fencing
+ * timeout for the answers.
+ */
+export const ASK_PEERS_AGE_MS = 1_500;
 
 /** Age that stands for a log that was never read, in milliseconds. */
 export const NEVER_READ_MS = 0xffff_ffff;
--- a/packages/daemon/membership.ts
+++ b/packages/daemon/membership.ts
@@ -29,6 +29,8 @@
   incarnation(): string;
   isMember(): boolean;
   hasSlotRights(): boolean;
+  /** Whether the log names the entry host, or may, to report this one. */
+  mayReportSelf(other: string): boolean;
   /** Notes a heartbeat; returns the promise in milliseconds. */
   noteHeartbeat(sender: WatchedMember): number;
   /** Joins, names a watcher and reports losses as needed. */
@@ -143,7 +145,7 @@
 
   function tickWatcher(member: Member, nowMs: number): void {
     const answering = options.links().all().filter((link) =>
-      nowMs - (link.promisedAtMs ?? -Infinity) < WATCHER_SILENT_MS &&
+      nowMs - (contactAtMs(link, member) ?? -Infinity) < WATCHER_SILENT_MS &&
       isIn(link, fold, options.dataCentre)
     ).map((link) => link.name);
     const next = chooseWatcher({
@@ -170,10 +172,15 @@
     }
   }
 
-  function contacts(member: Member) {
+  /** Every entry host that may report the loss of this one. */
+  function watchers(member: Member | undefined): Set<string> {
     const names = new Set(pendingWatchers.values());
-    if (member.watcher !== undefined) names.add(member.watcher);
-    return [...names].map((watcher) => {
+    if (member?.watcher !== undefined) names.add(member.watcher);
+    return names;
+  }
+
+  function contacts(member: Member) {
+    return [...watchers(member)].map((watcher) => {
       const address = fold.state().members.get(watcher)?.peerAddress;
       const link = options.links().all().find((it) => it.address === address);
       return {
@@ -195,6 +202,7 @@
         watchers: contacts(member),
       }, performance.now());
     },
+    mayReportSelf: (other) => watchers(own()).has(other),
     noteHeartbeat: (sender) => noteHeartbeat(watch, sender, performance.now()),
     tick(nowMs) {
       if (isLeaving || !options.isCaughtUp()) return;
@@ -219,6 +227,14 @@
   return `${member.name} ${member.incarnation}`;
 }
 
+/**
+ * The present watcher has to answer with promises. For another one it is enough
+ * that it is heard, since not every pair's heartbeats start on this side.
+ */
+function contactAtMs(link: PeerLink, member: Member): number | undefined {
+  return link.name === member.watcher ? link.promisedAtMs : link.answeredAtMs;
+}
+
 function isIn(link: PeerLink, fold: ControlFold, dataCentre: string): boolean {
   const member = fold.state().members.get(link.name);
   return member?.incarnation === link.incarnation &&
--- a/packages/daemon/peer_handlers.ts
+++ b/packages/daemon/peer_handlers.ts
@@ -7,7 +7,11 @@
 } from "@lagoonloom/peers";
 import type { ControlFold } from "./control_fold.ts";
 import { snapshotChunks } from "./log_follower.ts";
-import { type OwnHeartbeat, toHeldSlot } from "./peer_links.ts";
+import {
+  type OwnHeartbeat,
+  type ReportReply,
+  toHeldSlot,
+} from "./peer_links.ts";
 import type {
   ForwardedRequest,
   ForwardedResult,
@@ -29,8 +33,10 @@
   fold: ControlFold;
   path: Pick<RequestPath, "handleForward" | "awaitOutcome">;
   describe: () => OwnHeartbeat;
-  /** Notes a heartbeat; returns the promise in milliseconds. */
-  onHeartbeat: (request: HeartbeatRequest) => number;
+  /** Notes a heartbeat; returns the promise and the changed counts. */
+  onHeartbeat: (
+    request: HeartbeatRequest,
+  ) => ReportReply & { promiseMs: number };
 };
 
 /**
@@ -45,7 +51,7 @@
   const { fold, path } = options;
   return {
     heartbeat(request) {
-      const promiseMs = options.onHeartbeat(request);
+      const reply = options.onHeartbeat(request);
       const { held, ...own } = options.describe();
       return {
         ...own,
@@ -53,7 +59,7 @@
         generation: BigInt(own.generation),
         setVersion: BigInt(own.setVersion),
         held: held.map(toHeldSlot),
-        promiseMs,
+        ...reply,
       };
     },
     async forward(request) {
--- a/packages/daemon/peer_links.ts
+++ b/packages/daemon/peer_links.ts
@@ -14,6 +14,13 @@
 /** Longest time of a heartbeat in milliseconds, less than half the fence. */
 const HEARTBEAT_TIMEOUT_MS = 800;
 
+/**
+ * Intervals for which a received heartbeat replaces the own one to its sender.
+ * After one and a half, the sender's next heartbeat is overdue, and this side
+ * starts its own.
+ */
+const QUIET_INTERVALS = 1.5;
+
 /** Time in milliseconds after which a silent peer counts as unreachable. */
 const SILENT_MS = 3_000;
 
@@ -35,7 +42,7 @@
   setVersion: number;
   /** Age of its contact with the log when it answered. */
   logAgeMs: number;
-  /** Monotonic time at which the last answered heartbeat was sent. */
+  /** Monotonic time of its last heartbeat, or of the last one it answered. */
   answeredAtMs: number | undefined;
   promisedAtMs: number | undefined;
   refusedAtMs: number | undefined;
@@ -47,7 +54,14 @@
   busyHosts: ReadonlySet<string>;
   /** Free slots by pool that it has received from here. */
   sentFreeSlots: Map<string, SlotReport>;
-  dueAtMs: number;
+  /** Counts of the last message to it, until it is known to have them. */
+  outgoing: { id: number; reports: readonly SlotReport[] };
+  /** Identifier of the newest counts that it sent. */
+  receivedReportId: number;
+  /** Monotonic time of the last heartbeat sent to it. */
+  sentAtMs: number;
+  /** Monotonic time until which its own heartbeats replace those to it. */
+  quietUntilMs: number;
   isBusy: boolean;
 };
 
@@ -71,6 +85,13 @@
   connect: (address: string) => PeerClient;
   describe: () => OwnHeartbeat;
   reportSlots: () => readonly SlotReport[];
+  /**
+   * Whether heartbeats to a peer are needed although it sends its own: only the
+   * answers carry a promise, and only they tell the age of its log contact.
+   */
+  needsAnswers: (link: PeerLink) => boolean;
+  /** Whether the peer is the one that starts the heartbeats of the pair. */
+  isStartedBy: (link: PeerLink) => boolean;
   /** Called after each answered heartbeat with the time it was sent. */
   onAnswer: (
     link: PeerLink,
@@ -79,6 +100,9 @@
   ) => void;
 };
 
+/** Changed counts of free slots in the answer to a heartbeat. */
+export type ReportReply = { freeSlots: SlotReport[]; reportId: number };
+
 /** Heartbeats to the other entry hosts. */
 export type PeerLinks = {
   /** Connects to new targets and ends the connections to others. */
@@ -87,8 +111,11 @@
   tick(nowMs: number): void;
   all(): readonly PeerLink[];
   find(name: string): PeerLink | undefined;
-  /** Notes the free slots and position in a received heartbeat. */
-  receive(request: HeartbeatRequest, nowMs: number): void;
+  /**
+   * Notes what a received heartbeat says and returns the counts of free slots
+   * for its answer.
+   */
+  receive(request: HeartbeatRequest, nowMs: number): ReportReply;
   isAnswering(link: PeerLink, nowMs: number): boolean;
   close(): void;
 };
@@ -106,6 +133,9 @@
  */
 export function createPeerLinks(options: PeerLinksOptions): PeerLinks {
   const links = new Map<string, PeerLink>();
+  // Shared by all links, so that a link which is made again goes on from it.
+  let reportId = 0;
+  const nextReportId = () => ++reportId;
   return {
     setTargets(targets) {
       const wanted = new Map(targets.map((it) => [it.address, it]));
@@ -124,18 +154,22 @@
     },
     tick(nowMs) {
       for (const link of links.values()) {
-        if (link.isBusy || nowMs < link.dueAtMs) continue;
-        void sendHeartbeat(link, options);
+        if (!isDue(link, options, nowMs)) continue;
+        void sendHeartbeat(link, { ...options, nextReportId });
       }
     },
     all: () => [...links.values()],
     find: (name) => [...links.values()].find((link) => link.name === name),
-    receive(request) {
+    receive(request, nowMs) {
       const link = [...links.values()].find((it) => it.name === request.member);
-      if (link === undefined) return;
-      for (const { pool, free, lent } of request.freeSlots) {
-        link.freeSlots.set(pool, { pool, free, lent });
+      if (link === undefined) return { freeSlots: [], reportId: 0 };
+      noteState(link, request, nowMs);
+      noteReports(link, request);
+      confirmReports(link, request.receivedReportId);
+      if (options.isStartedBy(link)) {
+        link.quietUntilMs = nowMs + QUIET_INTERVALS * intervalOf(link);
       }
+      return prepareReports(link, options.reportSlots(), nextReportId());
     },
     isAnswering: (link, nowMs) =>
       link.answeredAtMs !== undefined && nowMs - link.answeredAtMs < SILENT_MS,
@@ -163,31 +197,84 @@
     freeSlots: new Map(),
     busyHosts: new Set(),
     sentFreeSlots: new Map(),
-    dueAtMs: 0,
+    outgoing: { id: 0, reports: [] },
+    receivedReportId: 0,
+    sentAtMs: -Infinity,
+    quietUntilMs: -Infinity,
     isBusy: false,
   };
 }
 
-async function sendHeartbeat(
+function intervalOf(link: PeerLink): number {
+  return link.isNear ? NEAR_HEARTBEAT_MS : FAR_HEARTBEAT_MS;
+}
+
+function isDue(
   link: PeerLink,
   options: PeerLinksOptions,
-): Promise<void> {
-  const sentAtMs = performance.now();
-  const intervalMs = link.isNear ? NEAR_HEARTBEAT_MS : FAR_HEARTBEAT_MS;
-  link.dueAtMs = sentAtMs + intervalMs;
-  link.isBusy = true;
-  const changed = options.reportSlots().filter(({ pool, free, lent }) => {
+  nowMs: number,
+): boolean {
+  if (link.isBusy || nowMs < link.sentAtMs + intervalOf(link)) return false;
+  return nowMs >= link.quietUntilMs || options.needsAnswers(link);
+}
+
+/**
+ * Returns the counts that the peer may not have. Until they are confirmed, the
+ * next message contains them again.
+ */
+function prepareReports(
+  link: PeerLink,
+  reports: readonly SlotReport[],
+  reportId: number,
+): ReportReply {
+  const freeSlots = reports.filter(({ pool, free, lent }) => {
     const sent = link.sentFreeSlots.get(pool);
     return sent?.free !== free || sent.lent !== lent;
   });
+  for (const { pool } of freeSlots) link.sentFreeSlots.delete(pool);
+  link.outgoing = { id: reportId, reports: freeSlots };
+  return { freeSlots, reportId };
+}
+
+function confirmReports(link: PeerLink, reportId: number): void {
+  const { id, reports } = link.outgoing;
+  if (reportId !== id) return;
+  for (const report of reports) link.sentFreeSlots.set(report.pool, report);
+}
+
+function noteReports(
+  link: PeerLink,
+  message: HeartbeatRequest | HeartbeatResponse,
+): void {
+  if (message.reportId <= link.receivedReportId) return;
+  link.receivedReportId = message.reportId;
+  for (const { pool, free, lent } of message.freeSlots) {
+    link.freeSlots.set(pool, { pool, free, lent });
+  }
+}
+
+async function sendHeartbeat(
+  link: PeerLink,
+  options: PeerLinksOptions & { nextReportId: () => number },
+): Promise<void> {
+  const sentAtMs = performance.now();
+  link.sentAtMs = sentAtMs;
+  link.isBusy = true;
+  const { incarnation } = link;
+  const reports = prepareReports(
+    link,
+    options.reportSlots(),
+    options.nextReportId(),
+  );
   const { held, ...own } = options.describe();
   const outcome = await link.client.heartbeat({
     ...own,
+    ...reports,
     nextOffset: BigInt(own.nextOffset),
     generation: BigInt(own.generation),
     setVersion: BigInt(own.setVersion),
-    freeSlots: changed,
     held: held.map(toHeldSlot),
+    receivedReportId: link.receivedReportId,
   }, { timeoutMs: HEARTBEAT_TIMEOUT_MS });
   link.isBusy = false;
   link.wasTried = true;
@@ -195,31 +282,39 @@
     if (outcome.isConnectionRefused) link.refusedAtMs = sentAtMs;
     return;
   }
-  noteAnswer(link, outcome.response, sentAtMs);
-  for (const report of changed) link.sentFreeSlots.set(report.pool, report);
-  options.onAnswer(link, outcome.response, sentAtMs);
+  const { response } = outcome;
+  // Its new process was heard in the meantime; this is the old one's answer.
+  const isOutdated = link.incarnation !== incarnation &&
+    link.incarnation !== response.incarnation;
+  if (isOutdated) return;
+  noteState(link, response, sentAtMs);
+  noteReports(link, response);
+  confirmReports(link, reports.reportId);
+  if (response.promiseMs > 0) link.promisedAtMs = sentAtMs;
+  options.onAnswer(link, response, sentAtMs);
 }
 
-function noteAnswer(
+function noteState(
   link: PeerLink,
-  response: HeartbeatResponse,
-  sentAtMs: number,
+  message: HeartbeatRequest | HeartbeatResponse,
+  atMs: number,
 ): void {
-  if (link.incarnation !== response.incarnation) {
-    // A new process has not received any counts yet.
+  if (link.incarnation !== message.incarnation) {
+    // A new process has not received any counts yet. Its own replace the old
+    // ones; after a change without a new process, the old ones still hold.
     link.sentFreeSlots.clear();
-    link.freeSlots.clear();
+    link.outgoing = { id: 0, reports: [] };
+    link.receivedReportId = 0;
     link.promisedAtMs = undefined;
   }
-  link.name = response.member;
-  link.incarnation = response.incarnation;
-  link.nextOffset = Number(response.nextOffset);
-  link.generation = Number(response.generation);
-  link.setVersion = Number(response.setVersion);
-  link.logAgeMs = response.logAgeMs;
-  link.busyHosts = new Set(response.busyHosts);
-  link.answeredAtMs = sentAtMs;
-  if (response.promiseMs > 0) link.promisedAtMs = sentAtMs;
+  link.name = message.member;
+  link.incarnation = message.incarnation;
+  link.nextOffset = Number(message.nextOffset);
+  link.generation = Number(message.generation);
+  link.setVersion = Number(message.setVersion);
+  link.logAgeMs = message.logAgeMs;
+  link.busyHosts = new Set(message.busyHosts);
+  link.answeredAtMs = Math.max(link.answeredAtMs ?? atMs, atMs);
 }
 
 /**
--- a/packages/platform/tail_stream.ts
+++ b/packages/platform/tail_stream.ts
@@ -8,7 +8,7 @@
  * log from the time at which it was sent, so that two waits have to fit into
  * the fencing timeout of 2 s with room for the calls themselves.
  */
-const WAIT_MS = 500;
+const WAIT_MS = 700;
 
 /** Most records of one read; a full page may not be the end of the stream. */
 export const TAIL_PAGE_RECORDS = 500;
