--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -6,6 +6,7 @@
 } from "./capacity/mod.ts";
 import { CONTROL_SIZES, measureControl } from "./control/mod.ts";
 import type { Measure } from "./measure_row.ts";
+import { measureJobs } from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
 import { measureFlood } from "./requests/measure_flood.ts";
@@ -22,6 +23,7 @@
   faults: measureFaults,
   flood: measureFlood,
   "flood-stress": measureFloodStress,
+  jobs: measureJobs,
   rollout: measureRollout,
   safety: measureSafety,
   settling: measureSettling,
--- a/packages/operators/_fixtures.ts
+++ b/packages/operators/_fixtures.ts
@@ -67,8 +67,14 @@
     }),
     history: (limit) => history.toReversed().slice(0, limit),
     explain: (kind, name) =>
-      name === "none" ? undefined : { kind, name, decisions: [] },
+      name === "none" ? undefined : { kind, name, sentences: [], facts: {} },
     publication: find,
+    submitJob: ({ job }) => ({ type: "accepted", job, offset: 1 }),
+    cancelJob: (job) =>
+      job === "none"
+        ? { type: "refused", cause: "invalid", reason: "The job is unknown." }
+        : { type: "accepted", job, offset: 2 },
+    listJobs: () => ({ offset: 2, jobs: [], omitted: 0 }),
     ...overrides,
   };
 }
