Test the heartbeats of a pair

Guards against needless second exchanges, a watched member without answers, a silent starter and counts of free slots that stay wrong after lost and crossed messages.

--- /dev/null
+++ b/packages/daemon/peer_links_test.ts
@@ -0,0 +1,178 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import type { FleetState, SlotReport } from "@lagoonloom/decisions";
+import {
+  HeartbeatRequestSchema,
+  HeartbeatResponseSchema,
+  type PeerClient,
+} from "@lagoonloom/peers";
+import fc from "fast-check";
+import { isStarterOf } from "./is_starter_of.ts";
+import { createPeerLinks, NEAR_HEARTBEAT_MS } from "./peer_links.ts";
+
+/** What happens to the messages of one step. */
+type Step = {
+  requestDelayMs: number;
+  answerDelayMs: number;
+  isRequestLost: boolean;
+  isAnswerLost: boolean;
+  free: number;
+};
+
+const GOOD: Step = {
+  requestDelayMs: 1,
+  answerDelayMs: 1,
+  isRequestLost: false,
+  isAnswerLost: false,
+  free: 0,
+};
+
+const UNREACHABLE = {
+  type: "unreachable" as const,
+  mayHaveArrived: true,
+  isConnectionRefused: false,
+  reason: "lost",
+};
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** Two entry hosts whose messages are lost and delayed as a step says. */
+function createPair(needsAnswers: (self: string) => boolean) {
+  const network = { step: GOOD, requests: 0 };
+  const free = { a: 0, b: 0 };
+  const receiveBy: Record<string, ReturnType<typeof createPeerLinks>> = {};
+  const describeOwn = (member: string) => ({
+    member,
+    incarnation: "i1",
+    dataCentre: "detroit",
+    nextOffset: 0,
+    generation: 0,
+    setVersion: 0,
+    logAgeMs: 0,
+    slotBasis: 0n,
+    held: [],
+    busyHosts: [],
+  });
+  function connectTo(other: string): PeerClient {
+    return {
+      async heartbeat(message) {
+        const { step } = network;
+        network.requests++;
+        await sleep(step.requestDelayMs);
+        if (step.isRequestLost) return UNREACHABLE;
+        const request = create(HeartbeatRequestSchema, message);
+        const reply = receiveBy[other]!.receive(request, performance.now());
+        const response = create(HeartbeatResponseSchema, {
+          member: other,
+          incarnation: "i1",
+          ...reply,
+        });
+        await sleep(step.answerDelayMs);
+        return step.isAnswerLost ? UNREACHABLE : { type: "answered", response };
+      },
+      close: () => undefined,
+    } as Partial<PeerClient> as PeerClient;
+  }
+  for (const [self, other] of [["a", "b"], ["b", "a"]] as const) {
+    receiveBy[self] = createPeerLinks({
+      connect: connectTo,
+      describe: () => describeOwn(self),
+      reportSlots: () => [{ pool: "quoting", free: free[self], lent: 0 }],
+      needsAnswers: () => needsAnswers(self),
+      isStartedBy: (link) => link.name < self,
+      onAnswer: () => undefined,
+    });
+    receiveBy[self].setTargets([{ address: other, isNear: true }]);
+  }
+  const { a, b } = receiveBy as Record<"a" | "b", typeof receiveBy[string]>;
+  async function run(ms: number) {
+    for (let passed = 0; passed < ms; passed += 100) {
+      a.tick(performance.now());
+      b.tick(performance.now());
+      await jest.advanceTimersByTimeAsync(100);
+    }
+  }
+  const countsOf = (links: typeof a, name: string): SlotReport | undefined =>
+    links.find(name)?.freeSlots.get("quoting");
+  return { network, free, a, b, run, countsOf };
+}
+
+beforeEach(() => void jest.useFakeTimers());
+
+afterEach(() => void jest.useRealTimers());
+
+describe("isStarterOf()", () => {
+  // Guards against a member without its watcher's promises, and against a pair
+  // of which neither or, needlessly, both start.
+  test.each([
+    { watchers: {}, forA: false, forB: true },
+    { watchers: { b: "a" }, forA: true, forB: false },
+    { watchers: { a: "b" }, forA: false, forB: true },
+    { watchers: { a: "b", b: "a" }, forA: false, forB: true },
+  ])("with the watchers $watchers", ({ watchers, forA, forB }) => {
+    const watcherOf = new Map(Object.entries(watchers));
+    const members = new Map(["a", "b"].map((name) => [
+      name,
+      { name, watcher: watcherOf.get(name) },
+    ])) as unknown as FleetState["members"];
+    expect(isStarterOf({ self: "a", other: "b" }, { members })).toBe(forA);
+    expect(isStarterOf({ self: "b", other: "a" }, { members })).toBe(forB);
+  });
+});
+
+describe("createPeerLinks()", () => {
+  // Guards against twice the traffic, against a watched member without answers,
+  // and against silence when the side that starts can't send.
+  test.each([
+    { case: "one side starts", needing: "", perInterval: 1 },
+    { case: "the other needs answers", needing: "b", perInterval: 2 },
+  ])("$case", async ({ needing, perInterval }) => {
+    const { network, run, a, b } = createPair((self) => self === needing);
+    await run(3_000);
+    network.requests = 0;
+    await run(20 * NEAR_HEARTBEAT_MS);
+    expect(network.requests).toBe(20 * perInterval);
+    a.close();
+    network.requests = 0;
+    await run(4 * NEAR_HEARTBEAT_MS);
+    expect(network.requests).toBeGreaterThanOrEqual(2);
+    b.close();
+  });
+
+  // Guards against counts of free slots that stay wrong after lost, late and
+  // crossed messages: work would be forwarded to slots that are not free.
+  test("agrees on free slots after lost and crossed messages", async () => {
+    const oneInFour = fc.integer({ min: 0, max: 3 }).map((it) => it === 0);
+    const step = fc.record({
+      requestDelayMs: fc.integer({ min: 1, max: 700 }),
+      answerDelayMs: fc.integer({ min: 1, max: 700 }),
+      isRequestLost: oneInFour,
+      isAnswerLost: oneInFour,
+      free: fc.integer({ min: 0, max: 1 }),
+    });
+    const steps = fc.array(step, { minLength: 3, maxLength: 16 });
+    await fc.assert(
+      fc.asyncProperty(steps, fc.boolean(), async (schedule, bothStart) => {
+        const pair = createPair(() => bothStart);
+        for (const next of schedule) {
+          pair.network.step = next;
+          pair.free.a = next.free;
+          pair.free.b = 1 - next.free;
+          await pair.run(300);
+        }
+        pair.network.step = GOOD;
+        await pair.run(4_000);
+        expect(pair.countsOf(pair.b, "a")?.free).toBe(pair.free.a);
+        expect(pair.countsOf(pair.a, "b")?.free).toBe(pair.free.b);
+      }),
+      { numRuns: 500 },
+    );
+  });
+});
