Warn before the claims are full and observe latency by team

Cause: orders were refused as claims-full without a warning, and the latency of requests was observed by service and class only.

Change: the event LL4005 is logged once when 80% of the claims are in use, and again only after the use fell below 75%; the gauges lagoonloom_claims and lagoonloom_claims_limit show the use. The histogram lagoonloom_team_request_duration_seconds has the labels team and class; teams come from the settings, at most 200, and others count as other.

--- a/packages/daemon/requests/_fault_fixture.ts
+++ b/packages/daemon/requests/_fault_fixture.ts
@@ -50,6 +50,7 @@
   /** Whether the first entry host owns no slots and forwards everything. */
   isForwarding?: boolean;
   longestRequestMs?: number;
+  maxClaims?: number;
   /** Number of entry hosts, at least 2. */
   entryHosts?: number;
   /** Latency of a call between entry hosts in milliseconds. */
@@ -111,6 +112,7 @@
         maxConnections: 8,
         maxBodyBytes: 1_000_000,
         longestRequestMs: options.longestRequestMs ?? 10_000,
+        ...(options.maxClaims && { maxClaims: options.maxClaims }),
       },
       hasSlotRights: () => !host.isLost,
       logIsFresh: () => performance.now() - contactAtMs < 1_100,
--- a/packages/daemon/requests/_order_keeper.ts
+++ b/packages/daemon/requests/_order_keeper.ts
@@ -35,6 +35,10 @@
 /** Time between two looks at a claim that is being decided. */
 const DECISION_POLL_MS = 25;
 
+/** Share of the claims in use that is reported, and that ends the report. */
+const NEARLY_FULL_SHARE = 0.8;
+const ENOUGH_ROOM_SHARE = 0.75;
+
 /** Refusals that need no confirmation by the other entry hosts. */
 const CERTAIN_REASONS = new Set(["unknown-service"]);
 
@@ -78,6 +82,7 @@
   const joined = new Set<string>();
   /** Whether the claims of the log were folded once since the start. */
   let hasBeenFresh = false;
+  let isNearlyFull = false;
   let wakeTimer: NodeJS.Timeout | undefined;
   return {
     run,
@@ -137,6 +142,20 @@
     hasBeenFresh ||= dependencies.logIsFresh();
     advance({ type: "members", live: dependencies.liveMembers() });
     advance({ type: "tick" });
+    reportUse();
+  }
+
+  /** Warns in time before new orders are refused. */
+  function reportUse(): void {
+    const claims = state.table.size + state.old.size;
+    const limit = state.options.maxClaims;
+    dependencies.metrics.setClaims({ count: claims, limit });
+    const isNear = claims >= NEARLY_FULL_SHARE * limit;
+    if (isNear && !isNearlyFull) {
+      dependencies.events.log("claimsNearlyFull", { claims, limit });
+    }
+    isNearlyFull = isNear ||
+      (isNearlyFull && claims >= ENOUGH_ROOM_SHARE * limit);
   }
 
   function foldClaim(record: LogRecord): void {
--- a/packages/daemon/requests/create_request_path.ts
+++ b/packages/daemon/requests/create_request_path.ts
@@ -45,6 +45,7 @@
  */
 export function createRequestPath(dependencies: RequestPathDependencies) {
   const { settings, metrics } = dependencies;
+  metrics.allowTeams(settings.callers.values());
   const client = createExecutorClient({
     maxConnections: settings.maxConnections,
     budget: createTransitBudget(
@@ -97,7 +98,8 @@
   async function handleCaller(request: CallerRequest): Promise<CallerOutcome> {
     const startedAtMs = dependencies.nowMs();
     const outcome = await intake.takeCaller(request, { isStopping });
-    metrics.observeRequest(request, {
+    const { service, urgency, caller: team } = request;
+    metrics.observeRequest({ service, urgency, team }, {
       durationMs: dependencies.nowMs() - startedAtMs,
       outcome: nameOutcome(outcome),
     });
--- a/packages/daemon/requests/create_request_path_test.ts
+++ b/packages/daemon/requests/create_request_path_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
+import { createEventLog, createMetrics } from "@lagoonloom/telemetry";
 import { type CallOptions, createFaultFixture } from "./_fault_fixture.ts";
 
 type Fixture = Awaited<ReturnType<typeof createFaultFixture>>;
@@ -74,6 +75,33 @@
     });
   });
 
+  // Guards against orders that are refused without a warning before.
+  test("warns once before the claims are full", async () => {
+    const seen: unknown[] = [];
+    const metrics = createMetrics();
+    const events = createEventLog({
+      format: "hidden",
+      onEvent: ({ id }, fields) => seen.push([id, fields]),
+    });
+    const overrides = { events, metrics };
+    const fixture = await createFixture({ maxClaims: 5, overrides });
+    const { path } = fixture.hosts.get("entry-a")!;
+    for (const key of ["k-1", "k-2", "k-3", "k-4"]) {
+      expect((await fixture.call("entry-a", { key })).status).toBe(200);
+    }
+    await path.drained();
+    await new Promise((resolve) => setTimeout(resolve, 120));
+    // Both entry hosts of the fixture use the same event log.
+    const warning = ["LL4005", { claims: 4, limit: 5 }];
+    expect(seen).toEqual([warning, warning]);
+    const text = await metrics.registry.metrics();
+    expect(text).toContain("lagoonloom_claims 4\n");
+    expect(text).toContain("lagoonloom_claims_limit 5\n");
+    expect(text).toContain(
+      '_team_request_duration_seconds_count{team="team",urgency="normal"} 4',
+    );
+  });
+
   // Guards against a request that is sent under expired slot rights, and
   // against an order that stays claimed after that.
   test("sends nothing without slot rights", async () => {
--- a/packages/telemetry/log_events.ts
+++ b/packages/telemetry/log_events.ts
@@ -202,6 +202,12 @@
     message: "orders are accepted again",
     fields: {},
   },
+  claimsNearlyFull: {
+    id: "LL4005",
+    level: "warn",
+    message: "orders will soon be refused, since most claims are in use",
+    fields: { claims: "number", limit: "number" },
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** Name of a log event. */
--- a/packages/telemetry/metrics.ts
+++ b/packages/telemetry/metrics.ts
@@ -25,13 +25,20 @@
 const OUTCOMES = ["succeeded", "failed", "not-run", "unknown", "forwarded"];
 
 /** Labels of one finished request or job start. */
-export type RequestLabels = { service: string; urgency: string };
+export type RequestLabels = {
+  service: string;
+  urgency: string;
+  /** Team of the caller; not observed by team if absent. */
+  team?: string;
+};
 
 /** Metrics of one daemon. */
 export type Metrics = {
   registry: Registry;
   /** Admits names of services or teams as label values. */
   allowServices(names: Iterable<string>): void;
+  /** Admits names of teams as label values. */
+  allowTeams(names: Iterable<string>): void;
   /** Counts a finished request and its duration in milliseconds. */
   observeRequest(
     labels: RequestLabels,
@@ -40,6 +47,7 @@
   setSetVersion(version: number): void;
   setLogPosition(position: { nextOffset: number; ageMs: number }): void;
   setSlots(slots: { usable: number; running: number }): void;
+  setClaims(claims: { count: number; limit: number }): void;
   countRecord(outcome: "applied" | "refused" | "duplicate"): void;
 };
 
@@ -57,6 +65,13 @@
       buckets: DURATION_BUCKETS_S,
       registers,
     }),
+    teamDurations: new Histogram({
+      name: "lagoonloom_team_request_duration_seconds",
+      help: "Time from a request's arrival to its end, by team.",
+      labelNames: ["team", "urgency"] as const,
+      buckets: DURATION_BUCKETS_S,
+      registers,
+    }),
     outcomes: new Counter({
       name: "lagoonloom_request_outcomes_total",
       help: "Finished requests by outcome.",
@@ -77,6 +92,8 @@
     ),
     usableSlots: gauge("slots_usable", "Slots that this entry host may use."),
     runningSlots: gauge("slots_running", "Slots with a running request."),
+    claims: gauge("claims", "Claims that are remembered."),
+    claimsLimit: gauge("claims_limit", "Claims from which orders are refused."),
   };
 }
 
@@ -95,6 +112,7 @@
   const registry = new Registry();
   const instruments = createInstruments([registry]);
   const services = createLabelBound({ maxValues: MAX_SERVICE_LABELS });
+  const teams = createLabelBound({ maxValues: MAX_SERVICE_LABELS });
   const urgencies = createLabelBound({ maxValues: URGENCY_CLASSES.length });
   const outcomes = createLabelBound({ maxValues: OUTCOMES.length });
   urgencies.allow(URGENCY_CLASSES);
@@ -102,12 +120,19 @@
   return {
     registry,
     allowServices: (names) => services.allow(names),
+    allowTeams: (names) => teams.allow(names),
     observeRequest(labels, result) {
       const bounded = {
         service: services.label(labels.service),
         urgency: urgencies.label(labels.urgency),
       };
-      instruments.durations.observe(bounded, result.durationMs / 1_000);
+      const { urgency } = bounded;
+      const seconds = result.durationMs / 1_000;
+      instruments.durations.observe(bounded, seconds);
+      if (labels.team !== undefined) {
+        const team = teams.label(labels.team);
+        instruments.teamDurations.observe({ team, urgency }, seconds);
+      }
       instruments.outcomes.inc({
         ...bounded,
         outcome: outcomes.label(result.outcome),
@@ -128,6 +153,10 @@
       instruments.usableSlots.set(slots.usable);
       instruments.runningSlots.set(slots.running);
     },
+    setClaims(claims: { count: number; limit: number }) {
+      instruments.claims.set(claims.count);
+      instruments.claimsLimit.set(claims.limit);
+    },
     countRecord(outcome: "applied" | "refused" | "duplicate") {
       instruments.records.inc({ outcome });
     },
--- a/packages/telemetry/metrics_test.ts
+++ b/packages/telemetry/metrics_test.ts
@@ -8,8 +8,9 @@
     const metrics = createMetrics();
     const names = Array.from({ length: 300 }, (_, index) => `service-${index}`);
     metrics.allowServices(names);
+    metrics.allowTeams(names);
     for (const service of names) {
-      metrics.observeRequest({ service, urgency: service }, {
+      metrics.observeRequest({ service, urgency: service, team: service }, {
         durationMs: 1,
         outcome: service,
       });
@@ -22,6 +23,13 @@
     expect(lines.at(-1)).toBe(
       'lagoonloom_request_outcomes_total{service="other",urgency="other",outcome="other"} 100',
     );
+    const counts = text.split("\n").filter((line) =>
+      line.startsWith("lagoonloom_team_request_duration_seconds_count{")
+    );
+    expect(counts).toHaveLength(MAX_SERVICE_LABELS + 1);
+    expect(counts.at(-1)).toBe(
+      'lagoonloom_team_request_duration_seconds_count{team="other",urgency="other"} 100',
+    );
   });
 });
 
