Keep the counts of a pool until the fold changes one of its hosts

Each round of a decider and each permit at the fold counted the hosts of a pool again, with a concatenated rack name per host, and looked up each name twice. The tests of the fold compare each state with a decoded copy, whose counts are fresh.

--- a/packages/decisions/budgets/hosts_that_may_be_out.ts
+++ b/packages/decisions/budgets/hosts_that_may_be_out.ts
@@ -65,14 +65,20 @@
   const racks = groupByRack(state, names);
   const before = choice.hosts.length;
   while (racks.size > 0) {
+    if (choice.hosts.length - before >= limit) {
+      const reason =
+        `At most ${limit} hosts of "${capacity.pool}" are taken out now.`;
+      for (const rest of racks.values()) {
+        for (const name of rest) choice.reasons.set(name, reason);
+      }
+      return;
+    }
     const rack = fullestRack(racks, capacity);
     const rest = racks.get(rack) ?? [];
     const name = rest.shift();
     if (rest.length === 0) racks.delete(rack);
     if (name === undefined) continue;
-    const reason = choice.hosts.length - before >= limit
-      ? `At most ${limit} hosts of "${capacity.pool}" are taken out now.`
-      : whyNotOut(state, capacity, name);
+    const reason = whyNotOut(state, capacity, name);
     if (reason === undefined) {
       takeOut(state, capacity, name);
       choice.hosts.push(name);
--- a/packages/decisions/budgets/pool_capacity.ts
+++ b/packages/decisions/budgets/pool_capacity.ts
@@ -50,8 +50,13 @@
     own(state.set.hosts, name)?.state === "in-service";
 }
 
+/** Counts by pool as of the last change of the pool's hosts. */
+const known = new WeakMap<FleetState, Map<string, PoolCapacity>>();
+
 /**
- * Counts the hosts of a pool against its budgets.
+ * Counts the hosts of a pool against its budgets. The result belongs to the
+ * caller. The counts are kept until the fold changes a host of the pool, since
+ * each round and each permit asks for them.
  *
  * @example
  * ```ts
@@ -59,6 +64,52 @@
  * ```
  */
 export function poolCapacity(state: FleetState, pool: string): PoolCapacity {
+  let capacities = known.get(state);
+  if (capacities === undefined) {
+    capacities = new Map();
+    known.set(state, capacities);
+  }
+  let capacity = capacities.get(pool);
+  if (capacity === undefined) {
+    capacity = countPool(state, pool);
+    capacities.set(pool, capacity);
+  }
+  return {
+    ...capacity,
+    racks: copyPlaces(capacity.racks),
+    dataCentres: copyPlaces(capacity.dataCentres),
+  };
+}
+
+/**
+ * Drops the kept counts of some pools, or of all if none are given. The fold
+ * calls it after each record that changes a host of these pools or the set.
+ *
+ * @example
+ * ```ts
+ * forgetPoolCapacity(state, ["orders"]);
+ * ```
+ */
+export function forgetPoolCapacity(
+  state: FleetState,
+  pools?: readonly string[],
+): void {
+  if (pools === undefined) known.delete(state);
+  const capacities = known.get(state);
+  for (const pool of pools ?? []) capacities?.delete(pool);
+}
+
+function copyPlaces(
+  places: Map<string, PlaceCapacity>,
+): Map<string, PlaceCapacity> {
+  const copy = new Map<string, PlaceCapacity>();
+  for (const [name, { total, available, planned }] of places) {
+    copy.set(name, { total, available, planned });
+  }
+  return copy;
+}
+
+function countPool(state: FleetState, pool: string): PoolCapacity {
   const names = state.hostsByPool.get(pool) ?? new Set();
   // Hosts that move to the pool count already, so that its own planned stops
   // leave them the room to join.
@@ -124,6 +175,9 @@
   }
 }
 
+/** Names by host, since a concatenated text has to be hashed at each use. */
+const rackKeys = new WeakMap<object, string>();
+
 /**
  * Returns the name of a host's rack, unique over data centres.
  *
@@ -133,7 +187,12 @@
  * ```
  */
 export function rackKey(host: { data_centre: string; rack: string }): string {
-  return `${host.data_centre}/${host.rack}`;
+  let key = rackKeys.get(host);
+  if (key === undefined) {
+    key = `${host.data_centre}/${host.rack}`;
+    rackKeys.set(host, key);
+  }
+  return key;
 }
 
 function placeOf(
--- a/packages/decisions/fold/apply_record.ts
+++ b/packages/decisions/fold/apply_record.ts
@@ -1,4 +1,5 @@
 import { ControlRecord, type LogRecord } from "@lagoonloom/records";
+import { forgetPoolCapacity } from "../budgets/pool_capacity.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { foldCheckpoint } from "./internal/fold_checkpoint.ts";
 import { foldDeciderClaimed } from "./internal/fold_decider.ts";
@@ -55,13 +56,30 @@
   if (state.outcomes.has(record.id)) return { type: "duplicate" };
   const parsed = ControlRecord.safeParse(record.body);
   const outcome = parsed.success
-    ? foldBody(state, parsed.data, record)
+    ? foldAndForget(state, parsed.data, record)
     : refuse(describeIssue(parsed.error.issues[0]));
   const { offset, timeMs, id } = record;
   state.outcomes.set(id, { offset, timeMs, outcome });
   return outcome;
 }
 
+/** Folds a record and drops the kept counts of the pools that it changes. */
+function foldAndForget(
+  state: FleetState,
+  body: ControlRecord,
+  log: LogRecord,
+): RecordOutcome {
+  const host = "host" in body ? state.hosts.get(body.host) : undefined;
+  const before = host === undefined ? [] : [host.owner, host.move?.to ?? ""];
+  const outcome = foldBody(state, body, log);
+  if (body.type === "set.changed") forgetPoolCapacity(state);
+  if (host !== undefined) {
+    const pools = [...before, host.owner, host.move?.to ?? ""];
+    forgetPoolCapacity(state, pools);
+  }
+  return outcome;
+}
+
 function describeIssue(
   issue: { path: PropertyKey[]; message: string } | undefined,
 ): string {
--- a/packages/decisions/fold/internal/outcomes.ts
+++ b/packages/decisions/fold/internal/outcomes.ts
@@ -13,5 +13,10 @@
   dictionary: Record<string, Value>,
   name: string,
 ): Value | undefined {
-  return Object.hasOwn(dictionary, name) ? dictionary[name] : undefined;
+  const value = dictionary[name];
+  // Only names of the prototype need the second lookup.
+  return value === undefined || name in Object.prototype &&
+      !Object.hasOwn(dictionary, name)
+    ? undefined
+    : value;
 }
--- a/packages/decisions/pools/plan_moves.ts
+++ b/packages/decisions/pools/plan_moves.ts
@@ -123,10 +123,14 @@
   plan: MovePlan,
   { term }: PlanMovesOptions,
 ): void {
-  const names = [...state.hosts].filter(([name, host]) => {
-    return host.wish !== undefined && host.permit === undefined &&
-      own(state.set.hosts, name)?.data_centre === term.scope;
-  }).map(([name]) => name).sort();
+  const names: string[] = [];
+  for (const [name, host] of state.hosts) {
+    if (host.wish === undefined || host.permit !== undefined) continue;
+    if (own(state.set.hosts, name)?.data_centre === term.scope) {
+      names.push(name);
+    }
+  }
+  names.sort();
   const { hosts } = hostsThatMayBeOut(state, { candidates: names });
   for (const host of hosts) {
     const to = state.hosts.get(host)?.wish ?? "";
--- a/packages/measure/capacity/measure_buffer.ts
+++ b/packages/measure/capacity/measure_buffer.ts
@@ -44,8 +44,10 @@
  * const rows = measureBuffer();
  * ```
  */
-export function measureBuffer(): MeasureRow[] {
-  return CAPACITY_DEPLOYMENTS.flatMap((deployment) => {
+export function measureBuffer(
+  deployments: readonly CapacityDeployment[] = CAPACITY_DEPLOYMENTS,
+): MeasureRow[] {
+  return deployments.flatMap((deployment) => {
     const trace = createTrace(deployment, SEED);
     const results: [string, Result][] = [
       ["chosen", run(deployment, { trace, policy: "chosen" })],
