Spread decision rounds and checkpoints over turns of the loop

A decision round planned observations, waves and moves in one turn of the loop, up to 18.6 ms for 3,600 hosts, and encodeCheckpoint held it for 33 ms. Each plan now takes a turn of its own; records that were planned on an older state are refused by the fold, and a decider that lost its term in between appends nothing. Loading a checkpoint and the first set still take one turn each.

--- a/packages/daemon/capacity/decider_loop.ts
+++ b/packages/daemon/capacity/decider_loop.ts
@@ -111,13 +111,19 @@
     options.demand.observe(state, nowMs);
     const contacts = options.probes.contacts();
     const seen = planObservations(state, contacts, { term: current, nowMs });
+    // Each plan takes a turn of its own, so that requests wait for one only. A
+    // record folded in between can make a planned record stale; the fold
+    // refuses it then.
+    await nextTurn();
     const wave = planWave(state, observations, { term: current, nowMs });
+    await nextTurn();
     const moves = planMoves(state, observations, {
       term: current,
       nowMs,
       demand: options.demand.hosts(),
       shortages: options.demand.shortages(),
     });
+    if (term()?.epoch !== current.epoch) return;
     await appendAll([...seen, ...wave.records, ...moves.records]);
     await rebootAll([...wave.reboots, ...moves.reboots]);
   }
@@ -153,6 +159,10 @@
   };
 }
 
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 function isApplied(result: FoldedOutcome): boolean {
   return result.type === "folded" && result.outcome.type === "applied";
 }
--- a/packages/daemon/checkpoints.ts
+++ b/packages/daemon/checkpoints.ts
@@ -1,7 +1,7 @@
-import { encodeCheckpoint } from "@lagoonloom/decisions";
 import type { PlatformClient } from "@lagoonloom/platform";
 import type { EventLog } from "@lagoonloom/telemetry";
 import type { ControlFold } from "./control_fold.ts";
+import { encodeInTurns } from "./encode_in_turns.ts";
 
 /**
  * Records after the last checkpoint from which a new one is due whatever its
@@ -102,8 +102,7 @@
 /** Appends the state in chunks; the fold ignores duplicates of them. */
 async function appendCheckpoint(options: CheckpointsOptions): Promise<void> {
   const { fold, events } = options;
-  const offset = fold.state().nextOffset;
-  const chunks = encodeCheckpoint(fold.state());
+  const { offset, chunks } = await encodeInTurns(() => fold.state());
   for (const [chunk, data] of chunks.entries()) {
     const body = { offset, chunk, chunks: chunks.length, data };
     const isAppended = await appendChunk(options, body);
--- a/packages/decisions/fold/encode_checkpoint.ts
+++ b/packages/decisions/fold/encode_checkpoint.ts
@@ -16,6 +16,9 @@
   "workers",
 ] as const;
 
+/** Entries that one slice of the encoding takes, about 1 ms of work. */
+const SLICE_ENTRIES = 128;
+
 /**
  * Encodes the state in chunks. Equal states give equal chunks, whatever order
  * their objects were added in.
@@ -26,14 +29,90 @@
  * ```
  */
 export function encodeCheckpoint(state: FleetState): string[] {
-  const text = JSON.stringify(state, replaceValue);
+  const slices = encodeCheckpointSlices(state);
+  for (;;) {
+    const slice = slices.next();
+    if (slice.done === true) return slice.value;
+  }
+}
+
+/**
+ * Encodes the state like {@linkcode encodeCheckpoint} in slices of about 1 ms,
+ * between which the caller may give way to other work. The result is valid only
+ * if the state is the same object at the same offset after the last slice.
+ *
+ * @example
+ * ```ts
+ * const slices = encodeCheckpointSlices(state);
+ * let slice = slices.next();
+ * while (slice.done !== true) slice = slices.next();
+ * const chunks = slice.value;
+ * ```
+ */
+export function* encodeCheckpointSlices(
+  state: FleetState,
+): Generator<undefined, string[]> {
   const chunks: string[] = [];
-  for (let start = 0; start < text.length; start += CHUNK_LENGTH) {
-    chunks.push(text.slice(start, start + CHUNK_LENGTH));
+  let text = "";
+  let entries = 0;
+  for (const piece of encodeFields(state)) {
+    text += piece;
+    while (text.length >= CHUNK_LENGTH) {
+      chunks.push(text.slice(0, CHUNK_LENGTH));
+      text = text.slice(CHUNK_LENGTH);
+    }
+    if (++entries % SLICE_ENTRIES === 0) yield undefined;
   }
+  if (text.length > 0) chunks.push(text);
   return chunks;
 }
 
+/** Yields the parts of a JSON object, one for each entry of a large field. */
+function* encodeFields(state: FleetState): Generator<string> {
+  let start = "{";
+  for (const [field, value] of Object.entries(state).sort(compareKeys)) {
+    if (DERIVED.includes(field)) continue;
+    yield `${start}${JSON.stringify(field)}:`;
+    start = ",";
+    if (field === "set") yield* encodeSet(state.set);
+    else if (value instanceof Map || Array.isArray(value)) {
+      const list = value instanceof Map ? listEntries(field, value) : value;
+      yield* encodeList(list, "[]");
+    } else yield JSON.stringify(value, replaceValue);
+  }
+  yield "}";
+}
+
+function* encodeSet(set: FleetState["set"]): Generator<string> {
+  let start = "{";
+  for (const [kind, objects] of Object.entries(set).sort(compareKeys)) {
+    yield `${start}${JSON.stringify(kind)}:`;
+    start = ",";
+    yield* encodeList(Object.entries(objects).sort(compareKeys), "{}");
+  }
+  yield "}";
+}
+
+/** Encodes a list of values, or of entries as the members of an object. */
+function* encodeList(
+  list: readonly unknown[],
+  brackets: "[]" | "{}",
+): Generator<string> {
+  let start = brackets[0]!;
+  for (const item of list) {
+    yield start +
+      (brackets === "[]"
+        ? JSON.stringify(item, replaceValue)
+        : encodeMember(item as unknown[]));
+    start = ",";
+  }
+  yield start === "," ? brackets[1]! : brackets;
+}
+
+function encodeMember([name, value]: unknown[]): string {
+  return `${JSON.stringify(name)}:${JSON.stringify(value, replaceValue)}`;
+}
+
 /**
  * Decodes chunks of {@linkcode encodeCheckpoint}, in their order.
  *
@@ -73,9 +152,7 @@
 function replaceValue(key: string, value: unknown): unknown {
   if (DERIVED.includes(key)) return undefined;
   if (value instanceof Map) {
-    const entries = [...value];
-    // Outcomes stay in the order of their offsets, in which they are forgotten.
-    return key === "outcomes" ? entries : entries.sort(compareKeys);
+    return listEntries(key, value);
   }
   if (typeof value !== "object" || value === null || Array.isArray(value)) {
     return value;
@@ -83,6 +160,12 @@
   return Object.fromEntries(Object.entries(value).sort(compareKeys));
 }
 
+function listEntries(field: string, map: Map<unknown, unknown>): unknown[][] {
+  const entries = [...map];
+  // Outcomes stay in the order of their offsets, in which they are forgotten.
+  return field === "outcomes" ? entries : entries.sort(compareKeys);
+}
+
 function compareKeys(left: unknown[], right: unknown[]): number {
   return String(left[0]) < String(right[0]) ? -1 : 1;
 }
