--- a/packages/measure/fuzz/answer_properties.ts
+++ b/packages/measure/fuzz/answer_properties.ts
@@ -3,6 +3,7 @@
   createTransitBudget,
 } from "@lagoonloom/endpoints";
 import { createPlatformClient } from "@lagoonloom/platform";
+import { createWorkerClient } from "@lagoonloom/workers";
 import fc from "fast-check";
 import { createServer } from "node:net";
 import type { FuzzProperty } from "./fuzz_property.ts";
@@ -29,6 +30,28 @@
   framing: fc.constantFrom("whole", "whole", "short", "cut", "noise", "none"),
 });
 
+const REPORT = {
+  clockMs: 1,
+  takenAtMs: 1,
+  tasks: [{
+    job: "j1",
+    attempt: 1,
+    state: "running",
+    used: { cores: 1, memory_gb: 1, accelerators: 0 },
+    startedAtMs: 1,
+  }],
+};
+
+const workerAnswer = fc.record({
+  status: fc.constantFrom(200, 201, 302, 404, 500),
+  value: fc.oneof(
+    editedValues(REPORT),
+    editedValues({ state: "stopped" }),
+    fc.jsonValue(),
+  ),
+  framing: fc.constantFrom<Framing>("whole", "whole", "short", "cut", "noise"),
+});
+
 type Framing = "whole" | "short" | "cut" | "noise" | "none";
 
 function frame(
@@ -98,6 +121,39 @@
       });
     },
   },
+  {
+    // A task counts as done, or a report as read, only by a whole answer.
+    name: "worker-answers",
+    async check(run) {
+      let text = "";
+      const server = await serveAnswers(() => text);
+      const address = `127.0.0.1:${server.port}`;
+      const client = createWorkerClient({ timeoutMs: 2_000 });
+      const property = fc.asyncProperty(workerAnswer, async (drawn) => {
+        const { status, framing } = drawn;
+        const head = `HTTP/1.1 ${status} A\r\nConnection: close\r\n`;
+        text = frame(head, { body: JSON.stringify(drawn.value), framing });
+        const task = { worker: "w1", job: "j/1", attempt: 1, epoch: 1 };
+        const stopped = await client.call(address, { type: "stop", ...task });
+        const report = await client.call(address, {
+          type: "report",
+          worker: "w1",
+        });
+        const isOk = framing === "whole" && status < 300;
+        const isRefusal = framing === "whole" && status === 404;
+        for (const { type } of [stopped, report]) {
+          const isDone = type === "done" || type === "report";
+          if ((isDone && !isOk) || (type === "refused" && !isRefusal)) {
+            throw new Error(`Believed a broken answer: ${type}.`);
+          }
+        }
+      });
+      await fc.assert(property, run).finally(() => {
+        client.close();
+        return server.close();
+      });
+    },
+  },
   {
     // Only a whole answer with the request's own id reaches a caller, and only
     // the executor's word makes a sent request "not-run".
--- a/packages/measure/fuzz/http_properties.ts
+++ b/packages/measure/fuzz/http_properties.ts
@@ -6,6 +6,7 @@
 } from "@lagoonloom/callers";
 import {
   createOperatorServer,
+  JobSubmission,
   type OperatorHandlers,
   Publication,
 } from "@lagoonloom/operators";
@@ -23,6 +24,28 @@
   change: { put: { pools: { a: { spare: false } } }, removed: [] },
 });
 
+const JOB = {
+  requestId: "r1",
+  job: "j1",
+  team: "a",
+  cores: 1,
+  memory_gb: 1,
+  run_s: 1,
+  operator: "ada",
+};
+
+/** Body that is posted to a path of the operators' listener. */
+type Post = { path: string; body: string };
+
+const editedPosts: fc.Arbitrary<Post> = fc.oneof(
+  editedValues(JSON.parse(BODY)).map((value) => ["/v1/changes", value]),
+  editedValues(JOB).map((value) => ["/v1/jobs", value]),
+).chain(([path, value]) => {
+  const text = JSON.stringify(value);
+  return fc.constantFrom(text, `${text}}`, text.slice(0, -1), "")
+    .map((body) => ({ path: String(path), body }));
+});
+
 /** Properties of the listeners for callers and operators. */
 export const HTTP_PROPERTIES: readonly FuzzProperty[] = [
   {
@@ -47,7 +70,7 @@
     },
   },
   {
-    // Only valid publications reach the daemon, and no input is its fault.
+    // Only valid publications and jobs reach the daemon; no input is its fault.
     name: "operators-http",
     async check(run) {
       const sent: unknown[] = [];
@@ -62,19 +85,18 @@
       ));
       const path = "/v1/changes";
       const options = { method: "POST", path, token: TOKEN, body: BODY };
-      const bodies = editedValues(JSON.parse(BODY)).chain((value) =>
-        fc.constantFrom(JSON.stringify(value), `${JSON.stringify(value)}}`, "")
-      );
-      const drawn = fc.tuple(pipelines(options), bodies);
-      const property = fc.asyncProperty(drawn, async ([pipeline, body]) => {
+      const drawn = fc.tuple(pipelines(options), editedPosts);
+      const property = fc.asyncProperty(drawn, async ([pipeline, post]) => {
         sent.length = 0;
         const answer = await sendPipeline(server.port, pipeline);
         const whole = sent.map((it) => JSON.stringify(it));
         const known = JSON.stringify(Publication.parse(JSON.parse(BODY)));
         expectValid(pipeline, { answer, bodies: whole, body: known });
-        await postChange(server.port, body);
-        if (!sent.every((it) => Publication.safeParse(it).success)) {
-          throw new Error("A malformed publication reached the daemon.");
+        sent.length = 0;
+        await postBody(server.port, post);
+        const schema = post.path === path ? Publication : JobSubmission;
+        if (!sent.every((it) => schema.safeParse(it).success)) {
+          throw new Error("A malformed body reached the daemon.");
         }
         if (errors.length > 0) throw errors[0];
       });
@@ -114,6 +136,12 @@
       onSubmit(publication);
       return { type: "unknown", publicationId: publication.publicationId };
     },
+    submitJob(submission) {
+      onSubmit(submission);
+      return { type: "unknown", requestId: submission.requestId };
+    },
+    cancelJob: (_, { requestId }) => ({ type: "unknown", requestId }),
+    listJobs: () => Promise.reject(new Error("Not asked for.")),
     currentSet: () => Promise.reject(new Error("Not asked for.")),
     status: () => Promise.reject(new Error("Not asked for.")),
     history: () => [],
@@ -147,8 +175,8 @@
   await response.arrayBuffer();
 }
 
-async function postChange(port: number, body: string): Promise<void> {
-  const response = await fetch(`http://127.0.0.1:${port}/v1/changes`, {
+async function postBody(port: number, { path, body }: Post): Promise<void> {
+  const response = await fetch(`http://127.0.0.1:${port}${path}`, {
     method: "POST",
     headers: {
       authorization: `Bearer ${TOKEN}`,
