--- a/packages/daemon/requests/_fault_executor.ts
+++ b/packages/daemon/requests/_fault_executor.ts
@@ -48,6 +48,8 @@
   previous: { id: string; body: string };
   /** Whether a second request on a connection finds it closed. */
   closesIdle: boolean;
+  /** Run time of a request in milliseconds. */
+  runMs: number;
 };
 
 const SLOW_MS = 60;
@@ -123,6 +125,9 @@
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const key = String(request.headers["idempotency-key"] ?? "quote");
     log.runs.push(key);
+    if (log.runMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, log.runMs));
+    }
     const id = String(request.headers["x-request-id"]);
     const body = answerBody(key, Buffer.concat(chunks));
     if (!await reach("unanswered", socket)) return;
--- a/packages/daemon/requests/_fault_fixture.ts
+++ b/packages/daemon/requests/_fault_fixture.ts
@@ -1,5 +1,5 @@
 import { createCallerServer } from "@lagoonloom/callers";
-import type { RemoteSlots, Topology } from "@lagoonloom/decisions";
+import type { RemoteSlots, Topology, Urgency } from "@lagoonloom/decisions";
 import type { Service } from "@lagoonloom/objects";
 import { tailStream } from "@lagoonloom/platform";
 import type { AnswerRecord } from "@lagoonloom/records";
@@ -63,6 +63,7 @@
     runs: [],
     previous: { id: "none", body: "none" },
     closesIdle: false,
+    runMs: 0,
   };
   const executors = [
     await serveFaultExecutor(log),
@@ -276,6 +277,7 @@
   body?: string;
   service?: string;
   token?: string;
+  urgency?: Urgency;
   gone?: AbortSignal;
 };
 
@@ -285,7 +287,7 @@
   options: CallOptions,
   countRuns: () => number,
 ): Promise<Attempt> {
-  const { key, body = "", token = "token", gone } = options;
+  const { key, body = "", token = "token", urgency, gone } = options;
   const { service = key === undefined ? "quoting" : "orders" } = options;
   return new Promise((resolve) => {
     const outgoing = request(`http://${address}/v1/services/${service}/a`, {
@@ -294,6 +296,7 @@
       headers: {
         authorization: `Bearer ${token}`,
         ...(key !== undefined && { "idempotency-key": key }),
+        ...(urgency !== undefined && { "request-class": urgency }),
       },
       ...(gone && { signal: gone }),
     }, (incoming) => {
