--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -13,8 +13,9 @@
 import { createHostListCopy } from "./host_list.ts";
 import { createJobLoop } from "./jobs/mod.ts";
 import { listPeerTargets } from "./list_peer_targets.ts";
+import { isStarterOf } from "./is_starter_of.ts";
 import { createLogFollower } from "./log_follower.ts";
-import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
+import { ASK_PEERS_AGE_MS, NEVER_READ_MS, relayLog } from "./log_relay.ts";
 import { createCapacity } from "./capacity/mod.ts";
 import { whyLeaving } from "./build_topology.ts";
 import { createMembership, type Membership } from "./membership.ts";
@@ -154,17 +155,23 @@
         ? Object.keys(fold.state().set.pools)
           .map((pool) => ({ pool, free: 0, lent: 0 }))
         : requestPath.reportSlots(),
+    needsAnswers: (link) =>
+      membership.mayReportSelf(link.name) ||
+      (logAgeMs() ?? Infinity) > ASK_PEERS_AGE_MS,
+    isStartedBy: (link) =>
+      isStarterOf({ self: name, other: link.name }, fold.state()),
     onAnswer(link, response, sentAtMs) {
       slots.hear(link.name, toStatement(response));
       void relayLog(link, { fold, follower, sentAtMs });
     },
   });
 
+  const logIsFresh = () => (logAgeMs() ?? Infinity) < FENCE_MS;
   const capacity = createCapacity({
     name,
     dataCentre,
     incarnation: membership.incarnation,
-    logIsFresh: () => (logAgeMs() ?? Infinity) < FENCE_MS,
+    logIsFresh,
     fold,
     append,
     platform,
@@ -253,6 +260,7 @@
     incarnation: membership.incarnation,
     fold,
     isReady,
+    logIsFresh,
     hasMemberRights: membership.hasSlotRights,
     memberOffset: (member) =>
       links.all().find((link) => link.name === member)?.nextOffset,
@@ -314,9 +322,10 @@
       describe,
       onHeartbeat(request) {
         const { member, incarnation } = request;
-        links.receive(request, performance.now());
+        const reply = links.receive(request, performance.now());
         slots.hear(member, toStatement(request));
-        return membership.noteHeartbeat({ name: member, incarnation });
+        const sender = { name: member, incarnation };
+        return { ...reply, promiseMs: membership.noteHeartbeat(sender) };
       },
     }),
     isReady,
--- a/packages/measure/fuzz/http_properties.ts
+++ b/packages/measure/fuzz/http_properties.ts
@@ -78,7 +78,7 @@
       const server = await listenOnLoopback(createOperatorServer(
         operatorHandlers((publication) => sent.push(publication)),
         {
-          keys: [TOKEN],
+          operators: new Map([["ada", TOKEN]]),
           bodyTimeoutMs: 100,
           onError: (error) => errors.push(error),
         },
@@ -147,6 +147,9 @@
     history: () => [],
     explain: () => undefined,
     publication: (publicationId) => ({ type: "unknown", publicationId }),
+    submitJob: () => Promise.reject(new Error("Not asked for.")),
+    cancelJob: () => Promise.reject(new Error("Not asked for.")),
+    listJobs: () => Promise.reject(new Error("Not asked for.")),
   };
 }
 
