--- a/packages/daemon/capacity/decider_loop_test.ts
+++ b/packages/daemon/capacity/decider_loop_test.ts
@@ -113,7 +113,8 @@
     const deployment = createDeciders(3);
     stop = deployment.stop;
     const [first, second] = deployment.deciders;
-    await pass(START_MS);
+    // The renewal at 5 s must not be the record that is held back.
+    await pass(2_000);
     first!.gate = new Promise((resolve) => resume = resolve);
     publishWave(deployment);
     await pass(1_000);
