Name the first watcher in the join of a member

A member that died between its join and the record that named its watcher could be reported as lost by nobody, so that its slots waited for its replacement. The join now names an entry host of the data centre that answers. The fold ignores one that is not a member there. The fencing rules stay as they are: before the fold of its join a member has no rights, and afterwards the folded state tells who may report it. What remains are the first member of a data centre, until another one has joined and was named, and a member that dies together with its watcher.

The new test of the daemon fails on a scratch copy whose fold ignores the field. The generated schedules of slots and membership pass unchanged.

--- a/packages/daemon/create_daemon_test.ts
+++ b/packages/daemon/create_daemon_test.ts
@@ -195,6 +195,22 @@
     expect(usableSlots(daemons[0])).toBe(16);
   });
 
+  // Guards against a member that nobody may report as lost, whose slots would
+  // wait for its replacement, because it died right after its join.
+  test("takes over the slots of a member that dies at its join", async () => {
+    const { start, kill } = createDeployment();
+    const first = start(1);
+    await pass(2_000);
+    await submit(first, publicationOf("p1", { expectedVersion: 0 }));
+    const second = start(2);
+    while (!first.fold.state().members.has(second.name)) await pass(10);
+    await kill(second);
+    await pass(1_000);
+    expect(usableSlots(first)).toBe(8);
+    await pass(15_000);
+    expect(usableSlots(first)).toBe(16);
+  });
+
   // Guards against slots that wait for the fence after a graceful leave.
   test("takes over the slots of a leaving entry host at once", async () => {
     const { start } = createDeployment();
--- a/packages/daemon/membership.ts
+++ b/packages/daemon/membership.ts
@@ -104,6 +104,9 @@
 
   async function join(): Promise<void> {
     const { dataCentre, peerAddress, operatorAddress } = options;
+    // Named with the join, it can report this member from the start. It grants
+    // nothing before the fold, which tells whom the log named.
+    const watcher = nextWatcher(undefined, performance.now());
     await options.append(`join.${name}.${incarnation}`, {
       type: "member.joined",
       member: name,
@@ -111,6 +114,7 @@
       dataCentre,
       peerAddress,
       operatorAddress,
+      ...(watcher === undefined ? {} : { watcher }),
     });
   }
 
@@ -143,16 +147,20 @@
     if (isDecided) withdrawReport(watch, member);
   }
 
-  function tickWatcher(member: Member, nowMs: number): void {
+  /** The entry host to name as the watcher, if another one has to be. */
+  function nextWatcher(
+    current: string | undefined,
+    nowMs: number,
+  ): string | undefined {
     const answering = options.links().all().filter((link) =>
-      nowMs - (contactAtMs(link, member) ?? -Infinity) < WATCHER_SILENT_MS &&
+      nowMs - (contactAtMs(link, current) ?? -Infinity) < WATCHER_SILENT_MS &&
       isIn(link, fold, options.dataCentre)
     ).map((link) => link.name);
-    const next = chooseWatcher({
-      self: name,
-      current: member.watcher,
-      answering,
-    });
+    return chooseWatcher({ self: name, current, answering });
+  }
+
+  function tickWatcher(member: Member, nowMs: number): void {
+    const next = nextWatcher(member.watcher, nowMs);
     if (next !== undefined) attempt("watch", () => nameWatcher(next));
   }
 
@@ -231,8 +239,11 @@
  * The present watcher has to answer with promises. For another one it is enough
  * that it is heard, since not every pair's heartbeats start on this side.
  */
-function contactAtMs(link: PeerLink, member: Member): number | undefined {
-  return link.name === member.watcher ? link.promisedAtMs : link.answeredAtMs;
+function contactAtMs(
+  link: PeerLink,
+  watcher: string | undefined,
+): number | undefined {
+  return link.name === watcher ? link.promisedAtMs : link.answeredAtMs;
 }
 
 function isIn(link: PeerLink, fold: ControlFold, dataCentre: string): boolean {
--- a/packages/decisions/fold/apply_record_test.ts
+++ b/packages/decisions/fold/apply_record_test.ts
@@ -82,6 +82,22 @@
     }
     expect(state.generation).toBe(4);
   });
+
+  // Guards against a watcher that cannot report a loss, or reports itself.
+  test.each([
+    ["e2", "e2"],
+    ["e1", undefined],
+    ["far", undefined],
+    ["absent", undefined],
+  ])("joins with the watcher %s as %s", (watcher, expected) => {
+    const state = emptyFleetState();
+    append(state, join("e2", "i1"));
+    append(state, { ...join("far", "i1"), dataCentre: "cleveland" });
+    append(state, join("e1", "i1"));
+    append(state, { ...join("e1", "i2"), watcher });
+    expect(state.members.get("e1")).toMatchObject({ incarnation: "i2" });
+    expect(state.members.get("e1")?.watcher).toBe(expected);
+  });
 });
 
 function watch(type: string, watcher: string) {
--- a/packages/decisions/fold/internal/fold_member.ts
+++ b/packages/decisions/fold/internal/fold_member.ts
@@ -26,13 +26,16 @@
     return refuse(`Incarnation "${incarnation}" of "${name}" has ended.`);
   }
   if (current !== undefined) endIncarnation(state, name);
+  const { watcher } = record;
+  const isNear = watcher !== undefined && watcher !== name &&
+    state.members.get(watcher)?.dataCentre === record.dataCentre;
   state.members.set(name, {
     name,
     incarnation,
     dataCentre: record.dataCentre,
     peerAddress: record.peerAddress,
     operatorAddress: record.operatorAddress,
-    watcher: undefined,
+    watcher: isNear ? watcher : undefined,
     joinedAtMs: log.timeMs,
   });
   state.generation++;
--- a/packages/records/control_record.ts
+++ b/packages/records/control_record.ts
@@ -25,6 +25,11 @@
     dataCentre: Name,
     peerAddress: z.string().max(100),
     operatorAddress: z.string().max(100),
+    /**
+     * First watcher, so that no member is without one that could be lost
+     * unreported; it has no effect unless it is in the data centre.
+     */
+    watcher: Name.optional(),
   }),
   z.strictObject({
     type: z.literal("member.left"),
