Bound the young generation of the daemon

Node.js lets it grow to 32 MB at any load, and 9 idle daemons took 131 MB each, above the target of 128 MB.

--- a/packages/measure/processes/process_group.ts
+++ b/packages/measure/processes/process_group.ts
@@ -1,6 +1,6 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { createWriteStream } from "node:fs";
+import { createWriteStream, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
@@ -35,7 +35,7 @@
     start(name, program, args) {
       const child = spawn(
         process.execPath,
-        [join(DIST, `${program}.js`), ...args],
+        [...optionsOf(program), join(DIST, `${program}.js`), ...args],
         { stdio: ["ignore", "pipe", "pipe"] },
       );
       const output = createWriteStream(join(folder, `${name}.log`), {
@@ -53,6 +53,13 @@
   };
 }
 
+/** Options of Node.js in the first line of a program. */
+function optionsOf(program: string): string[] {
+  const [first = ""] = readFileSync(join(DIST, `${program}.js`), "utf8")
+    .split("\n", 1);
+  return first.split(" ").filter((word) => word.startsWith("--"));
+}
+
 async function stopProcess(child: ChildProcess): Promise<void> {
   if (child.exitCode !== null || child.signalCode !== null) return;
   const exited = once(child, "exit");
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -14,24 +14,35 @@
   fuzz: "measure/fuzz/main.ts",
 };
 
+/**
+ * Options of Node.js for the daemon. By default the young generation grows to
+ * 32 MB at any load, a quarter of the memory that a daemon may use.
+ */
+const DAEMON_OPTIONS = "--max-semi-space-size=4";
+
 /** Bundles the workspace packages; registry packages stay external. */
 async function main() {
   const manifest = JSON.parse(
     readFileSync(new URL("../package.json", import.meta.url), "utf8"),
   );
-  const entryPoints = {};
   for (const [name, path] of Object.entries(ENTRY_POINTS)) {
-    entryPoints[name] = new URL(path, PACKAGES).pathname;
+    await bundle(manifest, { name, path });
   }
+}
+
+async function bundle(manifest, { name, path }) {
+  const interpreter = name === "lagoonloomd"
+    ? `#!/usr/bin/env -S node ${DAEMON_OPTIONS}`
+    : "#!/usr/bin/env node";
   await build({
-    entryPoints,
+    entryPoints: { [name]: new URL(path, PACKAGES).pathname },
     outdir: new URL("../dist", import.meta.url).pathname,
     bundle: true,
     platform: "node",
     format: "esm",
     target: "node20",
     sourcemap: true,
-    banner: { js: "#!/usr/bin/env node" },
+    banner: { js: interpreter },
     external: Object.keys(manifest.dependencies).flatMap((name) => [
       name,
       `${name}/*`,
