--- a/packages/daemon/requests/_fault_fixture.ts
+++ b/packages/daemon/requests/_fault_fixture.ts
@@ -1,5 +1,5 @@
 import { createCallerServer } from "@lagoonloom/callers";
-import type { RemoteSlots, Topology } from "@lagoonloom/decisions";
+import type { RemoteSlots, Topology, Urgency } from "@lagoonloom/decisions";
 import type { Service } from "@lagoonloom/objects";
 import { tailStream } from "@lagoonloom/platform";
 import type { AnswerRecord } from "@lagoonloom/records";
@@ -50,6 +50,7 @@
   /** Whether the first entry host owns no slots and forwards everything. */
   isForwarding?: boolean;
   longestRequestMs?: number;
+  maxClaims?: number;
   /** Number of entry hosts, at least 2. */
   entryHosts?: number;
   /** Latency of a call between entry hosts in milliseconds. */
@@ -63,6 +64,7 @@
     runs: [],
     previous: { id: "none", body: "none" },
     closesIdle: false,
+    runMs: 0,
   };
   const executors = [
     await serveFaultExecutor(log),
@@ -111,6 +113,7 @@
         maxConnections: 8,
         maxBodyBytes: 1_000_000,
         longestRequestMs: options.longestRequestMs ?? 10_000,
+        ...(options.maxClaims && { maxClaims: options.maxClaims }),
       },
       hasSlotRights: () => !host.isLost,
       logIsFresh: () => performance.now() - contactAtMs < 1_100,
@@ -276,6 +279,7 @@
   body?: string;
   service?: string;
   token?: string;
+  urgency?: Urgency;
   gone?: AbortSignal;
 };
 
@@ -285,7 +289,7 @@
   options: CallOptions,
   countRuns: () => number,
 ): Promise<Attempt> {
-  const { key, body = "", token = "token", gone } = options;
+  const { key, body = "", token = "token", urgency, gone } = options;
   const { service = key === undefined ? "quoting" : "orders" } = options;
   return new Promise((resolve) => {
     const outgoing = request(`http://${address}/v1/services/${service}/a`, {
@@ -294,6 +298,7 @@
       headers: {
         authorization: `Bearer ${token}`,
         ...(key !== undefined && { "idempotency-key": key }),
+        ...(urgency !== undefined && { "request-class": urgency }),
       },
       ...(gone && { signal: gone }),
     }, (incoming) => {
