--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -4,7 +4,9 @@
   measureRollout,
   measureSafety,
 } from "./capacity/mod.ts";
+import { CONTROL_SIZES, measureControl } from "./control/mod.ts";
 import type { Measure } from "./measure_row.ts";
+import { measureJobs } from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
 import { measureFlood } from "./requests/measure_flood.ts";
@@ -21,9 +23,26 @@
   faults: measureFaults,
   flood: measureFlood,
   "flood-stress": measureFloodStress,
+  jobs: measureJobs,
   rollout: measureRollout,
   safety: measureSafety,
   settling: measureSettling,
   "slot-excess": measureSlotExcess,
   "stale-forward": measureStaleForward,
 };
+
+/**
+ * Measures with real processes, which run only if `--only` selects them: they
+ * take minutes, and their values depend on the machine.
+ */
+export const PROCESS_MEASURES: Readonly<Record<string, Measure>> = {
+  control: async () => {
+    const rows = [];
+    for (const size of CONTROL_SIZES) rows.push(...await measureControl(size));
+    return rows;
+  },
+  ...Object.fromEntries(CONTROL_SIZES.flatMap((size) => [
+    [`control-${size}`, () => measureControl(size)],
+    [`control-idle-${size}`, () => measureControl(size, { isIdleOnly: true })],
+  ])),
+};
