--- a/packages/measure/demo/run_demo.ts
+++ b/packages/measure/demo/run_demo.ts
@@ -1,12 +1,10 @@
-import { readFileSync, writeFileSync } from "node:fs";
-import { join } from "node:path";
-import { fileURLToPath } from "node:url";
+import type { FleetProcesses } from "../processes/mod.ts";
 import {
-  type FleetProcesses,
-  runProgram,
-  startFleet,
-  waitFor,
-} from "../processes/mod.ts";
+  listExecutorAddresses,
+  openFleet,
+  ORDERS,
+  startLakeshore,
+} from "./open_fleet.ts";
 import { checkAnswers, type PromiseRow, readExecutors } from "./promises.ts";
 import {
   type CallerResult,
@@ -16,15 +14,6 @@
 } from "./traffic.ts";
 import { checkWave, startWave } from "./wave.ts";
 
-const EXAMPLE = fileURLToPath(
-  new URL("../examples/lakeshore.ini", import.meta.url),
-);
-
-const EXECUTORS = 35;
-
-/** Number of entry hosts, three in each data centre. */
-const ENTRY_HOSTS = 9;
-
 const QUOTES: Load = {
   service: "quotes",
   isOrder: false,
@@ -34,15 +23,6 @@
   deadlineMs: 1_000,
 };
 
-const ORDERS: Load = {
-  service: "orders",
-  isOrder: true,
-  urgency: "normal",
-  requestsPerS: 20,
-  runMs: 80,
-  deadlineMs: 2_000,
-};
-
 /** Asks for about three times the slots of the whole fleet. */
 const FLOOD: Load = {
   ...QUOTES,
@@ -67,15 +47,7 @@
     const seconds = ((performance.now() - startedAtMs) / 1_000).toFixed(1);
     console.log(`${seconds.padStart(5)} s  ${text}`);
   };
-  const fleet = startFleet({
-    region: "great-lakes",
-    dataCentres: ["detroit", "cleveland", "milwaukee"],
-    daemons: ENTRY_HOSTS,
-    setFile: EXAMPLE,
-    workers: { first: "127.0.0.1:22001", count: EXECUTORS },
-    runMs: 40,
-    extra: "[bounds]\nunready_ms = 500\n",
-  });
+  const fleet = startLakeshore();
   const onSignal = () => void fleet.stop().then(() => process.exit(1));
   process.once("SIGINT", onSignal);
   process.once("SIGTERM", onSignal);
@@ -94,20 +66,13 @@
   note: (text: string) => void,
 ): Promise<PromiseRow[]> {
   const rows: PromiseRow[] = [];
-  const setFile = join(fleet.folder, "lakeshore.ini");
-  writeFileSync(setFile, readFileSync(EXAMPLE));
-  note(`started ${ENTRY_HOSTS} entry hosts and ${EXECUTORS} executors`);
-  await waitFor(async () => await hasListeners(fleet), {
-    what: "the entry hosts",
-    timeoutMs: 15_000,
+  const { setFile, secondsToForce } = await openFleet(fleet, note);
+  rows.push({
+    promise: "in force everywhere within 3 s",
+    holds: secondsToForce <= 3,
+    detail: `${secondsToForce.toFixed(2)} s after the publication was accepted`,
   });
-  rows.push(await publishSet(fleet, { file: setFile, expectedVersion: 0 }));
-  note("published the Lakeshore set; it is in force on every entry host");
   const { balancer: address } = fleet;
-  await waitFor(() => canServe(address), {
-    what: "the first answer",
-    timeoutMs: 15_000,
-  });
   const calm = await sendLoads([QUOTES, ORDERS], {
     address,
     durationMs: 4_000,
@@ -130,66 +95,11 @@
   const repeated = await repeatUnanswered(served, fleet);
   note(`repeats of orders without an answer: ${summarize(repeated)}`);
   rows.push(await checkWave(fleet, wave));
-  const addresses = Array.from(
-    { length: EXECUTORS },
-    (_, index) => `127.0.0.1:${21_001 + index}`,
-  );
-  const counts = await readExecutors(addresses);
+  const counts = await readExecutors(listExecutorAddresses());
   const all = [...calm, ...flood, ...served, ...repeated];
   return [...checkAnswers(all, counts), ...rows];
 }
 
-async function hasListeners(fleet: FleetProcesses): Promise<boolean> {
-  const clients = [...fleet.clients.values()];
-  const answers = await Promise.all(clients.map((client) => client.status()));
-  return answers.every((answer) => answer.isRight());
-}
-
-async function publishSet(
-  fleet: FleetProcesses,
-  options: { file: string; expectedVersion: number },
-): Promise<PromiseRow> {
-  const { code, output } = await runProgram("lagoonloom", [
-    "publish",
-    options.file,
-    "--expected-version",
-    String(options.expectedVersion),
-    "--settings",
-    fleet.cliSettings,
-  ]);
-  if (code !== 0) throw new Error(`The publication failed: ${output}`);
-  const startedAtMs = performance.now();
-  const version = options.expectedVersion + 1;
-  await waitFor(() => isInForce(fleet, version), {
-    what: `version ${version} on every entry host`,
-    timeoutMs: 10_000,
-  });
-  const seconds = (performance.now() - startedAtMs) / 1_000;
-  return {
-    promise: "in force everywhere within 3 s",
-    holds: seconds <= 3,
-    detail: `${seconds.toFixed(2)} s after the publication was accepted`,
-  };
-}
-
-async function isInForce(
-  fleet: FleetProcesses,
-  version: number,
-): Promise<boolean> {
-  const clients = [...fleet.clients.values()];
-  const answers = await Promise.all(clients.map((client) => client.status()));
-  return answers.every((answer) =>
-    answer.map((status) => status.version >= version).orDefault(false)
-  );
-}
-
-async function canServe(address: string): Promise<boolean> {
-  const results = await Promise.all(
-    Array.from({ length: ENTRY_HOSTS }, () => sendRequest(ORDERS, { address })),
-  );
-  return results.every(({ outcome }) => outcome === "answered");
-}
-
 /** Repeats orders whose caller does not know whether they ran. */
 async function repeatUnanswered(
   results: readonly CallerResult[],
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -5,6 +5,7 @@
   measureSafety,
 } from "./capacity/mod.ts";
 import { CONTROL_SIZES, measureControl } from "./control/mod.ts";
+import { measureProcessesFlood } from "./demo/measure_processes_flood.ts";
 import type { Measure } from "./measure_row.ts";
 import { measureJobs } from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
@@ -41,6 +42,7 @@
     for (const size of CONTROL_SIZES) rows.push(...await measureControl(size));
     return rows;
   },
+  "processes-flood": measureProcessesFlood,
   ...Object.fromEntries(CONTROL_SIZES.flatMap((size) => [
     [`control-${size}`, () => measureControl(size)],
     [`control-idle-${size}`, () => measureControl(size, { isIdleOnly: true })],
