--- a/packages/endpoints/executor_client_test.ts
+++ b/packages/endpoints/executor_client_test.ts
@@ -18,8 +18,8 @@
 
 /** Serves raw answers; `connections` counts the accepted ones. */
 async function serveRaw(answer: Answer) {
-  const served = { address: "", connections: 0, requests: 0 };
   const sockets: Socket[] = [];
+  const served = { address: "", connections: 0, requests: 0, sockets };
   const server = createServer((socket) => {
     served.connections += 1;
     sockets.push(socket);
@@ -211,6 +211,9 @@
     const served = await serveRaw(answer);
     for (let count = 0; count < 3; count += 1) {
       expect(summary(await send(client, served.address))).toBe("answered a");
+      const last = served.sockets.at(-1)!;
+      // The surplus must have arrived before the next request is sent.
+      if (connections > 1 && !last.destroyed) await once(last, "close");
       await new Promise((resolve) => setTimeout(resolve, 20));
     }
     expect(served.connections).toBe(connections);
