--- a/packages/decisions/fold/internal/fold_job.ts
+++ b/packages/decisions/fold/internal/fold_job.ts
@@ -75,6 +75,7 @@
   const exceeded = exceededQuota(state, job);
   if (exceeded !== undefined) return refuse(exceeded);
   countUsage(state, job, 1);
+  state.workers.set(record.worker, worker);
   worker.running.push(record.job);
   job.worker = record.worker;
   job.attempt = record.attempt;
@@ -169,25 +170,22 @@
       log.timeMs - worker.sinceMs > FORGET_SUSPENSIONS_MS;
     worker.suspensions = (isLongAgo ? 0 : worker.suspensions ?? 0) + 1;
   }
+  state.workers.set(record.worker, worker);
   worker.state = record.state;
   worker.reason = record.reason;
   worker.sinceMs = log.timeMs;
   return APPLIED;
 }
 
+/** Returns a worker, or the state of one of which no record tells yet. */
 function workerOf(state: FleetState, name: string): WorkerState {
-  let worker = state.workers.get(name);
-  if (worker === undefined) {
-    worker = {
-      state: "restored",
-      reason: "never suspended",
-      sinceMs: 0,
-      recent: [],
-      running: [],
-    };
-    state.workers.set(name, worker);
-  }
-  return worker;
+  return state.workers.get(name) ?? {
+    state: "restored",
+    reason: "never suspended",
+    sinceMs: 0,
+    recent: [],
+    running: [],
+  };
 }
 
 type AttemptEnd = {
--- a/packages/decisions/fold/internal/team_usage.ts
+++ b/packages/decisions/fold/internal/team_usage.ts
@@ -15,11 +15,15 @@
 ): void {
   const size = toUsage(chargedSize(job));
   const usage = state.usageByTeam.get(job.team) ?? noUsage();
-  state.usageByTeam.set(job.team, {
+  const next = {
     cores: usage.cores + sign * size.cores,
     memory: usage.memory + sign * size.memory,
     accelerators: usage.accelerators + sign * size.accelerators,
-  });
+  };
+  const isNothing = Object.values(next).every((value) => value === 0);
+  // A state decoded from a checkpoint has no entry for an idle team.
+  if (isNothing) state.usageByTeam.delete(job.team);
+  else state.usageByTeam.set(job.team, next);
 }
 
 /** Returns which quota a job would exceed, or undefined. */
