--- a/packages/decisions/pools/plan_moves.ts
+++ b/packages/decisions/pools/plan_moves.ts
@@ -15,14 +15,19 @@
 /** Cost of a move in host seconds: drain, restart and warm-up. */
 export const DEFAULT_MOVE_COST_S = 900;
 
-/** Gain over cost that a move has to promise. */
-export const GAIN_FACTOR = 3;
+/**
+ * Gain over cost that a move has to promise. A flood between two windows of the
+ * demand estimate can show as a shortage for 900 s, so a move waits longer.
+ */
+export const GAIN_FACTOR = 1.1;
 
 /**
  * Idle time over the cost of a move after which a pool gives a host back. It is
  * shorter than for a shortage: floods look like shortages, never like surplus.
+ * The demand estimate shows a fall 15 minutes late, so by then the host has
+ * already been idle for the cost of a move; the rest is one more window.
  */
-export const SURPLUS_FACTOR = 1;
+export const SURPLUS_FACTOR = 0.35;
 
 /** Options of {@linkcode planMoves}. */
 export type PlanMovesOptions = {
--- a/packages/measure/capacity/measure_buffer.ts
+++ b/packages/measure/capacity/measure_buffer.ts
@@ -37,7 +37,10 @@
  * other hosts of the spare pool are free for jobs and cost nothing here. The
  * bound knows the trace: for each pool the cheapest number of hosts over time,
  * and the smallest constant number of spare hosts that covers the failed ones
- * except for the same share of time as the chosen buffer accepts.
+ * except for the same share of time as the chosen buffer accepts. Its moves are
+ * those of this schedule: a host that leaves a pool and another that joins one
+ * in the same step are one move; at different times they are two, since every
+ * host belongs to a pool in between, which is the spare pool.
  *
  * @example
  * ```ts
@@ -137,7 +140,7 @@
   deployment: CapacityDeployment,
   trace: CapacityTrace,
 ): Result {
-  const total = { idleS: 0, in: 0, out: 0 };
+  const total = { idleS: 0, in: [] as number[], out: [] as number[] };
   const failedOverall: number[] = [];
   for (const pool of trace.pools) {
     const failed: number[] = [];
@@ -154,14 +157,20 @@
     const need = { needed, failed, exact, hosts, stepS: BOUND_STEP_S };
     const best = boundPool(need);
     total.idleS += best.idleS;
-    total.in += best.in;
-    total.out += best.out;
+    for (const side of ["in", "out"] as const) {
+      for (const [step, count] of best[side].entries()) {
+        total[side][step] = (total[side][step] ?? 0) + count;
+      }
+    }
   }
   const spare = smallestBuffer(failedOverall);
   return {
     idleS: total.idleS + spare * trace.seconds,
     shortS: 0,
-    moves: Math.max(total.in, total.out),
+    moves: total.in.reduce(
+      (moves, joining, step) => moves + Math.max(joining, total.out[step]!),
+      0,
+    ),
   };
 }
 
--- a/packages/measure/capacity/move_bound.ts
+++ b/packages/measure/capacity/move_bound.ts
@@ -13,7 +13,12 @@
 };
 
 /** Hosts over time that cost least with full knowledge. */
-export type PoolBound = { idleS: number; in: number; out: number };
+export type PoolBound = {
+  idleS: number;
+  /** Hosts that join in each step, and hosts that leave. */
+  in: number[];
+  out: number[];
+};
 
 /**
  * Computes the cheapest number of hosts of a pool over time with full knowledge
@@ -71,13 +76,18 @@
   need: PoolNeed,
   path: { choices: Int16Array[]; last: number },
 ): PoolBound {
-  const bound = { idleS: 0, in: 0, out: 0 };
+  const steps = path.choices.length;
+  const bound: PoolBound = {
+    idleS: 0,
+    in: new Array<number>(steps).fill(0),
+    out: new Array<number>(steps).fill(0),
+  };
   let hosts = path.last;
   for (let step = path.choices.length - 1; step >= 0; step--) {
     bound.idleS += idleOf(need, step, hosts);
     const before = path.choices[step]![hosts]!;
-    if (hosts > before) bound.in += hosts - before;
-    else bound.out += before - hosts;
+    bound.in[step] = Math.max(0, hosts - before);
+    bound.out[step] = Math.max(0, before - hosts);
     hosts = before;
   }
   return bound;
