--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -11,9 +11,11 @@
 import { type ControlFold, createControlFold } from "./control_fold.ts";
 import { createCheckpoints } from "./checkpoints.ts";
 import { createHostListCopy } from "./host_list.ts";
+import { createJobLoop } from "./jobs/mod.ts";
 import { listPeerTargets } from "./list_peer_targets.ts";
+import { isStarterOf } from "./is_starter_of.ts";
 import { createLogFollower } from "./log_follower.ts";
-import { NEVER_READ_MS, relayLog } from "./log_relay.ts";
+import { ASK_PEERS_AGE_MS, NEVER_READ_MS, relayLog } from "./log_relay.ts";
 import { createCapacity } from "./capacity/mod.ts";
 import { whyLeaving } from "./build_topology.ts";
 import { createMembership, type Membership } from "./membership.ts";
@@ -30,6 +32,7 @@
 import { createRunningSlots } from "./running_slots.ts";
 import type { DaemonSettings } from "./settings.ts";
 import { createSlotControl } from "./slot_control.ts";
+import { createWorkerClient } from "@lagoonloom/workers";
 import { createTopologyFeed } from "./topology_feed.ts";
 
 /** Interval of the loop in milliseconds. */
@@ -152,17 +155,23 @@
         ? Object.keys(fold.state().set.pools)
           .map((pool) => ({ pool, free: 0, lent: 0 }))
         : requestPath.reportSlots(),
+    needsAnswers: (link) =>
+      membership.mayReportSelf(link.name) ||
+      (logAgeMs() ?? Infinity) > ASK_PEERS_AGE_MS,
+    isStartedBy: (link) =>
+      isStarterOf({ self: name, other: link.name }, fold.state()),
     onAnswer(link, response, sentAtMs) {
       slots.hear(link.name, toStatement(response));
       void relayLog(link, { fold, follower, sentAtMs });
     },
   });
 
+  const logIsFresh = () => (logAgeMs() ?? Infinity) < FENCE_MS;
   const capacity = createCapacity({
     name,
     dataCentre,
     incarnation: membership.incarnation,
-    logIsFresh: () => (logAgeMs() ?? Infinity) < FENCE_MS,
+    logIsFresh,
     fold,
     append,
     platform,
@@ -243,9 +252,27 @@
     });
   }
 
+  const workers = createWorkerClient({
+    timeoutMs: settings.bounds.platform_ms,
+  });
+  const jobs = createJobLoop({
+    name,
+    incarnation: membership.incarnation,
+    fold,
+    isReady,
+    logIsFresh,
+    hasMemberRights: membership.hasSlotRights,
+    memberOffset: (member) =>
+      links.all().find((link) => link.name === member)?.nextOffset,
+    append: ({ id, body }) => append(id, body),
+    workers,
+    events,
+  });
+
   function tick(): void {
     const nowMs = performance.now();
     links.tick(nowMs);
+    jobs.tick(nowMs);
     membership.tick(nowMs);
     if (slots.advance(nowMs)) feed.rebuild();
     feed.tick(nowMs);
@@ -295,9 +322,10 @@
       describe,
       onHeartbeat(request) {
         const { member, incarnation } = request;
-        links.receive(request, performance.now());
+        const reply = links.receive(request, performance.now());
         slots.hear(member, toStatement(request));
-        return membership.noteHeartbeat({ name: member, incarnation });
+        const sender = { name: member, incarnation };
+        return { ...reply, promiseMs: membership.noteHeartbeat(sender) };
       },
     }),
     isReady,
@@ -315,6 +343,7 @@
       if (isDrained) await membership.leave();
       clearInterval(timer);
       stopped.abort();
+      workers.close();
       links.close();
       requestPath.close();
     },
--- /dev/null
+++ b/packages/daemon/jobs/create_job_loop.ts
@@ -0,0 +1,193 @@
+import {
+  createJobControl,
+  type DeciderIdentity,
+  type FleetState,
+  type JobControl,
+  type JobRole,
+  mayDecide,
+  OFFLINE_RENEWAL_MS,
+  type PlannedRecord,
+  type WorkerCall,
+} from "@lagoonloom/decisions";
+import type { LogRecord } from "@lagoonloom/records";
+import type { EventLog } from "@lagoonloom/telemetry";
+import type { WorkerClient } from "@lagoonloom/workers";
+import type { FoldedOutcome } from "../append_and_fold.ts";
+import { createLogClock } from "../capacity/log_clock.ts";
+import type { ControlFold } from "../control_fold.ts";
+
+/**
+ * Longest time in milliseconds between two rounds. After a change the next step
+ * of the daemon's loop runs one, since urgent work waits for several: to save,
+ * stop and end the jobs in its place, to be placed, and to start.
+ */
+export const ROUND_MS = 500;
+
+/** What the loop needs of the daemon. */
+export type JobLoopDependencies = {
+  name: string;
+  incarnation: () => string;
+  fold: ControlFold;
+  isReady: () => boolean;
+  /** Whether the folded state is recent enough to decide on. */
+  logIsFresh: () => boolean;
+  /** Whether this member's loss cannot have been reported unnoticed. */
+  hasMemberRights: () => boolean;
+  /** Offset that a member was last heard to have folded. */
+  memberOffset: (member: string) => number | undefined;
+  append: (record: PlannedRecord) => Promise<FoldedOutcome>;
+  workers: Pick<WorkerClient, "call">;
+  events: EventLog;
+};
+
+/** Loop that decides on jobs. */
+export type JobLoop = {
+  /** Runs a round if one is due. */
+  tick(nowMs: number): void;
+};
+
+type Scope = {
+  control: JobControl;
+  isKeeping: boolean;
+  blocked: Map<string, string>;
+};
+
+/**
+ * Creates the loop for jobs. Only the daemon that holds the decider's lease of
+ * a data centre, which the capacity loop claims, places jobs there. Without the
+ * log it only renews the leases of running tasks, while it is surely the last
+ * that decided.
+ *
+ * @example
+ * ```ts
+ * const jobs = createJobLoop(dependencies);
+ * jobs.tick(performance.now());
+ * ```
+ */
+export function createJobLoop(dependencies: JobLoopDependencies): JobLoop {
+  const { fold, name, events } = dependencies;
+  const scopes = new Map<string, Scope>();
+  const logNowMs = createLogClock(fold);
+  let dueAtMs = 0;
+  fold.onChange((change) => {
+    const isOnJobs = change.type === "record" &&
+      /^(job|worker)\./.test(String(typeOf(change.record)));
+    if (isOnJobs) dueAtMs = 0;
+  });
+  function scopeOf(scope: string): Scope {
+    let found = scopes.get(scope);
+    if (found === undefined) {
+      found = {
+        control: createJobControl({ scope, holder: name }),
+        isKeeping: false,
+        blocked: new Map(),
+      };
+      scopes.set(scope, found);
+    }
+    return found;
+  }
+  function runRound(scope: string): void {
+    const state = fold.state();
+    const own = scopeOf(scope);
+    const nowMs = logNowMs();
+    const incarnation = dependencies.incarnation();
+    const identity = { holder: name, incarnation, scope, nowMs };
+    const role = roleOf(state, identity, dependencies);
+    const isKeeping = role?.type === "keeper";
+    if (isKeeping && !own.isKeeping) {
+      events.log("leasesKept", { dataCentre: scope });
+    }
+    own.isKeeping = isKeeping;
+    const steps = own.control.advance(state, {
+      role,
+      nowMs,
+      hasFolded: (member, offset) =>
+        (dependencies.memberOffset(member) ?? 0) >= offset,
+    });
+    for (const record of steps.records) void send(own, record);
+    for (const call of steps.calls) void exchange(own, call);
+    reportBlocked(own, steps.blocked);
+  }
+  async function send(own: Scope, record: PlannedRecord): Promise<void> {
+    const result = await dependencies.append(record);
+    if (result.type === "not-appended") own.control.noteNotAppended(record.id);
+    if (result.type !== "folded") return;
+    if (result.outcome.type === "applied") logRecord(events, record);
+  }
+  async function exchange(own: Scope, call: WorkerCall): Promise<void> {
+    const sentAtMs = logNowMs();
+    const address = fold.state().set.hosts[call.worker]?.worker_address;
+    const outcome = address === undefined
+      ? { type: "unreachable" as const, reason: "the worker has no address" }
+      : await dependencies.workers.call(address, call);
+    const times = { sentAtMs, nowMs: logNowMs() };
+    own.control.noteOutcome(call, outcome, times);
+    if ("job" in call) dueAtMs = 0;
+    if (outcome.type === "done" || outcome.type === "report") return;
+    const { worker, type } = call;
+    events.log("taskCallFailed", {
+      worker,
+      call: type,
+      reason: outcome.reason,
+    });
+  }
+  function reportBlocked(own: Scope, blocked: Map<string, string>): void {
+    for (const [job, reason] of blocked) {
+      if (own.blocked.get(job) === reason) continue;
+      events.log("jobBlocked", { job, reason });
+    }
+    own.blocked = blocked;
+  }
+  return {
+    tick(nowMs) {
+      if (nowMs < dueAtMs || !dependencies.isReady()) return;
+      dueAtMs = nowMs + ROUND_MS;
+      const { hosts } = fold.state().set;
+      const places = new Set<string>();
+      for (const host of Object.values(hosts)) {
+        if (host.worker_address !== undefined) places.add(host.data_centre);
+      }
+      for (const scope of places) runRound(scope);
+    },
+  };
+}
+
+function roleOf(
+  state: FleetState,
+  identity: DeciderIdentity & { scope: string; nowMs: number },
+  { logIsFresh, hasMemberRights }: JobLoopDependencies,
+): JobRole | undefined {
+  const term = logIsFresh() ? mayDecide(state, identity) : undefined;
+  if (term !== undefined) return { type: "decider", term };
+  const { scope, holder, incarnation, nowMs } = identity;
+  const last = state.deciders.get(scope);
+  const isLast = last?.holder === holder && last.incarnation === incarnation;
+  if (!isLast || nowMs > last.leaseEndMs + OFFLINE_RENEWAL_MS) return undefined;
+  if (!hasMemberRights()) return undefined;
+  return { type: "keeper", term: { scope, epoch: last.epoch } };
+}
+
+function typeOf({ body }: LogRecord): unknown {
+  return (body as { type?: unknown } | null)?.type;
+}
+
+function logRecord(events: EventLog, { body }: PlannedRecord): void {
+  switch (body.type) {
+    case "job.placed": {
+      const { job, attempt, worker, reason } = body;
+      return events.log("jobPlaced", { job, attempt, worker, reason });
+    }
+    case "job.ended": {
+      const { job, attempt, outcome, reason } = body;
+      return events.log("jobEnded", { job, attempt, outcome, reason });
+    }
+    case "job.parked": {
+      const { job, reason } = body;
+      return events.log("jobParked", { job, reason });
+    }
+    case "worker.changed": {
+      const { worker, state, reason } = body;
+      return events.log("workerChanged", { worker, state, reason });
+    }
+  }
+}
--- a/packages/daemon/membership.ts
+++ b/packages/daemon/membership.ts
@@ -29,6 +29,8 @@
   incarnation(): string;
   isMember(): boolean;
   hasSlotRights(): boolean;
+  /** Whether the log names the entry host, or may, to report this one. */
+  mayReportSelf(other: string): boolean;
   /** Notes a heartbeat; returns the promise in milliseconds. */
   noteHeartbeat(sender: WatchedMember): number;
   /** Joins, names a watcher and reports losses as needed. */
@@ -102,6 +104,9 @@
 
   async function join(): Promise<void> {
     const { dataCentre, peerAddress, operatorAddress } = options;
+    // Named with the join, it can report this member from the start. It grants
+    // nothing before the fold, which tells whom the log named.
+    const watcher = nextWatcher(undefined, performance.now());
     await options.append(`join.${name}.${incarnation}`, {
       type: "member.joined",
       member: name,
@@ -109,6 +114,7 @@
       dataCentre,
       peerAddress,
       operatorAddress,
+      ...(watcher === undefined ? {} : { watcher }),
     });
   }
 
@@ -141,16 +147,20 @@
     if (isDecided) withdrawReport(watch, member);
   }
 
-  function tickWatcher(member: Member, nowMs: number): void {
+  /** The entry host to name as the watcher, if another one has to be. */
+  function nextWatcher(
+    current: string | undefined,
+    nowMs: number,
+  ): string | undefined {
     const answering = options.links().all().filter((link) =>
-      nowMs - (link.promisedAtMs ?? -Infinity) < WATCHER_SILENT_MS &&
+      nowMs - (contactAtMs(link, current) ?? -Infinity) < WATCHER_SILENT_MS &&
       isIn(link, fold, options.dataCentre)
     ).map((link) => link.name);
-    const next = chooseWatcher({
-      self: name,
-      current: member.watcher,
-      answering,
-    });
+    return chooseWatcher({ self: name, current, answering });
+  }
+
+  function tickWatcher(member: Member, nowMs: number): void {
+    const next = nextWatcher(member.watcher, nowMs);
     if (next !== undefined) attempt("watch", () => nameWatcher(next));
   }
 
@@ -170,10 +180,15 @@
     }
   }
 
-  function contacts(member: Member) {
+  /** Every entry host that may report the loss of this one. */
+  function watchers(member: Member | undefined): Set<string> {
     const names = new Set(pendingWatchers.values());
-    if (member.watcher !== undefined) names.add(member.watcher);
-    return [...names].map((watcher) => {
+    if (member?.watcher !== undefined) names.add(member.watcher);
+    return names;
+  }
+
+  function contacts(member: Member) {
+    return [...watchers(member)].map((watcher) => {
       const address = fold.state().members.get(watcher)?.peerAddress;
       const link = options.links().all().find((it) => it.address === address);
       return {
@@ -195,6 +210,7 @@
         watchers: contacts(member),
       }, performance.now());
     },
+    mayReportSelf: (other) => watchers(own()).has(other),
     noteHeartbeat: (sender) => noteHeartbeat(watch, sender, performance.now()),
     tick(nowMs) {
       if (isLeaving || !options.isCaughtUp()) return;
@@ -219,6 +235,17 @@
   return `${member.name} ${member.incarnation}`;
 }
 
+/**
+ * The present watcher has to answer with promises. For another one it is enough
+ * that it is heard, since not every pair's heartbeats start on this side.
+ */
+function contactAtMs(
+  link: PeerLink,
+  watcher: string | undefined,
+): number | undefined {
+  return link.name === watcher ? link.promisedAtMs : link.answeredAtMs;
+}
+
 function isIn(link: PeerLink, fold: ControlFold, dataCentre: string): boolean {
   const member = fold.state().members.get(link.name);
   return member?.incarnation === link.incarnation &&
--- a/packages/daemon/operator_handlers.ts
+++ b/packages/daemon/operator_handlers.ts
@@ -11,6 +11,7 @@
 } from "@lagoonloom/operators";
 import { whyLeaving } from "./build_topology.ts";
 import type { PeerLinks } from "./peer_links.ts";
+import { cancelJob, listJobs, submitJob } from "./jobs/mod.ts";
 import {
   findPublication,
   listHistory,
@@ -51,6 +52,10 @@
     history: (limit) => listHistory(fold).reverse().slice(0, limit),
     explain: (kind, name) => explain(options, { kind, name }),
     publication: (id) => findPublication(id, fold),
+    submitJob: (submission) => submitJob(submission, options),
+    cancelJob: (job, cancellation) =>
+      cancelJob({ job, ...cancellation }, options),
+    listJobs: (wanted) => listJobs(wanted, fold),
   };
 }
 
--- a/packages/decisions/placement/internal/job_round.ts
+++ b/packages/decisions/placement/internal/job_round.ts
@@ -24,7 +24,14 @@
   rack: string;
   size: JobSize;
   free: JobSize;
+  /**
+   * Room once the jobs that are asked to leave are gone, less what waiting
+   * urgent jobs need. New jobs have to fit into both.
+   */
+  future: JobSize;
   runs: Run[];
+  /** Jobs that may be preempted, least loss first, once they are needed. */
+  victims: { run: Run; loss: number }[] | undefined;
   /** Whether it may get new jobs. */
   isOpen: boolean;
   isTrial: boolean;
@@ -66,7 +73,9 @@
       rack,
       size,
       free: { ...size },
+      future: { ...size },
       runs: [],
+      victims: undefined,
       isOpen: isOpen(round, name),
       isTrial: state.workers.get(name)?.state === "trial",
     };
@@ -102,6 +111,7 @@
     : knownSize(job);
   room.runs.push({ name, job, size, task, isLeaving: false });
   addSize(room.free, size, -1);
+  addSize(room.future, size, -1);
 }
 
 function isOpen({ state, observations, options }: JobRound, name: string) {
--- a/packages/decisions/placement/plan_jobs.ts
+++ b/packages/decisions/placement/plan_jobs.ts
@@ -34,7 +34,7 @@
 import { addSize, fitsInto, knownSize } from "./job_size.ts";
 
 /** Jobs of one class that a round tries to place. */
-export const MAX_TRIES = 64;
+export const MAX_TRIES = 32;
 
 /** Placements that a round appends, so that a burst leaves room in the log. */
 export const MAX_PLACEMENTS = 24;
@@ -173,8 +173,10 @@
   const { round, index, budgets } = placement;
   const { state, options } = round;
   const left = { ...room.free };
-  if (room.isTrial) addSize(room.free, size, -1);
-  else takeRoom(index, room, { size, team: job.team });
+  if (room.isTrial) {
+    addSize(room.free, size, -1);
+    addSize(room.future, size, -1);
+  } else takeRoom(index, room, { size, team: job.team });
   addSize(budgets.get(job.team)!.left, size, -1);
   placement.placed++;
   const reason = room.isTrial
--- /dev/null
+++ b/packages/measure/jobs/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Measures of jobs on workers.
+ *
+ * @module
+ */
+
+export * from "./measure_jobs.ts";
+export * from "./simulate_jobs.ts";
+export * from "./measure_jobs_decide_time.ts";
--- a/packages/operators/operator_app.ts
+++ b/packages/operators/operator_app.ts
@@ -3,6 +3,12 @@
 import { createKeyCheck } from "./_bearer_key.ts";
 import { readBody } from "./_read_body.ts";
 import { ExplainedKind } from "./explanation.ts";
+import {
+  JobCancellation,
+  type JobOutcome,
+  JobSubmission,
+  ListedJob,
+} from "./job_request.ts";
 import type { OperatorHandlers } from "./operator_handlers.ts";
 import {
   Publication,
@@ -22,8 +28,8 @@
 
 /** Options for {@linkcode createOperatorApp}. */
 export type OperatorAppOptions = {
-  /** Keys of operators, any of which is accepted. */
-  keys: readonly string[];
+  /** Keys by the names of their operators, any of which is accepted. */
+  operators: ReadonlyMap<string, string>;
   /** Called with an error that a handler threw; it contains no key. */
   onError?: (error: unknown) => void;
   /** Longest time to send a body, in milliseconds. */
@@ -44,7 +50,8 @@
  *
  * @example
  * ```ts
- * const app = createOperatorApp(handlers, { keys: [settings.operators.key] });
+ * const operators = new Map([[name, key]]);
+ * const app = createOperatorApp(handlers, { operators });
  * const server = createServer(app.callback());
  * ```
  */
@@ -52,11 +59,12 @@
   handlers: OperatorHandlers,
   options: OperatorAppOptions,
 ): Koa {
-  const hasKey = createKeyCheck(options.keys);
+  const findOperator = createKeyCheck(options.operators);
   const routes = createRoutes(handlers, options);
   const app = new Koa();
   app.use(async (ctx) => {
-    const reply = hasKey(ctx.get("authorization"))
+    ctx.state.operator = findOperator(ctx.get("authorization"));
+    const reply = ctx.state.operator !== undefined
       ? await runRoute(ctx, routes).catch((error: unknown) => {
         options.onError?.(error);
         return refuse(500, "The daemon failed to handle the request.");
@@ -82,8 +90,14 @@
     {
       method: "POST",
       path: /^\/v1\/changes$/,
-      run: (ctx) => submitChange(ctx, { handlers, timeoutMs }),
+      run: async (ctx) => {
+        const body = await readFields(ctx, Publication, timeoutMs);
+        return body.type === "refused"
+          ? body.reply
+          : answer(await handlers.submitChange(body.fields));
+      },
     },
+    ...createJobRoutes(handlers, timeoutMs),
     {
       method: "GET",
       path: /^\/v1\/set$/,
@@ -158,28 +172,87 @@
   }
 }
 
-type SubmitOptions = { handlers: OperatorHandlers; timeoutMs: number };
+/** Routes about jobs. */
+function createJobRoutes(
+  handlers: OperatorHandlers,
+  timeoutMs: number,
+): Route[] {
+  return [
+    {
+      method: "POST",
+      path: /^\/v1\/jobs$/,
+      run: async (ctx) => {
+        const body = await readFields(ctx, JobSubmission, timeoutMs);
+        return body.type === "refused"
+          ? body.reply
+          : answer(await handlers.submitJob(body.fields));
+      },
+    },
+    {
+      method: "POST",
+      path: /^\/v1\/jobs\/([^/]+)\/cancel$/,
+      run: async (ctx, [job]) => {
+        const body = await readFields(ctx, JobCancellation, timeoutMs);
+        return body.type === "refused"
+          ? body.reply
+          : answer(await handlers.cancelJob(job ?? "", body.fields));
+      },
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/jobs$/,
+      run: async (ctx) => {
+        const text = ctx.URL.searchParams.get("state") ?? undefined;
+        const state = ListedJob.shape.state.optional().safeParse(text);
+        return state.success
+          ? ok(await handlers.listJobs(state.data))
+          : refuse(400, "Expected the state of a job.");
+      },
+    },
+  ];
+}
+
+type Fields<Value> =
+  | { type: "read"; fields: Value }
+  | { type: "refused"; reply: Reply };
 
-async function submitChange(
+/** Reads a body of JSON and checks its fields. */
+async function readFields<Schema extends z.ZodType>(
   ctx: Koa.Context,
-  { handlers, timeoutMs }: SubmitOptions,
-): Promise<Reply> {
+  schema: Schema,
+  timeoutMs: number,
+): Promise<Fields<z.infer<Schema>>> {
+  const stop = (status: number, title: string) =>
+    ({ type: "refused", reply: refuse(status, title) }) as const;
   if (!ctx.is("application/json") || ctx.get("content-encoding") !== "") {
-    return refuse(415, "Expected an unencoded body of type application/json.");
+    return stop(415, "Expected an unencoded body of type application/json.");
   }
   const body = await readBody(ctx.req, { maxBytes: MAX_BODY_BYTES, timeoutMs });
   if (body.type === "too-large") {
-    return refuse(413, `Expected a body of at most ${MAX_BODY_BYTES} bytes.`);
+    return stop(413, `Expected a body of at most ${MAX_BODY_BYTES} bytes.`);
   }
   if (body.type === "too-slow") {
-    return refuse(408, `Expected the whole body within ${timeoutMs} ms.`);
+    return stop(408, `Expected the whole body within ${timeoutMs} ms.`);
   }
-  if (body.type === "aborted") return refuse(400, "The body is incomplete.");
+  if (body.type === "aborted") return stop(400, "The body is incomplete.");
   const json = parseJson(body.bytes);
-  if (json === undefined) return refuse(400, "The body is not valid JSON.");
-  const publication = Publication.safeParse(json.value);
-  if (!publication.success) return refuseFields(publication.error.issues);
-  const outcome = await handlers.submitChange(publication.data);
+  if (json === undefined) return stop(400, "The body is not valid JSON.");
+  const parsed = schema.safeParse(json.value);
+  if (!parsed.success) {
+    return { type: "refused", reply: refuseFields(parsed.error.issues) };
+  }
+  // The log records who published, so nobody may use another one's name.
+  const { operator } = parsed.data as { operator?: string };
+  if (operator !== undefined && operator !== ctx.state.operator) {
+    return stop(
+      403,
+      "The key belongs to another operator than the body names.",
+    );
+  }
+  return { type: "read", fields: parsed.data };
+}
+
+function answer(outcome: PublicationOutcome | JobOutcome): Reply {
   return { status: statusOf(outcome), body: outcome };
 }
 
@@ -192,7 +265,7 @@
   }
 }
 
-function statusOf(outcome: PublicationOutcome) {
+function statusOf(outcome: PublicationOutcome | JobOutcome) {
   if (outcome.type === "accepted") return 200;
   if (outcome.type === "unknown") return 504;
   return { conflict: 409, invalid: 422, unavailable: 503 }[outcome.cause];
@@ -211,6 +284,6 @@
     field: path.join("."),
     message,
   }));
-  const title = "The body is not a valid publication.";
+  const title = "The body is not valid.";
   return { status: 400, body: { status: 400, title, problems } };
 }
