--- a/packages/measure/fuzz/main.ts
+++ b/packages/measure/fuzz/main.ts
@@ -23,7 +23,8 @@
     await check(run);
     console.log(`${name}: ${run.numRuns} inputs, seed ${run.seed}, ok`);
   } catch (error) {
-    console.error(`${name}: ${error instanceof Error ? error.message : error}`);
+    const { message, cause } = error as Error;
+    console.error(`${name}: ${message}\n${String(cause)}`);
     process.exitCode = 1;
   }
 }
