Hold back the wave's record before the first renewal in its test

The test of records after a take-over held back whatever the decider appended next. At 5 s that was its renewal in some runs, since the lease is renewed at that time, and the test failed in one run on a loaded machine. It now holds back the wave's record at 3 s.

--- a/packages/daemon/capacity/decider_loop_test.ts
+++ b/packages/daemon/capacity/decider_loop_test.ts
@@ -113,7 +113,8 @@
     const deployment = createDeciders(3);
     stop = deployment.stop;
     const [first, second] = deployment.deciders;
-    await pass(START_MS);
+    // Before the first renewal, so that the wave's record is the one held back.
+    await pass(3_000);
     first!.gate = new Promise((resolve) => resume = resolve);
     publishWave(deployment);
     await pass(1_000);
