--- a/packages/measure/requests/measure_flood_stress.ts
+++ b/packages/measure/requests/measure_flood_stress.ts
@@ -40,8 +40,8 @@
  * deadlines are 3 mean run times, the flood runs 5 times as long as declared,
  * queues peak at 3 times what their pool serves, or the declared run times of
  * all desks are a 20th of the real ones or 5 times as long. With peaks of 3 the
- * desk of the largest pool needs nearly all slots that the flooding desk does not
- * own. The values of few-callers vary by 0.01 to 0.02 with the seed.
+ * desk of the largest pool needs nearly all slots that the flooding desk does
+ * not own. The values of few-callers vary by 0.01 to 0.02 with the seed.
  * `flood-in-time` is the share of the started requests of the flooding desk
  * that are answered within their deadline.
  */
