--- a/packages/daemon/capacity/_fixtures.ts
+++ b/packages/daemon/capacity/_fixtures.ts
@@ -127,6 +127,7 @@
         observe: () => undefined,
         hosts: () => new Map(),
         shortages: () => [],
+        surpluses: () => [],
       },
       logNowMs: createLogClock(fold),
       events: createEventLog({ format: "hidden" }),
--- a/packages/daemon/capacity/decider_loop.ts
+++ b/packages/daemon/capacity/decider_loop.ts
@@ -122,6 +122,7 @@
       nowMs,
       demand: options.demand.hosts(),
       shortages: options.demand.shortages(),
+      surpluses: options.demand.surpluses(),
     });
     if (term()?.epoch !== current.epoch) return;
     await appendAll([...seen, ...wave.records, ...moves.records]);
@@ -130,10 +131,11 @@
 
   async function rebootAll(hosts: readonly string[]): Promise<void> {
     await Promise.all(hosts.map(async (host) => {
-      const generation = fold.state().hosts.get(host)?.generation;
-      if (generation === undefined || term() === undefined) return;
-      // The platform restarts a host once for each id.
-      const id = `${host}.${generation}`;
+      const permit = fold.state().hosts.get(host)?.permit;
+      if (permit === undefined || term() === undefined) return;
+      // The platform restarts a host once for each id. The generation would
+      // not do, since an observation of the host going down changes it too.
+      const id = `${host}.${permit.grantedAtMs}`;
       const { type } = await options.platform.rebootHost(host, id);
       events.log("hostRestartAsked", { host, outcome: type });
     }));
--- a/packages/daemon/capacity/pool_demand.ts
+++ b/packages/daemon/capacity/pool_demand.ts
@@ -4,6 +4,7 @@
   observeDemand,
   type Shortage,
   trackShortages,
+  trackSurpluses,
 } from "@lagoonloom/decisions";
 import type { PeerLinks } from "../peer_links.ts";
 
@@ -21,6 +22,8 @@
   observe(state: FleetState, logNowMs: number): void;
   hosts(): ReadonlyMap<string, number>;
   shortages(): readonly Shortage[];
+  /** Pools that could give hosts back, and since when. */
+  surpluses(): readonly Shortage[];
 };
 
 /**
@@ -37,6 +40,7 @@
 export function createPoolDemand(options: PoolDemandOptions): PoolDemand {
   const estimates = new Map<string, DemandEstimate>();
   let shortages: Shortage[] = [];
+  let surpluses: Shortage[] = [];
   const hosts = () =>
     new Map([...estimates].map(([pool, estimate]) => [pool, estimate.hosts]));
 
@@ -70,14 +74,13 @@
       for (const pool of estimates.keys()) {
         if (state.set.pools[pool] === undefined) estimates.delete(pool);
       }
-      const demand = hosts();
-      shortages = trackShortages(state, shortages, {
-        demand,
-        nowMs: logNowMs,
-      });
+      const options = { demand: hosts(), nowMs: logNowMs };
+      shortages = trackShortages(state, shortages, options);
+      surpluses = trackSurpluses(state, surpluses, options);
     },
     hosts,
     shortages: () => shortages,
+    surpluses: () => surpluses,
   };
 }
 
--- a/packages/measure/demo/promises.ts
+++ b/packages/measure/demo/promises.ts
@@ -13,6 +13,9 @@
   runsByKey: ReadonlyMap<string, number>;
   mostConcurrent: number;
   runs: number;
+  /** Restarts of hosts, and the requests that they interrupted. */
+  reboots: number;
+  cutOff: number;
 };
 
 /**
@@ -29,19 +32,25 @@
   const runsByKey = new Map<string, number>();
   let mostConcurrent = 0;
   let runs = 0;
+  let reboots = 0;
+  let cutOff = 0;
   for (const address of addresses) {
     const stats = await got(`http://${address}/stats`).json<{
       runs: number;
       runsByKey: Record<string, number>;
       maxConcurrent: number;
+      reboots: number;
+      cutOff: number;
     }>();
+    reboots += stats.reboots;
+    cutOff += stats.cutOff;
     runs += stats.runs;
     mostConcurrent = Math.max(mostConcurrent, stats.maxConcurrent);
     for (const [key, count] of Object.entries(stats.runsByKey)) {
       runsByKey.set(key, (runsByKey.get(key) ?? 0) + count);
     }
   }
-  return { runsByKey, mostConcurrent, runs };
+  return { runsByKey, mostConcurrent, runs, reboots, cutOff };
 }
 
 /**
@@ -98,5 +107,10 @@
       holds: counts.mostConcurrent <= 8,
       detail: `most at once: ${counts.mostConcurrent}`,
     },
+    {
+      promise: "a planned stop interrupts no request",
+      holds: counts.reboots > 0 && counts.cutOff === 0,
+      detail: `${counts.reboots} restarts, ${counts.cutOff} interrupted`,
+    },
   ];
 }
--- a/packages/measure/demo/wave.ts
+++ b/packages/measure/demo/wave.ts
@@ -3,7 +3,17 @@
 import type { PromiseRow } from "./promises.ts";
 
 /** Wave that the demo published. */
-export type StartedWave = { name: string; pool: string; minAvailable: number };
+export type StartedWave = {
+  name: string;
+  /** Most hosts that held a permit at once, as seen every 100 ms. */
+  mostOut: () => number;
+  stopWatching: () => void;
+};
+
+/** Hosts of the pool that the budget of the example lets out at once. */
+const MAX_OUT = 2;
+
+const WATCH_INTERVAL_MS = 100;
 
 const WAVE = `
 [wave demo]
@@ -37,7 +47,22 @@
     fleet.cliSettings,
   ]);
   if (code !== 0) throw new Error(`The wave was refused: ${output}`);
-  return { name: "demo", pool: "quoting", minAvailable: 4 };
+  return { name: "demo", ...watchPermits(fleet) };
+}
+
+function watchPermits(fleet: FleetProcesses) {
+  let mostOut = 0;
+  const clients = [...fleet.clients.values()];
+  const timer = setInterval(() => {
+    for (const client of clients.slice(-2)) {
+      void client.status().then((answer) =>
+        answer.ifRight(({ permits = [] }) => {
+          mostOut = Math.max(mostOut, permits.length);
+        })
+      );
+    }
+  }, WATCH_INTERVAL_MS);
+  return { mostOut: () => mostOut, stopWatching: () => clearInterval(timer) };
 }
 
 /**
@@ -52,14 +77,15 @@
   fleet: FleetProcesses,
   wave: StartedWave,
 ): Promise<PromiseRow> {
+  wave.stopWatching();
   for (const client of fleet.clients.values()) {
     const explanation = await client.explain("wave", wave.name);
     if (explanation.isLeft()) continue;
     const sentence = explanation.unsafeCoerce().sentences[0];
     return {
       promise: "the wave runs under the budgets",
-      holds: sentence !== undefined,
-      detail: sentence ?? "not started",
+      holds: sentence !== undefined && wave.mostOut() <= MAX_OUT,
+      detail: `${sentence ?? "not started"} At most ${wave.mostOut()} at once.`,
     };
   }
   return {
--- a/packages/measure/processes/process_group.ts
+++ b/packages/measure/processes/process_group.ts
@@ -9,6 +9,10 @@
   /** Starts a program of `dist/`; its output goes to a file of its name. */
   start(name: string, program: string, args: readonly string[]): ChildProcess;
   find(name: string): ChildProcess | undefined;
+  /** Ends a process without notice. */
+  kill(name: string): void;
+  /** Names of processes that ended without being asked to. */
+  crashed(): string[];
   /** Ends every process of the group. */
   stop(): Promise<void>;
 };
@@ -31,6 +35,8 @@
  */
 export function createProcessGroup(folder: string): ProcessGroup {
   const children = new Map<string, ChildProcess>();
+  const crashed = new Set<string>();
+  let isStopping = false;
   return {
     start(name, program, args) {
       const child = spawn(
@@ -44,10 +50,20 @@
       child.stdout.pipe(output, { end: false });
       child.stderr.pipe(output, { end: false });
       children.set(name, child);
+      child.once("exit", () => {
+        if (!isStopping && children.get(name) === child) crashed.add(name);
+      });
       return child;
     },
     find: (name) => children.get(name),
+    kill(name) {
+      const child = children.get(name);
+      children.delete(name);
+      child?.kill("SIGKILL");
+    },
+    crashed: () => [...crashed],
     async stop() {
+      isStopping = true;
       await Promise.all([...children.values()].map(stopProcess));
     },
   };
