--- a/packages/daemon/build_topology.ts
+++ b/packages/daemon/build_topology.ts
@@ -2,6 +2,7 @@
   type FleetState,
   type RemoteSlots,
   type SlotKey,
+  splitSlotKey,
   type Topology,
   type TopologyHost,
 } from "@lagoonloom/decisions";
@@ -80,10 +81,9 @@
 function slotsByHost(usable: ReadonlySet<SlotKey>): Map<string, number[]> {
   const slots = new Map<string, number[]>();
   for (const key of usable) {
-    const slash = key.lastIndexOf("/");
-    const host = key.slice(0, slash);
+    const { host, slot } = splitSlotKey(key);
     const indexes = slots.get(host) ?? [];
-    indexes.push(Number(key.slice(slash + 1)));
+    indexes.push(slot);
     slots.set(host, indexes);
   }
   return slots;
--- a/packages/daemon/capacity/host_probes.ts
+++ b/packages/daemon/capacity/host_probes.ts
@@ -1,4 +1,5 @@
 import type { FleetState, HostContact } from "@lagoonloom/decisions";
+import { splitAddress } from "@lagoonloom/objects";
 import { connect } from "node:net";
 
 /** Healthy hosts that are probed in one second, in turn. */
@@ -109,11 +110,9 @@
 };
 
 function probeAddress(address: string): Promise<ProbeResult> {
-  const colon = address.lastIndexOf(":");
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
-  const port = Number(address.slice(colon + 1));
   return new Promise((resolve) => {
-    const socket = connect({ host, port, timeout: PROBE_TIMEOUT_MS });
+    const options = { ...splitAddress(address), timeout: PROBE_TIMEOUT_MS };
+    const socket = connect(options);
     const end = (result: ProbeResult) => {
       socket.destroy();
       resolve(result);
--- a/packages/daemon/capacity/observe_work.ts
+++ b/packages/daemon/capacity/observe_work.ts
@@ -1,7 +1,8 @@
-import type {
-  FleetState,
-  SlotKey,
-  WorkObservation,
+import {
+  type FleetState,
+  type SlotKey,
+  splitSlotKey,
+  type WorkObservation,
 } from "@lagoonloom/decisions";
 import type { PeerLinks } from "../peer_links.ts";
 
@@ -80,7 +81,9 @@
     observe(state, nowMs) {
       noteLosses(state, nowMs);
       const observations = new Map<string, WorkObservation>();
-      const busyHere = new Set(options.running(nowMs).map(hostOf));
+      const busyHere = new Set(
+        options.running(nowMs).map((key) => splitSlotKey(key).host),
+      );
       const busyWorkers = workersWithJobs(state);
       for (const host of [...knownFrom.keys()]) {
         if (state.hosts.get(host)?.permit === undefined) knownFrom.delete(host);
@@ -104,10 +107,6 @@
   };
 }
 
-function hostOf(slot: SlotKey): string {
-  return slot.slice(0, slot.lastIndexOf("/"));
-}
-
 function workersWithJobs(state: FleetState): Set<string> {
   const workers = new Set<string>();
   for (const job of state.jobs.values()) {
--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -1,4 +1,4 @@
-import { FENCE_MS } from "@lagoonloom/decisions";
+import { FENCE_MS, splitSlotKey } from "@lagoonloom/decisions";
 import type { OperatorHandlers } from "@lagoonloom/operators";
 import type { PeerClient, PeerHandlers } from "@lagoonloom/peers";
 import type { PlatformClient } from "@lagoonloom/platform";
@@ -220,7 +220,7 @@
       listedLeaving: hostList.leaving(),
     };
     const busy = running.list(performance.now())
-      .map((slot) => slot.slice(0, slot.lastIndexOf("/")));
+      .map((slot) => splitSlotKey(slot).host);
     return [...new Set(busy)]
       .filter((host) => whyLeaving(host, source) !== undefined);
   }
--- a/packages/daemon/peer_handlers.ts
+++ b/packages/daemon/peer_handlers.ts
@@ -1,3 +1,4 @@
+import { splitSlotKey } from "@lagoonloom/decisions";
 import {
   type AwaitOutcomeResponse_State,
   AwaitOutcomeResponse_State as State,
@@ -7,11 +8,7 @@
 } from "@lagoonloom/peers";
 import type { ControlFold } from "./control_fold.ts";
 import { snapshotChunks } from "./log_follower.ts";
-import {
-  type OwnHeartbeat,
-  type ReportReply,
-  toHeldSlot,
-} from "./peer_links.ts";
+import { type OwnHeartbeat, type ReportReply } from "./peer_links.ts";
 import type {
   ForwardedRequest,
   ForwardedResult,
@@ -58,7 +55,7 @@
         nextOffset: BigInt(own.nextOffset),
         generation: BigInt(own.generation),
         setVersion: BigInt(own.setVersion),
-        held: held.map(toHeldSlot),
+        held: held.map(splitSlotKey),
         ...reply,
       };
     },
--- a/packages/daemon/peer_links.ts
+++ b/packages/daemon/peer_links.ts
@@ -1,4 +1,9 @@
-import type { SlotKey, SlotReport, SlotStatement } from "@lagoonloom/decisions";
+import {
+  type SlotKey,
+  type SlotReport,
+  type SlotStatement,
+  splitSlotKey,
+} from "@lagoonloom/decisions";
 import type {
   HeartbeatRequest,
   HeartbeatResponse,
@@ -273,7 +278,7 @@
     nextOffset: BigInt(own.nextOffset),
     generation: BigInt(own.generation),
     setVersion: BigInt(own.setVersion),
-    held: held.map(toHeldSlot),
+    held: held.map(splitSlotKey),
     receivedReportId: link.receivedReportId,
   }, { timeoutMs: HEARTBEAT_TIMEOUT_MS });
   link.isBusy = false;
@@ -317,19 +322,6 @@
   link.answeredAtMs = Math.max(link.answeredAtMs ?? atMs, atMs);
 }
 
-/**
- * Converts a slot to the form of the peer calls.
- *
- * @example
- * ```ts
- * toHeldSlot("quoting-1/3"); // { host: "quoting-1", slot: 3 }
- * ```
- */
-export function toHeldSlot(key: SlotKey): { host: string; slot: number } {
-  const slash = key.lastIndexOf("/");
-  return { host: key.slice(0, slash), slot: Number(key.slice(slash + 1)) };
-}
-
 /**
  * Reads the statement about slots from a heartbeat or its answer.
  *
--- a/packages/daemon/start_daemon.ts
+++ b/packages/daemon/start_daemon.ts
@@ -1,4 +1,5 @@
 import { createCallerServer } from "@lagoonloom/callers";
+import { splitAddress } from "@lagoonloom/objects";
 import { createOperatorServer } from "@lagoonloom/operators";
 import {
   createPeerClient,
@@ -186,14 +187,6 @@
 /** Time in milliseconds that the last answers get to be written. */
 const CLOSE_MS = 1_000;
 
-function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(":");
-  return {
-    host: address.slice(0, colon).replace(/^\[|\]$/g, ""),
-    port: Number(address.slice(colon + 1)),
-  };
-}
-
 function sleep(delayMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
--- a/packages/decisions/slots/mod.ts
+++ b/packages/decisions/slots/mod.ts
@@ -7,3 +7,4 @@
 export * from "./assign_slots.ts";
 export * from "./slot_basis.ts";
 export * from "./slot_handover.ts";
+export * from "./split_slot_key.ts";
--- a/packages/endpoints/executor_client.ts
+++ b/packages/endpoints/executor_client.ts
@@ -1,3 +1,4 @@
+import { splitAddress } from "@lagoonloom/objects";
 import {
   Agent,
   type ClientRequest,
@@ -79,7 +80,7 @@
     let wasSent = false;
     let isAnswering = false;
     let isSettled = false;
-    const [host, port] = splitAddress(order.address);
+    const { host, port } = splitAddress(order.address);
     const outgoing = request({
       host,
       port,
@@ -176,10 +177,3 @@
 }
 
 const BODYLESS_METHODS = new Set(["GET", "HEAD", "DELETE"]);
-
-/** Splits `10.0.0.1:80` or `[::1]:80`. */
-function splitAddress(address: string): [string, number] {
-  const colon = address.lastIndexOf(":");
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
-  return [host, Number(address.slice(colon + 1))];
-}
--- a/packages/objects/mod.ts
+++ b/packages/objects/mod.ts
@@ -22,5 +22,6 @@
 export * from "./problem.ts";
 export * from "./service.ts";
 export * from "./set_change.ts";
+export * from "./split_address.ts";
 export * from "./team.ts";
 export * from "./wave.ts";
--- a/packages/standins/_http.ts
+++ b/packages/standins/_http.ts
@@ -1,3 +1,4 @@
+import { splitAddress } from "@lagoonloom/objects";
 import type { IncomingMessage, RequestListener, Server } from "node:http";
 import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -31,14 +32,6 @@
   };
 }
 
-export function splitAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(":");
-  return {
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
-  };
-}
-
 export async function readBody(request: IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of request) chunks.push(chunk as Buffer);
--- a/packages/standins/balancer_standin.ts
+++ b/packages/standins/balancer_standin.ts
@@ -1,5 +1,6 @@
+import { splitAddress } from "@lagoonloom/objects";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
-import { splitAddress, type Standin } from "./_http.ts";
+import type { Standin } from "./_http.ts";
 
 /** Load balancer of TCP connections. */
 export type BalancerStandin = Standin & {
--- a/packages/standins/main.ts
+++ b/packages/standins/main.ts
@@ -1,7 +1,7 @@
-import { parseObjectSet } from "@lagoonloom/objects";
+import { parseObjectSet, splitAddress } from "@lagoonloom/objects";
 import { cac } from "cac";
 import { readFileSync } from "node:fs";
-import { splitAddress, type Standin } from "./_http.ts";
+import type { Standin } from "./_http.ts";
 import {
   createLogStore,
   type ExecutorStandin,
