--- a/packages/measure/capacity/measure_buffer.ts
+++ b/packages/measure/capacity/measure_buffer.ts
@@ -38,9 +38,11 @@
  * bound knows the trace: for each pool the cheapest number of hosts over time,
  * and the smallest constant number of spare hosts that covers the failed ones
  * except for the same share of time as the chosen buffer accepts. Its moves are
- * those of this schedule: a host that leaves a pool and another that joins one
- * in the same step are one move; at different times they are two, since every
- * host belongs to a pool in between, which is the spare pool.
+ * the larger of all joins and all leaves of pools, as if every leaving host met
+ * a pool that it joins. No policy can be below that, but with a spare pool
+ * between two moves it may be out of reach: counting moves at different times
+ * as two gave 74 instead of 40 on lakeshore and 1,006 instead of 747 on the
+ * two-year fleet.
  *
  * @example
  * ```ts
@@ -167,10 +169,7 @@
   return {
     idleS: total.idleS + spare * trace.seconds,
     shortS: 0,
-    moves: total.in.reduce(
-      (moves, joining, step) => moves + Math.max(joining, total.out[step]!),
-      0,
-    ),
+    moves: Math.max(sum(total.in), sum(total.out)),
   };
 }
 
@@ -183,3 +182,7 @@
   ) spare++;
   return spare;
 }
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
