Count the own lent slots of a pool like those of the peers

The demand of a pool left out the lent slots that other entry hosts report, but took only the free slots of the own one, so slots that it had lent counted as demand and could move a host to the lender. Both now go through one function over the same reports. An unused type of the answer keeper is removed.

--- a/packages/daemon/capacity/pool_demand.ts
+++ b/packages/daemon/capacity/pool_demand.ts
@@ -3,6 +3,7 @@
   type FleetState,
   observeDemand,
   type Shortage,
+  type SlotReport,
   trackShortages,
   trackSurpluses,
 } from "@lagoonloom/decisions";
@@ -12,8 +13,8 @@
 export type PoolDemandOptions = {
   name: string;
   links: () => PeerLinks;
-  /** Free slots of this entry host by pool. */
-  freeSlots: () => ReadonlyMap<string, number>;
+  /** Free and lent slots of this entry host. */
+  reportSlots: () => Iterable<SlotReport>;
 };
 
 /** Long-term demand of the pools. */
@@ -45,7 +46,8 @@
     new Map([...estimates].map(([pool, estimate]) => [pool, estimate.hosts]));
 
   function freeByPool(state: FleetState): Map<string, number> | undefined {
-    const free = new Map(options.freeSlots());
+    const free = new Map<string, number>();
+    addReports(free, options.reportSlots());
     const nowMs = performance.now();
     for (const name of state.members.keys()) {
       if (name === options.name) continue;
@@ -53,11 +55,7 @@
       if (link === undefined || !options.links().isAnswering(link, nowMs)) {
         return undefined;
       }
-      for (const [pool, report] of link.freeSlots) {
-        // Borrowed slots are no demand of the pool that lends them.
-        const count = report.free + report.lent;
-        free.set(pool, (free.get(pool) ?? 0) + count);
-      }
+      addReports(free, link.freeSlots.values());
     }
     return free;
   }
@@ -84,6 +82,16 @@
   };
 }
 
+/** Adds free and lent slots; lent ones are no demand of the pool. */
+function addReports(
+  counts: Map<string, number>,
+  reports: Iterable<SlotReport>,
+): void {
+  for (const { pool, free, lent } of reports) {
+    counts.set(pool, (counts.get(pool) ?? 0) + free + lent);
+  }
+}
+
 /** Slots and hosts in service of each pool that has any. */
 function slotsByPool(state: FleetState) {
   const pools = new Map<string, { slots: number; hosts: number }>();
--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -178,7 +178,7 @@
     events,
     links: () => links,
     running: running.list,
-    freeSlots: requestPath.freeSlotsByPool,
+    reportSlots: requestPath.reportSlots,
     isListed: hostList.isListed,
     bootedAtMs: hostList.bootedAtMs,
     longestRequestMs,
--- a/packages/daemon/requests/_answer_keeper.ts
+++ b/packages/daemon/requests/_answer_keeper.ts
@@ -23,9 +23,6 @@
   resolve: (offset: number | undefined) => void;
 };
 
-/** Stores answers in batches on the stream `answers`. */
-export type AnswerKeeper = ReturnType<typeof createAnswerKeeper>;
-
 /** Creates the writer of the stream `answers`. */
 export function createAnswerKeeper(dependencies: RequestPathDependencies) {
   const { settings } = dependencies;
