Build the model of the fleet tests in one fixture

fleet_model_test and fleet_flood_test each built the same three data centres, wave and planner; only the load that the deciders see differs. It is an argument of the shared fixture now.

--- /dev/null
+++ b/packages/decisions/_fixtures.ts
@@ -0,0 +1,49 @@
+import {
+  createFleetModel,
+  createFleetSet,
+  type FleetModel,
+} from "@lagoonloom/standins/fleet";
+import { planMoves, planWave, type Shortage } from "./mod.ts";
+
+const PLACES = ["detroit", "cleveland", "milwaukee"];
+
+/** Load of the pools at some time, as deciders would estimate it. */
+export type ModelLoad = {
+  demand: ReadonlyMap<string, number>;
+  shortages: readonly Shortage[];
+};
+
+/** Creates three data centres with a wave whose deciders see a given load. */
+export function createWaveModel(
+  loadAt: (nowMs: number) => ModelLoad,
+): FleetModel {
+  const set = createFleetSet({
+    dataCentres: PLACES.map((name) => ({ name, region: "great-lakes" })),
+    pools: { orders: 6, quoting: 6, spare: 4 },
+    sparePool: "spare",
+    minAvailablePercent: 60,
+    maxOutPerRack: 2,
+    cores: 16,
+    memoryGb: 32,
+    waves: { kernel: { outage_s: 20 } },
+  });
+  return createFleetModel({
+    set,
+    drainMs: 5_000,
+    restartMs: () => 20_000,
+    daemons: PLACES.map((dataCentre, index) => ({
+      name: `e${index}`,
+      dataCentre,
+      scopes: PLACES,
+    })),
+    planner: (state, { term, nowMs, observations }) => {
+      const wave = planWave(state, observations, { term, nowMs });
+      const options = { term, nowMs, ...loadAt(nowMs) };
+      const moves = planMoves(state, observations, options);
+      return {
+        records: [...wave.records, ...moves.records],
+        reboots: [...wave.reboots, ...moves.reboots],
+      };
+    },
+  });
+}
--- a/packages/decisions/fleet_flood_test.ts
+++ b/packages/decisions/fleet_flood_test.ts
@@ -1,13 +1,7 @@
 import { describe, expect, test } from "@jest/globals";
-import {
-  createFleetModel,
-  createFleetSet,
-  type FleetModel,
-  stepFleet,
-} from "@lagoonloom/standins/fleet";
-import { planMoves, planWave, type Shortage } from "./mod.ts";
-
-const PLACES = ["detroit", "cleveland", "milwaukee"];
+import { stepFleet } from "@lagoonloom/standins/fleet";
+import { createWaveModel } from "./_fixtures.ts";
+import type { Shortage } from "./mod.ts";
 
 /** Time in milliseconds of each of the two floods. */
 const FLOOD_MS = 120_000;
@@ -27,38 +21,6 @@
   return { demand, shortages };
 }
 
-function createModel(flood: Flood): FleetModel {
-  const set = createFleetSet({
-    dataCentres: PLACES.map((name) => ({ name, region: "great-lakes" })),
-    pools: { orders: 6, quoting: 6, spare: 4 },
-    sparePool: "spare",
-    minAvailablePercent: 60,
-    maxOutPerRack: 2,
-    cores: 16,
-    memoryGb: 32,
-    waves: { kernel: { outage_s: 20 } },
-  });
-  return createFleetModel({
-    set,
-    drainMs: 5_000,
-    restartMs: () => 20_000,
-    daemons: PLACES.map((dataCentre, index) => ({
-      name: `e${index}`,
-      dataCentre,
-      scopes: PLACES,
-    })),
-    planner: (state, { term, nowMs, observations }) => {
-      const wave = planWave(state, observations, { term, nowMs });
-      const options = { term, nowMs, ...demandAt(nowMs, flood) };
-      const moves = planMoves(state, observations, options);
-      return {
-        records: [...wave.records, ...moves.records],
-        reboots: [...wave.reboots, ...moves.reboots],
-      };
-    },
-  });
-}
-
 describe("a fleet under a flood", () => {
   // Guards against hosts that a flood takes from pools beyond their budgets,
   // that two pools own, or that restart with requests in progress.
@@ -66,7 +28,7 @@
     { first: "orders", then: "quoting" },
     { first: "quoting", then: "orders" },
   ])("keeps its invariants when $first and then $then floods", (flood) => {
-    const model = createModel(flood);
+    const model = createWaveModel((nowMs) => demandAt(nowMs, flood));
     const sizes = new Set<string>();
     for (let step = 0; step < 500; step++) {
       stepFleet(model, { stepMs: 1_000 });
--- a/packages/decisions/fleet_model_test.ts
+++ b/packages/decisions/fleet_model_test.ts
@@ -1,7 +1,5 @@
 import { describe, expect, test } from "@jest/globals";
 import {
-  createFleetModel,
-  createFleetSet,
   dropRecords,
   failHost,
   type FleetModel,
@@ -10,50 +8,19 @@
 } from "@lagoonloom/standins/fleet";
 import fc from "fast-check";
 import { createHash } from "node:crypto";
+import { createWaveModel } from "./_fixtures.ts";
 import {
   applyRecord,
   encodeCheckpoint,
   type FleetState,
-  planMoves,
-  planWave,
   type Shortage,
 } from "./mod.ts";
 
-const PLACES = ["detroit", "cleveland", "milwaukee"];
 const SHORT: Shortage[] = [{ pool: "orders", hosts: 1.5, sinceMs: -1e7 }];
 const DEMAND = new Map([["orders", 6], ["quoting", 2], ["spare", 0]]);
 
-function createModel(): FleetModel {
-  const set = createFleetSet({
-    dataCentres: PLACES.map((name) => ({ name, region: "great-lakes" })),
-    pools: { orders: 6, quoting: 6, spare: 4 },
-    sparePool: "spare",
-    minAvailablePercent: 60,
-    maxOutPerRack: 2,
-    cores: 16,
-    memoryGb: 32,
-    waves: { kernel: { outage_s: 20 } },
-  });
-  return createFleetModel({
-    set,
-    drainMs: 5_000,
-    restartMs: () => 20_000,
-    daemons: PLACES.map((dataCentre, index) => ({
-      name: `e${index}`,
-      dataCentre,
-      scopes: PLACES,
-    })),
-    planner: (state, { term, nowMs, observations }) => {
-      const wave = planWave(state, observations, { term, nowMs });
-      const options = { term, nowMs, demand: DEMAND, shortages: SHORT };
-      const moves = planMoves(state, observations, options);
-      return {
-        records: [...wave.records, ...moves.records],
-        reboots: [...wave.reboots, ...moves.reboots],
-      };
-    },
-  });
-}
+const createModel = () =>
+  createWaveModel(() => ({ demand: DEMAND, shortages: SHORT }));
 
 type Fault = (model: FleetModel, after: number) => void;
 
