--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
   {
     ignores: [
       "dist/**",
+      "target/**",
       "**/node_modules/**",
       "packages/peers/gen/**",
       "**/*.config.js",
@@ -59,7 +60,7 @@
     },
   },
   {
-    files: ["packages/*/**/*.ts"],
+    files: ["packages/*/**/*.ts", "platform/**/*.ts"],
     ignores: ["**/*_test.ts", "**/internal/**", "**/_*.ts"],
     rules: {
       "jsdoc/require-jsdoc": ["error", {
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,6 +1,9 @@
 export default {
   testEnvironment: "node",
-  testMatch: ["<rootDir>/packages/**/*_test.ts"],
+  testMatch: [
+    "<rootDir>/packages/**/*_test.ts",
+    "<rootDir>/platform/**/*_test.ts",
+  ],
   extensionsToTreatAsEsm: [".ts"],
   transform: {
     "\\.ts$": ["@swc/jest", {
--- /dev/null
+++ b/packages/jobs/accepted/accept_job.ts
@@ -0,0 +1,93 @@
+import type { Queue } from "../fleet.ts";
+import { type Layout, partitionOf } from "../owned/layout.ts";
+import type { AppendOutcome, Store } from "../ports.ts";
+import type { AcceptedJob, Submission } from "../submission.ts";
+import { cancelKey, JOBS_TOPIC } from "../topics.ts";
+
+/** Outcome of an acceptance or a cancellation. */
+export type RecordOutcome =
+  | { type: "stored" }
+  /** Provably not stored; the caller may come back after the time. */
+  | { type: "refused"; retryAfterMs: number; reason: string }
+  /** Possibly stored, so that nothing may be promised either way. */
+  | { type: "unknown"; reason: string };
+
+/** Time to come back after a refusal that does not say one. */
+const DEFAULT_RETRY_MS = 500;
+
+/** Options of {@linkcode acceptJob} and {@linkcode cancelJob}. */
+export type RecordOptions = {
+  store: Store;
+  layout: Layout;
+  queue: Queue;
+  /** Longest wait for the store in milliseconds. */
+  timeoutMs: number;
+};
+
+/**
+ * Stores an accepted job. Any member may do so, and more than once: the record
+ * of an id is always the same, and its owner takes it once.
+ *
+ * @example
+ * ```ts
+ * const outcome = await acceptJob(id, submission, { store, layout, ...rest });
+ * ```
+ */
+export async function acceptJob(
+  id: string,
+  submission: Submission,
+  options: RecordOptions,
+): Promise<RecordOutcome> {
+  const { queue } = options;
+  const accepted: AcceptedJob = {
+    queue: queue.name,
+    service: queue.service,
+    acceptedAtMs: Date.now(),
+    submission,
+  };
+  return await store(id, { key: id, value: JSON.stringify(accepted) }, options);
+}
+
+/** Stores the cancellation of a job. */
+export async function cancelJob(
+  id: string,
+  options: RecordOptions,
+): Promise<RecordOutcome> {
+  const value = JSON.stringify({ cancelledAtMs: Date.now() });
+  return await store(id, { key: cancelKey(id), value }, options);
+}
+
+async function store(
+  id: string,
+  record: { key: string; value: string },
+  options: RecordOptions,
+): Promise<RecordOutcome> {
+  const partition = partitionOf(options.layout, {
+    service: options.queue.service,
+    key: id,
+  });
+  if (partition === undefined) {
+    return {
+      type: "refused",
+      retryAfterMs: DEFAULT_RETRY_MS,
+      reason: `service ${options.queue.service} has no partition yet`,
+    };
+  }
+  const outcome = await options.store.append(
+    { topic: JOBS_TOPIC, partition },
+    { records: [record], timeoutMs: options.timeoutMs },
+  );
+  return decide(outcome);
+}
+
+function decide(outcome: AppendOutcome): RecordOutcome {
+  switch (outcome.type) {
+    case "stored":
+    case "refused":
+    case "unknown":
+      return outcome;
+    default:
+      // Records without a writer or a condition get no other answer.
+      return { type: "unknown", reason: outcome.type };
+  }
+}
--- /dev/null
+++ b/packages/jobs/ended/finish_job.ts
@@ -0,0 +1,37 @@
+import { type Job, stateOf } from "../job_book.ts";
+import { type OwnerState, stopRun } from "../owned/owner_state.ts";
+import { encodeProgress } from "./progress.ts";
+
+/** Stores the progress of a job with the next batch. */
+export function saveJob(owner: OwnerState, job: Job): void {
+  owner.progress.put(job.id, () => encodeProgress(job, owner.failed));
+}
+
+/** Ends a job: stores its outcome and stops what still runs. */
+export function finishJob(owner: OwnerState, job: Job, reason: string): void {
+  job.endedAtMs = Date.now();
+  owner.options.events.log("jobFinished", {
+    job: job.id,
+    state: stateOf(job),
+    reason,
+  });
+  saveJob(owner, job);
+  for (const group of job.groups) {
+    for (const task of group.tasks) {
+      for (const run of task.runs) stopRun(owner, run, reason);
+    }
+  }
+  owner.schedulePlacing();
+}
+
+/** Forgets a job that nobody can ask for any more. */
+export function dropJob(owner: OwnerState, job: Job): void {
+  for (const group of job.groups) {
+    for (const task of group.tasks) {
+      if (task.runs.length > 0) return;
+      owner.failed.delete(task.name);
+    }
+  }
+  owner.jobs.delete(job.id);
+  owner.progress.put(job.id, () => undefined);
+}
--- /dev/null
+++ b/packages/jobs/ended/note_end.ts
@@ -0,0 +1,117 @@
+import { hasEnded, isComplete, type Run, type Task } from "../job_book.ts";
+import { type OwnerState, queueOf, stopRun } from "../owned/owner_state.ts";
+import type { EndReport } from "../ports.ts";
+import { isUsable, type Worker } from "../worker.ts";
+import { finishJob, saveJob } from "./finish_job.ts";
+
+/** Ends as failed in a row, of different jobs, that suspend an executor. */
+const SUSPEND_AFTER_JOBS = 3;
+
+/** Time for which a failing executor gets no work. */
+const SUSPENSION_MS = 4_000;
+
+/** End of a run of a task. */
+export type End = {
+  how: EndReport["how"];
+  checkpoint: string;
+  run: number;
+  worker: Worker;
+};
+
+/** Notes the end of a run that is in the book. */
+export function noteRunEnd(
+  owner: OwnerState,
+  run: Run,
+  end: { how: EndReport["how"]; checkpoint: string },
+): void {
+  const { task, worker } = run;
+  owner.options.events.log("runEnded", {
+    task: task.name,
+    run: run.number,
+    executor: worker.id,
+    how: end.how,
+    ranMs: Math.round(performance.now() - run.startedAtMs),
+  });
+  if (end.how === "done") {
+    worker.failuresInRow = 0;
+    worker.failedJobs.clear();
+  }
+  noteEnd(owner, task, { ...end, run: run.number, worker });
+}
+
+/** Notes an end of a task and what follows from it for its job. */
+export function noteEnd(owner: OwnerState, task: Task, end: End): void {
+  const { job } = task.group;
+  if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
+  task.lastRun = Math.max(task.lastRun, end.run);
+  task.waitingSinceMs = performance.now();
+  if (end.how === "done") noteDone(owner, task);
+  else if (end.how === "failed") noteFailure(owner, task, end);
+  if (!hasEnded(job) && isComplete(job)) {
+    finishJob(owner, job, "all tasks have ended");
+  }
+  owner.schedulePlacing();
+}
+
+function noteDone(owner: OwnerState, task: Task): void {
+  const { group } = task;
+  if (group.step.isLasting) return;
+  // One end of a gang stands for all of its members.
+  const ended = group.step.isGang ? group.tasks : [task];
+  for (const member of ended) {
+    if (member.isDone) continue;
+    member.isDone = true;
+    group.doneCount++;
+    if (group.step.isGang) continue;
+    for (const run of member.runs) {
+      stopRun(owner, run, "a copy has ended first");
+    }
+  }
+  saveJob(owner, group.job);
+}
+
+function noteFailure(owner: OwnerState, task: Task, end: End): void {
+  const { job, step } = task.group;
+  let runs = owner.failed.get(task.name);
+  if (runs === undefined) owner.failed.set(task.name, runs = new Set());
+  // A later owner may read the same end again.
+  if (runs.has(end.run)) return;
+  runs.add(end.run);
+  task.failures = runs.size;
+  avoidWorker(owner, task, end.worker);
+  suspectWorker(owner, end.worker, job.id);
+  if (step.isLasting) return;
+  saveJob(owner, job);
+  const maxFailures = queueOf(owner, job)?.maxFailures ?? Infinity;
+  if (task.failures >= maxFailures && !hasEnded(job)) {
+    job.hasFailed = true;
+    finishJob(owner, job, `${task.name} failed ${task.failures} times`);
+  }
+}
+
+/** Keeps a task from an executor as long as there are others. */
+export function avoidWorker(
+  owner: OwnerState,
+  task: Task,
+  worker: Worker,
+): void {
+  task.avoided.add(worker.id);
+  const nowMs = performance.now();
+  for (const other of owner.workers.values()) {
+    if (isUsable(other, nowMs) && !task.avoided.has(other.id)) return;
+  }
+  task.avoided.clear();
+}
+
+function suspectWorker(owner: OwnerState, worker: Worker, job: string): void {
+  worker.failuresInRow++;
+  worker.failedJobs.add(job);
+  const isSuspect = worker.failedJobs.size >= SUSPEND_AFTER_JOBS;
+  if (!isSuspect) return;
+  worker.suspendedUntilMs = performance.now() + SUSPENSION_MS;
+  owner.options.events.log("executorSuspended", {
+    executor: worker.id,
+    failures: worker.failuresInRow,
+    forMs: SUSPENSION_MS,
+  });
+}
--- /dev/null
+++ b/packages/jobs/ended/progress.ts
@@ -0,0 +1,87 @@
+import { z } from "zod";
+import type { Job, StepGroup } from "../job_book.ts";
+
+/**
+ * Schema of the stored progress of a job. Ends are kept by run number, so that
+ * an end that two owners read counts once.
+ */
+export const Progress = z.object({
+  /** Done tasks by occurrence and step, as hexadecimal bits. */
+  done: z.record(z.string(), z.string()),
+  /** Numbers of the failed runs by task. */
+  failed: z.record(z.string(), z.array(z.number())),
+  outcome: z.enum(["completed", "failed", "cancelled"]).optional(),
+  /** Unix time of the outcome in milliseconds. */
+  endedAtMs: z.number().optional(),
+});
+
+/** Stored progress of a job. */
+export type Progress = z.infer<typeof Progress>;
+
+/** Failed runs by task name. */
+export type FailedRuns = Map<string, Set<number>>;
+
+/** Returns the progress of a job for the store. */
+export function encodeProgress(job: Job, failed: FailedRuns): string {
+  const progress: Progress = { done: {}, failed: {} };
+  for (const group of job.groups) {
+    if (group.doneCount > 0) progress.done[groupKey(group)] = doneBits(group);
+    for (const task of group.tasks) {
+      const runs = failed.get(task.name);
+      if (runs !== undefined && !task.isDone) {
+        progress.failed[task.name] = [...runs];
+      }
+    }
+  }
+  if (job.endedAtMs !== undefined) {
+    progress.endedAtMs = job.endedAtMs;
+    progress.outcome = job.isCancelled
+      ? "cancelled"
+      : job.hasFailed
+      ? "failed"
+      : "completed";
+  }
+  return JSON.stringify(progress);
+}
+
+/** Applies stored progress to a job whose occurrences have begun. */
+export function applyProgress(
+  job: Job,
+  { progress, failed }: { progress: Progress; failed: FailedRuns },
+): void {
+  for (const group of job.groups) {
+    const bits = progress.done[groupKey(group)] ?? "";
+    for (const task of group.tasks) {
+      if (!task.isDone && isBitSet(bits, task.index)) {
+        task.isDone = true;
+        group.doneCount++;
+        job.hasStarted = true;
+      }
+      const runs = progress.failed[task.name];
+      if (runs === undefined) continue;
+      failed.set(task.name, new Set(runs));
+      task.failures = runs.length;
+      job.hasStarted = true;
+    }
+  }
+  job.endedAtMs = progress.endedAtMs;
+  job.hasFailed = progress.outcome === "failed";
+  job.isCancelled ||= progress.outcome === "cancelled";
+}
+
+function groupKey(group: StepGroup): string {
+  return `${group.occurrence}.${group.number}`;
+}
+
+function doneBits(group: StepGroup): string {
+  const digits = new Array<number>(Math.ceil(group.tasks.length / 4)).fill(0);
+  for (const task of group.tasks) {
+    if (task.isDone) digits[task.index >> 2]! |= 1 << (task.index & 3);
+  }
+  return digits.map((digit) => digit.toString(16)).join("");
+}
+
+function isBitSet(bits: string, index: number): boolean {
+  const digit = Number.parseInt(bits[index >> 2] ?? "0", 16);
+  return (digit >> (index & 3) & 1) === 1;
+}
--- /dev/null
+++ b/packages/jobs/ended/progress_log.ts
@@ -0,0 +1,141 @@
+import type { KeyedRecord, Partition, Store } from "../ports.ts";
+
+/** Shortest time between two appends of a partition's progress. */
+const FLUSH_INTERVAL_MS = 100;
+
+/** Pause before an append is repeated. */
+const RETRY_MS = 250;
+
+/** Longest wait for an append. */
+const APPEND_TIMEOUT_MS = 1_500;
+
+/** Most records of one append. */
+const MAX_RECORDS = 500;
+
+/** Writer of the progress of one partition under one term of ownership. */
+export type ProgressLog = {
+  /** Stores the newest value of a key; calls back once it is safe. */
+  put(key: string, value: () => string | undefined): void;
+  /** Calls back once everything put before this call is safe. */
+  whenStored(callback: () => void): void;
+  /** Whether something waits to be stored. */
+  isPending(): boolean;
+  /** Waits until everything is stored or the time is over. */
+  drain(timeoutMs: number): Promise<boolean>;
+  close(): void;
+};
+
+/** Options of {@linkcode createProgressLog}. */
+export type ProgressLogOptions = {
+  store: Store;
+  place: Partition;
+  writer: { name: string; epoch: number };
+  /** Tells that a newer owner has taken over. */
+  onFenced(): void;
+  /** Tells of an append that failed. */
+  onFailure(reason: string): void;
+};
+
+/**
+ * Creates a writer that collects records and appends them in batches, one at a
+ * time. A batch whose answer was lost is repeated under its sequence number,
+ * so that it is stored once and in order.
+ *
+ * @example
+ * ```ts
+ * const log = createProgressLog({ store, place, writer, onFenced, onFailure });
+ * log.put(job.id, () => encodeProgress(job, failed));
+ * ```
+ */
+export function createProgressLog(options: ProgressLogOptions): ProgressLog {
+  const values = new Map<string, () => string | undefined>();
+  let callbacks: (() => void)[] = [];
+  let isClosed = false;
+  let isRunning = false;
+  let lastFlushMs = -Infinity;
+  let sequence = 0;
+
+  const appendBatch = async (records: KeyedRecord[]): Promise<boolean> => {
+    while (!isClosed) {
+      const outcome = await options.store.append(options.place, {
+        records,
+        writer: { ...options.writer, sequence },
+        timeoutMs: APPEND_TIMEOUT_MS,
+      });
+      if (outcome.type === "stored") {
+        sequence++;
+        return true;
+      }
+      if (outcome.type === "fenced") {
+        options.onFenced();
+        return false;
+      }
+      if (
+        outcome.type === "outOfSequence" && outcome.expected !== undefined
+      ) {
+        // A term is fenced by its epoch; only its first number is not known.
+        sequence = outcome.expected;
+        continue;
+      }
+      options.onFailure("reason" in outcome ? outcome.reason : outcome.type);
+      await sleep(RETRY_MS);
+    }
+    return false;
+  };
+
+  const flush = async (): Promise<void> => {
+    isRunning = true;
+    while (!isClosed && (values.size > 0 || callbacks.length > 0)) {
+      const waitMs = lastFlushMs + FLUSH_INTERVAL_MS - performance.now();
+      if (waitMs > 0) await sleep(waitMs);
+      lastFlushMs = performance.now();
+      const records = takeBatch(values);
+      const isWhole = values.size === 0;
+      const waiting = isWhole ? callbacks : [];
+      if (isWhole) callbacks = [];
+      if (records.length > 0 && !await appendBatch(records)) break;
+      for (const callback of waiting) callback();
+    }
+    isRunning = false;
+  };
+
+  const wake = () => {
+    if (!isRunning && !isClosed) void flush();
+  };
+
+  return {
+    put(key, value) {
+      values.set(key, value);
+      wake();
+    },
+    whenStored(callback) {
+      callbacks.push(callback);
+      wake();
+    },
+    isPending: () => isRunning,
+    async drain(timeoutMs) {
+      const endMs = performance.now() + timeoutMs;
+      while (isRunning && performance.now() < endMs) await sleep(20);
+      return !isRunning;
+    },
+    close() {
+      isClosed = true;
+    },
+  };
+}
+
+function takeBatch(
+  values: Map<string, () => string | undefined>,
+): KeyedRecord[] {
+  const records: KeyedRecord[] = [];
+  for (const [key, value] of values) {
+    records.push({ key, value: value() });
+    values.delete(key);
+    if (records.length >= MAX_RECORDS) break;
+  }
+  return records;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/jobs/job_book.ts
@@ -0,0 +1,239 @@
+import type { AcceptedJob, JobState, Step } from "./submission.ts";
+import type { Worker } from "./worker.ts";
+
+/** Attempt to run a task on an executor. */
+export type Run = {
+  task: Task;
+  /** Number of the start; rises for each task. */
+  number: number;
+  worker: Worker;
+  /**
+   * `starting` until the executor answers, `uncertain` when no answer came and
+   * the executor may still begin it, `stopping` once a stop is on its way.
+   */
+  state: "starting" | "running" | "uncertain" | "stopping";
+  /** Steady time of the start order in milliseconds. */
+  startedAtMs: number;
+  /** Share of its work rate that the executor allows, in percent. */
+  percent: number;
+  /** Share that was last asked for, in percent. */
+  askedPercent: number;
+  checkpoint: string;
+  /** Why it is being stopped; empty if it is not. */
+  stopReason: string;
+  /** Tail of response times or processor use, as last reported. */
+  load: number;
+};
+
+/** One of the work items of a step. */
+export type Task = {
+  name: string;
+  group: StepGroup;
+  index: number;
+  isDone: boolean;
+  runs: Run[];
+  /** Highest run number that was ever used for the task. */
+  lastRun: number;
+  /** Runs that ended as failed. */
+  failures: number;
+  checkpoint: string;
+  /** Steady time before which an unknown earlier run may still go on. */
+  blockedUntilMs: number;
+  /** Executors on which the task failed or was too slow. */
+  avoided: Set<string>;
+  /** Steady time since which the task is not at work. */
+  waitingSinceMs: number;
+};
+
+/** Tasks of one step of one occurrence. */
+export type StepGroup = {
+  job: Job;
+  occurrence: number;
+  number: number;
+  step: Step;
+  tasks: Task[];
+  doneCount: number;
+};
+
+/** Job of the partition. */
+export type Job = {
+  id: string;
+  accepted: AcceptedJob;
+  /** Offset of the accepting record; jobs are served in this order. */
+  offset: number;
+  /** Unix time until which the job is on time. */
+  dueAtMs: number;
+  isCancelled: boolean;
+  hasFailed: boolean;
+  hasStarted: boolean;
+  /** Unix time at which the job ended, or undefined. */
+  endedAtMs: number | undefined;
+  groups: StepGroup[];
+  /** Occurrences whose groups exist. */
+  begun: number;
+  /** Whether earlier owners may have run parts of the job. */
+  isInherited: boolean;
+};
+
+/** Jobs by id. */
+export type JobBook = Map<string, Job>;
+
+/** Options of {@linkcode createJob}. */
+export type CreateJobOptions = {
+  accepted: AcceptedJob;
+  offset: number;
+  dueAtMs: number;
+  isInherited: boolean;
+};
+
+/**
+ * Creates a job without occurrences; {@linkcode beginOccurrences} adds them
+ * when they are due.
+ *
+ * @example
+ * ```ts
+ * const job = createJob("5c0e7a21d94b36f8", options);
+ * ```
+ */
+export function createJob(id: string, options: CreateJobOptions): Job {
+  return {
+    id,
+    ...options,
+    isCancelled: false,
+    hasFailed: false,
+    hasStarted: false,
+    endedAtMs: undefined,
+    groups: [],
+    begun: 0,
+  };
+}
+
+/** Number of times that a job runs in all. */
+export function occurrencesOf(job: Job): number {
+  return Math.max(1, job.accepted.submission.occurrences);
+}
+
+/** Returns the Unix time at which an occurrence is due. */
+export function dueTimeOf(job: Job, occurrence: number): number {
+  const { occurrences, firstRunMs, intervalMs } = job.accepted.submission;
+  if (occurrences === 0) return job.accepted.acceptedAtMs;
+  return firstRunMs + occurrence * intervalMs;
+}
+
+/**
+ * Creates the tasks of all occurrences that are due.
+ *
+ * @returns whether there are new tasks
+ */
+export function beginOccurrences(
+  job: Job,
+  times: { unixMs: number; steadyMs: number; blockedUntilMs: number },
+): boolean {
+  const before = job.begun;
+  const total = occurrencesOf(job);
+  const isTimed = job.accepted.submission.occurrences > 0;
+  while (job.begun < total) {
+    if (isTimed && dueTimeOf(job, job.begun) > times.unixMs) break;
+    beginOccurrence(job, times);
+  }
+  return job.begun > before;
+}
+
+function beginOccurrence(
+  job: Job,
+  times: { steadyMs: number; blockedUntilMs: number },
+): void {
+  const occurrence = job.begun++;
+  job.accepted.submission.steps.forEach((step, number) => {
+    const group: StepGroup = {
+      job,
+      occurrence,
+      number,
+      step,
+      tasks: [],
+      doneCount: 0,
+    };
+    for (let index = 0; index < step.count; index++) {
+      group.tasks.push({
+        name: `${job.id}.${occurrence}.${number}.${index}`,
+        group,
+        index,
+        isDone: false,
+        runs: [],
+        lastRun: 0,
+        failures: 0,
+        checkpoint: "",
+        blockedUntilMs: job.isInherited ? times.blockedUntilMs : 0,
+        avoided: new Set(),
+        waitingSinceMs: times.steadyMs,
+      });
+    }
+    job.groups.push(group);
+  });
+}
+
+/** Returns whether a job needs nothing more. */
+export function hasEnded(job: Job): boolean {
+  return job.endedAtMs !== undefined;
+}
+
+/** Returns whether all steps that a group waits for have ended. */
+export function isGroupReady(group: StepGroup): boolean {
+  const first = group.job.groups.length === 0
+    ? 0
+    : group.occurrence * group.job.accepted.submission.steps.length;
+  return group.step.dependsOn.every((number) => {
+    const needed = group.job.groups[first + number];
+    return needed !== undefined && isGroupDone(needed);
+  });
+}
+
+/** Returns whether all tasks of a group have ended well. */
+export function isGroupDone(group: StepGroup): boolean {
+  return group.doneCount >= group.tasks.length;
+}
+
+/** Returns whether every task of every occurrence has ended well. */
+export function isComplete(job: Job): boolean {
+  return job.begun >= occurrencesOf(job) && job.groups.every(isGroupDone);
+}
+
+/** Returns the state of a job for its caller. */
+export function stateOf(job: Job): JobState {
+  if (job.isCancelled) return "cancelled";
+  if (job.hasFailed) return "failed";
+  if (job.endedAtMs !== undefined) return "completed";
+  return job.hasStarted ? "running" : "queued";
+}
+
+/** Name of a task in its parts. */
+export type TaskName = {
+  id: string;
+  occurrence: number;
+  step: number;
+  index: number;
+};
+
+/** Splits the name of a task, or returns undefined if it is not one. */
+export function parseTaskName(name: string): TaskName | undefined {
+  const match = /^([0-9a-f]{16})\.(\d+)\.(\d+)\.(\d+)$/.exec(name);
+  if (match === null) return undefined;
+  const [, id, occurrence, step, index] = match;
+  return {
+    id: id!,
+    occurrence: Number(occurrence),
+    step: Number(step),
+    index: Number(index),
+  };
+}
+
+/** Finds a task by its name. */
+export function findTask(book: JobBook, name: string): Task | undefined {
+  const parts = parseTaskName(name);
+  const job = parts && book.get(parts.id);
+  if (job === undefined) return undefined;
+  const steps = job.accepted.submission.steps.length;
+  if (parts!.step >= steps) return undefined;
+  const group = job.groups[parts!.occurrence * steps + parts!.step];
+  return group?.tasks[parts!.index];
+}
--- /dev/null
+++ b/packages/jobs/member.ts
@@ -0,0 +1,301 @@
+import {
+  createOwnerClient,
+  createOwnerServer,
+  type OwnerClient,
+  type OwnerHandlers,
+} from "@lagoonloom/peers";
+import {
+  acceptJob,
+  cancelJob,
+  type RecordOutcome,
+} from "./accepted/accept_job.ts";
+import type {
+  Configuration,
+  ExecutorReport,
+  Queue,
+  UpkeepWave,
+} from "./fleet.ts";
+import type { JobEvents } from "./job_events.ts";
+import {
+  type Layout,
+  machinesPartition,
+  partitionOf,
+  planLayout,
+  readLayout,
+  storeLayout,
+} from "./owned/layout.ts";
+import { createOwnerDirectory, memberName } from "./owned/owner_directory.ts";
+import { joinOwners, type Ownership } from "./owned/ownership.ts";
+import {
+  createPartitionOwner,
+  type PartitionOwner,
+} from "./owned/partition_owner.ts";
+import type { Advice, Executors, Machines, Store } from "./ports.ts";
+import {
+  countPending,
+  type OwnerAccess,
+  showJob,
+  type Shown,
+} from "./shown/ask_owner.ts";
+import type { JobState, Submission } from "./submission.ts";
+
+/** Period of the checks of the layout. */
+const LAYOUT_INTERVAL_MS = 250;
+
+/** Time that stored changes get when a partition is given up. */
+const RELEASE_TIMEOUT_MS = 1_000;
+
+/** Longest lease of an executor, if the platform allows as much. */
+const LEASE_MS = 4_500;
+
+/** Part of the platform's longest lease that is used at most. */
+const LEASE_SHARE = 0.9;
+
+/** State of the platform as this member last read it. */
+export type World = {
+  configuration(): Configuration | undefined;
+  executors(): ReadonlyMap<string, ExecutorReport>;
+  /** Whether the list of executors has been read once. */
+  hasExecutors(): boolean;
+  waves(): readonly UpkeepWave[];
+  /** Tells whether the list of executors is needed here. */
+  followExecutors(isNeeded: boolean): void;
+};
+
+/** Options of {@linkcode startMember}. */
+export type MemberOptions = {
+  /** Name of this process for its leases of machines. */
+  name: string;
+  peer: { host: string; port: number };
+  store: Store;
+  executors: Executors;
+  machines: Machines;
+  advice: Advice | undefined;
+  events: JobEvents;
+  partitions: number;
+  maxLeaseMs: number;
+  showMs: number;
+  /** Opens the view of the platform; `onChange` follows each change. */
+  openWorld(onChange: () => void): World;
+};
+
+/** Process that accepts jobs and owns some partitions of them. */
+export type Member = {
+  world: World;
+  /** Whether requests can be served. */
+  isReady(): boolean;
+  accept(
+    id: string,
+    options: { submission: Submission; queue: Queue; timeoutMs: number },
+  ): Promise<RecordOutcome>;
+  cancel(
+    id: string,
+    options: { queue: Queue; timeoutMs: number },
+  ): Promise<RecordOutcome>;
+  show(
+    id: string,
+    options: { queue: Queue; timeoutMs: number },
+  ): Promise<Shown<JobState>>;
+  /** Accepted jobs of a queue that have not begun. */
+  countPending(queue: Queue, timeoutMs: number): Promise<Shown<number>>;
+  /** Gives all partitions up, so that others go on with them at once. */
+  leave(): Promise<void>;
+  close(): Promise<void>;
+};
+
+/**
+ * Starts the part of a process that acts together with the others: it follows
+ * the platform, joins the owners and serves the calls of other members.
+ *
+ * @example
+ * ```ts
+ * const member = await startMember(options);
+ * ```
+ */
+export async function startMember(options: MemberOptions): Promise<Member> {
+  const { store, events } = options;
+  const owners = new Map<number, PartitionOwner>();
+  const clients = new Map<string, OwnerClient>();
+  let layout: Layout = new Map();
+  let isClosed = false;
+
+  const world = options.openWorld(() => {
+    for (const owner of owners.values()) owner.refresh();
+  });
+
+  const leaseMs = Math.min(LEASE_MS, LEASE_SHARE * options.maxLeaseMs);
+  const server = await createOwnerServer(createHandlers(owners), options.peer);
+  const directory = createOwnerDirectory(store);
+
+  const access: OwnerAccess = {
+    local: (partition) => owners.get(partition),
+    directory,
+    ownAddress: server.address,
+    client(address) {
+      let client = clients.get(address);
+      if (client === undefined) {
+        client = createOwnerClient(address, {
+          onFailure: (reason) => events.log("ownerSilent", { address, reason }),
+        });
+        clients.set(address, client);
+      }
+      return client;
+    },
+  };
+
+  const ownership: Ownership = joinOwners({
+    store,
+    events,
+    member: memberName(server.address, String(Date.now())),
+    isUsed: (partition) => isUsed(layout, partition, options.partitions),
+    acquire(partition, epoch) {
+      world.followExecutors(true);
+      const owner = createPartitionOwner({
+        partition,
+        epoch,
+        store,
+        executors: options.executors,
+        advice: options.advice,
+        view: {
+          configuration: world.configuration,
+          layout: () => layout,
+          executors: world.executors,
+        },
+        leaseMs,
+        maxLeaseMs: options.maxLeaseMs,
+        showMs: options.showMs,
+        events,
+        onLost(reason) {
+          events.log("partitionLost", { partition, epoch, reason });
+          owners.delete(partition);
+          ownership.drop(partition);
+          directory.invalidate();
+        },
+      });
+      owners.set(partition, owner);
+      return {
+        epoch,
+        async release() {
+          await owner.release(RELEASE_TIMEOUT_MS);
+          owners.delete(partition);
+          directory.invalidate();
+          world.followExecutors(owners.size > 0);
+        },
+      };
+    },
+  });
+
+  const updateLayout = async () => {
+    const configuration = world.configuration();
+    if (configuration === undefined) return;
+    const isWhole = configuration.services.every(({ name }) =>
+      layout.has(name)
+    );
+    if (isWhole) return;
+    const stored = await readLayout(store);
+    if (stored === undefined) return;
+    layout = stored.layout;
+    if (configuration.services.every(({ name }) => layout.has(name))) {
+      for (const owner of owners.values()) owner.refresh();
+      return;
+    }
+    world.followExecutors(true);
+    if (!world.hasExecutors()) return;
+    await storeLayout(store, {
+      layout: planLayout(layout, {
+        sizes: countExecutors(configuration, world.executors()),
+        partitions: options.partitions,
+      }),
+      end: stored.end,
+    });
+  };
+
+  const watchLayout = async () => {
+    while (!isClosed) {
+      await updateLayout();
+      await new Promise((resolve) => setTimeout(resolve, LAYOUT_INTERVAL_MS));
+    }
+  };
+  void watchLayout();
+
+  const partitionOfJob = (queue: Queue, id: string) =>
+    partitionOf(layout, { service: queue.service, key: id });
+
+  return {
+    world,
+    isReady: () => world.configuration() !== undefined && layout.size > 0,
+    accept: (id, { submission, queue, timeoutMs }) =>
+      acceptJob(id, submission, { store, layout, queue, timeoutMs }),
+    cancel: (id, { queue, timeoutMs }) =>
+      cancelJob(id, { store, layout, queue, timeoutMs }),
+    async show(id, { queue, timeoutMs }) {
+      const partition = partitionOfJob(queue, id);
+      if (partition === undefined) return { type: "unavailable" };
+      return await showJob(access, { partition, job: id, timeoutMs });
+    },
+    async countPending(queue, timeoutMs) {
+      const partitions = layout.get(queue.service) ?? [];
+      const counts = await Promise.all(
+        partitions.map((partition) =>
+          countPending(access, { partition, queue: queue.name, timeoutMs })
+        ),
+      );
+      let sum = 0;
+      for (const count of counts) {
+        if (count.type !== "known") return { type: "unavailable" };
+        sum += count.value;
+      }
+      return { type: "known", value: sum };
+    },
+    leave: () => ownership.leave(),
+    async close() {
+      isClosed = true;
+      for (const client of clients.values()) client.close();
+      await server.close();
+    },
+  };
+}
+
+function isUsed(
+  layout: Layout,
+  partition: number,
+  partitions: number,
+): boolean {
+  if (partition === machinesPartition(partitions)) return false;
+  for (const own of layout.values()) if (own.includes(partition)) return true;
+  return false;
+}
+
+function countExecutors(
+  configuration: Configuration,
+  executors: ReadonlyMap<string, ExecutorReport>,
+): Map<string, number> {
+  const sizes = new Map(configuration.services.map(({ name }) => [name, 0]));
+  for (const { service } of executors.values()) {
+    const count = sizes.get(service);
+    if (count !== undefined) sizes.set(service, count + 1);
+  }
+  return sizes;
+}
+
+function createHandlers(
+  owners: ReadonlyMap<number, PartitionOwner>,
+): OwnerHandlers {
+  const find = (partition: number) => {
+    const owner = owners.get(partition);
+    return owner?.isLoaded() === true ? owner : undefined;
+  };
+  return {
+    async show({ partition, job }) {
+      const owner = find(partition);
+      if (owner === undefined) return { isOwner: false };
+      return { isOwner: true, state: await owner.show(job) ?? "" };
+    },
+    countPending({ partition, queue }) {
+      const owner = find(partition);
+      if (owner === undefined) return { isOwner: false };
+      return { isOwner: true, pending: owner.countPending(queue) };
+    },
+    report: () => ({ isOwner: false }),
+  };
+}
--- /dev/null
+++ b/packages/jobs/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * Life of a job: accepted, owned, placed, run, ended, shown.
+ *
+ * @module
+ */
+
+export * from "./accepted/accept_job.ts";
+export * from "./fleet.ts";
+export * from "./job_events.ts";
+export * from "./owned/follow_topic.ts";
+export * from "./owned/layout.ts";
+export * from "./owned/owner_directory.ts";
+export * from "./owned/ownership.ts";
+export * from "./owned/owner_state.ts";
+export * from "./owned/partition_owner.ts";
+export * from "./ports.ts";
+export * from "./shown/ask_owner.ts";
+export * from "./submission.ts";
+export * from "./topics.ts";
+export * from "./member.ts";
--- /dev/null
+++ b/packages/jobs/owned/owner_directory.ts
@@ -0,0 +1,64 @@
+import type { Store } from "../ports.ts";
+import { OWNERS_GROUP } from "../topics.ts";
+
+/** Age after which the list of owners is read again. */
+const MAX_AGE_MS = 5_000;
+
+/** Shortest time between two reads. */
+const MIN_AGE_MS = 200;
+
+/** Separates the address of a member from the mark of its life. */
+const LIFE_MARK = "#";
+
+/** List of the members that own the partitions. */
+export type OwnerDirectory = {
+  /** Peer address of a partition's owner, if it is known. */
+  find(partition: number): Promise<string | undefined>;
+  /** Reads the list again before the next answer. */
+  invalidate(): void;
+};
+
+/** Returns the name of one life of a member. */
+export function memberName(address: string, life: string): string {
+  return address + LIFE_MARK + life;
+}
+
+/**
+ * Creates a list of owners that is read from the store when it is asked for
+ * and old.
+ *
+ * @example
+ * ```ts
+ * const address = await createOwnerDirectory(store).find(3);
+ * ```
+ */
+export function createOwnerDirectory(store: Store): OwnerDirectory {
+  let owners = new Map<number, string>();
+  let readAtMs = -Infinity;
+  let isStale = true;
+  let reading: Promise<void> | undefined;
+
+  const read = async () => {
+    const found = await store.owners(OWNERS_GROUP);
+    readAtMs = performance.now();
+    if (found !== undefined) {
+      owners = found;
+      isStale = false;
+    }
+    reading = undefined;
+  };
+
+  return {
+    async find(partition) {
+      const ageMs = performance.now() - readAtMs;
+      if (ageMs > MAX_AGE_MS || (isStale && ageMs > MIN_AGE_MS)) {
+        reading ??= read();
+      }
+      if (reading !== undefined) await reading;
+      return owners.get(partition)?.split(LIFE_MARK)[0];
+    },
+    invalidate() {
+      isStale = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/jobs/owned/owner_state.ts
@@ -0,0 +1,87 @@
+import type { FailedRuns } from "../ended/progress.ts";
+import type { ProgressLog } from "../ended/progress_log.ts";
+import type { Configuration, ExecutorReport, Queue } from "../fleet.ts";
+import type { Job, JobBook, Run } from "../job_book.ts";
+import type { JobEvents } from "../job_events.ts";
+import type { AdviceBook } from "../placed/advice_book.ts";
+import type { Advice, Executors, Store } from "../ports.ts";
+import type { WorkerSession } from "../run/worker_session.ts";
+import type { Worker } from "../worker.ts";
+import type { Layout } from "./layout.ts";
+
+/** What an owner needs to know of the world; read at each decision. */
+export type OwnerView = {
+  configuration(): Configuration | undefined;
+  layout(): Layout;
+  executors(): ReadonlyMap<string, ExecutorReport>;
+};
+
+/** Options of an owner of a partition. */
+export type PartitionOwnerOptions = {
+  partition: number;
+  /** Epoch in the store and fencing token at the executors. */
+  epoch: number;
+  store: Store;
+  executors: Executors;
+  advice: Advice | undefined;
+  view: OwnerView;
+  /** Length of a lease in milliseconds. */
+  leaseMs: number;
+  /** Longest lease that any owner may have given, in milliseconds. */
+  maxLeaseMs: number;
+  /** Time for which an ended job can be asked for, in milliseconds. */
+  showMs: number;
+  events: JobEvents;
+  /** Tells that another owner has taken over. */
+  onLost(reason: string): void;
+};
+
+/** State of an owner, shared by the parts of its work. */
+export type OwnerState = {
+  options: PartitionOwnerOptions;
+  jobs: JobBook;
+  workers: Map<string, Worker>;
+  sessions: Map<Worker, WorkerSession>;
+  /** Numbers of the failed runs by task. */
+  failed: FailedRuns;
+  /** Executors that this or earlier owners may have used. */
+  usedExecutors: Set<string>;
+  /** Executors that have not answered since the takeover. */
+  unheard: Set<string>;
+  /** Executors to empty for a move or for upkeep. */
+  reserved: ReadonlySet<string>;
+  isLoaded: boolean;
+  isClosed: boolean;
+  isReleasing: boolean;
+  /** Offset of the jobs topic to read on from. */
+  nextOffset: number;
+  takenOverAtMs: number;
+  /** Steady time until which an unknown run may go on. */
+  blockedUntilMs: number;
+  progress: ProgressLog;
+  advice: AdviceBook | undefined;
+  /** Starts a round of placing soon. */
+  schedulePlacing(): void;
+  /** Ends the ownership after another owner has taken over. */
+  lose(reason: string): void;
+};
+
+/** Returns the queue of a job in the configuration in force. */
+export function queueOf(owner: OwnerState, job: Job): Queue | undefined {
+  const { queue } = job.accepted;
+  return owner.options.view.configuration()?.queues
+    .find(({ name }) => name === queue);
+}
+
+/** Stops a run and logs why. */
+export function stopRun(owner: OwnerState, run: Run, reason: string): void {
+  if (run.stopReason === "") {
+    owner.options.events.log("runStopping", {
+      task: run.task.name,
+      run: run.number,
+      executor: run.worker.id,
+      reason,
+    });
+  }
+  owner.sessions.get(run.worker)?.stop(run, reason);
+}
--- /dev/null
+++ b/packages/jobs/owned/partition_owner.ts
@@ -0,0 +1,237 @@
+import {
+  beginDue,
+  readRecords,
+  takeCancellation,
+  takeJob,
+} from "../accepted/take_records.ts";
+import { dropJob } from "../ended/finish_job.ts";
+import { applyProgress } from "../ended/progress.ts";
+import { createProgressLog } from "../ended/progress_log.ts";
+import { type JobBook, stateOf } from "../job_book.ts";
+import { createAdviceBook } from "../placed/advice_book.ts";
+import { startWaitingTasks } from "../placed/start_tasks.ts";
+import { isMine, refreshWorkers, unblockTasks } from "../run/follow_workers.ts";
+import type { JobState } from "../submission.ts";
+import { PROGRESS_TOPIC } from "../topics.ts";
+import type { Worker } from "../worker.ts";
+import {
+  type LoadedPartition,
+  loadPartition,
+  writerName,
+} from "./load_partition.ts";
+import type { OwnerState, PartitionOwnerOptions } from "./owner_state.ts";
+
+/** Period of the owner's regular checks. */
+const TICK_MS = 100;
+
+/** Longest wait of a read for the next record. */
+const TAIL_WAIT_MS = 5_000;
+
+/** Pause after a read that failed. */
+const TAIL_RETRY_MS = 300;
+
+/** Least time between two rounds of placing. */
+const PLACE_DELAY_MS = 4;
+
+/** Time beyond its showing after which an ended job is forgotten. */
+const SHOW_MARGIN_MS = 30_000;
+
+/** Owner of the jobs and the executors of one partition. */
+export type PartitionOwner = {
+  partition: number;
+  epoch: number;
+  jobs: JobBook;
+  workers: ReadonlyMap<string, Worker>;
+  isLoaded(): boolean;
+  /** State of a job, or undefined if there is none. */
+  show(id: string): Promise<JobState | undefined>;
+  /** Accepted jobs of a queue of which nothing has started. */
+  countPending(queue: string): number;
+  /** Applies a change of the list of executors or of the configuration. */
+  refresh(): void;
+  /** Sets the executors to empty for a move or for upkeep. */
+  reserve(executors: ReadonlySet<string>): void;
+  /** Stores what is pending, then gives the partition up. */
+  release(timeoutMs: number): Promise<void>;
+  close(): void;
+};
+
+/**
+ * Takes a partition over and runs its jobs: fences the earlier owner, loads
+ * the state, looks at the executors, and from then on starts, watches and ends
+ * the tasks.
+ *
+ * @example
+ * ```ts
+ * const owner = createPartitionOwner({ partition: 3, epoch: 7, ...options });
+ * ```
+ */
+export function createPartitionOwner(
+  options: PartitionOwnerOptions,
+): PartitionOwner {
+  const { partition, epoch } = options;
+  const owner = createState(options);
+  const timer = setInterval(() => tick(owner), TICK_MS);
+  const close = () => {
+    owner.isClosed = true;
+    clearInterval(timer);
+    owner.progress.close();
+    for (const session of owner.sessions.values()) session.close();
+  };
+  owner.lose = (reason) => {
+    if (owner.isClosed) return;
+    close();
+    options.onLost(reason);
+  };
+  void takeOver(owner);
+  return {
+    partition,
+    epoch,
+    jobs: owner.jobs,
+    workers: owner.workers,
+    isLoaded: () => owner.isLoaded,
+    async show(id) {
+      if (!owner.jobs.has(id)) await readRecords(owner, 0);
+      const job = owner.jobs.get(id);
+      return job && stateOf(job);
+    },
+    countPending: (queue) => countPending(owner, queue),
+    refresh: () => refreshWorkers(owner),
+    reserve(executors) {
+      owner.reserved = executors;
+      for (const worker of owner.workers.values()) {
+        worker.isReserved = executors.has(worker.id);
+      }
+    },
+    async release(timeoutMs) {
+      owner.isReleasing = true;
+      await owner.progress.drain(timeoutMs);
+      close();
+    },
+    close,
+  };
+}
+
+function createState(options: PartitionOwnerOptions): OwnerState {
+  const { partition, epoch, store, events } = options;
+  let placeTimer: NodeJS.Timeout | undefined;
+  const owner: OwnerState = {
+    options,
+    jobs: new Map(),
+    workers: new Map(),
+    sessions: new Map(),
+    failed: new Map(),
+    usedExecutors: new Set(),
+    unheard: new Set(),
+    reserved: new Set(),
+    isLoaded: false,
+    isClosed: false,
+    isReleasing: false,
+    nextOffset: 0,
+    takenOverAtMs: performance.now(),
+    blockedUntilMs: 0,
+    progress: createProgressLog({
+      store,
+      place: { topic: PROGRESS_TOPIC, partition },
+      writer: { name: writerName(partition), epoch },
+      onFenced: () => owner.lose("store"),
+      onFailure: (reason) =>
+        events.log("progressDelayed", { partition, reason }),
+    }),
+    advice: options.advice && createAdviceBook(options.advice, {
+      onChange: () => owner.schedulePlacing(),
+    }),
+    schedulePlacing() {
+      if (placeTimer !== undefined || !owner.isLoaded) return;
+      placeTimer = setTimeout(() => {
+        placeTimer = undefined;
+        if (!owner.isClosed && !owner.isReleasing) startWaitingTasks(owner);
+      }, PLACE_DELAY_MS);
+    },
+    lose: () => undefined,
+  };
+  return owner;
+}
+
+async function takeOver(owner: OwnerState): Promise<void> {
+  const { partition, epoch, store, events } = owner.options;
+  while (!owner.isClosed) {
+    const outcome = await loadPartition(store, { partition, epoch });
+    if (owner.isClosed) return;
+    if (outcome.type === "fenced") return owner.lose("store");
+    if (outcome.type === "loaded") {
+      applyState(owner, outcome.state);
+      await follow(owner);
+      return;
+    }
+    events.log("loadDelayed", { partition, reason: outcome.reason });
+    await sleep(TAIL_RETRY_MS);
+  }
+}
+
+function applyState(owner: OwnerState, state: LoadedPartition): void {
+  const { partition, epoch, events, view, maxLeaseMs } = owner.options;
+  owner.nextOffset = state.nextOffset;
+  owner.blockedUntilMs = performance.now() + maxLeaseMs;
+  for (const { id, accepted, offset } of state.jobs) {
+    const job = takeJob(owner, id, { accepted, offset, isInherited: true });
+    const progress = state.progress.get(id);
+    if (progress !== undefined) {
+      applyProgress(job, { progress, failed: owner.failed });
+    }
+    if (state.cancelled.has(id)) takeCancellation(owner, id);
+  }
+  owner.usedExecutors = new Set(state.usedExecutors);
+  owner.unheard = new Set(state.usedExecutors);
+  for (const report of view.executors().values()) {
+    if (isMine(owner, report)) owner.unheard.add(report.id);
+  }
+  if (state.jobs.length === 0) owner.unheard.clear();
+  owner.isLoaded = true;
+  events.log("partitionLoaded", {
+    partition,
+    epoch,
+    jobs: state.jobs.length,
+    unreadable: state.unreadable,
+    executors: owner.unheard.size,
+    tookMs: Math.round(performance.now() - owner.takenOverAtMs),
+  });
+  refreshWorkers(owner);
+  unblockTasks(owner);
+}
+
+async function follow(owner: OwnerState): Promise<void> {
+  while (!owner.isClosed) {
+    const isRead = await readRecords(owner, TAIL_WAIT_MS);
+    if (!isRead) await sleep(TAIL_RETRY_MS);
+  }
+}
+
+function tick(owner: OwnerState): void {
+  if (!owner.isLoaded) return;
+  const nowMs = performance.now();
+  for (const session of owner.sessions.values()) session.expire(nowMs);
+  if (owner.unheard.size > 0 && nowMs >= owner.blockedUntilMs) {
+    owner.unheard.clear();
+    unblockTasks(owner);
+  }
+  const unixMs = Date.now();
+  const keepMs = owner.options.showMs + SHOW_MARGIN_MS;
+  for (const job of owner.jobs.values()) {
+    if (job.endedAtMs === undefined) beginDue(owner, job);
+    else if (unixMs > job.endedAtMs + keepMs) dropJob(owner, job);
+  }
+  owner.schedulePlacing();
+}
+
+function countPending(owner: OwnerState, queue: string): number {
+  let count = 0;
+  for (const job of owner.jobs.values()) {
+    if (job.accepted.queue === queue && stateOf(job) === "queued") count++;
+  }
+  return count;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/jobs/run/follow_workers.ts
@@ -0,0 +1,169 @@
+import { noteEnd, noteRunEnd } from "../ended/note_end.ts";
+import type { ExecutorReport } from "../fleet.ts";
+import { findTask, hasEnded, type Run } from "../job_book.ts";
+import { partitionOf } from "../owned/layout.ts";
+import type { OwnerState } from "../owned/owner_state.ts";
+import { saveUsedExecutors } from "../placed/start_tasks.ts";
+import type { RunReport } from "../ports.ts";
+import { addRun, createWorker, type Worker } from "../worker.ts";
+import { createWorkerSession, type WorkerSession } from "./worker_session.ts";
+
+/** Compares the executors in use with the list of the platform. */
+export function refreshWorkers(owner: OwnerState): void {
+  if (owner.isClosed || !owner.isLoaded) return;
+  const reports = owner.options.view.executors();
+  for (const worker of owner.workers.values()) {
+    checkWorker(owner, worker, reports.get(worker.id));
+  }
+  for (const report of reports.values()) {
+    const isKnown = owner.workers.has(report.id);
+    if (!isKnown && isMine(owner, report)) addWorker(owner, report);
+  }
+  owner.schedulePlacing();
+}
+
+/** Returns whether an executor belongs to the owner's partition. */
+export function isMine(owner: OwnerState, report: ExecutorReport): boolean {
+  const { view, partition } = owner.options;
+  const own = partitionOf(view.layout(), {
+    service: report.service,
+    key: report.id,
+  });
+  return own === partition;
+}
+
+/** Once all executors have answered, no unknown run can be left. */
+export function unblockTasks(owner: OwnerState): void {
+  if (owner.unheard.size > 0) return;
+  owner.blockedUntilMs = 0;
+  for (const job of owner.jobs.values()) {
+    if (!job.isInherited) continue;
+    for (const group of job.groups) {
+      for (const task of group.tasks) task.blockedUntilMs = 0;
+    }
+  }
+  const { partition, epoch, events } = owner.options;
+  const tookMs = Math.round(performance.now() - owner.takenOverAtMs);
+  events.log("takeoverComplete", { partition, epoch, tookMs });
+  owner.schedulePlacing();
+}
+
+function checkWorker(
+  owner: OwnerState,
+  worker: Worker,
+  report: ExecutorReport | undefined,
+): void {
+  if (report !== undefined && report.bornMs === worker.report.bornMs) {
+    worker.report = report;
+    if (!worker.isGone || worker.leaseEndsMs === 0) return;
+    // The executor is back on the list, and it is still the same life.
+    worker.isGone = false;
+    owner.sessions.get(worker)?.close();
+    owner.sessions.set(worker, openSession(owner, worker));
+    return;
+  }
+  if (report !== undefined) {
+    // A new life holds and runs nothing of the earlier one.
+    worker.leaseEndsMs = 0;
+    retireWorker(owner, worker);
+    return;
+  }
+  if (!worker.isGone) {
+    worker.isGone = true;
+    worker.goneAtMs = performance.now();
+    owner.options.events.log("executorGone", {
+      executor: worker.id,
+      runs: worker.runs.size,
+    });
+  }
+  if (worker.runs.size === 0) retireWorker(owner, worker);
+}
+
+function retireWorker(owner: OwnerState, worker: Worker): void {
+  worker.isGone = true;
+  owner.sessions.get(worker)?.expire(performance.now());
+  if (worker.runs.size > 0) return;
+  owner.sessions.get(worker)?.close();
+  owner.sessions.delete(worker);
+  owner.workers.delete(worker.id);
+  if (owner.unheard.delete(worker.id)) unblockTasks(owner);
+  if (owner.usedExecutors.delete(worker.id)) saveUsedExecutors(owner);
+}
+
+function addWorker(owner: OwnerState, report: ExecutorReport): void {
+  const worker = createWorker(report);
+  worker.isReserved = owner.reserved.has(worker.id);
+  owner.workers.set(worker.id, worker);
+  owner.sessions.set(worker, openSession(owner, worker));
+  owner.options.events.log("executorFound", {
+    executor: worker.id,
+    service: report.service,
+    partition: owner.options.partition,
+  });
+}
+
+function openSession(owner: OwnerState, worker: Worker): WorkerSession {
+  return createWorkerSession({
+    worker,
+    executors: owner.options.executors,
+    token: owner.options.epoch,
+    leaseMs: owner.options.leaseMs,
+    events: {
+      onEnd: (run, end) => noteRunEnd(owner, run, end),
+      onUnknownEnd(worker, end) {
+        const task = findTask(owner.jobs, end.task);
+        if (task !== undefined) noteEnd(owner, task, { ...end, worker });
+      },
+      onUnknownRun: (worker, report) => adoptRun(owner, worker, report),
+      whenStored: owner.progress.whenStored,
+      onChange: (worker) => noteAnswer(owner, worker),
+      onFenced: () => owner.lose("executor"),
+    },
+  });
+}
+
+/** Takes over a run that an earlier owner started; false if it must stop. */
+function adoptRun(
+  owner: OwnerState,
+  worker: Worker,
+  report: RunReport,
+): boolean {
+  const task = findTask(owner.jobs, report.task);
+  if (task === undefined) return false;
+  const { job, step } = task.group;
+  task.lastRun = Math.max(task.lastRun, report.run);
+  if (hasEnded(job) || task.isDone) return false;
+  if (task.runs.length > 0 && !step.isSpeculative) return false;
+  const run: Run = {
+    task,
+    number: report.run,
+    worker,
+    state: "running",
+    startedAtMs: performance.now(),
+    percent: report.percent,
+    askedPercent: report.percent,
+    checkpoint: report.checkpoint,
+    stopReason: "",
+    load: report.load,
+  };
+  addRun(run);
+  job.hasStarted = true;
+  owner.options.events.log("runAdopted", {
+    task: task.name,
+    run: report.run,
+    executor: worker.id,
+  });
+  return true;
+}
+
+function noteAnswer(owner: OwnerState, worker: Worker): void {
+  const hasAnswered = worker.failedCalls === 0;
+  if (hasAnswered && owner.unheard.delete(worker.id)) unblockTasks(owner);
+  if (worker.failedCalls === 1) {
+    owner.options.events.log("executorSilent", {
+      executor: worker.id,
+      runs: worker.runs.size,
+    });
+  }
+  owner.schedulePlacing();
+}
--- /dev/null
+++ b/packages/jobs/run/worker_session.ts
@@ -0,0 +1,359 @@
+import type { Run } from "../job_book.ts";
+import type { EndReport, Executors, HoldOutcome, RunReport } from "../ports.ts";
+import { removeRun, type Worker } from "../worker.ts";
+
+/** Longest wait of a look for the next end. */
+const LOOK_WAIT_MS = 1_000;
+
+/** Pause after a look without an answer. */
+const RETRY_MS = 300;
+
+/** Pause between looks while ends wait to be stored. */
+const UNCONFIRMED_PAUSE_MS = 250;
+
+/** Rate by which the clock of an executor may be slow. */
+const CLOCK_SLACK = 0.03;
+
+/** Time that a call may take on the way. */
+const TRANSIT_MS = 100;
+
+/** Age of a start or a stop after which a look must show its effect. */
+const SETTLE_MS = 50;
+
+/** Events of a session, in which its owner decides. */
+export type SessionEvents = {
+  /** A run ended, or went missing, in the way that `how` says. */
+  onEnd(run: Run, end: { how: EndReport["how"]; checkpoint: string }): void;
+  /** The executor lists an end of a run that is not in the book. */
+  onUnknownEnd(worker: Worker, end: EndReport): void;
+  /** The executor runs what is not in the book; true if it was adopted. */
+  onUnknownRun(worker: Worker, report: RunReport): boolean;
+  /** Calls back once all ends that were handled are safely stored. */
+  whenStored(callback: () => void): void;
+  onChange(worker: Worker): void;
+  onFenced(): void;
+};
+
+/** Options of {@linkcode createWorkerSession}. */
+export type WorkerSessionOptions = {
+  worker: Worker;
+  executors: Executors;
+  token: number;
+  /** Length of a lease in milliseconds. */
+  leaseMs: number;
+  events: SessionEvents;
+};
+
+/** Conversation of an owner with one life of an executor. */
+export type WorkerSession = {
+  worker: Worker;
+  /** Sends the order to start a run that has been added to the book. */
+  start(run: Run, order: { spec: string; ticket: string }): Promise<string>;
+  /** Stops a run and repeats the order until it is confirmed. */
+  stop(run: Run, reason: string): void;
+  /** Changes the pace of a run. */
+  pace(run: Run, percent: number): void;
+  /** Looks at once. */
+  look(): void;
+  /** Removes the runs of an executor that holds no lease any more. */
+  expire(nowMs: number): void;
+  close(): void;
+};
+
+/**
+ * Creates the conversation with an executor: renews its lease while something
+ * runs there, reads what ended and confirms it once it is stored. Nothing is
+ * counted as ended before the executor says so or its lease has surely lapsed.
+ *
+ * @example
+ * ```ts
+ * const session = createWorkerSession({ worker, executors, ...options });
+ * await session.start(run, { spec, ticket: "" });
+ * ```
+ */
+export function createWorkerSession(
+  options: WorkerSessionOptions,
+): WorkerSession {
+  const { worker, executors, token, events } = options;
+  const settledAt = new Map<Run, number>();
+  let isClosed = false;
+  let wake: (() => void) | undefined;
+  let isLookWanted = true;
+  let unconfirmedFrom = 0;
+
+  const markFailed = () => {
+    worker.failedCalls++;
+    events.onChange(worker);
+  };
+
+  const markGone = () => {
+    if (worker.isGone) return;
+    worker.isGone = true;
+    worker.goneAtMs = performance.now();
+    // Another life answers at the address, so this one runs nothing.
+    worker.leaseEndsMs = 0;
+    events.onChange(worker);
+  };
+
+  /** Returns the end of a new lease and notes when it surely lapses. */
+  const extendLease = (): number => {
+    const nowMs = performance.now();
+    const untilMs = nowMs + worker.clockOffsetMs! + options.leaseMs;
+    const ageMs = nowMs - worker.answeredAtMs;
+    const endsMs = nowMs + options.leaseMs +
+      CLOCK_SLACK * (options.leaseMs + ageMs) + TRANSIT_MS;
+    worker.leaseEndsMs = Math.max(worker.leaseEndsMs, endsMs);
+    return Math.floor(untilMs);
+  };
+
+  const noteAnswer = (clockMs: number) => {
+    const nowMs = performance.now();
+    worker.answeredAtMs = nowMs;
+    worker.clockOffsetMs = clockMs - nowMs;
+    worker.failedCalls = 0;
+  };
+
+  const handleEnds = (ended: readonly EndReport[]) => {
+    let isNew = false;
+    for (const end of ended) {
+      if (end.number <= worker.seen) continue;
+      worker.seen = end.number;
+      isNew = true;
+      const run = findRun(worker, end.task, end.run);
+      if (run === undefined) {
+        events.onUnknownEnd(worker, end);
+        continue;
+      }
+      removeRun(run);
+      settledAt.delete(run);
+      events.onEnd(run, { how: end.how, checkpoint: end.checkpoint });
+    }
+    if (!isNew) return;
+    const upTo = worker.seen;
+    unconfirmedFrom = performance.now();
+    events.whenStored(() => {
+      worker.confirmed = Math.max(worker.confirmed, upTo);
+      requestLook();
+    });
+  };
+
+  const handleRunning = (running: readonly RunReport[]) => {
+    for (const report of running) {
+      const run = findRun(worker, report.task, report.run);
+      if (run === undefined) {
+        if (events.onUnknownRun(worker, report)) continue;
+        void executors.stop(target(worker), {
+          task: report.task,
+          run: report.run,
+          token,
+        });
+        continue;
+      }
+      if (run.state === "starting" || run.state === "uncertain") {
+        run.state = "running";
+        settledAt.set(run, performance.now());
+      }
+      run.percent = report.percent;
+      run.load = report.load;
+      if (report.checkpoint !== "") run.checkpoint = report.checkpoint;
+    }
+  };
+
+  /** Handles runs that a look should have shown and did not. */
+  const handleMissing = (
+    outcome: HoldOutcome & { type: "held" },
+    sentMs: number,
+  ) => {
+    if (outcome.ended.length >= 500) return;
+    const listed = new Set(
+      outcome.running.map(({ task, run }) => `${task}/${run}`),
+    );
+    for (const run of [...worker.runs]) {
+      const settledMs = settledAt.get(run);
+      if (settledMs === undefined || settledMs > sentMs - SETTLE_MS) continue;
+      if (listed.has(`${run.task.name}/${run.number}`)) continue;
+      removeRun(run);
+      settledAt.delete(run);
+      events.onEnd(run, {
+        how: run.state === "stopping" ? "stopped" : "lapsed",
+        checkpoint: run.checkpoint,
+      });
+    }
+  };
+
+  const look = async (longestWaitMs: number): Promise<void> => {
+    const sentMs = performance.now();
+    const mayRenew = worker.failedCalls === 0 &&
+      worker.clockOffsetMs !== undefined && worker.runs.size > 0;
+    const isConfirmed = worker.seen === worker.confirmed;
+    const outcome = await executors.hold(target(worker), {
+      ...(mayRenew ? { untilMs: extendLease() } : {}),
+      token,
+      confirmed: worker.confirmed,
+      waitMs: mayRenew && isConfirmed ? longestWaitMs : 0,
+    });
+    if (isClosed) return;
+    if (outcome.type === "fenced") return events.onFenced();
+    if (outcome.type === "replaced") return markGone();
+    if (outcome.type === "unknown") {
+      markFailed();
+      await pause(RETRY_MS);
+      return;
+    }
+    if (
+      outcome.bornMs !== undefined && outcome.bornMs !== worker.report.bornMs
+    ) {
+      return markGone();
+    }
+    noteAnswer(outcome.clockMs);
+    handleEnds(outcome.ended);
+    handleRunning(outcome.running);
+    handleMissing(outcome, sentMs);
+    events.onChange(worker);
+  };
+
+  const loop = async (): Promise<void> => {
+    while (!isClosed && !worker.isGone) {
+      const isIdle = worker.runs.size === 0 && worker.failedCalls === 0 &&
+        worker.seen === worker.confirmed;
+      if (isIdle && !isLookWanted) {
+        await pause(undefined);
+        continue;
+      }
+      if (worker.seen !== worker.confirmed && !isLookWanted) {
+        // The next look tells the same ends until they are confirmed.
+        const waitedMs = performance.now() - unconfirmedFrom;
+        await pause(Math.max(UNCONFIRMED_PAUSE_MS - waitedMs, 50));
+      }
+      if (isClosed) return;
+      const longestWaitMs = isLookWanted ? 0 : LOOK_WAIT_MS;
+      isLookWanted = false;
+      await look(longestWaitMs);
+    }
+  };
+
+  const pause = (ms: number | undefined): Promise<void> =>
+    new Promise((resolve) => {
+      const timer = ms === undefined ? undefined : setTimeout(resolve, ms);
+      wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+
+  const requestLook = () => {
+    isLookWanted = true;
+    wake?.();
+  };
+
+  const session: WorkerSession = {
+    worker,
+    async start(run, { spec, ticket }) {
+      const outcome = await executors.start(target(worker), {
+        task: run.task.name,
+        run: run.number,
+        spec,
+        untilMs: extendLease(),
+        token,
+        checkpoint: run.checkpoint,
+        ticket,
+      });
+      if (isClosed) return "closed";
+      if (!worker.runs.has(run)) return "ended";
+      if (outcome.type === "started") {
+        noteAnswer(outcome.clockMs);
+        if (run.state === "starting" || run.state === "uncertain") {
+          run.state = "running";
+        }
+        settledAt.set(run, performance.now());
+        wake?.();
+        return "started";
+      }
+      if (outcome.type === "unknown") {
+        if (run.state === "starting") run.state = "uncertain";
+        markFailed();
+        session.stop(run, "no answer to the start");
+        requestLook();
+        return `unknown: ${outcome.reason}`;
+      }
+      if (outcome.type === "replaced") {
+        markGone();
+        return "replaced";
+      }
+      if (outcome.clockMs !== undefined) noteAnswer(outcome.clockMs);
+      removeRun(run);
+      if (outcome.reason === "fence") events.onFenced();
+      return outcome.reason;
+    },
+    stop(run, reason) {
+      if (run.stopReason !== "") return;
+      run.stopReason = reason;
+      void repeatStop(run);
+    },
+    pace(run, percent) {
+      run.askedPercent = percent;
+      void executors.pace(target(worker), {
+        task: run.task.name,
+        run: run.number,
+        token,
+        percent,
+      }).then((outcome) => {
+        if (outcome.type === "unknown") run.askedPercent = -1;
+      });
+    },
+    look: requestLook,
+    expire(nowMs) {
+      if (nowMs < worker.leaseEndsMs) return;
+      if (!worker.isGone && worker.failedCalls === 0) return;
+      for (const run of [...worker.runs]) {
+        removeRun(run);
+        settledAt.delete(run);
+        events.onEnd(run, { how: "lapsed", checkpoint: run.checkpoint });
+      }
+    },
+    close() {
+      isClosed = true;
+      wake?.();
+    },
+  };
+
+  const repeatStop = async (run: Run): Promise<void> => {
+    while (!isClosed && worker.runs.has(run) && !worker.isGone) {
+      const outcome = await executors.stop(target(worker), {
+        task: run.task.name,
+        run: run.number,
+        token,
+      });
+      if (isClosed) return;
+      if (outcome.type === "done") {
+        if (run.state !== "stopping") {
+          run.state = "stopping";
+          settledAt.set(run, performance.now());
+        }
+        requestLook();
+        return;
+      }
+      if (outcome.type === "fenced") return events.onFenced();
+      if (outcome.type === "replaced") return markGone();
+      await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+    }
+  };
+
+  void loop();
+  return session;
+}
+
+function target(worker: Worker) {
+  return { id: worker.id, address: worker.address };
+}
+
+function findRun(
+  worker: Worker,
+  task: string,
+  number: number,
+): Run | undefined {
+  for (const run of worker.runs) {
+    if (run.task.name === task && run.number === number) return run;
+  }
+  return undefined;
+}
--- a/packages/telemetry/event_log.ts
+++ b/packages/telemetry/event_log.ts
@@ -1,7 +1,7 @@
 import { Logger } from "tslog";
+import type { LogEvent } from "./log_event.ts";
 import {
   LOG_EVENTS,
-  type LogEvent,
   type LogEventFields,
   type LogEventName,
 } from "./log_events.ts";
--- /dev/null
+++ b/packages/telemetry/job_log_events.ts
@@ -0,0 +1,228 @@
+import type { LogEvent } from "./log_event.ts";
+
+/**
+ * Log events of jobs on the users' platform. The second digit is 0 for the
+ * process, 1 for callers, 2 for ownership, 3 for tasks, 4 for executors and 5
+ * for machines.
+ */
+export const JOB_LOG_EVENTS = {
+  memberStarted: {
+    id: "LL6001",
+    level: "info",
+    message: "member started",
+    fields: { node: "string", member: "string", configuration: "number" },
+  },
+  memberStopping: {
+    id: "LL6002",
+    level: "info",
+    message: "member is leaving and finishes its requests",
+    fields: { signal: "string" },
+  },
+  memberStopped: {
+    id: "LL6003",
+    level: "info",
+    message: "member stopped",
+    fields: { open: "number" },
+  },
+  configurationTaken: {
+    id: "LL6004",
+    level: "info",
+    message: "configuration is in force",
+    fields: { version: "number", queues: "number", ageMs: "number" },
+  },
+  platformSilent: {
+    id: "LL6005",
+    level: "warn",
+    message: "platform's store did not answer a read",
+    fields: { topic: "string", reason: "string" },
+  },
+  recordUnreadable: {
+    id: "LL6006",
+    level: "warn",
+    message: "record can't be read and is ignored",
+    fields: { partition: "number", key: "string" },
+  },
+  jobAccepted: {
+    id: "LL6101",
+    level: "info",
+    message: "job is stored",
+    fields: { job: "string", queue: "string", tookMs: "number" },
+  },
+  jobNotAccepted: {
+    id: "LL6102",
+    level: "warn",
+    message: "job was not accepted",
+    fields: {
+      job: "string",
+      queue: "string",
+      reason: "string",
+      outcome: "string",
+    },
+  },
+  cancellationStored: {
+    id: "LL6103",
+    level: "info",
+    message: "cancellation of a job is stored",
+    fields: { job: "string" },
+  },
+  showFailed: {
+    id: "LL6104",
+    level: "warn",
+    message: "state of a job could not be shown",
+    fields: { job: "string", queue: "string" },
+  },
+  ownersChanged: {
+    id: "LL6201",
+    level: "info",
+    message: "owners of the partitions changed",
+    fields: { generation: "number", partitions: "number" },
+  },
+  joinFailed: {
+    id: "LL6202",
+    level: "warn",
+    message: "place among the owners could not be kept",
+    fields: { reason: "string" },
+  },
+  partitionDealt: {
+    id: "LL6203",
+    level: "info",
+    message: "partition is taken over",
+    fields: { partition: "number", epoch: "number" },
+  },
+  partitionLoaded: {
+    id: "LL6204",
+    level: "info",
+    message: "state of a partition is loaded",
+    fields: {
+      partition: "number",
+      epoch: "number",
+      jobs: "number",
+      unreadable: "number",
+      executors: "number",
+      tookMs: "number",
+    },
+  },
+  loadDelayed: {
+    id: "LL6205",
+    level: "warn",
+    message: "state of a partition could not be loaded yet",
+    fields: { partition: "number", reason: "string" },
+  },
+  takeoverComplete: {
+    id: "LL6206",
+    level: "info",
+    message: "no unknown run is left in a partition",
+    fields: { partition: "number", epoch: "number", tookMs: "number" },
+  },
+  partitionReleased: {
+    id: "LL6207",
+    level: "info",
+    message: "partition is given up",
+    fields: { partition: "number", epoch: "number" },
+  },
+  partitionLost: {
+    id: "LL6208",
+    level: "warn",
+    message: "partition was taken over by another owner",
+    fields: { partition: "number", epoch: "number", reason: "string" },
+  },
+  ownerSilent: {
+    id: "LL6209",
+    level: "warn",
+    message: "call to another member failed",
+    fields: { address: "string", reason: "string" },
+  },
+  jobTaken: {
+    id: "LL6301",
+    level: "info",
+    message: "owner has taken a job",
+    fields: { job: "string", partition: "number", offset: "number" },
+  },
+  taskPlaced: {
+    id: "LL6302",
+    level: "info",
+    message: "task is placed",
+    fields: {
+      task: "string",
+      run: "number",
+      executor: "string",
+      reason: "string",
+    },
+  },
+  startRefused: {
+    id: "LL6303",
+    level: "warn",
+    message: "executor did not start a task",
+    fields: {
+      task: "string",
+      run: "number",
+      executor: "string",
+      reason: "string",
+    },
+  },
+  runAdopted: {
+    id: "LL6304",
+    level: "info",
+    message: "running task of an earlier owner is adopted",
+    fields: { task: "string", run: "number", executor: "string" },
+  },
+  runStopping: {
+    id: "LL6305",
+    level: "info",
+    message: "run is stopped",
+    fields: {
+      task: "string",
+      run: "number",
+      executor: "string",
+      reason: "string",
+    },
+  },
+  runEnded: {
+    id: "LL6306",
+    level: "info",
+    message: "run ended",
+    fields: {
+      task: "string",
+      run: "number",
+      executor: "string",
+      how: "string",
+      ranMs: "number",
+    },
+  },
+  jobFinished: {
+    id: "LL6307",
+    level: "info",
+    message: "job ended",
+    fields: { job: "string", state: "string", reason: "string" },
+  },
+  progressDelayed: {
+    id: "LL6308",
+    level: "warn",
+    message: "progress could not be stored yet",
+    fields: { partition: "number", reason: "string" },
+  },
+  executorFound: {
+    id: "LL6401",
+    level: "info",
+    message: "executor is in use",
+    fields: { executor: "string", service: "string", partition: "number" },
+  },
+  executorGone: {
+    id: "LL6402",
+    level: "info",
+    message: "executor left the list",
+    fields: { executor: "string", runs: "number" },
+  },
+  executorSilent: {
+    id: "LL6403",
+    level: "warn",
+    message: "executor does not answer",
+    fields: { executor: "string", runs: "number" },
+  },
+  executorSuspended: {
+    id: "LL6404",
+    level: "warn",
+    message: "executor gets no work after failures of several jobs",
+    fields: { executor: "string", failures: "number", forMs: "number" },
+  },
+} as const satisfies Readonly<Record<string, LogEvent>>;
--- a/packages/telemetry/log_events.ts
+++ b/packages/telemetry/log_events.ts
@@ -1,19 +1,11 @@
-/** Type of a field of a log event. */
-export type LogFieldType = "string" | "number" | "boolean";
-
-/** Description of a numbered log event. */
-export type LogEvent = {
-  /** Number that stays the same for as long as the event exists. */
-  id: `LL${number}`;
-  level: "debug" | "info" | "warn" | "error";
-  message: string;
-  fields: Readonly<Record<string, LogFieldType>>;
-};
+import { JOB_LOG_EVENTS } from "./job_log_events.ts";
+import type { LogEvent, LogFieldType } from "./log_event.ts";
 
 /**
  * All log events. Numbers start with 1 for the process, 2 for the log and the
  * set, 3 for membership and peers, 4 for requests, 5 for capacity and
- * maintenance. `docs/events.md` lists them too, and a test compares the two.
+ * maintenance, 6 for jobs on the users' platform. `docs/events.md` lists them
+ * too, and a test compares the two.
  */
 export const LOG_EVENTS = {
   daemonStarted: {
@@ -260,6 +252,7 @@
     message: "log is unreachable; running tasks are kept, nothing is placed",
     fields: { dataCentre: "string" },
   },
+  ...JOB_LOG_EVENTS,
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** Name of a log event. */
--- a/packages/telemetry/log_events_test.ts
+++ b/packages/telemetry/log_events_test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, test } from "@jest/globals";
 import { readFileSync } from "node:fs";
-import { LOG_EVENTS, type LogEvent } from "./log_events.ts";
+import type { LogEvent } from "./log_event.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 
 function row(event: LogEvent): string {
   const fields = Object.keys(event.fields).map((name) => `\`${name}\``);
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -5,6 +5,8 @@
  */
 
 export * from "./event_log.ts";
+export * from "./job_log_events.ts";
 export * from "./label_bound.ts";
+export * from "./log_event.ts";
 export * from "./log_events.ts";
 export * from "./metrics.ts";
