Carry out waves of upkeep and move machines to loaded pools

Change: the owner of the last partition holds all machines. It reserves executors at their owners, and orders a machine only once nothing runs there. Moves follow the load of a pool; a pool keeps its first size and what lasting tasks need.

--- /dev/null
+++ b/packages/jobs/machines/machines_owner.ts
@@ -0,0 +1,424 @@
+import { z } from "zod";
+import { createProgressLog } from "../ended/progress_log.ts";
+import type { Configuration, Machine, UpkeepWave } from "../fleet.ts";
+import type { JobEvents } from "../job_events.ts";
+import { loadPartition, writerName } from "../owned/load_partition.ts";
+import type { MachineOutcome, Machines, Store } from "../ports.ts";
+import { PROGRESS_TOPIC } from "../topics.ts";
+import { type Move, planMoves } from "./plan_moves.ts";
+import { type OpenWave, planUpkeep } from "./plan_upkeep.ts";
+import type { PoolReport, ServiceDemand } from "./pool_report.ts";
+import { countByPool, sumDemand } from "./pool_sums.ts";
+
+/** Period of the rounds in which machines are planned. */
+const ROUND_MS = 250;
+
+/** Age after which the list of machines is read again, if nothing is open. */
+const IDLE_LIST_MS = 5_000;
+
+/** Age after which the list of machines is read again otherwise. */
+const BUSY_LIST_MS = 500;
+
+/** Time after which an order without an effect is planned again. */
+const ORDER_TTL_MS = 4_000;
+
+/** Time for which a machine must be missing to count as taken away. */
+const GONE_MS = 3_000;
+
+/** Schema of the stored state of a wave. */
+const StoredWave = z.object({
+  begun: z.array(z.string()),
+  isCompleted: z.boolean(),
+});
+
+/** Key of the stored sizes of the pools. */
+const HOME_KEY = "home";
+
+/** Schema of the stored sizes of the pools. */
+const StoredHome = z.record(z.string(), z.number());
+
+/** Options of {@linkcode createMachinesOwner}. */
+export type MachinesOwnerOptions = {
+  partition: number;
+  epoch: number;
+  /** Name under which the machines are ordered. */
+  holder: string;
+  store: Store;
+  machines: Machines;
+  events: JobEvents;
+  configuration(): Configuration | undefined;
+  waves(): readonly UpkeepWave[];
+  /** Thousandths of a core of a usual machine. */
+  machineCpu(): number;
+  /**
+   * Reserves executors at all owners and collects what they tell; undefined
+   * for a partition whose owner did not answer.
+   */
+  collect(reserved: readonly string[]): Promise<(PoolReport | undefined)[]>;
+  onLost(reason: string): void;
+};
+
+/** Holder of all machines of the platform. */
+export type MachinesOwner = {
+  epoch: number;
+  release(): Promise<void>;
+};
+
+type WaveState = {
+  wave: UpkeepWave;
+  dueAtMs: number;
+  begun: Set<string>;
+  isCompleted: boolean;
+  isAnnounced: boolean;
+};
+
+type Order = {
+  atMs: number;
+  kind: "move" | "upkeep";
+  pool: string;
+  reason: string;
+};
+
+/**
+ * Takes the machines over: carries out the waves of upkeep and moves machines
+ * to the pools whose tasks wait. A machine is only ordered away after the
+ * owner of its executor has reserved it and said that nothing runs there.
+ *
+ * @example
+ * ```ts
+ * const machines = createMachinesOwner({ partition: 31, epoch: 7, ...rest });
+ * ```
+ */
+export function createMachinesOwner(
+  options: MachinesOwnerOptions,
+): MachinesOwner {
+  const { partition, epoch, events } = options;
+  const waves = new Map<number, WaveState>();
+  const stored = new Map<number, z.infer<typeof StoredWave>>();
+  const orders = new Map<string, Order>();
+  /** Machines that each pool had when the platform was first seen. */
+  let home = new Map<string, number>();
+  const idleSince = new Map<string, number>();
+  const missingSince = new Map<string, number>();
+  let machines = new Map<string, Machine>();
+  let listedAtMs = -Infinity;
+  let demand = new Map<string, ServiceDemand>();
+  let isClosed = false;
+
+  const progress = createProgressLog({
+    store: options.store,
+    place: { topic: PROGRESS_TOPIC, partition },
+    writer: { name: writerName(partition), epoch },
+    onFenced: () => lose("store"),
+    onFailure: (reason) => events.log("progressDelayed", { partition, reason }),
+  });
+
+  const close = () => {
+    isClosed = true;
+    progress.close();
+  };
+
+  const lose = (reason: string) => {
+    if (isClosed) return;
+    close();
+    options.onLost(reason);
+  };
+
+  const saveWave = (state: WaveState) =>
+    progress.put(waveKey(state.wave.wave), () =>
+      JSON.stringify({
+        begun: [...state.begun],
+        isCompleted: state.isCompleted,
+      }));
+
+  const updateWaves = () => {
+    for (const wave of options.waves()) {
+      const known = waves.get(wave.wave);
+      if (known !== undefined) {
+        known.wave = wave;
+        continue;
+      }
+      const before = stored.get(wave.wave);
+      waves.set(wave.wave, {
+        wave,
+        dueAtMs: performance.now() + wave.finishByS * 1_000,
+        begun: new Set(before?.begun),
+        isCompleted: before?.isCompleted ?? false,
+        isAnnounced: before?.isCompleted ?? false,
+      });
+    }
+  };
+
+  const openWaves = () =>
+    [...waves.values()].filter(({ isCompleted }) => !isCompleted);
+
+  const readList = async (): Promise<void> => {
+    const isBusy = openWaves().length > 0 || orders.size > 0 ||
+      [...demand.values()].some(({ waitingCpu }) => waitingCpu > 0);
+    const maxAgeMs = isBusy ? BUSY_LIST_MS : IDLE_LIST_MS;
+    if (performance.now() - listedAtMs < maxAgeMs) return;
+    const sentMs = performance.now();
+    const list = await options.machines.list();
+    if (list === undefined) return;
+    listedAtMs = sentMs;
+    machines = new Map(list.map((machine) => [machine.id, machine]));
+    if (home.size === 0 && list.length > 0) {
+      home = countByPool(list);
+      progress.put(HOME_KEY, () => JSON.stringify(Object.fromEntries(home)));
+    }
+    for (const [id, order] of orders) {
+      const machine = machines.get(id);
+      if (order.atMs > sentMs) continue;
+      const isOver = machine === undefined ||
+        (machine.state === "up" && order.kind === "move" &&
+          machine.pool === order.pool) ||
+        performance.now() - order.atMs > ORDER_TTL_MS;
+      if (isOver) orders.delete(id);
+    }
+  };
+
+  const applyReports = (found: (PoolReport | undefined)[]) => {
+    const reports = found.filter((it) => it !== undefined);
+    demand = sumDemand(reports);
+    const nowMs = performance.now();
+    const idle = new Set(reports.flatMap((report) => report.idle));
+    for (const id of idleSince.keys()) if (!idle.has(id)) idleSince.delete(id);
+    for (const id of idle) if (!idleSince.has(id)) idleSince.set(id, nowMs);
+  };
+
+  const standbyPools = () =>
+    new Set(
+      options.configuration()?.services.filter(({ isStandby }) => isStandby)
+        .map(({ name }) => name),
+    );
+
+  const planUpkeepNow = () =>
+    planUpkeep({
+      waves: openWaves().map(toOpenWave),
+      machines,
+      down: downMachines(),
+      ordered: new Set(orders.keys()),
+      idle: new Set(idleSince.keys()),
+      standbyPools: standbyPools(),
+      loadOf,
+      nowMs: performance.now(),
+    });
+
+  const downMachines = () => {
+    const down = new Set<string>();
+    for (const [id, { state }] of machines) {
+      if (state === "upkeep") down.add(id);
+    }
+    for (const [id, { kind }] of orders) if (kind === "upkeep") down.add(id);
+    return down;
+  };
+
+  const loadOf = (pool: string): number => {
+    const entry = demand.get(pool);
+    if (entry === undefined) return 0;
+    let size = 0;
+    for (const machine of machines.values()) if (machine.pool === pool) size++;
+    return (entry.runningCpu + entry.waitingCpu) / Math.max(size, 1);
+  };
+
+  const planMovesNow = (taken: Set<string>): Move[] => {
+    const nowMs = performance.now();
+    const incoming = new Map<string, string>();
+    for (const [id, { kind, pool }] of orders) {
+      if (kind === "move") incoming.set(id, pool);
+      taken.add(id);
+    }
+    return planMoves({
+      machines: [...machines.values()],
+      taken,
+      incoming,
+      demand,
+      idleMs: new Map(
+        [...idleSince].map(([id, sinceMs]) => [id, nowMs - sinceMs]),
+      ),
+      standbyPools: standbyPools(),
+      machineCpu: options.machineCpu(),
+      leastOf: (pool) =>
+        Math.max(
+          home.get(pool) ?? 1,
+          (demand.get(pool)?.leastExecutors ?? 0) + 1,
+        ),
+    });
+  };
+
+  const order = async (
+    machine: string,
+    entry: Order,
+    call: () => Promise<MachineOutcome>,
+  ): Promise<MachineOutcome> => {
+    orders.set(machine, entry);
+    const outcome = await call();
+    events.log("machineOrdered", {
+      machine,
+      order: entry.kind,
+      pool: entry.pool,
+      epoch,
+      reason: entry.reason,
+      outcome: outcome.type === "refused" ? outcome.reason : outcome.type,
+    });
+    if (outcome.type === "refused") {
+      if (outcome.reason === "fence") lose("machines");
+      orders.delete(machine);
+    }
+    listedAtMs = -Infinity;
+    return outcome;
+  };
+
+  const maintain = async (machine: string, number: number) => {
+    const state = waves.get(number)!;
+    const outcome = await order(
+      machine,
+      {
+        atMs: performance.now(),
+        kind: "upkeep",
+        pool: "",
+        reason: `wave ${number}`,
+      },
+      () =>
+        options.machines.upkeep({ machine, wave: number }, {
+          name: options.holder,
+          token: epoch,
+        }),
+    );
+    const isBegun = outcome.type === "done" ||
+      (outcome.type === "refused" && outcome.reason === "wave");
+    if (!isBegun) return;
+    state.begun.add(machine);
+    saveWave(state);
+  };
+
+  const move = (planned: Move) =>
+    order(
+      planned.machine,
+      {
+        atMs: performance.now(),
+        kind: "move",
+        pool: planned.pool,
+        reason: planned.reason,
+      },
+      () =>
+        options.machines.move(
+          { machine: planned.machine, pool: planned.pool },
+          { name: options.holder, token: epoch },
+        ),
+    );
+
+  const announce = async () => {
+    for (const state of waves.values()) {
+      if (!state.isAnnounced) {
+        state.isAnnounced = await options.machines.announce(
+          state.wave.wave,
+          state.isCompleted ? "completed" : "running",
+        );
+      }
+      if (state.isCompleted) continue;
+      const left = state.wave.machines.filter((id) => !isSettled(id, state));
+      if (left.length > 0) continue;
+      state.isCompleted = true;
+      state.isAnnounced = false;
+      saveWave(state);
+      events.log("waveCompleted", {
+        wave: state.wave.wave,
+        machines: state.begun.size,
+      });
+    }
+  };
+
+  /** A machine is settled if its upkeep has begun or it was taken away. */
+  const isSettled = (id: string, state: WaveState): boolean => {
+    const nowMs = performance.now();
+    if (machines.has(id) || machines.size === 0) {
+      missingSince.delete(id);
+      return state.begun.has(id) && machines.get(id)?.state !== "upkeep";
+    }
+    const sinceMs = missingSince.get(id) ?? nowMs;
+    missingSince.set(id, sinceMs);
+    return nowMs - sinceMs >= GONE_MS;
+  };
+
+  const round = async (): Promise<void> => {
+    updateWaves();
+    await readList();
+    const upkeep = planUpkeepNow();
+    const moves = planMovesNow(new Set(upkeep.keys()));
+    const wanted = [...upkeep.keys(), ...moves.map(({ machine }) => machine)];
+    const reserved = wanted
+      .map((id) => machines.get(id)?.executor)
+      .filter((id): id is string => id !== undefined);
+    applyReports(await options.collect(reserved));
+    if (isClosed) return;
+    const isFree = (id: string) => {
+      const machine = machines.get(id);
+      if (machine?.state !== "up") return false;
+      if (standbyPools().has(machine.pool)) return true;
+      return machine.executor !== undefined &&
+        idleSince.has(machine.executor);
+    };
+    const calls: Promise<unknown>[] = [];
+    for (const [machine, wave] of upkeep) {
+      if (isFree(machine)) calls.push(maintain(machine, wave));
+    }
+    for (const planned of moves) {
+      if (isFree(planned.machine)) calls.push(move(planned));
+    }
+    void Promise.all(calls);
+    await announce();
+  };
+
+  const run = async () => {
+    while (!isClosed) {
+      const outcome = await loadPartition(options.store, { partition, epoch });
+      if (outcome.type === "fenced") return lose("store");
+      if (outcome.type === "loaded") {
+        for (const [key, value] of outcome.state.other) {
+          const sizes = StoredHome.safeParse(value);
+          if (key === HOME_KEY && sizes.success) {
+            home = new Map(Object.entries(sizes.data));
+          }
+          const number = parseWaveKey(key);
+          const parsed = StoredWave.safeParse(value);
+          if (number !== undefined && parsed.success) {
+            stored.set(number, parsed.data);
+          }
+        }
+        break;
+      }
+      await sleep(ROUND_MS);
+    }
+    while (!isClosed) {
+      await round();
+      await sleep(ROUND_MS);
+    }
+  };
+  void run();
+
+  return {
+    epoch,
+    async release() {
+      await progress.drain(500);
+      close();
+    },
+  };
+}
+
+function toOpenWave({ wave, dueAtMs, begun }: WaveState): OpenWave {
+  return { wave, dueAtMs, begun };
+}
+
+function waveKey(wave: number): string {
+  return `wave.${wave}`;
+}
+
+function parseWaveKey(key: string): number | undefined {
+  const match = /^wave\.(\d+)$/.exec(key);
+  return match === null ? undefined : Number(match[1]);
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -24,6 +24,8 @@
   readLayout,
   storeLayout,
 } from "./owned/layout.ts";
+import { collectReports } from "./machines/collect_reports.ts";
+import { createMachinesOwner } from "./machines/machines_owner.ts";
 import { createOwnerDirectory, memberName } from "./owned/owner_directory.ts";
 import { joinOwners, type Ownership } from "./owned/ownership.ts";
 import {
@@ -51,6 +53,9 @@
 /** Part of the platform's longest lease that is used at most. */
 const LEASE_SHARE = 0.9;
 
+/** Processor time of a machine while none is known. */
+const DEFAULT_MACHINE_CPU = 16_000;
+
 /** State of the platform as this member last read it. */
 export type World = {
   configuration(): Configuration | undefined;
@@ -118,6 +123,7 @@
   const clients = new Map<string, OwnerClient>();
   let layout: Layout = new Map();
   let isClosed = false;
+  let holdsMachines = false;
 
   const world = options.openWorld(() => {
     for (const owner of owners.values()) owner.refresh();
@@ -143,12 +149,44 @@
     },
   };
 
+  const acquireMachines = (partition: number, epoch: number) => {
+    holdsMachines = true;
+    world.followExecutors(true);
+    const owner = createMachinesOwner({
+      partition,
+      epoch,
+      holder: options.name,
+      store,
+      machines: options.machines,
+      events,
+      configuration: world.configuration,
+      waves: world.waves,
+      machineCpu: () => usualCpu(world.executors()),
+      collect: (reserved) => collectReports(access, { layout, reserved }),
+      onLost(reason) {
+        events.log("partitionLost", { partition, epoch, reason });
+        holdsMachines = false;
+        ownership.drop(partition);
+      },
+    });
+    return {
+      epoch,
+      async release() {
+        holdsMachines = false;
+        await owner.release();
+      },
+    };
+  };
+
   const ownership: Ownership = joinOwners({
     store,
     events,
     member: memberName(server.address, String(Date.now())),
     isUsed: (partition) => isUsed(layout, partition, options.partitions),
     acquire(partition, epoch) {
+      if (partition === machinesPartition(options.partitions)) {
+        return acquireMachines(partition, epoch);
+      }
       world.followExecutors(true);
       const owner = createPartitionOwner({
         partition,
@@ -179,7 +217,7 @@
           await owner.release(RELEASE_TIMEOUT_MS);
           owners.delete(partition);
           directory.invalidate();
-          world.followExecutors(owners.size > 0);
+          world.followExecutors(owners.size > 0 || holdsMachines);
         },
       };
     },
@@ -261,11 +299,18 @@
   partition: number,
   partitions: number,
 ): boolean {
-  if (partition === machinesPartition(partitions)) return false;
+  if (partition === machinesPartition(partitions)) return layout.size > 0;
   for (const own of layout.values()) if (own.includes(partition)) return true;
   return false;
 }
 
+/** Returns the processor time of most executors, in thousandths of a core. */
+function usualCpu(executors: ReadonlyMap<string, ExecutorReport>): number {
+  const sizes = [...executors.values()].map(({ capacity }) => capacity.cpu)
+    .sort((a, b) => a - b);
+  return sizes[sizes.length >> 1] ?? DEFAULT_MACHINE_CPU;
+}
+
 function countExecutors(
   configuration: Configuration,
   executors: ReadonlyMap<string, ExecutorReport>,
@@ -296,6 +341,10 @@
       if (owner === undefined) return { isOwner: false };
       return { isOwner: true, pending: owner.countPending(queue) };
     },
-    report: () => ({ isOwner: false }),
+    report({ partition, reserved }) {
+      const owner = find(partition);
+      if (owner === undefined) return { isOwner: false };
+      return { isOwner: true, ...owner.report(new Set(reserved)) };
+    },
   };
 }
--- a/packages/jobs/owned/load_partition.ts
+++ b/packages/jobs/owned/load_partition.ts
@@ -15,6 +15,8 @@
   progress: Map<string, Progress>;
   /** Executors that earlier owners may have used. */
   usedExecutors: string[];
+  /** Documents of other keys. */
+  other: Map<string, unknown>;
   /** Offset of the jobs topic to read on from. */
   nextOffset: number;
   /** Records that could not be decoded. */
@@ -61,6 +63,7 @@
     cancelled: new Set(),
     progress: new Map(),
     usedExecutors: [],
+    other: new Map(),
     nextOffset: jobs.end,
     unreadable: 0,
   };
@@ -102,7 +105,7 @@
   }
   const parsed = Progress.safeParse(document);
   if (parsed.success) state.progress.set(record.key, parsed.data);
-  else state.unreadable++;
+  else state.other.set(record.key, document);
 }
 
 function parseJson(value: string | undefined): unknown {
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -50,6 +50,8 @@
   unheard: Set<string>;
   /** Executors to empty for a move or for upkeep. */
   reserved: ReadonlySet<string>;
+  /** Steady time at which the reservations end by themselves. */
+  reservedUntilMs: number;
   isLoaded: boolean;
   isClosed: boolean;
   isReleasing: boolean;
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -8,9 +8,11 @@
 import { applyProgress } from "../ended/progress.ts";
 import { createProgressLog } from "../ended/progress_log.ts";
 import { type JobBook, stateOf } from "../job_book.ts";
+import { type PoolReport, reportPool } from "../machines/pool_report.ts";
 import { createAdviceBook } from "../placed/advice_book.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { isMine, refreshWorkers, unblockTasks } from "../run/follow_workers.ts";
+import { emptyWorkers } from "../run/empty_workers.ts";
 import type { JobState } from "../submission.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
 import type { Worker } from "../worker.ts";
@@ -33,6 +35,9 @@
 /** Least time between two rounds of placing. */
 const PLACE_DELAY_MS = 4;
 
+/** Time for which executors stay reserved without being asked for again. */
+const RESERVATION_MS = 3_000;
+
 /** Time beyond its showing after which an ended job is forgotten. */
 const SHOW_MARGIN_MS = 30_000;
 
@@ -49,8 +54,11 @@
   countPending(queue: string): number;
   /** Applies a change of the list of executors or of the configuration. */
   refresh(): void;
-  /** Sets the executors to empty for a move or for upkeep. */
-  reserve(executors: ReadonlySet<string>): void;
+  /**
+   * Reserves executors for moves and upkeep, for a short time, and tells what
+   * the others do.
+   */
+  report(reserved: ReadonlySet<string>): PoolReport;
   /** Stores what is pending, then gives the partition up. */
   release(timeoutMs: number): Promise<void>;
   close(): void;
@@ -97,11 +105,10 @@
     },
     countPending: (queue) => countPending(owner, queue),
     refresh: () => refreshWorkers(owner),
-    reserve(executors) {
-      owner.reserved = executors;
-      for (const worker of owner.workers.values()) {
-        worker.isReserved = executors.has(worker.id);
-      }
+    report(reserved) {
+      reserve(owner, reserved);
+      owner.reservedUntilMs = performance.now() + RESERVATION_MS;
+      return reportPool(owner);
     },
     async release(timeoutMs) {
       owner.isReleasing = true;
@@ -124,6 +131,7 @@
     usedExecutors: new Set(),
     unheard: new Set(),
     reserved: new Set(),
+    reservedUntilMs: 0,
     isLoaded: false,
     isClosed: false,
     isReleasing: false,
@@ -215,6 +223,10 @@
     owner.unheard.clear();
     unblockTasks(owner);
   }
+  if (owner.reserved.size > 0 && nowMs >= owner.reservedUntilMs) {
+    reserve(owner, new Set());
+  }
+  emptyWorkers(owner);
   const unixMs = Date.now();
   const keepMs = owner.options.showMs + SHOW_MARGIN_MS;
   for (const job of owner.jobs.values()) {
@@ -224,6 +236,13 @@
   owner.schedulePlacing();
 }
 
+function reserve(owner: OwnerState, executors: ReadonlySet<string>): void {
+  owner.reserved = executors;
+  for (const worker of owner.workers.values()) {
+    worker.isReserved = executors.has(worker.id);
+  }
+}
+
 function countPending(owner: OwnerState, queue: string): number {
   let count = 0;
   for (const job of owner.jobs.values()) {
--- a/packages/jobs/ports.ts
+++ b/packages/jobs/ports.ts
@@ -183,6 +183,8 @@
     order: { machine: string; wave: number },
     holder: MachineHolder,
   ): Promise<MachineOutcome>;
+  /** Tells operators the state of a wave; false if it is not stored yet. */
+  announce(wave: number, state: "running" | "completed"): Promise<boolean>;
 };
 
 /** Service that says which executors may run a step. */
--- /dev/null
+++ b/packages/jobs/run/empty_workers.ts
@@ -0,0 +1,64 @@
+import type { Run, StepGroup } from "../job_book.ts";
+import { type OwnerState, stopRun } from "../owned/owner_state.ts";
+import { isUsable, type Worker } from "../worker.ts";
+
+/** Share of its rate at which a task counts as at work, in percent. */
+const AT_WORK_PERCENT = 100;
+
+/**
+ * Moves lasting tasks away from executors that leave or are reserved, never
+ * more of a step at a time than its budget allows. Other tasks end there.
+ */
+export function emptyWorkers(owner: OwnerState): void {
+  for (const worker of owner.workers.values()) {
+    const mustLeave = worker.isReserved || worker.report.isDraining;
+    if (!mustLeave || worker.isGone || worker.failedCalls > 0) continue;
+    for (const run of worker.runs) {
+      if (!run.task.group.step.isLasting || run.stopReason !== "") continue;
+      const isBudgeted = worker.report.isDraining ||
+        mayTakeAway(run.task.group);
+      if (!isBudgeted || !hasRoomElsewhere(owner, run)) continue;
+      stopRun(
+        owner,
+        run,
+        worker.report.isDraining
+          ? "its executor leaves"
+          : "its executor is reserved",
+      );
+    }
+  }
+}
+
+/** Returns whether one more task of a step may be away now. */
+export function mayTakeAway(group: StepGroup): boolean {
+  const away = group.tasks.filter((task) => !task.runs.some(isAtWork)).length;
+  return away + 1 <= Math.max(group.step.maxAway, 1);
+}
+
+function isAtWork(run: Run): boolean {
+  return run.state === "running" && run.percent >= AT_WORK_PERCENT &&
+    run.stopReason === "";
+}
+
+function hasRoomElsewhere(owner: OwnerState, run: Run): boolean {
+  const nowMs = performance.now();
+  for (const worker of owner.workers.values()) {
+    if (worker === run.worker || !isUsable(worker, nowMs)) continue;
+    if (fitsOn(run, worker)) return true;
+  }
+  return false;
+}
+
+function fitsOn(run: Run, worker: Worker): boolean {
+  const { group } = run.task;
+  const { size, label, maxPerExecutor, isFilling } = group.step;
+  const { free, report } = worker;
+  if (!isFilling && free.cpu < size.cpu) return false;
+  if (free.memoryMb < size.memoryMb) return false;
+  if (free.accelerators < size.accelerators) return false;
+  if (label !== "" && !report.labels.includes(label)) return false;
+  if (maxPerExecutor === 0) return true;
+  let present = 0;
+  for (const other of worker.runs) if (other.task.group === group) present++;
+  return present < maxPerExecutor;
+}
--- a/packages/jobs/run/follow_workers.ts
+++ b/packages/jobs/run/follow_workers.ts
@@ -65,6 +65,7 @@
   if (report !== undefined) {
     // A new life holds and runs nothing of the earlier one.
     worker.leaseEndsMs = 0;
+    if (owner.unheard.delete(worker.id)) unblockTasks(owner);
     retireWorker(owner, worker);
     return;
   }
@@ -86,7 +87,8 @@
   owner.sessions.get(worker)?.close();
   owner.sessions.delete(worker);
   owner.workers.delete(worker.id);
-  if (owner.unheard.delete(worker.id)) unblockTasks(owner);
+  // An executor that never answered may still run what an earlier owner began.
+  if (owner.unheard.has(worker.id)) return;
   if (owner.usedExecutors.delete(worker.id)) saveUsedExecutors(owner);
 }
 
@@ -157,7 +159,8 @@
 }
 
 function noteAnswer(owner: OwnerState, worker: Worker): void {
-  const hasAnswered = worker.failedCalls === 0;
+  const hasAnswered = worker.failedCalls === 0 &&
+    worker.clockOffsetMs !== undefined;
   if (hasAnswered && owner.unheard.delete(worker.id)) unblockTasks(owner);
   if (worker.failedCalls === 1) {
     owner.options.events.log("executorSilent", {
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -225,4 +225,26 @@
     message: "executor gets no work after failures of several jobs",
     fields: { executor: "string", failures: "number", forMs: "number" },
   },
+  machineOrdered: {
+    id: "LL6501",
+    level: "info",
+    message: "machine is moved or maintained",
+    fields: {
+      machine: "string",
+      order: "string",
+      pool: "string",
+      epoch: "number",
+      outcome: "string",
+      reason: "string",
+    },
+  },
+  waveCompleted: {
+    id: "LL6502",
+    level: "info",
+    message: "wave of upkeep is completed",
+    fields: {
+      wave: "number",
+      machines: "number",
+    },
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
