End the authority of an owner that the store does not confirm

Change: an owner renews and starts for 5 s without a confirmed place in the group and takes new jobs for 1.5 s; a run counts as lapsed only if the place was confirmed after the end of its lease; a new owner waits as long for executors that it can't reach. Starts without an answer are looked for before they are stopped. A member without a holder is no address (a process ended).

Ruled out: a shorter wait of the new owner, since the old one's leases go on.

--- a/packages/jobs/accepted/take_records.ts
+++ b/packages/jobs/accepted/take_records.ts
@@ -41,7 +41,9 @@
   beginOccurrences(job, {
     unixMs: Date.now(),
     steadyMs: performance.now(),
-    blockedUntilMs: owner.blockedUntilMs,
+    blockedUntilMs: job.isInherited
+      ? owner.blockedUntilMs
+      : owner.newBlockedUntilMs,
   });
 }
 
--- a/packages/jobs/ended/note_end.ts
+++ b/packages/jobs/ended/note_end.ts
@@ -1,7 +1,7 @@
 import { hasEnded, isComplete, type Run, type Task } from "../job_book.ts";
 import { type OwnerState, queueOf, stopRun } from "../owned/owner_state.ts";
 import type { EndReport } from "../ports.ts";
-import { isUsable, type Worker } from "../worker.ts";
+import type { Worker } from "../worker.ts";
 import { finishJob, saveJob } from "./finish_job.ts";
 
 /** Ends as failed in a row, of different jobs, that suspend an executor. */
@@ -10,6 +10,9 @@
 /** Time for which a failing executor gets no work. */
 const SUSPENSION_MS = 4_000;
 
+/** Largest part of the executors that are suspended at the same time. */
+const MAX_SUSPENDED_SHARE = 1 / 3;
+
 /** End of a run of a task. */
 export type End = {
   how: EndReport["how"];
@@ -78,7 +81,7 @@
   if (runs.has(end.run)) return;
   runs.add(end.run);
   task.failures = runs.size;
-  avoidWorker(owner, task, end.worker);
+  task.avoided.add(end.worker.id);
   suspectWorker(owner, end.worker, job.id);
   if (step.isLasting) return;
   saveJob(owner, job);
@@ -89,25 +92,11 @@
   }
 }
 
-/** Keeps a task from an executor as long as there are others. */
-export function avoidWorker(
-  owner: OwnerState,
-  task: Task,
-  worker: Worker,
-): void {
-  task.avoided.add(worker.id);
-  const nowMs = performance.now();
-  for (const other of owner.workers.values()) {
-    if (isUsable(other, nowMs) && !task.avoided.has(other.id)) return;
-  }
-  task.avoided.clear();
-}
-
 function suspectWorker(owner: OwnerState, worker: Worker, job: string): void {
   worker.failuresInRow++;
   worker.failedJobs.add(job);
   const isSuspect = worker.failedJobs.size >= SUSPEND_AFTER_JOBS;
-  if (!isSuspect) return;
+  if (!isSuspect || !maySuspend(owner)) return;
   worker.suspendedUntilMs = performance.now() + SUSPENSION_MS;
   owner.options.events.log("executorSuspended", {
     executor: worker.id,
@@ -115,3 +104,13 @@
     forMs: SUSPENSION_MS,
   });
 }
+
+/** Failures of many executors at once have another cause than these. */
+function maySuspend(owner: OwnerState): boolean {
+  const nowMs = performance.now();
+  let suspended = 0;
+  for (const { suspendedUntilMs } of owner.workers.values()) {
+    if (suspendedUntilMs > nowMs) suspended++;
+  }
+  return suspended + 1 <= owner.workers.size * MAX_SUSPENDED_SHARE;
+}
--- a/packages/jobs/job_book.ts
+++ b/packages/jobs/job_book.ts
@@ -39,7 +39,7 @@
   checkpoint: string;
   /** Steady time before which an unknown earlier run may still go on. */
   blockedUntilMs: number;
-  /** Executors on which the task failed or was too slow. */
+  /** Executors on which the task failed, which are its last choice. */
   avoided: Set<string>;
   /** Steady time since which the task is not at work. */
   waitingSinceMs: number;
@@ -163,7 +163,7 @@
         lastRun: 0,
         failures: 0,
         checkpoint: "",
-        blockedUntilMs: job.isInherited ? times.blockedUntilMs : 0,
+        blockedUntilMs: times.blockedUntilMs,
         avoided: new Set(),
         waitingSinceMs: times.steadyMs,
       });
--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -5,6 +5,7 @@
 import { loadPartition, writerName } from "../owned/load_partition.ts";
 import type { MachineOutcome, Machines, Store } from "../ports.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
+import { hasTakenEffect, type MachineOrder } from "./machine_order.ts";
 import { type Move, planMoves } from "./plan_moves.ts";
 import { type OpenWave, planUpkeep } from "./plan_upkeep.ts";
 import type { PoolReport, ServiceDemand } from "./pool_report.ts";
@@ -22,6 +23,9 @@
 /** Time after which an order without an effect is planned again. */
 const ORDER_TTL_MS = 4_000;
 
+/** Pause before an order without an answer is repeated. */
+const ORDER_RETRY_MS = 300;
+
 /** Time for which a machine must be missing to count as taken away. */
 const GONE_MS = 3_000;
 
@@ -72,13 +76,6 @@
   isAnnounced: boolean;
 };
 
-type Order = {
-  atMs: number;
-  kind: "move" | "upkeep";
-  pool: string;
-  reason: string;
-};
-
 /**
  * Takes the machines over: carries out the waves of upkeep and moves machines
  * to the pools whose tasks wait. A machine is only ordered away after the
@@ -95,7 +92,7 @@
   const { partition, epoch, events } = options;
   const waves = new Map<number, WaveState>();
   const stored = new Map<number, z.infer<typeof StoredWave>>();
-  const orders = new Map<string, Order>();
+  const orders = new Map<string, MachineOrder>();
   /** Machines that each pool had when the platform was first seen. */
   let home = new Map<string, number>();
   const idleSince = new Map<string, number>();
@@ -170,9 +167,9 @@
       const machine = machines.get(id);
       if (order.atMs > sentMs) continue;
       const isOver = machine === undefined ||
-        (machine.state === "up" && order.kind === "move" &&
-          machine.pool === order.pool) ||
-        performance.now() - order.atMs > ORDER_TTL_MS;
+        hasTakenEffect(machine, { order, sentMs }) ||
+        (order.answeredAtMs !== undefined &&
+          performance.now() - order.answeredAtMs > ORDER_TTL_MS);
       if (isOver) orders.delete(id);
     }
   };
@@ -248,11 +245,16 @@
 
   const order = async (
     machine: string,
-    entry: Order,
+    entry: MachineOrder,
     call: () => Promise<MachineOutcome>,
   ): Promise<MachineOutcome> => {
     orders.set(machine, entry);
-    const outcome = await call();
+    let outcome = await call();
+    while (outcome.type === "unknown" && !isClosed) {
+      // The order may still be carried out, so it is repeated until known.
+      await sleep(ORDER_RETRY_MS);
+      outcome = await call();
+    }
     events.log("machineOrdered", {
       machine,
       order: entry.kind,
@@ -265,6 +267,7 @@
       if (outcome.reason === "fence") lose("machines");
       orders.delete(machine);
     }
+    entry.answeredAtMs = performance.now();
     listedAtMs = -Infinity;
     return outcome;
   };
@@ -278,6 +281,7 @@
         kind: "upkeep",
         pool: "",
         reason: `wave ${number}`,
+        executor: machines.get(machine)?.executor,
       },
       () =>
         options.machines.upkeep({ machine, wave: number }, {
@@ -300,6 +304,7 @@
         kind: "move",
         pool: planned.pool,
         reason: planned.reason,
+        executor: machines.get(planned.machine)?.executor,
       },
       () =>
         options.machines.move(
@@ -346,7 +351,11 @@
     await readList();
     const upkeep = planUpkeepNow();
     const moves = planMovesNow(new Set(upkeep.keys()));
-    const wanted = [...upkeep.keys(), ...moves.map(({ machine }) => machine)];
+    const wanted = [
+      ...upkeep.keys(),
+      ...moves.map(({ machine }) => machine),
+      ...orders.keys(),
+    ];
     const reserved = wanted
       .map((id) => machines.get(id)?.executor)
       .filter((id): id is string => id !== undefined);
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -33,12 +33,8 @@
   type PartitionOwner,
 } from "./owned/partition_owner.ts";
 import type { Advice, Executors, Machines, Store } from "./ports.ts";
-import {
-  countPending,
-  type OwnerAccess,
-  showJob,
-  type Shown,
-} from "./shown/ask_owner.ts";
+import { countPending, type OwnerAccess, showJob } from "./shown/ask_owner.ts";
+import type { Shown } from "./shown/shown.ts";
 import type { JobState, Submission } from "./submission.ts";
 
 /** Period of the checks of the layout. */
@@ -198,9 +194,10 @@
           configuration: world.configuration,
           layout: () => layout,
           executors: world.executors,
+          hasExecutors: world.hasExecutors,
         },
         leaseMs,
-        maxLeaseMs: options.maxLeaseMs,
+        confirmedAtMs: () => ownership.confirmedAtMs(),
         showMs: options.showMs,
         events,
         onLost(reason) {
@@ -334,7 +331,12 @@
     async show({ partition, job }) {
       const owner = find(partition);
       if (owner === undefined) return { isOwner: false };
-      return { isOwner: true, state: await owner.show(job) ?? "" };
+      const shown = await owner.show(job);
+      return {
+        isOwner: true,
+        state: shown.type === "known" ? shown.value : "",
+        isUnavailable: shown.type === "unavailable",
+      };
     },
     countPending({ partition, queue }) {
       const owner = find(partition);
--- a/packages/jobs/mod.ts
+++ b/packages/jobs/mod.ts
@@ -15,6 +15,7 @@
 export * from "./owned/partition_owner.ts";
 export * from "./ports.ts";
 export * from "./shown/ask_owner.ts";
+export * from "./shown/shown.ts";
 export * from "./submission.ts";
 export * from "./topics.ts";
 export * from "./member.ts";
--- a/packages/jobs/owned/owner_directory.ts
+++ b/packages/jobs/owned/owner_directory.ts
@@ -55,7 +55,9 @@
         reading ??= read();
       }
       if (reading !== undefined) await reading;
-      return owners.get(partition)?.split(LIFE_MARK)[0];
+      const address = owners.get(partition)?.split(LIFE_MARK)[0];
+      // A partition that nobody holds at the moment has an empty member.
+      return address === "" ? undefined : address;
     },
     invalidate() {
       isStale = true;
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -14,6 +14,8 @@
   configuration(): Configuration | undefined;
   layout(): Layout;
   executors(): ReadonlyMap<string, ExecutorReport>;
+  /** Whether the list of executors has been read once. */
+  hasExecutors(): boolean;
 };
 
 /** Options of an owner of a partition. */
@@ -27,8 +29,8 @@
   view: OwnerView;
   /** Length of a lease in milliseconds. */
   leaseMs: number;
-  /** Longest lease that any owner may have given, in milliseconds. */
-  maxLeaseMs: number;
+  /** Steady time up to which the store has confirmed the ownership. */
+  confirmedAtMs(): number;
   /** Time for which an ended job can be asked for, in milliseconds. */
   showMs: number;
   events: JobEvents;
@@ -58,8 +60,10 @@
   /** Offset of the jobs topic to read on from. */
   nextOffset: number;
   takenOverAtMs: number;
-  /** Steady time until which an unknown run may go on. */
+  /** Steady time until which an unknown run of an inherited job may go on. */
   blockedUntilMs: number;
+  /** Steady time until which an earlier owner may still take new jobs. */
+  newBlockedUntilMs: number;
   progress: ProgressLog;
   advice: AdviceBook | undefined;
   /** Starts a round of placing soon. */
@@ -68,6 +72,21 @@
   lose(reason: string): void;
 };
 
+/**
+ * Time without confirmation for which an owner goes on with what it has. It
+ * outlasts usual outages of the store; a new owner waits as long for executors
+ * that it can't reach.
+ */
+export const AUTHORITY_MS = 5_000;
+
+/** Time without confirmation for which an owner takes new jobs. */
+export const TAKING_MS = 1_500;
+
+/** Returns whether the ownership was confirmed within a time. */
+export function isConfirmed(owner: OwnerState, withinMs: number): boolean {
+  return performance.now() - owner.options.confirmedAtMs() < withinMs;
+}
+
 /** Returns the queue of a job in the configuration in force. */
 export function queueOf(owner: OwnerState, job: Job): Queue | undefined {
   const { queue } = job.accepted;
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -21,6 +21,11 @@
   member: string;
   /** Forgets a holding that another owner has fenced out. */
   drop(partition: number): void;
+  /**
+   * Steady time in milliseconds up to which the store has confirmed that no
+   * other member holds this member's partitions.
+   */
+  confirmedAtMs(): number;
   /** Gives everything up, so that others take over at once. */
   leave(): Promise<void>;
 };
@@ -55,6 +60,7 @@
   let isLeaving = false;
   let timer: NodeJS.Timeout | undefined;
   let hasFailed = false;
+  let confirmedAtMs = -Infinity;
 
   const apply = async (partitions: readonly number[]) => {
     const dealt = new Set(partitions);
@@ -77,6 +83,7 @@
   };
 
   const join = async () => {
+    const sentMs = performance.now();
     const outcome = await store.join({
       group: OWNERS_GROUP,
       member,
@@ -94,6 +101,7 @@
       }
       generation = outcome.generation;
       hasFailed = false;
+      confirmedAtMs = sentMs;
       await apply(outcome.partitions);
     } else if (!hasFailed) {
       hasFailed = true;
@@ -105,6 +113,7 @@
 
   return {
     member,
+    confirmedAtMs: () => confirmedAtMs,
     drop(partition) {
       holdings.delete(partition);
       // A new epoch is needed; the partition is ours again at the present one.
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -10,9 +10,10 @@
 import { type JobBook, stateOf } from "../job_book.ts";
 import { type PoolReport, reportPool } from "../machines/pool_report.ts";
 import { createAdviceBook } from "../placed/advice_book.ts";
-import { startWaitingTasks } from "../placed/start_tasks.ts";
+import { saveUsedExecutors, startWaitingTasks } from "../placed/start_tasks.ts";
 import { isMine, refreshWorkers, unblockTasks } from "../run/follow_workers.ts";
 import { emptyWorkers } from "../run/empty_workers.ts";
+import type { Shown } from "../shown/shown.ts";
 import type { JobState } from "../submission.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
 import type { Worker } from "../worker.ts";
@@ -21,7 +22,13 @@
   loadPartition,
   writerName,
 } from "./load_partition.ts";
-import type { OwnerState, PartitionOwnerOptions } from "./owner_state.ts";
+import {
+  AUTHORITY_MS,
+  isConfirmed,
+  type OwnerState,
+  type PartitionOwnerOptions,
+  TAKING_MS,
+} from "./owner_state.ts";
 
 /** Period of the owner's regular checks. */
 const TICK_MS = 100;
@@ -35,6 +42,12 @@
 /** Least time between two rounds of placing. */
 const PLACE_DELAY_MS = 4;
 
+/** Rate by which the clocks of executors and owners may differ. */
+const LEASE_SLACK = 1.05;
+
+/** Time that calls of an earlier owner may be on their way. */
+const BLOCK_MARGIN_MS = 500;
+
 /** Time for which executors stay reserved without being asked for again. */
 const RESERVATION_MS = 3_000;
 
@@ -48,8 +61,8 @@
   jobs: JobBook;
   workers: ReadonlyMap<string, Worker>;
   isLoaded(): boolean;
-  /** State of a job, or undefined if there is none. */
-  show(id: string): Promise<JobState | undefined>;
+  /** State of a job; `unavailable` if the store can't be asked for it. */
+  show(id: string): Promise<Shown<JobState>>;
   /** Accepted jobs of a queue of which nothing has started. */
   countPending(queue: string): number;
   /** Applies a change of the list of executors or of the configuration. */
@@ -99,9 +112,10 @@
     workers: owner.workers,
     isLoaded: () => owner.isLoaded,
     async show(id) {
-      if (!owner.jobs.has(id)) await readRecords(owner, 0);
+      const isCurrent = owner.jobs.has(id) || await readRecords(owner, 0);
       const job = owner.jobs.get(id);
-      return job && stateOf(job);
+      if (job !== undefined) return { type: "known", value: stateOf(job) };
+      return { type: isCurrent && !owner.isClosed ? "missing" : "unavailable" };
     },
     countPending: (queue) => countPending(owner, queue),
     refresh: () => refreshWorkers(owner),
@@ -138,6 +152,7 @@
     nextOffset: 0,
     takenOverAtMs: performance.now(),
     blockedUntilMs: 0,
+    newBlockedUntilMs: 0,
     progress: createProgressLog({
       store,
       place: { topic: PROGRESS_TOPIC, partition },
@@ -153,7 +168,8 @@
       if (placeTimer !== undefined || !owner.isLoaded) return;
       placeTimer = setTimeout(() => {
         placeTimer = undefined;
-        if (!owner.isClosed && !owner.isReleasing) startWaitingTasks(owner);
+        if (owner.isClosed || owner.isReleasing) return;
+        if (isConfirmed(owner, AUTHORITY_MS)) startWaitingTasks(owner);
       }, PLACE_DELAY_MS);
     },
     lose: () => undefined,
@@ -167,20 +183,27 @@
     const outcome = await loadPartition(store, { partition, epoch });
     if (owner.isClosed) return;
     if (outcome.type === "fenced") return owner.lose("store");
-    if (outcome.type === "loaded") {
+    while (!owner.isClosed && !owner.options.view.hasExecutors()) {
+      await sleep(TICK_MS);
+    }
+    if (outcome.type === "loaded" && !owner.isClosed) {
       applyState(owner, outcome.state);
       await follow(owner);
       return;
     }
+    if (outcome.type !== "failed") return;
     events.log("loadDelayed", { partition, reason: outcome.reason });
     await sleep(TAIL_RETRY_MS);
   }
 }
 
 function applyState(owner: OwnerState, state: LoadedPartition): void {
-  const { partition, epoch, events, view, maxLeaseMs } = owner.options;
+  const { partition, epoch, events, view, leaseMs } = owner.options;
   owner.nextOffset = state.nextOffset;
-  owner.blockedUntilMs = performance.now() + maxLeaseMs;
+  const nowMs = performance.now();
+  owner.newBlockedUntilMs = nowMs + TAKING_MS + BLOCK_MARGIN_MS;
+  owner.blockedUntilMs = nowMs + AUTHORITY_MS + LEASE_SLACK * leaseMs +
+    BLOCK_MARGIN_MS;
   for (const { id, accepted, offset } of state.jobs) {
     const job = takeJob(owner, id, { accepted, offset, isInherited: true });
     const progress = state.progress.get(id);
@@ -194,7 +217,7 @@
   for (const report of view.executors().values()) {
     if (isMine(owner, report)) owner.unheard.add(report.id);
   }
-  if (state.jobs.length === 0) owner.unheard.clear();
+
   owner.isLoaded = true;
   events.log("partitionLoaded", {
     partition,
@@ -210,7 +233,8 @@
 
 async function follow(owner: OwnerState): Promise<void> {
   while (!owner.isClosed) {
-    const isRead = await readRecords(owner, TAIL_WAIT_MS);
+    const isRead = isConfirmed(owner, TAKING_MS) &&
+      await readRecords(owner, TAIL_WAIT_MS);
     if (!isRead) await sleep(TAIL_RETRY_MS);
   }
 }
@@ -218,9 +242,11 @@
 function tick(owner: OwnerState): void {
   if (!owner.isLoaded) return;
   const nowMs = performance.now();
-  for (const session of owner.sessions.values()) session.expire(nowMs);
+  // Another owner may renew a lease for as long as this one is not confirmed.
+  const confirmedMs = Math.min(nowMs, owner.options.confirmedAtMs());
+  for (const session of owner.sessions.values()) session.expire(confirmedMs);
   if (owner.unheard.size > 0 && nowMs >= owner.blockedUntilMs) {
-    owner.unheard.clear();
+    forgetUnheard(owner);
     unblockTasks(owner);
   }
   if (owner.reserved.size > 0 && nowMs >= owner.reservedUntilMs) {
@@ -236,6 +262,15 @@
   owner.schedulePlacing();
 }
 
+/** Forgets silent executors, whose leases have surely ended by now. */
+function forgetUnheard(owner: OwnerState): void {
+  for (const id of owner.unheard) {
+    if (!owner.workers.has(id)) owner.usedExecutors.delete(id);
+  }
+  owner.unheard.clear();
+  saveUsedExecutors(owner);
+}
+
 function reserve(owner: OwnerState, executors: ReadonlySet<string>): void {
   owner.reserved = executors;
   for (const worker of owner.workers.values()) {
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -119,11 +119,8 @@
   }
   for (const task of waiting) {
     const room = chooseRoom(task, round.rooms, round.options);
-    if (room === undefined) {
-      // The tasks of a step have one size, but each avoids other executors.
-      if (task.avoided.size === 0) return;
-      continue;
-    }
+    // The tasks of a step have one size, so that there is no room for others.
+    if (room === undefined) return;
     take(room, { task, round });
   }
 }
@@ -193,7 +190,6 @@
   if (step.label !== "" && !worker.report.labels.includes(step.label)) {
     return false;
   }
-  if (task.avoided.has(worker.id)) return false;
   if (step.maxPerExecutor > 0) {
     let present = room.placed.get(group) ?? 0;
     for (const run of worker.runs) if (run.task.group === group) present++;
@@ -208,6 +204,9 @@
 /** Weight of one more task of the group in a rack, in thousandths of a core. */
 const RACK_SPREAD_CPU = 4_000;
 
+/** Weight of a failure of the task on the executor, as above. */
+const FAILURE_PENALTY_CPU = 100_000_000;
+
 /** Weight of data that lies in another rack, in thousandths of a core. */
 const FAR_PENALTY_CPU = 1_000_000;
 
@@ -216,6 +215,7 @@
   const { step } = task.group;
   const { worker, free } = room;
   let score = free.cpu + SLOWNESS_PENALTY_CPU * (worker.slowness - 1);
+  if (task.avoided.has(worker.id)) score += FAILURE_PENALTY_CPU;
   if (step.rack !== "" && !worker.report.labels.includes(step.rack)) {
     score += FAR_PENALTY_CPU;
   }
@@ -224,7 +224,7 @@
     score += RACK_SPREAD_CPU * countInRack(task.group, rackOf(worker));
   }
   if (step.isFilling) {
-    score = -free.cpu + SLOWNESS_PENALTY_CPU * countServing(worker);
+    score += -2 * free.cpu + SLOWNESS_PENALTY_CPU * countServing(worker);
   }
   return score;
 }
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -1,4 +1,3 @@
-import { avoidWorker } from "../ended/note_end.ts";
 import type { Run, Task } from "../job_book.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
 import { USED_EXECUTORS_KEY } from "../topics.ts";
@@ -96,7 +95,7 @@
     worker.suspendedUntilMs = performance.now() + REFUSAL_PAUSE_MS;
   }
   if (outcome === "ticket") owner.advice?.forget(task.group, worker);
-  if (outcome === "bad") avoidWorker(owner, task, worker);
+  if (outcome === "bad") task.avoided.add(worker.id);
   owner.sessions.get(worker)?.look();
   owner.schedulePlacing();
 }
--- a/packages/jobs/run/follow_workers.ts
+++ b/packages/jobs/run/follow_workers.ts
@@ -2,7 +2,11 @@
 import type { ExecutorReport } from "../fleet.ts";
 import { findTask, hasEnded, type Run } from "../job_book.ts";
 import { partitionOf } from "../owned/layout.ts";
-import type { OwnerState } from "../owned/owner_state.ts";
+import {
+  AUTHORITY_MS,
+  isConfirmed,
+  type OwnerState,
+} from "../owned/owner_state.ts";
 import { saveUsedExecutors } from "../placed/start_tasks.ts";
 import type { RunReport } from "../ports.ts";
 import { addRun, createWorker, type Worker } from "../worker.ts";
@@ -36,8 +40,8 @@
 export function unblockTasks(owner: OwnerState): void {
   if (owner.unheard.size > 0) return;
   owner.blockedUntilMs = 0;
+  owner.newBlockedUntilMs = 0;
   for (const job of owner.jobs.values()) {
-    if (!job.isInherited) continue;
     for (const group of job.groups) {
       for (const task of group.tasks) task.blockedUntilMs = 0;
     }
@@ -82,7 +86,8 @@
 
 function retireWorker(owner: OwnerState, worker: Worker): void {
   worker.isGone = true;
-  owner.sessions.get(worker)?.expire(performance.now());
+  const nowMs = Math.min(performance.now(), owner.options.confirmedAtMs());
+  owner.sessions.get(worker)?.expire(nowMs);
   if (worker.runs.size > 0) return;
   owner.sessions.get(worker)?.close();
   owner.sessions.delete(worker);
@@ -110,6 +115,7 @@
     executors: owner.options.executors,
     token: owner.options.epoch,
     leaseMs: owner.options.leaseMs,
+    mayRenew: () => isConfirmed(owner, AUTHORITY_MS),
     events: {
       onEnd: (run, end) => noteRunEnd(owner, run, end),
       onUnknownEnd(worker, end) {
--- a/packages/jobs/run/worker_session.ts
+++ b/packages/jobs/run/worker_session.ts
@@ -41,6 +41,8 @@
   token: number;
   /** Length of a lease in milliseconds. */
   leaseMs: number;
+  /** Whether the ownership is sure enough to renew leases. */
+  mayRenew(): boolean;
   events: SessionEvents;
 };
 
@@ -55,8 +57,11 @@
   pace(run: Run, percent: number): void;
   /** Looks at once. */
   look(): void;
-  /** Removes the runs of an executor that holds no lease any more. */
-  expire(nowMs: number): void;
+  /**
+   * Removes the runs of a silent executor whose lease had ended at a time up
+   * to which nobody else can have renewed it.
+   */
+  expire(confirmedMs: number): void;
   close(): void;
 };
 
@@ -76,11 +81,18 @@
 ): WorkerSession {
   const { worker, executors, token, events } = options;
   const settledAt = new Map<Run, number>();
+  /** Runs whose start was not answered, and since when. */
+  const uncertainSince = new Map<Run, number>();
   let isClosed = false;
   let wake: (() => void) | undefined;
   let isLookWanted = true;
   let unconfirmedFrom = 0;
 
+  const forget = (run: Run) => {
+    settledAt.delete(run);
+    uncertainSince.delete(run);
+  };
+
   const markFailed = () => {
     worker.failedCalls++;
     events.onChange(worker);
@@ -125,7 +137,7 @@
         continue;
       }
       removeRun(run);
-      settledAt.delete(run);
+      forget(run);
       events.onEnd(run, { how: end.how, checkpoint: end.checkpoint });
     }
     if (!isNew) return;
@@ -152,6 +164,7 @@
       if (run.state === "starting" || run.state === "uncertain") {
         run.state = "running";
         settledAt.set(run, performance.now());
+        uncertainSince.delete(run);
       }
       run.percent = report.percent;
       run.load = report.load;
@@ -169,11 +182,17 @@
       outcome.running.map(({ task, run }) => `${task}/${run}`),
     );
     for (const run of [...worker.runs]) {
+      const isListed = listed.has(`${run.task.name}/${run.number}`);
+      const unknownMs = uncertainSince.get(run);
+      if (unknownMs !== undefined && unknownMs < sentMs && !isListed) {
+        // The start may still arrive; a stop makes the executor refuse it.
+        session.stop(run, "no answer to the start");
+      }
       const settledMs = settledAt.get(run);
       if (settledMs === undefined || settledMs > sentMs - SETTLE_MS) continue;
-      if (listed.has(`${run.task.name}/${run.number}`)) continue;
+      if (isListed) continue;
       removeRun(run);
-      settledAt.delete(run);
+      forget(run);
       events.onEnd(run, {
         how: run.state === "stopping" ? "stopped" : "lapsed",
         checkpoint: run.checkpoint,
@@ -183,7 +202,7 @@
 
   const look = async (longestWaitMs: number): Promise<void> => {
     const sentMs = performance.now();
-    const mayRenew = worker.failedCalls === 0 &&
+    const mayRenew = options.mayRenew() && worker.failedCalls === 0 &&
       worker.clockOffsetMs !== undefined && worker.runs.size > 0;
     const isConfirmed = worker.seen === worker.confirmed;
     const outcome = await executors.hold(target(worker), {
@@ -271,8 +290,8 @@
       }
       if (outcome.type === "unknown") {
         if (run.state === "starting") run.state = "uncertain";
+        uncertainSince.set(run, performance.now());
         markFailed();
-        session.stop(run, "no answer to the start");
         requestLook();
         return `unknown: ${outcome.reason}`;
       }
@@ -302,12 +321,12 @@
       });
     },
     look: requestLook,
-    expire(nowMs) {
-      if (nowMs < worker.leaseEndsMs) return;
+    expire(confirmedMs) {
+      if (confirmedMs < worker.leaseEndsMs) return;
       if (!worker.isGone && worker.failedCalls === 0) return;
       for (const run of [...worker.runs]) {
         removeRun(run);
-        settledAt.delete(run);
+        forget(run);
         events.onEnd(run, { how: "lapsed", checkpoint: run.checkpoint });
       }
     },
--- a/packages/jobs/shown/ask_owner.ts
+++ b/packages/jobs/shown/ask_owner.ts
@@ -2,12 +2,7 @@
 import type { OwnerDirectory } from "../owned/owner_directory.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { JobState } from "../submission.ts";
-
-/** Answer of an owner; `unavailable` if no owner answered in time. */
-export type Shown<Value> =
-  | { type: "known"; value: Value }
-  | { type: "missing" }
-  | { type: "unavailable" };
+import type { Shown } from "./shown.ts";
 
 /** Longest wait for one answer of another member. */
 const ASK_TIMEOUT_MS = 800;
@@ -40,15 +35,11 @@
   const { partition, job } = options;
   return await askOwner<JobState>(access, {
     ...options,
-    async local(owner) {
-      const state = await owner.show(job);
-      return state === undefined
-        ? { type: "missing" }
-        : { type: "known", value: state };
-    },
+    local: (owner) => owner.show(job),
     async remote(client, timeoutMs) {
       const answer = await client.show({ partition, job }, timeoutMs);
       if (answer?.isOwner !== true) return undefined;
+      if (answer.isUnavailable) return { type: "unavailable" };
       if (answer.state === "") return { type: "missing" };
       return { type: "known", value: answer.state as JobState };
     },
--- /dev/null
+++ b/packages/standins/store/memory_executors.ts
@@ -0,0 +1,203 @@
+import type {
+  EndReport,
+  ExecutorReport,
+  Executors,
+  HoldOutcome,
+  StartOrder,
+  StartOutcome,
+  Target,
+} from "@lagoonloom/jobs";
+
+/** Fault of an executor that a test sets. */
+export type ExecutorFault =
+  /** Calls get no answer and do nothing, and work goes on. */
+  | "cut"
+  /** Orders are carried out and not answered. */
+  | "losingAnswers"
+  /** Orders get no answer and are carried out when the test says. */
+  | "late";
+
+type MemoryRun = { run: number; checkpoint: string; startedAtMs: number };
+
+/** One executor in memory. */
+export type MemoryExecutor = {
+  report: ExecutorReport;
+  fault: ExecutorFault | undefined;
+  running: Map<string, MemoryRun>;
+  ends: EndReport[];
+  /** Starts that were carried out, in order. */
+  starts: { task: string; run: number; token: number }[];
+  token: number;
+  leaseUntilMs: number;
+  /** Carries out the orders that came late. */
+  deliverLate(): void;
+  /** Ends a task. */
+  end(task: string, how: EndReport["how"]): void;
+};
+
+/** Executors in memory and the calls to them. */
+export type MemoryExecutors = Executors & {
+  add(report: ExecutorReport): MemoryExecutor;
+};
+
+/** Size of the difference between the executors' clock and the steady one. */
+const CLOCK_OFFSET_MS = 1_000_000;
+
+/**
+ * Creates executors that keep tokens, leases, run numbers and the ends that
+ * are not confirmed, as the platform's pages say.
+ */
+export function createMemoryExecutors(): MemoryExecutors {
+  const executors = new Map<string, MemoryExecutor>();
+  const late = new Map<MemoryExecutor, (() => void)[]>();
+  const highest = new Map<MemoryExecutor, Map<string, number>>();
+  const watching = new Set<() => void>();
+
+  const clock = () => performance.now() + CLOCK_OFFSET_MS;
+
+  const lapse = (executor: MemoryExecutor) => {
+    if (clock() <= executor.leaseUntilMs) return;
+    for (const task of [...executor.running.keys()]) {
+      executor.end(task, "lapsed");
+    }
+  };
+
+  const admit = (executor: MemoryExecutor, token: number): boolean => {
+    lapse(executor);
+    if (token < executor.token) return false;
+    executor.token = token;
+    return true;
+  };
+
+  const start = (executor: MemoryExecutor, order: StartOrder): StartOutcome => {
+    const refuse = (reason: "fence" | "late" | "old"): StartOutcome => ({
+      type: "refused",
+      reason,
+      clockMs: clock(),
+    });
+    if (!admit(executor, order.token)) return refuse("fence");
+    if (order.untilMs <= clock()) return refuse("late");
+    executor.leaseUntilMs = Math.max(executor.leaseUntilMs, order.untilMs);
+    const known = executor.running.get(order.task);
+    if (known?.run === order.run) return { type: "started", clockMs: clock() };
+    const past = highest.get(executor)!.get(order.task) ?? 0;
+    if (known !== undefined || order.run <= past) return refuse("old");
+    executor.running.set(order.task, {
+      run: order.run,
+      checkpoint: order.checkpoint,
+      startedAtMs: performance.now(),
+    });
+    executor.starts.push({
+      task: order.task,
+      run: order.run,
+      token: order.token,
+    });
+    return { type: "started", clockMs: clock() };
+  };
+
+  const look = (executor: MemoryExecutor, confirmed: number): HoldOutcome => {
+    executor.ends = executor.ends.filter(({ number }) => number > confirmed);
+    return {
+      type: "held",
+      clockMs: clock(),
+      bornMs: executor.report.bornMs,
+      running: [...executor.running].map(([task, run]) => ({
+        task,
+        run: run.run,
+        checkpoint: run.checkpoint,
+        percent: 100,
+        load: 0,
+      })),
+      ended: [...executor.ends],
+    };
+  };
+
+  /** Carries an order out as the executor's fault says. */
+  const deliver = <Outcome>(
+    target: Target,
+    run: (executor: MemoryExecutor) => Outcome,
+  ): Outcome | { type: "unknown"; reason: string } => {
+    const lost = { type: "unknown" as const, reason: "no answer" };
+    const executor = executors.get(target.id);
+    if (executor === undefined || executor.fault === "cut") return lost;
+    if (executor.fault === "late") {
+      const orders = late.get(executor) ?? [];
+      orders.push(() => run(executor));
+      late.set(executor, orders);
+      return lost;
+    }
+    const outcome = run(executor);
+    return executor.fault === "losingAnswers" ? lost : outcome;
+  };
+
+  return {
+    add(report) {
+      let ended = 0;
+      const executor: MemoryExecutor = {
+        report,
+        fault: undefined,
+        running: new Map(),
+        ends: [],
+        starts: [],
+        token: 0,
+        leaseUntilMs: 0,
+        deliverLate() {
+          for (const order of late.get(executor) ?? []) order();
+          late.delete(executor);
+        },
+        end(task, how) {
+          const run = executor.running.get(task);
+          if (run === undefined) return;
+          executor.running.delete(task);
+          highest.get(executor)!.set(task, run.run);
+          executor.ends.push({
+            number: ++ended,
+            task,
+            run: run.run,
+            how,
+            checkpoint: run.checkpoint,
+          });
+          for (const wake of watching) wake();
+        },
+      };
+      executors.set(report.id, executor);
+      highest.set(executor, new Map());
+      return executor;
+    },
+    start: (target, order) =>
+      Promise.resolve(deliver(target, (executor) => start(executor, order))),
+    stop: (target, { task, run, token }) =>
+      Promise.resolve(deliver(target, (executor) => {
+        if (!admit(executor, token)) return { type: "fenced" as const };
+        const runs = highest.get(executor)!;
+        runs.set(task, Math.max(runs.get(task) ?? 0, run));
+        if (executor.running.get(task)?.run === run) {
+          executor.end(task, "stopped");
+        }
+        return { type: "done" as const };
+      })),
+    pace: () => Promise.resolve({ type: "done" }),
+    async hold(target, { untilMs, token, confirmed, waitMs }) {
+      const executor = executors.get(target.id);
+      if (executor === undefined || executor.fault === "cut") {
+        return { type: "unknown", reason: "no answer" };
+      }
+      if (!admit(executor, token)) return { type: "fenced" };
+      if (untilMs !== undefined) {
+        executor.leaseUntilMs = Math.max(executor.leaseUntilMs, untilMs);
+      }
+      const first = look(executor, confirmed);
+      if (waitMs === 0 || executor.ends.length > 0) return first;
+      await new Promise<void>((resolve) => {
+        const finish = () => {
+          clearTimeout(timer);
+          watching.delete(finish);
+          resolve();
+        };
+        const timer = setTimeout(finish, waitMs);
+        watching.add(finish);
+      });
+      return look(executor, confirmed);
+    },
+  };
+}
