Test owners of partitions against a store and executors in memory

Change: looks are numbered and may run beside one that waits; fakes of the store and of executors with the platform's faults; 15 tests.

--- /dev/null
+++ b/packages/jobs/_fixtures.ts
@@ -0,0 +1,194 @@
+import {
+  createMemoryExecutors,
+  createMemoryStore,
+  type MemoryExecutor,
+  type MemoryExecutors,
+  type MemoryStore,
+} from "@lagoonloom/standins";
+import type { Configuration, ExecutorReport, Queue } from "./fleet.ts";
+import {
+  createPartitionOwner,
+  type PartitionOwner,
+} from "./owned/partition_owner.ts";
+import type { AcceptedJob, Step } from "./submission.ts";
+import { cancelKey, JOBS_TOPIC, PROGRESS_TOPIC } from "./topics.ts";
+
+export const PARTITION = 3;
+export const JOB_ID = "00000000000000a1";
+
+/** Returns a step of two short tasks, with some fields replaced. */
+export function stepOf(fields: Partial<Step> = {}): Step {
+  return {
+    count: 2,
+    size: { cpu: 1_000, memoryMb: 500, accelerators: 0 },
+    estimateMs: 800,
+    dependsOn: [],
+    isCheckpointing: false,
+    isGang: false,
+    isSameRack: false,
+    isSpeculative: false,
+    isLasting: false,
+    isFilling: false,
+    label: "",
+    rack: "",
+    maxPerExecutor: 0,
+    image: "",
+    targetMs: 0,
+    maxAway: 0,
+    ...fields,
+  };
+}
+
+/** Returns an accepted job of the queue `quotes`. */
+export function acceptedOf(steps: Step[]): AcceptedJob {
+  return {
+    queue: "quotes",
+    service: "quoting",
+    acceptedAtMs: Date.now(),
+    submission: {
+      spec: "work",
+      steps,
+      firstRunMs: 0,
+      intervalMs: 0,
+      occurrences: 0,
+    },
+  };
+}
+
+/** Returns the configuration of one queue. */
+export function configurationOf(fields: Partial<Queue> = {}): Configuration {
+  const queue: Queue = {
+    name: "quotes",
+    host: "lakeshore.example",
+    pathPrefix: "/quotes/",
+    service: "quoting",
+    priority: 0,
+    maxFailures: 3,
+    stretch: 1.6,
+    targetLatencyMs: 600,
+    needsAdvice: false,
+    ...fields,
+  };
+  return {
+    version: 1,
+    queues: [queue],
+    services: [
+      { name: "quoting", enforcesCapacity: true, isStandby: false },
+      { name: "backoffice", enforcesCapacity: true, isStandby: true },
+    ],
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 262_144,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  };
+}
+
+/** Returns what an executor of 16 cores says of itself. */
+export function reportOf(
+  id: string,
+  fields: Partial<ExecutorReport> = {},
+): ExecutorReport {
+  return {
+    id,
+    service: "quoting",
+    address: "127.0.0.1:1",
+    zone: "detroit",
+    isDraining: false,
+    remainingMs: undefined,
+    capacity: { cpu: 16_000, memoryMb: 32_768, accelerators: 0 },
+    labels: ["a", `rack-${id}`],
+    bornMs: 1,
+    ...fields,
+  };
+}
+
+/** Platform in memory with owners of one partition. */
+export type OwnerFixture = {
+  store: MemoryStore;
+  executors: MemoryExecutors;
+  reports: Map<string, ExecutorReport>;
+  configuration: Configuration;
+  /** Events that were logged, as `name {fields}`. */
+  logged: string[];
+  lost: string[];
+  /** Steady time of the last confirmation; `now` follows the clock. */
+  confirmedAtMs: "now" | number;
+  addExecutor(
+    id: string,
+    fields?: Partial<ExecutorReport>,
+  ): MemoryExecutor;
+  /** Starts an owner and waits until it has looked at its executors. */
+  own(epoch: number): Promise<PartitionOwner>;
+  accept(id: string, steps: Step[]): void;
+  cancel(id: string): void;
+  progress(): Map<string, string>;
+  close(): void;
+};
+
+/** Creates a platform in memory; the clock is paused by the test. */
+export function createOwnerFixture(): OwnerFixture {
+  const owners: PartitionOwner[] = [];
+  const jobs = { topic: JOBS_TOPIC, partition: PARTITION };
+  const fixture: OwnerFixture = {
+    store: createMemoryStore({ partitions: 8 }),
+    executors: createMemoryExecutors(),
+    reports: new Map(),
+    configuration: configurationOf(),
+    logged: [],
+    lost: [],
+    confirmedAtMs: "now",
+    addExecutor(id, fields) {
+      const report = reportOf(id, fields);
+      fixture.reports.set(id, report);
+      return fixture.executors.add(report);
+    },
+    async own(epoch) {
+      const owner = createPartitionOwner({
+        partition: PARTITION,
+        epoch,
+        store: fixture.store,
+        executors: fixture.executors,
+        advice: undefined,
+        view: {
+          configuration: () => fixture.configuration,
+          layout: () => new Map([["quoting", [PARTITION]]]),
+          executors: () => fixture.reports,
+          hasExecutors: () => true,
+        },
+        leaseMs: 4_500,
+        confirmedAtMs: () =>
+          fixture.confirmedAtMs === "now"
+            ? performance.now()
+            : fixture.confirmedAtMs,
+        showMs: 120_000,
+        events: {
+          log: (name, fields) =>
+            fixture.logged.push(`${name} ${JSON.stringify(fields)}`),
+        },
+        onLost: (reason) => fixture.lost.push(reason),
+      });
+      owners.push(owner);
+      await pass(50);
+      return owner;
+    },
+    accept: (id, steps) =>
+      fixture.store.put(jobs, {
+        key: id,
+        value: JSON.stringify(acceptedOf(steps)),
+      }),
+    cancel: (id) =>
+      fixture.store.put(jobs, { key: cancelKey(id), value: "{}" }),
+    progress: () =>
+      fixture.store.newest({ topic: PROGRESS_TOPIC, partition: PARTITION }),
+    close() {
+      for (const owner of owners) owner.close();
+    },
+  };
+  return fixture;
+}
+
+/** Lets time pass on the paused clock. */
+export async function pass(ms: number): Promise<void> {
+  const { jest } = await import("@jest/globals");
+  await jest.advanceTimersByTimeAsync(ms);
+}
--- /dev/null
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -0,0 +1,275 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import {
+  createOwnerFixture,
+  JOB_ID,
+  type OwnerFixture,
+  pass,
+  stepOf,
+} from "../_fixtures.ts";
+
+describe("createPartitionOwner", () => {
+  let fixture: OwnerFixture;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    fixture = createOwnerFixture();
+  });
+
+  afterEach(() => {
+    fixture.close();
+    jest.useRealTimers();
+  });
+
+  const stateOf = async (owner: { show(id: string): Promise<unknown> }) =>
+    await owner.show(JOB_ID);
+
+  // Guards against a job that is stored and never run, and against a state
+  // that is shown as completed before the ends are stored.
+  test("runs an accepted job to its end", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf(), stepOf({ dependsOn: [0], count: 1 })]);
+    await pass(50);
+    expect([...executor.running.keys()].sort()).toEqual([
+      `${JOB_ID}.0.0.0`,
+      `${JOB_ID}.0.0.1`,
+    ]);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "running" });
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    executor.end(`${JOB_ID}.0.0.1`, "done");
+    await pass(300);
+    expect([...executor.running.keys()]).toEqual([`${JOB_ID}.0.1.0`]);
+    executor.end(`${JOB_ID}.0.1.0`, "done");
+    await pass(2_000);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "completed" });
+    expect(fixture.progress().get(JOB_ID)).toContain("completed");
+    // The ends are confirmed once they are stored.
+    expect(executor.ends).toEqual([]);
+  });
+
+  // Guards against ends that are confirmed before they are stored, which would
+  // be lost with their owner.
+  test("confirms no end while the store is away", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf()]);
+    await pass(50);
+    fixture.store.fault = "silent";
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    await pass(3_000);
+    expect(executor.ends).toHaveLength(1);
+    fixture.store.fault = undefined;
+    await pass(3_000);
+    expect(executor.ends).toEqual([]);
+  });
+
+  // Guards against ends that are stored twice or not at all when the answers
+  // of the store are lost.
+  test("stores ends once when answers are lost", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf()]);
+    await pass(50);
+    fixture.store.fault = "losingAnswers";
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    executor.end(`${JOB_ID}.0.0.1`, "done");
+    await pass(1_000);
+    fixture.store.fault = undefined;
+    await pass(2_000);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "completed" });
+    expect(executor.ends).toEqual([]);
+  });
+
+  // Guards against two runs of one task after a takeover (seen on scale-1).
+  test("adopts what an earlier owner started", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf()]);
+    await pass(50);
+    first.close();
+    const owner = await fixture.own(2);
+    await pass(500);
+    expect(executor.starts).toHaveLength(2);
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    executor.end(`${JOB_ID}.0.0.1`, "done");
+    await pass(500);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "completed" });
+  });
+
+  // Guards against two runs of one task when the executor that has the first
+  // one is cut off during the takeover and leaves the list meanwhile (seen on
+  // scale-1 and scale-2).
+  test("waits for the leases of executors that it can't reach", async () => {
+    const cut = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf()]);
+    await pass(50);
+    expect(cut.running.size).toBe(2);
+    first.close();
+    cut.fault = "cut";
+    const other = fixture.addExecutor("e2");
+    const owner = await fixture.own(2);
+    fixture.reports.delete("e1");
+    owner.refresh();
+    await pass(4_000);
+    expect(other.starts).toEqual([]);
+    await pass(8_000);
+    expect(other.starts).toHaveLength(2);
+    expect(other.starts[0]!.run).toBeGreaterThan(1);
+  });
+
+  // Guards against two runs of one task when the old owner is cut off together
+  // with some executors (seen on scale-1: the new owner had adopted the run).
+  test("repeats nothing that another owner may have adopted", async () => {
+    const far = fixture.addExecutor("e1");
+    const owner = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf()]);
+    await pass(50);
+    const near = fixture.addExecutor("e2");
+    owner.refresh();
+    await pass(50);
+    fixture.confirmedAtMs = performance.now();
+    far.fault = "cut";
+    await pass(20_000);
+    expect(near.starts).toEqual([]);
+    fixture.confirmedAtMs = "now";
+    await pass(500);
+    expect(near.starts).toHaveLength(2);
+  });
+
+  // Guards against a fenced owner that goes on ordering.
+  test("gives up once a newer owner has called", async () => {
+    fixture.addExecutor("e1");
+    await fixture.own(1);
+    const second = await fixture.own(2);
+    fixture.accept(JOB_ID, [stepOf()]);
+    await pass(2_000);
+    expect(fixture.lost.length).toBeGreaterThan(0);
+    expect(second.isLoaded()).toBe(true);
+  });
+
+  // Guards against a second run when the answer to a start was lost.
+  test("adopts a start whose answer was lost", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.own(1);
+    executor.fault = "losingAnswers";
+    fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+    await pass(20);
+    executor.fault = undefined;
+    await pass(2_000);
+    expect(executor.starts).toHaveLength(1);
+    expect(executor.running.size).toBe(1);
+  });
+
+  // Guards against an order that is carried out seconds later beside the run
+  // that replaced it.
+  test("makes an executor refuse a start that comes late", async () => {
+    const slow = fixture.addExecutor("e1");
+    await fixture.own(1);
+    slow.fault = "late";
+    fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+    await pass(20);
+    slow.fault = undefined;
+    await pass(3_000);
+    const [run] = slow.running.values();
+    expect(run?.run).toBe(2);
+    slow.deliverLate();
+    expect(slow.starts).toHaveLength(1);
+  });
+
+  // Guards against tasks that go on, or start, after the cancellation.
+  test("stops a cancelled job", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf(), stepOf({ dependsOn: [0] })]);
+    await pass(50);
+    fixture.cancel(JOB_ID);
+    await pass(500);
+    expect(executor.running.size).toBe(0);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "cancelled" });
+    expect(executor.starts).toHaveLength(2);
+  });
+
+  // Guards against a failure that two owners count (BUDGET on trouble-3).
+  test("counts a failed run once across owners", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+    await pass(50);
+    executor.end(`${JOB_ID}.0.0.0`, "failed");
+    await pass(2_000);
+    executor.end(`${JOB_ID}.0.0.0`, "failed");
+    await pass(20);
+    first.close();
+    const owner = await fixture.own(2);
+    await pass(2_000);
+    expect(executor.starts).toHaveLength(3);
+    executor.end(`${JOB_ID}.0.0.0`, "failed");
+    await pass(2_000);
+    expect(executor.starts).toHaveLength(3);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "failed" });
+  });
+
+  // Guards against 410 for a job that only has not been read yet.
+  test("does not say that a job is missing while it can't read", async () => {
+    fixture.addExecutor("e1");
+    const owner = await fixture.own(1);
+    fixture.store.fault = "refusing";
+    expect(await stateOf(owner)).toEqual({ type: "unavailable" });
+    fixture.store.fault = undefined;
+    expect(await stateOf(owner)).toEqual({ type: "missing" });
+  });
+
+  // Guards against jobs that are lost when the store drops its history.
+  test("finds jobs again after the history was dropped", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.own(1);
+    fixture.store.fault = "refusing";
+    await pass(6_000);
+    fixture.accept(JOB_ID, [stepOf()]);
+    fixture.store.dropHistory({ topic: "jobs", partition: 3 });
+    fixture.store.fault = undefined;
+    await pass(2_000);
+    expect(executor.running.size).toBe(2);
+  });
+
+  // Guards against lasting tasks that are not started again.
+  test("restarts a lasting task however it ends", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1, isLasting: true })]);
+    await pass(50);
+    for (const how of ["done", "failed", "failed", "failed"] as const) {
+      executor.end(`${JOB_ID}.0.0.0`, how);
+      await pass(1_000);
+      expect(executor.running.size).toBe(1);
+    }
+  });
+
+  // Guards against work that ends when its executor is taken for upkeep, and
+  // against more lasting tasks away than their budget allows.
+  test("empties a reserved executor within the budget", async () => {
+    const executors = ["e1", "e2", "e3"].map((id) => fixture.addExecutor(id));
+    const owner = await fixture.own(1);
+    fixture.accept(JOB_ID, [
+      stepOf({ count: 2, isLasting: true, maxPerExecutor: 1, maxAway: 1 }),
+    ]);
+    await pass(2_000);
+    const used = executors.filter(({ running }) => running.size > 0);
+    expect(used).toHaveLength(2);
+    owner.report(new Set(used.map(({ report }) => report.id)));
+    await pass(300);
+    expect(executors.filter(({ running }) => running.size > 0).length)
+      .toBeGreaterThanOrEqual(1);
+    await pass(2_000);
+    const report = owner.report(new Set());
+    expect(report.busy).toHaveLength(2);
+  });
+});
--- a/packages/jobs/run/worker_session.ts
+++ b/packages/jobs/run/worker_session.ts
@@ -17,9 +17,6 @@
 /** Time that a call may take on the way. */
 const TRANSIT_MS = 100;
 
-/** Age of a start or a stop after which a look must show its effect. */
-const SETTLE_MS = 50;
-
 /** Events of a session, in which its owner decides. */
 export type SessionEvents = {
   /** A run ended, or went missing, in the way that `how` says. */
@@ -80,12 +77,16 @@
   options: WorkerSessionOptions,
 ): WorkerSession {
   const { worker, executors, token, events } = options;
+  /** Looks that had been sent when a start or a stop was confirmed. */
   const settledAt = new Map<Run, number>();
-  /** Runs whose start was not answered, and since when. */
+  /** Looks that had been sent when a start was left without an answer. */
   const uncertainSince = new Map<Run, number>();
+  let looksSent = 0;
   let isClosed = false;
   let wake: (() => void) | undefined;
   let isLookWanted = true;
+  let isWaitingLook = false;
+  let isExtraLook = false;
   let unconfirmedFrom = 0;
 
   const forget = (run: Run) => {
@@ -163,7 +164,7 @@
       }
       if (run.state === "starting" || run.state === "uncertain") {
         run.state = "running";
-        settledAt.set(run, performance.now());
+        settledAt.set(run, looksSent);
         uncertainSince.delete(run);
       }
       run.percent = report.percent;
@@ -175,7 +176,7 @@
   /** Handles runs that a look should have shown and did not. */
   const handleMissing = (
     outcome: HoldOutcome & { type: "held" },
-    sentMs: number,
+    number: number,
   ) => {
     if (outcome.ended.length >= 500) return;
     const listed = new Set(
@@ -183,13 +184,13 @@
     );
     for (const run of [...worker.runs]) {
       const isListed = listed.has(`${run.task.name}/${run.number}`);
-      const unknownMs = uncertainSince.get(run);
-      if (unknownMs !== undefined && unknownMs < sentMs && !isListed) {
+      const looksBefore = uncertainSince.get(run);
+      if (looksBefore !== undefined && looksBefore < number && !isListed) {
         // The start may still arrive; a stop makes the executor refuse it.
         session.stop(run, "no answer to the start");
       }
-      const settledMs = settledAt.get(run);
-      if (settledMs === undefined || settledMs > sentMs - SETTLE_MS) continue;
+      const settled = settledAt.get(run);
+      if (settled === undefined || settled >= number) continue;
       if (isListed) continue;
       removeRun(run);
       forget(run);
@@ -201,7 +202,7 @@
   };
 
   const look = async (longestWaitMs: number): Promise<void> => {
-    const sentMs = performance.now();
+    const number = ++looksSent;
     const mayRenew = options.mayRenew() && worker.failedCalls === 0 &&
       worker.clockOffsetMs !== undefined && worker.runs.size > 0;
     const isConfirmed = worker.seen === worker.confirmed;
@@ -227,7 +228,7 @@
     noteAnswer(outcome.clockMs);
     handleEnds(outcome.ended);
     handleRunning(outcome.running);
-    handleMissing(outcome, sentMs);
+    handleMissing(outcome, number);
     events.onChange(worker);
   };
 
@@ -247,7 +248,9 @@
       if (isClosed) return;
       const longestWaitMs = isLookWanted ? 0 : LOOK_WAIT_MS;
       isLookWanted = false;
+      isWaitingLook = true;
       await look(longestWaitMs);
+      isWaitingLook = false;
     }
   };
 
@@ -260,7 +263,14 @@
       };
     });
 
+  /** Looks at once, also beside a look that waits for the next end. */
   const requestLook = () => {
+    if (isClosed || worker.isGone) return;
+    if (isWaitingLook && !isExtraLook) {
+      isExtraLook = true;
+      void look(0).finally(() => isExtraLook = false);
+      return;
+    }
     isLookWanted = true;
     wake?.();
   };
@@ -284,13 +294,13 @@
         if (run.state === "starting" || run.state === "uncertain") {
           run.state = "running";
         }
-        settledAt.set(run, performance.now());
+        settledAt.set(run, looksSent);
         wake?.();
         return "started";
       }
       if (outcome.type === "unknown") {
         if (run.state === "starting") run.state = "uncertain";
-        uncertainSince.set(run, performance.now());
+        uncertainSince.set(run, looksSent);
         markFailed();
         requestLook();
         return `unknown: ${outcome.reason}`;
@@ -347,7 +357,7 @@
       if (outcome.type === "done") {
         if (run.state !== "stopping") {
           run.state = "stopping";
-          settledAt.set(run, performance.now());
+          settledAt.set(run, looksSent);
         }
         requestLook();
         return;
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -14,3 +14,5 @@
 export * from "./test_fleet.ts";
 export * from "./worker_standin.ts";
 export * from "./worker_tasks.ts";
+export * from "./store/memory_executors.ts";
+export * from "./store/memory_store.ts";
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -9,7 +9,7 @@
 } from "@lagoonloom/jobs";
 
 /** Fault of an executor that a test sets. */
-export type ExecutorFault =
+export type MemoryFault =
   /** Calls get no answer and do nothing, and work goes on. */
   | "cut"
   /** Orders are carried out and not answered. */
@@ -22,7 +22,7 @@
 /** One executor in memory. */
 export type MemoryExecutor = {
   report: ExecutorReport;
-  fault: ExecutorFault | undefined;
+  fault: MemoryFault | undefined;
   running: Map<string, MemoryRun>;
   ends: EndReport[];
   /** Starts that were carried out, in order. */
