Hand partitions over with the list of what runs

Change: an owner that leaves stores its runs, and the next one waits only for these; the owner of the machines tells which executors have ended; a start that was not sent is placed elsewhere at once.

--- a/packages/jobs/machines/collect_reports.ts
+++ b/packages/jobs/machines/collect_reports.ts
@@ -11,13 +11,19 @@
  */
 export async function collectReports(
   access: OwnerAccess,
-  { layout, reserved }: { layout: Layout; reserved: readonly string[] },
+  { layout, reserved, ended }: {
+    layout: Layout;
+    reserved: readonly string[];
+    ended: readonly string[];
+  },
 ): Promise<(PoolReport | undefined)[]> {
   const partitions = [...new Set([...layout.values()].flat())];
   return await Promise.all(partitions.map(async (partition) => {
     const owner = access.local(partition);
     if (owner !== undefined) {
-      return owner.isLoaded() ? owner.report(new Set(reserved)) : undefined;
+      return owner.isLoaded()
+        ? owner.report(new Set(reserved), ended)
+        : undefined;
     }
     const address = await access.directory.find(partition);
     if (address === undefined || address === access.ownAddress) {
@@ -25,7 +31,7 @@
       return undefined;
     }
     const answer = await access.client(address).report(
-      { partition, reserved: [...reserved] },
+      { partition, reserved: [...reserved], ended: [...ended] },
       REPORT_TIMEOUT_MS,
     );
     if (answer?.isOwner === true) return answer;
--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -7,9 +7,10 @@
 import { PROGRESS_TOPIC } from "../topics.ts";
 import { hasTakenEffect, type MachineOrder } from "./machine_order.ts";
 import { type Move, planMoves } from "./plan_moves.ts";
-import { type OpenWave, planUpkeep } from "./plan_upkeep.ts";
+import { planUpkeep } from "./plan_upkeep.ts";
 import type { PoolReport, ServiceDemand } from "./pool_report.ts";
 import { countByPool, sumDemand } from "./pool_sums.ts";
+import { createWaveBook } from "./wave_book.ts";
 
 /** Period of the rounds in which machines are planned. */
 const ROUND_MS = 250;
@@ -23,18 +24,12 @@
 /** Time after which an order without an effect is planned again. */
 const ORDER_TTL_MS = 4_000;
 
+/** Time for which owners are told of an executor that has ended. */
+const ENDED_MS = 10_000;
+
 /** Pause before an order without an answer is repeated. */
 const ORDER_RETRY_MS = 300;
 
-/** Time for which a machine must be missing to count as taken away. */
-const GONE_MS = 3_000;
-
-/** Schema of the stored state of a wave. */
-const StoredWave = z.object({
-  begun: z.array(z.string()),
-  isCompleted: z.boolean(),
-});
-
 /** Key of the stored sizes of the pools. */
 const HOME_KEY = "home";
 
@@ -55,10 +50,13 @@
   /** Thousandths of a core of a usual machine. */
   machineCpu(): number;
   /**
-   * Reserves executors at all owners and collects what they tell; undefined
-   * for a partition whose owner did not answer.
+   * Reserves executors at all owners, tells them which have ended, and collects
+   * what they tell; undefined for a partition whose owner did not answer.
    */
-  collect(reserved: readonly string[]): Promise<(PoolReport | undefined)[]>;
+  collect(
+    reserved: readonly string[],
+    ended: readonly string[],
+  ): Promise<(PoolReport | undefined)[]>;
   onLost(reason: string): void;
 };
 
@@ -68,14 +66,6 @@
   release(): Promise<void>;
 };
 
-type WaveState = {
-  wave: UpkeepWave;
-  dueAtMs: number;
-  begun: Set<string>;
-  isCompleted: boolean;
-  isAnnounced: boolean;
-};
-
 /**
  * Takes the machines over: carries out the waves of upkeep and moves machines
  * to the pools whose tasks wait. A machine is only ordered away after the
@@ -90,13 +80,12 @@
   options: MachinesOwnerOptions,
 ): MachinesOwner {
   const { partition, epoch, events } = options;
-  const waves = new Map<number, WaveState>();
-  const stored = new Map<number, z.infer<typeof StoredWave>>();
   const orders = new Map<string, MachineOrder>();
   /** Machines that each pool had when the platform was first seen. */
   let home = new Map<string, number>();
+  /** Executors that have ended by an order, and since when. */
+  const ended = new Map<string, number>();
   const idleSince = new Map<string, number>();
-  const missingSince = new Map<string, number>();
   let machines = new Map<string, Machine>();
   let listedAtMs = -Infinity;
   let demand = new Map<string, ServiceDemand>();
@@ -110,6 +99,12 @@
     onFailure: (reason) => events.log("progressDelayed", { partition, reason }),
   });
 
+  const waves = createWaveBook({
+    progress,
+    events,
+    announce: (wave, state) => options.machines.announce(wave, state),
+  });
+
   const close = () => {
     isClosed = true;
     progress.close();
@@ -121,36 +116,16 @@
     options.onLost(reason);
   };
 
-  const saveWave = (state: WaveState) =>
-    progress.put(waveKey(state.wave.wave), () =>
-      JSON.stringify({
-        begun: [...state.begun],
-        isCompleted: state.isCompleted,
-      }));
-
-  const updateWaves = () => {
-    for (const wave of options.waves()) {
-      const known = waves.get(wave.wave);
-      if (known !== undefined) {
-        known.wave = wave;
-        continue;
-      }
-      const before = stored.get(wave.wave);
-      waves.set(wave.wave, {
-        wave,
-        dueAtMs: performance.now() + wave.finishByS * 1_000,
-        begun: new Set(before?.begun),
-        isCompleted: before?.isCompleted ?? false,
-        isAnnounced: before?.isCompleted ?? false,
-      });
+  const recentlyEnded = (): string[] => {
+    const nowMs = performance.now();
+    for (const [id, atMs] of ended) {
+      if (nowMs - atMs > ENDED_MS) ended.delete(id);
     }
+    return [...ended.keys()];
   };
 
-  const openWaves = () =>
-    [...waves.values()].filter(({ isCompleted }) => !isCompleted);
-
   const readList = async (): Promise<void> => {
-    const isBusy = openWaves().length > 0 || orders.size > 0 ||
+    const isBusy = waves.open().length > 0 || orders.size > 0 ||
       [...demand.values()].some(({ waitingCpu }) => waitingCpu > 0);
     const maxAgeMs = isBusy ? BUSY_LIST_MS : IDLE_LIST_MS;
     if (performance.now() - listedAtMs < maxAgeMs) return;
@@ -191,7 +166,7 @@
 
   const planUpkeepNow = () =>
     planUpkeep({
-      waves: openWaves().map(toOpenWave),
+      waves: waves.open(),
       machines,
       down: downMachines(),
       ordered: new Set(orders.keys()),
@@ -267,13 +242,15 @@
       if (outcome.reason === "fence") lose("machines");
       orders.delete(machine);
     }
+    if (outcome.type === "done" && entry.executor !== undefined) {
+      ended.set(entry.executor, performance.now());
+    }
     entry.answeredAtMs = performance.now();
     listedAtMs = -Infinity;
     return outcome;
   };
 
   const maintain = async (machine: string, number: number) => {
-    const state = waves.get(number)!;
     const outcome = await order(
       machine,
       {
@@ -292,8 +269,7 @@
     const isBegun = outcome.type === "done" ||
       (outcome.type === "refused" && outcome.reason === "wave");
     if (!isBegun) return;
-    state.begun.add(machine);
-    saveWave(state);
+    waves.begin(number, machine);
   };
 
   const move = (planned: Move) =>
@@ -313,41 +289,8 @@
         ),
     );
 
-  const announce = async () => {
-    for (const state of waves.values()) {
-      if (!state.isAnnounced) {
-        state.isAnnounced = await options.machines.announce(
-          state.wave.wave,
-          state.isCompleted ? "completed" : "running",
-        );
-      }
-      if (state.isCompleted) continue;
-      const left = state.wave.machines.filter((id) => !isSettled(id, state));
-      if (left.length > 0) continue;
-      state.isCompleted = true;
-      state.isAnnounced = false;
-      saveWave(state);
-      events.log("waveCompleted", {
-        wave: state.wave.wave,
-        machines: state.begun.size,
-      });
-    }
-  };
-
-  /** A machine is settled if its upkeep has begun or it was taken away. */
-  const isSettled = (id: string, state: WaveState): boolean => {
-    const nowMs = performance.now();
-    if (machines.has(id) || machines.size === 0) {
-      missingSince.delete(id);
-      return state.begun.has(id) && machines.get(id)?.state !== "upkeep";
-    }
-    const sinceMs = missingSince.get(id) ?? nowMs;
-    missingSince.set(id, sinceMs);
-    return nowMs - sinceMs >= GONE_MS;
-  };
-
   const round = async (): Promise<void> => {
-    updateWaves();
+    waves.update(options.waves());
     await readList();
     const upkeep = planUpkeepNow();
     const moves = planMovesNow(new Set(upkeep.keys()));
@@ -359,7 +302,7 @@
     const reserved = wanted
       .map((id) => machines.get(id)?.executor)
       .filter((id): id is string => id !== undefined);
-    applyReports(await options.collect(reserved));
+    applyReports(await options.collect(reserved, recentlyEnded()));
     if (isClosed) return;
     const isFree = (id: string) => {
       const machine = machines.get(id);
@@ -376,7 +319,7 @@
       if (isFree(planned.machine)) calls.push(move(planned));
     }
     void Promise.all(calls);
-    await announce();
+    await waves.announce(machines);
   };
 
   const run = async () => {
@@ -389,11 +332,7 @@
           if (key === HOME_KEY && sizes.success) {
             home = new Map(Object.entries(sizes.data));
           }
-          const number = parseWaveKey(key);
-          const parsed = StoredWave.safeParse(value);
-          if (number !== undefined && parsed.success) {
-            stored.set(number, parsed.data);
-          }
+          waves.restore(key, value);
         }
         break;
       }
@@ -415,19 +354,6 @@
   };
 }
 
-function toOpenWave({ wave, dueAtMs, begun }: WaveState): OpenWave {
-  return { wave, dueAtMs, begun };
-}
-
-function waveKey(wave: number): string {
-  return `wave.${wave}`;
-}
-
-function parseWaveKey(key: string): number | undefined {
-  const match = /^wave\.(\d+)$/.exec(key);
-  return match === null ? undefined : Number(match[1]);
-}
-
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -158,7 +158,8 @@
       configuration: world.configuration,
       waves: world.waves,
       machineCpu: () => usualCpu(world.executors()),
-      collect: (reserved) => collectReports(access, { layout, reserved }),
+      collect: (reserved, ended) =>
+        collectReports(access, { layout, reserved, ended }),
       onLost(reason) {
         events.log("partitionLost", { partition, epoch, reason });
         holdsMachines = false;
@@ -343,10 +344,10 @@
       if (owner === undefined) return { isOwner: false };
       return { isOwner: true, pending: owner.countPending(queue) };
     },
-    report({ partition, reserved }) {
+    report({ partition, reserved, ended }) {
       const owner = find(partition);
       if (owner === undefined) return { isOwner: false };
-      return { isOwner: true, ...owner.report(new Set(reserved)) };
+      return { isOwner: true, ...owner.report(new Set(reserved), ended) };
     },
   };
 }
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -50,6 +50,8 @@
   usedExecutors: Set<string>;
   /** Executors that have not answered since the takeover. */
   unheard: Set<string>;
+  /** Steady time at which executors ended that the list may still hold. */
+  ended: Map<string, number>;
   /** Executors to empty for a move or for upkeep. */
   reserved: ReadonlySet<string>;
   /** Steady time at which the reservations end by themselves. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -11,12 +11,18 @@
 import { type PoolReport, reportPool } from "../machines/pool_report.ts";
 import { createAdviceBook } from "../placed/advice_book.ts";
 import { saveUsedExecutors, startWaitingTasks } from "../placed/start_tasks.ts";
-import { isMine, refreshWorkers, unblockTasks } from "../run/follow_workers.ts";
+import {
+  endWorker,
+  isMine,
+  refreshWorkers,
+  unblockTasks,
+} from "../run/follow_workers.ts";
 import { emptyWorkers } from "../run/empty_workers.ts";
 import type { Shown } from "../shown/shown.ts";
 import type { JobState } from "../submission.ts";
-import { PROGRESS_TOPIC } from "../topics.ts";
+import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
 import type { Worker } from "../worker.ts";
+import { applyHandover, decodeHandover, storeHandover } from "./handover.ts";
 import {
   type LoadedPartition,
   loadPartition,
@@ -68,10 +74,13 @@
   /** Applies a change of the list of executors or of the configuration. */
   refresh(): void;
   /**
-   * Reserves executors for moves and upkeep, for a short time, and tells what
-   * the others do.
+   * Reserves executors for moves and upkeep, for a short time, takes note of
+   * those that have ended by these, and tells what the others do.
    */
-  report(reserved: ReadonlySet<string>): PoolReport;
+  report(
+    reserved: ReadonlySet<string>,
+    ended: readonly string[],
+  ): PoolReport;
   /** Stores what is pending, then gives the partition up. */
   release(timeoutMs: number): Promise<void>;
   close(): void;
@@ -119,13 +128,15 @@
     },
     countPending: (queue) => countPending(owner, queue),
     refresh: () => refreshWorkers(owner),
-    report(reserved) {
+    report(reserved, ended) {
+      for (const id of ended) endWorker(owner, id);
       reserve(owner, reserved);
       owner.reservedUntilMs = performance.now() + RESERVATION_MS;
       return reportPool(owner);
     },
     async release(timeoutMs) {
       owner.isReleasing = true;
+      if (owner.isLoaded) storeHandover(owner);
       await owner.progress.drain(timeoutMs);
       close();
     },
@@ -144,6 +155,7 @@
     failed: new Map(),
     usedExecutors: new Set(),
     unheard: new Set(),
+    ended: new Map(),
     reserved: new Set(),
     reservedUntilMs: 0,
     isLoaded: false,
@@ -218,6 +230,8 @@
     if (isMine(owner, report)) owner.unheard.add(report.id);
   }
 
+  const handover = decodeHandover(state.other.get(HANDOVER_KEY));
+  if (handover !== undefined) applyHandover(owner, handover);
   owner.isLoaded = true;
   events.log("partitionLoaded", {
     partition,
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -264,12 +264,12 @@
     await pass(2_000);
     const used = executors.filter(({ running }) => running.size > 0);
     expect(used).toHaveLength(2);
-    owner.report(new Set(used.map(({ report }) => report.id)));
+    owner.report(new Set(used.map(({ report }) => report.id)), []);
     await pass(300);
     expect(executors.filter(({ running }) => running.size > 0).length)
       .toBeGreaterThanOrEqual(1);
     await pass(2_000);
-    const report = owner.report(new Set());
+    const report = owner.report(new Set(), []);
     expect(report.busy).toHaveLength(2);
   });
 });
--- a/packages/jobs/ports.ts
+++ b/packages/jobs/ports.ts
@@ -96,6 +96,8 @@
     clockMs: number | undefined;
   }
   | { type: "replaced" }
+  /** Provably not sent. */
+  | { type: "notSent"; reason: string }
   | { type: "unknown"; reason: string };
 
 /** Outcome of a stop or a change of pace. */
--- a/packages/jobs/run/empty_workers.ts
+++ b/packages/jobs/run/empty_workers.ts
@@ -36,6 +36,9 @@
 }
 
 function isAtWork(run: Run): boolean {
+  const { failedCalls, isGone } = run.worker;
+  // What was last heard of a silent executor says nothing about now.
+  if (failedCalls > 0 || isGone) return false;
   return run.state === "running" && run.percent >= AT_WORK_PERCENT &&
     run.stopReason === "";
 }
--- a/packages/jobs/run/follow_workers.ts
+++ b/packages/jobs/run/follow_workers.ts
@@ -1,6 +1,6 @@
 import { noteEnd, noteRunEnd } from "../ended/note_end.ts";
 import type { ExecutorReport } from "../fleet.ts";
-import { findTask, hasEnded, type Run } from "../job_book.ts";
+import { findTask, hasEnded as hasJobEnded, type Run } from "../job_book.ts";
 import { partitionOf } from "../owned/layout.ts";
 import {
   AUTHORITY_MS,
@@ -20,7 +20,7 @@
     checkWorker(owner, worker, reports.get(worker.id));
   }
   for (const report of reports.values()) {
-    const isKnown = owner.workers.has(report.id);
+    const isKnown = owner.workers.has(report.id) || hasEnded(owner, report);
     if (!isKnown && isMine(owner, report)) addWorker(owner, report);
   }
   owner.schedulePlacing();
@@ -84,6 +84,31 @@
   if (worker.runs.size === 0) retireWorker(owner, worker);
 }
 
+/** Time for which the list may hold an executor that has ended. */
+const ENDED_ON_LIST_MS = 6_000;
+
+/** Returns whether an executor has ended, by an order for its machine. */
+function hasEnded(owner: OwnerState, { id }: ExecutorReport): boolean {
+  const sinceMs = owner.ended.get(id);
+  if (sinceMs === undefined) return false;
+  if (performance.now() - sinceMs < ENDED_ON_LIST_MS) return true;
+  owner.ended.delete(id);
+  return false;
+}
+
+/** Notes that an executor has surely ended, with all that ran there. */
+export function endWorker(owner: OwnerState, id: string): void {
+  if (owner.unheard.delete(id)) unblockTasks(owner);
+  owner.ended.set(id, performance.now());
+  const worker = owner.workers.get(id);
+  if (worker === undefined) {
+    if (owner.usedExecutors.delete(id)) saveUsedExecutors(owner);
+    return;
+  }
+  owner.sessions.get(worker)?.end();
+  retireWorker(owner, worker);
+}
+
 function retireWorker(owner: OwnerState, worker: Worker): void {
   worker.isGone = true;
   const nowMs = Math.min(performance.now(), owner.options.confirmedAtMs());
@@ -140,7 +165,7 @@
   if (task === undefined) return false;
   const { job, step } = task.group;
   task.lastRun = Math.max(task.lastRun, report.run);
-  if (hasEnded(job) || task.isDone) return false;
+  if (hasJobEnded(job) || task.isDone) return false;
   if (task.runs.length > 0 && !step.isSpeculative) return false;
   const run: Run = {
     task,
--- a/packages/jobs/run/worker_session.ts
+++ b/packages/jobs/run/worker_session.ts
@@ -54,6 +54,8 @@
   pace(run: Run, percent: number): void;
   /** Looks at once. */
   look(): void;
+  /** Notes that the executor has surely ended. */
+  end(): void;
   /**
    * Removes the runs of a silent executor whose lease had ended at a time up
    * to which nobody else can have renewed it.
@@ -298,6 +300,12 @@
         wake?.();
         return "started";
       }
+      if (outcome.type === "notSent") {
+        markFailed();
+        removeRun(run);
+        requestLook();
+        return `not sent: ${outcome.reason}`;
+      }
       if (outcome.type === "unknown") {
         if (run.state === "starting") run.state = "uncertain";
         uncertainSince.set(run, looksSent);
@@ -331,6 +339,7 @@
       });
     },
     look: requestLook,
+    end: markGone,
     expire(confirmedMs) {
       if (confirmedMs < worker.leaseEndsMs) return;
       if (!worker.isGone && worker.failedCalls === 0) return;
--- a/packages/jobs/topics.ts
+++ b/packages/jobs/topics.ts
@@ -10,6 +10,9 @@
 /** Key under which an owner stores the executors that it has used. */
 export const USED_EXECUTORS_KEY = "executors";
 
+/** Key under which an owner that leaves stores what it has running. */
+export const HANDOVER_KEY = "handover";
+
 const CANCEL_SUFFIX = ".c";
 
 /** Returns the key of the record that cancels a job. */
