--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -1,6 +1,6 @@
 import type { Queue } from "../fleet.ts";
 import { type Layout, partitionOf } from "../owned/layout.ts";
-import type { AppendOutcome, Store } from "../ports.ts";
+import type { Store } from "../ports.ts";
 import type { AcceptedJob, Submission } from "../submission.ts";
 import { cancelKey, JOBS_TOPIC } from "../topics.ts";
 
@@ -15,6 +15,9 @@
 /** Time to come back after a refusal that does not say one. */
 const DEFAULT_RETRY_MS = 500;
 
+/** Longest wait for the store before other members are asked. */
+const DIRECT_TIMEOUT_MS = 700;
+
 /** Options of {@linkcode acceptJob} and {@linkcode cancelJob}. */
 export type RecordOptions = {
   store: Store;
@@ -22,8 +25,18 @@
   queue: Queue;
   /** Longest wait for the store in milliseconds. */
   timeoutMs: number;
+  /** Whether the store has not answered this member for a while. */
+  isStoreSilent(): boolean;
+  /** Stores a record through other members; undefined if none was reached. */
+  relay(
+    record: KeyedValue & { partition: number },
+    endMs: number,
+  ): Promise<RecordOutcome | undefined>;
 };
 
+/** Record of a job. */
+export type KeyedValue = { key: string; value: string };
+
 /**
  * Stores an accepted job. Any member may do so, and more than once: the record
  * of an id is always the same, and its owner takes it once.
@@ -59,7 +72,7 @@
 
 async function store(
   id: string,
-  record: { key: string; value: string },
+  record: KeyedValue,
   options: RecordOptions,
 ): Promise<RecordOutcome> {
   const partition = partitionOf(options.layout, {
@@ -73,14 +86,35 @@
       reason: `service ${options.queue.service} has no partition yet`,
     };
   }
+  const endMs = performance.now() + options.timeoutMs;
+  const direct = options.isStoreSilent()
+    ? undefined
+    : await append(partition, record, {
+      store: options.store,
+      timeoutMs: Math.min(DIRECT_TIMEOUT_MS, options.timeoutMs),
+    });
+  if (direct?.type === "stored") return direct;
+  const relayed = await options.relay({ partition, ...record }, endMs);
+  if (relayed?.type === "stored") return relayed;
+  // One attempt that may be stored leaves the outcome open.
+  const attempts = [direct, relayed].filter((it) => it !== undefined);
+  return attempts.find(({ type }) => type === "unknown") ?? attempts[0] ?? {
+    type: "refused",
+    retryAfterMs: DEFAULT_RETRY_MS,
+    reason: "the store is silent and no other member was reached",
+  };
+}
+
+/** Appends the record of a job once, without a relay. */
+export async function append(
+  partition: number,
+  record: KeyedValue,
+  options: { store: Store; timeoutMs: number },
+): Promise<RecordOutcome> {
   const outcome = await options.store.append(
     { topic: JOBS_TOPIC, partition },
     { records: [record], timeoutMs: options.timeoutMs },
   );
-  return decide(outcome);
-}
-
-function decide(outcome: AppendOutcome): RecordOutcome {
   switch (outcome.type) {
     case "stored":
     case "refused":
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -3,12 +3,16 @@
   createOwnerServer,
   type OwnerClient,
   type OwnerHandlers,
+  RelayResponse_Outcome,
 } from "@lagoonloom/peers";
 import {
   acceptJob,
+  append,
   cancelJob,
+  type KeyedValue,
   type RecordOutcome,
 } from "./accepted/accept_job.ts";
+import { relayRecord } from "./accepted/relay_record.ts";
 import type {
   Configuration,
   ExecutorReport,
@@ -49,6 +53,18 @@
 /** Part of the platform's longest lease that is used at most. */
 const LEASE_SHARE = 0.9;
 
+/** Longest wait for the store on behalf of another member. */
+const RELAY_TIMEOUT_MS = 500;
+
+const RELAY_OUTCOMES = {
+  stored: RelayResponse_Outcome.STORED,
+  refused: RelayResponse_Outcome.REFUSED,
+  unknown: RelayResponse_Outcome.UNKNOWN,
+};
+
+/** Silence of the store after which callers are sent to other members. */
+const MAX_SILENCE_MS = 2_000;
+
 /** Processor time of a machine while none is known. */
 const DEFAULT_MACHINE_CPU = 16_000;
 
@@ -59,6 +75,8 @@
   /** Whether the list of executors has been read once. */
   hasExecutors(): boolean;
   waves(): readonly UpkeepWave[];
+  /** Steady time of the store's last answer about the configuration. */
+  readAtMs(): number;
   /** Tells whether the list of executors is needed here. */
   followExecutors(isNeeded: boolean): void;
 };
@@ -126,7 +144,10 @@
   });
 
   const leaseMs = Math.min(LEASE_MS, LEASE_SHARE * options.maxLeaseMs);
-  const server = await createOwnerServer(createHandlers(owners), options.peer);
+  const server = await createOwnerServer(
+    createHandlers(owners, store),
+    options.peer,
+  );
   const directory = createOwnerDirectory(store);
 
   const access: OwnerAccess = {
@@ -254,16 +275,31 @@
   };
   void watchLayout();
 
+  const isStoreSilent = () =>
+    performance.now() - world.readAtMs() >= MAX_SILENCE_MS;
+
+  const recordOptions = () => ({
+    store,
+    layout,
+    isStoreSilent,
+    relay: (
+      record: KeyedValue & { partition: number },
+      endMs: number,
+    ) => relayRecord(access, record, endMs),
+  });
+
   const partitionOfJob = (queue: Queue, id: string) =>
     partitionOf(layout, { service: queue.service, key: id });
 
   return {
     world,
-    isReady: () => world.configuration() !== undefined && layout.size > 0,
+    isReady: () =>
+      world.configuration() !== undefined && layout.size > 0 &&
+      !isStoreSilent(),
     accept: (id, { submission, queue, timeoutMs }) =>
-      acceptJob(id, submission, { store, layout, queue, timeoutMs }),
+      acceptJob(id, submission, { ...recordOptions(), queue, timeoutMs }),
     cancel: (id, { queue, timeoutMs }) =>
-      cancelJob(id, { store, layout, queue, timeoutMs }),
+      cancelJob(id, { ...recordOptions(), queue, timeoutMs }),
     async show(id, { queue, timeoutMs }) {
       const partition = partitionOfJob(queue, id);
       if (partition === undefined) return { type: "unavailable" };
@@ -323,6 +359,7 @@
 
 function createHandlers(
   owners: ReadonlyMap<number, PartitionOwner>,
+  store: Store,
 ): OwnerHandlers {
   const find = (partition: number) => {
     const owner = owners.get(partition);
@@ -344,6 +381,13 @@
       if (owner === undefined) return { isOwner: false };
       return { isOwner: true, pending: owner.countPending(queue) };
     },
+    async relay({ partition, key, value }) {
+      const outcome = await append(partition, { key, value }, {
+        store,
+        timeoutMs: RELAY_TIMEOUT_MS,
+      });
+      return { outcome: RELAY_OUTCOMES[outcome.type] };
+    },
     report({ partition, reserved, ended }) {
       const owner = find(partition);
       if (owner === undefined) return { isOwner: false };
--- a/packages/jobs/owned/owner_directory.ts
+++ b/packages/jobs/owned/owner_directory.ts
@@ -14,6 +14,8 @@
 export type OwnerDirectory = {
   /** Peer address of a partition's owner, if it is known. */
   find(partition: number): Promise<string | undefined>;
+  /** Peer addresses of the members that were last known. */
+  members(): string[];
   /** Reads the list again before the next answer. */
   invalidate(): void;
 };
@@ -23,6 +25,10 @@
   return address + LIFE_MARK + life;
 }
 
+function addressOf(member: string): string {
+  return member.split(LIFE_MARK)[0] ?? "";
+}
+
 /**
  * Creates a list of owners that is read from the store when it is asked for
  * and old.
@@ -55,10 +61,14 @@
         reading ??= read();
       }
       if (reading !== undefined) await reading;
-      const address = owners.get(partition)?.split(LIFE_MARK)[0];
+      const address = addressOf(owners.get(partition) ?? "");
       // A partition that nobody holds at the moment has an empty member.
       return address === "" ? undefined : address;
     },
+    members: () =>
+      [
+        ...new Set([...owners.values()].map(addressOf)),
+      ].filter((address) => address !== ""),
     invalidate() {
       isStale = true;
     },
--- a/packages/jobs/placed/due_time.ts
+++ b/packages/jobs/placed/due_time.ts
@@ -1,3 +1,4 @@
+import type { StepGroup } from "../job_book.ts";
 import type { AcceptedJob, Step } from "../submission.ts";
 
 /**
@@ -13,6 +14,20 @@
   return Math.max(0, ...ends);
 }
 
+/**
+ * Returns the longest chain of work of an occurrence that is left, in
+ * milliseconds, by the estimates of its steps.
+ */
+export function remainingChainMs(groups: readonly StepGroup[]): number {
+  const ends: number[] = [];
+  for (const { step, doneCount, tasks } of groups) {
+    const before = Math.max(0, ...step.dependsOn.map((at) => ends[at] ?? 0));
+    const isLeft = !step.isLasting && doneCount < tasks.length;
+    ends.push(before + (isLeft ? step.estimateMs : 0));
+  }
+  return Math.max(0, ...ends);
+}
+
 /**
  * Returns the Unix time until which a job is on time: its longest chain of
  * work, stretched as its queue allows, and the latency that the queue aims at.
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -5,6 +5,7 @@
   type Task,
 } from "../job_book.ts";
 import type { Size } from "../submission.ts";
+import { remainingChainMs } from "./due_time.ts";
 import { isUsable, rackOf, type Worker } from "../worker.ts";
 
 /** Decision to run a task on an executor. */
@@ -67,7 +68,7 @@
   const ranked: { group: StepGroup; rank: number[] }[] = [];
   for (const job of jobs) {
     if (job.endedAtMs !== undefined) continue;
-    const isLate = job.dueAtMs < options.unixMs ? 1 : 0;
+    const isLate = isHopeless(job, options.unixMs) ? 1 : 0;
     for (const group of job.groups) {
       if (group.doneCount >= group.tasks.length) continue;
       if (!isGroupReady(group)) continue;
@@ -90,6 +91,16 @@
   return ranked.map(({ group }) => group);
 }
 
+/** Part of the estimates that a job needs at least, since they are rough. */
+const LEAST_WORK_SHARE = 0.6;
+
+/** Returns whether a job can't be on time any more, even if it starts now. */
+function isHopeless(job: Job, unixMs: number): boolean {
+  const leftMs = job.dueAtMs - unixMs;
+  if (leftMs < 0) return true;
+  return leftMs < LEAST_WORK_SHARE * remainingChainMs(job.groups);
+}
+
 function compareRanks(left: number[], right: number[]): number {
   for (let at = 0; at < left.length; at++) {
     if (left[at]! !== right[at]!) return left[at]! - right[at]!;
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -8,6 +8,8 @@
   type CountPendingRequestSchema,
   type CountPendingResponse,
   OwnerService,
+  type RelayRequestSchema,
+  type RelayResponse,
   type ReportRequestSchema,
   type ReportResponse,
   type ShowRequestSchema,
@@ -34,6 +36,10 @@
     request: MessageInitShape<typeof ReportRequestSchema>,
     timeoutMs: number,
   ): Promise<ReportResponse | undefined>;
+  relay(
+    request: MessageInitShape<typeof RelayRequestSchema>,
+    timeoutMs: number,
+  ): Promise<RelayResponse | undefined>;
   close(): void;
 };
 
@@ -82,6 +88,7 @@
       settle(client.countPending(request, { timeoutMs })),
     report: (request, timeoutMs) =>
       settle(client.report(request, { timeoutMs })),
+    relay: (request, timeoutMs) => settle(client.relay(request, { timeoutMs })),
     close: () => sessionManager.abort(),
   };
 }
--- a/packages/peers/create_owner_server.ts
+++ b/packages/peers/create_owner_server.ts
@@ -6,6 +6,8 @@
   type CountPendingRequest,
   type CountPendingResponseSchema,
   OwnerService,
+  type RelayRequest,
+  type RelayResponseSchema,
   type ReportRequest,
   type ReportResponseSchema,
   type ShowRequest,
@@ -23,6 +25,9 @@
   report(
     request: ReportRequest,
   ): MessageInitShape<typeof ReportResponseSchema>;
+  relay(
+    request: RelayRequest,
+  ): Promise<MessageInitShape<typeof RelayResponseSchema>>;
 };
 
 /** Listener for the calls of other members. */
