--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -15,8 +15,12 @@
 /** Runs that an earlier owner has left, once it orders nothing more. */
 export type Handover = z.infer<typeof Handover>;
 
-/** Stores what runs, so that the next owner waits for nothing else. */
+/**
+ * Stores what runs, so that the next owner waits for nothing else. An owner
+ * whose own takeover is not complete can't tell, and stores nothing.
+ */
 export function storeHandover(owner: OwnerState): void {
+  if (!owner.isLoaded || owner.unheard.size > 0) return;
   const runs: Handover["runs"] = [];
   for (const worker of owner.workers.values()) {
     for (const run of worker.runs) {
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -136,7 +136,7 @@
     },
     async release(timeoutMs) {
       owner.isReleasing = true;
-      if (owner.isLoaded) storeHandover(owner);
+      storeHandover(owner);
       await owner.progress.drain(timeoutMs);
       close();
     },
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -125,6 +125,41 @@
     expect(other.starts[0]!.run).toBeGreaterThan(1);
   });
 
+  // Guards against a handover by an owner that has not heard of all executors
+  // itself (seen in a hunt on Lakeshore: 189 tasks ran twice).
+  test("trusts no handover of an incomplete takeover", async () => {
+    const cut = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf()]);
+    await pass(50);
+    first.close();
+    cut.fault = "cut";
+    const other = fixture.addExecutor("e2");
+    const second = await fixture.own(2);
+    await Promise.all([second.release(1_000), pass(1_000)]);
+    await fixture.own(3);
+    await pass(4_000);
+    expect(other.starts).toEqual([]);
+  });
+
+  // Guards against a takeover that waits for leases after a planned stop (10.4
+  // s on trouble-2 of Lakeshore).
+  test("waits only for what a handover names", async () => {
+    const executor = fixture.addExecutor("e1");
+    const idle = fixture.addExecutor("e2");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1 }), stepOf({ dependsOn: [0] })]);
+    await pass(50);
+    const used = executor.running.size > 0 ? executor : idle;
+    const unused = used === executor ? idle : executor;
+    unused.fault = "cut";
+    await Promise.all([first.release(1_000), pass(1_000)]);
+    await fixture.own(2);
+    used.end(`${JOB_ID}.0.0.0`, "done");
+    await pass(1_500);
+    expect(used.running.size).toBe(2);
+  });
+
   // Guards against two runs of one task when the old owner is cut off together
   // with some executors (seen on scale-1: the new owner had adopted the run).
   test("repeats nothing that another owner may have adopted", async () => {
