--- a/packages/jobs/ended/progress_log.ts
+++ b/packages/jobs/ended/progress_log.ts
@@ -9,6 +9,9 @@
 /** Longest wait for an append. */
 const APPEND_TIMEOUT_MS = 1_500;
 
+/** Sequence numbers between the first ones of two terms. */
+const NUMBERS_PER_TERM = 1_000_000;
+
 /** Most records of one append. */
 const MAX_RECORDS = 500;
 
@@ -53,7 +56,8 @@
   let isClosed = false;
   let isRunning = false;
   let lastFlushMs = -Infinity;
-  let sequence = 0;
+  // A number that an earlier writer has used would be taken for a repeat.
+  let sequence = options.writer.epoch * NUMBERS_PER_TERM;
 
   const appendBatch = async (records: KeyedRecord[]): Promise<boolean> => {
     while (!isClosed) {
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -125,6 +125,30 @@
     expect(other.starts[0]!.run).toBeGreaterThan(1);
   });
 
+  // Guards against ends that are confirmed and not stored, since the store took
+  // the first appends of a new owner for repeats of a short-lived one's (seen
+  // on trouble-1 of Lakeshore: a task started again after its end).
+  test("stores the ends of a short-lived owner's successor", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1 }), stepOf({ dependsOn: [0] })]);
+    await pass(300);
+    first.close();
+    const second = await fixture.own(2);
+    await pass(300);
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    await pass(2_000);
+    expect(executor.ends).toEqual([]);
+    second.close();
+    await fixture.own(3);
+    await pass(500);
+    expect(executor.starts.map(({ task }) => task)).toEqual([
+      `${JOB_ID}.0.0.0`,
+      `${JOB_ID}.0.1.0`,
+      `${JOB_ID}.0.1.1`,
+    ]);
+  });
+
   // Guards against a handover by an owner that has not heard of all executors
   // itself (seen in a hunt on Lakeshore: 189 tasks ran twice).
   test("trusts no handover of an incomplete takeover", async () => {
--- a/packages/jobs/run/empty_workers.ts
+++ b/packages/jobs/run/empty_workers.ts
@@ -2,6 +2,12 @@
 import { type OwnerState, stopRun } from "../owned/owner_state.ts";
 import { isUsable, type Worker } from "../worker.ts";
 
+/**
+ * Time after a takeover in which stops of the earlier owner may still take
+ * effect, so that nothing more is taken away.
+ */
+const SETTLING_MS = 1_500;
+
 /** Share of its rate at which a task counts as at work, in percent. */
 const AT_WORK_PERCENT = 100;
 
@@ -10,6 +16,8 @@
  * more of a step at a time than its budget allows. Other tasks end there.
  */
 export function emptyWorkers(owner: OwnerState): void {
+  const ownedMs = performance.now() - owner.takenOverAtMs;
+  if (owner.unheard.size > 0 || ownedMs < SETTLING_MS) return;
   for (const worker of owner.workers.values()) {
     const mustLeave = worker.isReserved || worker.report.isDraining;
     if (!mustLeave || worker.isGone || worker.failedCalls > 0) continue;
--- a/packages/standins/store/memory_store.ts
+++ b/packages/standins/store/memory_store.ts
@@ -15,11 +15,15 @@
   /** Appends are carried out and not answered. */
   | "losingAnswers";
 
+/** Appends of a writer whose repeats are recognized. */
+const REMEMBERED_APPENDS = 5;
+
 type Topic = {
   records: StoredRecord[];
   end: number;
   first: number;
-  writers: Map<string, { epoch: number; sequence: number | undefined }>;
+  /** Epoch of each writer and the numbers of its last appends. */
+  writers: Map<string, { epoch: number; last: number[] }>;
 };
 
 /** Store of the platform in memory, with the faults that tests set. */
@@ -94,16 +98,21 @@
         return { type: "fenced" };
       }
       const isNewTerm = known === undefined || writer.epoch > known.epoch;
-      const last = isNewTerm ? undefined : known.sequence;
-      if (records.length > 0 && last !== undefined) {
-        if (writer.sequence <= last) return { type: "stored" };
-        if (writer.sequence !== last + 1) {
-          return { type: "outOfSequence", expected: last + 1 };
+      const last = known?.last ?? [];
+      if (records.length === 0) {
+        topic.writers.set(writer.name, { epoch: writer.epoch, last });
+        return { type: "stored" };
+      }
+      if (!isNewTerm && last.length > 0) {
+        if (last.includes(writer.sequence)) return { type: "stored" };
+        const expected = last.at(-1)! + 1;
+        if (writer.sequence !== expected) {
+          return { type: "outOfSequence", expected };
         }
       }
       topic.writers.set(writer.name, {
         epoch: writer.epoch,
-        sequence: records.length > 0 ? writer.sequence : last,
+        last: [...last, writer.sequence].slice(-REMEMBERED_APPENDS),
       });
     }
     add(topic, records);
