Let pools without load lend machines down to 0.6 of their first size

Cause: in its turn a queue asks for more than its pool and the spare machines hold, while three of four pools are idle.

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -27,6 +27,9 @@
 /** Time for which owners are told of an executor that has ended. */
 const ENDED_MS = 10_000;
 
+/** Part of its first size that a pool without load keeps at the least. */
+const LENT_DOWN_TO = 0.6;
+
 /** Pause before an order without an answer is repeated. */
 const ORDER_RETRY_MS = 300;
 
@@ -212,7 +215,7 @@
       machineCpu: options.machineCpu(),
       leastOf: (pool) =>
         Math.max(
-          home.get(pool) ?? 1,
+          Math.ceil((home.get(pool) ?? 1) * LENT_DOWN_TO),
           (demand.get(pool)?.leastExecutors ?? 0) + 1,
         ),
     });
