--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -48,7 +48,7 @@
 const RELEASE_TIMEOUT_MS = 1_000;
 
 /** Longest lease of an executor, if the platform allows as much. */
-const LEASE_MS = 4_500;
+const LEASE_MS = 4_000;
 
 /** Part of the platform's longest lease that is used at most. */
 const LEASE_SHARE = 0.9;
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -79,7 +79,18 @@
  * outlasts usual outages of the store; a new owner waits as long for executors
  * that it can't reach.
  */
-export const AUTHORITY_MS = 5_000;
+export const AUTHORITY_MS = 3_500;
+
+/** Time that calls of an earlier owner may be on their way. */
+export const BLOCK_MARGIN_MS = 500;
+
+/** Rate by which the clocks of executors and owners may differ. */
+const LEASE_SLACK = 1.05;
+
+/** Returns how long a lease that an earlier owner gave can go on at most. */
+export function longestLeaseMs(leaseMs: number): number {
+  return LEASE_SLACK * leaseMs + BLOCK_MARGIN_MS;
+}
 
 /** Time without confirmation for which an owner takes new jobs. */
 export const TAKING_MS = 1_500;
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -30,7 +30,9 @@
 } from "./load_partition.ts";
 import {
   AUTHORITY_MS,
+  BLOCK_MARGIN_MS,
   isConfirmed,
+  longestLeaseMs,
   type OwnerState,
   type PartitionOwnerOptions,
   TAKING_MS,
@@ -48,12 +50,6 @@
 /** Least time between two rounds of placing. */
 const PLACE_DELAY_MS = 4;
 
-/** Rate by which the clocks of executors and owners may differ. */
-const LEASE_SLACK = 1.05;
-
-/** Time that calls of an earlier owner may be on their way. */
-const BLOCK_MARGIN_MS = 500;
-
 /** Time for which executors stay reserved without being asked for again. */
 const RESERVATION_MS = 3_000;
 
@@ -212,10 +208,11 @@
 function applyState(owner: OwnerState, state: LoadedPartition): void {
   const { partition, epoch, events, view, leaseMs } = owner.options;
   owner.nextOffset = state.nextOffset;
-  const nowMs = performance.now();
-  owner.newBlockedUntilMs = nowMs + TAKING_MS + BLOCK_MARGIN_MS;
-  owner.blockedUntilMs = nowMs + AUTHORITY_MS + LEASE_SLACK * leaseMs +
-    BLOCK_MARGIN_MS;
+  // The partition was ours from here on, so that no earlier owner's place was
+  // confirmed any later.
+  const dealtMs = owner.takenOverAtMs;
+  owner.newBlockedUntilMs = dealtMs + TAKING_MS + BLOCK_MARGIN_MS;
+  owner.blockedUntilMs = dealtMs + AUTHORITY_MS + longestLeaseMs(leaseMs);
   for (const { id, accepted, offset } of state.jobs) {
     const job = takeJob(owner, id, { accepted, offset, isInherited: true });
     const progress = state.progress.get(id);
