--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -16,3 +16,4 @@
 export * from "./worker_tasks.ts";
 export * from "./store/memory_executors.ts";
 export * from "./store/memory_store.ts";
+export * from "./store/platform_http.ts";
