--- a/packages/jobs/machines/wave_book.ts
+++ b/packages/jobs/machines/wave_book.ts
@@ -56,8 +56,10 @@
   /** A machine is settled if its upkeep is over or it was taken away. */
   const isSettled = (
     id: string,
-    state: WaveState,
-    machines: ReadonlyMap<string, Machine>,
+    { state, machines }: {
+      state: WaveState;
+      machines: ReadonlyMap<string, Machine>;
+    },
   ): boolean => {
     const nowMs = performance.now();
     if (machines.has(id) || machines.size === 0) {
@@ -112,7 +114,7 @@
         }
         if (state.isCompleted) continue;
         const isOver = state.wave.machines.every((id) =>
-          isSettled(id, state, machines)
+          isSettled(id, { state, machines })
         );
         if (!isOver) continue;
         state.isCompleted = true;
--- /dev/null
+++ b/packages/jobs/model.ts
@@ -0,0 +1,115 @@
+import type { ExecutorReport } from "./fleet.ts";
+import type { AcceptedJob, Size, Step } from "./submission.ts";
+
+/** Attempt to run a task on an executor. */
+export type Run = {
+  task: Task;
+  /** Number of the start; rises for each task. */
+  number: number;
+  worker: Worker;
+  /**
+   * `starting` until the executor answers, `uncertain` when no answer came and
+   * the executor may still begin it, `stopping` once a stop is on its way.
+   */
+  state: "starting" | "running" | "uncertain" | "stopping";
+  /** Steady time of the start order in milliseconds. */
+  startedAtMs: number;
+  /** Share of its work rate that the executor allows, in percent. */
+  percent: number;
+  /** Share that was last asked for, in percent. */
+  askedPercent: number;
+  checkpoint: string;
+  /** Why it is being stopped; empty if it is not. */
+  stopReason: string;
+  /** Tail of response times or processor use, as last reported. */
+  load: number;
+};
+
+/** One of the work items of a step. */
+export type Task = {
+  name: string;
+  group: StepGroup;
+  index: number;
+  isDone: boolean;
+  runs: Run[];
+  /** Highest run number that was ever used for the task. */
+  lastRun: number;
+  /** Runs that ended as failed. */
+  failures: number;
+  checkpoint: string;
+  /** Steady time before which an unknown earlier run may still go on. */
+  blockedUntilMs: number;
+  /** Executors on which the task failed, which are its last choice. */
+  avoided: Set<string>;
+  /** Steady time since which the task is not at work. */
+  waitingSinceMs: number;
+};
+
+/** Tasks of one step of one occurrence. */
+export type StepGroup = {
+  job: Job;
+  occurrence: number;
+  number: number;
+  step: Step;
+  tasks: Task[];
+  doneCount: number;
+};
+
+/** Job of the partition. */
+export type Job = {
+  id: string;
+  accepted: AcceptedJob;
+  /** Offset of the accepting record; jobs are served in this order. */
+  offset: number;
+  /** Unix time until which the job is on time. */
+  dueAtMs: number;
+  isCancelled: boolean;
+  hasFailed: boolean;
+  hasStarted: boolean;
+  /** Unix time at which the job ended, or undefined. */
+  endedAtMs: number | undefined;
+  groups: StepGroup[];
+  /** Occurrences whose groups exist. */
+  begun: number;
+  /** Whether earlier owners may have run parts of the job. */
+  isInherited: boolean;
+};
+
+/** Jobs by id. */
+export type JobBook = Map<string, Job>;
+
+/** One life of an executor as its owner knows it. */
+export type Worker = {
+  id: string;
+  address: string;
+  report: ExecutorReport;
+  /** Runs that take room there. */
+  runs: Set<Run>;
+  free: Size;
+  /** Clock of the executor less the steady clock, once it has answered. */
+  clockOffsetMs: number | undefined;
+  /** Steady time after which the executor holds no lease that we gave. */
+  leaseEndsMs: number;
+  /** Last end that is safely stored. */
+  confirmed: number;
+  /** Last end that was read. */
+  seen: number;
+  /** Steady time of the last answer. */
+  answeredAtMs: number;
+  /** Calls in a row without an answer. */
+  failedCalls: number;
+  /** Whether the executor left the list or answered as another life. */
+  isGone: boolean;
+  /** Steady time at which it was first missed. */
+  goneAtMs: number;
+  /** Whether it is to be emptied for a move or for upkeep. */
+  isReserved: boolean;
+  /** Ends as failed since the last one that was done. */
+  failuresInRow: number;
+  /** Different jobs among these. */
+  failedJobs: Set<string>;
+  /** Steady time until which it gets no work. */
+  suspendedUntilMs: number;
+  /** Ratio of the time that tasks take there to their usual time. */
+  slowness: number;
+};
--- a/packages/jobs/worker.ts
+++ b/packages/jobs/worker.ts
@@ -1,42 +1,7 @@
 import type { ExecutorReport } from "./fleet.ts";
-import type { Run } from "./job_book.ts";
-import type { Size } from "./submission.ts";
+import type { Run, Worker } from "./model.ts";
 
-/** One life of an executor as its owner knows it. */
-export type Worker = {
-  id: string;
-  address: string;
-  report: ExecutorReport;
-  /** Runs that take room there. */
-  runs: Set<Run>;
-  free: Size;
-  /** Clock of the executor less the steady clock, once it has answered. */
-  clockOffsetMs: number | undefined;
-  /** Steady time after which the executor holds no lease that we gave. */
-  leaseEndsMs: number;
-  /** Last end that is safely stored. */
-  confirmed: number;
-  /** Last end that was read. */
-  seen: number;
-  /** Steady time of the last answer. */
-  answeredAtMs: number;
-  /** Calls in a row without an answer. */
-  failedCalls: number;
-  /** Whether the executor left the list or answered as another life. */
-  isGone: boolean;
-  /** Steady time at which it was first missed. */
-  goneAtMs: number;
-  /** Whether it is to be emptied for a move or for upkeep. */
-  isReserved: boolean;
-  /** Ends as failed since the last one that was done. */
-  failuresInRow: number;
-  /** Different jobs among these. */
-  failedJobs: Set<string>;
-  /** Steady time until which it gets no work. */
-  suspendedUntilMs: number;
-  /** Ratio of the time that tasks take there to their usual time. */
-  slowness: number;
-};
+export type { Worker } from "./model.ts";
 
 /** Creates the state of an executor that has not answered yet. */
 export function createWorker(report: ExecutorReport): Worker {
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -24,6 +24,12 @@
     message: "member stopped",
     fields: { open: "number" },
   },
+  settingsTaken: {
+    id: "LL6007",
+    level: "info",
+    message: "changed settings are in force",
+    fields: { graceMs: "number" },
+  },
   configurationTaken: {
     id: "LL6004",
     level: "info",
