Call no executor idle that has not answered since the takeover

Ruled out: stops of the earlier owner, since the runs ended as lapsed and none was stopped.

Change: idle is only who has answered; a test that fails without it.

--- a/packages/jobs/machines/pool_report.ts
+++ b/packages/jobs/machines/pool_report.ts
@@ -1,6 +1,7 @@
 import { isGroupReady } from "../job_book.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { isWaiting } from "../placed/place_tasks.ts";
+import type { Worker } from "../worker.ts";
 
 /** Work of a service in one partition, in thousandths of a core. */
 export type ServiceDemand = {
@@ -26,6 +27,15 @@
   idle: string[];
 };
 
+/**
+ * Returns whether an executor surely runs nothing. One that has not answered
+ * since the takeover, or is silent, may run what is not known here.
+ */
+function isIdle(owner: OwnerState, worker: Worker): boolean {
+  return worker.runs.size === 0 && worker.clockOffsetMs !== undefined &&
+    worker.failedCalls === 0 && !owner.unheard.has(worker.id);
+}
+
 /** Sums up the demand and the executors of a partition. */
 export function reportPool(owner: OwnerState): PoolReport {
   const demand = new Map<string, ServiceDemand>();
@@ -69,6 +79,7 @@
   return {
     demand: [...demand.values()],
     busy: workers.filter(({ runs }) => runs.size > 0).map(({ id }) => id),
-    idle: workers.filter(({ runs }) => runs.size === 0).map(({ id }) => id),
+    idle: workers.filter((worker) => isIdle(owner, worker))
+      .map(({ id }) => id),
   };
 }
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -312,6 +312,22 @@
     }
   });
 
+  // Guards against a machine that is ordered away with all that runs on it,
+  // right after a takeover (AVAIL on hunted days of both sites).
+  test("calls no executor idle that it has not heard of", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ isLasting: true })]);
+    await pass(50);
+    first.close();
+    executor.fault = "cut";
+    const owner = await fixture.own(2);
+    expect(owner.report(new Set(["e1"]), []).idle).toEqual([]);
+    executor.fault = undefined;
+    await pass(500);
+    expect(owner.report(new Set(["e1"]), []).busy).toEqual(["e1"]);
+  });
+
   // Guards against work that ends when its executor is taken for upkeep, and
   // against more lasting tasks away than their budget allows.
   test("empties a reserved executor within the budget", async () => {
