Show no outcome before it is stored

Ruled out: repeats of sequence numbers and an overwritten record, since no other owner appended in between.

Change: an outcome is shown once its record is stored; a test that fails without it.

--- a/packages/jobs/ended/finish_job.ts
+++ b/packages/jobs/ended/finish_job.ts
@@ -1,6 +1,6 @@
-import { type Job, stateOf } from "../job_book.ts";
+import type { Job } from "../job_book.ts";
 import { type OwnerState, stopRun } from "../owned/owner_state.ts";
-import { encodeProgress } from "./progress.ts";
+import { encodeProgress, outcomeOf } from "./progress.ts";
 
 /** Stores the progress of a job with the next batch. */
 export function saveJob(owner: OwnerState, job: Job): void {
@@ -12,10 +12,11 @@
   job.endedAtMs = Date.now();
   owner.options.events.log("jobFinished", {
     job: job.id,
-    state: stateOf(job),
+    state: outcomeOf(job),
     reason,
   });
   saveJob(owner, job);
+  owner.progress.whenStored(() => job.isOutcomeStored = true);
   for (const group of job.groups) {
     for (const task of group.tasks) {
       for (const run of task.runs) stopRun(owner, run, reason);
--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -21,6 +21,12 @@
 /** Failed runs by task name. */
 export type FailedRuns = Map<string, Set<number>>;
 
+/** Returns how a job that has ended did so. */
+export function outcomeOf(job: Job): "completed" | "failed" | "cancelled" {
+  if (job.isCancelled) return "cancelled";
+  return job.hasFailed ? "failed" : "completed";
+}
+
 /** Returns the progress of a job for the store. */
 export function encodeProgress(job: Job, failed: FailedRuns): string {
   const progress: Progress = { done: {}, failed: {} };
@@ -35,11 +41,7 @@
   }
   if (job.endedAtMs !== undefined) {
     progress.endedAtMs = job.endedAtMs;
-    progress.outcome = job.isCancelled
-      ? "cancelled"
-      : job.hasFailed
-      ? "failed"
-      : "completed";
+    progress.outcome = outcomeOf(job);
   }
   return JSON.stringify(progress);
 }
@@ -65,6 +67,7 @@
     }
   }
   job.endedAtMs = progress.endedAtMs;
+  job.isOutcomeStored = progress.outcome !== undefined;
   job.hasFailed = progress.outcome === "failed";
   job.isCancelled ||= progress.outcome === "cancelled";
 }
--- a/packages/jobs/job_book.ts
+++ b/packages/jobs/job_book.ts
@@ -28,6 +28,7 @@
     hasFailed: false,
     hasStarted: false,
     endedAtMs: undefined,
+    isOutcomeStored: false,
     groups: [],
     begun: 0,
   };
@@ -126,8 +127,10 @@
 /** Returns the state of a job for its caller. */
 export function stateOf(job: Job): JobState {
   if (job.isCancelled) return "cancelled";
-  if (job.hasFailed) return "failed";
-  if (job.endedAtMs !== undefined) return "completed";
+  // A later owner may not know of an outcome that is not stored yet.
+  if (job.endedAtMs !== undefined && job.isOutcomeStored) {
+    return job.hasFailed ? "failed" : "completed";
+  }
   return job.hasStarted ? "running" : "queued";
 }
 
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -68,6 +68,8 @@
   hasStarted: boolean;
   /** Unix time at which the job ended, or undefined. */
   endedAtMs: number | undefined;
+  /** Whether the outcome is stored, so that it may be shown. */
+  isOutcomeStored: boolean;
   groups: StepGroup[];
   /** Occurrences whose groups exist. */
   begun: number;
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -70,6 +70,22 @@
     expect(executor.ends).toEqual([]);
   });
 
+  // Guards against a job that is shown as completed and run by the next
+  // owner (seen on trouble-2 of Lakeshore: power lost while the store was down).
+  test("shows no outcome before it is stored", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+    await pass(50);
+    fixture.store.fault = "silent";
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    await pass(2_000);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "running" });
+    fixture.store.fault = undefined;
+    await pass(2_000);
+    expect(await stateOf(owner)).toEqual({ type: "known", value: "completed" });
+  });
+
   // Guards against ends that are stored twice or not at all when the answers
   // of the store are lost.
   test("stores ends once when answers are lost", async () => {
