--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -71,7 +71,7 @@
   });
 
   // Guards against a job that is shown as completed and run by the next
-  // owner (seen on trouble-2 of Lakeshore: power lost while the store was down).
+  // owner (trouble-2 of Lakeshore: power lost while the store was down).
   test("shows no outcome before it is stored", async () => {
     const executor = fixture.addExecutor("e1");
     const owner = await fixture.own(1);
