--- a/packages/jobs/ended/progress_log.ts
+++ b/packages/jobs/ended/progress_log.ts
@@ -1,3 +1,4 @@
+import { sleep } from "../_sleep.ts";
 import type { KeyedRecord, Partition, Store } from "../ports.ts";
 
 /** Shortest time between two appends of a partition's progress. */
@@ -139,7 +140,3 @@
   }
   return records;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -1,3 +1,4 @@
+import { sleep } from "../_sleep.ts";
 import { z } from "zod";
 import { createProgressLog } from "../ended/progress_log.ts";
 import type { Configuration, Machine, UpkeepWave } from "../fleet.ts";
@@ -356,7 +357,3 @@
     },
   };
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -102,8 +102,6 @@
   failedCalls: number;
   /** Whether the executor left the list or answered as another life. */
   isGone: boolean;
-  /** Steady time at which it was first missed. */
-  goneAtMs: number;
   /** Whether it is to be emptied for a move or for upkeep. */
   isReserved: boolean;
   /** Ends as failed since the last one that was done. */
@@ -112,6 +110,4 @@
   failedJobs: Set<string>;
   /** Steady time until which it gets no work. */
   suspendedUntilMs: number;
-  /** Ratio of the time that tasks take there to their usual time. */
-  slowness: number;
 };
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -1,3 +1,4 @@
+import { sleep } from "../_sleep.ts";
 import {
   beginDue,
   readRecords,
@@ -296,7 +297,3 @@
   }
   return count;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -209,8 +209,8 @@
   return options.isAllowed?.(group, worker) ?? true;
 }
 
-/** Weight of a slow executor against leftover cores, in thousandths of one. */
-const SLOWNESS_PENALTY_CPU = 20_000;
+/** Weight of a serving task beside a filling one, in thousandths of a core. */
+const SERVING_PENALTY_CPU = 20_000;
 
 /** Weight of one more task of the group in a rack, in thousandths of a core. */
 const RACK_SPREAD_CPU = 4_000;
@@ -225,7 +225,7 @@
 function scoreOf(task: Task, room: Room): number {
   const { step } = task.group;
   const { worker, free } = room;
-  let score = free.cpu + SLOWNESS_PENALTY_CPU * (worker.slowness - 1);
+  let score = free.cpu;
   if (task.avoided.has(worker.id)) score += FAILURE_PENALTY_CPU;
   if (step.rack !== "" && !worker.report.labels.includes(step.rack)) {
     score += FAR_PENALTY_CPU;
@@ -235,7 +235,7 @@
     score += RACK_SPREAD_CPU * countInRack(task.group, rackOf(worker));
   }
   if (step.isFilling) {
-    score += -2 * free.cpu + SLOWNESS_PENALTY_CPU * countServing(worker);
+    score += -2 * free.cpu + SERVING_PENALTY_CPU * countServing(worker);
   }
   return score;
 }
--- a/packages/jobs/run/follow_workers.ts
+++ b/packages/jobs/run/follow_workers.ts
@@ -75,7 +75,6 @@
   }
   if (!worker.isGone) {
     worker.isGone = true;
-    worker.goneAtMs = performance.now();
     owner.options.events.log("executorGone", {
       executor: worker.id,
       runs: worker.runs.size,
--- a/packages/jobs/run/worker_session.ts
+++ b/packages/jobs/run/worker_session.ts
@@ -104,7 +104,6 @@
   const markGone = () => {
     if (worker.isGone) return;
     worker.isGone = true;
-    worker.goneAtMs = performance.now();
     // Another life answers at the address, so this one runs nothing.
     worker.leaseEndsMs = 0;
     events.onChange(worker);
--- a/packages/jobs/worker.ts
+++ b/packages/jobs/worker.ts
@@ -18,12 +18,10 @@
     answeredAtMs: -Infinity,
     failedCalls: 0,
     isGone: false,
-    goneAtMs: 0,
     isReserved: false,
     failuresInRow: 0,
     failedJobs: new Set(),
     suspendedUntilMs: 0,
-    slowness: 1,
   };
 }
 
