Forget an ended job whole, the accepting record first

Cause: 150 s after its end a job's progress was dropped, and the record that accepted it stayed. The next owner of the partition would have loaded it as a job without progress and run it again. Ruled out: that the store drops the record by itself (newest records are kept). Change: one append drops the accepting and the cancelling records; only when the store has confirmed it does the owner drop the progress. Progress without a job is dropped at the next takeover.

--- a/packages/jobs/ended/finish_job.ts
+++ b/packages/jobs/ended/finish_job.ts
@@ -24,15 +24,3 @@
   }
   owner.schedulePlacing();
 }
-
-/** Forgets a job that nobody can ask for any more. */
-export function dropJob(owner: OwnerState, job: Job): void {
-  for (const group of job.groups) {
-    for (const task of group.tasks) {
-      if (task.runs.length > 0) return;
-      owner.failed.delete(task.name);
-    }
-  }
-  owner.jobs.delete(job.id);
-  owner.progress.put(job.id, () => undefined);
-}
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -5,7 +5,7 @@
   takeCancellation,
   takeJob,
 } from "../accepted/take_records.ts";
-import { dropJob } from "../ended/finish_job.ts";
+import { forgetJobs } from "../ended/forget_jobs.ts";
 import { applyProgress } from "../ended/progress.ts";
 import { createProgressLog } from "../ended/progress_log.ts";
 import { type JobBook, stateOf } from "../job_book.ts";
@@ -54,9 +54,6 @@
 /** Time for which executors stay reserved without being asked for again. */
 const RESERVATION_MS = 3_000;
 
-/** Time beyond its showing after which an ended job is forgotten. */
-const SHOW_MARGIN_MS = 30_000;
-
 /** Owner of the jobs and the executors of one partition. */
 export type PartitionOwner = {
   partition: number;
@@ -111,6 +108,7 @@
     options.onLost(reason);
   };
   void takeOver(owner);
+  forgetJobs(owner);
   return {
     partition,
     epoch,
@@ -222,6 +220,7 @@
     }
     if (state.cancelled.has(id)) takeCancellation(owner, id);
   }
+  if (state.unreadable === 0) dropOrphans(owner, state);
   owner.usedExecutors = new Set(state.usedExecutors);
   owner.unheard = new Set(state.usedExecutors);
   for (const report of view.executors().values()) {
@@ -243,6 +242,13 @@
   unblockTasks(owner);
 }
 
+/** Drops progress that an owner left behind while it forgot the job. */
+function dropOrphans(owner: OwnerState, state: LoadedPartition): void {
+  for (const id of state.progress.keys()) {
+    if (!owner.jobs.has(id)) owner.progress.put(id, () => undefined);
+  }
+}
+
 async function follow(owner: OwnerState): Promise<void> {
   while (!owner.isClosed) {
     const isRead = isConfirmed(owner, TAKING_MS) &&
@@ -265,11 +271,8 @@
     reserve(owner, new Set());
   }
   emptyWorkers(owner);
-  const unixMs = Date.now();
-  const keepMs = owner.options.showMs + SHOW_MARGIN_MS;
   for (const job of owner.jobs.values()) {
     if (job.endedAtMs === undefined) beginDue(owner, job);
-    else if (unixMs > job.endedAtMs + keepMs) dropJob(owner, job);
   }
   owner.schedulePlacing();
 }
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -363,4 +363,46 @@
     const report = owner.report(new Set(), []);
     expect(report.busy).toHaveLength(2);
   });
+
+  // Guards against a job that is run again by a later owner, since its progress
+  // was forgotten and the record that accepted it was not.
+  test("forgets an ended job whole", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+    await pass(50);
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    await pass(145_000);
+    expect(await stateOf(first)).toEqual({ type: "known", value: "completed" });
+    await pass(20_000);
+    expect(await stateOf(first)).toEqual({ type: "missing" });
+    expect(fixture.progress().get(JOB_ID)).toBeUndefined();
+    first.close();
+    const owner = await fixture.own(2);
+    await pass(1_000);
+    expect(executor.starts).toHaveLength(1);
+    expect(await stateOf(owner)).toEqual({ type: "missing" });
+  });
+
+  // Guards against a forgotten job that is known by half when the store loses
+  // the answer or is away.
+  test.each(["losingAnswers", "silent"] as const)(
+    "keeps an ended job until it is forgotten whole (%s)",
+    async (fault) => {
+      const executor = fixture.addExecutor("e1");
+      const first = await fixture.own(1);
+      fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+      await pass(50);
+      executor.end(`${JOB_ID}.0.0.0`, "done");
+      await pass(145_000);
+      fixture.store.fault = fault;
+      await pass(20_000);
+      first.close();
+      fixture.store.fault = undefined;
+      await fixture.own(2);
+      await pass(20_000);
+      expect(executor.starts).toHaveLength(1);
+      expect(fixture.progress().get(JOB_ID)).toBeUndefined();
+    },
+  );
 });
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -201,6 +201,12 @@
     message: "job ended",
     fields: { job: "string", state: "string", reason: "string" },
   },
+  jobsForgotten: {
+    id: "LL6309",
+    level: "info",
+    message: "ended jobs are forgotten",
+    fields: { partition: "number", jobs: "number" },
+  },
   progressDelayed: {
     id: "LL6308",
     level: "warn",
