Order machines only while confirmed, and count an executor as ended once seen

Change: a holder that the store does not confirm for 1.5 s neither orders nor reserves; a new one waits 2 s for the earlier one's orders, unless that one has handed over; an executor counts as ended once a list that is younger than the answer shows its machine away or with another executor. The orders have a file of their own.

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -1,12 +1,13 @@
-import { sleep } from "../_sleep.ts";
 import { z } from "zod";
+import { sleep } from "../_sleep.ts";
 import { createProgressLog } from "../ended/progress_log.ts";
 import type { Configuration, Machine, UpkeepWave } from "../fleet.ts";
 import type { JobEvents } from "../job_events.ts";
 import { loadPartition, writerName } from "../owned/load_partition.ts";
-import type { MachineOutcome, Machines, Store } from "../ports.ts";
-import { PROGRESS_TOPIC } from "../topics.ts";
-import { hasTakenEffect, type MachineOrder } from "./machine_order.ts";
+import { BLOCK_MARGIN_MS, TAKING_MS } from "../owned/owner_state.ts";
+import type { Machines, Store } from "../ports.ts";
+import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
+import { createMachineOrders } from "./machine_orders.ts";
 import { type Move, planMoves } from "./plan_moves.ts";
 import { planUpkeep } from "./plan_upkeep.ts";
 import type { PoolReport, ServiceDemand } from "./pool_report.ts";
@@ -22,18 +23,12 @@
 /** Age after which the list of machines is read again otherwise. */
 const BUSY_LIST_MS = 500;
 
-/** Time after which an order without an effect is planned again. */
-const ORDER_TTL_MS = 4_000;
-
-/** Time for which owners are told of an executor that has ended. */
-const ENDED_MS = 10_000;
+/** Time that stored changes get when the machines are given up. */
+const RELEASE_TIMEOUT_MS = 500;
 
 /** Part of its first size that a pool without load keeps at the least. */
 const LENT_DOWN_TO = 0.6;
 
-/** Pause before an order without an answer is repeated. */
-const ORDER_RETRY_MS = 300;
-
 /** Key of the stored sizes of the pools. */
 const HOME_KEY = "home";
 
@@ -53,6 +48,8 @@
   waves(): readonly UpkeepWave[];
   /** Thousandths of a core of a usual machine. */
   machineCpu(): number;
+  /** Steady time up to which the store has confirmed the ownership. */
+  confirmedAtMs(): number;
   /**
    * Reserves executors at all owners, tells them which have ended, and collects
    * what they tell; undefined for a partition whose owner did not answer.
@@ -84,16 +81,16 @@
   options: MachinesOwnerOptions,
 ): MachinesOwner {
   const { partition, epoch, events } = options;
-  const orders = new Map<string, MachineOrder>();
   /** Machines that each pool had when the platform was first seen. */
   let home = new Map<string, number>();
-  /** Executors that have ended by an order, and since when. */
-  const ended = new Map<string, number>();
   const idleSince = new Map<string, number>();
   let machines = new Map<string, Machine>();
   let listedAtMs = -Infinity;
   let demand = new Map<string, ServiceDemand>();
   let isClosed = false;
+  let isReleasing = false;
+  /** Steady time until which an earlier owner may still order machines. */
+  let ordersFromMs = performance.now() + TAKING_MS + BLOCK_MARGIN_MS;
 
   const progress = createProgressLog({
     store: options.store,
@@ -120,16 +117,23 @@
     options.onLost(reason);
   };
 
-  const recentlyEnded = (): string[] => {
-    const nowMs = performance.now();
-    for (const [id, atMs] of ended) {
-      if (nowMs - atMs > ENDED_MS) ended.delete(id);
-    }
-    return [...ended.keys()];
-  };
+  const orders = createMachineOrders({
+    epoch,
+    events,
+    mayOrder: () => mayOrder(),
+    isClosed: () => isClosed,
+    onFenced: () => lose("machines"),
+  });
+
+  /** Two holders must not order the machines at the same time. */
+  const mayOrder = () =>
+    !isReleasing && isConfirmed() && performance.now() >= ordersFromMs;
+
+  const isConfirmed = () =>
+    performance.now() - options.confirmedAtMs() < TAKING_MS;
 
   const readList = async (): Promise<void> => {
-    const isBusy = waves.open().length > 0 || orders.size > 0 ||
+    const isBusy = waves.open().length > 0 || orders.open().size > 0 ||
       [...demand.values()].some(({ waitingCpu }) => waitingCpu > 0);
     const maxAgeMs = isBusy ? BUSY_LIST_MS : IDLE_LIST_MS;
     if (performance.now() - listedAtMs < maxAgeMs) return;
@@ -142,15 +146,7 @@
       home = countByPool(list);
       progress.put(HOME_KEY, () => JSON.stringify(Object.fromEntries(home)));
     }
-    for (const [id, order] of orders) {
-      const machine = machines.get(id);
-      if (order.atMs > sentMs) continue;
-      const isOver = machine === undefined ||
-        hasTakenEffect(machine, { order, sentMs }) ||
-        (order.answeredAtMs !== undefined &&
-          performance.now() - order.answeredAtMs > ORDER_TTL_MS);
-      if (isOver) orders.delete(id);
-    }
+    orders.settle(machines, sentMs);
   };
 
   const applyReports = (found: (PoolReport | undefined)[]) => {
@@ -173,7 +169,7 @@
       waves: waves.open(),
       machines,
       down: downMachines(),
-      ordered: new Set(orders.keys()),
+      ordered: new Set(orders.open().keys()),
       idle: new Set(idleSince.keys()),
       standbyPools: standbyPools(),
       loadOf,
@@ -185,7 +181,9 @@
     for (const [id, { state }] of machines) {
       if (state === "upkeep") down.add(id);
     }
-    for (const [id, { kind }] of orders) if (kind === "upkeep") down.add(id);
+    for (const [id, { kind }] of orders.open()) {
+      if (kind === "upkeep") down.add(id);
+    }
     return down;
   };
 
@@ -200,7 +198,7 @@
   const planMovesNow = (taken: Set<string>): Move[] => {
     const nowMs = performance.now();
     const incoming = new Map<string, string>();
-    for (const [id, { kind, pool }] of orders) {
+    for (const [id, { kind, pool }] of orders.open()) {
       if (kind === "move") incoming.set(id, pool);
       taken.add(id);
     }
@@ -222,91 +220,48 @@
     });
   };
 
-  const order = async (
-    machine: string,
-    entry: MachineOrder,
-    call: () => Promise<MachineOutcome>,
-  ): Promise<MachineOutcome> => {
-    orders.set(machine, entry);
-    let outcome = await call();
-    while (outcome.type === "unknown" && !isClosed) {
-      // The order may still be carried out, so it is repeated until known.
-      await sleep(ORDER_RETRY_MS);
-      outcome = await call();
-    }
-    events.log("machineOrdered", {
-      machine,
-      order: entry.kind,
-      pool: entry.pool,
-      epoch,
-      reason: entry.reason,
-      outcome: outcome.type === "refused" ? outcome.reason : outcome.type,
-    });
-    if (outcome.type === "refused") {
-      if (outcome.reason === "fence") lose("machines");
-      orders.delete(machine);
-    }
-    if (outcome.type === "done" && entry.executor !== undefined) {
-      ended.set(entry.executor, performance.now());
-    }
-    entry.answeredAtMs = performance.now();
-    listedAtMs = -Infinity;
-    return outcome;
-  };
+  const holder = { name: options.holder, token: epoch };
 
-  const maintain = async (machine: string, number: number) => {
-    const outcome = await order(
-      machine,
+  const maintain = async (machine: string, wave: number) => {
+    const outcome = await orders.send(
       {
-        atMs: performance.now(),
+        machine,
         kind: "upkeep",
         pool: "",
-        reason: `wave ${number}`,
+        reason: `wave ${wave}`,
         executor: machines.get(machine)?.executor,
       },
-      () =>
-        options.machines.upkeep({ machine, wave: number }, {
-          name: options.holder,
-          token: epoch,
-        }),
+      () => options.machines.upkeep({ machine, wave }, holder),
     );
+    listedAtMs = -Infinity;
     const isBegun = outcome.type === "done" ||
       (outcome.type === "refused" && outcome.reason === "wave");
-    if (!isBegun) return;
-    waves.begin(number, machine);
+    if (isBegun) waves.begin(wave, machine);
   };
 
-  const move = (planned: Move) =>
-    order(
-      planned.machine,
-      {
-        atMs: performance.now(),
-        kind: "move",
-        pool: planned.pool,
-        reason: planned.reason,
-        executor: machines.get(planned.machine)?.executor,
-      },
-      () =>
-        options.machines.move(
-          { machine: planned.machine, pool: planned.pool },
-          { name: options.holder, token: epoch },
-        ),
+  const move = async ({ machine, pool, reason }: Move) => {
+    const executor = machines.get(machine)?.executor;
+    await orders.send(
+      { machine, kind: "move", pool, reason, executor },
+      () => options.machines.move({ machine, pool }, holder),
     );
+    listedAtMs = -Infinity;
+  };
 
   const round = async (): Promise<void> => {
     waves.update(options.waves());
     await readList();
-    const upkeep = planUpkeepNow();
-    const moves = planMovesNow(new Set(upkeep.keys()));
+    const upkeep = mayOrder() ? planUpkeepNow() : new Map<string, number>();
+    const moves = mayOrder() ? planMovesNow(new Set(upkeep.keys())) : [];
     const wanted = [
       ...upkeep.keys(),
       ...moves.map(({ machine }) => machine),
-      ...orders.keys(),
+      ...orders.open().keys(),
     ];
     const reserved = wanted
       .map((id) => machines.get(id)?.executor)
       .filter((id): id is string => id !== undefined);
-    applyReports(await options.collect(reserved, recentlyEnded()));
+    applyReports(await options.collect(reserved, orders.ended()));
     if (isClosed) return;
     const isFree = (id: string) => {
       const machine = machines.get(id);
@@ -317,10 +272,10 @@
     };
     const calls: Promise<unknown>[] = [];
     for (const [machine, wave] of upkeep) {
-      if (isFree(machine)) calls.push(maintain(machine, wave));
+      if (mayOrder() && isFree(machine)) calls.push(maintain(machine, wave));
     }
     for (const planned of moves) {
-      if (isFree(planned.machine)) calls.push(move(planned));
+      if (mayOrder() && isFree(planned.machine)) calls.push(move(planned));
     }
     void Promise.all(calls);
     await waves.announce(machines);
@@ -331,6 +286,11 @@
       const outcome = await loadPartition(options.store, { partition, epoch });
       if (outcome.type === "fenced") return lose("store");
       if (outcome.type === "loaded") {
+        if (outcome.state.other.has(HANDOVER_KEY)) {
+          // The owner before has said that none of its orders is on its way.
+          progress.put(HANDOVER_KEY, () => undefined);
+          ordersFromMs = 0;
+        }
         for (const [key, value] of outcome.state.other) {
           const sizes = StoredHome.safeParse(value);
           if (key === HOME_KEY && sizes.success) {
@@ -343,7 +303,8 @@
       await sleep(ROUND_MS);
     }
     while (!isClosed) {
-      await round();
+      // The reservations of another holder must not be undone.
+      if (isConfirmed()) await round();
       await sleep(ROUND_MS);
     }
   };
@@ -352,7 +313,9 @@
   return {
     epoch,
     async release() {
-      await progress.drain(500);
+      isReleasing = true;
+      if (!orders.hasUnanswered()) progress.put(HANDOVER_KEY, () => "{}");
+      await progress.drain(RELEASE_TIMEOUT_MS);
       close();
     },
   };
