--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -5,6 +5,15 @@
 /** Period in which a member keeps its place in the group. */
 const JOIN_INTERVAL_MS = 400;
 
+/**
+ * Period while partitions change hands. The store gives a partition on when its
+ * holder joins without it, and the next one learns of it at its own join.
+ */
+const BUSY_JOIN_INTERVAL_MS = 100;
+
+/** Time after a change of the members in which partitions change hands. */
+const SETTLING_MS = 1_500;
+
 /** Silence after which the store deals a member's partitions to others. */
 const MEMBER_TTL_MS = 2_000;
 
@@ -61,6 +70,7 @@
   let timer: NodeJS.Timeout | undefined;
   let hasFailed = false;
   let confirmedAtMs = -Infinity;
+  let changedAtMs = -Infinity;
 
   const apply = async (partitions: readonly number[]) => {
     const dealt = new Set(partitions);
@@ -99,6 +109,7 @@
           partitions: outcome.partitions.length,
         });
       }
+      if (outcome.generation !== generation) changedAtMs = performance.now();
       generation = outcome.generation;
       hasFailed = false;
       confirmedAtMs = sentMs;
@@ -107,7 +118,12 @@
       hasFailed = true;
       events.log("joinFailed", { reason: outcome.reason });
     }
-    if (!isLeaving) timer = setTimeout(() => void join(), JOIN_INTERVAL_MS);
+    if (isLeaving) return;
+    const isSettling = performance.now() - changedAtMs < SETTLING_MS;
+    timer = setTimeout(
+      () => void join(),
+      isSettling ? BUSY_JOIN_INTERVAL_MS : JOIN_INTERVAL_MS,
+    );
   };
   void join();
 
