Wait at takeovers only for what may still run, and refuse truly at once

Change: a handover gives the end of each lease and blocks only the tasks that it names; it is passed on by an owner that has not heard of all; executors that can run nothing any more are forgotten when a takeover is complete. Change: members are asked first whether they reach the store; two failed reads in a row mean that it is away; an append without an answer is repeated before the caller is told. Change: no run is adopted that is not newer than the last known end, and an adopted run counts as missing when a later look does not list it. Ruled out for LOST: poison (one failure of three), room, labels.

--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -1,3 +1,4 @@
+import { sleep } from "../_sleep.ts";
 import type { Queue } from "../fleet.ts";
 import { type Layout, partitionOf } from "../owned/layout.ts";
 import type { Store } from "../ports.ts";
@@ -15,9 +16,15 @@
 /** Time to come back after a refusal that does not say one. */
 const DEFAULT_RETRY_MS = 500;
 
-/** Longest wait for the store before other members are asked. */
+/** Longest wait for the store before an append is repeated. */
 const DIRECT_TIMEOUT_MS = 700;
 
+/** Shortest wait for the store that is worth a call. */
+const MIN_TIMEOUT_MS = 100;
+
+/** Pause before an append without an answer is repeated. */
+const REPEAT_PAUSE_MS = 100;
+
 /** Options of {@linkcode acceptJob} and {@linkcode cancelJob}. */
 export type RecordOptions = {
   store: Store;
@@ -25,8 +32,8 @@
   queue: Queue;
   /** Longest wait for the store in milliseconds. */
   timeoutMs: number;
-  /** Whether the store has not answered this member for a while. */
-  isStoreSilent(): boolean;
+  /** Whether the store does not answer this member. */
+  isStoreAway(): boolean;
   /** Stores a record through other members; undefined if none was reached. */
   relay(
     record: KeyedValue & { partition: number },
@@ -87,12 +94,7 @@
     };
   }
   const endMs = performance.now() + options.timeoutMs;
-  const direct = options.isStoreSilent()
-    ? undefined
-    : await append(partition, record, {
-      store: options.store,
-      timeoutMs: Math.min(DIRECT_TIMEOUT_MS, options.timeoutMs),
-    });
+  const direct = await appendUntil(partition, record, { ...options, endMs });
   if (direct?.type === "stored") return direct;
   const relayed = await options.relay({ partition, ...record }, endMs);
   if (relayed?.type === "stored") return relayed;
@@ -105,6 +107,37 @@
   };
 }
 
+/**
+ * Appends a record, and once more while it is not known whether it is stored.
+ *
+ * @returns undefined if the store is away and nothing was sent
+ */
+async function appendUntil(
+  partition: number,
+  record: KeyedValue,
+  { store, isStoreAway, endMs }: {
+    store: Store;
+    isStoreAway(): boolean;
+    endMs: number;
+  },
+): Promise<RecordOutcome | undefined> {
+  let outcome: RecordOutcome | undefined;
+  while (!isStoreAway()) {
+    const leftMs = endMs - performance.now();
+    if (leftMs < MIN_TIMEOUT_MS) break;
+    const next = await append(partition, record, {
+      store,
+      timeoutMs: Math.min(DIRECT_TIMEOUT_MS, leftMs),
+    });
+    if (next.type === "stored") return next;
+    // A refused repeat says nothing of the attempt before it.
+    outcome = outcome?.type === "unknown" ? outcome : next;
+    if (next.type === "refused") break;
+    await sleep(REPEAT_PAUSE_MS);
+  }
+  return outcome;
+}
+
 /** Appends the record of a job once, without a relay. */
 export async function append(
   partition: number,
--- a/packages/jobs/accepted/relay_record.ts
+++ b/packages/jobs/accepted/relay_record.ts
@@ -20,10 +20,13 @@
 export async function relayRecord(
   access: OwnerAccess,
   record: KeyedValue & { partition: number },
-  endMs: number,
+  { addresses, endMs }: {
+    /** Members that reach the store. */
+    addresses: readonly string[];
+    endMs: number;
+  },
 ): Promise<RecordOutcome | undefined> {
-  const others = access.directory.members()
-    .filter((address) => address !== access.ownAddress);
+  const others = [...addresses];
   let found: RecordOutcome | undefined;
   for (let asked = 0; asked < MAX_ASKED && others.length > 0; asked++) {
     const leftMs = Math.floor(endMs - performance.now());
--- a/packages/jobs/ended/note_end.ts
+++ b/packages/jobs/ended/note_end.ts
@@ -47,6 +47,7 @@
   const { job } = task.group;
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
   task.lastRun = Math.max(task.lastRun, end.run);
+  task.lastEndedRun = Math.max(task.lastEndedRun, end.run);
   task.waitingSinceMs = performance.now();
   if (end.how === "done") noteDone(owner, task);
   else if (end.how === "failed") noteFailure(owner, task, end);
--- a/packages/jobs/job_book.ts
+++ b/packages/jobs/job_book.ts
@@ -87,6 +87,7 @@
         isDone: false,
         runs: [],
         lastRun: 0,
+        lastEndedRun: 0,
         failures: 0,
         checkpoint: "",
         blockedUntilMs: times.blockedUntilMs,
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -12,6 +12,7 @@
   type KeyedValue,
   type RecordOutcome,
 } from "./accepted/accept_job.ts";
+import { createRelays } from "./accepted/relays.ts";
 import { relayRecord } from "./accepted/relay_record.ts";
 import type {
   Configuration,
@@ -62,8 +63,11 @@
   unknown: RelayResponse_Outcome.UNKNOWN,
 };
 
-/** Silence of the store after which callers are sent to other members. */
-const MAX_SILENCE_MS = 2_000;
+/** Silence of the store after which it counts as away. */
+const MAX_SILENCE_MS = 1_800;
+
+/** Failed reads in a row after which the store counts as away. */
+const MAX_FAILED_READS = 2;
 
 /** Processor time of a machine while none is known. */
 const DEFAULT_MACHINE_CPU = 16_000;
@@ -77,6 +81,8 @@
   waves(): readonly UpkeepWave[];
   /** Steady time of the store's last answer about the configuration. */
   readAtMs(): number;
+  /** Reads of the configuration without an answer since the last answer. */
+  failedReads(): number;
   /** Tells whether the list of executors is needed here. */
   followExecutors(isNeeded: boolean): void;
 };
@@ -145,7 +151,7 @@
 
   const leaseMs = Math.min(LEASE_MS, LEASE_SHARE * options.maxLeaseMs);
   const server = await createOwnerServer(
-    createHandlers(owners, store),
+    createHandlers(owners, { store, isStoreReached: () => !isStoreAway() }),
     options.peer,
   );
   const directory = createOwnerDirectory(store);
@@ -179,6 +185,7 @@
       configuration: world.configuration,
       waves: world.waves,
       machineCpu: () => usualCpu(world.executors()),
+      confirmedAtMs: () => ownership.confirmedAtMs(),
       collect: (reserved, ended) =>
         collectReports(access, { layout, reserved, ended }),
       onLost(reason) {
@@ -275,17 +282,28 @@
   };
   void watchLayout();
 
-  const isStoreSilent = () =>
+  const isStoreAway = () =>
+    world.failedReads() >= MAX_FAILED_READS ||
     performance.now() - world.readAtMs() >= MAX_SILENCE_MS;
 
+  const relays = createRelays({
+    isStoreAway,
+    others: () =>
+      directory.members().filter((address) => address !== server.address),
+    async reach(address, timeoutMs) {
+      const answer = await access.client(address).reach(timeoutMs);
+      return answer?.isStoreReached;
+    },
+  });
+
   const recordOptions = () => ({
     store,
     layout,
-    isStoreSilent,
+    isStoreAway,
     relay: (
       record: KeyedValue & { partition: number },
       endMs: number,
-    ) => relayRecord(access, record, endMs),
+    ) => relayRecord(access, record, { addresses: relays.reachable(), endMs }),
   });
 
   const partitionOfJob = (queue: Queue, id: string) =>
@@ -295,7 +313,7 @@
     world,
     isReady: () =>
       world.configuration() !== undefined && layout.size > 0 &&
-      !isStoreSilent(),
+      !isStoreAway(),
     accept: (id, { submission, queue, timeoutMs }) =>
       acceptJob(id, submission, { ...recordOptions(), queue, timeoutMs }),
     cancel: (id, { queue, timeoutMs }) =>
@@ -322,6 +340,7 @@
     leave: () => ownership.leave(),
     async close() {
       isClosed = true;
+      relays.close();
       for (const client of clients.values()) client.close();
       await server.close();
     },
@@ -359,7 +378,7 @@
 
 function createHandlers(
   owners: ReadonlyMap<number, PartitionOwner>,
-  store: Store,
+  { store, isStoreReached }: { store: Store; isStoreReached(): boolean },
 ): OwnerHandlers {
   const find = (partition: number) => {
     const owner = owners.get(partition);
@@ -388,6 +407,7 @@
       });
       return { outcome: RELAY_OUTCOMES[outcome.type] };
     },
+    reach: () => ({ isStoreReached: isStoreReached() }),
     report({ partition, reserved, ended }) {
       const owner = find(partition);
       if (owner === undefined) return { isOwner: false };
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -34,6 +34,8 @@
   runs: Run[];
   /** Highest run number that was ever used for the task. */
   lastRun: number;
+  /** Highest number of a run that is known to have ended. */
+  lastEndedRun: number;
   /** Runs that ended as failed. */
   failures: number;
   checkpoint: string;
@@ -100,6 +102,8 @@
   answeredAtMs: number;
   /** Calls in a row without an answer. */
   failedCalls: number;
+  /** Reason of the last of these. */
+  failure: string;
   /** Whether the executor left the list or answered as another life. */
   isGone: boolean;
   /** Whether it is to be emptied for a move or for upkeep. */
--- a/packages/jobs/owned/follow_topic.ts
+++ b/packages/jobs/owned/follow_topic.ts
@@ -9,6 +9,8 @@
   isComplete(): boolean;
   /** Steady time of the last answer in milliseconds. */
   readAtMs(): number;
+  /** Reads without an answer since the last one that had one. */
+  failedReads(): number;
   close(): void;
 };
 
@@ -40,6 +42,7 @@
   let isClosed = false;
   let isComplete = false;
   let readAtMs = -Infinity;
+  let failedReads = 0;
   let from: number | undefined;
 
   const readWhole = async (): Promise<boolean> => {
@@ -81,6 +84,7 @@
       const isRead = from === undefined
         ? await readWhole()
         : await readOn(from);
+      failedReads = isRead ? 0 : failedReads + 1;
       const pauseMs = isRead ? options.pauseMs : RETRY_MS;
       if (pauseMs > 0 && !isClosed) {
         await new Promise((resolve) => setTimeout(resolve, pauseMs));
@@ -92,6 +96,7 @@
   return {
     isComplete: () => isComplete,
     readAtMs: () => readAtMs,
+    failedReads: () => failedReads,
     close() {
       isClosed = true;
     },
--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -1,15 +1,23 @@
 import { z } from "zod";
-import { findTask } from "../job_book.ts";
+import { findTask, type Task } from "../job_book.ts";
 import { HANDOVER_KEY } from "../topics.ts";
-import { longestLeaseMs, type OwnerState } from "./owner_state.ts";
+import type { OwnerState } from "./owner_state.ts";
+
+/** Schema of a run that an owner leaves behind. */
+const HandedRun = z.object({
+  task: z.string(),
+  run: z.number(),
+  executor: z.string(),
+  /** Time for which the executor's lease may last, from the handover on. */
+  leaseMs: z.number(),
+});
+
+/** Run that an owner leaves behind. */
+export type HandedRun = z.infer<typeof HandedRun>;
 
 /** Schema of what an owner that leaves has running. */
 const Handover = z.object({
-  runs: z.array(z.object({
-    task: z.string(),
-    run: z.number(),
-    executor: z.string(),
-  })),
+  runs: z.array(HandedRun),
   /** Executors that may run what the owner does not know of. */
   unheard: z.array(z.string()),
   /** Time for which they may, in milliseconds from the handover on. */
@@ -25,22 +33,38 @@
  */
 export function storeHandover(owner: OwnerState): void {
   if (!owner.isLoaded) return;
-  const runs: Handover["runs"] = [];
+  const handover = createHandover(owner);
+  owner.progress.put(HANDOVER_KEY, () => JSON.stringify(handover));
+}
+
+function createHandover(owner: OwnerState): Handover {
+  const runs: HandedRun[] = [];
   for (const worker of owner.workers.values()) {
     for (const run of worker.runs) {
       runs.push({
         task: run.task.name,
         run: run.number,
         executor: worker.id,
+        leaseMs: msUntil(worker.leaseEndsMs),
       });
     }
   }
-  const unheard = [...owner.unheard];
-  const blockedMs = unheard.length === 0
-    ? 0
-    : Math.max(0, Math.ceil(owner.blockedUntilMs - performance.now()));
-  const handover: Handover = { runs, unheard, blockedMs };
-  owner.progress.put(HANDOVER_KEY, () => JSON.stringify(handover));
+  const unheard = [...owner.unheard.keys()];
+  if (unheard.length === 0) return { runs, unheard, blockedMs: 0 };
+  if (owner.handedRuns !== undefined) {
+    // What the owner before has named is all that they may run.
+    for (const [executor, endsMs] of owner.unheard) {
+      for (const handed of owner.handedRuns.get(executor) ?? []) {
+        runs.push({ ...handed, leaseMs: msUntil(endsMs) });
+      }
+    }
+    return { runs, unheard: [], blockedMs: 0 };
+  }
+  return { runs, unheard, blockedMs: msUntil(owner.blockedUntilMs) };
+}
+
+function msUntil(steadyMs: number): number {
+  return Math.max(0, Math.ceil(steadyMs - performance.now()));
 }
 
 /** Decodes a stored handover; undefined if there is none. */
@@ -50,38 +74,48 @@
 }
 
 /**
- * Applies the handover of the owner before: only tasks that it had running stay
- * blocked, and, if it had not heard of all executors, the others for as long as
- * it would have waited. The stored handover is dropped, so that it never speaks
+ * Applies the handover of the owner before: a task that it had running stays
+ * blocked until its executor answers or the lease there has ended. If it had
+ * not heard of all executors, the other tasks stay blocked for as long as it
+ * would have waited. The stored handover is dropped, so that it never speaks
  * for a later owner.
  */
 export function applyHandover(owner: OwnerState, handover: Handover): void {
   owner.progress.put(HANDOVER_KEY, () => undefined);
   const { runs, unheard, blockedMs } = handover;
-  owner.unheard = new Set([
-    ...unheard,
-    ...runs.map(({ executor }) => executor),
-  ]);
   const nowMs = performance.now();
   const othersMs = unheard.length === 0 ? 0 : nowMs + blockedMs;
-  // The earlier owner renews nothing any more.
-  const leasesMs = nowMs + longestLeaseMs(owner.options.leaseMs);
-  owner.blockedUntilMs = Math.max(othersMs, runs.length === 0 ? 0 : leasesMs);
+  owner.blockedUntilMs = othersMs;
   owner.newBlockedUntilMs = 0;
-  const running = new Set<unknown>();
-  for (const { task, run } of runs) {
-    const found = findTask(owner.jobs, task);
-    if (found === undefined) continue;
-    found.lastRun = Math.max(found.lastRun, run);
-    running.add(found);
+  owner.handedRuns = unheard.length === 0 ? new Map() : undefined;
+  owner.unheard = new Map(unheard.map((id) => [id, othersMs]));
+  const blocked = new Map<Task, number>();
+  for (const handed of runs) {
+    const { executor, leaseMs } = handed;
+    const endsMs = Math.max(
+      nowMs + leaseMs,
+      owner.unheard.get(executor) ?? 0,
+    );
+    owner.unheard.set(executor, endsMs);
+    addHanded(owner, handed);
+    const task = findTask(owner.jobs, handed.task);
+    if (task === undefined) continue;
+    task.lastRun = Math.max(task.lastRun, handed.run);
+    blocked.set(task, Math.max(endsMs, blocked.get(task) ?? 0));
   }
   for (const job of owner.jobs.values()) {
     for (const group of job.groups) {
       for (const task of group.tasks) {
-        task.blockedUntilMs = running.has(task)
-          ? owner.blockedUntilMs
-          : othersMs;
+        task.blockedUntilMs = blocked.get(task) ?? othersMs;
       }
     }
   }
 }
+
+function addHanded(owner: OwnerState, handed: HandedRun): void {
+  const { handedRuns } = owner;
+  if (handedRuns === undefined) return;
+  const known = handedRuns.get(handed.executor);
+  if (known === undefined) handedRuns.set(handed.executor, [handed]);
+  else known.push(handed);
+}
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -7,6 +7,7 @@
 import type { Advice, Executors, Store } from "../ports.ts";
 import type { WorkerSession } from "../run/worker_session.ts";
 import type { Worker } from "../worker.ts";
+import type { HandedRun } from "./handover.ts";
 import type { Layout } from "./layout.ts";
 
 /** What an owner needs to know of the world; read at each decision. */
@@ -48,8 +49,16 @@
   failed: FailedRuns;
   /** Executors that this or earlier owners may have used. */
   usedExecutors: Set<string>;
-  /** Executors that have not answered since the takeover. */
-  unheard: Set<string>;
+  /**
+   * Executors that have not answered since the takeover, with the steady time
+   * at which all that they may run has surely ended.
+   */
+  unheard: Map<string, number>;
+  /**
+   * What these may run, by executor, as the owner before has told; undefined if
+   * it may be anything.
+   */
+  handedRuns: Map<string, HandedRun[]> | undefined;
   /** Steady time at which executors ended that the list may still hold. */
   ended: Map<string, number>;
   /** Executors to empty for a move or for upkeep. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -11,9 +11,10 @@
 import { type JobBook, stateOf } from "../job_book.ts";
 import { type PoolReport, reportPool } from "../machines/pool_report.ts";
 import { createAdviceBook } from "../placed/advice_book.ts";
-import { saveUsedExecutors, startWaitingTasks } from "../placed/start_tasks.ts";
+import { startWaitingTasks } from "../placed/start_tasks.ts";
 import {
   endWorker,
+  hearFrom,
   isMine,
   refreshWorkers,
   unblockTasks,
@@ -149,7 +150,8 @@
     sessions: new Map(),
     failed: new Map(),
     usedExecutors: new Set(),
-    unheard: new Set(),
+    unheard: new Map(),
+    handedRuns: undefined,
     ended: new Map(),
     reserved: new Set(),
     reservedUntilMs: 0,
@@ -222,9 +224,12 @@
   }
   if (state.unreadable === 0) dropOrphans(owner, state);
   owner.usedExecutors = new Set(state.usedExecutors);
-  owner.unheard = new Set(state.usedExecutors);
+  for (const id of state.usedExecutors) {
+    owner.unheard.set(id, owner.blockedUntilMs);
+  }
   for (const report of view.executors().values()) {
-    if (isMine(owner, report)) owner.unheard.add(report.id);
+    if (!isMine(owner, report)) continue;
+    owner.unheard.set(report.id, owner.blockedUntilMs);
   }
 
   const handover = decodeHandover(state.other.get(HANDOVER_KEY));
@@ -263,9 +268,8 @@
   // Another owner may renew a lease for as long as this one is not confirmed.
   const confirmedMs = Math.min(nowMs, owner.options.confirmedAtMs());
   for (const session of owner.sessions.values()) session.expire(confirmedMs);
-  if (owner.unheard.size > 0 && nowMs >= owner.blockedUntilMs) {
-    forgetUnheard(owner);
-    unblockTasks(owner);
+  for (const [id, endsMs] of owner.unheard) {
+    if (nowMs >= endsMs) hearFrom(owner, id);
   }
   if (owner.reserved.size > 0 && nowMs >= owner.reservedUntilMs) {
     reserve(owner, new Set());
@@ -277,15 +281,6 @@
   owner.schedulePlacing();
 }
 
-/** Forgets silent executors, whose leases have surely ended by now. */
-function forgetUnheard(owner: OwnerState): void {
-  for (const id of owner.unheard) {
-    if (!owner.workers.has(id)) owner.usedExecutors.delete(id);
-  }
-  owner.unheard.clear();
-  saveUsedExecutors(owner);
-}
-
 function reserve(owner: OwnerState, executors: ReadonlySet<string>): void {
   owner.reserved = executors;
   for (const worker of owner.workers.values()) {
--- a/packages/jobs/run/follow_workers.ts
+++ b/packages/jobs/run/follow_workers.ts
@@ -36,6 +36,21 @@
   return own === partition;
 }
 
+/**
+ * Notes that an executor has answered since the takeover, or that all that it
+ * may have run has surely ended.
+ */
+export function hearFrom(owner: OwnerState, id: string): void {
+  if (!owner.unheard.delete(id)) return;
+  for (const { task } of owner.handedRuns?.get(id) ?? []) {
+    const found = findTask(owner.jobs, task);
+    if (found !== undefined) found.blockedUntilMs = 0;
+  }
+  owner.handedRuns?.delete(id);
+  unblockTasks(owner);
+  owner.schedulePlacing();
+}
+
 /** Once all executors have answered, no unknown run can be left. */
 export function unblockTasks(owner: OwnerState): void {
   if (owner.unheard.size > 0) return;
@@ -46,12 +61,26 @@
       for (const task of group.tasks) task.blockedUntilMs = 0;
     }
   }
+  forgetUnusedExecutors(owner);
   const { partition, epoch, events } = owner.options;
   const tookMs = Math.round(performance.now() - owner.takenOverAtMs);
   events.log("takeoverComplete", { partition, epoch, tookMs });
   owner.schedulePlacing();
 }
 
+/**
+ * Forgets executors of earlier owners that can't run anything any more. The
+ * next owner would wait for each of them until the longest lease is over.
+ */
+function forgetUnusedExecutors(owner: OwnerState): void {
+  const unused = [...owner.usedExecutors].filter((id) =>
+    !owner.workers.has(id)
+  );
+  if (unused.length === 0) return;
+  for (const id of unused) owner.usedExecutors.delete(id);
+  saveUsedExecutors(owner);
+}
+
 function checkWorker(
   owner: OwnerState,
   worker: Worker,
@@ -69,7 +98,7 @@
   if (report !== undefined) {
     // A new life holds and runs nothing of the earlier one.
     worker.leaseEndsMs = 0;
-    if (owner.unheard.delete(worker.id)) unblockTasks(owner);
+    hearFrom(owner, worker.id);
     retireWorker(owner, worker);
     return;
   }
@@ -97,7 +126,7 @@
 
 /** Notes that an executor has surely ended, with all that ran there. */
 export function endWorker(owner: OwnerState, id: string): void {
-  if (owner.unheard.delete(id)) unblockTasks(owner);
+  hearFrom(owner, id);
   owner.ended.set(id, performance.now());
   const worker = owner.workers.get(id);
   if (worker === undefined) {
@@ -139,7 +168,8 @@
     executors: owner.options.executors,
     token: owner.options.epoch,
     leaseMs: owner.options.leaseMs,
-    mayRenew: () => isConfirmed(owner, AUTHORITY_MS),
+    // A handover says how long the leases last.
+    mayRenew: () => !owner.isReleasing && isConfirmed(owner, AUTHORITY_MS),
     events: {
       onEnd: (run, end) => noteRunEnd(owner, run, end),
       onUnknownEnd(worker, end) {
@@ -165,7 +195,11 @@
   const { job, step } = task.group;
   task.lastRun = Math.max(task.lastRun, report.run);
   if (hasJobEnded(job) || task.isDone) return false;
-  if (task.runs.length > 0 && !step.isSpeculative) return false;
+  if (!step.isSpeculative) {
+    // An answer that was overtaken by a later one lists a run that has ended.
+    const isOver = report.run <= task.lastEndedRun;
+    if (isOver || task.runs.length > 0) return false;
+  }
   const run: Run = {
     task,
     number: report.run,
@@ -191,11 +225,12 @@
 function noteAnswer(owner: OwnerState, worker: Worker): void {
   const hasAnswered = worker.failedCalls === 0 &&
     worker.clockOffsetMs !== undefined;
-  if (hasAnswered && owner.unheard.delete(worker.id)) unblockTasks(owner);
+  if (hasAnswered) hearFrom(owner, worker.id);
   if (worker.failedCalls === 1) {
     owner.options.events.log("executorSilent", {
       executor: worker.id,
       runs: worker.runs.size,
+      reason: worker.failure,
     });
   }
   owner.schedulePlacing();
--- a/packages/jobs/run/worker_session.ts
+++ b/packages/jobs/run/worker_session.ts
@@ -96,8 +96,9 @@
     uncertainSince.delete(run);
   };
 
-  const markFailed = () => {
+  const markFailed = (reason: string) => {
     worker.failedCalls++;
+    worker.failure = reason;
     events.onChange(worker);
   };
 
@@ -155,7 +156,11 @@
     for (const report of running) {
       const run = findRun(worker, report.task, report.run);
       if (run === undefined) {
-        if (events.onUnknownRun(worker, report)) continue;
+        if (events.onUnknownRun(worker, report)) {
+          const adopted = findRun(worker, report.task, report.run);
+          if (adopted !== undefined) settledAt.set(adopted, looksSent);
+          continue;
+        }
         void executors.stop(target(worker), {
           task: report.task,
           run: report.run,
@@ -217,7 +222,7 @@
     if (outcome.type === "fenced") return events.onFenced();
     if (outcome.type === "replaced") return markGone();
     if (outcome.type === "unknown") {
-      markFailed();
+      markFailed(outcome.reason);
       await pause(RETRY_MS);
       return;
     }
@@ -300,7 +305,7 @@
         return "started";
       }
       if (outcome.type === "notSent") {
-        markFailed();
+        markFailed(outcome.reason);
         removeRun(run);
         requestLook();
         return `not sent: ${outcome.reason}`;
@@ -308,7 +313,7 @@
       if (outcome.type === "unknown") {
         if (run.state === "starting") run.state = "uncertain";
         uncertainSince.set(run, looksSent);
-        markFailed();
+        markFailed(outcome.reason);
         requestLook();
         return `unknown: ${outcome.reason}`;
       }
--- a/packages/jobs/worker.ts
+++ b/packages/jobs/worker.ts
@@ -17,6 +17,7 @@
     seen: 0,
     answeredAtMs: -Infinity,
     failedCalls: 0,
+    failure: "",
     isGone: false,
     isReserved: false,
     failuresInRow: 0,
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -8,6 +8,7 @@
   type CountPendingRequestSchema,
   type CountPendingResponse,
   OwnerService,
+  type ReachResponse,
   type RelayRequestSchema,
   type RelayResponse,
   type ReportRequestSchema,
@@ -40,6 +41,7 @@
     request: MessageInitShape<typeof RelayRequestSchema>,
     timeoutMs: number,
   ): Promise<RelayResponse | undefined>;
+  reach(timeoutMs: number): Promise<ReachResponse | undefined>;
   close(): void;
 };
 
@@ -89,6 +91,7 @@
     report: (request, timeoutMs) =>
       settle(client.report(request, { timeoutMs })),
     relay: (request, timeoutMs) => settle(client.relay(request, { timeoutMs })),
+    reach: (timeoutMs) => settle(client.reach({}, { timeoutMs })),
     close: () => sessionManager.abort(),
   };
 }
--- a/packages/peers/create_owner_server.ts
+++ b/packages/peers/create_owner_server.ts
@@ -6,6 +6,7 @@
   type CountPendingRequest,
   type CountPendingResponseSchema,
   OwnerService,
+  type ReachResponseSchema,
   type RelayRequest,
   type RelayResponseSchema,
   type ReportRequest,
@@ -28,6 +29,7 @@
   relay(
     request: RelayRequest,
   ): Promise<MessageInitShape<typeof RelayResponseSchema>>;
+  reach(): MessageInitShape<typeof ReachResponseSchema>;
 };
 
 /** Listener for the calls of other members. */
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -229,7 +229,7 @@
     id: "LL6403",
     level: "warn",
     message: "executor does not answer",
-    fields: { executor: "string", runs: "number" },
+    fields: { executor: "string", runs: "number", reason: "string" },
   },
   executorSuspended: {
     id: "LL6404",
