Move runs that stand still or take three times as long as the others

Change: a run without progress for 1.2 s, or whose progress at the time of its report means three times the median of its step, is stopped if another executor has room; two such runs suspend the executor for 3 s. A task is moved twice at the most. Ruled out: estimates as the measure (off by a factor of three).

--- a/packages/jobs/ended/note_end.ts
+++ b/packages/jobs/ended/note_end.ts
@@ -38,6 +38,9 @@
   if (end.how === "done") {
     worker.failuresInRow = 0;
     worker.failedJobs.clear();
+    if (run.startPercent === 0) {
+      task.durationMs = performance.now() - run.startedAtMs;
+    }
   }
   noteEnd(owner, task, { ...end, run: run.number, worker });
 }
@@ -107,7 +110,7 @@
 }
 
 /** Failures of many executors at once have another cause than these. */
-function maySuspend(owner: OwnerState): boolean {
+export function maySuspend(owner: OwnerState): boolean {
   const nowMs = performance.now();
   let suspended = 0;
   for (const { suspendedUntilMs } of owner.workers.values()) {
--- a/packages/jobs/job_book.ts
+++ b/packages/jobs/job_book.ts
@@ -91,6 +91,8 @@
         failures: 0,
         checkpoint: "",
         blockedUntilMs: times.blockedUntilMs,
+        durationMs: undefined,
+        moves: 0,
         avoided: new Set(),
         waitingSinceMs: times.steadyMs,
       });
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -14,9 +14,15 @@
   state: "starting" | "running" | "uncertain" | "stopping";
   /** Steady time of the start order in milliseconds. */
   startedAtMs: number;
-  /** Share of its work rate that the executor allows, in percent. */
+  /** Progress in percent; a lasting task is at work at 100. */
   percent: number;
-  /** Share that was last asked for, in percent. */
+  /** Progress at which the run was first seen. */
+  startPercent: number;
+  /** Steady time of the last report about the run. */
+  reportedAtMs: number;
+  /** Steady time of the last progress. */
+  advancedAtMs: number;
+  /** Share of its work rate that was last asked for, in percent. */
   askedPercent: number;
   checkpoint: string;
   /** Why it is being stopped; empty if it is not. */
@@ -41,6 +47,10 @@
   checkpoint: string;
   /** Steady time before which an unknown earlier run may still go on. */
   blockedUntilMs: number;
+  /** Time that the run took which was done, in milliseconds. */
+  durationMs: number | undefined;
+  /** Times that the task was moved for being slow. */
+  moves: number;
   /** Executors on which the task failed, which are its last choice. */
   avoided: Set<string>;
   /** Steady time since which the task is not at work. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -20,6 +20,7 @@
   unblockTasks,
 } from "../run/follow_workers.ts";
 import { emptyWorkers } from "../run/empty_workers.ts";
+import { moveStragglers } from "../run/stragglers.ts";
 import type { Shown } from "../shown/shown.ts";
 import type { JobState } from "../submission.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
@@ -275,6 +276,7 @@
     reserve(owner, new Set());
   }
   emptyWorkers(owner);
+  if (isConfirmed(owner, AUTHORITY_MS)) moveStragglers(owner);
   for (const job of owner.jobs.values()) {
     if (job.endedAtMs === undefined) beginDue(owner, job);
   }
--- a/packages/jobs/run/empty_workers.ts
+++ b/packages/jobs/run/empty_workers.ts
@@ -51,7 +51,8 @@
     run.stopReason === "";
 }
 
-function hasRoomElsewhere(owner: OwnerState, run: Run): boolean {
+/** Returns whether another executor has room for a run. */
+export function hasRoomElsewhere(owner: OwnerState, run: Run): boolean {
   const nowMs = performance.now();
   for (const worker of owner.workers.values()) {
     if (worker === run.worker || !isUsable(worker, nowMs)) continue;
--- a/packages/jobs/run/worker_session.ts
+++ b/packages/jobs/run/worker_session.ts
@@ -173,6 +173,8 @@
         settledAt.set(run, looksSent);
         uncertainSince.delete(run);
       }
+      run.reportedAtMs = performance.now();
+      if (report.percent > run.percent) run.advancedAtMs = run.reportedAtMs;
       run.percent = report.percent;
       run.load = report.load;
       if (report.checkpoint !== "") run.checkpoint = report.checkpoint;
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -24,6 +24,8 @@
   report: ExecutorReport;
   fault: MemoryFault | undefined;
   running: Map<string, MemoryRun>;
+  /** Progress in percent by task; 100 if a test sets none. */
+  progress: Map<string, number>;
   ends: EndReport[];
   /** Starts that were carried out, in order. */
   starts: { task: string; run: number; token: number }[];
@@ -105,7 +107,7 @@
         task,
         run: run.run,
         checkpoint: run.checkpoint,
-        percent: 100,
+        percent: executor.progress.get(task) ?? 100,
         load: 0,
       })),
       ended: [...executor.ends],
@@ -137,6 +139,7 @@
         report,
         fault: undefined,
         running: new Map(),
+        progress: new Map(),
         ends: [],
         starts: [],
         token: 0,
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -231,6 +231,12 @@
     message: "executor does not answer",
     fields: { executor: "string", runs: "number", reason: "string" },
   },
+  executorSlow: {
+    id: "LL6405",
+    level: "warn",
+    message: "executor gets no work, since runs there are slow",
+    fields: { executor: "string", forMs: "number" },
+  },
   executorSuspended: {
     id: "LL6404",
     level: "warn",
