--- /dev/null
+++ b/packages/telemetry/job_metrics.ts
@@ -0,0 +1,82 @@
+import { Counter, Histogram, Registry } from "prom-client";
+import { JOB_LOG_EVENTS } from "./job_log_events.ts";
+import { createLabelBound } from "./label_bound.ts";
+import type { LogEvent } from "./log_event.ts";
+
+/** Most queues with time series of their own. */
+export const MAX_QUEUE_LABELS = 200;
+
+const ACCEPTANCE_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2];
+
+const RUN_BUCKETS_S = [0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60, 300];
+
+const TAKEOVER_BUCKETS_S = [0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
+
+/** Metrics of a member that owns jobs. */
+export type JobMetrics = {
+  registry: Registry;
+  /** Counts a log event and observes the times that it tells. */
+  observe(event: LogEvent, fields: Readonly<Record<string, unknown>>): void;
+};
+
+/**
+ * Creates the metrics of a member. They follow the log events, so that a count
+ * and the lines that explain it agree.
+ *
+ * @example
+ * ```ts
+ * const metrics = createJobMetrics();
+ * const events = createEventLog({ onEvent: metrics.observe });
+ * ```
+ */
+export function createJobMetrics(): JobMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const queues = createLabelBound({ maxValues: MAX_QUEUE_LABELS });
+  const counts = new Counter({
+    name: "lagoonloom_job_events_total",
+    help: "Log events by number.",
+    labelNames: ["id"] as const,
+    registers,
+  });
+  const acceptances = new Histogram({
+    name: "lagoonloom_job_acceptance_seconds",
+    help: "Time from a job's arrival until it is stored, by queue.",
+    labelNames: ["queue"] as const,
+    buckets: ACCEPTANCE_BUCKETS_S,
+    registers,
+  });
+  const runs = new Histogram({
+    name: "lagoonloom_task_run_seconds",
+    help: "Time from a start order to the end of the run, by kind of end.",
+    labelNames: ["how"] as const,
+    buckets: RUN_BUCKETS_S,
+    registers,
+  });
+  const takeovers = new Histogram({
+    name: "lagoonloom_partition_takeover_seconds",
+    help: "Time until no unknown run is left in a partition.",
+    buckets: TAKEOVER_BUCKETS_S,
+    registers,
+  });
+  return {
+    registry,
+    observe({ id }, fields) {
+      counts.inc({ id });
+      if (id === JOB_LOG_EVENTS.jobAccepted.id) {
+        const name = String(fields["queue"]);
+        queues.allow([name]);
+        const queue = queues.label(name);
+        acceptances.observe({ queue }, seconds(fields["tookMs"]));
+      } else if (id === JOB_LOG_EVENTS.runEnded.id) {
+        runs.observe({ how: String(fields["how"]) }, seconds(fields["ranMs"]));
+      } else if (id === JOB_LOG_EVENTS.takeoverComplete.id) {
+        takeovers.observe(seconds(fields["tookMs"]));
+      }
+    },
+  };
+}
+
+function seconds(ms: unknown): number {
+  return Number(ms) / 1_000;
+}
--- /dev/null
+++ b/packages/telemetry/job_metrics_test.ts
@@ -0,0 +1,47 @@
+import { describe, expect, test } from "@jest/globals";
+import { createEventLog } from "./event_log.ts";
+import { createJobMetrics, MAX_QUEUE_LABELS } from "./job_metrics.ts";
+
+describe("createJobMetrics", () => {
+  const create = () => {
+    const metrics = createJobMetrics();
+    const events = createEventLog({
+      format: "hidden",
+      onEvent: metrics.observe,
+    });
+    return { metrics, events };
+  };
+
+  // Guards against counts that the log does not explain.
+  test("counts the events and the times that they tell", async () => {
+    const { metrics, events } = create();
+    events.log("jobAccepted", { job: "a", queue: "quotes", tookMs: 8 });
+    events.log("runEnded", {
+      task: "a.0.0.0",
+      run: 1,
+      executor: "e1",
+      how: "done",
+      ranMs: 700,
+    });
+    const text = await metrics.registry.metrics();
+    expect(text).toContain('lagoonloom_job_events_total{id="LL6101"} 1');
+    expect(text).toContain(
+      'lagoonloom_job_acceptance_seconds_sum{queue="quotes"} 0.008',
+    );
+    expect(text).toContain('lagoonloom_task_run_seconds_sum{how="done"} 0.7');
+  });
+
+  // Guards against time series that configurations can create without limit.
+  test("counts further queues as other", async () => {
+    const { metrics, events } = create();
+    const names = Array.from({ length: 300 }, (_, index) => `queue-${index}`);
+    for (const queue of names) {
+      events.log("jobAccepted", { job: "a", queue, tookMs: 8 });
+    }
+    const text = await metrics.registry.metrics();
+    const lines = text.split("\n").filter((line) =>
+      line.startsWith("lagoonloom_job_acceptance_seconds_count{")
+    );
+    expect(lines).toHaveLength(MAX_QUEUE_LABELS + 1);
+  });
+});
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -6,6 +6,7 @@
 
 export * from "./event_log.ts";
 export * from "./job_log_events.ts";
+export * from "./job_metrics.ts";
 export * from "./label_bound.ts";
 export * from "./log_event.ts";
 export * from "./log_events.ts";
