Hand over the lease of adopted runs, and pause between looks without renewal

Change: adopting counts the longest lease that the earlier owner may have given. Change: a look waits for the next end whether or not it renews. Both tests fail without their change.

--- a/packages/jobs/owned/handover_test.ts
+++ b/packages/jobs/owned/handover_test.ts
@@ -225,4 +225,24 @@
     await pass(4_000);
     expect(other.starts).toEqual([]);
   });
+
+  // Guards against two runs of a task that an owner has adopted and not renewed
+  // before it gives the partition up (TWICE on mix day 810005651418 of
+  // Lakeshore).
+  test("hands the lease of an adopted run over", async () => {
+    const cut = fixture.addExecutor("e1");
+    const first = await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+    await pass(50);
+    await Promise.all([first.release(1_000), pass(100)]);
+    fixture.confirmedAtMs = performance.now() - 4_000;
+    const second = await fixture.own(2);
+    await Promise.all([second.release(1_000), pass(100)]);
+    fixture.confirmedAtMs = "now";
+    cut.fault = "cut";
+    const other = fixture.addExecutor("e2");
+    await fixture.own(3);
+    await pass(3_000);
+    expect(other.starts).toEqual([]);
+  });
 });
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -361,4 +361,23 @@
     await pass(2_000);
     expect(executor.running.has(`${JOB_ID}.0.0.0`)).toBe(true);
   });
+
+  // Guards against looks without a pause at each executor while the store does
+  // not confirm the owner (13,868 looks on trouble-2 of Lakeshore).
+  test("looks no more often while it may renew nothing", async () => {
+    fixture.addExecutor("e1");
+    const { hold } = fixture.executors;
+    await fixture.own(1);
+    fixture.accept(JOB_ID, [stepOf({ count: 1 })]);
+    await pass(2_000);
+    let looks = 0;
+    fixture.executors.hold = async (target, order) => {
+      looks++;
+      if (looks > 50) await new Promise<void>(() => undefined);
+      return await hold(target, order);
+    };
+    fixture.confirmedAtMs = performance.now() - 4_000;
+    await pass(2_000);
+    expect(looks).toBeLessThanOrEqual(4);
+  });
 });
--- a/packages/jobs/run/follow_workers.ts
+++ b/packages/jobs/run/follow_workers.ts
@@ -5,6 +5,7 @@
 import {
   AUTHORITY_MS,
   isConfirmed,
+  longestLeaseMs,
   type OwnerState,
 } from "../owned/owner_state.ts";
 import { saveUsedExecutors } from "../placed/start_tasks.ts";
@@ -215,6 +216,11 @@
     load: report.load,
   };
   addRun(run);
+  // The lease that the earlier owner gave may last as long as a new one.
+  worker.leaseEndsMs = Math.max(
+    worker.leaseEndsMs,
+    performance.now() + longestLeaseMs(owner.options.leaseMs),
+  );
   job.hasStarted = true;
   owner.options.events.log("runAdopted", {
     task: task.name,
--- a/packages/jobs/run/worker_session.ts
+++ b/packages/jobs/run/worker_session.ts
@@ -218,7 +218,7 @@
       ...(mayRenew ? { untilMs: extendLease() } : {}),
       token,
       confirmed: worker.confirmed,
-      waitMs: mayRenew && isConfirmed ? longestWaitMs : 0,
+      waitMs: worker.failedCalls === 0 && isConfirmed ? longestWaitMs : 0,
     });
     if (isClosed) return;
     if (outcome.type === "fenced") return events.onFenced();
