--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -2,12 +2,9 @@
   createOwnerClient,
   createOwnerServer,
   type OwnerClient,
-  type OwnerHandlers,
-  RelayResponse_Outcome,
 } from "@lagoonloom/peers";
 import {
   acceptJob,
-  append,
   cancelJob,
   type KeyedValue,
   type RecordOutcome,
@@ -31,6 +28,7 @@
 } from "./owned/layout.ts";
 import { collectReports } from "./machines/collect_reports.ts";
 import { createMachinesOwner } from "./machines/machines_owner.ts";
+import { createOwnerHandlers } from "./owner_handlers.ts";
 import { createOwnerDirectory, memberName } from "./owned/owner_directory.ts";
 import { joinOwners, type Ownership } from "./owned/ownership.ts";
 import {
@@ -54,15 +52,6 @@
 /** Part of the platform's longest lease that is used at most. */
 const LEASE_SHARE = 0.9;
 
-/** Longest wait for the store on behalf of another member. */
-const RELAY_TIMEOUT_MS = 500;
-
-const RELAY_OUTCOMES = {
-  stored: RelayResponse_Outcome.STORED,
-  refused: RelayResponse_Outcome.REFUSED,
-  unknown: RelayResponse_Outcome.UNKNOWN,
-};
-
 /** Silence of the store after which it counts as away. */
 const MAX_SILENCE_MS = 1_800;
 
@@ -151,7 +140,10 @@
 
   const leaseMs = Math.min(LEASE_MS, LEASE_SHARE * options.maxLeaseMs);
   const server = await createOwnerServer(
-    createHandlers(owners, { store, isStoreReached: () => !isStoreAway() }),
+    createOwnerHandlers(owners, {
+      store,
+      isStoreReached: () => !isStoreAway(),
+    }),
     options.peer,
   );
   const directory = createOwnerDirectory(store);
@@ -375,43 +367,3 @@
   }
   return sizes;
 }
-
-function createHandlers(
-  owners: ReadonlyMap<number, PartitionOwner>,
-  { store, isStoreReached }: { store: Store; isStoreReached(): boolean },
-): OwnerHandlers {
-  const find = (partition: number) => {
-    const owner = owners.get(partition);
-    return owner?.isLoaded() === true ? owner : undefined;
-  };
-  return {
-    async show({ partition, job }) {
-      const owner = find(partition);
-      if (owner === undefined) return { isOwner: false };
-      const shown = await owner.show(job);
-      return {
-        isOwner: true,
-        state: shown.type === "known" ? shown.value : "",
-        isUnavailable: shown.type === "unavailable",
-      };
-    },
-    countPending({ partition, queue }) {
-      const owner = find(partition);
-      if (owner === undefined) return { isOwner: false };
-      return { isOwner: true, pending: owner.countPending(queue) };
-    },
-    async relay({ partition, key, value }) {
-      const outcome = await append(partition, { key, value }, {
-        store,
-        timeoutMs: RELAY_TIMEOUT_MS,
-      });
-      return { outcome: RELAY_OUTCOMES[outcome.type] };
-    },
-    reach: () => ({ isStoreReached: isStoreReached() }),
-    report({ partition, reserved, ended }) {
-      const owner = find(partition);
-      if (owner === undefined) return { isOwner: false };
-      return { isOwner: true, ...owner.report(new Set(reserved), ended) };
-    },
-  };
-}
--- /dev/null
+++ b/packages/jobs/owner_handlers.ts
@@ -0,0 +1,61 @@
+import { type OwnerHandlers, RelayResponse_Outcome } from "@lagoonloom/peers";
+import { append } from "./accepted/accept_job.ts";
+import type { PartitionOwner } from "./owned/partition_owner.ts";
+import type { Store } from "./ports.ts";
+
+/** Longest wait for the store on behalf of another member. */
+const RELAY_TIMEOUT_MS = 500;
+
+const RELAY_OUTCOMES = {
+  stored: RelayResponse_Outcome.STORED,
+  refused: RelayResponse_Outcome.REFUSED,
+  unknown: RelayResponse_Outcome.UNKNOWN,
+};
+
+/**
+ * Creates what a member does for the calls of other ones.
+ *
+ * @example
+ * ```ts
+ * const handlers = createOwnerHandlers(owners, { store, isStoreReached });
+ * ```
+ */
+export function createOwnerHandlers(
+  owners: ReadonlyMap<number, PartitionOwner>,
+  { store, isStoreReached }: { store: Store; isStoreReached(): boolean },
+): OwnerHandlers {
+  const find = (partition: number) => {
+    const owner = owners.get(partition);
+    return owner?.isLoaded() === true ? owner : undefined;
+  };
+  return {
+    async show({ partition, job }) {
+      const owner = find(partition);
+      if (owner === undefined) return { isOwner: false };
+      const shown = await owner.show(job);
+      return {
+        isOwner: true,
+        state: shown.type === "known" ? shown.value : "",
+        isUnavailable: shown.type === "unavailable",
+      };
+    },
+    countPending({ partition, queue }) {
+      const owner = find(partition);
+      if (owner === undefined) return { isOwner: false };
+      return { isOwner: true, pending: owner.countPending(queue) };
+    },
+    async relay({ partition, key, value }) {
+      const outcome = await append(partition, { key, value }, {
+        store,
+        timeoutMs: RELAY_TIMEOUT_MS,
+      });
+      return { outcome: RELAY_OUTCOMES[outcome.type] };
+    },
+    reach: () => ({ isStoreReached: isStoreReached() }),
+    report({ partition, reserved, ended }) {
+      const owner = find(partition);
+      if (owner === undefined) return { isOwner: false };
+      return { isOwner: true, ...owner.report(new Set(reserved), ended) };
+    },
+  };
+}
