--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -203,7 +203,9 @@
 async function takeOver(owner: OwnerState): Promise<void> {
   const { partition, epoch, store, events } = owner.options;
   while (!owner.isClosed) {
+    const startedAtMs = performance.now();
     const outcome = await loadPartition(store, { partition, epoch });
+    const tookMs = Math.round(performance.now() - startedAtMs);
     if (owner.isClosed) return;
     if (outcome.type === "fenced") return owner.loseOwnership("store");
     while (!owner.isClosed && !owner.options.view.hasExecutorList()) {
@@ -215,7 +217,7 @@
       return;
     }
     if (outcome.type !== "failed") return;
-    events.log("loadDelayed", { partition, reason: outcome.reason });
+    events.log("loadDelayed", { partition, reason: outcome.reason, tookMs });
     await sleep(RETRY_MS);
   }
 }
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -112,7 +112,7 @@
     id: "LL6205",
     level: "warn",
     message: "state of a partition could not be loaded yet",
-    fields: { partition: "number", reason: "string" },
+    fields: { partition: "number", reason: "string", tookMs: "number" },
   },
   takeoverComplete: {
     id: "LL6206",
