Leave partitions to members that are clearly stronger

Cause: the store assigns partitions evenly, whatever the size of the machines, so that a member with 0.324 cores owned the whole service and used all of them from 23 to 33 s, while members with 1.35 cores and 140 Mbit/s were idle. The same machines need twenty times as long to load a partition.

The name of a member in the group of owners now tells its processor time and its bandwidth. A member stands aside while at least two others have twice its processor time and no less bandwidth, and together as much for each used partition as it could give itself. It takes part at once when they can't, and stands aside only after they have been there for 1.5 s. Where all machines are alike nothing changes. The tests fail without the change: a small member keeps its share.

--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -36,7 +36,9 @@
 import { collectReports } from "./machines/collect_reports.ts";
 import { createMachinesOwner } from "./machines/machines_owner.ts";
 import { createOwnerHandlers } from "./owner_handlers.ts";
-import { createOwnerDirectory, memberName } from "./owned/owner_directory.ts";
+import { createCandidacy } from "./owned/candidacy.ts";
+import { formatMemberName, type MemberCapacity } from "./owned/member_name.ts";
+import { createOwnerDirectory } from "./owned/owner_directory.ts";
 import { joinOwners, type Ownership } from "./owned/ownership.ts";
 import {
   createPartitionOwner,
@@ -97,6 +99,8 @@
   /** Name under which this process holds the lease on the machines. */
   name: string;
   peer: { host: string; port: number };
+  /** What this member's machine can carry. */
+  capacity: MemberCapacity;
   store: Store;
   executorClient: ExecutorClient;
   machineClient: MachineClient;
@@ -216,7 +220,15 @@
   const ownership: Ownership = joinOwners({
     store,
     events,
-    member: memberName(server.address, String(Date.now())),
+    member: formatMemberName(
+      { address: server.address, capacity: options.capacity },
+      String(Date.now()),
+    ),
+    candidacy: createCandidacy({
+      capacity: options.capacity,
+      usedPartitionCount: () => [...layout.values()].flat().length + 1,
+      readMembers: directory.readMembers,
+    }),
     isUsed: (partition) => isUsed(layout, partition, options.partitionCount),
     acquire(partition, epoch) {
       if (partition === machinesPartition(options.partitionCount)) {
@@ -305,7 +317,8 @@
   const relayMonitor = createRelayMonitor({
     isStoreUnreachable,
     otherMembers: () =>
-      directory.members().filter((address) => address !== server.address),
+      directory.members().map(({ address }) => address)
+        .filter((address) => address !== server.address),
     async reach(address, timeoutMs) {
       const answer = await access.client(address).reach(timeoutMs);
       return answer?.isStoreReached;
--- a/packages/jobs/mod.ts
+++ b/packages/jobs/mod.ts
@@ -11,6 +11,7 @@
 export * from "./job_event_log.ts";
 export * from "./owned/follow_topic.ts";
 export * from "./owned/layout.ts";
+export * from "./owned/member_name.ts";
 export * from "./owned/owner_directory.ts";
 export * from "./owned/ownership.ts";
 export * from "./owned/owner_state.ts";
--- /dev/null
+++ b/packages/jobs/owned/candidacy.ts
@@ -0,0 +1,126 @@
+/**
+ * Decides whether a member takes part in the assignment of partitions.
+ *
+ * @module
+ */
+
+import type { MemberCapacity, NamedMember } from "./member_name.ts";
+
+/** Interval of the checks while the member stands aside. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Time for which stronger members must have been seen to stand aside. */
+const STAND_ASIDE_DELAY_MS = 1_500;
+
+/** Stronger members that are needed, so that one of them may be lost. */
+const MIN_STRONGER_MEMBERS = 2;
+
+/** Factor of the processor time from which a member is clearly stronger. */
+const STRONGER_CPU_FACTOR = 2;
+
+/** Options of {@linkcode createCandidacy}. */
+export type CandidacyOptions = {
+  capacity: MemberCapacity;
+  /** Returns the number of partitions that have work. */
+  usedPartitionCount(): number;
+  /**
+   * Reads the members that own partitions; undefined if the store does not
+   * answer.
+   */
+  readMembers(): Promise<readonly NamedMember[] | undefined>;
+};
+
+/** Part of a member in the assignment of partitions. */
+export type Candidacy = {
+  /** Whether the member should own partitions, as of the last check. */
+  isCandidate(): boolean;
+  /**
+   * Checks this again if the group has changed, or while stronger members are
+   * there. Does nothing if the last check was a moment ago.
+   */
+  check(generation: number): Promise<void>;
+};
+
+/**
+ * Returns whether the stronger members of the group can carry its partitions
+ * better than with this member among them. The store assigns partitions evenly,
+ * so that a small machine would get the same share as a large one.
+ *
+ * @example
+ * ```ts
+ * hasStrongerMembers(capacity, { members, usedPartitions: 6 });
+ * ```
+ */
+export function hasStrongerMembers(
+  own: MemberCapacity,
+  { members, usedPartitions }: {
+    members: readonly NamedMember[];
+    usedPartitions: number;
+  },
+): boolean {
+  const stronger = members.flatMap(({ capacity }) =>
+    capacity !== undefined && isClearlyStronger(capacity, own) ? [capacity] : []
+  );
+  if (stronger.length < MIN_STRONGER_MEMBERS) return false;
+  const cpu = stronger.reduce((sum, capacity) => sum + capacity.cpu, 0);
+  return cpu >= usedPartitions * own.cpu;
+}
+
+function isClearlyStronger(
+  other: MemberCapacity,
+  own: MemberCapacity,
+): boolean {
+  return other.cpu >= STRONGER_CPU_FACTOR * own.cpu &&
+    other.linkMbps >= own.linkMbps;
+}
+
+/**
+ * Creates the candidacy of a member. It joins at once if the stronger members
+ * can't carry the partitions, and stands aside only if they have been there for
+ * a while, so that the partitions don't change hands with each restart.
+ *
+ * @example
+ * ```ts
+ * const candidacy = createCandidacy({ capacity, ...options });
+ * ```
+ */
+export function createCandidacy(options: CandidacyOptions): Candidacy {
+  let isCandidate = true;
+  let checkedAtMs = -Infinity;
+  let checkedGeneration: number | undefined;
+  let strongerSinceMs: number | undefined;
+  /** Whether the members have been read since the process started. */
+  let hasMembers = false;
+
+  const apply = (members: readonly NamedMember[]) => {
+    const nowMs = performance.now();
+    const isStronger = hasStrongerMembers(options.capacity, {
+      members,
+      usedPartitions: options.usedPartitionCount(),
+    });
+    if (!isStronger) {
+      strongerSinceMs = undefined;
+      isCandidate = true;
+      return;
+    }
+    strongerSinceMs ??= nowMs;
+    const hasLasted = nowMs - strongerSinceMs >= STAND_ASIDE_DELAY_MS;
+    if (!hasMembers || hasLasted) isCandidate = false;
+  };
+
+  return {
+    isCandidate: () => isCandidate,
+    async check(generation) {
+      const isSettled = strongerSinceMs === undefined &&
+        generation === checkedGeneration;
+      const ageMs = performance.now() - checkedAtMs;
+      if (isSettled || ageMs < CHECK_INTERVAL_MS) return;
+      checkedGeneration = generation;
+      checkedAtMs = performance.now();
+      const members = await options.readMembers();
+      if (members === undefined) return;
+      apply(members);
+      hasMembers = true;
+    },
+  };
+}
--- a/packages/jobs/owned/owner_directory.ts
+++ b/packages/jobs/owned/owner_directory.ts
@@ -6,6 +6,7 @@
 
 import type { Store } from "../ports.ts";
 import { OWNERS_GROUP } from "../topics.ts";
+import { type NamedMember, parseMemberName } from "./member_name.ts";
 
 /** Age from which the list of owners is read again. */
 const MAX_AGE_MS = 5_000;
@@ -13,28 +14,18 @@
 /** Shortest time between two reads of the list. */
 const MIN_AGE_MS = 200;
 
-/** Separates the address of a member from its incarnation. */
-const INCARNATION_SEPARATOR = "#";
-
 /** Cached list of the owners of all partitions. */
 export type OwnerDirectory = {
   /** Address of a partition's owner for other members, if it is known. */
   find(partition: number): Promise<string | undefined>;
-  /** Addresses of all owners, without duplicates, as they were last read. */
-  members(): string[];
+  /** Owners as they were last read, one for each address. */
+  members(): NamedMember[];
+  /** Reads the owners again; undefined if the store does not answer. */
+  readMembers(): Promise<NamedMember[] | undefined>;
   /** Marks the list as outdated, so that the next call of `find` reads it. */
   invalidate(): void;
 };
 
-/** Returns the name of one incarnation of a member in the group of owners. */
-export function memberName(address: string, incarnation: string): string {
-  return address + INCARNATION_SEPARATOR + incarnation;
-}
-
-function addressOf(member: string): string {
-  return member.split(INCARNATION_SEPARATOR)[0] ?? "";
-}
-
 /**
  * Creates a directory that reads the list of owners from the store on demand,
  * if the cached one is outdated.
@@ -48,7 +39,7 @@
   let owners = new Map<number, string>();
   let readAtMs = -Infinity;
   let isStale = true;
-  let reading: Promise<void> | undefined;
+  let reading: Promise<boolean> | undefined;
 
   const read = async () => {
     const found = await store.owners(OWNERS_GROUP);
@@ -58,6 +49,16 @@
       isStale = false;
     }
     reading = undefined;
+    return found !== undefined;
+  };
+
+  const members = (): NamedMember[] => {
+    const byAddress = new Map<string, NamedMember>();
+    for (const name of owners.values()) {
+      const member = parseMemberName(name);
+      if (member !== undefined) byAddress.set(member.address, member);
+    }
+    return [...byAddress.values()];
   };
 
   return {
@@ -67,14 +68,14 @@
         reading ??= read();
       }
       if (reading !== undefined) await reading;
-      const address = addressOf(owners.get(partition) ?? "");
       // The store reports an empty member for a partition without an owner.
-      return address === "" ? undefined : address;
+      return parseMemberName(owners.get(partition) ?? "")?.address;
+    },
+    members,
+    async readMembers() {
+      reading ??= read();
+      return await reading ? members() : undefined;
     },
-    members: () =>
-      [
-        ...new Set([...owners.values()].map(addressOf)),
-      ].filter((address) => address !== ""),
     invalidate() {
       isStale = true;
     },
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -7,6 +7,7 @@
 import type { JobEventLog } from "../job_event_log.ts";
 import type { Store } from "../ports.ts";
 import { JOBS_TOPIC, OWNERS_GROUP } from "../topics.ts";
+import type { Candidacy } from "./candidacy.ts";
 
 /** Interval at which a member renews its membership. */
 const JOIN_INTERVAL_MS = 400;
@@ -58,6 +59,7 @@
   isUsed(partition: number): boolean;
   /** Takes over a partition, under an epoch higher than all earlier ones. */
   acquire(partition: number, epoch: number): OwnedPartition;
+  candidacy: Candidacy;
 };
 
 /**
@@ -74,9 +76,10 @@
   const owned = new Map<number, OwnedPartition>();
   /** Generation since which a partition has been assigned to this member. */
   const assignedSince = new Map<number, number>();
-  const { store, member, events } = options;
+  const { store, member, events, candidacy } = options;
   let generation = 0;
   let isLeaving = false;
+  let isAside = false;
   let timer: NodeJS.Timeout | undefined;
   let hasJoinFailed = false;
   let confirmedAtMs = -Infinity;
@@ -109,7 +112,28 @@
     }
   };
 
+  const releaseAll = async () => {
+    const released = [...owned.values()];
+    owned.clear();
+    assignedSince.clear();
+    await Promise.all(
+      released.map((ownedPartition) => ownedPartition.release()),
+    );
+    await store.leave({ group: OWNERS_GROUP, member });
+  };
+
+  /** Leaves the group to stronger members, until this one is needed. */
+  const standAside = async () => {
+    if (isAside) return;
+    isAside = true;
+    events.log("ownersLeft", { generation, partitions: owned.size });
+    if (generation === 0) return;
+    generation = 0;
+    await releaseAll();
+  };
+
   const join = async () => {
+    isAside = false;
     const sentMs = performance.now();
     const outcome = await store.join({
       group: OWNERS_GROUP,
@@ -135,14 +159,23 @@
       hasJoinFailed = true;
       events.log("joinFailed", { reason: outcome.reason });
     }
+  };
+
+  const renew = async () => {
+    const checked = candidacy.check(generation);
+    // A slow check must not delay the renewal of the membership.
+    if (generation === 0) await checked;
+    if (isLeaving) return;
+    await (candidacy.isCandidate() ? join() : standAside());
     if (isLeaving) return;
-    const isRebalancing = performance.now() - changedAtMs < REBALANCE_MS;
+    const isRebalancing = !isAside &&
+      performance.now() - changedAtMs < REBALANCE_MS;
     timer = setTimeout(
-      () => void join(),
+      () => void renew(),
       isRebalancing ? REBALANCE_JOIN_INTERVAL_MS : JOIN_INTERVAL_MS,
     );
   };
-  void join();
+  void renew();
 
   return {
     member,
@@ -156,12 +189,7 @@
     async leave() {
       isLeaving = true;
       clearTimeout(timer);
-      const released = [...owned.values()];
-      owned.clear();
-      await Promise.all(
-        released.map((ownedPartition) => ownedPartition.release()),
-      );
-      await store.leave({ group: OWNERS_GROUP, member });
+      await releaseAll();
     },
   };
 }
--- a/packages/jobs/owned/ownership_test.ts
+++ b/packages/jobs/owned/ownership_test.ts
@@ -8,10 +8,17 @@
 } from "@jest/globals";
 import { createMemoryStore, type MemoryStore } from "@lagoonloom/standins";
 import { advanceTime } from "../_fixtures.ts";
+import { createCandidacy } from "./candidacy.ts";
+import { formatMemberName } from "./member_name.ts";
+import { createOwnerDirectory } from "./owner_directory.ts";
 import { joinOwners, type Ownership } from "./ownership.ts";
 
 const PARTITIONS = 4;
 
+const SMALL = { cpu: 324, linkMbps: 7 };
+const MEDIUM = { cpu: 675, linkMbps: 1_000 };
+const LARGE = { cpu: 1_350, linkMbps: 140 };
+
 describe("joinOwners", () => {
   let store: MemoryStore;
   let members: Ownership[];
@@ -27,10 +34,19 @@
     jest.useRealTimers();
   });
 
-  const join = (member: string, owned: Set<number>) => {
+  const join = (
+    address: string,
+    owned: Set<number>,
+    capacity = MEDIUM,
+  ) => {
     members.push(joinOwners({
       store,
-      member,
+      member: formatMemberName({ address, capacity }, "1"),
+      candidacy: createCandidacy({
+        capacity,
+        usedPartitionCount: () => PARTITIONS,
+        readMembers: createOwnerDirectory(store).readMembers,
+      }),
       events: { log: () => undefined },
       isUsed: () => true,
       acquire(partition, epoch) {
@@ -69,4 +85,48 @@
     await advanceTime(1_500);
     expect(await countJoins(2_000)).toBeLessThanOrEqual(12);
   });
+
+  // Guards against a service that a small machine has to carry while large ones
+  // are there, as with `kigali-quote` in incident inc1.
+  test("leaves the partitions to members that are clearly stronger", async () => {
+    const [small, large, otherLarge] = [
+      new Set<number>(),
+      new Set<number>(),
+      new Set<number>(),
+    ];
+    join("s", small, SMALL);
+    await advanceTime(500);
+    expect(small.size).toBe(PARTITIONS);
+    join("l1", large, LARGE);
+    join("l2", otherLarge, LARGE);
+    await advanceTime(6_000);
+    expect([small.size, large.size, otherLarge.size]).toEqual([0, 2, 2]);
+  });
+
+  // Guards against partitions without an owner after a loss of large machines.
+  test("takes the partitions back once the stronger members are lost", async () => {
+    const small = new Set<number>();
+    join("s", small, SMALL);
+    join("l1", new Set(), LARGE);
+    join("l2", new Set(), LARGE);
+    await advanceTime(6_000);
+    expect(small.size).toBe(0);
+    await Promise.all(members.slice(1).map((member) => member.leave()));
+    await advanceTime(2_000);
+    expect(small.size).toBe(PARTITIONS);
+  });
+
+  // Guards against a restart in which small members take partitions for a
+  // moment, only to give them up again.
+  test("keeps aside when it starts beside stronger members", async () => {
+    join("l1", new Set(), LARGE);
+    join("l2", new Set(), LARGE);
+    await advanceTime(1_000);
+    const joins = store.calls["join"]!;
+    const small = new Set<number>();
+    join("s", small, SMALL);
+    await advanceTime(300);
+    expect(small.size).toBe(0);
+    expect(store.calls["join"]).toBeLessThanOrEqual(joins + 6);
+  });
 });
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -133,6 +133,12 @@
     message: "partition was taken over by another owner",
     fields: { partition: "number", epoch: "number", reason: "string" },
   },
+  ownersLeft: {
+    id: "LL6210",
+    level: "info",
+    message: "group of partition owners is left to stronger members",
+    fields: { generation: "number", partitions: "number" },
+  },
   ownerSilent: {
     id: "LL6209",
     level: "warn",
