Give each service one partition, as it had in fact

A service that a later configuration added would have been divided instead, and a step whose tasks need more different executors than a part has could never run whole.

planLayout no longer takes numbers of executors.

--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -286,14 +286,9 @@
       for (const owner of owners.values()) owner.refresh();
       return;
     }
-    platform.followExecutors(true);
-    if (!platform.hasExecutorList()) return;
     await storeLayout(store, {
       layout: planLayout(layout, {
-        executorCounts: countExecutorsByService(
-          configuration,
-          platform.executors(),
-        ),
+        services: configuration.services.map(({ name }) => name),
         partitionCount: options.partitionCount,
       }),
       nextOffset: stored.nextOffset,
@@ -399,16 +394,3 @@
     .sort((a, b) => a - b);
   return sizes[sizes.length >> 1] ?? DEFAULT_EXECUTOR_CPU;
 }
-
-/** Counts the executors of each service of the configuration. */
-function countExecutorsByService(
-  configuration: Configuration,
-  executors: ReadonlyMap<string, ExecutorReport>,
-): Map<string, number> {
-  const sizes = new Map(configuration.services.map(({ name }) => [name, 0]));
-  for (const { service } of executors.values()) {
-    const count = sizes.get(service);
-    if (count !== undefined) sizes.set(service, count + 1);
-  }
-  return sizes;
-}
--- a/packages/jobs/owned/layout.ts
+++ b/packages/jobs/owned/layout.ts
@@ -16,9 +16,6 @@
   partition: 0,
 };
 
-/** Largest number of a service's executors per partition. */
-export const MAX_EXECUTORS_PER_PARTITION = 16;
-
 /** Schema of the stored layout. */
 const LayoutDocument = z.object({
   services: z.record(z.string(), z.array(z.int().min(0)).min(1)),
@@ -31,54 +28,36 @@
 export type Layout = ReadonlyMap<string, readonly number[]>;
 
 /**
- * Assigns partitions to services that have none yet. They are evenly spaced, so
- * that any balanced assignment gives them to different members. The last
- * partition stands for the machines and belongs to no service.
+ * Assigns a partition to each service that has none yet. They are evenly
+ * spaced, so that any balanced assignment gives them to different members. The
+ * last partition stands for the machines and belongs to no service.
+ *
+ * A service is not divided: its owner has to see all of its executors, since a
+ * step may need more different executors than a part of them has.
  *
  * @example
  * ```ts
  * const layout = planLayout(new Map(), {
- *   executorCounts: new Map([["quoting", 44]]),
+ *   services: ["quoting", "orders"],
  *   partitionCount: 32,
  * });
  * ```
  */
 export function planLayout(
   layout: Layout,
-  options: {
-    /** Number of executors by service. */
-    executorCounts: ReadonlyMap<string, number>;
+  { services, partitionCount }: {
+    /** Names of all services, known ones included. */
+    services: readonly string[];
     partitionCount: number;
   },
 ): Layout {
-  const usableCount = Math.max(1, options.partitionCount - 1);
+  const usableCount = Math.max(1, partitionCount - 1);
   const used = new Set([...layout.values()].flat());
-  const names = [...options.executorCounts.keys()].filter((name) =>
-    !layout.has(name)
-  )
-    .sort();
-  const wantedCounts = names.map((name) =>
-    Math.max(
-      1,
-      Math.ceil(
-        options.executorCounts.get(name)! / MAX_EXECUTORS_PER_PARTITION,
-      ),
-    )
-  );
-  const total = wantedCounts.reduce((sum, count) => sum + count, 0);
+  const added = services.filter((name) => !layout.has(name)).sort();
   const planned = new Map(layout);
-  let rank = 0;
-  names.forEach((name, index) => {
-    const assigned: number[] = [];
-    for (let count = 0; count < wantedCounts[index]!; count++, rank++) {
-      assigned.push(
-        takeNextFree(Math.floor(rank * usableCount / total), {
-          used,
-          usableCount,
-        }),
-      );
-    }
-    planned.set(name, assigned);
+  added.forEach((name, rank) => {
+    const first = Math.floor(rank * usableCount / added.length);
+    planned.set(name, [takeNextFree(first, { used, usableCount })]);
   });
   return planned;
 }
