Check the members again after a read without an answer

A check now counts once it has been answered, and not before members that have just joined can own partitions. The test fails without the change.

--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -220,10 +220,11 @@
   const ownership: Ownership = joinOwners({
     store,
     events,
-    member: formatMemberName(
-      { address: server.address, capacity: options.capacity },
-      String(Date.now()),
-    ),
+    createMemberName: () =>
+      formatMemberName(
+        { address: server.address, capacity: options.capacity },
+        String(Date.now()),
+      ),
     candidacy: createCandidacy({
       capacity: options.capacity,
       usedPartitionCount: () => [...layout.values()].flat().length + 1,
--- a/packages/jobs/owned/candidacy.ts
+++ b/packages/jobs/owned/candidacy.ts
@@ -6,9 +6,12 @@
 
 import type { MemberCapacity, NamedMember } from "./member_name.ts";
 
-/** Interval of the checks while the member stands aside. */
+/** Shortest time between two checks. */
 const CHECK_INTERVAL_MS = 1_000;
 
+/** Time after a change of the group in which members may not own any yet. */
+const SETTLE_MS = 1_500;
+
 /** Time for which stronger members must have been seen to stand aside. */
 const STAND_ASIDE_DELAY_MS = 1_500;
 
@@ -35,8 +38,8 @@
   /** Whether the member should own partitions, as of the last check. */
   isCandidate(): boolean;
   /**
-   * Checks this again if the group has changed, or while stronger members are
-   * there. Does nothing if the last check was a moment ago.
+   * Checks this again after a change of the group, and while stronger members
+   * are there. Does nothing if the last check was a moment ago.
    */
   check(generation: number): Promise<void>;
 };
@@ -87,13 +90,16 @@
 export function createCandidacy(options: CandidacyOptions): Candidacy {
   let isCandidate = true;
   let checkedAtMs = -Infinity;
-  let checkedGeneration: number | undefined;
+  /** Time of the last list of members that was read. */
+  let readAtMs = -Infinity;
+  let lastGeneration: number | undefined;
+  let changedAtMs = -Infinity;
   let strongerSinceMs: number | undefined;
-  /** Whether the members have been read since the process started. */
-  let hasMembers = false;
 
-  const apply = (members: readonly NamedMember[]) => {
+  const applyMembers = (members: readonly NamedMember[]) => {
     const nowMs = performance.now();
+    const isFirst = readAtMs === -Infinity;
+    readAtMs = nowMs;
     const isStronger = hasStrongerMembers(options.capacity, {
       members,
       usedPartitions: options.usedPartitionCount(),
@@ -105,22 +111,21 @@
     }
     strongerSinceMs ??= nowMs;
     const hasLasted = nowMs - strongerSinceMs >= STAND_ASIDE_DELAY_MS;
-    if (!hasMembers || hasLasted) isCandidate = false;
+    if (isFirst || hasLasted) isCandidate = false;
   };
 
   return {
     isCandidate: () => isCandidate,
     async check(generation) {
+      const nowMs = performance.now();
+      if (generation !== lastGeneration) changedAtMs = nowMs;
+      lastGeneration = generation;
       const isSettled = strongerSinceMs === undefined &&
-        generation === checkedGeneration;
-      const ageMs = performance.now() - checkedAtMs;
-      if (isSettled || ageMs < CHECK_INTERVAL_MS) return;
-      checkedGeneration = generation;
-      checkedAtMs = performance.now();
+        readAtMs >= changedAtMs + SETTLE_MS;
+      if (isSettled || nowMs - checkedAtMs < CHECK_INTERVAL_MS) return;
+      checkedAtMs = nowMs;
       const members = await options.readMembers();
-      if (members === undefined) return;
-      apply(members);
-      hasMembers = true;
+      if (members !== undefined) applyMembers(members);
     },
   };
 }
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -37,8 +37,6 @@
 
 /** Membership of a process in the group of owners. */
 export type Ownership = {
-  /** Name of this member in the group, with its address. */
-  member: string;
   /** Drops a partition whose owner was fenced by another one. */
   drop(partition: number): void;
   /**
@@ -53,7 +51,8 @@
 /** Options of {@linkcode joinOwners}. */
 export type JoinOwnersOptions = {
   store: Store;
-  member: string;
+  /** Returns a new name for this member, one for each time that it joins. */
+  createMemberName(): string;
   events: JobEventLog;
   /** Whether any service or the machines use a partition. */
   isUsed(partition: number): boolean;
@@ -76,7 +75,8 @@
   const owned = new Map<number, OwnedPartition>();
   /** Generation since which a partition has been assigned to this member. */
   const assignedSince = new Map<number, number>();
-  const { store, member, events, candidacy } = options;
+  const { store, events, candidacy } = options;
+  let member = options.createMemberName();
   let generation = 0;
   let isLeaving = false;
   let isAside = false;
@@ -130,6 +130,8 @@
     if (generation === 0) return;
     generation = 0;
     await releaseAll();
+    // A late effect of a call under the old name can't reach the next one.
+    member = options.createMemberName();
   };
 
   const join = async () => {
@@ -178,7 +180,6 @@
   void renew();
 
   return {
-    member,
     confirmedAtMs: () => confirmedAtMs,
     drop(partition) {
       owned.delete(partition);
--- a/packages/jobs/owned/ownership_test.ts
+++ b/packages/jobs/owned/ownership_test.ts
@@ -22,15 +22,28 @@
 describe("joinOwners", () => {
   let store: MemoryStore;
   let members: Ownership[];
+  let incarnations: number;
+  /** Names of the events that the members logged. */
+  let logged: string[];
+  /** Whether reads of the list of owners get no answer. */
+  let isListLost: boolean;
+  /** Duration of the release of a partition. */
+  let releaseMs: number;
 
   beforeEach(() => {
     jest.useFakeTimers();
     store = createMemoryStore({ partitions: PARTITIONS });
     members = [];
+    incarnations = 0;
+    logged = [];
+    isListLost = false;
+    releaseMs = 0;
   });
 
   afterEach(async () => {
-    await Promise.all(members.map((member) => member.leave()));
+    const left = Promise.all(members.map((member) => member.leave()));
+    await advanceTime(2_000);
+    await left;
     jest.useRealTimers();
   });
 
@@ -41,21 +54,25 @@
   ) => {
     members.push(joinOwners({
       store,
-      member: formatMemberName({ address, capacity }, "1"),
+      createMemberName: () =>
+        formatMemberName({ address, capacity }, String(++incarnations)),
       candidacy: createCandidacy({
         capacity,
         usedPartitionCount: () => PARTITIONS,
-        readMembers: createOwnerDirectory(store).readMembers,
+        readMembers: () =>
+          isListLost
+            ? Promise.resolve(undefined)
+            : createOwnerDirectory(store).readMembers(),
       }),
-      events: { log: () => undefined },
+      events: { log: (name) => logged.push(name) },
       isUsed: () => true,
       acquire(partition, epoch) {
         owned.add(partition);
         return {
           epoch,
-          release() {
+          async release() {
+            await new Promise((resolve) => setTimeout(resolve, releaseMs));
             owned.delete(partition);
-            return Promise.resolve();
           },
         };
       },
@@ -111,8 +128,9 @@
     join("l2", new Set(), LARGE);
     await advanceTime(6_000);
     expect(small.size).toBe(0);
-    await Promise.all(members.slice(1).map((member) => member.leave()));
+    const left = members.slice(1).map((member) => member.leave());
     await advanceTime(2_000);
+    await Promise.all(left);
     expect(small.size).toBe(PARTITIONS);
   });
 
@@ -129,4 +147,18 @@
     expect(small.size).toBe(0);
     expect(store.calls["join"]).toBeLessThanOrEqual(joins + 6);
   });
+
+  // Guards against a small owner for good, after one read without an answer.
+  test("repeats a check of the members that got no answer", async () => {
+    const small = new Set<number>();
+    join("s", small, SMALL);
+    await advanceTime(2_000);
+    isListLost = true;
+    join("l1", new Set(), LARGE);
+    join("l2", new Set(), LARGE);
+    await advanceTime(4_000);
+    isListLost = false;
+    await advanceTime(6_000);
+    expect(small.size).toBe(0);
+  });
 });
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -136,7 +136,7 @@
   ownersLeft: {
     id: "LL6210",
     level: "info",
-    message: "group of partition owners is left to stronger members",
+    message: "group of partition owners is left to other members",
     fields: { generation: "number", partitions: "number" },
   },
   ownerSilent: {
