--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -77,6 +77,7 @@
   const assignedSince = new Map<number, number>();
   const { store, events, candidacy } = options;
   let member = options.createMemberName();
+  const releases = new Set<Promise<void>>();
   let generation = 0;
   let isLeaving = false;
   let isAside = false;
@@ -99,7 +100,7 @@
         partition,
         epoch: ownedPartition.epoch,
       });
-      await ownedPartition.release();
+      await release(ownedPartition);
     }));
     for (const partition of partitions) {
       if (!assignedSince.has(partition)) {
@@ -112,17 +113,23 @@
     }
   };
 
+  const release = (ownedPartition: OwnedPartition): Promise<void> => {
+    const released = ownedPartition.release()
+      .finally(() => releases.delete(released));
+    releases.add(released);
+    return released;
+  };
+
+  /** Gives up all partitions, also those whose release has begun already. */
   const releaseAll = async () => {
-    const released = [...owned.values()];
+    for (const ownedPartition of owned.values()) void release(ownedPartition);
     owned.clear();
     assignedSince.clear();
-    await Promise.all(
-      released.map((ownedPartition) => ownedPartition.release()),
-    );
+    await Promise.all(releases);
     await store.leave({ group: OWNERS_GROUP, member });
   };
 
-  /** Leaves the group to stronger members, until this one is needed. */
+  /** Leaves the group to other members, until this one is needed. */
   const standAside = async () => {
     if (isAside) return;
     isAside = true;
--- a/packages/jobs/owned/ownership_test.ts
+++ b/packages/jobs/owned/ownership_test.ts
@@ -161,4 +161,21 @@
     await advanceTime(6_000);
     expect(small.size).toBe(0);
   });
+
+  // Guards against progress and handovers that are lost when a process stops
+  // while it stands aside.
+  test("waits for releases that have begun before it leaves", async () => {
+    const small = new Set<number>();
+    join("s", small, SMALL);
+    join("l1", new Set(), LARGE);
+    join("l2", new Set(), LARGE);
+    await advanceTime(500);
+    releaseMs = 800;
+    while (!logged.includes("ownersLeft")) await advanceTime(50);
+    expect(small.size).toBeGreaterThan(0);
+    let sizeAtEnd: number | undefined;
+    void members[0]!.leave().then(() => sizeAtEnd = small.size);
+    await advanceTime(2_000);
+    expect(sizeAtEnd).toBe(0);
+  });
 });
