Give way if a partition can't be loaded

A member that has not loaded a partition within 10 s, while the store confirmed its ownership, now leaves the group for 5 s, so that another one takes over. Time in which the store confirms no owner does not count, as no other member could load it either.

--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -120,6 +120,8 @@
   logged: string[];
   /** Reasons for which owners lost the partition, in order. */
   lossReasons: string[];
+  /** Number of owners that could not load the partition in time. */
+  loadTimeouts: number;
   /**
    * Monotonic time at which the store last confirmed the ownership; `now` means
    * that it does so all the time.
@@ -148,6 +150,7 @@
     configuration: createConfiguration(),
     logged: [],
     lossReasons: [],
+    loadTimeouts: 0,
     confirmedAtMs: "now",
     addExecutor(id, fields) {
       const report = createReport(id, fields);
@@ -177,6 +180,7 @@
           log: (name, fields) =>
             fixture.logged.push(`${name} ${JSON.stringify(fields)}`),
         },
+        onLoadTimeout: () => fixture.loadTimeouts++,
         onLost: (reason) => fixture.lossReasons.push(reason),
       });
       owners.push(owner);
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -252,6 +252,7 @@
         confirmedAtMs: () => ownership.confirmedAtMs(),
         endedJobRetentionMs: options.endedJobRetentionMs,
         events,
+        onLoadTimeout: () => ownership.giveWay(),
         onLost(reason) {
           events.log("partitionLost", { partition, epoch, reason });
           owners.delete(partition);
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -41,6 +41,8 @@
   /** Time for which the state of an ended job is kept, in milliseconds. */
   endedJobRetentionMs: number;
   events: JobEventLog;
+  /** Called when the state of the partition could not be loaded in time. */
+  onLoadTimeout(): void;
   /** Called when another owner has taken over. */
   onLost(reason: string): void;
 };
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -25,6 +25,9 @@
 /** Time without a join after which the store reassigns the partitions. */
 const MEMBER_TTL_MS = 1_600;
 
+/** Time for which a member that gives way stays out of the group. */
+const GIVE_WAY_MS = 5_000;
+
 /** Partition that a member owns. */
 export type OwnedPartition = {
   epoch: number;
@@ -44,6 +47,8 @@
    * owns this member's partitions.
    */
   confirmedAtMs(): number;
+  /** Gives up all partitions for a while, as this member can't serve them. */
+  giveWay(): void;
   /** Gives up all partitions, so that other members take over at once. */
   leave(): Promise<void>;
 };
@@ -81,6 +86,8 @@
   let generation = 0;
   let isLeaving = false;
   let isAside = false;
+  /** Monotonic time until which this member gives way to others. */
+  let asideUntilMs = -Infinity;
   let timer: NodeJS.Timeout | undefined;
   let hasJoinFailed = false;
   let confirmedAtMs = -Infinity;
@@ -175,7 +182,9 @@
     // A slow check must not delay the renewal of the membership.
     if (generation === 0) await checked;
     if (isLeaving) return;
-    await (candidacy.isCandidate() ? join() : standAside());
+    const mayJoin = candidacy.isCandidate() &&
+      performance.now() >= asideUntilMs;
+    await (mayJoin ? join() : standAside());
     if (isLeaving) return;
     const isRebalancing = !isAside &&
       performance.now() - changedAtMs < REBALANCE_MS;
@@ -194,6 +203,9 @@
       // assignment at the generation of that time.
       assignedSince.delete(partition);
     },
+    giveWay() {
+      asideUntilMs = performance.now() + GIVE_WAY_MS;
+    },
     async leave() {
       isLeaving = true;
       clearTimeout(timer);
--- a/packages/jobs/owned/ownership_test.ts
+++ b/packages/jobs/owned/ownership_test.ts
@@ -178,4 +178,18 @@
     await advanceTime(2_000);
     expect(sizeAtEnd).toBe(0);
   });
+
+  // Guards against an owner that keeps a partition that it can't load.
+  test("leaves the partitions to others for a while if it gives way", async () => {
+    const first = new Set<number>();
+    const second = new Set<number>();
+    join("a", first);
+    join("b", second);
+    await advanceTime(3_000);
+    members[0]!.giveWay();
+    await advanceTime(1_000);
+    expect([first.size, second.size]).toEqual([0, PARTITIONS]);
+    await advanceTime(8_000);
+    expect([first.size, second.size]).toEqual([PARTITIONS / 2, PARTITIONS / 2]);
+  });
 });
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -55,6 +55,12 @@
 /** Longest time for which a read waits for the next job record. */
 const READ_WAIT_MS = 5_000;
 
+/**
+ * Longest time to load a partition. Another member may have a faster link; on
+ * one of 7 Mbit/s, 8 MB can be loaded in this time.
+ */
+const MAX_LOAD_MS = 10_000;
+
 /** Pause after a failed read. */
 const RETRY_MS = 300;
 
@@ -108,7 +114,16 @@
 ): PartitionOwner {
   const { partition, epoch } = options;
   const owner = createState(options);
-  const timer = setInterval(() => runChecks(owner), CHECK_INTERVAL_MS);
+  let loadingMs = 0;
+  const timer = setInterval(() => {
+    runChecks(owner);
+    // While the store is down for all, no other member can load it either.
+    if (owner.isLoaded || !isOwnershipConfirmed(owner, ADMISSION_GRACE_MS)) {
+      return;
+    }
+    loadingMs += CHECK_INTERVAL_MS;
+    if (loadingMs === MAX_LOAD_MS) options.onLoadTimeout();
+  }, CHECK_INTERVAL_MS);
   const close = () => {
     owner.isClosed = true;
     clearInterval(timer);
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -388,4 +388,23 @@
     await advanceTime(2_000);
     expect(polls).toBeLessThanOrEqual(4);
   });
+
+  // Guards against a partition whose owner keeps it without ever loading it.
+  test("reports a partition that it can't load while it is its owner", async () => {
+    fixture.store.fault = "refusing";
+    await fixture.startOwner(1);
+    await advanceTime(9_000);
+    expect(fixture.loadTimeouts).toBe(0);
+    await advanceTime(2_000);
+    expect(fixture.loadTimeouts).toBe(1);
+  });
+
+  // Guards against all members giving up at once while the store is down.
+  test("keeps a partition while the store confirms no owner", async () => {
+    fixture.store.fault = "refusing";
+    fixture.confirmedAtMs = -10_000;
+    await fixture.startOwner(1);
+    await advanceTime(20_000);
+    expect(fixture.loadTimeouts).toBe(0);
+  });
 });
