--- a/packages/jobs/owned/layout.ts
+++ b/packages/jobs/owned/layout.ts
@@ -29,8 +29,8 @@
 
 /**
  * Assigns a partition to each service that has none yet. They are evenly
- * spaced, so that any balanced assignment gives them to different members. The
- * last partition stands for the machines and belongs to no service.
+ * spaced, so that an even assignment mostly gives them to different members.
+ * The last partition stands for the machines and belongs to no service.
  *
  * A service is not divided: its owner has to see all of its executors, since a
  * step may need more different executors than a part of them has.
