Count runs that an owner does not adopt, and take over those of a closed session

Cause: a run that an executor reports and its owner does not adopt (its job was cancelled or is not known, its task is done or runs elsewhere) was stopped, but its capacity counted as free from the start. On an executor without other runs a lost stop was not repeated either, as nothing polled it.

Change: the newest list of an executor gives its untracked runs, which occupy capacity until they are gone; one of an unknown job occupies the executor. It is polled while there are any. A new session with the same incarnation takes over the tracked runs and repeats their stops.

Ruled out: runs freed by a refused start (the executor has done nothing then) and by a late start after a stop (the stop makes the executor refuse it).

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -5,7 +5,8 @@
  */
 
 import type { ExecutorReport } from "./fleet.ts";
-import type { ExecutorState, Run } from "./model.ts";
+import type { ExecutorState, Run, TaskGroup } from "./model.ts";
+import type { Size } from "./submission.ts";
 
 export type { ExecutorState } from "./model.ts";
 
@@ -16,6 +17,7 @@
     address: report.address,
     report,
     runs: new Set(),
+    untrackedRuns: new Map(),
     free: { ...report.capacity },
     clockOffsetMs: undefined,
     leaseEndsMs: 0,
@@ -40,27 +42,46 @@
   return executor.report.labels[1] ?? executor.report.zone;
 }
 
-/** Adds the size of a run to the free capacity, or subtracts it. */
-export function adjustFreeCapacity(run: Run, sign: 1 | -1): void {
-  const { size, isFilling } = run.task.group.step;
-  const { free } = run.executor;
-  if (!isFilling) free.cpu += sign * size.cpu;
+/** Returns the capacity that a run of a group's task occupies. */
+export function occupiedBy({ step }: TaskGroup): Size {
+  return step.isFilling ? { ...step.size, cpu: 0 } : step.size;
+}
+
+/** Adds a size to the free capacity of an executor, or subtracts it. */
+function adjustFreeCapacity(
+  { free }: ExecutorState,
+  size: Size,
+  sign: 1 | -1,
+): void {
+  free.cpu += sign * size.cpu;
   free.memoryMb += sign * size.memoryMb;
   free.accelerators += sign * size.accelerators;
 }
 
+/** Replaces the runs that an executor reports and its owner has not adopted. */
+export function setUntrackedRuns(
+  executor: ExecutorState,
+  runs: ReadonlyMap<string, Size>,
+): void {
+  for (const size of executor.untrackedRuns.values()) {
+    adjustFreeCapacity(executor, size, 1);
+  }
+  for (const size of runs.values()) adjustFreeCapacity(executor, size, -1);
+  executor.untrackedRuns = runs;
+}
+
 /** Adds a run to its task and its executor, where it occupies capacity. */
 export function addRun(run: Run): void {
   run.task.runs.push(run);
   run.executor.runs.add(run);
-  adjustFreeCapacity(run, -1);
+  adjustFreeCapacity(run.executor, occupiedBy(run.task.group), -1);
 }
 
 /** Removes a run from its task and its executor, unless it was removed. */
 export function removeRun(run: Run): void {
   if (!run.executor.runs.delete(run)) return;
   run.task.runs = run.task.runs.filter((other) => other !== run);
-  adjustFreeCapacity(run, 1);
+  adjustFreeCapacity(run.executor, occupiedBy(run.task.group), 1);
 }
 
 /** Returns whether an executor may be given new tasks. */
--- a/packages/jobs/machines/partition_report.ts
+++ b/packages/jobs/machines/partition_report.ts
@@ -42,8 +42,9 @@
  * or has not answered since the takeover, may run tasks unknown to this owner.
  */
 function isIdle(owner: OwnerState, executor: ExecutorState): boolean {
-  return executor.runs.size === 0 && executor.clockOffsetMs !== undefined &&
-    executor.failedCalls === 0 && !owner.unconfirmedExecutors.has(executor.id);
+  return executor.runs.size === 0 && executor.untrackedRuns.size === 0 &&
+    executor.clockOffsetMs !== undefined && executor.failedCalls === 0 &&
+    !owner.unconfirmedExecutors.has(executor.id);
 }
 
 /** Returns the report of a partition. */
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -122,6 +122,11 @@
   report: ExecutorReport;
   /** Runs that occupy capacity of the executor. */
   runs: Set<Run>;
+  /**
+   * Capacity that runs occupy which the executor reports and this owner has
+   * not adopted, by task and run number. They are being stopped.
+   */
+  untrackedRuns: ReadonlyMap<string, Size>;
   /** Capacity that no run occupies. */
   free: Size;
   /** Executor clock minus monotonic time; undefined before its first answer. */
--- /dev/null
+++ b/packages/jobs/run/_executor_clock.ts
@@ -0,0 +1,36 @@
+/**
+ * Clock and lease of an executor, as its owner knows them from its answers.
+ *
+ * @module
+ */
+
+import type { ExecutorState } from "../executor_state.ts";
+
+/** Share of the elapsed time by which the clock of an executor may lag. */
+const MAX_CLOCK_DRIFT = 0.03;
+
+/** Longest time that a call takes to reach the executor. */
+const MAX_TRANSIT_MS = 100;
+
+/** Notes an answer of an executor and what its clock showed in it. */
+export function recordAnswer(executor: ExecutorState, clockMs: number): void {
+  const nowMs = performance.now();
+  executor.answeredAtMs = nowMs;
+  executor.clockOffsetMs = clockMs - nowMs;
+  executor.failedCalls = 0;
+}
+
+/**
+ * Returns the expiry of a new lease on the executor's clock, and notes the
+ * monotonic time at which it has certainly expired. The executor must have
+ * answered before.
+ */
+export function extendLease(executor: ExecutorState, leaseMs: number): number {
+  const nowMs = performance.now();
+  const expiryMs = nowMs + executor.clockOffsetMs! + leaseMs;
+  const offsetAgeMs = nowMs - executor.answeredAtMs;
+  const endsMs = nowMs + leaseMs +
+    MAX_CLOCK_DRIFT * (leaseMs + offsetAgeMs) + MAX_TRANSIT_MS;
+  executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
+  return Math.floor(expiryMs);
+}
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -1,6 +1,12 @@
 import type { Run } from "../job.ts";
 import type { PollOutcome, RunEnd, RunReport } from "../ports.ts";
-import { type ExecutorState, removeRun } from "../executor_state.ts";
+import {
+  type ExecutorState,
+  removeRun,
+  setUntrackedRuns,
+} from "../executor_state.ts";
+import type { Size } from "../submission.ts";
+import { extendLease, recordAnswer } from "./_executor_clock.ts";
 import type {
   ExecutorSession,
   ExecutorSessionOptions,
@@ -21,12 +27,6 @@
 /** Number of ends from which the answer to a poll may be truncated. */
 const MAX_REPORTED_ENDS = 500;
 
-/** Share of the elapsed time by which the clock of an executor may lag. */
-const MAX_CLOCK_DRIFT = 0.03;
-
-/** Longest time that a call takes to reach the executor. */
-const MAX_TRANSIT_MS = 100;
-
 /**
  * Creates a session with an executor: polls it, renews its lease while it runs
  * tasks, and acknowledges ended runs once their results are stored. A run
@@ -48,6 +48,8 @@
   /** Number of polls sent before a start request went unanswered, by run. */
   const unansweredAtPoll = new Map<Run, number>();
   let pollsSent = 0;
+  /** Clock of the executor in the newest list of its runs. */
+  let listClockMs = -Infinity;
   let isClosed = false;
   let wake: (() => void) | undefined;
   let isPollRequested = true;
@@ -74,27 +76,6 @@
     callbacks.onChange(executor);
   };
 
-  /**
-   * Returns the expiry of a new lease on the executor's clock, and notes the
-   * monotonic time at which it has certainly expired.
-   */
-  const extendLease = (): number => {
-    const nowMs = performance.now();
-    const expiryMs = nowMs + executor.clockOffsetMs! + options.leaseMs;
-    const offsetAgeMs = nowMs - executor.answeredAtMs;
-    const endsMs = nowMs + options.leaseMs +
-      MAX_CLOCK_DRIFT * (options.leaseMs + offsetAgeMs) + MAX_TRANSIT_MS;
-    executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
-    return Math.floor(expiryMs);
-  };
-
-  const recordAnswer = (clockMs: number) => {
-    const nowMs = performance.now();
-    executor.answeredAtMs = nowMs;
-    executor.clockOffsetMs = clockMs - nowMs;
-    executor.failedCalls = 0;
-  };
-
   const handleEnds = (ended: readonly RunEnd[]) => {
     let isNew = false;
     for (const end of ended) {
@@ -125,20 +106,31 @@
     });
   };
 
+  /** Adopts a run, or stops it and adds it to the untracked ones. */
+  const handleUnknownRun = (
+    report: RunReport,
+    untracked: Map<string, Size>,
+  ) => {
+    const adoption = callbacks.onUnknownRun(executor, report);
+    if (adoption.isAdopted) {
+      const run = findRun(executor, report.task, report.run);
+      if (run !== undefined) confirmedAtPoll.set(run, pollsSent);
+      return;
+    }
+    untracked.set(`${report.task}/${report.run}`, adoption.size);
+    void executorClient.stop(targetOf(executor), {
+      task: report.task,
+      run: report.run,
+      token,
+    });
+  };
+
   const handleRunning = (running: readonly RunReport[]) => {
+    const untracked = new Map<string, Size>();
     for (const report of running) {
       const run = findRun(executor, report.task, report.run);
       if (run === undefined) {
-        if (callbacks.onUnknownRun(executor, report)) {
-          const adopted = findRun(executor, report.task, report.run);
-          if (adopted !== undefined) confirmedAtPoll.set(adopted, pollsSent);
-          continue;
-        }
-        void executorClient.stop(targetOf(executor), {
-          task: report.task,
-          run: report.run,
-          token,
-        });
+        handleUnknownRun(report, untracked);
         continue;
       }
       if (run.state === "starting" || run.state === "uncertain") {
@@ -154,6 +146,7 @@
       run.load = report.load;
       if (report.checkpoint !== "") run.checkpoint = report.checkpoint;
     }
+    setUntrackedRuns(executor, untracked);
   };
 
   /**
@@ -195,7 +188,9 @@
     const isAcknowledged =
       executor.receivedSequence === executor.acknowledgedSequence;
     const outcome = await executorClient.poll(targetOf(executor), {
-      ...(mayRenew ? { leaseExpiryMs: extendLease() } : {}),
+      ...(mayRenew
+        ? { leaseExpiryMs: extendLease(executor, options.leaseMs) }
+        : {}),
       token,
       acknowledgedSequence: executor.acknowledgedSequence,
       waitMs: executor.failedCalls === 0 && isAcknowledged ? maxWaitMs : 0,
@@ -214,16 +209,21 @@
     ) {
       return markRemoved();
     }
-    recordAnswer(outcome.clockMs);
+    recordAnswer(executor, outcome.clockMs);
     handleEnds(outcome.ended);
-    handleRunning(outcome.running);
+    // Answers may overtake each other; an older list shows ended runs.
+    if (outcome.clockMs >= listClockMs) {
+      listClockMs = outcome.clockMs;
+      handleRunning(outcome.running);
+    }
     handleMissing(outcome, pollNumber);
     callbacks.onChange(executor);
   };
 
   const loop = async (): Promise<void> => {
     while (!isClosed && !executor.isRemoved) {
-      const isIdle = executor.runs.size === 0 && executor.failedCalls === 0 &&
+      const isIdle = executor.runs.size === 0 &&
+        executor.untrackedRuns.size === 0 && executor.failedCalls === 0 &&
         executor.receivedSequence === executor.acknowledgedSequence;
       if (isIdle && !isPollRequested) {
         await pause(undefined);
@@ -274,7 +274,7 @@
         task: run.task.name,
         run: run.number,
         spec,
-        leaseExpiryMs: extendLease(),
+        leaseExpiryMs: extendLease(executor, options.leaseMs),
         token,
         checkpoint: run.checkpoint,
         ticket,
@@ -282,7 +282,7 @@
       if (isClosed) return "closed";
       if (!executor.runs.has(run)) return "ended";
       if (outcome.type === "started") {
-        recordAnswer(outcome.clockMs);
+        recordAnswer(executor, outcome.clockMs);
         if (run.state === "starting" || run.state === "uncertain") {
           run.state = "running";
         }
@@ -307,7 +307,9 @@
         markRemoved();
         return "replaced";
       }
-      if (outcome.clockMs !== undefined) recordAnswer(outcome.clockMs);
+      if (outcome.clockMs !== undefined) {
+        recordAnswer(executor, outcome.clockMs);
+      }
       removeRun(run);
       if (outcome.reason === "fence") callbacks.onFenced();
       return outcome.reason;
@@ -370,6 +372,20 @@
     }
   };
 
+  /** Follows the runs that an earlier session with the executor started. */
+  const takeOverRuns = () => {
+    for (const run of executor.runs) {
+      if (run.state === "starting" || run.state === "uncertain") {
+        run.state = "uncertain";
+        unansweredAtPoll.set(run, pollsSent);
+      } else confirmedAtPoll.set(run, pollsSent);
+      if (run.stopReason !== "" && run.state !== "stopping") {
+        void repeatStop(run);
+      }
+    }
+  };
+
+  takeOverRuns();
   void loop();
   return session;
 }
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -21,8 +21,9 @@
   addRun,
   createExecutorState,
   type ExecutorState,
+  occupiedBy,
 } from "../executor_state.ts";
-import type { ExecutorSession } from "./session_types.ts";
+import type { Adoption, ExecutorSession } from "./session_types.ts";
 import { createExecutorSession } from "./executor_session.ts";
 
 /** Adds and removes executors as the platform's list says. */
@@ -217,21 +218,28 @@
   });
 }
 
-/** Takes over a run of an earlier owner; returns false if it must stop. */
+/** Takes over a run of an earlier owner, unless it must stop. */
 function adoptRun(
   owner: OwnerState,
   executor: ExecutorState,
   report: RunReport,
-): boolean {
+): Adoption {
   const task = findTask(owner.jobs, report.task);
-  if (task === undefined) return false;
+  if (task === undefined) {
+    // The size is unknown, so that the run may occupy the whole executor.
+    return { isAdopted: false, size: executor.report.capacity };
+  }
   const { job, step } = task.group;
   task.lastRunNumber = Math.max(task.lastRunNumber, report.run);
-  if (hasJobEnded(job) || task.isDone) return false;
+  const mustStop: Adoption = {
+    isAdopted: false,
+    size: occupiedBy(task.group),
+  };
+  if (hasJobEnded(job) || task.isDone) return mustStop;
   if (!step.isSpeculative) {
     // An answer that arrives after a newer one may list a run that has ended.
     const hasRunEnded = report.run <= task.lastEndedRunNumber;
-    if (hasRunEnded || task.runs.length > 0) return false;
+    if (hasRunEnded || task.runs.length > 0) return mustStop;
   }
   const run: Run = {
     task,
@@ -260,7 +268,7 @@
     run: report.run,
     executor: executor.id,
   });
-  return true;
+  return { isAdopted: true };
 }
 
 function handleChange(owner: OwnerState, executor: ExecutorState): void {
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -7,6 +7,13 @@
 import type { Run } from "../job.ts";
 import type { ExecutorClient, RunEnd, RunReport } from "../ports.ts";
 import type { ExecutorState } from "../executor_state.ts";
+import type { Size } from "../submission.ts";
+
+/** Decision about a run that the owner did not track. */
+export type Adoption =
+  | { isAdopted: true }
+  /** The run must stop, and occupies this capacity until then. */
+  | { isAdopted: false; size: Size };
 
 /** Calls from a session to the partition owner. */
 export type SessionCallbacks = {
@@ -18,10 +25,10 @@
   /** The executor reports the end of a run that this owner does not track. */
   onUnknownEnd(executor: ExecutorState, end: RunEnd): void;
   /**
-   * The executor reports a run that this owner does not track. Returns whether
-   * the owner has adopted it; otherwise the run is stopped.
+   * The executor reports a run that this owner does not track. If the owner
+   * does not adopt it, the run is stopped.
    */
-  onUnknownRun(executor: ExecutorState, report: RunReport): boolean;
+  onUnknownRun(executor: ExecutorState, report: RunReport): Adoption;
   /** Calls back once the results of all reported ends are stored. */
   whenStored(callback: () => void): void;
   /** The executor has answered, failed to answer or been removed. */
