Untie seven pairs of files that import each other

Types that both sides need move to files of their own: the handover record, recent outcomes, options of the job control, the plan of moves, the dependencies of the daemon, the scheduler that policies create. The job checker states what it reads of a simulation instead of importing it. No logic changes.

--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -7,8 +7,6 @@
 import { FENCING_TIMEOUT_MS, splitSlotKey } from "@lagoonloom/decisions";
 import type { OperatorHandlers } from "@lagoonloom/operators";
 import type { PeerClient, PeerHandlers } from "@lagoonloom/peers";
-import type { PlatformClient } from "@lagoonloom/platform";
-import type { EventLog, Metrics } from "@lagoonloom/telemetry";
 import { appendAndFold } from "./append_and_fold.ts";
 import {
   type ClaimsFollower,
@@ -16,6 +14,7 @@
 } from "./claims_follower.ts";
 import { type ControlFold, createControlFold } from "./control_fold.ts";
 import { createCheckpoints } from "./checkpoints.ts";
+import type { DaemonDependencies } from "./daemon_dependencies.ts";
 import { createHostListCache } from "./host_list_cache.ts";
 import { createJobLoop } from "./jobs/mod.ts";
 import { listPeerTargets } from "./list_peer_targets.ts";
@@ -40,7 +39,6 @@
 import { createDaemonRequestPath } from "./request_path.ts";
 import type { RequestPath } from "./requests/mod.ts";
 import { createRunningSlots } from "./running_slots.ts";
-import type { DaemonSettings } from "./settings.ts";
 import { createSlotControl } from "./slot_control.ts";
 import { createWorkerClient } from "@lagoonloom/workers";
 import { createTopologyUpdater } from "./topology_updater.ts";
@@ -48,16 +46,6 @@
 /** Interval of the daemon's ticks in milliseconds. */
 const TICK_MS = 100;
 
-/** Clients and settings that a daemon is created with. */
-export type DaemonDependencies = {
-  settings: DaemonSettings;
-  platform: PlatformClient;
-  connectPeer: (address: string) => PeerClient;
-  events: EventLog;
-  metrics: Metrics;
-  createIncarnation: () => string;
-};
-
 /** Daemon of an entry host without its network listeners. */
 export type Daemon = {
   fold: ControlFold;
--- a/packages/daemon/mod.ts
+++ b/packages/daemon/mod.ts
@@ -5,5 +5,6 @@
  */
 
 export * from "./create_daemon.ts";
+export * from "./daemon_dependencies.ts";
 export * from "./settings.ts";
 export * from "./start_daemon.ts";
--- a/packages/daemon/request_path.ts
+++ b/packages/daemon/request_path.ts
@@ -6,7 +6,7 @@
 
 import { AnswerRecord } from "@lagoonloom/records";
 import type { ControlFold } from "./control_fold.ts";
-import type { DaemonDependencies } from "./create_daemon.ts";
+import type { DaemonDependencies } from "./daemon_dependencies.ts";
 import type { Membership } from "./membership.ts";
 import { awaitOutcomeAt, forwardTo } from "./peer_handlers.ts";
 import type { PeerLinks } from "./peer_links.ts";
--- a/packages/decisions/fold/apply_record.ts
+++ b/packages/decisions/fold/apply_record.ts
@@ -32,10 +32,8 @@
 import { foldSetChanged } from "./internal/fold_set.ts";
 import { foldWaveChanged } from "./internal/fold_wave.ts";
 import { refuse } from "./internal/outcomes.ts";
-import {
-  OUTCOME_WINDOW_OFFSETS,
-  type RecordOutcome,
-} from "./record_outcome.ts";
+import type { RecordOutcome } from "./recent_outcome.ts";
+import { OUTCOME_WINDOW_OFFSETS } from "./record_outcome.ts";
 
 /**
  * Folds one record of the stream `control` into the state, in place, and
--- a/packages/decisions/fold/fleet_state.ts
+++ b/packages/decisions/fold/fleet_state.ts
@@ -7,7 +7,7 @@
 
 import { emptyObjectSet, type ObjectSet } from "@lagoonloom/objects";
 import type { JobState, TeamUsage, WorkerState } from "./job_state.ts";
-import type { RecentOutcome } from "./record_outcome.ts";
+import type { RecentOutcome } from "./recent_outcome.ts";
 
 /** Entry host that has joined and neither left nor been reported as lost. */
 export type Member = {
--- a/packages/decisions/fold/internal/fold_checkpoint.ts
+++ b/packages/decisions/fold/internal/fold_checkpoint.ts
@@ -7,7 +7,7 @@
 
 import type { ControlRecord, LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "../fleet_state.ts";
-import type { RecordOutcome } from "../record_outcome.ts";
+import type { RecordOutcome } from "../recent_outcome.ts";
 import { APPLIED, refuse } from "./outcomes.ts";
 
 type Checkpoint = Extract<ControlRecord, { type: "checkpoint" }>;
--- a/packages/decisions/fold/internal/fold_job.ts
+++ b/packages/decisions/fold/internal/fold_job.ts
@@ -7,7 +7,7 @@
 import type { ControlRecord, LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "../fleet_state.ts";
 import type { JobState, WorkerState } from "../job_state.ts";
-import type { RecordOutcome } from "../record_outcome.ts";
+import type { RecordOutcome } from "../recent_outcome.ts";
 import { checkTerm } from "./fold_decider.ts";
 import { APPLIED, getOwn, refuse } from "./outcomes.ts";
 import { addUsage, findExceededQuota } from "./team_usage.ts";
--- a/packages/decisions/fold/internal/fold_move.ts
+++ b/packages/decisions/fold/internal/fold_move.ts
@@ -7,7 +7,7 @@
 import type { ControlRecord, LogRecord } from "@lagoonloom/records";
 import { findJoinBlocker } from "../../budgets/find_join_blocker.ts";
 import type { FleetState, HostState } from "../fleet_state.ts";
-import type { RecordOutcome } from "../record_outcome.ts";
+import type { RecordOutcome } from "../recent_outcome.ts";
 import { findHostForDecision } from "./fold_permit.ts";
 import { indexHost, setMove } from "./host_index.ts";
 import { APPLIED, getOwn, refuse } from "./outcomes.ts";
--- a/packages/decisions/fold/internal/fold_permit.ts
+++ b/packages/decisions/fold/internal/fold_permit.ts
@@ -8,7 +8,7 @@
 import { findOutageBlocker } from "../../budgets/find_outage_blocker.ts";
 import { poolCapacity } from "../../budgets/pool_capacity.ts";
 import type { FleetState, HostState } from "../fleet_state.ts";
-import type { RecordOutcome } from "../record_outcome.ts";
+import type { RecordOutcome } from "../recent_outcome.ts";
 import { checkTerm } from "./fold_decider.ts";
 import { setMove } from "./host_index.ts";
 import { APPLIED, getOwn, refuse } from "./outcomes.ts";
--- a/packages/decisions/fold/internal/fold_set.ts
+++ b/packages/decisions/fold/internal/fold_set.ts
@@ -15,7 +15,7 @@
 import { isAvailable } from "../../budgets/pool_capacity.ts";
 import { poolLimits, requiredHosts } from "../../budgets/pool_limits.ts";
 import type { FleetState } from "../fleet_state.ts";
-import type { RecordOutcome } from "../record_outcome.ts";
+import type { RecordOutcome } from "../recent_outcome.ts";
 import { indexHost, setMove } from "./host_index.ts";
 import { APPLIED, getOwn, refuse } from "./outcomes.ts";
 
--- a/packages/decisions/fold/internal/outcomes.ts
+++ b/packages/decisions/fold/internal/outcomes.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RecordOutcome } from "../record_outcome.ts";
+import type { RecordOutcome } from "../recent_outcome.ts";
 
 /** Outcome of a record that took effect. */
 export const APPLIED: RecordOutcome = { type: "applied" };
--- a/packages/decisions/fold/mod.ts
+++ b/packages/decisions/fold/mod.ts
@@ -9,4 +9,5 @@
 export * from "./encode_checkpoint.ts";
 export * from "./fleet_state.ts";
 export * from "./job_state.ts";
+export * from "./recent_outcome.ts";
 export * from "./record_outcome.ts";
--- a/packages/decisions/fold/record_outcome.ts
+++ b/packages/decisions/fold/record_outcome.ts
@@ -1,25 +1,12 @@
 /**
- * Outcomes of folded records, by which appenders learn whether their records
- * took effect.
+ * Looks up outcomes of folded records, by which appenders learn whether their
+ * records took effect.
  *
  * @module
  */
 
 import type { FleetState } from "./fleet_state.ts";
-
-/** Whether a record took effect, and the reason if it did not. */
-export type RecordOutcome =
-  | { type: "applied" }
-  /** A record with the same id was folded before and determines the outcome. */
-  | { type: "duplicate" }
-  | { type: "refused"; reason: string };
-
-/** Outcome of a recently folded record, with the record's offset and time. */
-export type RecentOutcome = {
-  offset: number;
-  timeMs: number;
-  outcome: RecordOutcome;
-};
+import type { RecentOutcome } from "./recent_outcome.ts";
 
 /**
  * Number of offsets for which the outcomes of records are kept.
--- a/packages/decisions/placement/internal/term_tracker.ts
+++ b/packages/decisions/placement/internal/term_tracker.ts
@@ -5,7 +5,10 @@
  */
 
 import type { Decider, FleetState } from "../../fold/fleet_state.ts";
-import type { AdvanceJobsOptions, JobControlOptions } from "../job_control.ts";
+import type {
+  AdvanceJobsOptions,
+  JobControlOptions,
+} from "../job_control_options.ts";
 import { OFFLINE_RENEWAL_MS } from "../task_lease.ts";
 
 /** Time in milliseconds within which a member that is lost stops acting. */
--- a/packages/decisions/placement/job_control.ts
+++ b/packages/decisions/placement/job_control.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { DeciderTerm, PlannedRecord } from "../deciders/planned_record.ts";
+import type { PlannedRecord } from "../deciders/planned_record.ts";
 import type { FleetState } from "../fold/fleet_state.ts";
 import { START_WINDOW_MS } from "./internal/plan_attempts.ts";
 import {
@@ -20,6 +20,11 @@
   createWorkerTracker,
   type WorkerTracker,
 } from "./internal/worker_tracker.ts";
+import type {
+  AdvanceJobsOptions,
+  JobControlOptions,
+  JobRole,
+} from "./job_control_options.ts";
 import type { JobPlan, TaskAction } from "./job_plan.ts";
 import { planJobs } from "./plan_jobs.ts";
 import { leaseBound, reportCycleMs, taskLeaseMs } from "./task_lease.ts";
@@ -31,25 +36,6 @@
  */
 export const MAX_PENDING_MS = 30_000;
 
-/** Role of this daemon for a data centre. */
-export type JobRole =
-  /** It holds the decider's lease and places jobs. */
-  | { type: "decider"; term: DeciderTerm }
-  /** It was the last decider, can't read the log, and only renews leases. */
-  | { type: "renewer"; term: DeciderTerm };
-
-/** Options of {@linkcode JobControl.advance}. */
-export type AdvanceJobsOptions = {
-  /** Role of this daemon, or undefined if it has none. */
-  role: JobRole | undefined;
-  /** Log time now in milliseconds. */
-  nowMs: number;
-  /** Reports whether a member is known to have folded up to an offset. */
-  hasFolded?: (member: string, offset: number) => boolean;
-  /** Whether urgent jobs may preempt others; true by default. */
-  mayPreempt?: boolean;
-};
-
 /** Records to append and calls to make for the jobs of a data centre. */
 export type JobSteps = Pick<JobPlan, "records" | "blocked"> & {
   calls: WorkerCall[];
@@ -69,9 +55,6 @@
   recordNotAppended(id: string): void;
 };
 
-/** Options of {@linkcode createJobControl}. */
-export type JobControlOptions = { scope: string; holder: string };
-
 /**
  * Creates the control loop for a data centre's jobs. It plans records and calls
  * and tracks the pending ones; the caller sends them and reports the outcomes.
--- a/packages/decisions/placement/mod.ts
+++ b/packages/decisions/placement/mod.ts
@@ -6,6 +6,7 @@
 
 export * from "./find_placement_blocker.ts";
 export * from "./job_control.ts";
+export * from "./job_control_options.ts";
 export * from "./job_observations.ts";
 export * from "./job_plan.ts";
 export * from "./job_size.ts";
--- a/packages/decisions/pools/internal/plan_open_moves.ts
+++ b/packages/decisions/pools/internal/plan_open_moves.ts
@@ -9,7 +9,7 @@
   type WorkObservation,
   type WorkObservations,
 } from "../../waves/work_observation.ts";
-import type { MovePlan } from "../plan_moves.ts";
+import type { MovePlan } from "../move_plan.ts";
 
 type PlanOpenMovesOptions = { plan: MovePlan; term: DeciderTerm };
 
--- a/packages/decisions/pools/mod.ts
+++ b/packages/decisions/pools/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./demand_estimate.ts";
+export * from "./move_plan.ts";
 export * from "./needed_hosts.ts";
 export * from "./plan_moves.ts";
 export * from "./pool_balance.ts";
--- a/packages/decisions/pools/plan_moves.ts
+++ b/packages/decisions/pools/plan_moves.ts
@@ -15,6 +15,7 @@
 import { getOwn } from "../fold/internal/outcomes.ts";
 import type { WorkObservations } from "../waves/work_observation.ts";
 import { planOpenMoves } from "./internal/plan_open_moves.ts";
+import type { MovePlan } from "./move_plan.ts";
 import { balancePools, type PoolBalance } from "./pool_balance.ts";
 import {
   DONOR_MARGIN_HOSTS,
@@ -56,15 +57,6 @@
   moveCostS?: number;
 };
 
-/** Next steps of the moves in one data centre. */
-export type MovePlan = {
-  records: PlannedRecord[];
-  /** Hosts that belong to their new pool and have to restart now. */
-  reboots: string[];
-  /** Reasons of the pools that lack hosts and get none now. */
-  waiting: Map<string, string>;
-};
-
 /**
  * Plans the next steps of open moves and starts new ones: first to the pools
  * that the set names for hosts, then to pools that lack hosts, then back to the
--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -5,35 +5,11 @@
  * @module
  */
 
-import { z } from "zod";
 import { findTask, type Task } from "../job.ts";
 import { HANDOVER_KEY } from "../topics.ts";
+import type { Handover, HandoverRun } from "./handover_record.ts";
 import type { OwnerState } from "./owner_state.ts";
 
-/** Schema of a run that goes on when its owner gives up the partition. */
-const HandoverRun = z.object({
-  task: z.string(),
-  run: z.number(),
-  executor: z.string(),
-  /** Longest time in milliseconds until the executor's lease expires. */
-  leaseMs: z.number(),
-});
-
-/** Run that goes on when its owner gives up the partition. */
-export type HandoverRun = z.infer<typeof HandoverRun>;
-
-/** Schema of a handover. Durations count from the time it was stored. */
-const Handover = z.object({
-  runs: z.array(HandoverRun),
-  /** Executors that may have runs which the owner does not know of. */
-  unheard: z.array(z.string()),
-  /** Longest time in milliseconds for which such runs may go on. */
-  blockedMs: z.number(),
-});
-
-/** Runs that may go on after an owner has given up the partition. */
-export type Handover = z.infer<typeof Handover>;
-
 /**
  * Stores the running tasks, and the executors that have not answered since this
  * owner took over. The next owner only waits for these.
@@ -74,12 +50,6 @@
   return Math.max(0, Math.ceil(monotonicMs - performance.now()));
 }
 
-/** Decodes a stored handover; returns undefined if there is none. */
-export function decodeHandover(document: unknown): Handover | undefined {
-  const parsed = Handover.safeParse(document);
-  return parsed.success ? parsed.data : undefined;
-}
-
 /**
  * Applies the handover of the previous owner. Its running tasks stay blocked
  * until their executors answer or the leases there have expired. If some
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -13,7 +13,7 @@
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
 import type { ExecutorSession } from "../run/session_types.ts";
 import type { ExecutorState } from "../executor_state.ts";
-import type { HandoverRun } from "./handover.ts";
+import type { HandoverRun } from "./handover_record.ts";
 import type { Layout } from "./layout.ts";
 
 /** Newest state of the platform, which an owner reads at each decision. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -34,7 +34,8 @@
 import type { JobState } from "../submission.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
 import type { ExecutorState } from "../executor_state.ts";
-import { applyHandover, decodeHandover, storeHandover } from "./handover.ts";
+import { applyHandover, storeHandover } from "./handover.ts";
+import { decodeHandover } from "./handover_record.ts";
 import {
   type LoadedPartition,
   loadPartition,
--- a/packages/measure/requests/policy.ts
+++ b/packages/measure/requests/policy.ts
@@ -8,21 +8,11 @@
   advanceScheduler,
   createScheduler,
   reportSlots,
-  type SchedulerAction,
-  type SchedulerEvent,
-  type SlotReport,
   type Topology,
 } from "@lagoonloom/decisions";
+import type { RequestScheduler } from "./request_scheduler.ts";
 import { createSharedQueue } from "./shared_queue.ts";
 
-/** Scheduler of one entry host. */
-export type RequestScheduler = {
-  /** Handles an event and returns the actions to perform. */
-  advance: (event: SchedulerEvent, nowMs: number) => SchedulerAction[];
-  /** Returns the slots of each pool that a heartbeat reports. */
-  reportSlots: (nowMs: number) => SlotReport[];
-};
-
 /** Policy by which requests are scheduled. */
 export type Policy = {
   name: string;
--- a/packages/measure/requests/shared_queue.ts
+++ b/packages/measure/requests/shared_queue.ts
@@ -3,7 +3,7 @@
   SchedulerAction,
   Topology,
 } from "@lagoonloom/decisions";
-import type { RequestScheduler } from "./policy.ts";
+import type { RequestScheduler } from "./request_scheduler.ts";
 
 /** Number of waiting requests from which on new ones are refused. */
 const MAX_QUEUE_LENGTH = 4_096;
--- a/packages/measure/requests/simulate_requests.ts
+++ b/packages/measure/requests/simulate_requests.ts
@@ -17,7 +17,8 @@
 } from "../event_queue.ts";
 import type { Arrival } from "./demand.ts";
 import { type Deployment, LOCAL_LATENCY_MS } from "./deployment.ts";
-import type { Policy, RequestScheduler } from "./policy.ts";
+import type { Policy } from "./policy.ts";
+import type { RequestScheduler } from "./request_scheduler.ts";
 import {
   createSlotOwnerLookup,
   createTopology,
--- a/packages/standins/jobs/job_checker.ts
+++ b/packages/standins/jobs/job_checker.ts
@@ -6,8 +6,7 @@
 
 import type { FleetState, RecordOutcome } from "@lagoonloom/decisions";
 import type { ControlRecord } from "@lagoonloom/records";
-import type { WorkerTask } from "../worker_tasks.ts";
-import type { JobModel } from "./job_model.ts";
+import type { WorkerTask, WorkerTasks } from "../worker_tasks.ts";
 
 /** Time in milliseconds in which a cancelled job may still start. */
 const START_WINDOW_MS = 5_000;
@@ -18,18 +17,27 @@
 /** Age in milliseconds from which a task's actual usage counts. */
 const USAGE_SETTLING_MS = 30_000;
 
+/** State of the simulation that the checker reads. */
+export type CheckedModel = {
+  nowMs: number;
+  referenceState: FleetState;
+  log: { visibilityDelayMs: number };
+  workers: ReadonlyMap<string, { agent: WorkerTasks }>;
+  reportsHalfUsage: boolean;
+};
+
 /** Checker of the jobs' invariants, independent of the deciders' own counts. */
 export type JobChecker = {
   /** Descriptions of the first violations, at most 20. */
   violations: string[];
   /** Checks a record that was just applied to the reference state. */
   checkRecord(
-    model: JobModel,
+    model: CheckedModel,
     body: ControlRecord,
     outcome: RecordOutcome,
   ): void;
   /** Checks a task that a worker has just started or ended. */
-  checkTask(model: JobModel, worker: string, task: WorkerTask): void;
+  checkTask(model: CheckedModel, worker: string, task: WorkerTask): void;
 };
 
 /**
@@ -124,7 +132,7 @@
   return isOver ? `${teamName} is over its quota` : undefined;
 }
 
-function findOverload(model: JobModel, name: string): string | undefined {
+function findOverload(model: CheckedModel, name: string): string | undefined {
   if (model.reportsHalfUsage) return undefined;
   const { referenceState, nowMs } = model;
   const host = referenceState.set.hosts[name]!;
@@ -151,7 +159,7 @@
 
 /** Finds an urgent job that could have run instead of the placed one. */
 function findBypassedUrgentJob(
-  model: JobModel,
+  model: CheckedModel,
   body: JobPlaced,
 ): string | undefined {
   const { referenceState, nowMs } = model;
