Keep the deadline of an upkeep wave across owners, and drain machines to the end

And the machines to drain were chosen anew four times a second by the load of their pools, so that a machine that was draining got tasks again when the loads changed; idle machines waited behind busy ones of a pool with less load.

Change: the deadline is stored with the wave; idle machines come first, then those that are draining, then the others by the load of their pool.

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -105,6 +105,8 @@
   let machines = new Map<string, Machine>();
   let listedAtMs = -Infinity;
   let demand = new Map<string, ServiceDemand>();
+  /** Machines that were selected for upkeep and are draining. */
+  let draining: ReadonlySet<string> = new Set();
   let isClosed = false;
   let isReleasing = false;
   /** Monotonic time until which an earlier owner may still send orders. */
@@ -194,6 +196,7 @@
       machines,
       down: machinesInUpkeep(),
       ordered: new Set(orders.unsettled().keys()),
+      draining,
       idle: new Set(idleSinceMs.keys()),
       standbyPools: standbyPools(),
       loadOf,
@@ -276,6 +279,7 @@
     waves.update(options.waves());
     await refreshMachines();
     const upkeep = mayOrder() ? planCurrentUpkeep() : new Map<string, number>();
+    draining = new Set(upkeep.keys());
     const moves = mayOrder() ? planCurrentMoves(new Set(upkeep.keys())) : [];
     const selected = [
       ...upkeep.keys(),
--- a/packages/jobs/machines/plan_upkeep.ts
+++ b/packages/jobs/machines/plan_upkeep.ts
@@ -29,6 +29,8 @@
   down: ReadonlySet<string>;
   /** Machines with an order that has not taken effect. */
   ordered: ReadonlySet<string>;
+  /** Machines that the previous plan selected, which are draining since. */
+  draining: ReadonlySet<string>;
   /** Executors that run nothing. */
   idle: ReadonlySet<string>;
   /** Pools whose machines are off and cost nothing. */
@@ -43,10 +45,11 @@
 
 /**
  * Selects the machines to drain for upkeep next. Idle machines are selected at
- * once, busy ones only as fast as the deadline of the wave requires, and
- * machines of the pools with the least load come first. At most as many
- * machines as the wave allows are down at a time, and at most a third of a
- * pool that is not on standby.
+ * once, busy ones only as fast as the deadline of the wave requires. A busy
+ * machine stays selected until it is drained; otherwise, the machines of the
+ * pools with the least load come first. At most as many machines as the wave
+ * allows are down at a time, and at most a third of a pool that is not on
+ * standby.
  *
  * @example
  * ```ts
@@ -69,11 +72,13 @@
     let slots = active.wave.maxDown - downCount;
     let needed = neededConcurrency(remaining.length, active, input.nowMs) -
       downCount;
-    remaining.sort((a, b) => rankOf(a, input) - rankOf(b, input));
+    remaining.sort((a, b) =>
+      rankOf(a, input) - rankOf(b, input) ||
+      input.loadOf(a.pool) - input.loadOf(b.pool)
+    );
     for (const machine of remaining) {
       if (slots <= 0) break;
-      const isMachineIdle = isIdle(machine, input);
-      if (!isMachineIdle && needed <= 0) break;
+      if (!isIdle(machine, input) && needed <= 0) break;
       if (!isWithinPoolLimit(machine, { input, unavailableByPool })) continue;
       plan.set(machine.id, active.wave.wave);
       countMachine(unavailableByPool, machine.pool);
@@ -102,8 +107,9 @@
 
 /** Returns the order of selection; a machine with a lower value comes first. */
 function rankOf(machine: Machine, input: UpkeepPlanInput): number {
-  if (input.standbyPools.has(machine.pool)) return -1;
-  return input.loadOf(machine.pool) + (isIdle(machine, input) ? 0 : 1);
+  if (input.standbyPools.has(machine.pool)) return 0;
+  if (isIdle(machine, input)) return 1;
+  return input.draining.has(machine.id) ? 2 : 3;
 }
 
 /** Largest share of a pool that upkeep may make unavailable. */
--- a/packages/jobs/machines/plan_upkeep_test.ts
+++ b/packages/jobs/machines/plan_upkeep_test.ts
@@ -16,6 +16,7 @@
     ])),
     down: new Set(),
     ordered: new Set(),
+    draining: new Set(),
     idle: new Set(ids.map((id) => `e-${id}`)),
     standbyPools: new Set(["spare"]),
     loadOf: () => 0,
@@ -58,6 +59,42 @@
     expect(planUpkeep(inputOf({ idle, nowMs: 20_000 })).size).toBe(2);
   });
 
+  // Guards against a machine that never drains, as another one is selected
+  // whenever the loads of the pools change.
+  test("keeps draining a busy machine when the loads change", () => {
+    const machines = new Map<string, Machine>([
+      ["q1", { id: "q1", pool: "quoting", state: "up", executor: "e-q1" }],
+      ["s1", { id: "s1", pool: "shipping", state: "up", executor: "e-s1" }],
+    ]);
+    const input = inputOf({ idle: new Set(), machines });
+    input.waves[0]!.wave.machines = ["q1", "s1"];
+    const select = (draining: string[], busyPool: string) => [
+      ...planUpkeep({
+        ...input,
+        draining: new Set(draining),
+        loadOf: (pool) => pool === busyPool ? 9_000 : 1_000,
+      }).keys(),
+    ];
+    expect(select([], "shipping")).toEqual(["q1"]);
+    expect(select(["q1"], "quoting")).toEqual(["q1"]);
+  });
+
+  // Guards against idle machines that wait behind busy ones of another pool.
+  test("selects idle machines of a busy pool", () => {
+    const machines = new Map<string, Machine>([
+      ["q1", { id: "q1", pool: "quoting", state: "up", executor: "e-q1" }],
+      ["s1", { id: "s1", pool: "shipping", state: "up", executor: "e-s1" }],
+      ["s2", { id: "s2", pool: "shipping", state: "up", executor: "e-s2" }],
+    ]);
+    const input = inputOf({
+      idle: new Set(["e-q1"]),
+      machines,
+      loadOf: (pool) => pool === "quoting" ? 9_000 : 0,
+    });
+    input.waves[0]!.wave.machines = ["s1", "s2", "q1"];
+    expect(planUpkeep(input).get("q1")).toBe(1);
+  });
+
   // Guards against standby machines that wait because of the limit per pool.
   test("applies no pool limit to standby machines", () => {
     const input = inputOf();
--- a/packages/jobs/machines/wave_tracker.ts
+++ b/packages/jobs/machines/wave_tracker.ts
@@ -17,10 +17,13 @@
 const StoredWave = z.object({
   begun: z.array(z.string()),
   isCompleted: z.boolean(),
+  /** Unix time of the deadline; absent in records of earlier versions. */
+  dueUnixMs: z.number().optional(),
 });
 
 type WaveState = {
   wave: UpkeepWave;
+  /** Monotonic time of the deadline. */
   dueAtMs: number;
   startedMachines: Set<string>;
   isCompleted: boolean;
@@ -72,6 +75,7 @@
       JSON.stringify({
         begun: [...state.startedMachines],
         isCompleted: state.isCompleted,
+        dueUnixMs: Date.now() + state.dueAtMs - performance.now(),
       }));
 
   /** Returns whether the upkeep of a machine is over or it was removed. */
@@ -109,13 +113,16 @@
           continue;
         }
         const restored = stored.get(wave.wave);
-        waves.set(wave.wave, {
+        const state: WaveState = {
           wave,
-          dueAtMs: performance.now() + wave.finishByS * 1_000,
+          dueAtMs: performance.now() + remainingMs(wave, restored?.dueUnixMs),
           startedMachines: new Set(restored?.begun),
           isCompleted: restored?.isCompleted ?? false,
           isAnnounced: restored?.isCompleted ?? false,
-        });
+        };
+        waves.set(wave.wave, state);
+        // Later owners plan for the same deadline.
+        if (restored === undefined) save(state);
       }
     },
     active: () =>
@@ -155,6 +162,16 @@
   };
 }
 
+/**
+ * Returns the time until the deadline of a wave in milliseconds. The clocks of
+ * two owners may differ, but no deadline is later than that of a new wave.
+ */
+function remainingMs(wave: UpkeepWave, dueUnixMs: number | undefined): number {
+  const totalMs = wave.finishByS * 1_000;
+  if (dueUnixMs === undefined) return totalMs;
+  return Math.min(Math.max(dueUnixMs - Date.now(), 0), totalMs);
+}
+
 function waveKey(wave: number): string {
   return `wave.${wave}`;
 }
