Serve late jobs whose callers still wait before those that nobody waits for

Cause: among jobs that miss their due time, the earliest due came first.

Change: three classes of lateness by the remaining path: in time, late, abandoned. Code of its own in due_time.ts, without a network.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -8,7 +8,7 @@
 import { createDueOccurrences, createJob, hasEnded, type Job } from "../job.ts";
 import { decodeAccepted } from "../owned/load_partition.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
-import { dueTime } from "../placed/due_time.ts";
+import { objectiveMs } from "../placed/due_time.ts";
 import type { StoredRecord } from "../ports.ts";
 import type { AcceptedJob } from "../submission.ts";
 import { JOBS_TOPIC, parseJobKey } from "../topics.ts";
@@ -30,8 +30,12 @@
 ): Job {
   const known = owner.jobs.get(id);
   if (known !== undefined) return known;
-  const job = createJob(id, { accepted, offset, isInherited, dueAtMs: 0 });
-  job.dueAtMs = dueTime(accepted, queueOf(owner, job));
+  const job = createJob(id, {
+    accepted,
+    offset,
+    isInherited,
+    objectiveMs: objectiveMs(accepted, queueOf(owner, { accepted })),
+  });
   owner.jobs.set(id, job);
   createDueTasks(owner, job);
   if (!isInherited) {
--- a/packages/jobs/ended/progress_test.ts
+++ b/packages/jobs/ended/progress_test.ts
@@ -7,7 +7,7 @@
   const job = createJob(JOB_ID, {
     accepted: createAccepted([createStep({ count: 9 })]),
     offset: 0,
-    dueAtMs: 0,
+    objectiveMs: 0,
     isInherited: true,
   });
   createDueOccurrences(job, { unixMs: 0, monotonicMs: 0, blockedUntilMs: 0 });
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -13,8 +13,7 @@
 export type CreateJobOptions = {
   accepted: AcceptedJob;
   offset: number;
-  /** Unix time by which the first occurrence should have completed. */
-  dueAtMs: number;
+  objectiveMs: number;
   isInherited: boolean;
 };
 
@@ -56,7 +55,7 @@
 
 /** Returns the Unix time by which an occurrence should have completed. */
 export function dueTimeOf(job: Job, occurrence: number): number {
-  return job.dueAtMs + occurrence * job.accepted.submission.intervalMs;
+  return scheduledTimeOf(job, occurrence) + job.objectiveMs;
 }
 
 /** Returns the groups of each occurrence that has tasks. */
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -87,8 +87,8 @@
   accepted: AcceptedJob;
   /** Offset of the accepting record; jobs with equal due times run in order. */
   offset: number;
-  /** Unix time by which its first occurrence should have completed. */
-  dueAtMs: number;
+  /** Time in milliseconds in which each occurrence should complete. */
+  objectiveMs: number;
   isCancelled: boolean;
   hasFailed: boolean;
   hasStarted: boolean;
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -123,8 +123,11 @@
 }
 
 /** Returns the queue of a job; undefined if it is not configured any more. */
-export function queueOf(owner: OwnerState, job: Job): Queue | undefined {
-  const { queue } = job.accepted;
+export function queueOf(
+  owner: OwnerState,
+  { accepted }: Pick<Job, "accepted">,
+): Queue | undefined {
+  const { queue } = accepted;
   return owner.options.view.configuration()?.queues
     .find(({ name }) => name === queue);
 }
--- a/packages/jobs/placed/due_time.ts
+++ b/packages/jobs/placed/due_time.ts
@@ -41,19 +41,51 @@
 }
 
 /**
- * Returns the Unix time by which a job should have completed, or the first
- * occurrence of a job that runs repeatedly. Its queue allows
- * a multiple of its critical path, plus a constant latency.
+ * Returns the time in milliseconds in which a job, or each occurrence of it,
+ * should complete. Its queue allows a multiple of its critical path, plus a
+ * constant latency.
  */
-export function dueTime(
+export function objectiveMs(
   accepted: AcceptedJob,
   queue: { stretch: number; targetLatencyMs: number } | undefined,
 ): number {
   const pathMs = criticalPathMs(accepted.submission.steps);
-  const stretch = queue?.stretch ?? 1;
-  const latencyMs = queue?.targetLatencyMs ?? 0;
-  const startMs = accepted.submission.occurrences > 0
-    ? accepted.submission.firstRunMs
-    : accepted.acceptedAtMs;
-  return startMs + stretch * pathMs + latencyMs;
+  return (queue?.stretch ?? 1) * pathMs + (queue?.targetLatencyMs ?? 0);
+}
+
+/** Multiple of its objective for which the caller of a job waits. */
+const PATIENCE_FACTOR = 3;
+
+/** Least share of its estimate that a job takes, as estimates are rough. */
+const MIN_WORK_SHARE = 0.6;
+
+/**
+ * Class of an occurrence in the order of placement:
+ *
+ * - `0`: it can still complete by its due time.
+ * - `1`: it will be late, but its caller still waits for it.
+ * - `2`: nobody waits for it any more.
+ */
+export type Lateness = 0 | 1 | 2;
+
+/**
+ * Returns how late an occurrence would be if its remaining tasks started now.
+ *
+ * @example
+ * ```ts
+ * latenessOf(groups, { objectiveMs: 2_000, remainingMs: dueAtMs - unixMs });
+ * ```
+ */
+export function latenessOf(
+  groups: readonly TaskGroup[],
+  { objectiveMs, remainingMs }: {
+    objectiveMs: number;
+    /** Time until the due time, negative after it. */
+    remainingMs: number;
+  },
+): Lateness {
+  const neededMs = MIN_WORK_SHARE * remainingCriticalPathMs(groups);
+  if (remainingMs >= neededMs) return 0;
+  const patienceMs = remainingMs + (PATIENCE_FACTOR - 1) * objectiveMs;
+  return patienceMs >= neededMs ? 1 : 2;
 }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -14,7 +14,7 @@
   type TaskGroup,
 } from "../job.ts";
 import type { Size } from "../submission.ts";
-import { remainingCriticalPathMs } from "./due_time.ts";
+import { latenessOf } from "./due_time.ts";
 import {
   type ExecutorState,
   isSchedulable,
@@ -48,9 +48,10 @@
 /**
  * Chooses executors for tasks that are ready to run. Lasting tasks come first
  * and filling ones last. Within these classes, jobs that can still be on time
- * come before late ones, then the order is by priority, due time and offset. A
- * task goes to the executor of the lowest cost that has capacity for it, which
- * is by default the one with the least free processor time.
+ * come first, then late ones whose callers still wait, as in an overload not
+ * all can be served; then the order is by priority, due time and offset. A task
+ * goes to the executor of the lowest cost that has capacity for it, which is by
+ * default the one with the least free processor time.
  *
  * @example
  * ```ts
@@ -88,7 +89,10 @@
       const waiting = groups.filter((group) => isWaiting(group, options));
       if (waiting.length === 0) continue;
       const dueAtMs = dueTimeOf(job, occurrence);
-      const isLate = willMissDueTime(groups, dueAtMs - options.unixMs) ? 1 : 0;
+      const lateness = latenessOf(groups, {
+        objectiveMs: job.objectiveMs,
+        remainingMs: dueAtMs - options.unixMs,
+      });
       for (const group of waiting) {
         const lastingRank = group.step.isLasting ? 0 : 1;
         const fillingRank = group.step.isFilling ? 2 : 0;
@@ -96,7 +100,7 @@
           group,
           rank: [
             lastingRank + fillingRank,
-            isLate,
+            lateness,
             options.priorityOf(job),
             dueAtMs,
             job.offset,
@@ -115,18 +119,6 @@
     group.tasks.some((task) => isPlaceable(task, options.monotonicMs));
 }
 
-/** Least share of its estimate that a job takes, as estimates are rough. */
-const MIN_WORK_SHARE = 0.6;
-
-/** Returns whether an occurrence would be late even if it started now. */
-function willMissDueTime(
-  groups: readonly TaskGroup[],
-  remainingMs: number,
-): boolean {
-  if (remainingMs < 0) return true;
-  return remainingMs < MIN_WORK_SHARE * remainingCriticalPathMs(groups);
-}
-
 function compareRanks(left: number[], right: number[]): number {
   for (let index = 0; index < left.length; index++) {
     if (left[index]! !== right[index]!) return left[index]! - right[index]!;
--- a/packages/jobs/placed/place_tasks_test.ts
+++ b/packages/jobs/placed/place_tasks_test.ts
@@ -7,12 +7,16 @@
 
 function jobOf(
   id: string,
-  { steps, dueAtMs = 10_000 }: { steps: Step[]; dueAtMs?: number },
+  { steps, dueAtMs = 10_000, acceptedAtMs = 0 }: {
+    steps: Step[];
+    dueAtMs?: number;
+    acceptedAtMs?: number;
+  },
 ): Job {
   const job = createJob(id, {
-    accepted: createAccepted(steps),
+    accepted: { ...createAccepted(steps), acceptedAtMs },
     offset: 0,
-    dueAtMs,
+    objectiveMs: dueAtMs - acceptedAtMs,
     isInherited: false,
   });
   createDueOccurrences(job, { unixMs: 0, monotonicMs: 0, blockedUntilMs: 0 });
@@ -122,6 +126,39 @@
     ]);
   });
 
+  // Guards against work for callers who have given up while others still wait:
+  // plays three times the load that an executor carries for ten seconds, and
+  // the time after it.
+  test("serves callers who still wait first after an overload", () => {
+    const size = { cpu: 16_000, memoryMb: 1, accelerators: 0 };
+    const steps = [createStep({ count: 1, size, estimateMs: 1_000 })];
+    const jobs: Job[] = [];
+    const latenciesMs: number[] = [];
+    for (let unixMs = 0; unixMs < 30_000; unixMs += 1_000) {
+      for (let index = 0; index < 3 && unixMs < 10_000; index++) {
+        const id = `${unixMs}-${index}`;
+        const times = { acceptedAtMs: unixMs, dueAtMs: unixMs + 2_000 };
+        jobs.push(jobOf(id, { steps, ...times }));
+      }
+      const [placement] = placeTasks(jobs, {
+        executors: [executorOf("e1")],
+        monotonicMs: 0,
+        unixMs,
+        priorityOf: () => 0,
+      });
+      if (placement === undefined) continue;
+      const { job } = placement.task.group;
+      job.endedAtMs = unixMs + 1_000;
+      latenciesMs.push(job.endedAtMs - job.accepted.acceptedAtMs);
+    }
+    expect(latenciesMs).toHaveLength(30);
+    const onTime = latenciesMs.filter((ms) => ms <= 2_000);
+    expect(onTime.length).toBeGreaterThanOrEqual(10);
+    // Callers wait for three times the objective, here for six seconds.
+    const inPatience = latenciesMs.filter((ms) => ms <= 6_000);
+    expect(inPatience.length).toBeGreaterThanOrEqual(15);
+  });
+
   // Guards against retrying a task on the executor where it failed, and against
   // never running it when there is no other executor.
   test("places a task where it failed only as a last resort", () => {
