Clear up starts without an answer when an executor restarts under its id

Cause, by reading: an executor that restarts under the id that it had knows neither the token nor the stops of before, and its clock starts anew. A start without an answer that is carried out seconds later then reaches the new process, while the owner took all runs of the old one for ended and placed the task elsewhere: two runs of a task (TWICE), and a run beyond the capacity (LIMIT).

Change: such starts move to the next incarnation, where a stop makes the process refuse them, and occupy capacity until it has confirmed that.

Both tests fail before and pass after.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -27,6 +27,7 @@
     failedCalls: 0,
     lastFailure: "",
     isRemoved: false,
+    hasRestarted: false,
     isReserved: false,
     consecutiveFailures: 0,
     failedJobs: new Set(),
@@ -84,6 +85,21 @@
   adjustFreeCapacity(run.executor, occupiedBy(run.task.group), 1);
 }
 
+/** Returns whether the start request of a run has no answer. */
+export function isUnanswered({ state }: Run): boolean {
+  return state === "starting" || state === "uncertain";
+}
+
+/** Moves a run to the next incarnation of its executor. */
+export function moveRun(run: Run, executor: ExecutorState): void {
+  const size = occupiedBy(run.task.group);
+  run.executor.runs.delete(run);
+  adjustFreeCapacity(run.executor, size, 1);
+  run.executor = executor;
+  executor.runs.add(run);
+  adjustFreeCapacity(executor, size, -1);
+}
+
 /** Returns whether an executor may be given new tasks. */
 export function isSchedulable(executor: ExecutorState, nowMs: number): boolean {
   return executor.clockOffsetMs !== undefined && !executor.isRemoved &&
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -145,6 +145,11 @@
   lastFailure: string;
   /** Whether the executor left the platform's list or has restarted. */
   isRemoved: boolean;
+  /**
+   * Whether an answer showed that it restarted under the same id. Starts
+   * without an answer may then still reach the new process.
+   */
+  hasRestarted: boolean;
   /** Whether it is drained for a move or for upkeep of its machine. */
   isReserved: boolean;
   /** Failed runs since the last one that was done. */
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -113,7 +113,7 @@
 }
 
 /** Stores that an executor may run tasks, for the next owners. */
-function recordUsedExecutor(owner: OwnerState, id: string): void {
+export function recordUsedExecutor(owner: OwnerState, id: string): void {
   if (owner.usedExecutors.has(id)) return;
   owner.usedExecutors.add(id);
   saveUsedExecutors(owner);
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -2,6 +2,7 @@
 import type { PollOutcome, RunEnd, RunReport } from "../ports.ts";
 import {
   type ExecutorState,
+  isUnanswered,
   removeRun,
   setUntrackedRuns,
 } from "../executor_state.ts";
@@ -133,7 +134,7 @@
         handleUnknownRun(report, untracked);
         continue;
       }
-      if (run.state === "starting" || run.state === "uncertain") {
+      if (isUnanswered(run)) {
         run.state = "running";
         confirmedAtPoll.set(run, pollsSent);
         unansweredAtPoll.delete(run);
@@ -207,6 +208,7 @@
       outcome.startedAtMs !== undefined &&
       outcome.startedAtMs !== executor.report.startedAtMs
     ) {
+      executor.hasRestarted = true;
       return markRemoved();
     }
     recordAnswer(executor, outcome.clockMs);
@@ -283,9 +285,7 @@
       if (!executor.runs.has(run)) return "ended";
       if (outcome.type === "started") {
         recordAnswer(executor, outcome.clockMs);
-        if (run.state === "starting" || run.state === "uncertain") {
-          run.state = "running";
-        }
+        if (isUnanswered(run)) run.state = "running";
         confirmedAtPoll.set(run, pollsSent);
         wake?.();
         return "started";
@@ -336,6 +336,7 @@
       if (confirmedMs < executor.leaseEndsMs) return;
       if (!executor.isRemoved && executor.failedCalls === 0) return;
       for (const run of [...executor.runs]) {
+        if (executor.hasRestarted && isUnanswered(run)) continue;
         removeRun(run);
         forgetRun(run);
         callbacks.onRunEnd(run, {
@@ -375,7 +376,7 @@
   /** Follows the runs that an earlier session with the executor started. */
   const takeOverRuns = () => {
     for (const run of executor.runs) {
-      if (run.state === "starting" || run.state === "uncertain") {
+      if (isUnanswered(run)) {
         run.state = "uncertain";
         unansweredAtPoll.set(run, pollsSent);
       } else confirmedAtPoll.set(run, pollsSent);
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -15,12 +15,17 @@
   OWNERSHIP_GRACE_MS,
   type OwnerState,
 } from "../owned/owner_state.ts";
-import { saveUsedExecutors } from "../placed/start_tasks.ts";
+import {
+  recordUsedExecutor,
+  saveUsedExecutors,
+} from "../placed/start_tasks.ts";
 import type { RunReport } from "../ports.ts";
 import {
   addRun,
   createExecutorState,
   type ExecutorState,
+  isUnanswered,
+  moveRun,
   occupiedBy,
 } from "../executor_state.ts";
 import type { Adoption, ExecutorSession } from "./session_types.ts";
@@ -121,12 +126,12 @@
     return;
   }
   if (report !== undefined) {
-    // The executor has restarted, so that its earlier runs have ended.
-    executor.leaseEndsMs = 0;
     confirmExecutor(owner, executor.id);
-    removeExecutor(owner, executor);
+    replaceExecutor(owner, executor, report);
     return;
   }
+  // It has not come back, so that its lease bounds all of its runs.
+  executor.hasRestarted = false;
   if (!executor.isRemoved) {
     executor.isRemoved = true;
     owner.options.events.log("executorGone", {
@@ -179,8 +184,33 @@
   if (owner.usedExecutors.delete(executor.id)) saveUsedExecutors(owner);
 }
 
+/**
+ * Replaces an executor that has restarted under the same id, so that its runs
+ * have ended. A start without an answer may still reach the new process, which
+ * knows nothing of it, so that the session with that one has to clear it up.
+ */
+function replaceExecutor(
+  owner: OwnerState,
+  executor: ExecutorState,
+  report: ExecutorReport,
+): void {
+  executor.leaseEndsMs = 0;
+  executor.hasRestarted = true;
+  const unanswered = [...executor.runs].filter(isUnanswered);
+  owner.sessions.get(executor)?.close();
+  const next = createExecutorState(report);
+  for (const run of unanswered) moveRun(run, next);
+  removeExecutor(owner, executor);
+  if (unanswered.length > 0) recordUsedExecutor(owner, next.id);
+  openExecutor(owner, next);
+}
+
 function addExecutor(owner: OwnerState, report: ExecutorReport): void {
-  const executor = createExecutorState(report);
+  openExecutor(owner, createExecutorState(report));
+}
+
+function openExecutor(owner: OwnerState, executor: ExecutorState): void {
+  const { report } = executor;
   executor.isReserved = owner.reservedExecutors.has(executor.id);
   owner.executors.set(executor.id, executor);
   owner.sessions.set(executor, openSession(owner, executor));
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -46,4 +46,50 @@
     await advanceTime(10_000);
     expect([...executor.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
   });
+
+  // Guards against two runs of a task, as a start that got no answer reaches
+  // the restarted process, which knows of neither its token nor a stop (TWICE).
+  test("refuses a late start that was sent before it restarted", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    executor.fault = "delayed";
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(100);
+    const restarted = fixture.addExecutor("e1", {
+      startedAtMs: 2,
+      isDraining: true,
+    });
+    const other = fixture.addExecutor("e2");
+    owner.refresh();
+    await advanceTime(2_000);
+    executor.deliverDelayed(restarted);
+    await advanceTime(2_000);
+    expect(restarted.starts.length + other.starts.length).toBe(1);
+    expect(restarted.running.size + other.running.size).toBe(1);
+  });
+
+  // Guards against the same while the platform's list does not show the restart
+  // yet, which the executor's answer does.
+  test("keeps a task that may start late until the list shows it", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    executor.fault = "delayed";
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(100);
+    const other = fixture.addExecutor("e2");
+    const oldReport = fixture.reports.get("e1")!;
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    restarted.fault = "delayed";
+    fixture.reports.set("e1", oldReport);
+    owner.refresh();
+    await advanceTime(2_000);
+    expect(other.starts).toEqual([]);
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    restarted.fault = undefined;
+    owner.refresh();
+    await advanceTime(1_000);
+    executor.deliverDelayed(restarted);
+    await advanceTime(1_000);
+    expect(restarted.starts.length + other.starts.length).toBe(1);
+  });
 });
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -41,8 +41,11 @@
   token: number;
   /** Time on the executor's clock at which its lease expires. */
   leaseExpiryMs: number;
-  /** Carries out the starts and stops that the fault `delayed` held back. */
-  deliverDelayed(): void;
+  /**
+   * Carries out the starts and stops that the fault `delayed` held back, at
+   * this executor or at the next process with its id.
+   */
+  deliverDelayed(at?: MemoryExecutor): void;
   /** Ends the current run of a task, if there is one. */
   end(task: string, result: RunEnd["result"]): void;
 };
@@ -63,7 +66,10 @@
  */
 export function createMemoryExecutors(): MemoryExecutors {
   const executors = new Map<string, MemoryExecutor>();
-  const delayedRequests = new Map<MemoryExecutor, (() => void)[]>();
+  const delayedRequests = new Map<
+    MemoryExecutor,
+    ((at: MemoryExecutor) => void)[]
+  >();
   const highestRuns = new Map<MemoryExecutor, Map<string, number>>();
   const pollWaiters = new Set<() => void>();
 
@@ -154,7 +160,7 @@
     }
     if (executor.fault === "delayed") {
       const requests = delayedRequests.get(executor) ?? [];
-      requests.push(() => run(executor));
+      requests.push(run);
       delayedRequests.set(executor, requests);
       return noAnswer;
     }
@@ -174,8 +180,8 @@
         starts: [],
         token: 0,
         leaseExpiryMs: 0,
-        deliverDelayed() {
-          for (const run of delayedRequests.get(executor) ?? []) run();
+        deliverDelayed(at = executor) {
+          for (const run of delayedRequests.get(executor) ?? []) run(at);
           delayedRequests.delete(executor);
         },
         end(task, result) {
