Show what the logs of all members say about one job, task, executor or machine

The command `lagoonloom trace ID [FILE...]` reads log lines from files or the standard input, orders them across members and adds the changes of owners and the failures of executors that fall into a job's time. Lines of other programs are skipped.

--- a/packages/cli/mod.ts
+++ b/packages/cli/mod.ts
@@ -16,3 +16,4 @@
 export * from "./program.ts";
 export * from "./publish_command.ts";
 export * from "./status_command.ts";
+export * from "./trace_command.ts";
--- a/packages/cli/program.ts
+++ b/packages/cli/program.ts
@@ -23,6 +23,7 @@
 } from "./job_command.ts";
 import { publishCommand } from "./publish_command.ts";
 import { statusCommand } from "./status_command.ts";
+import { traceCommand } from "./trace_command.ts";
 
 /** Input, output and environment of the process that runs the program. */
 export type ProgramEnvironment =
@@ -37,6 +38,8 @@
 
 const PROGRAM_NAME = "lagoonloom";
 const SETTINGS_VARIABLE = "LAGOONLOOM_SETTINGS";
+/** Path under which the standard input can be read. */
+const STANDARD_INPUT = "/dev/stdin";
 const DEFAULT_HISTORY_LIMIT = 20;
 const MAX_HISTORY_LIMIT = 1_000;
 
@@ -96,6 +99,7 @@
 function createCommands(args: string[], select: SelectCommand): CAC {
   const program = cac(PROGRAM_NAME);
   addFileCommands(program, { args, select });
+  addTraceCommand(program, { args, select });
   addPublishCommand(program, { args, select });
   addReadCommands(program, { args, select });
   addJobCommand(program, { args, select });
@@ -127,6 +131,24 @@
   });
 }
 
+function addTraceCommand(program: CAC, { select }: AddOptions) {
+  withOptions(
+    program.command(
+      "trace <subject> [...files]",
+      "Show what logs of members say about a job, task, executor or machine",
+    ),
+    { example: "trace 5c0e7a21d94b36f8 members.log" },
+  ).action((subject: unknown, files: unknown[], options: ParsedOptions) => {
+    const paths = files.length === 0 ? [STANDARD_INPUT] : requireFiles(files);
+    select((environment) =>
+      traceCommand(String(subject), {
+        paths,
+        context: createContext(environment, options),
+      })
+    );
+  });
+}
+
 function addPublishCommand(program: CAC, { args, select }: AddOptions) {
   withOptions(
     program.command("publish [...files]", "Publish files as the set in force"),
--- a/packages/cli/program_test.ts
+++ b/packages/cli/program_test.ts
@@ -94,6 +94,9 @@
     ["check bad.ini --json", EXIT_CODE.refused, `"line":2`],
     ["check missing.ini", EXIT_CODE.usage, "missing.ini: cannot be read"],
     ["check", EXIT_CODE.usage, "Expected at least one file"],
+    ["trace 0012345678901234 set.ini", EXIT_CODE.refused, "0012345678901234"],
+    ["trace 12e4567890123456 set.ini", EXIT_CODE.refused, "12e4567890123456"],
+    ["trace", EXIT_CODE.usage, "subject"],
     ["diff set.ini", EXIT_CODE.ok, "2 difference(s) to version 0."],
     ["publish bad.ini --expected-version 0", EXIT_CODE.refused, "bad.ini:2"],
     ["publish set.ini", EXIT_CODE.usage, "Expected --expected-version N"],
@@ -163,6 +166,7 @@
     "history",
     "diff",
     "explain",
+    "trace",
   ])(
     "prints an example and the exit codes for %s --help",
     async (command) => {
