Serve late jobs with the least work left first

Change: among late jobs the order of magnitude of the work that is left decides, then whether the caller certainly waits, then the due time; a job counts as abandoned only after 4.5 times its objective, as estimates are rough.

The test plays 20 jobs after an outage; 15 of them can be served in time.

--- a/packages/cli/trace_command.ts
+++ b/packages/cli/trace_command.ts
@@ -112,8 +112,9 @@
     const { job, task, executor, partition, time } = line;
     const isOfOther = job !== undefined || task !== undefined;
     if (isOfOther || time < first || time > last) return false;
-    return (executor !== undefined && executors.has(executor)) ||
-      (partition !== undefined && partitions.has(partition));
+    return executor === undefined
+      ? partition !== undefined && partitions.has(partition)
+      : executors.has(executor);
   });
 }
 
--- a/packages/cli/trace_command_test.ts
+++ b/packages/cli/trace_command_test.ts
@@ -61,6 +61,7 @@
         line(3, { id: "LL6403", executor: "e2", level: "WARN" }),
         line(4, { id: "LL6203", partition: 3 }),
         line(4, { id: "LL6203", partition: 4 }),
+        line(4, { id: "LL6401", partition: 3, executor: "e2" }),
         line(5, {
           id: "LL6302",
           task: "00000000000000a1.0.0.0",
--- a/packages/jobs/placed/due_time.ts
+++ b/packages/jobs/placed/due_time.ts
@@ -56,17 +56,34 @@
 /** Multiple of its objective for which the caller of a job waits. */
 const PATIENCE_FACTOR = 3;
 
+/** Largest ratio of an objective to the one that follows from estimates. */
+const ESTIMATE_ERROR_FACTOR = 1.5;
+
 /** Least share of its estimate that a job takes, as estimates are rough. */
 const MIN_WORK_SHARE = 0.6;
 
 /**
- * Class of an occurrence in the order of placement:
+ * Returns the processor time that the rest of an occurrence takes by its
+ * estimates, in thousandths of a core times milliseconds.
+ */
+export function remainingWork(groups: readonly TaskGroup[]): number {
+  let work = 0;
+  for (const { step, tasks, doneCount } of groups) {
+    if (step.isLasting) continue;
+    work += (tasks.length - doneCount) * step.size.cpu * step.estimateMs;
+  }
+  return work;
+}
+
+/**
+ * Lateness of an occurrence:
  *
- * - `0`: it can still complete by its due time.
- * - `1`: it will be late, but its caller still waits for it.
- * - `2`: nobody waits for it any more.
+ * - `inTime`: it can still complete by its due time.
+ * - `late`: it will be late, but its caller still waits for it.
+ * - `overdue`: its caller waits only if the estimates are too short.
+ * - `abandoned`: nobody waits for it any more.
  */
-export type Lateness = 0 | 1 | 2;
+export type Lateness = "inTime" | "late" | "overdue" | "abandoned";
 
 /**
  * Returns how late an occurrence would be if its remaining tasks started now.
@@ -84,8 +101,12 @@
     remainingMs: number;
   },
 ): Lateness {
-  const neededMs = MIN_WORK_SHARE * remainingCriticalPathMs(groups);
-  if (remainingMs >= neededMs) return 0;
-  const patienceMs = remainingMs + (PATIENCE_FACTOR - 1) * objectiveMs;
-  return patienceMs >= neededMs ? 1 : 2;
+  const marginMs = remainingMs -
+    MIN_WORK_SHARE * remainingCriticalPathMs(groups);
+  if (marginMs >= 0) return "inTime";
+  const patienceMs = PATIENCE_FACTOR * objectiveMs;
+  if (marginMs + patienceMs - objectiveMs >= 0) return "late";
+  const isAbandoned =
+    marginMs + ESTIMATE_ERROR_FACTOR * patienceMs - objectiveMs < 0;
+  return isAbandoned ? "abandoned" : "overdue";
 }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -14,7 +14,7 @@
   type TaskGroup,
 } from "../job.ts";
 import type { Size } from "../submission.ts";
-import { latenessOf } from "./due_time.ts";
+import { latenessOf, remainingWork } from "./due_time.ts";
 import {
   type ExecutorState,
   isSchedulable,
@@ -48,10 +48,10 @@
 /**
  * Chooses executors for tasks that are ready to run. Lasting tasks come first
  * and filling ones last. Within these classes, jobs that can still be on time
- * come first, then late ones whose callers still wait, as in an overload not
- * all can be served; then the order is by priority, due time and offset. A task
- * goes to the executor of the lowest cost that has capacity for it, which is by
- * default the one with the least free processor time.
+ * come first, and those that nobody waits for any more last, as in an overload
+ * not all can be served. A task goes to the executor of the lowest cost that
+ * has capacity for it, which is by default the one with the least free
+ * processor time.
  *
  * @example
  * ```ts
@@ -88,24 +88,11 @@
     for (const [occurrence, groups] of occurrencesOf(job).entries()) {
       const waiting = groups.filter((group) => isWaiting(group, options));
       if (waiting.length === 0) continue;
-      const dueAtMs = dueTimeOf(job, occurrence);
-      const lateness = latenessOf(groups, {
-        objectiveMs: job.objectiveMs,
-        remainingMs: dueAtMs - options.unixMs,
-      });
+      const rank = rankOf(job, { occurrence, groups, options });
       for (const group of waiting) {
         const lastingRank = group.step.isLasting ? 0 : 1;
         const fillingRank = group.step.isFilling ? 2 : 0;
-        ranked.push({
-          group,
-          rank: [
-            lastingRank + fillingRank,
-            lateness,
-            options.priorityOf(job),
-            dueAtMs,
-            job.offset,
-          ],
-        });
+        ranked.push({ group, rank: [lastingRank + fillingRank, ...rank] });
       }
     }
   }
@@ -113,6 +100,37 @@
   return ranked.map(({ group }) => group);
 }
 
+/** Order of occurrences by their lateness; lower numbers are served first. */
+const LATENESS_RANK = { inTime: 0, late: 1, overdue: 1, abandoned: 2 };
+
+/**
+ * Returns the rank of an occurrence, after its class. Late ones with the least
+ * work left come first, so that most callers are served while they wait: after
+ * an outage or in a flood, by due time all would be served too late. As
+ * estimates are rough, only the order of magnitude of the work counts.
+ */
+function rankOf(
+  job: Job,
+  { occurrence, groups, options }: {
+    occurrence: number;
+    groups: readonly TaskGroup[];
+    options: PlaceOptions;
+  },
+): number[] {
+  const dueAtMs = dueTimeOf(job, occurrence);
+  const lateness = latenessOf(groups, {
+    objectiveMs: job.objectiveMs,
+    remainingMs: dueAtMs - options.unixMs,
+  });
+  const rank = [LATENESS_RANK[lateness], options.priorityOf(job)];
+  if (lateness === "inTime" || lateness === "abandoned") {
+    return [...rank, dueAtMs, job.offset];
+  }
+  const magnitude = Math.ceil(Math.log2(remainingWork(groups) + 1));
+  const isOverdue = lateness === "overdue" ? 1 : 0;
+  return [...rank, magnitude, isOverdue, dueAtMs, job.offset];
+}
+
 /** Returns whether a group has tasks that could be placed now. */
 function isWaiting(group: TaskGroup, options: PlaceOptions): boolean {
   return !isGroupDone(group) && isGroupReady(group) &&
--- a/packages/jobs/placed/place_tasks_test.ts
+++ b/packages/jobs/placed/place_tasks_test.ts
@@ -159,6 +159,34 @@
     expect(inPatience.length).toBeGreaterThanOrEqual(15);
   });
 
+  // Guards against an outage after which every waiting job is served a little
+  // and none in time: plays 20 jobs of different sizes that waited for it.
+  test("serves as many callers as possible after an outage", () => {
+    const size = { cpu: 16_000, memoryMb: 1, accelerators: 0 };
+    const jobs = Array.from({ length: 20 }, (_, index) => {
+      const count = index % 4 === 0 ? 6 : 1;
+      const steps = [createStep({ count, size, estimateMs: 1_000 })];
+      return jobOf(`${index}`, { steps, dueAtMs: 2_000 + index });
+    });
+    let servedCount = 0;
+    // The outage ended after the due times; callers wait for 6 s.
+    for (let unixMs = 2_100; unixMs < 6_000; unixMs += 250) {
+      const [placement] = placeTasks(jobs, {
+        executors: [executorOf("e1")],
+        monotonicMs: 0,
+        unixMs,
+        priorityOf: () => 0,
+      });
+      const { task } = placement!;
+      task.isDone = true;
+      task.group.doneCount++;
+      if (task.group.doneCount < task.group.tasks.length) continue;
+      task.group.job.endedAtMs = unixMs;
+      servedCount++;
+    }
+    expect(servedCount).toBe(15);
+  });
+
   // Guards against retrying a task on the executor where it failed, and against
   // never running it when there is no other executor.
   test("places a task where it failed only as a last resort", () => {
--- a/packages/measure/demo/run_demo.ts
+++ b/packages/measure/demo/run_demo.ts
@@ -189,6 +189,6 @@
     console.log(`${verdict}  ${guarantee.padEnd(width)}  ${detail}`);
   }
   console.log(
-    "\nNext: docs/operating.md, docs/proofs.md; npm run measure for figures.",
+    "\nNext: docs/OPERATIONS.md, docs/proofs.md; npm run measure for figures.",
   );
 }
