Notice sooner that the store is back after it was silent

Owners read no new jobs until up to 5.8 s after their last read, whose answer was lost. A join without an answer was repeated after 0.4 s, an append with progress waited for up to 2 s.

Change: after a failure, reads return at once; a read of new jobs waits for 1 s at most, which costs one call a second and partition; joins are repeated after 0.2 s; an append is repeated after 1 s.

The store in memory lets silent calls hang until their timeout, and loses the answers of reads that wait.

--- a/packages/jobs/ended/progress_log.ts
+++ b/packages/jobs/ended/progress_log.ts
@@ -20,7 +20,7 @@
 const INITIAL_APPEND_TIMEOUT_MS = 500;
 
 /** Longest timeout of an attempt to append a batch. */
-const MAX_APPEND_TIMEOUT_MS = 2_000;
+const MAX_APPEND_TIMEOUT_MS = 1_000;
 
 /** Distance between the first sequence numbers of two epochs. */
 const SEQUENCE_NUMBERS_PER_EPOCH = 1_000_000;
--- a/packages/jobs/owned/follow_topic.ts
+++ b/packages/jobs/owned/follow_topic.ts
@@ -72,7 +72,8 @@
   const readChanges = async (offset: number): Promise<boolean> => {
     const outcome = await store.read(topicPartition, {
       from: offset,
-      waitMs: options.waitMs,
+      // After a failure, the answer shows at once that the store is back.
+      waitMs: failedReads > 0 ? 0 : options.waitMs,
     });
     if (outcome.type === "failed") {
       options.onFailure(outcome.reason);
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -19,6 +19,9 @@
  */
 const REBALANCE_JOIN_INTERVAL_MS = 100;
 
+/** Delay after a join without an answer. */
+const JOIN_RETRY_MS = 200;
+
 /** Time after a change of the generation for which this may take. */
 const REBALANCE_MS = 1_500;
 
@@ -204,10 +207,12 @@
     if (isLeaving) return;
     const isRebalancing = !isAside &&
       performance.now() - changedAtMs < REBALANCE_MS;
-    timer = setTimeout(
-      () => void renew(),
-      isRebalancing ? REBALANCE_JOIN_INTERVAL_MS : JOIN_INTERVAL_MS,
-    );
+    const delayMs = isRebalancing
+      ? REBALANCE_JOIN_INTERVAL_MS
+      : hasJoinFailed
+      ? JOIN_RETRY_MS
+      : JOIN_INTERVAL_MS;
+    timer = setTimeout(() => void renew(), delayMs);
   };
   void renew();
 
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -53,8 +53,11 @@
 /** Interval of the owner's regular checks. */
 const CHECK_INTERVAL_MS = 100;
 
-/** Longest time for which a read waits for the next job record. */
-const READ_WAIT_MS = 5_000;
+/**
+ * Longest time for which a read waits for the next job record. If its answer is
+ * lost, new jobs wait for it.
+ */
+const READ_WAIT_MS = 1_000;
 
 /**
  * Longest time to load a partition. Another member may have a faster link; on
@@ -294,9 +297,11 @@
 }
 
 async function followJobs(owner: OwnerState): Promise<void> {
+  let waitMs = READ_WAIT_MS;
   while (!owner.isClosed && !owner.isReleasing) {
     const isRead = isOwnershipConfirmed(owner, ADMISSION_GRACE_MS) &&
-      await readNewRecords(owner, READ_WAIT_MS);
+      await readNewRecords(owner, waitMs);
+    waitMs = isRead ? READ_WAIT_MS : 0;
     if (!isRead) await sleep(RETRY_MS);
   }
 }
--- a/packages/standins/store/memory_store.ts
+++ b/packages/standins/store/memory_store.ts
@@ -17,11 +17,17 @@
 export type StoreFault =
   /** Calls are refused with status 503. */
   | "refusing"
-  /** Calls have no effect and get no answer. */
+  /**
+   * Calls have no effect and end without an answer at their timeout, and so do
+   * reads that wait for a record.
+   */
   | "silent"
   /** Appends take effect but get no answer. */
   | "losingAnswers";
 
+/** Time without an answer after which the client gives up a call. */
+const ANSWER_TIMEOUT_MS = 800;
+
 /** Number of a writer's last appends that are recognised if repeated. */
 const MAX_REMEMBERED_APPENDS = 5;
 
@@ -75,6 +81,9 @@
   const partitionStates = new Map<string, PartitionState>();
   const groups = new Map<string, Group>();
   const readWaiters = new Set<() => void>();
+  /** Marks a waiting read as one whose answer gets lost. */
+  const readLosers = new Set<() => void>();
+  let fault: StoreFault | undefined;
 
   const getPartitionState = (
     { topic, partition }: TopicPartition,
@@ -192,6 +201,12 @@
 
   const isUnavailable = () =>
     store.fault === "refusing" || store.fault === "silent";
+  const delay = (ms: number) =>
+    new Promise<void>((resolve) => setTimeout(resolve, ms));
+  /** Waits for a call's timeout if the store is silent. */
+  const awaitTimeout = async (timeoutMs: number) => {
+    if (store.fault === "silent") await delay(timeoutMs);
+  };
   const countCall = (method: string) => {
     store.calls[method] = (store.calls[method] ?? 0) + 1;
   };
@@ -201,64 +216,78 @@
   };
 
   const store: MemoryStore = {
-    fault: undefined,
+    get fault() {
+      return fault;
+    },
+    set fault(next) {
+      fault = next;
+      if (fault === "silent") { for (const lose of readLosers) lose(); }
+    },
     calls: {},
-    append(partition, options) {
+    async append(partition, options) {
       countCall("append");
       if (store.fault === "silent") {
-        return Promise.resolve({ type: "unknown", reason: "no answer" });
+        await awaitTimeout(options.timeoutMs);
+        return { type: "unknown", reason: "no answer" };
       }
       if (store.fault === "refusing") {
-        return Promise.resolve({
-          type: "refused",
-          reason: "status 503",
-          retryAfterMs: 500,
-        });
+        return { type: "refused", reason: "status 503", retryAfterMs: 500 };
       }
       const outcome = applyAppend(partition, options);
-      return Promise.resolve(
-        store.fault === "losingAnswers"
-          ? { type: "unknown", reason: "answer lost" }
-          : outcome,
-      );
+      return store.fault === "losingAnswers"
+        ? { type: "unknown", reason: "answer lost" }
+        : outcome;
     },
     async read(partition, { from, waitMs }) {
       countCall("read");
-      if (isUnavailable()) return failed;
+      if (isUnavailable()) {
+        await awaitTimeout(waitMs + ANSWER_TIMEOUT_MS);
+        return failed;
+      }
       const state = getPartitionState(partition);
       if (from < state.firstOffset) return { type: "gap" };
       if (state.nextOffset <= from && waitMs > 0) {
-        await new Promise<void>((resolve) => {
+        const isLost = await new Promise<boolean>((resolve) => {
+          let isLost = false;
+          const lose = () => isLost = true;
           const wake = () => {
-            if (state.nextOffset <= from) return;
-            finish();
+            if (state.nextOffset > from && !isLost) finish();
           };
           const finish = () => {
             clearTimeout(timer);
             readWaiters.delete(wake);
-            resolve();
+            readLosers.delete(lose);
+            resolve(isLost);
           };
           const timer = setTimeout(finish, waitMs);
           readWaiters.add(wake);
+          readLosers.add(lose);
         });
+        if (isLost) await delay(ANSWER_TIMEOUT_MS);
+        if (isLost || isUnavailable()) return failed;
       }
-      if (isUnavailable()) return failed;
       const records = state.records.filter(({ offset }) => offset >= from);
       return { type: "read", records, nextOffset: state.nextOffset };
     },
-    readNewest(partition) {
+    async readNewest(partition) {
       countCall("readNewest");
-      if (isUnavailable()) return Promise.resolve(failed);
+      if (isUnavailable()) {
+        await awaitTimeout(ANSWER_TIMEOUT_MS);
+        return failed;
+      }
       const state = getPartitionState(partition);
-      return Promise.resolve({
+      return {
         type: "read",
         records: readNewestRecords(state),
         nextOffset: state.nextOffset,
-      });
+      };
     },
-    join({ group: name, member, ttlMs }) {
+    async join({ group: name, member, ttlMs }) {
       countCall("join");
-      if (isUnavailable()) return Promise.resolve(failed);
+      if (isUnavailable()) {
+        await awaitTimeout(ANSWER_TIMEOUT_MS);
+        return failed;
+      }
       const group = getGroup(name);
       const isNew = !group.members.has(member);
       group.members.set(member, { expiresAtMs: performance.now() + ttlMs });
@@ -266,11 +295,11 @@
       const assigned = [...group.ownersByPartition].filter(([, owner]) =>
         owner === member
       );
-      return Promise.resolve({
+      return {
         type: "joined",
         generation: group.generation,
         partitions: assigned.map(([partition]) => partition),
-      });
+      };
     },
     leave({ group: name, member }) {
       const group = getGroup(name);
@@ -279,10 +308,13 @@
       }
       return Promise.resolve();
     },
-    owners(name) {
+    async owners(name) {
       countCall("owners");
-      if (isUnavailable()) return Promise.resolve(undefined);
-      return Promise.resolve(new Map(getGroup(name).ownersByPartition));
+      if (isUnavailable()) {
+        await awaitTimeout(ANSWER_TIMEOUT_MS);
+        return undefined;
+      }
+      return new Map(getGroup(name).ownersByPartition);
     },
     put: (partition, record) =>
       appendRecords(getPartitionState(partition), [record]),
