Judge by all answers of the store, and by partition, whether it can be reached

The partitions of all jobs answered: 40 jobs were accepted between 31.0 and 32.3 s, then the whole fleet refused 1,381 submissions until 37.5 s. Joins went on all the while.

Change: any answer to any call shows that the store is there; it counts as unreachable after 1.3 s without one (1.8 s, or two failed reads, before). Appends are judged for each partition: after two failures one caller in 0.5 s tries it, and the others are refused at once.

--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -38,8 +38,8 @@
   queue: Queue;
   /** Time limit for all attempts together, in milliseconds. */
   timeoutMs: number;
-  /** Returns whether the store is unreachable from this member. */
-  isStoreUnreachable(): boolean;
+  /** Whether an append to a partition of the jobs is worth a try. */
+  mayAppend(partition: number): boolean;
   /**
    * Stores a record through other members until the monotonic time
    * `deadlineMs`. Returns undefined if no member was called.
@@ -133,14 +133,14 @@
 async function appendWithRetries(
   partition: number,
   record: JobRecord,
-  { store, isStoreUnreachable, deadlineMs }: {
+  { store, mayAppend, deadlineMs }: {
     store: Store;
-    isStoreUnreachable(): boolean;
+    mayAppend(partition: number): boolean;
     deadlineMs: number;
   },
 ): Promise<RecordOutcome | undefined> {
   let outcome: RecordOutcome | undefined;
-  while (!isStoreUnreachable()) {
+  while (mayAppend(partition)) {
     const leftMs = deadlineMs - performance.now();
     if (leftMs < MIN_APPEND_TIMEOUT_MS) break;
     const attempt = await appendOnce(partition, record, {
--- a/packages/jobs/accepted/accept_job_test.ts
+++ b/packages/jobs/accepted/accept_job_test.ts
@@ -46,7 +46,7 @@
         layout: new Map([["quoting", [PARTITION]]]),
         queue: createConfiguration().queues[0]!,
         timeoutMs: TIMEOUT_MS,
-        isStoreUnreachable: () => isUnreachable,
+        mayAppend: () => !isUnreachable,
         relay: () => Promise.resolve(relayed),
       },
     );
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -16,6 +16,7 @@
   type JobRecord,
   type RecordOutcome,
 } from "./accepted/accept_job.ts";
+import { createStoreMonitor } from "./accepted/store_monitor.ts";
 import { createRelayMonitor } from "./accepted/relay_monitor.ts";
 import { relayRecord } from "./accepted/relay_record.ts";
 import type {
@@ -57,6 +58,7 @@
 } from "./queries/query_owner.ts";
 import type { QueryResult } from "./queries/query_result.ts";
 import type { JobState, Submission } from "./submission.ts";
+import { JOBS_TOPIC } from "./topics.ts";
 
 /** Interval of the check for services without partitions. */
 const LAYOUT_CHECK_INTERVAL_MS = 250;
@@ -70,12 +72,6 @@
 /** Largest share of the platform's longest lease that is used. */
 const MAX_LEASE_SHARE = 0.9;
 
-/** Time without an answer after which the store counts as unreachable. */
-const MAX_STORE_SILENCE_MS = 1_800;
-
-/** Consecutive failed reads after which the store counts as unreachable. */
-const MAX_FAILED_READS = 2;
-
 /** Processor time of an executor while none is known: 16 cores. */
 const DEFAULT_EXECUTOR_CPU = 16_000;
 
@@ -88,8 +84,6 @@
   waves(): readonly UpkeepWave[];
   /** Monotonic time of the store's last answer about the configuration. */
   readAtMs(): number;
-  /** Consecutive reads of the configuration that failed. */
-  failedReads(): number;
   /** Starts or stops following the list of executors. */
   followExecutors(isNeeded: boolean): void;
 };
@@ -149,7 +143,7 @@
  * ```
  */
 export async function startMember(options: MemberOptions): Promise<Member> {
-  const { store, events } = options;
+  const { events } = options;
   const owners = new Map<number, PartitionOwner>();
   const clients = new Map<string, OwnerClient>();
   let layout: Layout = new Map();
@@ -160,11 +154,15 @@
     for (const owner of owners.values()) owner.refresh();
   });
 
+  const { store, isUnreachable, mayAppend } = createStoreMonitor(
+    options.store,
+    platform.readAtMs,
+  );
   const leaseMs = Math.min(MAX_LEASE_MS, MAX_LEASE_SHARE * options.maxLeaseMs);
   const server = await createOwnerServer(
     createOwnerHandlers(owners, {
       store,
-      isStoreReached: () => !isStoreUnreachable(),
+      isStoreReached: () => !isUnreachable(),
     }),
     options.peer,
   );
@@ -307,12 +305,8 @@
   };
   void watchLayout();
 
-  const isStoreUnreachable = () =>
-    platform.failedReads() >= MAX_FAILED_READS ||
-    performance.now() - platform.readAtMs() >= MAX_STORE_SILENCE_MS;
-
   const relayMonitor = createRelayMonitor({
-    isStoreUnreachable,
+    isStoreUnreachable: isUnreachable,
     otherMembers: () =>
       directory.members().map(({ address }) => address)
         .filter((address) => address !== server.address),
@@ -325,7 +319,8 @@
   const appendOptions = () => ({
     store,
     layout,
-    isStoreUnreachable,
+    mayAppend: (partition: number) =>
+      !isUnreachable() && mayAppend({ topic: JOBS_TOPIC, partition }),
     relay: (
       record: JobRecord & { partition: number },
       deadlineMs: number,
@@ -343,7 +338,7 @@
     platform,
     isReady: () =>
       platform.configuration() !== undefined && layout.size > 0 &&
-      !isStoreUnreachable(),
+      !isUnreachable(),
     accept: (id, { submission, queue, timeoutMs }) =>
       acceptJob(id, submission, { ...appendOptions(), queue, timeoutMs }),
     cancel: (id, { queue, timeoutMs }) =>
--- a/packages/jobs/owned/follow_topic.ts
+++ b/packages/jobs/owned/follow_topic.ts
@@ -15,8 +15,6 @@
   isComplete(): boolean;
   /** Monotonic time of the last successful read. */
   readAtMs(): number;
-  /** Consecutive reads that failed. */
-  failedReads(): number;
   close(): void;
 };
 
@@ -52,7 +50,7 @@
   let isClosed = false;
   let isComplete = false;
   let readAtMs = -Infinity;
-  let failedReads = 0;
+  let hasFailed = false;
   let nextOffset: number | undefined;
 
   const readSnapshot = async (): Promise<boolean> => {
@@ -73,7 +71,7 @@
     const outcome = await store.read(topicPartition, {
       from: offset,
       // After a failure, the answer shows at once that the store is back.
-      waitMs: failedReads > 0 ? 0 : options.waitMs,
+      waitMs: hasFailed ? 0 : options.waitMs,
     });
     if (outcome.type === "failed") {
       options.onFailure(outcome.reason);
@@ -95,7 +93,7 @@
       const isRead = nextOffset === undefined
         ? await readSnapshot()
         : await readChanges(nextOffset);
-      failedReads = isRead ? 0 : failedReads + 1;
+      hasFailed = !isRead;
       const pauseMs = isRead ? options.pauseMs : RETRY_MS;
       if (pauseMs > 0 && !isClosed) {
         await new Promise((resolve) => setTimeout(resolve, pauseMs));
@@ -107,7 +105,6 @@
   return {
     isComplete: () => isComplete,
     readAtMs: () => readAtMs,
-    failedReads: () => failedReads,
     close() {
       isClosed = true;
     },
