--- a/packages/decisions/placement/plan_jobs_test.ts
+++ b/packages/decisions/placement/plan_jobs_test.ts
@@ -176,12 +176,22 @@
   // Guards against capacity that stays idle since jobs declare more than they
   // use.
   test("uses capacity that reports show to be free", () => {
-    const model = createModel({ workers: 1 }, 10_000);
-    const options = { declared: size(8), used: size(2) };
-    submit(model, "j1", { ...options });
-    submit(model, "j2", { ...options, declared: size(12), used: size(1) });
-    runFor(model, 30);
-    expect(runningOn(model, "main-1")).toHaveLength(1);
+    const model = createModel({ ...TWO_DATA_CENTRES, workers: 2 }, 10_000);
+    const options = { dataCentres: ["detroit"] };
+    submit(model, "j1", { ...options, declared: size(8), used: size(2) });
+    runFor(model, 5);
+    const worker = jobOf(model, "j1").worker!;
+    // Together, the jobs declare more than the worker has.
+    submit(model, "j2", {
+      ...options,
+      team: "team-2",
+      declared: size(12),
+      used: size(1),
+    });
+    runFor(model, 10);
+    expect(runningOn(model, worker)).toHaveLength(1);
+    runFor(model, 50);
+    expect(runningOn(model, worker)).toHaveLength(2);
   });
 
   // Guards against a faulty job that is retried on every worker.
