Prepare the jobs of a long queue only once there is capacity for them

An owner stored the progress of each job when it read it, so that all queued jobs counted as possibly started.

Change: progress is stored when there is capacity for a job, and early for 40 waiting jobs only, so that an owner can go on while the store is silent. While that is delayed, only prepared jobs are placed.

Two tests; the one of the takeover fails before.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -4,20 +4,19 @@
  * @module
  */
 
-import { finishJob, saveProgress } from "../ended/finish_job.ts";
+import { finishJob } from "../ended/finish_job.ts";
 import { createDueOccurrences, createJob, hasEnded, type Job } from "../job.ts";
 import { decodeAccepted } from "../owned/load_partition.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
+import { prepareEarly } from "../placed/prepare_job.ts";
 import type { StoredRecord } from "../ports.ts";
 import type { AcceptedJob } from "../submission.ts";
 import { JOBS_TOPIC, parseJobKey } from "../topics.ts";
 
 /**
  * Adds an accepted job to the owner's state; a job that is already known is
- * returned unchanged. A new job starts only after its first progress record is
- * stored, so that a later owner knows that a job without progress was never
- * started.
+ * returned unchanged.
  */
 export function addJob(
   owner: OwnerState,
@@ -41,12 +40,7 @@
   if (!isInherited) {
     const { partition } = owner.options;
     owner.options.events.log("jobTaken", { job: id, partition, offset });
-    saveProgress(owner, job, { isUrgent: true });
-    owner.progress.whenStored(() => {
-      job.hasStoredProgress = true;
-      if (!hasEnded(job)) createDueTasks(owner, job);
-      owner.schedulePlacement();
-    });
+    prepareEarly(owner, job);
   }
   owner.schedulePlacement();
   return job;
@@ -54,7 +48,6 @@
 
 /** Creates the tasks for all occurrences of a job that are due. */
 export function createDueTasks(owner: OwnerState, job: Job): void {
-  if (!job.hasStoredProgress) return;
   createDueOccurrences(job, {
     unixMs: Date.now(),
     monotonicMs: performance.now(),
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -31,6 +31,8 @@
     id,
     ...options,
     hasStoredProgress: options.isInherited,
+    preparedAtMs: options.isInherited ? 0 : undefined,
+    isPlaced: false,
     isCancelled: false,
     hasFailed: false,
     hasStarted: false,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -104,6 +104,13 @@
    * next owner takes a job without progress for one that never ran.
    */
   hasStoredProgress: boolean;
+  /**
+   * Monotonic time at which its first progress record was written, also by an
+   * earlier owner; undefined if it was not.
+   */
+  preparedAtMs: number | undefined;
+  /** Whether this owner has placed a task of the job. */
+  isPlaced: boolean;
   /** Whether an earlier owner may have run tasks of the job. */
   isInherited: boolean;
 };
--- a/packages/jobs/owned/handover_test.ts
+++ b/packages/jobs/owned/handover_test.ts
@@ -215,6 +215,31 @@
     expect(executor.starts).toHaveLength(1);
   });
 
+  // Guards against queued jobs that wait 8 s for an unreachable executor on
+  // which they never ran, after the loss of an overloaded owner.
+  test("starts jobs from a long queue at once after an unplanned takeover", async () => {
+    const [silent, other] = [
+      fixture.addExecutor("e1"),
+      fixture.addExecutor("e2"),
+    ];
+    const first = await fixture.startOwner(1);
+    const whole = { cpu: 16_000, memoryMb: 500, accelerators: 0 };
+    fixture.accept(JOB_ID, [createStep({ count: 2, size: whole })]);
+    await advanceTime(200);
+    expect(silent.running.size + other.running.size).toBe(2);
+    for (let index = 0; index < 100; index++) {
+      const id = `${index}`.padStart(16, "0");
+      fixture.accept(id, [createStep({ count: 1, size: whole })]);
+    }
+    await advanceTime(200);
+    first.close();
+    silent.fault = "unreachable";
+    other.end([...other.running.keys()][0]!, "done");
+    await fixture.startOwner(2);
+    await advanceTime(1_000);
+    expect(other.starts).toHaveLength(2);
+  });
+
   // Guards against taking a job for new because its acceptance was stored again
   // at a later offset.
   test("recognises a job that was accepted again", async () => {
--- a/packages/jobs/owned/store_outage_test.ts
+++ b/packages/jobs/owned/store_outage_test.ts
@@ -75,6 +75,25 @@
     },
   );
 
+  // Guards against capacity that is kept for jobs which can't be prepared
+  // while others are prepared and wait.
+  test("starts prepared jobs while the store is silent", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    const whole = { cpu: 16_000, memoryMb: 500, accelerators: 0 };
+    const idOf = (index: number) => `${index}`.padStart(16, "0");
+    for (let index = 0; index < 60; index++) {
+      fixture.accept(idOf(index), [createStep({ count: 1, size: whole })]);
+      await advanceTime(20);
+    }
+    fixture.store.fault = "silent";
+    for (let ended = 0; ended < 10; ended++) {
+      executor.end([...executor.running.keys()][0]!, "done");
+      await advanceTime(250);
+    }
+    expect(executor.starts.length).toBeGreaterThanOrEqual(10);
+  });
+
   // Guards against jobs that wait for the retry of an append with progress.
   test("stores progress within a moment", async () => {
     const executor = fixture.addExecutor("e1");
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -9,6 +9,7 @@
 import { USED_EXECUTORS_KEY } from "../topics.ts";
 import { addRun } from "../executor_state.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
+import { placeableJobs, prepareJob } from "./prepare_job.ts";
 
 /**
  * Run numbers per epoch. The runs of an inherited job are numbered from the
@@ -19,11 +20,14 @@
 /** Time without new tasks for an executor that was full or unhealthy. */
 const REFUSAL_PAUSE_MS = 500;
 
-/** Places the waiting tasks and requests their starts. */
+/**
+ * Places the waiting tasks and requests their starts. The capacity for a job
+ * without stored progress is kept until that is stored.
+ */
 export function startWaitingTasks(owner: OwnerState): void {
   const { ticketCache } = owner;
   const executors = [...owner.executors.values()];
-  const placements = placeTasks(owner.jobs.values(), {
+  const placements = placeTasks(placeableJobs(owner), {
     executors,
     monotonicMs: performance.now(),
     unixMs: Date.now(),
@@ -36,6 +40,10 @@
   const gangRunNumbers = new Map<unknown, number>();
   for (const placement of placements) {
     const { group } = placement.task;
+    if (!group.job.hasStoredProgress) {
+      prepareJob(owner, group.job);
+      continue;
+    }
     let number = nextRunNumber(owner, placement.task);
     if (group.step.isGang) {
       // All tasks of a gang have to start under the same run number.
@@ -60,6 +68,7 @@
   number: number,
 ): void {
   const { job } = task.group;
+  job.isPlaced = true;
   task.lastRunNumber = number;
   const run: Run = {
     task,
