Take no executor over that restarts into another service

Found in the review of the diff: an executor that restarts under its id was replaced without a look at its service, as a new one was looked at before (ROUTE). A test shows it; the function that moves a run between incarnations has a name of its own.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -91,7 +91,7 @@
 }
 
 /** Moves a run to the next incarnation of its executor. */
-export function moveRun(run: Run, executor: ExecutorState): void {
+export function transferRun(run: Run, executor: ExecutorState): void {
   const size = occupiedBy(run.task.group);
   run.executor.runs.delete(run);
   adjustFreeCapacity(run.executor, size, 1);
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -25,8 +25,8 @@
   createExecutorState,
   type ExecutorState,
   isUnanswered,
-  moveRun,
   occupiedBy,
+  transferRun,
 } from "../executor_state.ts";
 import type { Adoption, ExecutorSession } from "./session_types.ts";
 import { createExecutorSession } from "./executor_session.ts";
@@ -127,7 +127,13 @@
   }
   if (report !== undefined) {
     confirmExecutor(owner, executor.id);
-    replaceExecutor(owner, executor, report);
+    if (belongsToPartition(owner, report)) {
+      replaceExecutor(owner, executor, report);
+    } else {
+      executor.leaseEndsMs = 0;
+      executor.hasRestarted = false;
+      removeExecutor(owner, executor);
+    }
     return;
   }
   // It has not come back, so that its lease bounds all of its runs.
@@ -199,7 +205,7 @@
   const unanswered = [...executor.runs].filter(isUnanswered);
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
-  for (const run of unanswered) moveRun(run, next);
+  for (const run of unanswered) transferRun(run, next);
   removeExecutor(owner, executor);
   if (unanswered.length > 0) recordUsedExecutor(owner, next.id);
   openExecutor(owner, next);
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -68,6 +68,22 @@
     expect(restarted.running.size + other.running.size).toBe(1);
   });
 
+  // Guards against tasks on an executor that serves another service since its
+  // restart (ROUTE).
+  test("gets no tasks after a restart into another service", async () => {
+    fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    const restarted = fixture.addExecutor("e1", {
+      startedAtMs: 2,
+      service: "backoffice",
+    });
+    owner.refresh();
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(1_000);
+    expect(restarted.starts).toEqual([]);
+    expect(owner.executors.size).toBe(0);
+  });
+
   // Guards against the same while the platform's list does not show the restart
   // yet, which the executor's answer does.
   test("keeps a task that may start late until the list shows it", async () => {
