--- a/packages/jobs/run/drain_executors.ts
+++ b/packages/jobs/run/drain_executors.ts
@@ -54,9 +54,10 @@
 }
 
 function isReady(run: Run): boolean {
-  const { failedCalls, isRemoved } = run.executor;
-  // The last report of an unreachable executor may be outdated.
-  if (failedCalls > 0 || isRemoved) return false;
+  const { failedCalls, isRemoved, report } = run.executor;
+  // The last report of an unreachable executor may be outdated, and the runs of
+  // one that leaves are stopped whatever the budget allows.
+  if (failedCalls > 0 || isRemoved || report.isDraining) return false;
   return run.state === "running" && run.progressPercent >= READY_PERCENT &&
     run.stopReason === "";
 }
