Compare sizes with free capacity in one place

The change had written the same comparison three times (placement, ranking, failed sizes), and two tests set up the same executor.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -48,6 +48,12 @@
   return step.isFilling ? { ...step.size, cpu: 0 } : step.size;
 }
 
+/** Returns whether a size is within the free capacity. */
+export function isWithin(size: Size, free: Size): boolean {
+  return size.cpu <= free.cpu && size.memoryMb <= free.memoryMb &&
+    size.accelerators <= free.accelerators;
+}
+
 /** Adds a size to the free capacity of an executor, or subtracts it. */
 function adjustFreeCapacity(
   { free }: ExecutorState,
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { occupiedBy } from "../executor_state.ts";
+import { isWithin, occupiedBy } from "../executor_state.ts";
 import {
   dueTimeOf,
   isGroupDone,
@@ -92,17 +92,11 @@
   group: TaskGroup,
   { monotonicMs, largestFree }: RankOptions,
 ): boolean {
-  return !isGroupDone(group) && fitsInto(group, largestFree) &&
+  return !isGroupDone(group) && isWithin(occupiedBy(group), largestFree) &&
     isGroupReady(group) &&
     group.tasks.some((task) => isPlaceable(task, monotonicMs));
 }
 
-function fitsInto(group: TaskGroup, free: Size): boolean {
-  const { cpu, memoryMb, accelerators } = occupiedBy(group);
-  return cpu <= free.cpu && memoryMb <= free.memoryMb &&
-    accelerators <= free.accelerators;
-}
-
 function compareRanks(left: number[], right: number[]): number {
   for (let index = 0; index < left.length; index++) {
     if (left[index]! !== right[index]!) return left[index]! - right[index]!;
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -9,6 +9,7 @@
 import {
   type ExecutorState,
   isSchedulable,
+  isWithin,
   occupiedBy,
   rackOf,
 } from "../executor_state.ts";
@@ -96,10 +97,7 @@
  */
 function hasFailed(group: TaskGroup, { failedSizes }: PlacementRound): boolean {
   const size = occupiedBy(group);
-  return failedSizes.some((failed) =>
-    size.cpu >= failed.cpu && size.memoryMb >= failed.memoryMb &&
-    size.accelerators >= failed.accelerators
-  );
+  return failedSizes.some((failed) => isWithin(failed, size));
 }
 
 /** Notes the size of a group if no executor has capacity for a task of it. */
@@ -109,11 +107,6 @@
   if (!hasCapacity) round.failedSizes.push(size);
 }
 
-function isWithin(size: Size, free: Size): boolean {
-  return size.cpu <= free.cpu && size.memoryMb <= free.memoryMb &&
-    size.accelerators <= free.accelerators;
-}
-
 /** State of one call of {@linkcode placeTasks}. */
 type PlacementRound = {
   candidates: Candidate[];
--- a/packages/jobs/run/untracked_runs_test.ts
+++ b/packages/jobs/run/untracked_runs_test.ts
@@ -37,6 +37,19 @@
     );
   }
 
+  /** Adds an executor that runs a task of a job that nobody knows. */
+  function addExecutorWithUnknownRun() {
+    const executor = fixture.addExecutor("e1");
+    executor.fault = "delayed";
+    executor.leaseExpiryMs = Infinity;
+    executor.running.set("00000000000000c3.0.0.0", {
+      run: 1,
+      checkpoint: "",
+      startedAtMs: 0,
+    });
+    return executor;
+  }
+
   // Guards against a start beyond the capacity of an executor that starts
   // whatever it is told to (LIMIT).
   test("occupy capacity until a cancelled job's run has stopped", async () => {
@@ -60,14 +73,7 @@
 
   // Guards against the same for a run whose size nobody knows any more.
   test("occupy the whole executor if their job is not known", async () => {
-    const executor = fixture.addExecutor("e1");
-    executor.fault = "delayed";
-    executor.leaseExpiryMs = Infinity;
-    executor.running.set("00000000000000c3.0.0.0", {
-      run: 1,
-      checkpoint: "",
-      startedAtMs: 0,
-    });
+    const executor = addExecutorWithUnknownRun();
     fixture.accept(JOB_ID, [createStep({ count: 1, size: SMALL })]);
     await fixture.startOwner(1);
     await advanceTime(1_500);
@@ -80,14 +86,7 @@
 
   // Guards against a run that goes on since its only stop was lost.
   test("are stopped again if a stop gets lost on an idle executor", async () => {
-    const executor = fixture.addExecutor("e1");
-    executor.fault = "delayed";
-    executor.leaseExpiryMs = Infinity;
-    executor.running.set("00000000000000c3.0.0.0", {
-      run: 1,
-      checkpoint: "",
-      startedAtMs: 0,
-    });
+    const executor = addExecutorWithUnknownRun();
     await fixture.startOwner(1);
     executor.fault = undefined;
     await advanceTime(2_500);
