Order log lines of equal times by a consistent comparison

The comparison of trace gave 1 for equal times in both directions, which leaves their order to the runtime. No run showed a wrong order: the new test, of 40 lines in one millisecond, passes before and after on Node.js 20.

--- a/packages/cli/trace_command.ts
+++ b/packages/cli/trace_command.ts
@@ -97,7 +97,9 @@
 }
 
 function selectLines(lines: readonly LogLine[], subject: string): LogLine[] {
-  const ordered = lines.toSorted((a, b) => a.time < b.time ? -1 : 1);
+  const ordered = lines.toSorted((a, b) =>
+    Number(a.time > b.time) - Number(a.time < b.time)
+  );
   const direct = ordered.filter((line) => isAbout(line, subject));
   if (direct.length === 0) return [];
   const isJobOrTask = direct.some(({ job, task }) =>
--- a/packages/cli/trace_command_test.ts
+++ b/packages/cli/trace_command_test.ts
@@ -49,6 +49,16 @@
       .toEqual(["LL6101", "LL6302", "LL6306"]);
   });
 
+  // Guards against an end before its start, as both were logged in the same
+  // millisecond.
+  test("keeps the order of lines with equal times", async () => {
+    const ids = Array.from({ length: 40 }, (_, index) => `LL${6000 + index}`);
+    const { printed } = await trace(JOB, {
+      "a.log": ids.map((id) => line(1, { id, job: JOB })),
+    });
+    expect(printed.map((text) => JSON.parse(text).id)).toEqual(ids);
+  });
+
   // Guards against a gap that nothing explains, while the owner of the
   // partition or the executor had failed.
   test("adds the takeovers and executor failures of that time", async () => {
