Log lasting tasks that do not run, with what each executor lacks

LL6310 names the state of a run that no executor reports, or counts the executors by what they lack; LL6406 gives the time for which an executor was silent. The conditions of placement move to find_obstacle.ts, which both use. No decision is changed.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -26,6 +26,7 @@
     answeredAtMs: -Infinity,
     failedCalls: 0,
     lastFailure: "",
+    silentSinceMs: undefined,
     isRemoved: false,
     hasRestarted: false,
     isReserved: false,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -150,6 +150,8 @@
   failedCalls: number;
   /** Reason of the last failed call. */
   lastFailure: string;
+  /** Monotonic time of the first failed call since the last answer. */
+  silentSinceMs: number | undefined;
   /** Whether the executor left the platform's list or has restarted. */
   isRemoved: boolean;
   /**
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -21,6 +21,7 @@
 } from "../machines/partition_report.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
+import { createWaitingLog } from "../placed/waiting_log.ts";
 import {
   belongsToPartition,
   confirmExecutor,
@@ -125,9 +126,11 @@
 ): PartitionOwner {
   const { partition, epoch } = options;
   const owner = createState(options);
+  const waitingLog = createWaitingLog(owner);
   let loadingMs = 0;
   const timer = setInterval(() => {
     runChecks(owner);
+    waitingLog.check();
     // While the store is down for all, no other member can load it either.
     if (owner.isLoaded || !isOwnershipConfirmed(owner, ADMISSION_GRACE_MS)) {
       return;
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -14,6 +14,7 @@
   rackOf,
 } from "../executor_state.ts";
 import { rankGroups } from "./_rank_groups.ts";
+import { findObstacle } from "./find_obstacle.ts";
 
 /** Decision to run a task on an executor. */
 export type Placement = { task: Task; executor: ExecutorState; reason: string };
@@ -201,22 +202,16 @@
 
 function fits(
   task: Task,
-  candidate: Candidate,
-  options: PlaceOptions,
+  { executor, free, placed }: Candidate,
+  { mayRun }: PlaceOptions,
 ): boolean {
   const { group } = task;
-  const { step } = group;
-  const { executor, free } = candidate;
-  if (!isWithin(occupiedBy(group), free)) return false;
-  if (step.label !== "" && !executor.report.labels.includes(step.label)) {
-    return false;
-  }
-  if (step.maxPerExecutor > 0) {
-    let groupTasks = candidate.placed.get(group) ?? 0;
-    for (const run of executor.runs) if (run.task.group === group) groupTasks++;
-    if (groupTasks >= step.maxPerExecutor) return false;
-  }
-  return options.mayRun?.(group, executor) ?? true;
+  const obstacle = findObstacle(group, executor, {
+    free,
+    placedCount: placed.get(group) ?? 0,
+    ...(mayRun === undefined ? {} : { mayRun }),
+  });
+  return obstacle === undefined;
 }
 
 /** Cost of each latency-sensitive task beside a filling one, in millicores. */
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -4,10 +4,10 @@
  * @module
  */
 
-import type { Run, Task } from "../job.ts";
+import type { Run, Task, TaskGroup } from "../job.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
 import { USED_EXECUTORS_KEY } from "../topics.ts";
-import { addRun } from "../executor_state.ts";
+import { addRun, type ExecutorState } from "../executor_state.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
 
@@ -25,17 +25,13 @@
  * without stored progress is kept until that is stored.
  */
 export function startWaitingTasks(owner: OwnerState): void {
-  const { ticketCache } = owner;
   const executors = [...owner.executors.values()];
   const placements = placeTasks(placeableJobs(owner), {
     executors,
     monotonicMs: performance.now(),
     unixMs: Date.now(),
     priorityOf: (job) => queueOf(owner, job)?.priority ?? 9,
-    mayRun(group, executor) {
-      if (queueOf(owner, group.job)?.needsAdvice !== true) return true;
-      return ticketCache?.mayRun(group, executors, executor) ?? true;
-    },
+    mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
   });
   const gangRunNumbers = new Map<unknown, number>();
   for (const placement of placements) {
@@ -55,6 +51,22 @@
   }
 }
 
+/**
+ * Returns whether an executor may run a step. If its ticket is not known, it is
+ * requested together with those of the other executors.
+ */
+export function mayRun(
+  owner: OwnerState,
+  group: TaskGroup,
+  { executors, executor }: {
+    executors: readonly ExecutorState[];
+    executor: ExecutorState;
+  },
+): boolean {
+  if (queueOf(owner, group.job)?.needsAdvice !== true) return true;
+  return owner.ticketCache?.mayRun(group, executors, executor) ?? true;
+}
+
 function nextRunNumber(owner: OwnerState, task: Task): number {
   const highestInherited = task.group.job.isInherited
     ? owner.options.epoch * RUN_NUMBERS_PER_EPOCH
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -311,12 +311,27 @@
   const hasAnswered = executor.failedCalls === 0 &&
     executor.clockOffsetMs !== undefined;
   if (hasAnswered) confirmExecutor(owner, executor.id);
-  if (executor.failedCalls === 1) {
+  logReachability(owner, executor);
+  owner.schedulePlacement();
+}
+
+/** Logs when an executor stops answering, and when it answers again. */
+function logReachability(owner: OwnerState, executor: ExecutorState): void {
+  const { failedCalls, silentSinceMs } = executor;
+  const isSilent = failedCalls > 0;
+  if (isSilent === (silentSinceMs !== undefined)) return;
+  const nowMs = performance.now();
+  executor.silentSinceMs = isSilent ? nowMs : undefined;
+  if (isSilent) {
     owner.options.events.log("executorSilent", {
       executor: executor.id,
       runs: executor.runs.size,
       reason: executor.lastFailure,
     });
+    return;
   }
-  owner.schedulePlacement();
+  owner.options.events.log("executorAnswering", {
+    executor: executor.id,
+    silentMs: Math.round(nowMs - silentSinceMs!),
+  });
 }
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -214,6 +214,12 @@
     message: "ended jobs are deleted, since their retention time is over",
     fields: { partition: "number", jobs: "number" },
   },
+  taskWaiting: {
+    id: "LL6310",
+    level: "warn",
+    message: "lasting task does not run",
+    fields: { task: "string", waitedMs: "number", reason: "string" },
+  },
   progressDelayed: {
     id: "LL6308",
     level: "warn",
@@ -238,6 +244,12 @@
     message: "executor does not answer",
     fields: { executor: "string", runs: "number", reason: "string" },
   },
+  executorAnswering: {
+    id: "LL6406",
+    level: "info",
+    message: "executor answers again",
+    fields: { executor: "string", silentMs: "number" },
+  },
   executorSlow: {
     id: "LL6405",
     level: "warn",
