Poll a silent executor even if its session has nothing to do

Cause: the loop of a session and an extra poll beside it paused through one wake-up function. When the extra poll got no answer while the loop waited for work, its pause replaced the wake-up of the loop. The executor counted as silent and was never polled again, until a new owner opened a new session; with room only on such executors a task waited for that owner. Only the loop pauses now, and a lost poll wakes it.

--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -201,7 +201,8 @@
     if (outcome.type === "replaced") return markRemoved();
     if (outcome.type === "unknown") {
       recordFailure(outcome.reason);
-      await pause(RETRY_MS);
+      // An idle loop would not poll a silent executor.
+      wake?.();
       return;
     }
     if (
@@ -245,9 +246,11 @@
       isLongPolling = true;
       await pollOnce(maxWaitMs);
       isLongPolling = false;
+      if (executor.failedCalls > 0) await pause(RETRY_MS);
     }
   };
 
+  /** Pauses the loop, the only caller, until `wake` is called. */
   const pause = (ms: number | undefined): Promise<void> =>
     new Promise((resolve) => {
       const timer = ms === undefined ? undefined : setTimeout(resolve, ms);
--- /dev/null
+++ b/packages/jobs/run/executor_session_test.ts
@@ -0,0 +1,64 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import {
+  advanceTime,
+  createOwnerFixture,
+  createStep,
+  JOB_ID,
+  type OwnerFixture,
+} from "../_fixtures.ts";
+import type { PollOutcome } from "../ports.ts";
+
+const NEXT_JOB_ID = "00000000000000b2";
+
+/** Time after which a call without an answer is given up. */
+const CALL_TIMEOUT_MS = 700;
+
+describe("createExecutorSession", () => {
+  let fixture: OwnerFixture;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    fixture = createOwnerFixture();
+  });
+
+  afterEach(() => {
+    fixture.close();
+    jest.useRealTimers();
+  });
+
+  /** Lets the next poll that does not wait for an end get no answer. */
+  function loseNextShortPoll(): void {
+    const { poll } = fixture.executors;
+    let isLost = false;
+    fixture.executors.poll = async (target, request) => {
+      if (isLost || request.waitMs > 0) return await poll(target, request);
+      isLost = true;
+      await new Promise((resolve) => setTimeout(resolve, CALL_TIMEOUT_MS));
+      const outcome: PollOutcome = { type: "unknown", reason: "ETIMEDOUT" };
+      return outcome;
+    };
+  }
+
+  // Guards against an executor that counts as silent until a new owner (LOST).
+  test("polls again after a lost poll beside one that was answered", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(300);
+    expect(executor.starts).toHaveLength(1);
+    loseNextShortPoll();
+    fixture.cancel(JOB_ID);
+    await advanceTime(2_000);
+    expect(executor.running.size).toBe(0);
+    fixture.accept(NEXT_JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(2_000);
+    expect([...executor.running.keys()]).toEqual([`${NEXT_JOB_ID}.0.0.0`]);
+  });
+});
