Wait for no executor after a takeover that no machine has any more

Cause: a new owner starts no inherited task until every listed executor has answered, or the longest lease is over. Machines that our own moves or upkeep took away stay on the list of executors for up to 4.5 s, refuse connections and never answer, whether they ran anything or not.

Change: while executors are silent after a takeover, the owner reads the list of machines; one that two lists in a row give to no machine has ended. Ruled out as proof: a refused connection (a cut may refuse too) and the list of executors (entries of executors that are cut off expire while they run).

Test: the waiting task was not started in 1.5 s before, and is now; three tests that hold before and after guard the other side (TWICE).

--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -11,7 +11,7 @@
   type MemoryExecutors,
   type MemoryStore,
 } from "@lagoonloom/standins";
-import type { Configuration, ExecutorReport, Queue } from "./fleet.ts";
+import type { Configuration, ExecutorReport, Machine, Queue } from "./fleet.ts";
 import {
   createPartitionOwner,
   type PartitionOwner,
@@ -116,6 +116,8 @@
   executors: MemoryExecutors;
   reports: Map<string, ExecutorReport>;
   configuration: Configuration;
+  /** Machines of the platform; undefined if their list gets no answer. */
+  machines: Machine[] | undefined;
   /** Events that were logged, as `name {fields}`. */
   logged: string[];
   /** Reasons for which owners lost the partition, in order. */
@@ -148,6 +150,7 @@
     executors: createMemoryExecutors(),
     reports: new Map(),
     configuration: createConfiguration(),
+    machines: undefined,
     logged: [],
     lossReasons: [],
     loadTimeouts: 0,
@@ -170,6 +173,7 @@
           executors: () => fixture.reports,
           hasExecutorList: () => true,
         },
+        listMachines: () => Promise.resolve(fixture.machines),
         leaseMs: 4_500,
         confirmedAtMs: () =>
           fixture.confirmedAtMs === "now"
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -246,6 +246,7 @@
           executors: platform.executors,
           hasExecutorList: platform.hasExecutorList,
         },
+        listMachines: options.machineClient.list,
         leaseMs,
         confirmedAtMs: () => ownership.confirmedAtMs(),
         endedJobRetentionMs: options.endedJobRetentionMs,
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -6,7 +6,12 @@
 
 import type { FailedRuns } from "../ended/progress.ts";
 import type { ProgressLog } from "../ended/progress_log.ts";
-import type { Configuration, ExecutorReport, Queue } from "../fleet.ts";
+import type {
+  Configuration,
+  ExecutorReport,
+  Machine,
+  Queue,
+} from "../fleet.ts";
 import type { Job, JobsById, Run } from "../job.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
@@ -34,6 +39,8 @@
   executorClient: ExecutorClient;
   adviceClient: AdviceClient | undefined;
   view: OwnerView;
+  /** Lists all machines; undefined if the platform did not answer. */
+  listMachines(): Promise<Machine[] | undefined>;
   /** Duration of an executor's lease in milliseconds. */
   leaseMs: number;
   /** Monotonic time up to which the store has confirmed the ownership. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -29,6 +29,7 @@
   refreshExecutors,
   unblockTasks,
 } from "../run/follow_executors.ts";
+import { confirmEndedExecutors } from "../run/ended_executors.ts";
 import { drainExecutors } from "../run/drain_executors.ts";
 import { moveStragglers } from "../run/stragglers.ts";
 import type { QueryResult } from "../queries/query_result.ts";
@@ -294,6 +295,7 @@
   });
   refreshExecutors(owner);
   unblockTasks(owner);
+  void confirmEndedExecutors(owner);
 }
 
 /**
--- /dev/null
+++ b/packages/jobs/run/ended_executors_test.ts
@@ -0,0 +1,85 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import {
+  advanceTime,
+  createOwnerFixture,
+  createStep,
+  JOB_ID,
+  type OwnerFixture,
+} from "../_fixtures.ts";
+import type { Machine } from "../fleet.ts";
+
+/** Creates a machine of the pool `quoting` that runs an executor. */
+function createMachine(executor: string): Machine {
+  return { id: `m-${executor}`, pool: "quoting", state: "up", executor };
+}
+
+describe("confirmEndedExecutors", () => {
+  let fixture: OwnerFixture;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    fixture = createOwnerFixture();
+  });
+
+  afterEach(() => {
+    fixture.close();
+    jest.useRealTimers();
+  });
+
+  /**
+   * Loses an owner just after a lasting task was stopped, while the list still
+   * shows an executor that does not answer. Returns whether the next owner has
+   * started the task again some time later.
+   */
+  async function isStartedAfterTakeover(afterMs: number): Promise<boolean> {
+    const executor = fixture.addExecutor("e1");
+    const silent = fixture.addExecutor("e2");
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    silent.fault = "unreachable";
+    executor.end(`${JOB_ID}.0.0.0`, "stopped");
+    first.close();
+    await fixture.startOwner(2);
+    await advanceTime(afterMs);
+    return executor.running.has(`${JOB_ID}.0.0.0`);
+  }
+
+  // Guards against a lasting task that waits for moved machines (LOST).
+  test("starts a waiting task although a machine has moved away", async () => {
+    fixture.machines = [createMachine("e1"), createMachine("e3")];
+    expect(await isStartedAfterTakeover(1_500)).toBe(true);
+  });
+
+  // Guards against a second run of a task beside one that goes on (TWICE).
+  test("waits for a silent executor that a machine still has", async () => {
+    fixture.machines = [createMachine("e1"), createMachine("e2")];
+    expect(await isStartedAfterTakeover(5_000)).toBe(false);
+  });
+
+  // Guards against taking a list that failed for one without machines (TWICE).
+  test("waits for a silent executor while no list of machines is known", async () => {
+    expect(await isStartedAfterTakeover(5_000)).toBe(false);
+  });
+
+  // Guards against a machine that one list of several pages leaves out (TWICE).
+  test("waits for an executor that only one list leaves out", async () => {
+    const isStarted = isStartedAfterTakeover(5_000);
+    let lists = 0;
+    Object.defineProperty(fixture, "machines", {
+      get: () =>
+        ++lists === 1
+          ? [createMachine("e1")]
+          : [createMachine("e1"), createMachine("e2")],
+    });
+    expect(await isStarted).toBe(false);
+    expect(lists).toBeGreaterThan(2);
+  });
+});
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -250,6 +250,12 @@
     message: "executor answers again",
     fields: { executor: "string", silentMs: "number" },
   },
+  executorEnded: {
+    id: "LL6407",
+    level: "info",
+    message: "silent executor has ended, since no machine has it",
+    fields: { executor: "string" },
+  },
   executorSlow: {
     id: "LL6405",
     level: "warn",
