Complete a loaded job whose tasks are all done

Cause: the last end of a task and the outcome of its job may go to the store in two appends. If the owner ends between the two, the next owner loads a job with all tasks done and no outcome. It ended such a job only when an executor reported the end once more, which one that has left can't do. The owner now ends it when it loads the partition.

--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -11,10 +11,11 @@
   createDueTasks,
   readNewRecords,
 } from "../accepted/apply_records.ts";
+import { finishJob } from "../ended/finish_job.ts";
 import { startRemovingExpiredJobs } from "../ended/remove_expired_jobs.ts";
 import { applyProgress } from "../ended/progress.ts";
 import { createProgressLog } from "../ended/progress_log.ts";
-import { type JobsById, stateOf } from "../job.ts";
+import { hasEnded, isComplete, type JobsById, stateOf } from "../job.ts";
 import {
   type PartitionReport,
   reportPartition,
@@ -267,6 +268,10 @@
       applyProgress(job, { progress, failed: owner.failedRuns });
     }
     if (state.cancelled.has(id)) applyCancellation(owner, id);
+    // The earlier owner ended after it had stored the last end of a task.
+    if (!hasEnded(job) && isComplete(job)) {
+      finishJob(owner, job, "all tasks are done");
+    }
   }
   if (state.unreadableCount === 0) deleteOrphanedProgress(owner, state);
   owner.usedExecutors = new Set(state.usedExecutors);
