Play partition owners under random faults, from seeds

The soak test plays owners of one partition in paused time, with lost, late and slow calls of one kind or all, executors that restart, drain, leave the list or are cut off, takeovers, handovers, slow stores and reserved executors, and checks by what the executors ran.

--- /dev/null
+++ b/packages/jobs/owned/blocked_tasks_test.ts
@@ -0,0 +1,46 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import {
+  advanceTime,
+  createOwnerFixture,
+  createStep,
+  JOB_ID,
+  type OwnerFixture,
+} from "../_fixtures.ts";
+
+describe("tasks that a takeover blocks", () => {
+  let fixture: OwnerFixture;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    fixture = createOwnerFixture();
+  });
+
+  afterEach(() => {
+    fixture.close();
+    jest.useRealTimers();
+  });
+
+  // Guards against a lasting task that is not run again in calm after its
+  // owner and its executor ended together (LOST).
+  test("run again within 7 s although an executor is gone", async () => {
+    const lost = fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    expect(lost.running.size).toBe(1);
+    first.close();
+    lost.fault = "unreachable";
+    fixture.reports.delete("e1");
+    const others = ["e2", "e3"].map((id) => fixture.addExecutor(id));
+    await fixture.startOwner(2);
+    await advanceTime(7_000);
+    expect(others.flatMap(({ starts }) => starts)).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/packages/measure/soak/executor_hosts.ts
@@ -0,0 +1,104 @@
+/**
+ * Executors of a soak test and the faults of the links to them. What runs where
+ * is known here, whatever an owner believes.
+ *
+ * @module
+ */
+
+import type { ExecutorReport, Size } from "@lagoonloom/jobs";
+import type { MemoryExecutor, MemoryExecutors } from "@lagoonloom/standins";
+
+/** Kind of a call to an executor. */
+export type CallKind = "longPoll" | "shortPoll" | "start" | "stop";
+
+/** What happens to a call. */
+export type CallFate =
+  | "answered"
+  /** It has no effect, and the caller waits for its timeout. */
+  | "requestLost"
+  /** It takes effect, and the caller waits for its timeout. */
+  | "answerLost"
+  /** It takes effect after the timeout of the caller. */
+  | "late";
+
+/** Fault of the link to an executor, for all calls or one kind of them. */
+export type LinkFault = {
+  kind: CallKind | undefined;
+  fate: CallFate;
+  probability: number;
+  /** Longest time that a request and an answer take, in milliseconds. */
+  maxDelayMs: number;
+  /** Number of calls after which the fault is over. */
+  remainingCalls: number;
+};
+
+/** Executor with the process that runs on it. */
+export type ExecutorHost = {
+  id: string;
+  process: MemoryExecutor;
+  /** Whether its process runs. */
+  isUp: boolean;
+  /** Whether calls end without an answer instead of being refused at once. */
+  isSilent: boolean;
+  /** Whether another process answers at its address. */
+  isReplaced: boolean;
+  /** Whether the platform's list shows it. */
+  isListed: boolean;
+  /** Entry in the platform's list, which may lag behind the process. */
+  report: ExecutorReport;
+  faults: Set<LinkFault>;
+  /** Sum of the tasks that run there, in thousandths of a core. */
+  usedCpu(): number;
+};
+
+/** Executors by id. */
+export type ExecutorHosts = Map<string, ExecutorHost>;
+
+/** Capacity of the executors of a soak test. */
+export const HOST_CAPACITY: Size = {
+  cpu: 4_000,
+  memoryMb: 32_768,
+  accelerators: 0,
+};
+
+/** Adds an executor that is up and listed. */
+export function addHost(
+  hosts: ExecutorHosts,
+  report: ExecutorReport,
+  { executors, cpuOf }: {
+    executors: MemoryExecutors;
+    cpuOf(task: string): number;
+  },
+): ExecutorHost {
+  const host: ExecutorHost = {
+    id: report.id,
+    process: executors.add(report),
+    isUp: true,
+    isSilent: false,
+    isReplaced: false,
+    isListed: true,
+    report,
+    faults: new Set(),
+    usedCpu() {
+      let cpu = 0;
+      for (const task of host.process.running.keys()) cpu += cpuOf(task);
+      return cpu;
+    },
+  };
+  hosts.set(host.id, host);
+  return host;
+}
+
+/** Ends the process of an executor together with its runs. */
+export function stopProcess(host: ExecutorHost): void {
+  host.isUp = false;
+  host.process.running.clear();
+}
+
+/** Returns the entries of the platform's list. */
+export function listHosts(hosts: ExecutorHosts): Map<string, ExecutorReport> {
+  return new Map(
+    [...hosts.values()].filter(({ isListed }) => isListed)
+      .map(({ id, report }) => [id, report]),
+  );
+}
--- /dev/null
+++ b/packages/measure/soak/run_soak.ts
@@ -0,0 +1,158 @@
+/**
+ * Run of a soak test of partition owners: rounds of faults and of calm, then a
+ * long calm, in which all promises to callers have to hold.
+ *
+ * @module
+ */
+
+import { createRandom } from "../random.ts";
+import { SOAK_FAULTS } from "./fault_plan.ts";
+import { HOST_CAPACITY } from "./executor_hosts.ts";
+import type { Violation } from "./soak_checker.ts";
+import { createSoakWorld, type SoakWorld } from "./soak_world.ts";
+
+/** Difference between the clock of the executors and the monotonic clock. */
+const CLOCK_OFFSET_MS = 1_000_000;
+
+/** Interval of the checks. */
+const STEP_MS = 20;
+
+/** Interval of the reports to the owner of the machines. */
+const REPORT_INTERVAL_MS = 400;
+
+const ROUNDS = 3;
+const CALM_MS = 9_000;
+const FINAL_CALM_MS = 25_000;
+
+/** Outcome of a run. */
+export type SoakOutcome = {
+  seed: number;
+  violations: Violation[];
+  world: SoakWorld;
+};
+
+/**
+ * Plays faults that follow from a seed, in paused time.
+ *
+ * @example
+ * ```ts
+ * const { violations } = await runSoak(7, { advanceTime });
+ * ```
+ */
+export async function runSoak(
+  seed: number,
+  { advanceTime }: { advanceTime(ms: number): Promise<void> },
+): Promise<SoakOutcome> {
+  const random = createRandom(seed);
+  const world = createSoakWorld(random);
+  const { checker, owners } = world;
+  let calmSinceMs: number | undefined;
+  let lastReportMs = -Infinity;
+
+  const advance = async (ms: number) => {
+    const endMs = performance.now() + ms;
+    while (performance.now() < endMs) {
+      await advanceTime(STEP_MS);
+      expireLeases(world);
+      checker.check(calmSinceMs);
+      if (performance.now() - lastReportMs < REPORT_INTERVAL_MS) continue;
+      lastReportMs = performance.now();
+      reportMachines(world);
+    }
+  };
+
+  for (let count = world.between(6, 9); count > 0; count--) {
+    world.addExecutor();
+  }
+  owners.start();
+  await advance(200);
+  for (let count = world.between(1, 2); count > 0; count--) {
+    world.accept(drawLastingStep(world));
+  }
+  await advance(1_500);
+  for (let round = 0; round < ROUNDS; round++) {
+    const active = new Set<Promise<void>>();
+    calmSinceMs = undefined;
+    const endMs = performance.now() + world.between(2_000, 9_000);
+    while (performance.now() < endMs) {
+      const fault = SOAK_FAULTS[Math.floor(random() * SOAK_FAULTS.length)]!;
+      const ended: Promise<void> = fault(world)
+        .finally(() => active.delete(ended));
+      active.add(ended);
+      if (random() < 0.5) world.accept(drawShortStep(world));
+      await advance(world.between(50, 1_000));
+    }
+    while (active.size > 0) await advance(STEP_MS);
+    world.log("CALM");
+    calmSinceMs = performance.now();
+    await advance(round === ROUNDS - 1 ? FINAL_CALM_MS : CALM_MS);
+  }
+  await checkOutcomes(world);
+  world.close();
+  return { seed, violations: checker.violations, world };
+}
+
+function drawLastingStep(world: SoakWorld) {
+  const { between } = world;
+  return {
+    isLasting: true,
+    count: between(3, 8),
+    maxPerExecutor: between(1, 2),
+    maxAway: between(0, 2),
+    size: { ...HOST_CAPACITY, cpu: between(6, 14) * 100, memoryMb: 500 },
+  };
+}
+
+function drawShortStep({ between }: SoakWorld) {
+  return {
+    count: between(1, 3),
+    estimateMs: between(200, 1_500),
+    size: { ...HOST_CAPACITY, cpu: between(2, 12) * 100, memoryMb: 500 },
+  };
+}
+
+function expireLeases({ hosts, log }: SoakWorld): void {
+  const clockMs = performance.now() + CLOCK_OFFSET_MS;
+  for (const { id, process, isUp } of hosts.values()) {
+    if (!isUp || process.running.size === 0) continue;
+    if (clockMs <= process.leaseExpiryMs) continue;
+    log(`lease of ${id} ends: ${[...process.running.keys()]}`);
+    for (const task of [...process.running.keys()]) process.end(task, "lapsed");
+  }
+}
+
+/** Plays the owner of the machines. */
+function reportMachines(world: SoakWorld): void {
+  const { current } = world.owners;
+  world.idle = new Set();
+  if (current === undefined || current.endReason !== undefined) return;
+  if (!current.owner.isLoaded()) return;
+  const report = current.owner.reserveAndReport(
+    new Set(world.reserved),
+    [...world.ended],
+  );
+  world.idle = new Set(report.idle);
+  world.ended.clear();
+}
+
+/** Checks that all jobs that were accepted are known and have ended. */
+async function checkOutcomes(world: SoakWorld): Promise<void> {
+  const { checker, jobs, owners } = world;
+  for (const { id, step, cancelledAtMs } of jobs) {
+    const result = await owners.current!.owner.getJobState(id);
+    const state = result.type === "known" ? result.value : result.type;
+    const expected = cancelledAtMs !== undefined
+      ? "cancelled"
+      : step.isLasting
+      ? "running"
+      : "completed";
+    if (state === expected) continue;
+    const text = `is ${state} in the end, not ${expected}`;
+    checker.violations.push({
+      rule: "LOST",
+      task: id,
+      text,
+      atMs: performance.now(),
+    });
+  }
+}
--- /dev/null
+++ b/packages/measure/soak/soak_checker.ts
@@ -0,0 +1,266 @@
+/**
+ * Checks of a soak test: what callers were promised, by what the executors ran.
+ *
+ * @module
+ */
+
+import type { Size, Step } from "@lagoonloom/jobs";
+import type { ExecutorHost, ExecutorHosts } from "./executor_hosts.ts";
+import type { StopCall } from "./executor_links.ts";
+
+/** Calm after which a lasting task has to run again. */
+export const RECOVERY_MS = 7_000;
+
+/** Time for which a lasting task may have no run in calm. */
+const MAX_AWAY_MS = 3_000;
+
+/** Time after the last run of a lasting task for which it may have none. */
+const MIN_SINCE_RUN_MS = 6_000;
+
+/** Executors with capacity for a task from which its wait is a fault. */
+const MIN_CANDIDATES = 2;
+
+/** Time in calm in which the runs of a cancelled job have to end. */
+const MAX_CANCELLING_MS = 3_500;
+
+/** Time without work from which a task counts as away. */
+const AWAY_NOTICE_MS = 4_500;
+
+/** Longest transit of a stop that its sender could foresee. */
+const MAX_STOP_TRANSIT_MS = 200;
+
+/** Time after harm to a link in which the orders over it may be held up. */
+const HELD_UP_MS = 3_000;
+
+/** Job as its caller knows it. */
+export type SoakJob = {
+  id: string;
+  step: Step;
+  acceptedAtMs: number;
+  cancelledAtMs: number | undefined;
+};
+
+/** Task as its runs show it. */
+export type SoakTask = {
+  name: string;
+  job: SoakJob;
+  /** Monotonic time of the end of its last run. */
+  lastRunMs: number;
+  /** Monotonic time since which it is not at work. */
+  awaySinceMs: number | undefined;
+  /** Whether the last run was ended by an order. */
+  isStopped: boolean;
+  /** Whether an end as done was acknowledged. */
+  isDoneNoted: boolean;
+};
+
+/** Broken promise. */
+export type Violation = {
+  /**
+   * Rule of the platform, or `UNUSED` for an executor that its owner counts as
+   * unusable although it answers all calls.
+   */
+  rule: "LOST" | "TWICE" | "LIMIT" | "UNASKED" | "AVAIL" | "UNUSED";
+  task: string;
+  text: string;
+  atMs: number;
+};
+
+/** Checker of the runs of a soak test. */
+export type SoakChecker = {
+  tasks: Map<string, SoakTask>;
+  violations: Violation[];
+  addJob(job: SoakJob): void;
+  onStarted(host: ExecutorHost, task: string, run: number): void;
+  onStopped(
+    host: ExecutorHost,
+    task: string,
+    options: StopCall,
+  ): void;
+  onAcknowledged(host: ExecutorHost, sequence: number): void;
+  /** Checks the state of all tasks; calm since a monotonic time, or not. */
+  check(calmSinceMs: number | undefined): void;
+  cpuOf(task: string): number;
+};
+
+/** Options of {@linkcode createSoakChecker}. */
+export type SoakCheckerOptions = {
+  /** Capacity of each executor. */
+  capacity: Size;
+  /** Describes what the owner knows of a task, to trace a broken promise. */
+  describeOwner(task: string): string;
+  /** Whether the owner may give tasks to an executor. */
+  isUsed(executor: string): boolean;
+};
+
+/** Creates a checker without jobs. */
+export function createSoakChecker(
+  hosts: ExecutorHosts,
+  { capacity, describeOwner, isUsed }: SoakCheckerOptions,
+): SoakChecker {
+  const tasks = new Map<string, SoakTask>();
+  const violations: Violation[] = [];
+  const reported = new Set<string>();
+
+  const report = (violation: Omit<Violation, "atMs">) => {
+    const key = `${violation.rule} ${violation.task}`;
+    if (reported.has(key)) return;
+    reported.add(key);
+    const text = `${violation.text}; ${describeOwner(violation.task)}`;
+    violations.push({ ...violation, text, atMs: performance.now() });
+  };
+
+  const hostsRunning = (task: string) =>
+    [...hosts.values()].filter(({ isUp, process }) =>
+      isUp && process.running.has(task)
+    );
+
+  const isAtWork = (task: string) =>
+    hostsRunning(task).some(({ process }) =>
+      (process.progress.get(task) ?? 100) >= 100
+    );
+
+  const tasksOf = (job: SoakJob) =>
+    [...tasks.values()].filter((task) => task.job === job);
+
+  const countCandidates = ({ job }: SoakTask): number => {
+    const { size, maxPerExecutor } = job.step;
+    let count = 0;
+    for (const host of hosts.values()) {
+      if (!host.isUp || !host.isListed || host.report.isDraining) continue;
+      if (host.usedCpu() + size.cpu > capacity.cpu) continue;
+      const ofStep = [...host.process.running.keys()]
+        .filter((name) => tasks.get(name)?.job === job).length;
+      if (maxPerExecutor > 0 && ofStep >= maxPerExecutor) continue;
+      count++;
+    }
+    return count;
+  };
+
+  const checkRunning = (task: SoakTask, calmSinceMs: number) => {
+    const nowMs = performance.now();
+    const { job, name } = task;
+    if (job.cancelledAtMs !== undefined) return;
+    const sinceMs = Math.max(
+      task.lastRunMs + MIN_SINCE_RUN_MS,
+      job.acceptedAtMs + MIN_SINCE_RUN_MS,
+      calmSinceMs + RECOVERY_MS,
+      task.lastRunMs + MAX_AWAY_MS,
+    );
+    if (!job.step.isLasting || nowMs < sinceMs) return;
+    if (hostsRunning(name).length > 0) return;
+    const candidates = countCandidates(task);
+    if (candidates < MIN_CANDIDATES) return;
+    report({
+      rule: "LOST",
+      task: name,
+      text: `is to last and does not run, with ${candidates} candidates`,
+    });
+  };
+
+  const checkUsed = (host: ExecutorHost, calmSinceMs: number) => {
+    if (performance.now() < calmSinceMs + RECOVERY_MS) return;
+    if (!host.isUp || !host.isListed || host.report.isDraining) return;
+    if (isUsed(host.id)) return;
+    report({ rule: "UNUSED", task: host.id, text: "gets no tasks" });
+  };
+
+  const checkCancelled = (task: SoakTask, calmSinceMs: number) => {
+    const { job, name } = task;
+    if (job.cancelledAtMs === undefined) return;
+    const sinceMs = Math.max(job.cancelledAtMs, calmSinceMs);
+    if (performance.now() < sinceMs + MAX_CANCELLING_MS) return;
+    if (hostsRunning(name).length === 0) return;
+    report({ rule: "UNASKED", task: name, text: "runs though cancelled" });
+  };
+
+  return {
+    tasks,
+    violations,
+    cpuOf: (task) => tasks.get(task)?.job.step.size.cpu ?? 0,
+    addJob(job) {
+      for (let index = 0; index < job.step.count; index++) {
+        const name = `${job.id}.0.0.${index}`;
+        tasks.set(name, {
+          name,
+          job,
+          lastRunMs: job.acceptedAtMs,
+          awaySinceMs: performance.now(),
+          isStopped: false,
+          isDoneNoted: false,
+        });
+      }
+    },
+    onStarted(host, name, run) {
+      const task = tasks.get(name);
+      if (task === undefined) {
+        report({ rule: "UNASKED", task: name, text: "is not known" });
+        return;
+      }
+      const others = hostsRunning(name).filter((other) => other !== host);
+      if (others.length > 0) {
+        const ids = others.map(({ id }) => id).join(" and ");
+        report({
+          rule: "TWICE",
+          task: name,
+          text: `run ${run} starts on ${host.id} while it runs on ${ids}`,
+        });
+      }
+      if (task.isDoneNoted) {
+        const text = `run ${run} starts on ${host.id} after an end as done`;
+        report({ rule: "TWICE", task: name, text });
+      }
+      if (host.usedCpu() > capacity.cpu) {
+        const text = `brings ${host.id} to ${host.usedCpu()} mcpu`;
+        report({ rule: "LIMIT", task: name, text });
+      }
+    },
+    onStopped(host, name, { run, sinceSentMs, lastHarmMs }) {
+      const task = tasks.get(name);
+      if (task === undefined) return;
+      const { job } = task;
+      const wasAtWork = (host.process.progress.get(name) ?? 100) >= 100;
+      const isSound = host.isListed && !host.report.isDraining;
+      task.isStopped = true;
+      if (!job.step.isLasting || job.cancelledAtMs !== undefined) return;
+      if (!wasAtWork || !isSound || sinceSentMs > MAX_STOP_TRANSIT_MS) return;
+      if (performance.now() - lastHarmMs < HELD_UP_MS) return;
+      if (hostsRunning(name).length > 0) return;
+      const nowMs = performance.now();
+      const away = tasksOf(job).filter((other) =>
+        other !== task && !isAtWork(other.name) &&
+        (other.isStopped ||
+          nowMs - (other.awaySinceMs ?? nowMs) >= AWAY_NOTICE_MS)
+      );
+      if (away.length < Math.max(job.step.maxAway, 1)) return;
+      const names = away.map((other) => other.name.slice(-1)).join(", ");
+      report({
+        rule: "AVAIL",
+        task: name,
+        text: `run ${run} is stopped on ${host.id} while ${names} are away`,
+      });
+    },
+    onAcknowledged({ process }, sequence) {
+      for (const end of process.ends) {
+        if (end.sequence > sequence || end.result !== "done") continue;
+        const task = tasks.get(end.task);
+        if (task !== undefined) task.isDoneNoted = true;
+      }
+    },
+    check(calmSinceMs) {
+      const nowMs = performance.now();
+      for (const task of tasks.values()) {
+        if (hostsRunning(task.name).length > 0) task.lastRunMs = nowMs;
+        if (isAtWork(task.name)) {
+          task.awaySinceMs = undefined;
+          task.isStopped = false;
+        } else task.awaySinceMs ??= nowMs;
+        if (calmSinceMs === undefined) continue;
+        checkRunning(task, calmSinceMs);
+        checkCancelled(task, calmSinceMs);
+      }
+      if (calmSinceMs === undefined) return;
+      for (const host of hosts.values()) checkUsed(host, calmSinceMs);
+    },
+  };
+}
--- /dev/null
+++ b/packages/measure/soak/soak_test.ts
@@ -0,0 +1,58 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import { advanceTime } from "../../jobs/_fixtures.ts";
+import { describeOutcome } from "./describe_outcome.ts";
+import { runSoak } from "./run_soak.ts";
+
+/** Seeds that run in CI, with the causes of those that failed once. */
+const CI_SEEDS = [
+  1,
+  2,
+  4,
+  5,
+  6,
+  // A job whose last task was stored as done, but not its outcome.
+  3,
+  82,
+  // A run that started after a restart which the owner had not noticed.
+  34,
+  99,
+  // Tasks that wait until the longest lease of an earlier owner has expired.
+  98,
+  // An executor that was never polled again after a lost poll.
+  108,
+  126,
+];
+
+/** Returns the seeds of a range such as `1-200`. */
+function parseSeeds(range: string): number[] {
+  const [first, last] = range.split("-").map(Number);
+  const count = (last ?? first!) - first! + 1;
+  return Array.from({ length: count }, (_, index) => first! + index);
+}
+
+const range = process.env["SOAK_SEEDS"];
+const seeds = range === undefined ? CI_SEEDS : parseSeeds(range);
+
+describe("partition owners under random faults", () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  // Guards against lasting tasks that are not run again, tasks that run twice,
+  // and other broken promises that only a series of faults shows.
+  test.each(seeds)("keep their promises, seed %i", async (seed) => {
+    const outcome = await runSoak(seed, { advanceTime });
+    expect(describeOutcome(outcome)).toBe("");
+  });
+});
--- /dev/null
+++ b/packages/measure/soak/soak_world.ts
@@ -0,0 +1,208 @@
+/**
+ * World of a soak test of partition owners: a store, executors, jobs and the
+ * machines that are reserved, in memory and in paused time.
+ *
+ * @module
+ */
+
+import {
+  cancelKey,
+  type ExecutorReport,
+  JOBS_TOPIC,
+  type Step,
+} from "@lagoonloom/jobs";
+import {
+  createMemoryExecutors,
+  createMemoryStore,
+  type MemoryStore,
+} from "@lagoonloom/standins";
+import {
+  createAccepted,
+  createConfiguration,
+  createReport,
+  createStep,
+} from "../../jobs/_fixtures.ts";
+import { isSchedulable } from "../../jobs/executor_state.ts";
+import type { Random } from "../random.ts";
+import {
+  addHost,
+  type ExecutorHost,
+  type ExecutorHosts,
+  HOST_CAPACITY,
+  listHosts,
+} from "./executor_hosts.ts";
+import { describeTask } from "./describe_task.ts";
+import { createExecutorLinks } from "./executor_links.ts";
+import { createOwnerSeries, type OwnerSeries } from "./owner_series.ts";
+import {
+  createSoakChecker,
+  type SoakChecker,
+  type SoakJob,
+} from "./soak_checker.ts";
+
+const PARTITION = 3;
+
+/** Time that a lasting task takes to get ready. */
+const READY_AFTER_MS = 700;
+
+/** World of a soak test. */
+export type SoakWorld = {
+  random: Random;
+  store: MemoryStore;
+  hosts: ExecutorHosts;
+  owners: OwnerSeries;
+  checker: SoakChecker;
+  jobs: SoakJob[];
+  /** Executors that the owner of the machines keeps reserved. */
+  reserved: Set<string>;
+  /** Executors that ended with their machines, as owners are told. */
+  ended: Set<string>;
+  /** Executors that certainly run nothing, as the owner says. */
+  idle: Set<string>;
+  /** Events with their monotonic times. */
+  history: string[];
+  log(text: string): void;
+  /** Returns a whole number from a range, both ends included. */
+  between(low: number, high: number): number;
+  addExecutor(): ExecutorHost;
+  /** Starts a new process on an executor, which knows nothing. */
+  restart(host: ExecutorHost): void;
+  accept(fields: Partial<Step>): SoakJob;
+  cancel(job: SoakJob): void;
+  close(): void;
+};
+
+/** Creates a world without executors, jobs and owners. */
+export function createSoakWorld(random: Random): SoakWorld {
+  const hosts: ExecutorHosts = new Map();
+  const executors = createMemoryExecutors();
+  const store = createMemoryStore({ partitions: 8 });
+  const checker = createSoakChecker(hosts, {
+    capacity: HOST_CAPACITY,
+    describeOwner: (task) => describeTask(world.owners.current, task),
+    isUsed: (id) => isUsed(world, id),
+  });
+  const configuration = createConfiguration();
+  const { cpuOf } = checker;
+  let hostCount = 0;
+  let jobCount = 0;
+  let processCount = 1;
+
+  const onStarted = (host: ExecutorHost, task: string, run: number) => {
+    const { process } = host;
+    world.log(`${host.id} starts ${task} run ${run}`);
+    checker.onStarted(host, task, run);
+    const step = checker.tasks.get(task)!.job.step;
+    process.progress.set(task, step.isLasting ? 0 : 50);
+    setTimeout(() => {
+      if (!host.isUp || process.running.get(task)?.run !== run) return;
+      if (step.isLasting) process.progress.set(task, 100);
+      else {
+        world.log(`${host.id} ends ${task} run ${run}: done`);
+        process.end(task, "done");
+      }
+    }, step.isLasting ? READY_AFTER_MS : step.estimateMs);
+  };
+
+  const world: SoakWorld = {
+    random,
+    store,
+    hosts,
+    checker,
+    jobs: [],
+    reserved: new Set(),
+    ended: new Set(),
+    idle: new Set(),
+    history: [],
+    owners: createOwnerSeries({
+      partition: PARTITION,
+      store,
+      random,
+      view: {
+        configuration: () => configuration,
+        layout: () => new Map([["quoting", [PARTITION]]]),
+      },
+      listExecutors: () => listHosts(hosts),
+      createClient: ({ isReached }) =>
+        createExecutorLinks({
+          hosts,
+          executors,
+          random,
+          isReached,
+          observer: {
+            onStarted,
+            onStopped(host, task, stop) {
+              world.log(`${host.id} stops ${task} run ${stop.run}`);
+              checker.onStopped(host, task, stop);
+            },
+            onAcknowledged: checker.onAcknowledged,
+          },
+        }),
+      log: (text) => world.log(text),
+    }),
+    log: (text) =>
+      world.history.push(`${(performance.now() / 1_000).toFixed(3)} ${text}`),
+    between: (low, high) => low + Math.floor(random() * (high - low + 1)),
+    addExecutor() {
+      const id = `e${++hostCount}`;
+      world.log(`new executor ${id}`);
+      return addHost(hosts, reportOf(id, processCount++), {
+        executors,
+        cpuOf,
+      });
+    },
+    restart(host) {
+      const report = reportOf(host.id, processCount++);
+      host.process = executors.add(report);
+      host.isUp = true;
+      host.isSilent = false;
+      world.log(`${host.id} starts again`);
+    },
+    accept(fields) {
+      const id = (++jobCount).toString(16).padStart(16, "0");
+      const step = createStep(fields);
+      const job: SoakJob = {
+        id,
+        step,
+        acceptedAtMs: performance.now(),
+        cancelledAtMs: undefined,
+      };
+      world.jobs.push(job);
+      checker.addJob(job);
+      const { count, maxPerExecutor, maxAway, isLasting } = step;
+      world.log(
+        `job ${id} accepted: ${isLasting ? "lasting" : "short"}, ` +
+          `${count} tasks of ${step.size.cpu} mcpu, ` +
+          `maxPerExecutor ${maxPerExecutor}, maxAway ${maxAway}`,
+      );
+      store.put({ topic: JOBS_TOPIC, partition: PARTITION }, {
+        key: id,
+        value: JSON.stringify(createAccepted([step])),
+      });
+      return job;
+    },
+    cancel(job) {
+      job.cancelledAtMs = performance.now();
+      world.log(`job ${job.id} cancelled`);
+      store.put({ topic: JOBS_TOPIC, partition: PARTITION }, {
+        key: cancelKey(job.id),
+        value: "{}",
+      });
+    },
+    close: () => world.owners.close(),
+  };
+  return world;
+}
+
+/** Returns whether the current owner may give tasks to an executor. */
+function isUsed({ owners, reserved }: SoakWorld, id: string): boolean {
+  if (owners.current === undefined || reserved.has(id)) return true;
+  const executor = owners.current.owner.executors.get(id);
+  if (executor === undefined) return false;
+  return executor.isReserved || isSchedulable(executor, performance.now());
+}
+
+/** Creates the entry of an executor in the platform's list. */
+function reportOf(id: string, startedAtMs: number): ExecutorReport {
+  return createReport(id, { startedAtMs, capacity: { ...HOST_CAPACITY } });
+}
