Show that a list alone ends the wait for a restarted executor

The next owner's first list is from before the restart; the newer list then confirms the executor before its process has answered.

--- a/packages/jobs/run/unnoticed_restart_test.ts
+++ b/packages/jobs/run/unnoticed_restart_test.ts
@@ -50,4 +50,27 @@
     expect(other.starts).toEqual([]);
     expect([...restarted.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
   });
+
+  // Guards against two runs of a task, as the next owner's first list is from
+  // before the restart and a newer one arrives before an answer (TWICE).
+  test("blocks its tasks until its new process answers", async () => {
+    fixture.addExecutor("e1");
+    const other = fixture.addExecutor("e2", {
+      capacity: { cpu: 20_000, memoryMb: 32_768, accelerators: 0 },
+    });
+    const first = await fixture.startOwner(1);
+    const oldReport = fixture.reports.get("e1")!;
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    fixture.reports.set("e1", oldReport);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(50);
+    expect(restarted.starts).toHaveLength(1);
+    first.close();
+    const next = await fixture.startOwner(2);
+    restarted.fault = "unreachable";
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    next.refresh();
+    await advanceTime(500);
+    expect(other.starts).toEqual([]);
+  });
 });
