--- a/packages/jobs/owned/blocked_tasks_test.ts
+++ b/packages/jobs/owned/blocked_tasks_test.ts
@@ -39,6 +39,12 @@
     lost.fault = "unreachable";
     fixture.reports.delete("e1");
     const others = ["e2", "e3"].map((id) => fixture.addExecutor(id));
+    fixture.machines = others.map(({ report: { id } }) => ({
+      id: `m-${id}`,
+      pool: "quoting",
+      state: "up",
+      executor: id,
+    }));
     await fixture.startOwner(2);
     await advanceTime(7_000);
     expect(others.flatMap(({ starts }) => starts)).toHaveLength(1);
--- a/packages/measure/soak/executor_hosts.ts
+++ b/packages/measure/soak/executor_hosts.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { ExecutorReport, Size } from "@lagoonloom/jobs";
+import type { ExecutorReport, Machine, Size } from "@lagoonloom/jobs";
 import type { MemoryExecutor, MemoryExecutors } from "@lagoonloom/standins";
 
 /** Kind of a call to an executor. */
@@ -44,6 +44,8 @@
   isReplaced: boolean;
   /** Whether the platform's list shows it. */
   isListed: boolean;
+  /** Whether its machine still has it, although its process may be down. */
+  hasMachine: boolean;
   /** Entry in the platform's list, which may lag behind the process. */
   report: ExecutorReport;
   faults: Set<LinkFault>;
@@ -77,6 +79,7 @@
     isSilent: false,
     isReplaced: false,
     isListed: true,
+    hasMachine: true,
     report,
     faults: new Set(),
     usedCpu() {
@@ -95,6 +98,23 @@
   host.process.running.clear();
 }
 
+/** Ends an executor for good, so that its machine may get another one. */
+export function removeExecutor(host: ExecutorHost): void {
+  stopProcess(host);
+  host.hasMachine = false;
+}
+
+/** Returns the machines, each with its executor. */
+export function listMachines(hosts: ExecutorHosts): Machine[] {
+  return [...hosts.values()].filter(({ hasMachine }) => hasMachine)
+    .map(({ id, isUp }) => ({
+      id: `m-${id}`,
+      pool: "quoting",
+      state: isUp ? "up" : "down",
+      executor: id,
+    }));
+}
+
 /** Returns the entries of the platform's list. */
 export function listHosts(hosts: ExecutorHosts): Map<string, ExecutorReport> {
   return new Map(
--- a/packages/measure/soak/fault_plan.ts
+++ b/packages/measure/soak/fault_plan.ts
@@ -5,7 +5,7 @@
  */
 
 import type { CallFate, CallKind, ExecutorHost } from "./executor_hosts.ts";
-import { stopProcess } from "./executor_hosts.ts";
+import { removeExecutor, stopProcess } from "./executor_hosts.ts";
 import type { SoakWorld } from "./soak_world.ts";
 
 /** Fault or planned change, which resolves once it is over. */
@@ -142,7 +142,7 @@
   if (host === undefined) return;
   const lagMs = world.between(0, 3_000);
   world.log(`FAULT ${host.id} ends, list lags ${lagMs} ms`);
-  stopProcess(host);
+  removeExecutor(host);
   host.isSilent = world.random() < 0.6;
   await sleep(lagMs);
   host.isListed = false;
@@ -162,7 +162,7 @@
   host.report = { ...host.report, isDraining: true, remainingMs: ms };
   await sleep(ms);
   world.log(`${host.id} is gone`);
-  stopProcess(host);
+  removeExecutor(host);
   host.isListed = false;
   world.addExecutor();
 }
@@ -253,7 +253,7 @@
     await sleep(200);
     if (!world.idle.has(host.id)) continue;
     world.log(`${host.id} is moved`);
-    stopProcess(host);
+    removeExecutor(host);
     host.isSilent = true;
     world.ended.add(host.id);
     await sleep(world.between(0, 2_000));
--- a/packages/measure/soak/owner_series.ts
+++ b/packages/measure/soak/owner_series.ts
@@ -8,6 +8,7 @@
   createPartitionOwner,
   type ExecutorClient,
   type ExecutorReport,
+  type Machine,
   type OwnerView,
   type PartitionOwner,
   type Store,
@@ -17,6 +18,9 @@
 /** Interval at which a member reads the platform's list. */
 const LIST_INTERVAL_MS = 250;
 
+/** Time until the list of machines is answered. */
+const MACHINE_LIST_MS = 20;
+
 /** Duration of an executor's lease. */
 const LEASE_MS = 4_500;
 
@@ -66,6 +70,7 @@
   random: Random;
   view: Omit<OwnerView, "executors" | "hasExecutorList">;
   listExecutors(): ReadonlyMap<string, ExecutorReport>;
+  listMachines(): Machine[];
   createClient(owner: { isReached(id: string): boolean }): ExecutorClient;
   log(text: string): void;
 };
@@ -100,6 +105,10 @@
           executors: () => reports,
           hasExecutorList: () => true,
         },
+        listMachines: async () => {
+          await sleep(MACHINE_LIST_MS);
+          return own.storePath.isCut ? undefined : options.listMachines();
+        },
         leaseMs: LEASE_MS,
         confirmedAtMs: () =>
           own.confirmedAtMs === "now" ? performance.now() : own.confirmedAtMs,
@@ -144,6 +153,10 @@
   return series;
 }
 
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 function format(fields: object): string {
   return Object.entries(fields).map(([name, value]) => `${name}=${value}`)
     .join(" ");
@@ -155,8 +168,6 @@
   path: StorePath,
 ): Store {
   const failed = { type: "failed" as const, reason: "no answer" };
-  const sleep = (ms: number) =>
-    new Promise<void>((resolve) => setTimeout(resolve, ms));
   const delay = () => sleep(random() * path.maxDelayMs);
   return {
     ...store,
--- a/packages/measure/soak/soak_world.ts
+++ b/packages/measure/soak/soak_world.ts
@@ -30,6 +30,7 @@
   type ExecutorHosts,
   HOST_CAPACITY,
   listHosts,
+  listMachines,
 } from "./executor_hosts.ts";
 import { describeTask } from "./describe_task.ts";
 import { createExecutorLinks } from "./executor_links.ts";
@@ -123,6 +124,7 @@
         layout: () => new Map([["quoting", [PARTITION]]]),
       },
       listExecutors: () => listHosts(hosts),
+      listMachines: () => listMachines(hosts),
       createClient: ({ isReached }) =>
         createExecutorLinks({
           hosts,
