Derive the free capacity of an executor from its newest report

Callers could see tasks started beyond a capacity that had shrunk while the executor ran (LIMIT), and executors that stayed partly unused after their capacity had grown.

Cause: the free capacity was stored as the state of an executor was created and changed with runs only. updateExecutor took a new report of the same process, but not its capacity. Now the state has what runs occupy, and freeCapacityOf derives the rest from the newest report; it is negative below what runs occupy. A run of unknown size has no stored size any more, so that it occupies the executor also after its capacity has grown. hasCapacityElsewhere compares as placement does: for a task that fills it left out the processor time, which let it count an overfull executor that placement refuses.

Runs are not stopped as a capacity shrinks: the rule is on starts, and stopping would lose work.

The test that counts looks at executors watched the field free; it now watches the capacity, with the same bound.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -18,7 +18,7 @@
     report,
     runs: new Set(),
     untrackedRuns: new Map(),
-    free: { ...report.capacity },
+    occupied: { cpu: 0, memoryMb: 0, accelerators: 0 },
     clockOffsetMs: undefined,
     leaseEndsMs: 0,
     acknowledgedSequence: 0,
@@ -54,26 +54,47 @@
     size.accelerators <= free.accelerators;
 }
 
-/** Adds a size to the free capacity of an executor, or subtracts it. */
-function adjustFreeCapacity(
-  { free }: ExecutorState,
-  size: Size,
+/**
+ * Returns the capacity of an executor that no run occupies. It is negative
+ * where the capacity has shrunk below what the runs occupy.
+ */
+export function freeCapacityOf(
+  { report: { capacity }, occupied, untrackedRuns }: ExecutorState,
+): Size {
+  const free = subtract(capacity, occupied);
+  const hasUnknownSize = [...untrackedRuns.values()].includes(undefined);
+  return hasUnknownSize ? subtract(free, capacity) : free;
+}
+
+function subtract(left: Size, right: Size): Size {
+  return {
+    cpu: left.cpu - right.cpu,
+    memoryMb: left.memoryMb - right.memoryMb,
+    accelerators: left.accelerators - right.accelerators,
+  };
+}
+
+/** Adds a size to the capacity that runs occupy, or subtracts it. */
+function adjustOccupied(
+  { occupied }: ExecutorState,
+  size: Size | undefined,
   sign: 1 | -1,
 ): void {
-  free.cpu += sign * size.cpu;
-  free.memoryMb += sign * size.memoryMb;
-  free.accelerators += sign * size.accelerators;
+  if (size === undefined) return;
+  occupied.cpu += sign * size.cpu;
+  occupied.memoryMb += sign * size.memoryMb;
+  occupied.accelerators += sign * size.accelerators;
 }
 
 /** Replaces the runs that an executor reports and its owner has not adopted. */
 export function setUntrackedRuns(
   executor: ExecutorState,
-  runs: ReadonlyMap<string, Size>,
+  runs: ReadonlyMap<string, Size | undefined>,
 ): void {
   for (const size of executor.untrackedRuns.values()) {
-    adjustFreeCapacity(executor, size, 1);
+    adjustOccupied(executor, size, -1);
   }
-  for (const size of runs.values()) adjustFreeCapacity(executor, size, -1);
+  for (const size of runs.values()) adjustOccupied(executor, size, 1);
   executor.untrackedRuns = runs;
 }
 
@@ -81,14 +102,14 @@
 export function addRun(run: Run): void {
   run.task.runs.push(run);
   run.executor.runs.add(run);
-  adjustFreeCapacity(run.executor, occupiedBy(run.task.group), -1);
+  adjustOccupied(run.executor, occupiedBy(run.task.group), 1);
 }
 
 /** Removes a run from its task and its executor, unless it was removed. */
 export function removeRun(run: Run): void {
   if (!run.executor.runs.delete(run)) return;
   run.task.runs = run.task.runs.filter((other) => other !== run);
-  adjustFreeCapacity(run.executor, occupiedBy(run.task.group), 1);
+  adjustOccupied(run.executor, occupiedBy(run.task.group), -1);
 }
 
 /** Returns whether the start request of a run has no answer. */
@@ -100,10 +121,10 @@
 export function transferRun(run: Run, executor: ExecutorState): void {
   const size = occupiedBy(run.task.group);
   run.executor.runs.delete(run);
-  adjustFreeCapacity(run.executor, size, 1);
+  adjustOccupied(run.executor, size, -1);
   run.executor = executor;
   executor.runs.add(run);
-  adjustFreeCapacity(executor, size, -1);
+  adjustOccupied(executor, size, 1);
 }
 
 /** Returns whether an executor may be given new tasks. */
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -131,11 +131,12 @@
   runs: Set<Run>;
   /**
    * Capacity that runs occupy which the executor reports and this owner has
-   * not adopted, by task and run number. They are being stopped.
+   * not adopted, by task and run number. They are being stopped. A run of
+   * unknown size may occupy the whole executor.
    */
-  untrackedRuns: ReadonlyMap<string, Size>;
-  /** Capacity that no run occupies. */
-  free: Size;
+  untrackedRuns: ReadonlyMap<string, Size | undefined>;
+  /** Capacity that runs of a known size occupy. */
+  occupied: Size;
   /** Executor clock minus monotonic time; undefined before its first answer. */
   clockOffsetMs: number | undefined;
   /** Monotonic time after which no lease from this owner can be valid. */
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -8,6 +8,7 @@
 import type { Size } from "../submission.ts";
 import {
   type ExecutorState,
+  freeCapacityOf,
   isSchedulable,
   isWithin,
   occupiedBy,
@@ -59,17 +60,18 @@
   const executors = options.executors.filter((executor) =>
     isSchedulable(executor, options.monotonicMs)
   );
+  const candidates = executors.map((executor) => ({
+    executor,
+    free: freeCapacityOf(executor),
+    placed: new Map(),
+  }));
   const groups = rankGroups(jobs, {
     ...options,
-    largestFree: largestOf(executors.map(({ free }) => free)),
+    largestFree: largestOf(candidates.map(({ free }) => free)),
   });
   if (executors.length === 0 || groups.length === 0) return [];
   const round: PlacementRound = {
-    candidates: executors.map((executor) => ({
-      executor,
-      free: { ...executor.free },
-      placed: new Map(),
-    })),
+    candidates,
     placements: [],
     options,
     failedSizes: [],
--- a/packages/jobs/placed/place_tasks_test.ts
+++ b/packages/jobs/placed/place_tasks_test.ts
@@ -193,11 +193,11 @@
     let looks = 0;
     const executors = Array.from({ length: 20 }, (_, index) => {
       const executor = executorOf(`e${index}`);
-      const free = { cpu: 900, memoryMb: 1_000, accelerators: 0 };
-      Object.defineProperty(executor, "free", {
+      const capacity = { cpu: 900, memoryMb: 1_000, accelerators: 0 };
+      Object.defineProperty(executor.report, "capacity", {
         get() {
           looks++;
-          return free;
+          return capacity;
         },
       });
       return executor;
--- a/packages/jobs/run/drain_executors.ts
+++ b/packages/jobs/run/drain_executors.ts
@@ -7,7 +7,13 @@
 
 import type { Run, TaskGroup } from "../job.ts";
 import { type OwnerState, stopRun } from "../owned/owner_state.ts";
-import { type ExecutorState, isSchedulable } from "../executor_state.ts";
+import {
+  type ExecutorState,
+  freeCapacityOf,
+  isSchedulable,
+  isWithin,
+  occupiedBy,
+} from "../executor_state.ts";
 
 /**
  * Time after a takeover in which stop requests of the earlier owner may still
@@ -74,12 +80,9 @@
 
 function fits(run: Run, executor: ExecutorState): boolean {
   const { group } = run.task;
-  const { size, label, maxPerExecutor, isFilling } = group.step;
-  const { free, report } = executor;
-  if (!isFilling && free.cpu < size.cpu) return false;
-  if (free.memoryMb < size.memoryMb) return false;
-  if (free.accelerators < size.accelerators) return false;
-  if (label !== "" && !report.labels.includes(label)) return false;
+  const { label, maxPerExecutor } = group.step;
+  if (!isWithin(occupiedBy(group), freeCapacityOf(executor))) return false;
+  if (label !== "" && !executor.report.labels.includes(label)) return false;
   if (maxPerExecutor === 0) return true;
   let groupRuns = 0;
   for (const other of executor.runs) {
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -110,7 +110,7 @@
   /** Adopts a run, or stops it and adds it to the untracked ones. */
   const handleUnknownRun = (
     report: RunReport,
-    untracked: Map<string, Size>,
+    untracked: Map<string, Size | undefined>,
   ) => {
     const adoption = callbacks.onUnknownRun(executor, report);
     if (adoption.isAdopted) {
@@ -127,7 +127,7 @@
   };
 
   const handleRunning = (running: readonly RunReport[]) => {
-    const untracked = new Map<string, Size>();
+    const untracked = new Map<string, Size | undefined>();
     for (const report of running) {
       const run = findRun(executor, report.task, report.run);
       if (run === undefined) {
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -261,10 +261,7 @@
   report: RunReport,
 ): Adoption {
   const task = findTask(owner.jobs, report.task);
-  if (task === undefined) {
-    // The size is unknown, so that the run may occupy the whole executor.
-    return { isAdopted: false, size: executor.report.capacity };
-  }
+  if (task === undefined) return { isAdopted: false, size: undefined };
   const { job, step } = task.group;
   task.lastRunNumber = Math.max(task.lastRunNumber, report.run);
   const mustStop: Adoption = {
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -12,8 +12,11 @@
 /** Decision about a run that the owner did not track. */
 export type Adoption =
   | { isAdopted: true }
-  /** The run must stop, and occupies this capacity until then. */
-  | { isAdopted: false; size: Size };
+  /**
+   * The run must stop, and occupies this capacity until then; undefined if its
+   * size is not known.
+   */
+  | { isAdopted: false; size: Size | undefined };
 
 /** Calls from a session to the partition owner. */
 export type SessionCallbacks = {
