Wait for the answer of a restarted executor in a takeover

Cause, by reading: a new owner blocks inherited tasks until each executor that may run them has answered. updateExecutor counted an executor as heard as soon as the list showed a later start than the owner knew. If the owner's first list was outdated, an earlier owner may have run tasks on that process, and their ends are not known yet. Now only an answer of the process counts, which lists them, or the end of all earlier leases, as for any other executor. An executor that now belongs to another partition still counts at once, as its process runs no such task.

Evidence: of the three new tests two fail before: "starts no task again that the process on a later list did", and "blocks tasks until earlier leases expire if none answers", which started the task before the leases had expired. The third, on a process of another service, passes before and after.

--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -126,10 +126,11 @@
     return;
   }
   if (report !== undefined) {
-    confirmExecutor(owner, executor.id);
     if (belongsToPartition(owner, report)) {
+      // Only an answer shows what earlier owners ran on the new process.
       replaceExecutor(owner, executor, report);
     } else {
+      confirmExecutor(owner, executor.id);
       executor.leaseEndsMs = 0;
       executor.hasRestarted = false;
       removeExecutor(owner, executor);
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -14,6 +14,13 @@
   JOB_ID,
   type OwnerFixture,
 } from "../_fixtures.ts";
+import { longestLeaseMs, OWNERSHIP_GRACE_MS } from "../owned/owner_state.ts";
+
+/** Time that `startOwner` waits for a new owner. */
+const TAKEOVER_MS = 50;
+
+/** Lease of the owners of the fixture. */
+const LEASE_MS = 4_500;
 
 describe("an executor that comes back to the list", () => {
   let fixture: OwnerFixture;
@@ -108,4 +115,65 @@
     await advanceTime(1_000);
     expect(restarted.starts.length + other.starts.length).toBe(1);
   });
+
+  /**
+   * Starts an owner whose list shows an older process of `e1` than the one on
+   * which its predecessor ran a task; `e2` is idle.
+   */
+  async function takeOverWithOutdatedList() {
+    const executor = fixture.addExecutor("e1", { startedAtMs: 2 });
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    expect(executor.running.size).toBe(1);
+    first.close();
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    executor.fault = "unreachable";
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 1 }));
+    const other = fixture.addExecutor("e2");
+    const owner = await fixture.startOwner(2);
+    return { executor, other, owner };
+  }
+
+  // Guards against a task that is started again after it was done, as the list
+  // shows the process that ran it before that process answers (TWICE).
+  test("starts no task again that the process on a later list did", async () => {
+    const { executor, other, owner } = await takeOverWithOutdatedList();
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    owner.refresh();
+    await advanceTime(1_000);
+    expect(other.starts).toEqual([]);
+    executor.fault = undefined;
+    await advanceTime(1_000);
+    expect(await owner.getJobState(JOB_ID))
+      .toEqual({ type: "known", value: "completed" });
+    expect(other.starts).toEqual([]);
+    expect(executor.starts).toHaveLength(1);
+  });
+
+  // Guards against tasks that wait longer than the leases of earlier owners.
+  test("blocks tasks until earlier leases expire if none answers", async () => {
+    const { other, owner } = await takeOverWithOutdatedList();
+    const sinceMs = performance.now() - TAKEOVER_MS;
+    const expiredMs = sinceMs + OWNERSHIP_GRACE_MS + longestLeaseMs(LEASE_MS);
+    await advanceTime(6_000);
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    owner.refresh();
+    await advanceTime(expiredMs - performance.now() - 1);
+    expect(other.starts).toEqual([]);
+    await advanceTime(500);
+    expect(other.starts).toHaveLength(1);
+  });
+
+  // Guards against the same wait for a process that runs none of these tasks.
+  test("blocks no task if its next process serves another service", async () => {
+    const { other, owner } = await takeOverWithOutdatedList();
+    fixture.reports.set(
+      "e1",
+      createReport("e1", { startedAtMs: 3, service: "backoffice" }),
+    );
+    owner.refresh();
+    await advanceTime(500);
+    expect(other.starts).toHaveLength(1);
+  });
 });
