Keep what an owner whose clock was ahead has run

A task of a repeated job could start again after it was done (TWICE), or its run was stopped, when the partition passed to an owner whose clock was behind.

Cause: the tasks of an occurrence were created only once its time had come by the owner's own clock. Before that, stored progress of the occurrence was left out and overwritten, the end of a run was acknowledged without effect, and a run that went on was stopped as one of an unknown job. Now the tasks are also created as soon as stored progress, a handover or an executor names one of them.

Evidence: the three tests of clock_difference_test.ts fail before, each with a second start, and pass now.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -5,7 +5,16 @@
  */
 
 import { finishJob } from "../ended/finish_job.ts";
-import { createDueOccurrences, createJob, hasEnded, type Job } from "../job.ts";
+import {
+  createDueOccurrences,
+  createJob,
+  findTask,
+  hasEnded,
+  type Job,
+  parseTaskName,
+  scheduledTimeOf,
+  type Task,
+} from "../job.ts";
 import { decodeAccepted } from "../owned/load_partition.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
@@ -55,6 +64,39 @@
   });
 }
 
+/**
+ * Creates the tasks of a job up to an occurrence, also if that is not due yet:
+ * an earlier owner, whose clock was ahead, may have run them.
+ */
+export function createTasksUpTo(
+  owner: OwnerState,
+  job: Job,
+  occurrence: number,
+): void {
+  createDueOccurrences(job, {
+    unixMs: Math.max(Date.now(), scheduledTimeOf(job, occurrence)),
+    monotonicMs: performance.now(),
+    blockedUntilMs: job.isInherited ? owner.blockedUntilMs : 0,
+  });
+}
+
+/**
+ * Finds the task that an earlier owner has run; returns undefined if its job is
+ * not known.
+ */
+export function findStartedTask(
+  owner: OwnerState,
+  name: string,
+): Task | undefined {
+  const parts = parseTaskName(name);
+  const job = parts && owner.jobs.get(parts.id);
+  if (job === undefined) return undefined;
+  if (job.endedAtMs === undefined) {
+    createTasksUpTo(owner, job, parts!.occurrence);
+  }
+  return findTask(owner.jobs, name);
+}
+
 /** Cancels a job if it is known and has not ended. */
 export function applyCancellation(owner: OwnerState, id: string): void {
   const job = owner.jobs.get(id);
--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from "zod";
-import type { Job, TaskGroup } from "../job.ts";
+import { type Job, parseTaskName, type TaskGroup } from "../job.ts";
 
 /**
  * Schema of the stored progress of a job. Failed runs are stored by run number,
@@ -57,8 +57,17 @@
   return JSON.stringify(progress);
 }
 
+/** Returns the last occurrence of which something is stored, at least 0. */
+export function lastOccurrenceOf({ done, failed }: Progress): number {
+  const occurrences = [
+    ...Object.keys(done).map((key) => Number.parseInt(key, 10)),
+    ...Object.keys(failed).map((name) => parseTaskName(name)?.occurrence ?? 0),
+  ];
+  return Math.max(0, ...occurrences);
+}
+
 /**
- * Restores stored progress into a job whose due occurrences have been created,
+ * Restores stored progress into a job whose occurrences have been created,
  * and the numbers of its failed runs into `failed`.
  */
 export function applyProgress(
--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -5,7 +5,8 @@
  * @module
  */
 
-import { findTask, type Task } from "../job.ts";
+import { findStartedTask } from "../accepted/apply_records.ts";
+import type { Task } from "../job.ts";
 import { HANDOVER_KEY } from "../topics.ts";
 import type { Handover, HandoverRun } from "./handover_record.ts";
 import type { OwnerState } from "./owner_state.ts";
@@ -74,7 +75,7 @@
     );
     owner.unconfirmedExecutors.set(executor, endsMs);
     addInheritedRun(owner, run);
-    const task = findTask(owner.jobs, run.task);
+    const task = findStartedTask(owner, run.task);
     if (task === undefined) continue;
     task.lastRunNumber = Math.max(task.lastRunNumber, run.run);
     blockedUntil.set(task, Math.max(endsMs, blockedUntil.get(task) ?? 0));
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -9,10 +9,11 @@
   addJob,
   applyCancellation,
   createDueTasks,
+  createTasksUpTo,
   readNewRecords,
 } from "../accepted/apply_records.ts";
 import { startRemovingExpiredJobs } from "../ended/remove_expired_jobs.ts";
-import { applyProgress } from "../ended/progress.ts";
+import { applyProgress, lastOccurrenceOf } from "../ended/progress.ts";
 import { createProgressLog } from "../ended/progress_log.ts";
 import { type JobsById, stateOf } from "../job.ts";
 import {
@@ -264,6 +265,7 @@
     const isInherited = progress !== undefined;
     const job = addJob(owner, id, { accepted, offset, isInherited });
     if (progress !== undefined) {
+      createTasksUpTo(owner, job, lastOccurrenceOf(progress));
       applyProgress(job, { progress, failed: owner.failedRuns });
     }
     if (state.cancelled.has(id)) applyCancellation(owner, id);
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { findStartedTask } from "../accepted/apply_records.ts";
 import { recordRunEnd, recordTrackedRunEnd } from "../ended/record_run_end.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import { findTask, hasEnded as hasJobEnded, type Run } from "../job.ts";
@@ -244,7 +245,7 @@
     callbacks: {
       onRunEnd: (run, end) => recordTrackedRunEnd(owner, run, end),
       onUnknownEnd(executor, end) {
-        const task = findTask(owner.jobs, end.task);
+        const task = findStartedTask(owner, end.task);
         if (task !== undefined) recordRunEnd(owner, task, { ...end, executor });
       },
       onUnknownRun: (executor, report) => adoptRun(owner, executor, report),
@@ -261,7 +262,7 @@
   executor: ExecutorState,
   report: RunReport,
 ): Adoption {
-  const task = findTask(owner.jobs, report.task);
+  const task = findStartedTask(owner, report.task);
   if (task === undefined) return { isAdopted: false, size: undefined };
   const { job, step } = task.group;
   task.lastRunNumber = Math.max(task.lastRunNumber, report.run);
