--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -9,11 +9,12 @@
   addJob,
   applyCancellation,
   createDueTasks,
+  createTasksUpTo,
   readNewRecords,
 } from "../accepted/apply_records.ts";
 import { finishJob } from "../ended/finish_job.ts";
 import { startRemovingExpiredJobs } from "../ended/remove_expired_jobs.ts";
-import { applyProgress } from "../ended/progress.ts";
+import { applyProgress, lastOccurrenceOf } from "../ended/progress.ts";
 import { createProgressLog } from "../ended/progress_log.ts";
 import { hasEnded, isComplete, type JobsById, stateOf } from "../job.ts";
 import {
@@ -269,6 +270,7 @@
     const isInherited = progress !== undefined;
     const job = addJob(owner, id, { accepted, offset, isInherited });
     if (progress !== undefined) {
+      createTasksUpTo(owner, job, lastOccurrenceOf(progress));
       applyProgress(job, { progress, failed: owner.failedRuns });
     }
     if (state.cancelled.has(id)) applyCancellation(owner, id);
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import { type ExecutorState, isSchedulable } from "../executor_state.ts";
+import {
+  type ExecutorState,
+  freeCapacityOf,
+  isSchedulable,
+} from "../executor_state.ts";
 import { hasEnded, isGroupReady, type Run, type Task } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { findObstacle } from "./find_obstacle.ts";
@@ -82,7 +86,7 @@
   for (const executor of executors) {
     const reason = findUnavailability(executor, nowMs) ??
       findObstacle(task.group, executor, {
-        free: executor.free,
+        free: freeCapacityOf(executor),
         placedCount: 0,
         mayRun: (group) => mayRun(owner, group, { executors, executor }),
       }) ?? "usable";
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { findStartedTask } from "../accepted/apply_records.ts";
 import { recordRunEnd, recordTrackedRunEnd } from "../ended/record_run_end.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import { findTask, hasEnded as hasJobEnded, type Run } from "../job.ts";
@@ -126,10 +127,11 @@
     return;
   }
   if (report !== undefined) {
-    confirmExecutor(owner, executor.id);
     if (belongsToPartition(owner, report)) {
+      // Only an answer shows what earlier owners ran on the new process.
       replaceExecutor(owner, executor, report);
     } else {
+      confirmExecutor(owner, executor.id);
       executor.leaseEndsMs = 0;
       executor.hasRestarted = false;
       removeExecutor(owner, executor);
@@ -243,7 +245,7 @@
     callbacks: {
       onRunEnd: (run, end) => recordTrackedRunEnd(owner, run, end),
       onUnknownEnd(executor, end) {
-        const task = findTask(owner.jobs, end.task);
+        const task = findStartedTask(owner, end.task);
         if (task !== undefined) recordRunEnd(owner, task, { ...end, executor });
       },
       onUnknownRun: (executor, report) => adoptRun(owner, executor, report),
@@ -260,11 +262,8 @@
   executor: ExecutorState,
   report: RunReport,
 ): Adoption {
-  const task = findTask(owner.jobs, report.task);
-  if (task === undefined) {
-    // The size is unknown, so that the run may occupy the whole executor.
-    return { isAdopted: false, size: executor.report.capacity };
-  }
+  const task = findStartedTask(owner, report.task);
+  if (task === undefined) return { isAdopted: false, size: undefined };
   const { job, step } = task.group;
   task.lastRunNumber = Math.max(task.lastRunNumber, report.run);
   const mustStop: Adoption = {
--- a/packages/measure/soak/describe_task.ts
+++ b/packages/measure/soak/describe_task.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { freeCapacityOf } from "../../jobs/executor_state.ts";
 import { findTask } from "../../jobs/job.ts";
 import type { SoakOwner } from "./owner_series.ts";
 
@@ -33,7 +34,7 @@
       `untracked ${[...executor.untrackedRuns.keys()]}`,
     ].filter((flag) => flag !== false);
     const silentMs = Math.round(nowMs - executor.answeredAtMs);
-    return `${executor.id}: ${executor.free.cpu} mcpu free, ` +
+    return `${executor.id}: ${freeCapacityOf(executor).cpu} mcpu free, ` +
       `answered ${silentMs} ms ago${flags.map((flag) => `, ${flag}`).join("")}`;
   });
   return `owner ${epoch} (${endReason ?? "at work"}, ` +
