Start from the newest peer while the log is unreachable

A daemon that started without the log showed, and reported ready with, the set of the peer that answered first, also if that peer itself was cut off and another one had a newer set. catchUpFromPeer loaded the first state from any answer, and isCaughtUp took one unanswered heartbeat (0.8 s) as the loss of a peer.

The first state is now loaded from the newest reachable peer, once each peer has answered, refused the connection or been silent for 3 s. A daemon that never read the log waits as long for members that it learns of from that state before it is ready. A daemon that reads the log, or has been ready, waits no longer than before, and one that is cut off still starts after 3 s from what it can reach.

Of the four new tests, three fail without the change; the fourth guards the start with a peer that never answers.

--- a/packages/daemon/_fixtures.ts
+++ b/packages/daemon/_fixtures.ts
@@ -41,8 +41,13 @@
   events: string[];
   /** Whether this daemon can't reach the log. */
   isCutOff: boolean;
+  /** Time until calls of other daemons reach this one, in milliseconds. */
+  callDelayMs: number;
 };
 
+/** Time in milliseconds until a call reaches a daemon. */
+const CALL_DELAY_MS = 1;
+
 /** Creates a log in memory, to which daemons can be added. */
 export function createDeployment(options: { retentionMs?: number } = {}) {
   const store = createLogStore(options);
@@ -69,7 +74,14 @@
       metrics: createMetrics(),
       createIncarnation: () => `i${++incarnations}`,
     });
-    const result: TestDaemon = { ...daemon, name, address, events, isCutOff };
+    const result: TestDaemon = {
+      ...daemon,
+      name,
+      address,
+      events,
+      isCutOff,
+      callDelayMs: CALL_DELAY_MS,
+    };
     byAddress.set(address, result);
     daemon.start();
     return result;
@@ -131,6 +143,15 @@
   reason: "refused",
 };
 
+const TIMED_OUT = {
+  type: "unreachable" as const,
+  mayHaveArrived: true,
+  isConnectionRefused: false,
+  reason: "timeout",
+};
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
 /** Creates a client that calls the handlers of a daemon directly. */
 function connect(find: () => TestDaemon | undefined): PeerClient {
   type Handlers = Daemon["peerHandlers"];
@@ -141,8 +162,11 @@
     ) =>
       | MessageInitShape<Response>
       | Promise<MessageInitShape<Response>>,
+    timeoutMs = Infinity,
   ) {
-    await new Promise((resolve) => setTimeout(resolve, 1));
+    const delayMs = find()?.callDelayMs ?? CALL_DELAY_MS;
+    await sleep(Math.min(delayMs, timeoutMs));
+    if (delayMs > timeoutMs) return TIMED_OUT;
     const daemon = find();
     if (daemon === undefined) return REFUSED;
     const response = create(schema, await run(daemon.peerHandlers));
@@ -150,10 +174,11 @@
   }
   const { signal } = new AbortController();
   return {
-    heartbeat: (request) =>
+    heartbeat: (request, { timeoutMs }) =>
       call(
         HeartbeatResponseSchema,
         (it) => it.heartbeat(create(HeartbeatRequestSchema, request)),
+        timeoutMs,
       ),
     forward: (request) =>
       call(
--- a/packages/daemon/catch_up_from_peer.ts
+++ b/packages/daemon/catch_up_from_peer.ts
@@ -6,7 +6,7 @@
 
 import type { ControlFold } from "./control_fold.ts";
 import type { LogFollower } from "./log_follower.ts";
-import type { PeerLink } from "./peer_links.ts";
+import type { PeerLink, PeerLinks } from "./peer_links.ts";
 
 /**
  * Time since the last read of the log, in milliseconds, after which records are
@@ -30,6 +30,7 @@
 export type CatchUpOptions = {
   fold: ControlFold;
   follower: LogFollower;
+  links: PeerLinks;
   /** Monotonic time at which the answered heartbeat was sent. */
   sentAtMs: number;
 };
@@ -38,17 +39,19 @@
  * Catches up from another entry host after it answered a heartbeat, if it read
  * the log more recently. Its read counts as one of this entry host, made at the
  * time at which the heartbeat was sent, less the age that the peer reported.
+ * The first state is loaded once no other peer may still report a newer one.
  *
  * @example
  * ```ts
- * await catchUpFromPeer(link, { fold, follower, sentAtMs });
+ * await catchUpFromPeer(link, { fold, follower, links, sentAtMs });
  * ```
  */
 export async function catchUpFromPeer(
   link: PeerLink,
   options: CatchUpOptions,
 ): Promise<void> {
-  const { fold, follower, sentAtMs } = options;
+  const { fold, follower, links, sentAtMs } = options;
+  if (!follower.isLoaded() && !isNewestPeer(link, links)) return;
   const { nextOffset: target, logAgeMs } = link;
   const readAtMs = follower.readAtMs() ?? -Infinity;
   const isOld = performance.now() - readAtMs > CATCH_UP_AGE_MS;
@@ -58,3 +61,12 @@
   if (target > fold.state().nextOffset || logAgeMs >= NEVER_READ_AGE_MS) return;
   follower.notePeerRead(sentAtMs - logAgeMs);
 }
+
+/** Returns whether no other peer is known, or may turn out, to be newer. */
+function isNewestPeer(link: PeerLink, links: PeerLinks): boolean {
+  const nowMs = performance.now();
+  return links.all().every((other) =>
+    !links.isFirstAnswerPending(other, nowMs) &&
+    (!links.isReachable(other, nowMs) || other.nextOffset <= link.nextOffset)
+  );
+}
--- a/packages/daemon/create_daemon.ts
+++ b/packages/daemon/create_daemon.ts
@@ -168,7 +168,7 @@
       isHeartbeatInitiator({ self: name, other: link.name }, fold.state()),
     onAnswer(link, response, sentAtMs) {
       slots.receiveUsageReport(link.name, toSlotUsageReport(response));
-      void catchUpFromPeer(link, { fold, follower, sentAtMs });
+      void catchUpFromPeer(link, { fold, follower, links, sentAtMs });
     },
   });
 
@@ -236,14 +236,18 @@
 
   /**
    * Returns whether the state is at least as new as that of each reachable
-   * peer. Each peer must have been called once. Once it has been ready, the
-   * daemon stays so while it is behind its peers.
+   * peer. Each peer must have been called once; a daemon that starts from peers
+   * alone waits until each has answered or is unreachable. Once it has been
+   * ready, the daemon stays so while it is behind its peers.
    */
   function isCaughtUp(): boolean {
     if (!follower.isLoaded()) return false;
     const nowMs = performance.now();
+    const awaitsAnswers = !wasReady && !follower.hasReadLog();
     return links.all().every((link) =>
-      link.hasFirstResult && (!links.isReachable(link, nowMs) ||
+      link.hasFirstResult &&
+      !(awaitsAnswers && links.isFirstAnswerPending(link, nowMs)) &&
+      (!links.isReachable(link, nowMs) ||
         link.nextOffset <= fold.state().nextOffset || wasReady)
     );
   }
--- a/packages/daemon/create_daemon_test.ts
+++ b/packages/daemon/create_daemon_test.ts
@@ -53,6 +53,36 @@
   return await outcome;
 }
 
+/**
+ * Creates two daemons of which only the first has the newest set, and the
+ * second can't reach the log. Daemons from number 4 on are no seeds.
+ */
+async function createPairWithOldPeer(firstNumber = 1) {
+  const { start, store } = createDeployment();
+  const [first, second] = [start(firstNumber), start(2)];
+  await advanceTime(2_000);
+  await submit(first, publicationOf("p1", { expectedVersion: 0 }));
+  second.isCutOff = true;
+  const { expectedVersion, change, operator } = publicationOf("p2", {
+    expectedVersion: 1,
+  });
+  const body = { type: "set.changed", expectedVersion, change, operator };
+  store.append("control", { id: "p2", body });
+  await advanceTime(10);
+  const versions = [first, second].map((it) => it.fold.state().setVersion);
+  expect(versions).toEqual([2, 1]);
+  /** Starts a daemon without the log; also returns the versions it shows. */
+  function startCutOff() {
+    const third = start(3, true);
+    const shown: number[] = [];
+    third.fold.onChange(({ type }) => {
+      if (type === "settled") shown.push(third.fold.state().setVersion);
+    });
+    return { third, shown };
+  }
+  return { first, second, startCutOff };
+}
+
 describe("createDaemon()", () => {
   // Guards against a publication that is reported as failed, or appended twice,
   // when only the log's answer was lost.
@@ -125,6 +155,57 @@
     expect(usableSlots(second)).toBe(0);
   });
 
+  // Guards against a starting daemon that shows the older set of the peer that
+  // answers first.
+  test("starts from the newest peer if an older one answers first", async () => {
+    const { first, startCutOff } = await createPairWithOldPeer();
+    first.callDelayMs = 50;
+    const { third, shown } = startCutOff();
+    await advanceTime(1_000);
+    expect(third.isReady()).toBe(true);
+    expect([...new Set(shown)]).toEqual([2]);
+  });
+
+  // Guards against a starting daemon that takes one unanswered heartbeat as the
+  // loss of the peer, and shows the older set of another one.
+  test("waits for a paused peer before it starts from an older one", async () => {
+    const { first, startCutOff } = await createPairWithOldPeer();
+    first.callDelayMs = Infinity;
+    const { third, shown } = startCutOff();
+    await advanceTime(1_500);
+    expect(third.isReady()).toBe(false);
+    first.callDelayMs = 1;
+    await advanceTime(1_500);
+    expect(third.isReady()).toBe(true);
+    expect([...new Set(shown)]).toEqual([2]);
+  });
+
+  // Guards against a daemon that reports ready with the older set of its seed,
+  // before a peer that only this seed knows has answered.
+  test("is not ready before a member that is no seed has answered", async () => {
+    const { first, startCutOff } = await createPairWithOldPeer(4);
+    first.callDelayMs = Infinity;
+    const { third } = startCutOff();
+    await advanceTime(1_500);
+    expect(third.fold.state().setVersion).toBe(1);
+    expect(third.isReady()).toBe(false);
+    first.callDelayMs = 1;
+    await advanceTime(1_500);
+    expect(third.isReady()).toBe(true);
+    expect(third.fold.state().setVersion).toBe(2);
+  });
+
+  // Guards against a daemon without the log that waits without end for a peer
+  // that never answers.
+  test("starts from an older peer if the newest one stays unreachable", async () => {
+    const { first, startCutOff } = await createPairWithOldPeer();
+    first.callDelayMs = Infinity;
+    const { third } = startCutOff();
+    await advanceTime(4_000);
+    expect(third.isReady()).toBe(true);
+    expect(third.fold.state().setVersion).toBe(1);
+  });
+
   // Guards against a daemon that reports ready before it has loaded a state.
   test("is not ready without the log and without a peer", async () => {
     const { start, store } = createDeployment();
--- a/packages/daemon/log_follower.ts
+++ b/packages/daemon/log_follower.ts
@@ -51,6 +51,8 @@
   readAtMs(): number | undefined;
   /** Returns whether a state was loaded from the log or from a peer. */
   isLoaded(): boolean;
+  /** Returns whether this entry host itself read the log to its end. */
+  hasReadLog(): boolean;
   /** Returns the retention that the log reported, in milliseconds. */
   retentionMs(): number | undefined;
   /**
@@ -83,6 +85,7 @@
   let isReachable = true;
   let retentionMs: number | undefined;
   let isStateLoaded = false;
+  let hasReadLog = false;
   function markLoaded(source: string): void {
     if (!isStateLoaded) {
       const { nextOffset } = fold.state();
@@ -107,6 +110,7 @@
       // After a full page the log may hold more records.
       if (records.length >= TAIL_PAGE_RECORDS) return;
       readAtMs = requestedAtMs;
+      hasReadLog = true;
       markLoaded("log");
     },
     async onExpired(page: LogPage) {
@@ -135,6 +139,7 @@
       }),
     readAtMs: () => readAtMs,
     isLoaded: () => isStateLoaded,
+    hasReadLog: () => hasReadLog,
     retentionMs: () => retentionMs,
     notePeerRead(atMs) {
       if (!isStateLoaded) return;
--- a/packages/daemon/peer_links.ts
+++ b/packages/daemon/peer_links.ts
@@ -60,6 +60,8 @@
   refusedAtMs: number | undefined;
   /** Whether the first heartbeat to it was answered or failed. */
   hasFirstResult: boolean;
+  /** Monotonic time at which this entry host began to call it. */
+  createdAtMs: number;
   /** Free and lent slots by pool that it reported. */
   freeSlots: Map<string, SlotReport>;
   /** Leaving hosts on which it had requests in flight. */
@@ -129,6 +131,11 @@
    */
   receiveHeartbeat(request: HeartbeatRequest, nowMs: number): SlotCountsReply;
   isReachable(link: PeerLink, nowMs: number): boolean;
+  /**
+   * Returns whether a peer may still send its first answer: it has not answered
+   * or refused the connection yet, and is not unreachable.
+   */
+  isFirstAnswerPending(link: PeerLink, nowMs: number): boolean;
   close(): void;
 };
 
@@ -188,6 +195,9 @@
     isReachable: (link, nowMs) =>
       link.answeredAtMs !== undefined &&
       nowMs - link.answeredAtMs < UNREACHABLE_AFTER_MS,
+    isFirstAnswerPending: (link, nowMs) =>
+      link.answeredAtMs === undefined && link.refusedAtMs === undefined &&
+      nowMs - link.createdAtMs < UNREACHABLE_AFTER_MS,
     close() {
       for (const link of links.values()) link.client.close();
       links.clear();
@@ -209,6 +219,7 @@
     promisedAtMs: undefined,
     refusedAtMs: undefined,
     hasFirstResult: false,
+    createdAtMs: performance.now(),
     freeSlots: new Map(),
     busyHosts: new Set(),
     acknowledgedFreeSlots: new Map(),
