Print the output of daemons when a test of processes fails

Three tests of daemons as processes failed once each and could not be traced, as the daemons ran without stdout and stderr. The bodies, bounds and checks of the tests are as before.

--- a/packages/daemon/daemon_process_test.ts
+++ b/packages/daemon/daemon_process_test.ts
@@ -1,7 +1,14 @@
-import { afterEach, describe, expect, jest, test } from "@jest/globals";
+import {
+  afterEach,
+  describe,
+  expect,
+  jest,
+  test as jestTest,
+} from "@jest/globals";
 import { createOperatorClient } from "@lagoonloom/operators";
 import {
   createLogStore,
+  createProcessOutput,
   createTestFleet,
   type ExecutorStandin,
   findPorts,
@@ -26,10 +33,15 @@
 const exits: Promise<unknown>[] = [];
 const standins: Standin[] = [];
 
+const output = createProcessOutput();
+const test = (title: string, run: () => Promise<void>) =>
+  jestTest(title, output.watch(run));
+
 afterEach(async () => {
   for (const child of children.splice(0)) child.kill("SIGKILL");
   await Promise.all(exits.splice(0));
   await Promise.all(standins.splice(0).map((it) => it.close()));
+  output.finish();
 });
 
 type Process = {
@@ -85,7 +97,10 @@
 longest_request_ms = 2000
 `,
   );
-  const child = spawn(process.execPath, [PROGRAM, file], { stdio: "ignore" });
+  const child = spawn(process.execPath, [PROGRAM, file], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  output.record(`detroit-${number}`, child);
   children.push(child);
   const exited = new Promise<number | null>((resolve) =>
     child.once("exit", (code) => {
--- a/packages/measure/proofs/_process_fleet.ts
+++ b/packages/measure/proofs/_process_fleet.ts
@@ -10,6 +10,7 @@
 import {
   createLogStore,
   createTestFleet,
+  type ProcessOutput,
   serveExecutor,
   serveLog,
 } from "@lagoonloom/standins";
@@ -41,8 +42,11 @@
 /** Daemon process and its relay to the log. */
 export type DaemonProcess = Awaited<ReturnType<typeof startDaemon>>;
 
-/** Starts a log, an executor and two daemons, and waits for the daemons. */
-export async function startProcessFleet() {
+/**
+ * Starts a log, an executor and two daemons, and waits for the daemons. Their
+ * output is recorded.
+ */
+export async function startProcessFleet(output: ProcessOutput) {
   const folder = mkdtempSync(join(tmpdir(), "lagoonloom-"));
   const store = createLogStore();
   const log = await serveLog(store, "127.0.0.1:0");
@@ -63,6 +67,7 @@
       isDisconnected,
     };
     const daemon = await startDaemon(entryHost, options);
+    output.record(entryHost.name, daemon.child);
     daemons.push(daemon);
     cleanups.push(daemon.close);
     return daemon;
@@ -160,7 +165,7 @@
   const log = relay.address;
   const file = writeDaemonSettings(entryHost, { ...options, log, hosts: log });
   const child = spawn(process.execPath, [join(DIST, "lagoonloomd.js"), file], {
-    stdio: "ignore",
+    stdio: ["ignore", "pipe", "pipe"],
   });
   const operators = createOperatorClient({
     address: entryHost.operators,
--- a/packages/measure/proofs/daemons_process_test.ts
+++ b/packages/measure/proofs/daemons_process_test.ts
@@ -4,7 +4,14 @@
  * @module
  */
 
-import { afterEach, describe, expect, jest, test } from "@jest/globals";
+import {
+  afterEach,
+  describe,
+  expect,
+  jest,
+  test as jestTest,
+} from "@jest/globals";
+import { createProcessOutput } from "@lagoonloom/standins";
 import {
   type DaemonProcess,
   startProcessFleet,
@@ -19,14 +26,19 @@
 
 const REFUSED: Refusal = { status: 503, mayRepeat: true, outcome: "not-run" };
 
+const output = createProcessOutput();
+const test = (title: string, run: () => Promise<void>) =>
+  jestTest(title, output.watch(run));
+
 let fleetToStop: Awaited<ReturnType<typeof startProcessFleet>> | undefined;
 afterEach(async () => {
   await fleetToStop?.stop();
   fleetToStop = undefined;
+  output.finish();
 });
 
 async function start() {
-  fleetToStop = await startProcessFleet();
+  fleetToStop = await startProcessFleet(output);
   return fleetToStop;
 }
 
--- a/packages/standins/mod.ts
+++ b/packages/standins/mod.ts
@@ -14,6 +14,7 @@
 export * from "./log_standin.ts";
 export * from "./log_store.ts";
 export * from "./platform_standin.ts";
+export * from "./process_output.ts";
 export * from "./test_fleet.ts";
 export * from "./worker_standin.ts";
 export * from "./worker_tasks.ts";
