Choose each port of the daemons of a process test once

"accepts one of two concurrent publications" once timed out after 12 s waiting for a daemon. createEntryHosts drew 9 ports from 10,000 without comparing them, so that by reckoning two of the 6 of the first two daemons are the same in one of 670 fleets; the second daemon then ends with EADDRINUSE. A trial in which its operators' port was that of the first daemon gave exactly the error that was seen. That the failed run had such a pair is likely, but not shown.

--- a/packages/measure/proofs/_process_fleet.ts
+++ b/packages/measure/proofs/_process_fleet.ts
@@ -237,9 +237,11 @@
   return { code, output };
 }
 
-async function createEntryHosts(count: number): Promise<EntryHost[]> {
-  const addresses: string[] = [];
-  while (addresses.length < 3 * count) addresses.push(await findFreeAddress());
+/** Chooses the addresses of daemons; no two listeners get the same one. */
+export async function createEntryHosts(count: number): Promise<EntryHost[]> {
+  const found = new Set<string>();
+  while (found.size < 3 * count) found.add(await findFreeAddress());
+  const addresses = [...found];
   return Array.from({ length: count }, (_, index) => ({
     name: `detroit-${index + 1}`,
     region: "great-lakes",
