Log the losses of executors, with what had just started there

A crash is certain if another process has the executor's id or its address; if that shows only later, or the same process answers again, LL6409 follows. Two new tests. No decision is changed.

An open long poll to an executor in memory that becomes unreachable now gets no answer; before, it was answered after its wait, as if it had been reachable.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -29,6 +29,7 @@
     silentSinceMs: undefined,
     isRemoved: false,
     hasRestarted: false,
+    hasCrashed: false,
     isReserved: false,
     consecutiveFailures: 0,
     failedJobs: new Set(),
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -160,6 +160,8 @@
    * without an answer may then still reach the new process.
    */
   hasRestarted: boolean;
+  /** Whether another process has certainly taken its place. */
+  hasCrashed: boolean;
   /** Whether it is drained for a move or for upkeep of its machine. */
   isReserved: boolean;
   /** Failed runs since the last one that was done. */
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -16,6 +16,7 @@
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
+import type { LostExecutor } from "../run/lost_executors.ts";
 import type { ExecutorSession } from "../run/session_types.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import type { HandoverRun } from "./handover_record.ts";
@@ -79,6 +80,8 @@
    * show.
    */
   endedExecutors: Map<string, number>;
+  /** Executors whose runs were lost and that may have crashed, by id. */
+  lostExecutors: Map<string, LostExecutor>;
   /** Executors to drain for a move or for upkeep of their machines. */
   reservedExecutors: ReadonlySet<string>;
   /** Monotonic time at which the reservations expire. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -198,6 +198,7 @@
     unconfirmedExecutors: new Map(),
     inheritedRuns: undefined,
     endedExecutors: new Map(),
+    lostExecutors: new Map(),
     reservedExecutors: new Set(),
     reservedUntilMs: 0,
     isLoaded: false,
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -77,6 +77,12 @@
     callbacks.onChange(executor);
   };
 
+  /** Another process answers in the place of the executor. */
+  const markReplaced = () => {
+    executor.hasCrashed = true;
+    markRemoved();
+  };
+
   const handleEnds = (ended: readonly RunEnd[]) => {
     let isNew = false;
     for (const end of ended) {
@@ -198,7 +204,7 @@
     });
     if (isClosed) return;
     if (outcome.type === "fenced") return callbacks.onFenced();
-    if (outcome.type === "replaced") return markRemoved();
+    if (outcome.type === "replaced") return markReplaced();
     if (outcome.type === "unknown") {
       recordFailure(outcome.reason);
       // An idle loop would not poll a silent executor.
@@ -210,7 +216,7 @@
       outcome.startedAtMs !== executor.report.startedAtMs
     ) {
       executor.hasRestarted = true;
-      return markRemoved();
+      return markReplaced();
     }
     recordAnswer(executor, outcome.clockMs);
     handleEnds(outcome.ended);
@@ -307,7 +313,7 @@
         return `unknown: ${outcome.reason}`;
       }
       if (outcome.type === "replaced") {
-        markRemoved();
+        markReplaced();
         return "replaced";
       }
       if (outcome.clockMs !== undefined) {
@@ -338,6 +344,7 @@
     expireRuns(confirmedMs) {
       if (confirmedMs < executor.leaseEndsMs) return;
       if (!executor.isRemoved && executor.failedCalls === 0) return;
+      if (executor.runs.size > 0) callbacks.onLoss(executor);
       for (const run of [...executor.runs]) {
         if (executor.hasRestarted && isUnanswered(run)) continue;
         removeRun(run);
@@ -371,7 +378,7 @@
         return;
       }
       if (outcome.type === "fenced") return callbacks.onFenced();
-      if (outcome.type === "replaced") return markRemoved();
+      if (outcome.type === "replaced") return markReplaced();
       await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
     }
   };
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -29,6 +29,7 @@
   occupiedBy,
   transferRun,
 } from "../executor_state.ts";
+import { recordLoss, resolveLoss, resolveLosses } from "./lost_executors.ts";
 import type { Adoption, ExecutorSession } from "./session_types.ts";
 import { createExecutorSession } from "./executor_session.ts";
 
@@ -36,6 +37,7 @@
 export function refreshExecutors(owner: OwnerState): void {
   if (owner.isClosed || !owner.isLoaded) return;
   const reports = owner.options.view.executors();
+  resolveLosses(owner, reports);
   for (const executor of owner.executors.values()) {
     updateExecutor(owner, executor, reports.get(executor.id));
   }
@@ -204,6 +206,8 @@
 ): void {
   executor.leaseEndsMs = 0;
   executor.hasRestarted = true;
+  executor.hasCrashed = true;
+  recordLoss(owner, executor);
   const unanswered = [...executor.runs].filter(isUnanswered);
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
@@ -244,6 +248,7 @@
       !owner.isReleasing && isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS),
     callbacks: {
       onRunEnd: (run, end) => recordTrackedRunEnd(owner, run, end),
+      onLoss: (executor) => recordLoss(owner, executor),
       onUnknownEnd(executor, end) {
         const task = findStartedTask(owner, end.task);
         if (task !== undefined) recordRunEnd(owner, task, { ...end, executor });
@@ -309,7 +314,10 @@
 function handleChange(owner: OwnerState, executor: ExecutorState): void {
   const hasAnswered = executor.failedCalls === 0 &&
     executor.clockOffsetMs !== undefined;
-  if (hasAnswered) confirmExecutor(owner, executor.id);
+  if (hasAnswered) {
+    confirmExecutor(owner, executor.id);
+    resolveLoss(owner, executor);
+  }
   logReachability(owner, executor);
   owner.schedulePlacement();
 }
--- /dev/null
+++ b/packages/jobs/run/lost_executors_test.ts
@@ -0,0 +1,71 @@
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
+import {
+  advanceTime,
+  createOwnerFixture,
+  createReport,
+  createStep,
+  JOB_ID,
+  type OwnerFixture,
+} from "../_fixtures.ts";
+
+describe("an executor whose runs are lost", () => {
+  let fixture: OwnerFixture;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    fixture = createOwnerFixture();
+  });
+
+  afterEach(() => {
+    fixture.close();
+    jest.useRealTimers();
+  });
+
+  const lossesOf = (id: string) =>
+    fixture.logged.filter((line) =>
+      /^(executorLost|lossResolved) /.test(line) && line.includes(`"${id}"`)
+    );
+
+  // Guards against logs that do not tell a crash from a lapsed lease.
+  test("is logged as crashed once another one has its address", async () => {
+    const executor = fixture.addExecutor("e1", { address: "127.0.0.1:7" });
+    const owner = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    executor.fault = "unreachable";
+    await advanceTime(6_000);
+    expect(lossesOf("e1")).toEqual([
+      `executorLost {"executor":"e1","runs":1,` +
+      `"justStarted":"${JOB_ID}.0.0.0","hasCrashed":false}`,
+    ]);
+    const next = { address: "127.0.0.1:7", startedAtMs: 2 };
+    fixture.reports.delete("e1");
+    fixture.reports.set("e2", createReport("e2", next));
+    owner.refresh();
+    expect(lossesOf("e1").slice(1)).toEqual([
+      `lossResolved {"executor":"e1","hasCrashed":true}`,
+    ]);
+  });
+
+  // Guards against a crash that is assumed while an executor was only cut off.
+  test("is logged as sound once the same process answers again", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    executor.fault = "unreachable";
+    await advanceTime(6_000);
+    executor.fault = undefined;
+    await advanceTime(1_000);
+    expect(lossesOf("e1").slice(1)).toEqual([
+      `lossResolved {"executor":"e1","hasCrashed":false}`,
+    ]);
+  });
+});
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -56,6 +56,10 @@
   add(report: ExecutorReport): MemoryExecutor;
 };
 
+function hasFault(executor: MemoryExecutor, fault: MemoryFault): boolean {
+  return executor.fault === fault;
+}
+
 /** Difference between the executors' clock and the monotonic clock. */
 const CLOCK_OFFSET_MS = 1_000_000;
 
@@ -249,6 +253,9 @@
         const timer = setTimeout(finish, waitMs);
         pollWaiters.add(finish);
       });
+      if (hasFault(executor, "unreachable")) {
+        return { type: "unknown", reason: "no answer" };
+      }
       return createPollOutcome(executor, acknowledgedSequence);
     },
   };
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -256,6 +256,23 @@
     message: "silent executor has ended, since no machine has it",
     fields: { executor: "string" },
   },
+  executorLost: {
+    id: "LL6408",
+    level: "warn",
+    message: "runs are lost, since their executor has crashed or is cut off",
+    fields: {
+      executor: "string",
+      runs: "number",
+      justStarted: "string",
+      hasCrashed: "boolean",
+    },
+  },
+  lossResolved: {
+    id: "LL6409",
+    level: "info",
+    message: "it is clear whether a lost executor has crashed",
+    fields: { executor: "string", hasCrashed: "boolean" },
+  },
   executorSlow: {
     id: "LL6405",
     level: "warn",
