--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -16,7 +16,7 @@
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
-import type { LostExecutor } from "../run/lost_executors.ts";
+import type { LostExecutor } from "../run/lost_executor.ts";
 import type { ExecutorSession } from "../run/session_types.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import type { HandoverRun } from "./handover_record.ts";
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -10,7 +10,7 @@
 import type { ExecutorState } from "../executor_state.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import { isUnanswered } from "../executor_state.ts";
-import type { Run, Task } from "../job.ts";
+import type { Run } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 
 /**
@@ -22,24 +22,6 @@
 /** Time for which an executor that may have crashed is remembered. */
 const LOSS_MEMORY_MS = 60_000;
 
-/** Run that had just started on an executor as it was lost. */
-export type SuspectRun = {
-  task: Task;
-  number: number;
-  /** Whether the executor has confirmed the start. */
-  isConfirmed: boolean;
-};
-
-/** Executor whose runs were lost, while it may have crashed or be cut off. */
-export type LostExecutor = {
-  address: string;
-  /** Unix time at which its process started, in milliseconds. */
-  startedAtMs: number;
-  /** Monotonic time of the loss. */
-  lostAtMs: number;
-  suspects: SuspectRun[];
-};
-
 /** Returns whether a run has outlasted the time after its start. */
 export function isProven(run: Run): boolean {
   return run.reportedAtMs - run.startedAtMs >= PROBATION_MS;
