Give up a task that crashes the executors on which it starts

Cause: a run that is lost with its executor counted toward nothing, since a lapsed lease alone shows no crash; the task was placed again for good. Class of fault: a retry without a bound, as one kind of failure was not counted.

Change: a crash counts for a task if another process has certainly taken the executor's place and the run was on probation: its executor had not been seen, by its own clock, to outlast the start by 2 s. The count is stored with the job's progress. With the third crash a task is given up if that crash is attributed to it (its start was confirmed, and no other run on probation there was of a task with as many crashes), with the fourth in any case; its job then shows as `failed`. The users allow two; three keep a harmless task that two crashes met by chance. After two crashes a task starts apart from others like it, for at most 2 s, and after one on the executor with most capacity free. A later loss holds the task for up to 3 s, until it shows whether that was a crash. A task that has outlasted a start begins anew. A start that another process rejects never ran, and is no loss.

A gang starts only once all of its tasks may start, also those that are held or blocked (test in place_tasks_test.ts).

--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -6,6 +6,7 @@
 
 import { z } from "zod";
 import { type Job, parseTaskName, type TaskGroup } from "../job.ts";
+import { Crash } from "./crash.ts";
 
 /**
  * Schema of the stored progress of a job. Failed runs are stored by run number,
@@ -19,6 +20,8 @@
   done: z.record(z.string(), z.string()),
   /** Numbers of the failed runs, by task name. */
   failed: z.record(z.string(), z.array(z.number())),
+  /** Crashes of executors under tasks, by task name. */
+  crashed: z.record(z.string(), z.array(Crash)).default({}),
   outcome: z.enum(["completed", "failed", "cancelled"]).optional(),
   /** Unix time at which the job ended, in milliseconds. */
   endedAtMs: z.number().optional(),
@@ -38,16 +41,16 @@
 
 /** Encodes the progress of a job as JSON for the store. */
 export function encodeProgress(job: Job, failed: FailedRuns): string {
-  const progress: Progress = { done: {}, failed: {} };
+  const progress: Progress = { done: {}, failed: {}, crashed: {} };
   for (const group of job.groups) {
     if (group.doneCount > 0) {
       progress.done[groupKey(group)] = encodeDoneBits(group);
     }
     for (const task of group.tasks) {
+      if (task.isDone) continue;
       const runs = failed.get(task.name);
-      if (runs !== undefined && !task.isDone) {
-        progress.failed[task.name] = [...runs];
-      }
+      if (runs !== undefined) progress.failed[task.name] = [...runs];
+      if (task.crashes.length > 0) progress.crashed[task.name] = task.crashes;
     }
   }
   if (job.endedAtMs !== undefined) {
@@ -58,10 +61,13 @@
 }
 
 /** Returns the last occurrence of which something is stored, at least 0. */
-export function lastOccurrenceOf({ done, failed }: Progress): number {
+export function lastOccurrenceOf(
+  { done, failed, crashed }: Progress,
+): number {
   const occurrences = [
     ...Object.keys(done).map((key) => Number.parseInt(key, 10)),
-    ...Object.keys(failed).map((name) => parseTaskName(name)?.occurrence ?? 0),
+    ...[...Object.keys(failed), ...Object.keys(crashed)]
+      .map((name) => parseTaskName(name)?.occurrence ?? 0),
   ];
   return Math.max(0, ...occurrences);
 }
@@ -82,6 +88,7 @@
         group.doneCount++;
         job.hasStarted = true;
       }
+      task.crashes = progress.crashed[task.name] ?? [];
       const runs = progress.failed[task.name];
       if (runs === undefined) continue;
       failed.set(task.name, new Set(runs));
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -7,6 +7,7 @@
 
 import { hasEnded, isComplete, type Run, type Task } from "../job.ts";
 import { type OwnerState, queueOf, stopRun } from "../owned/owner_state.ts";
+import { isOnProbation } from "../placed/probation.ts";
 import type { RunEnd } from "../ports.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import { finishJob, saveProgress } from "./finish_job.ts";
@@ -50,6 +51,7 @@
     how: end.result,
     ranMs: Math.round(performance.now() - run.startedAtMs),
   });
+  if (!isOnProbation(run)) task.crashes = [];
   if (end.result === "done") {
     executor.consecutiveFailures = 0;
     executor.failedJobs.clear();
--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -114,6 +114,18 @@
   adjustOccupied(run.executor, occupiedBy(run.task.group), -1);
 }
 
+/** Finds a run on an executor by the name of its task and its number. */
+export function findRun(
+  { runs }: ExecutorState,
+  { task, run }: { task: string; run: number },
+): Run | undefined {
+  for (const candidate of runs) {
+    const { task: { name }, number } = candidate;
+    if (name === task && number === run) return candidate;
+  }
+  return undefined;
+}
+
 /** Returns whether the start request of a run has no answer. */
 export function isUnanswered({ state }: Run): boolean {
   return state === "starting" || state === "uncertain";
@@ -125,6 +137,7 @@
   run.executor.runs.delete(run);
   adjustOccupied(run.executor, size, -1);
   run.executor = executor;
+  run.confirmedClockMs = undefined;
   executor.runs.add(run);
   adjustOccupied(executor, size, 1);
 }
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -115,6 +115,8 @@
         lastRunNumber: 0,
         lastEndedRunNumber: 0,
         failureCount: 0,
+        crashes: [],
+        heldUntilMs: 0,
         checkpoint: "",
         blockedUntilMs: times.blockedUntilMs,
         durationMs: undefined,
@@ -132,10 +134,10 @@
   return job.endedAtMs !== undefined;
 }
 
-/** Returns whether a task needs a run and is not blocked. */
+/** Returns whether a task needs a run and is neither blocked nor held. */
 export function isPlaceable(task: Task, monotonicMs: number): boolean {
   return !task.isDone && task.runs.length === 0 &&
-    task.blockedUntilMs <= monotonicMs;
+    task.blockedUntilMs <= monotonicMs && task.heldUntilMs <= monotonicMs;
 }
 
 /** Returns whether all steps that a group depends on are done. */
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { Crash } from "./ended/crash.ts";
 import type { ExecutorReport } from "./fleet.ts";
 import type { AcceptedJob, Size, Step } from "./submission.ts";
 
@@ -33,6 +34,10 @@
   progressedAtMs: number;
   /** Percentage of its full work rate that was last requested. */
   ratePercent: number;
+  /** Clock of the executor as it confirmed the start, if it has. */
+  confirmedClockMs: number | undefined;
+  /** Clock of the executor in its newest list with the run. */
+  listedClockMs: number;
   checkpoint: string;
   /** Reason for stopping the run; empty if it is not being stopped. */
   stopReason: string;
@@ -54,6 +59,13 @@
   lastEndedRunNumber: number;
   /** Number of runs that failed. */
   failureCount: number;
+  /** Crashes of executors on which a run of the task had just started. */
+  crashes: Crash[];
+  /**
+   * Monotonic time until which the task waits, as it is not clear whether one
+   * more executor has crashed under it.
+   */
+  heldUntilMs: number;
   checkpoint: string;
   /** Monotonic time until which a run of an earlier owner may still go on. */
   blockedUntilMs: number;
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -16,6 +16,7 @@
 } from "../executor_state.ts";
 import { rankGroups } from "./_rank_groups.ts";
 import { findObstacle } from "./find_obstacle.ts";
+import { hasSuspectRun, isSuspect, mustStartApart } from "./probation.ts";
 
 /** Decision to run a task on an executor. */
 export type Placement = { task: Task; executor: ExecutorState; reason: string };
@@ -39,6 +40,8 @@
   free: Size;
   /** Tasks that this round has placed there, by group. */
   placed: Map<TaskGroup, number>;
+  /** Whether a task that may have crashed several executors starts there. */
+  hasSuspectRun: boolean;
 };
 
 /**
@@ -65,6 +68,7 @@
     executor,
     free: freeCapacityOf(executor),
     placed: new Map(),
+    hasSuspectRun: hasSuspectRun(executor),
   }));
   const groups = rankGroups(jobs, {
     ...options,
@@ -130,6 +134,7 @@
   for (const task of waiting) {
     const candidate = chooseCandidate(task, round.candidates, round.options);
     if (candidate === undefined) {
+      if (mustStartApart(task, round.options.monotonicMs)) continue;
       // All tasks of a step have the same size, so none of the others fits.
       noteFailure(group, round);
       return;
@@ -147,9 +152,7 @@
   group: TaskGroup,
   { waiting, round }: { waiting: Task[]; round: PlacementRound },
 ): void {
-  if (group.step.isGang && group.tasks.some((task) => task.runs.length > 0)) {
-    return;
-  }
+  if (group.step.isGang && waiting.length < group.tasks.length) return;
   const racks = group.step.isSameRack
     ? [...new Set(round.candidates.map(({ executor }) => rackOf(executor)))]
     : [undefined];
@@ -166,7 +169,7 @@
     for (const task of waiting) {
       const candidate = chooseCandidate(task, candidates, round.options);
       if (candidate === undefined) break;
-      occupy(candidate, group);
+      occupy(candidate, task);
       assignments.push({
         task,
         candidate: (candidate as typeof candidates[number]).original,
@@ -204,10 +207,11 @@
 
 function fits(
   task: Task,
-  { executor, free, placed }: Candidate,
-  { mayRun }: PlaceOptions,
+  { executor, free, placed, hasSuspectRun }: Candidate,
+  { mayRun, monotonicMs }: PlaceOptions,
 ): boolean {
   const { group } = task;
+  if (hasSuspectRun && mustStartApart(task, monotonicMs)) return false;
   const obstacle = findObstacle(group, executor, {
     free,
     placedCount: placed.get(group) ?? 0,
@@ -241,7 +245,10 @@
     // Lasting tasks in the same rack would fail together.
     cost += RACK_SPREAD_PENALTY_CPU * countInRack(task.group, rackOf(executor));
   }
-  if (step.isFilling) {
+  if (task.crashes.length > 0) {
+    // Turns the cost around: one more crash should end as little as possible.
+    cost -= 2 * free.cpu;
+  } else if (step.isFilling) {
     // Turns the cost around: filling tasks go where most is free.
     cost += -2 * free.cpu +
       LATENCY_SENSITIVE_PENALTY_CPU * countLatencySensitive(executor);
@@ -265,9 +272,11 @@
   return count;
 }
 
-/** Subtracts a task of a group from the free capacity of a candidate. */
-function occupy(candidate: Candidate, group: TaskGroup): void {
+/** Subtracts a task from the free capacity of a candidate. */
+function occupy(candidate: Candidate, task: Task): void {
+  const { group } = task;
   const { size, isFilling } = group.step;
+  candidate.hasSuspectRun ||= isSuspect(task);
   if (!isFilling) candidate.free.cpu -= size.cpu;
   candidate.free.memoryMb -= size.memoryMb;
   candidate.free.accelerators -= size.accelerators;
@@ -279,7 +288,7 @@
   { task, round }: { task: Task; round: PlacementRound },
 ): void {
   const freeCpu = Math.round(candidate.free.cpu);
-  occupy(candidate, task.group);
+  occupy(candidate, task);
   round.placements.push({
     task,
     executor: candidate.executor,
--- a/packages/jobs/placed/place_tasks_test.ts
+++ b/packages/jobs/placed/place_tasks_test.ts
@@ -114,6 +114,21 @@
       .toHaveLength(2);
   });
 
+  // Guards against starting a gang without a task that is held, so that the
+  // others end alone (GANG).
+  test("places no task of a gang while one of them is held", () => {
+    const job = jobOf("a", { steps: [createStep({ count: 3, isGang: true })] });
+    job.groups[0]!.tasks[0]!.heldUntilMs = 1;
+    expect(place([job], [executorOf("e1"), executorOf("e2")])).toEqual([]);
+  });
+
+  // Guards against the same while one may still run for an earlier owner.
+  test("places no task of a gang while one of them is blocked", () => {
+    const job = jobOf("a", { steps: [createStep({ count: 3, isGang: true })] });
+    job.groups[0]!.tasks[0]!.blockedUntilMs = 1;
+    expect(place([job], [executorOf("e1"), executorOf("e2")])).toEqual([]);
+  });
+
   // Guards against spending capacity on late jobs while others could still be
   // on time.
   test("places jobs that can be on time before late ones", () => {
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -93,6 +93,8 @@
     reportedAtMs: performance.now(),
     progressedAtMs: performance.now(),
     ratePercent: 100,
+    confirmedClockMs: undefined,
+    listedClockMs: -Infinity,
     checkpoint: task.checkpoint,
     stopReason: "",
     load: 0,
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -80,6 +80,7 @@
     const leftMs = Math.round(task.blockedUntilMs - nowMs);
     return `blocked by runs of earlier owners for up to ${leftMs} ms`;
   }
+  if (task.heldUntilMs > nowMs) return "an executor may have crashed under it";
   if (!task.group.job.hasStoredProgress) return "progress is not stored yet";
   const executors = [...owner.executors.values()];
   const counts = new Map<string, number>();
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -2,6 +2,7 @@
 import type { PollOutcome, RunEnd, RunReport } from "../ports.ts";
 import {
   type ExecutorState,
+  findRun,
   isUnanswered,
   removeRun,
   setUntrackedRuns,
@@ -89,7 +90,7 @@
       if (end.sequence <= executor.receivedSequence) continue;
       executor.receivedSequence = end.sequence;
       isNew = true;
-      const run = findRun(executor, end.task, end.run);
+      const run = findRun(executor, end);
       if (run === undefined) {
         callbacks.onUnknownEnd(executor, end);
         continue;
@@ -120,7 +121,7 @@
   ) => {
     const adoption = callbacks.onUnknownRun(executor, report);
     if (adoption.isAdopted) {
-      const run = findRun(executor, report.task, report.run);
+      const run = findRun(executor, report);
       if (run !== undefined) confirmedAtPoll.set(run, pollsSent);
       return;
     }
@@ -132,10 +133,10 @@
     });
   };
 
-  const handleRunning = (running: readonly RunReport[]) => {
+  const handleRunning = (running: readonly RunReport[], clockMs: number) => {
     const untracked = new Map<string, Size | undefined>();
     for (const report of running) {
-      const run = findRun(executor, report.task, report.run);
+      const run = findRun(executor, report);
       if (run === undefined) {
         handleUnknownRun(report, untracked);
         continue;
@@ -145,6 +146,8 @@
         confirmedAtPoll.set(run, pollsSent);
         unansweredAtPoll.delete(run);
       }
+      run.confirmedClockMs ??= clockMs;
+      run.listedClockMs = clockMs;
       run.reportedAtMs = performance.now();
       if (report.progressPercent > run.progressPercent) {
         run.progressedAtMs = run.reportedAtMs;
@@ -223,7 +226,7 @@
     // Answers may overtake each other; an older list shows ended runs.
     if (outcome.clockMs >= listClockMs) {
       listClockMs = outcome.clockMs;
-      handleRunning(outcome.running);
+      handleRunning(outcome.running, outcome.clockMs);
     }
     handleMissing(outcome, pollNumber);
     callbacks.onChange(executor);
@@ -295,6 +298,10 @@
       if (outcome.type === "started") {
         recordAnswer(executor, outcome.clockMs);
         if (isUnanswered(run)) run.state = "running";
+        // A clock that has gone back is that of another process.
+        if (outcome.clockMs >= listClockMs) {
+          run.confirmedClockMs = outcome.clockMs;
+        }
         confirmedAtPoll.set(run, pollsSent);
         wake?.();
         return "started";
@@ -313,6 +320,7 @@
         return `unknown: ${outcome.reason}`;
       }
       if (outcome.type === "replaced") {
+        removeRun(run);
         markReplaced();
         return "replaced";
       }
@@ -344,9 +352,11 @@
     expireRuns(confirmedMs) {
       if (confirmedMs < executor.leaseEndsMs) return;
       if (!executor.isRemoved && executor.failedCalls === 0) return;
-      if (executor.runs.size > 0) callbacks.onLoss(executor);
-      for (const run of [...executor.runs]) {
-        if (executor.hasRestarted && isUnanswered(run)) continue;
+      const lost = [...executor.runs].filter((run) =>
+        !executor.hasRestarted || !isUnanswered(run)
+      );
+      if (lost.length > 0) callbacks.onLoss(executor, lost);
+      for (const run of lost) {
         removeRun(run);
         forgetRun(run);
         callbacks.onRunEnd(run, {
@@ -404,14 +414,3 @@
 function targetOf(executor: ExecutorState) {
   return { id: executor.id, address: executor.address };
 }
-
-function findRun(
-  executor: ExecutorState,
-  task: string,
-  number: number,
-): Run | undefined {
-  for (const run of executor.runs) {
-    if (run.task.name === task && run.number === number) return run;
-  }
-  return undefined;
-}
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -207,8 +207,8 @@
   executor.leaseEndsMs = 0;
   executor.hasRestarted = true;
   executor.hasCrashed = true;
-  recordLoss(owner, executor);
   const unanswered = [...executor.runs].filter(isUnanswered);
+  recordLoss(owner, executor, unanswered);
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
   for (const run of unanswered) transferRun(run, next);
@@ -248,7 +248,7 @@
       !owner.isReleasing && isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS),
     callbacks: {
       onRunEnd: (run, end) => recordTrackedRunEnd(owner, run, end),
-      onLoss: (executor) => recordLoss(owner, executor),
+      onLoss: (executor, runs) => recordLoss(owner, executor, runs),
       onUnknownEnd(executor, end) {
         const task = findStartedTask(owner, end.task);
         if (task !== undefined) recordRunEnd(owner, task, { ...end, executor });
@@ -292,6 +292,8 @@
     reportedAtMs: performance.now(),
     progressedAtMs: performance.now(),
     ratePercent: 100,
+    confirmedClockMs: undefined,
+    listedClockMs: -Infinity,
     checkpoint: report.checkpoint,
     stopReason: "",
     load: report.load,
--- a/packages/jobs/run/lost_executor.ts
+++ b/packages/jobs/run/lost_executor.ts
@@ -4,8 +4,12 @@
 export type SuspectRun = {
   task: Task;
   number: number;
-  /** Whether the executor has confirmed the start. */
-  isConfirmed: boolean;
+  /**
+   * Whether a crash is attributed to the run: the executor had confirmed its
+   * start, and no other run that had just started there was of a task with as
+   * many crashes.
+   */
+  isAttributed: boolean;
 };
 
 /** Executor whose runs were lost, while it may have crashed or be cut off. */
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -9,50 +9,62 @@
 
 import type { ExecutorState } from "../executor_state.ts";
 import type { ExecutorReport } from "../fleet.ts";
-import { isUnanswered } from "../executor_state.ts";
-import type { Run } from "../job.ts";
+import { recordCrash } from "../ended/record_crash.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
-
-/**
- * Time for which an executor has to report a run before a crash of the executor
- * is no longer attributed to its start.
- */
-export const PROBATION_MS = 300;
+import type { Run } from "../job.ts";
+import { isOnProbation } from "../placed/probation.ts";
+import type { LostExecutor, SuspectRun } from "./lost_executor.ts";
 
 /** Time for which an executor that may have crashed is remembered. */
 const LOSS_MEMORY_MS = 60_000;
 
-/** Returns whether a run has outlasted the time after its start. */
-export function isProven(run: Run): boolean {
-  return run.reportedAtMs - run.startedAtMs >= PROBATION_MS;
-}
+/**
+ * Time for which a task under which an executor has crashed waits after another
+ * loss, until it is clear whether that is a crash. Crashed executors are back
+ * after some seconds, about as long as their lease.
+ */
+const HOLD_MS = 3_000;
 
 /**
- * Notes that the runs of an executor are lost. If it has not certainly crashed,
- * the platform's list or its next answer will show whether it has.
+ * Notes that runs of an executor are lost. If it has not certainly crashed, the
+ * platform's list or its next answer will show whether it has.
  */
-export function recordLoss(owner: OwnerState, executor: ExecutorState): void {
-  const { id, address, report, runs } = executor;
-  // An executor that drains leaves as planned.
-  if (report.isDraining || runs.size === 0) return;
-  const suspects = [...runs].filter((run) => !isProven(run)).map((run) => ({
-    task: run.task,
-    number: run.number,
-    isConfirmed: !isUnanswered(run),
-  }));
+export function recordLoss(
+  owner: OwnerState,
+  executor: ExecutorState,
+  runs: readonly Run[],
+): void {
+  const { id, address, report } = executor;
+  // An executor that drains, or whose machine was taken away, ends as planned.
+  if (report.isDraining || owner.endedExecutors.has(id)) return;
+  if (runs.length === 0) return;
+  const suspects = findSuspects(runs);
   owner.options.events.log("executorLost", {
     executor: id,
-    runs: runs.size,
+    runs: runs.length,
     justStarted: suspects.map(({ task }) => task.name).join(" "),
     hasCrashed: executor.hasCrashed,
   });
-  if (executor.hasCrashed) return;
-  owner.lostExecutors.set(id, {
-    address,
-    startedAtMs: report.startedAtMs,
-    lostAtMs: performance.now(),
-    suspects,
-  });
+  if (executor.hasCrashed) return recordCrashes(owner, id, suspects);
+  const lostAtMs = performance.now();
+  const { startedAtMs } = report;
+  owner.lostExecutors.set(id, { address, startedAtMs, lostAtMs, suspects });
+  for (const { task } of suspects) {
+    if (task.crashes.length > 0) task.heldUntilMs = lostAtMs + HOLD_MS;
+  }
+}
+
+/** Returns the lost runs that had just started. */
+function findSuspects(runs: readonly Run[]): SuspectRun[] {
+  const onProbation = runs.filter(isOnProbation);
+  return onProbation.map((run) => ({
+    task: run.task,
+    number: run.number,
+    isAttributed: run.confirmedClockMs !== undefined &&
+      onProbation.every(({ task }) =>
+        task === run.task || task.crashes.length < run.task.crashes.length
+      ),
+  }));
 }
 
 /** Notes that an executor whose runs were lost has answered again. */
@@ -62,6 +74,15 @@
   owner.lostExecutors.delete(executor.id);
   const hasCrashed = executor.report.startedAtMs !== loss.startedAtMs;
   logResolution(owner, executor.id, hasCrashed);
+  releaseTasks(loss);
+  if (hasCrashed) recordCrashes(owner, executor.id, loss.suspects);
+}
+
+/** Lets the tasks that waited for news of a lost executor start again. */
+function releaseTasks({ suspects }: LostExecutor): void {
+  for (const { task, number } of suspects) {
+    if (number >= task.lastEndedRunNumber) task.heldUntilMs = 0;
+  }
 }
 
 /** Looks for lost executors whose end the platform's list shows. */
@@ -76,12 +97,26 @@
     newestStarts.set(address, Math.max(newest, startedAtMs));
   }
   const forgottenMs = performance.now() - LOSS_MEMORY_MS;
-  for (const [id, { address, startedAtMs, lostAtMs }] of owner.lostExecutors) {
-    const newest = newestStarts.get(address) ?? -Infinity;
-    const hasCrashed = newest > startedAtMs;
-    if (!hasCrashed && lostAtMs > forgottenMs) continue;
+  for (const [id, loss] of owner.lostExecutors) {
+    const newest = newestStarts.get(loss.address) ?? -Infinity;
+    const hasCrashed = newest > loss.startedAtMs;
+    if (!hasCrashed && loss.lostAtMs > forgottenMs) continue;
     owner.lostExecutors.delete(id);
-    if (hasCrashed) logResolution(owner, id, true);
+    releaseTasks(loss);
+    if (!hasCrashed) continue;
+    logResolution(owner, id, true);
+    recordCrashes(owner, id, loss.suspects);
+  }
+}
+
+function recordCrashes(
+  owner: OwnerState,
+  executor: string,
+  suspects: readonly SuspectRun[],
+): void {
+  for (const { task, number, isAttributed } of suspects) {
+    const crash = { run: number, isAttributed };
+    recordCrash(owner, { task, executor, crash });
   }
 }
 
--- a/packages/jobs/run/lost_executors_test.ts
+++ b/packages/jobs/run/lost_executors_test.ts
@@ -68,4 +68,23 @@
       `lossResolved {"executor":"e1","hasCrashed":false}`,
     ]);
   });
+
+  // Guards against a line with each check while a start without an answer is
+  // kept, as the list does not show the restart yet.
+  test("is logged once while the list is behind", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    executor.fault = "unreachable";
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    const oldReport = fixture.reports.get("e1")!;
+    fixture.addExecutor("e1", { startedAtMs: 2 });
+    const newReport = fixture.reports.get("e1")!;
+    fixture.reports.set("e1", oldReport);
+    await advanceTime(2_000);
+    fixture.reports.set("e1", newReport);
+    owner.refresh();
+    await advanceTime(2_000);
+    expect(lossesOf("e1")).toHaveLength(1);
+  });
 });
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -25,8 +25,8 @@
     run: Run,
     end: { result: RunEnd["result"]; checkpoint: string },
   ): void;
-  /** The runs of an executor count as lapsed, before `onRunEnd` of each. */
-  onLoss(executor: ExecutorState): void;
+  /** Runs of an executor count as lapsed, before `onRunEnd` of each. */
+  onLoss(executor: ExecutorState, runs: readonly Run[]): void;
   /** The executor reports the end of a run that this owner does not track. */
   onUnknownEnd(executor: ExecutorState, end: RunEnd): void;
   /**
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -220,6 +220,18 @@
     message: "lasting task does not run",
     fields: { task: "string", waitedMs: "number", reason: "string" },
   },
+  taskSuspected: {
+    id: "LL6311",
+    level: "warn",
+    message: "executor crashed just after a start of the task",
+    fields: {
+      task: "string",
+      run: "number",
+      executor: "string",
+      isAttributed: "boolean",
+      crashes: "number",
+    },
+  },
   progressDelayed: {
     id: "LL6308",
     level: "warn",
