Show that a reserved executor that can't drain keeps out a lasting task

Upkeep selects a busy machine until it is drained and renews the reservation of its executor every 250 ms. If the lasting tasks there fit nowhere else, it is never drained, and a lasting task that waits gets no place there, with capacity for it twice over. The new test fails: the task is not started in 4 s.

--- a/packages/jobs/run/drain_executors_test.ts
+++ b/packages/jobs/run/drain_executors_test.ts
@@ -14,6 +14,27 @@
   JOB_ID,
   type OwnerFixture,
 } from "../_fixtures.ts";
+import type { PartitionOwner } from "../owned/partition_owner.ts";
+import type { Step } from "../submission.ts";
+
+const OTHER_JOB_ID = "00000000000000a2";
+const FULL_JOB_ID = "00000000000000a3";
+
+/** Interval at which the owner of the machines renews its reservations. */
+const RESERVE_INTERVAL_MS = 250;
+
+/** Creates a step of lasting tasks, each on an executor of its own. */
+function createLastingStep(
+  { count, cpu }: { count: number; cpu: number },
+): Step {
+  return createStep({
+    count,
+    size: { cpu, memoryMb: 500, accelerators: 0 },
+    isLasting: true,
+    maxPerExecutor: 1,
+    maxAway: 1,
+  });
+}
 
 describe("draining", () => {
   let fixture: OwnerFixture;
@@ -51,4 +72,39 @@
     expect([...spare.running.keys()]).toEqual([task]);
     expect(reserved.running.size).toBe(1);
   });
+
+  /** Keeps executors reserved for some time, as the owner of machines does. */
+  async function reserve(
+    owner: PartitionOwner,
+    { ids, ms }: { ids: string[]; ms: number },
+  ): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += RESERVE_INTERVAL_MS) {
+      owner.reserveAndReport(new Set(ids), []);
+      await advanceTime(RESERVE_INTERVAL_MS);
+    }
+  }
+
+  // Guards against a lasting task that waits as long as executors with capacity
+  // are reserved and can't be drained (LOST).
+  test("starts a waiting task where a reserved run has no other place", async () => {
+    const executors = ["e1", "e2", "e3", "e4", "e5", "e6"]
+      .map((id) => fixture.addExecutor(id));
+    const owner = await fixture.startOwner(1);
+    fixture.accept(FULL_JOB_ID, [createLastingStep({ count: 4, cpu: 16_000 })]);
+    await advanceTime(500);
+    fixture.accept(OTHER_JOB_ID, [
+      createLastingStep({ count: 2, cpu: 13_000 }),
+    ]);
+    await advanceTime(2_000);
+    const reserved = executors.filter(({ running }) =>
+      running.has(`${OTHER_JOB_ID}.0.0.0`) ||
+      running.has(`${OTHER_JOB_ID}.0.0.1`)
+    );
+    expect(reserved).toHaveLength(2);
+    const ids = reserved.map(({ report }) => report.id);
+    await reserve(owner, { ids, ms: 1_000 });
+    fixture.accept(JOB_ID, [createLastingStep({ count: 1, cpu: 3_000 })]);
+    await reserve(owner, { ids, ms: 4_000 });
+    expect(reserved.map(({ running }) => running.size).sort()).toEqual([1, 2]);
+  });
 });
