Start a waiting lasting task on a reserved executor that can't drain

Cause: a reservation for upkeep keeps new tasks away until the executor is drained, but its own lasting tasks are only stopped if they fit elsewhere and the disruption budget allows it. While that lasts, its free capacity is of no use to anyone: neither is its machine taken away, nor does a task start there.

Change: a lasting task that has waited for 1.5 s and fits nowhere else may start on a reserved executor on which something runs. Why it is safe: a machine is only ordered away after a report from under the reservation that nothing runs there. A reserved executor gets no other tasks, so one that runs something has never been reported so. Short tasks still stay away, so that the drain goes on.

Two further tests pass before and after, and each fails if its condition is taken out: nothing starts on a reserved executor that runs nothing, and no short task on any. Price: a task placed there has to be drained again, so that a wave may take longer while all others are full.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -131,7 +131,20 @@
 
 /** Returns whether an executor may be given new tasks. */
 export function isSchedulable(executor: ExecutorState, nowMs: number): boolean {
+  return !executor.isReserved && isSound(executor, nowMs);
+}
+
+/**
+ * Returns whether a reserved executor may be given a lasting task that fits
+ * nowhere else. Once nothing runs there, its machine may be taken away.
+ */
+export function isLastResort(executor: ExecutorState, nowMs: number): boolean {
+  return executor.isReserved && executor.runs.size > 0 &&
+    isSound(executor, nowMs);
+}
+
+function isSound(executor: ExecutorState, nowMs: number): boolean {
   return executor.clockOffsetMs !== undefined && !executor.isRemoved &&
-    !executor.report.isDraining && !executor.isReserved &&
-    executor.failedCalls === 0 && executor.suspendedUntilMs <= nowMs;
+    !executor.report.isDraining && executor.failedCalls === 0 &&
+    executor.suspendedUntilMs <= nowMs;
 }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -9,6 +9,7 @@
 import {
   type ExecutorState,
   freeCapacityOf,
+  isLastResort,
   isSchedulable,
   isWithin,
   occupiedBy,
@@ -17,6 +18,12 @@
 import { rankGroups } from "./_rank_groups.ts";
 import { findObstacle } from "./find_obstacle.ts";
 
+/**
+ * Time for which a lasting task waits before it may go to a reserved executor.
+ * Short tasks elsewhere may end in this time.
+ */
+const LAST_RESORT_AFTER_MS = 1_500;
+
 /** Decision to run a task on an executor. */
 export type Placement = { task: Task; executor: ExecutorState; reason: string };
 
@@ -47,7 +54,8 @@
  * come first, and those that nobody waits for any more last, as in an overload
  * not all can be served. A task goes to the executor of the lowest cost that
  * has capacity for it, which is by default the one with the least free
- * processor time.
+ * processor time. A lasting task that has waited for 1.5 s may also go to
+ * an executor that is reserved, but not drained yet.
  *
  * @example
  * ```ts
@@ -58,21 +66,16 @@
   jobs: Iterable<Job>,
   options: PlaceOptions,
 ): Placement[] {
-  const executors = options.executors.filter((executor) =>
-    isSchedulable(executor, options.monotonicMs)
+  const candidates = createCandidates(options, isSchedulable);
+  const lastResorts = createCandidates(options, isLastResort);
+  const largestFree = largestOf(
+    [...candidates, ...lastResorts].map(({ free }) => free),
   );
-  const candidates = executors.map((executor) => ({
-    executor,
-    free: freeCapacityOf(executor),
-    placed: new Map(),
-  }));
-  const groups = rankGroups(jobs, {
-    ...options,
-    largestFree: largestOf(candidates.map(({ free }) => free)),
-  });
-  if (executors.length === 0 || groups.length === 0) return [];
+  const groups = rankGroups(jobs, { ...options, largestFree });
+  if (groups.length === 0) return [];
   const round: PlacementRound = {
     candidates,
+    lastResorts,
     placements: [],
     options,
     failedSizes: [],
@@ -80,9 +83,22 @@
   for (const group of groups) {
     if (!hasFailed(group, round)) placeGroup(group, round);
   }
+  placeOnLastResorts(groups, round);
   return round.placements;
 }
 
+function createCandidates(
+  { executors, monotonicMs }: PlaceOptions,
+  isUsable: (executor: ExecutorState, nowMs: number) => boolean,
+): Candidate[] {
+  return executors.filter((executor) => isUsable(executor, monotonicMs))
+    .map((executor) => ({
+      executor,
+      free: freeCapacityOf(executor),
+      placed: new Map(),
+    }));
+}
+
 /** Returns the most of each resource that one of the sizes has. */
 function largestOf(sizes: readonly Size[]): Size {
   const largest: Size = { cpu: 0, memoryMb: 0, accelerators: 0 };
@@ -113,6 +129,8 @@
 /** State of one call of {@linkcode placeTasks}. */
 type PlacementRound = {
   candidates: Candidate[];
+  /** Reserved executors for lasting tasks that fit on no candidate. */
+  lastResorts: Candidate[];
   placements: Placement[];
   options: PlaceOptions;
   /** Sizes of tasks for which no executor has had capacity. */
@@ -138,6 +156,29 @@
   }
 }
 
+/**
+ * Places lasting tasks that have waited for long on reserved executors, which
+ * are not drained while their own tasks fit nowhere else.
+ */
+function placeOnLastResorts(
+  groups: readonly TaskGroup[],
+  round: PlacementRound,
+): void {
+  const { lastResorts, options, placements } = round;
+  if (lastResorts.length === 0) return;
+  const placed = new Set(placements.map(({ task }) => task));
+  for (const { step, tasks } of groups) {
+    if (!step.isLasting || step.isGang) continue;
+    for (const task of tasks) {
+      const waitedMs = options.monotonicMs - task.waitingSinceMs;
+      if (waitedMs < LAST_RESORT_AFTER_MS || placed.has(task)) continue;
+      if (!isPlaceable(task, options.monotonicMs)) continue;
+      const candidate = chooseCandidate(task, lastResorts, options);
+      if (candidate !== undefined) assign(candidate, { task, round });
+    }
+  }
+}
+
 /**
  * Places all tasks of a gang or none. If the step asks for one rack, they are
  * placed in a rack that has capacity for all of them; without such a rack, only
@@ -278,12 +319,14 @@
   candidate: Candidate,
   { task, round }: { task: Task; round: PlacementRound },
 ): void {
-  const freeCpu = Math.round(candidate.free.cpu);
+  const { executor, free } = candidate;
+  const freeCpu = Math.round(free.cpu);
   occupy(candidate, task.group);
+  const { length } = executor.isReserved ? round.lastResorts : round.candidates;
+  const kind = executor.isReserved ? "reserved executors" : "executors";
   round.placements.push({
     task,
-    executor: candidate.executor,
-    reason:
-      `best of ${round.candidates.length} executors, with ${freeCpu} mcpu free`,
+    executor,
+    reason: `best of ${length} ${kind}, with ${freeCpu} mcpu free`,
   });
 }
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -7,6 +7,7 @@
 import {
   type ExecutorState,
   freeCapacityOf,
+  isLastResort,
   isSchedulable,
 } from "../executor_state.ts";
 import { hasEnded, isGroupReady, type Run, type Task } from "../job.ts";
@@ -107,7 +108,9 @@
   executor: ExecutorState,
   nowMs: number,
 ): string | undefined {
-  if (isSchedulable(executor, nowMs)) return undefined;
+  if (isSchedulable(executor, nowMs) || isLastResort(executor, nowMs)) {
+    return undefined;
+  }
   if (executor.isRemoved) return "gone";
   if (executor.clockOffsetMs === undefined) return "unheard";
   if (executor.failedCalls > 0) return "silent";
--- a/packages/jobs/run/drain_executors_test.ts
+++ b/packages/jobs/run/drain_executors_test.ts
@@ -107,4 +107,27 @@
     await reserve(owner, { ids, ms: 4_000 });
     expect(reserved.map(({ running }) => running.size).sort()).toEqual([1, 2]);
   });
+
+  // Guards against a task whose machine is taken away as it starts, since the
+  // owner of the machines was told that nothing runs there.
+  test("starts no waiting task on a reserved executor that runs nothing", async () => {
+    const reserved = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    await reserve(owner, { ids: ["e1"], ms: 500 });
+    fixture.accept(JOB_ID, [createLastingStep({ count: 1, cpu: 3_000 })]);
+    await reserve(owner, { ids: ["e1"], ms: 4_000 });
+    expect(reserved.starts).toEqual([]);
+  });
+
+  // Guards against reserved executors that short tasks keep from being drained.
+  test("starts no short task on a reserved executor", async () => {
+    const reserved = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createLastingStep({ count: 1, cpu: 3_000 })]);
+    await advanceTime(500);
+    await reserve(owner, { ids: ["e1"], ms: 500 });
+    fixture.accept(OTHER_JOB_ID, [createStep()]);
+    await reserve(owner, { ids: ["e1"], ms: 4_000 });
+    expect([...reserved.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
+  });
 });
