--- /dev/null
+++ b/packages/jobs/placed/choose_candidate.ts
@@ -0,0 +1,122 @@
+/**
+ * Choice of an executor for a task, by the capacity that is left in a round of
+ * decisions.
+ *
+ * @module
+ */
+
+import {
+  type ExecutorState,
+  freeCapacityOf,
+  rackOf,
+} from "../executor_state.ts";
+import type { Task, TaskGroup } from "../job.ts";
+import type { Size } from "../submission.ts";
+import { findObstacle, type FindObstacleOptions } from "./find_obstacle.ts";
+
+/** Executor with the capacity that is left in a round of decisions. */
+export type Candidate = {
+  executor: ExecutorState;
+  free: Size;
+  /** Tasks that this round has placed there, by group. */
+  placed: Map<TaskGroup, number>;
+};
+
+/** Options of {@linkcode chooseCandidate}. */
+export type ChooseOptions = Pick<FindObstacleOptions, "mayRun">;
+
+/** Creates a candidate on which this round has placed nothing. */
+export function createCandidate(executor: ExecutorState): Candidate {
+  return { executor, free: freeCapacityOf(executor), placed: new Map() };
+}
+
+/**
+ * Returns the candidate of the lowest cost that can take a task; undefined if
+ * none can.
+ */
+export function chooseCandidate(
+  task: Task,
+  candidates: readonly Candidate[],
+  options: ChooseOptions,
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestCost = Infinity;
+  for (const candidate of candidates) {
+    if (!fits(task, candidate, options)) continue;
+    const cost = costOf(task, candidate);
+    if (cost < bestCost) [best, bestCost] = [candidate, cost];
+  }
+  return best;
+}
+
+function fits(
+  task: Task,
+  { executor, free, placed }: Candidate,
+  { mayRun }: ChooseOptions,
+): boolean {
+  const { group } = task;
+  const obstacle = findObstacle(group, executor, {
+    free,
+    placedCount: placed.get(group) ?? 0,
+    ...(mayRun === undefined ? {} : { mayRun }),
+  });
+  return obstacle === undefined;
+}
+
+/** Cost of each latency-sensitive task beside a filling one, in millicores. */
+const LATENCY_SENSITIVE_PENALTY_CPU = 20_000;
+
+/** Cost of each task of the group in the same rack, in millicores. */
+const RACK_SPREAD_PENALTY_CPU = 4_000;
+
+/** Cost of an executor on which the task failed or was slow, in millicores. */
+const AVOIDED_PENALTY_CPU = 100_000_000;
+
+/** Cost of input data in another rack, in millicores. */
+const REMOTE_DATA_PENALTY_CPU = 1_000_000;
+
+/** Returns the cost of placing a task on an executor; the lowest is best. */
+function costOf(task: Task, candidate: Candidate): number {
+  const { step } = task.group;
+  const { executor, free } = candidate;
+  let cost = free.cpu;
+  if (task.avoidedExecutors.has(executor.id)) cost += AVOIDED_PENALTY_CPU;
+  if (step.rack !== "" && !executor.report.labels.includes(step.rack)) {
+    cost += REMOTE_DATA_PENALTY_CPU;
+  }
+  if (step.isLasting) {
+    // Lasting tasks in the same rack would fail together.
+    cost += RACK_SPREAD_PENALTY_CPU * countInRack(task.group, rackOf(executor));
+  }
+  if (step.isFilling) {
+    // Turns the cost around: filling tasks go where most is free.
+    cost += -2 * free.cpu +
+      LATENCY_SENSITIVE_PENALTY_CPU * countLatencySensitive(executor);
+  }
+  return cost;
+}
+
+function countInRack(group: TaskGroup, rack: string): number {
+  let count = 0;
+  for (const task of group.tasks) {
+    for (const run of task.runs) if (rackOf(run.executor) === rack) count++;
+  }
+  return count;
+}
+
+function countLatencySensitive(executor: ExecutorState): number {
+  let count = 0;
+  for (const run of executor.runs) {
+    if (run.task.group.step.targetMs > 0) count++;
+  }
+  return count;
+}
+
+/** Subtracts a task of a group from the free capacity of a candidate. */
+export function occupy(candidate: Candidate, group: TaskGroup): void {
+  const { size, isFilling } = group.step;
+  if (!isFilling) candidate.free.cpu -= size.cpu;
+  candidate.free.memoryMb -= size.memoryMb;
+  candidate.free.accelerators -= size.accelerators;
+  candidate.placed.set(group, (candidate.placed.get(group) ?? 0) + 1);
+}
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -8,7 +8,6 @@
 import type { Size } from "../submission.ts";
 import {
   type ExecutorState,
-  freeCapacityOf,
   isLastResort,
   isSchedulable,
   isWithin,
@@ -16,7 +15,12 @@
   rackOf,
 } from "../executor_state.ts";
 import { rankGroups } from "./_rank_groups.ts";
-import { findObstacle } from "./find_obstacle.ts";
+import {
+  type Candidate,
+  chooseCandidate,
+  createCandidate,
+  occupy,
+} from "./choose_candidate.ts";
 
 /**
  * Time for which a lasting task waits before it may go to a reserved executor.
@@ -40,14 +44,6 @@
   mayRun?(group: TaskGroup, executor: ExecutorState): boolean;
 };
 
-/** Executor with the capacity that is left in this round of placement. */
-type Candidate = {
-  executor: ExecutorState;
-  free: Size;
-  /** Tasks that this round has placed there, by group. */
-  placed: Map<TaskGroup, number>;
-};
-
 /**
  * Chooses executors for tasks that are ready to run. Lasting tasks come first
  * and filling ones last. Within these classes, jobs that can still be on time
@@ -66,8 +62,13 @@
   jobs: Iterable<Job>,
   options: PlaceOptions,
 ): Placement[] {
-  const candidates = createCandidates(options, isSchedulable);
-  const lastResorts = createCandidates(options, isLastResort);
+  const { executors, monotonicMs } = options;
+  const candidates = executors
+    .filter((executor) => isSchedulable(executor, monotonicMs))
+    .map(createCandidate);
+  const lastResorts = executors
+    .filter((executor) => isLastResort(executor, monotonicMs))
+    .map(createCandidate);
   const largestFree = largestOf(
     [...candidates, ...lastResorts].map(({ free }) => free),
   );
@@ -87,18 +88,6 @@
   return round.placements;
 }
 
-function createCandidates(
-  { executors, monotonicMs }: PlaceOptions,
-  isUsable: (executor: ExecutorState, nowMs: number) => boolean,
-): Candidate[] {
-  return executors.filter((executor) => isUsable(executor, monotonicMs))
-    .map((executor) => ({
-      executor,
-      free: freeCapacityOf(executor),
-      placed: new Map(),
-    }));
-}
-
 /** Returns the most of each resource that one of the sizes has. */
 function largestOf(sizes: readonly Size[]): Size {
   const largest: Size = { cpu: 0, memoryMb: 0, accelerators: 0 };
@@ -228,93 +217,6 @@
   }
 }
 
-function chooseCandidate(
-  task: Task,
-  candidates: readonly Candidate[],
-  options: PlaceOptions,
-): Candidate | undefined {
-  let best: Candidate | undefined;
-  let bestCost = Infinity;
-  for (const candidate of candidates) {
-    if (!fits(task, candidate, options)) continue;
-    const cost = costOf(task, candidate);
-    if (cost < bestCost) [best, bestCost] = [candidate, cost];
-  }
-  return best;
-}
-
-function fits(
-  task: Task,
-  { executor, free, placed }: Candidate,
-  { mayRun }: PlaceOptions,
-): boolean {
-  const { group } = task;
-  const obstacle = findObstacle(group, executor, {
-    free,
-    placedCount: placed.get(group) ?? 0,
-    ...(mayRun === undefined ? {} : { mayRun }),
-  });
-  return obstacle === undefined;
-}
-
-/** Cost of each latency-sensitive task beside a filling one, in millicores. */
-const LATENCY_SENSITIVE_PENALTY_CPU = 20_000;
-
-/** Cost of each task of the group in the same rack, in millicores. */
-const RACK_SPREAD_PENALTY_CPU = 4_000;
-
-/** Cost of an executor on which the task failed or was slow, in millicores. */
-const AVOIDED_PENALTY_CPU = 100_000_000;
-
-/** Cost of input data in another rack, in millicores. */
-const REMOTE_DATA_PENALTY_CPU = 1_000_000;
-
-/** Returns the cost of placing a task on an executor; the lowest is best. */
-function costOf(task: Task, candidate: Candidate): number {
-  const { step } = task.group;
-  const { executor, free } = candidate;
-  let cost = free.cpu;
-  if (task.avoidedExecutors.has(executor.id)) cost += AVOIDED_PENALTY_CPU;
-  if (step.rack !== "" && !executor.report.labels.includes(step.rack)) {
-    cost += REMOTE_DATA_PENALTY_CPU;
-  }
-  if (step.isLasting) {
-    // Lasting tasks in the same rack would fail together.
-    cost += RACK_SPREAD_PENALTY_CPU * countInRack(task.group, rackOf(executor));
-  }
-  if (step.isFilling) {
-    // Turns the cost around: filling tasks go where most is free.
-    cost += -2 * free.cpu +
-      LATENCY_SENSITIVE_PENALTY_CPU * countLatencySensitive(executor);
-  }
-  return cost;
-}
-
-function countInRack(group: TaskGroup, rack: string): number {
-  let count = 0;
-  for (const task of group.tasks) {
-    for (const run of task.runs) if (rackOf(run.executor) === rack) count++;
-  }
-  return count;
-}
-
-function countLatencySensitive(executor: ExecutorState): number {
-  let count = 0;
-  for (const run of executor.runs) {
-    if (run.task.group.step.targetMs > 0) count++;
-  }
-  return count;
-}
-
-/** Subtracts a task of a group from the free capacity of a candidate. */
-function occupy(candidate: Candidate, group: TaskGroup): void {
-  const { size, isFilling } = group.step;
-  if (!isFilling) candidate.free.cpu -= size.cpu;
-  candidate.free.memoryMb -= size.memoryMb;
-  candidate.free.accelerators -= size.accelerators;
-  candidate.placed.set(group, (candidate.placed.get(group) ?? 0) + 1);
-}
-
 function assign(
   candidate: Candidate,
   { task, round }: { task: Task; round: PlacementRound },
