Stop no more lasting tasks than have a place elsewhere

Cause: each run on an executor that leaves or is reserved was stopped if some executor had capacity for it. Two runs that drain in the same round both counted the same free place, and neither counted the lasting tasks that already waited for it, nor runs still being stopped. One of them was then left without a place, and the executors that it came from were reserved or gone. Stragglers were moved by the same check.

Short tasks that start while a run is being stopped may still take its place until they end.

--- a/packages/jobs/run/drain_executors_test.ts
+++ b/packages/jobs/run/drain_executors_test.ts
@@ -130,4 +130,22 @@
     await reserve(owner, { ids: ["e1"], ms: 4_000 });
     expect([...reserved.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
   });
+
+  // Guards against two lasting tasks that are stopped for the one place that is
+  // left, so that one of them has none (LOST).
+  test("stops no more reserved runs than have a place elsewhere", async () => {
+    const reserved = ["e1", "e2"].map((id) => fixture.addExecutor(id));
+    const owner = await fixture.startOwner(1);
+    for (const id of [JOB_ID, OTHER_JOB_ID]) {
+      fixture.accept(id, [createLastingStep({ count: 1, cpu: 10_000 })]);
+      await advanceTime(1_500);
+    }
+    expect(reserved.map(({ running }) => running.size)).toEqual([1, 1]);
+    const spare = fixture.addExecutor("e3");
+    owner.refresh();
+    await advanceTime(100);
+    await reserve(owner, { ids: ["e1", "e2"], ms: 4_000 });
+    expect(spare.running.size).toBe(1);
+    expect(reserved.map(({ running }) => running.size).sort()).toEqual([0, 1]);
+  });
 });
--- a/packages/jobs/run/stragglers.ts
+++ b/packages/jobs/run/stragglers.ts
@@ -8,8 +8,8 @@
 import type { Run, TaskGroup } from "../job.ts";
 import { maySuspendAnother } from "../ended/record_run_end.ts";
 import { type OwnerState, stopRun } from "../owned/owner_state.ts";
+import { findFreePlaces, type FreePlaces } from "../placed/free_places.ts";
 import type { ExecutorState } from "../executor_state.ts";
-import { hasCapacityElsewhere } from "./drain_executors.ts";
 
 /** Time without progress after which a run counts as stalled. */
 const STALL_MS = 1_200;
@@ -44,6 +44,7 @@
  * not by the health that an executor reports.
  */
 export function moveStragglers(owner: OwnerState): void {
+  let places: FreePlaces | undefined;
   for (const executor of owner.executors.values()) {
     if (executor.isRemoved || executor.failedCalls > 0) continue;
     let slowCount = 0;
@@ -51,16 +52,20 @@
       const reason = findSlowness(run);
       if (reason === undefined) continue;
       slowCount++;
-      moveRun(owner, run, reason);
+      if (!mayMove(run)) continue;
+      places ??= findFreePlaces(owner);
+      if (places.take(run)) moveRun(owner, run, reason);
     }
     if (slowCount >= SUSPEND_AFTER_RUNS) suspendExecutor(owner, executor);
   }
 }
 
+function mayMove({ stopReason, task }: Run): boolean {
+  return stopReason === "" && task.moveCount < MAX_MOVES;
+}
+
 function moveRun(owner: OwnerState, run: Run, reason: string): void {
   const { task } = run;
-  if (run.stopReason !== "" || task.moveCount >= MAX_MOVES) return;
-  if (!hasCapacityElsewhere(owner, run)) return;
   task.moveCount++;
   task.avoidedExecutors.add(run.executor.id);
   stopRun(owner, run, reason);
--- a/packages/jobs/run/stragglers_test.ts
+++ b/packages/jobs/run/stragglers_test.ts
@@ -119,4 +119,19 @@
     await advanceTime(3_500);
     expect(countStarts()).toBe(1);
   });
+
+  // Guards against two lasting tasks that are stopped for the one place that is
+  // left (LOST).
+  test("stops no more stalled tasks at once than have a place elsewhere", async () => {
+    setProgress(() => 40);
+    const size = { cpu: 10_000, memoryMb: 1, accelerators: 0 };
+    fixture.accept(JOB_ID, [createStep({ count: 2, isLasting: true, size })]);
+    const stops = () =>
+      fixture.logged.filter((line) => line.startsWith("runStopping"));
+    for (let waitedMs = 0; waitedMs < 5_000; waitedMs += 50) {
+      if (stops().length > 0) break;
+      await advanceTime(50);
+    }
+    expect(stops()).toHaveLength(1);
+  });
 });
