--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -8,15 +8,26 @@
 import type { Size } from "../submission.ts";
 import {
   type ExecutorState,
-  freeCapacityOf,
+  isLastResort,
   isSchedulable,
   isWithin,
   occupiedBy,
   rackOf,
 } from "../executor_state.ts";
 import { rankGroups } from "./_rank_groups.ts";
-import { findObstacle } from "./find_obstacle.ts";
-import { hasSuspectRun, isSuspect, mustStartApart } from "./probation.ts";
+import {
+  type Candidate,
+  chooseCandidate,
+  createCandidate,
+  occupy,
+} from "./choose_candidate.ts";
+import { mustStartApart } from "./probation.ts";
+
+/**
+ * Time for which a lasting task waits before it may go to a reserved executor.
+ * Short tasks elsewhere may end in this time.
+ */
+const LAST_RESORT_AFTER_MS = 1_500;
 
 /** Decision to run a task on an executor. */
 export type Placement = { task: Task; executor: ExecutorState; reason: string };
@@ -34,23 +45,14 @@
   mayRun?(group: TaskGroup, executor: ExecutorState): boolean;
 };
 
-/** Executor with the capacity that is left in this round of placement. */
-type Candidate = {
-  executor: ExecutorState;
-  free: Size;
-  /** Tasks that this round has placed there, by group. */
-  placed: Map<TaskGroup, number>;
-  /** Whether a task that may have crashed several executors starts there. */
-  hasSuspectRun: boolean;
-};
-
 /**
  * Chooses executors for tasks that are ready to run. Lasting tasks come first
  * and filling ones last. Within these classes, jobs that can still be on time
  * come first, and those that nobody waits for any more last, as in an overload
  * not all can be served. A task goes to the executor of the lowest cost that
  * has capacity for it, which is by default the one with the least free
- * processor time.
+ * processor time. A lasting task that has waited for 1.5 s may also go to
+ * an executor that is reserved, but not drained yet.
  *
  * @example
  * ```ts
@@ -61,22 +63,21 @@
   jobs: Iterable<Job>,
   options: PlaceOptions,
 ): Placement[] {
-  const executors = options.executors.filter((executor) =>
-    isSchedulable(executor, options.monotonicMs)
+  const { executors, monotonicMs } = options;
+  const candidates = executors
+    .filter((executor) => isSchedulable(executor, monotonicMs))
+    .map(createCandidate);
+  const lastResorts = executors
+    .filter((executor) => isLastResort(executor, monotonicMs))
+    .map(createCandidate);
+  const largestFree = largestOf(
+    [...candidates, ...lastResorts].map(({ free }) => free),
   );
-  const candidates = executors.map((executor) => ({
-    executor,
-    free: freeCapacityOf(executor),
-    placed: new Map(),
-    hasSuspectRun: hasSuspectRun(executor),
-  }));
-  const groups = rankGroups(jobs, {
-    ...options,
-    largestFree: largestOf(candidates.map(({ free }) => free)),
-  });
-  if (executors.length === 0 || groups.length === 0) return [];
+  const groups = rankGroups(jobs, { ...options, largestFree });
+  if (groups.length === 0) return [];
   const round: PlacementRound = {
     candidates,
+    lastResorts,
     placements: [],
     options,
     failedSizes: [],
@@ -84,6 +85,7 @@
   for (const group of groups) {
     if (!hasFailed(group, round)) placeGroup(group, round);
   }
+  placeOnLastResorts(groups, round);
   return round.placements;
 }
 
@@ -117,6 +119,8 @@
 /** State of one call of {@linkcode placeTasks}. */
 type PlacementRound = {
   candidates: Candidate[];
+  /** Reserved executors for lasting tasks that fit on no candidate. */
+  lastResorts: Candidate[];
   placements: Placement[];
   options: PlaceOptions;
   /** Sizes of tasks for which no executor has had capacity. */
@@ -143,6 +147,29 @@
   }
 }
 
+/**
+ * Places lasting tasks that have waited for long on reserved executors, which
+ * are not drained while their own tasks fit nowhere else.
+ */
+function placeOnLastResorts(
+  groups: readonly TaskGroup[],
+  round: PlacementRound,
+): void {
+  const { lastResorts, options, placements } = round;
+  if (lastResorts.length === 0) return;
+  const placed = new Set(placements.map(({ task }) => task));
+  for (const { step, tasks } of groups) {
+    if (!step.isLasting || step.isGang) continue;
+    for (const task of tasks) {
+      const waitedMs = options.monotonicMs - task.waitingSinceMs;
+      if (waitedMs < LAST_RESORT_AFTER_MS || placed.has(task)) continue;
+      if (!isPlaceable(task, options.monotonicMs)) continue;
+      const candidate = chooseCandidate(task, lastResorts, options);
+      if (candidate !== undefined) assign(candidate, { task, round });
+    }
+  }
+}
+
 /**
  * Places all tasks of a gang or none. If the step asks for one rack, they are
  * placed in a rack that has capacity for all of them; without such a rack, only
@@ -190,109 +217,18 @@
   }
 }
 
-function chooseCandidate(
-  task: Task,
-  candidates: readonly Candidate[],
-  options: PlaceOptions,
-): Candidate | undefined {
-  let best: Candidate | undefined;
-  let bestCost = Infinity;
-  for (const candidate of candidates) {
-    if (!fits(task, candidate, options)) continue;
-    const cost = costOf(task, candidate);
-    if (cost < bestCost) [best, bestCost] = [candidate, cost];
-  }
-  return best;
-}
-
-function fits(
-  task: Task,
-  { executor, free, placed, hasSuspectRun }: Candidate,
-  { mayRun, monotonicMs }: PlaceOptions,
-): boolean {
-  const { group } = task;
-  if (hasSuspectRun && mustStartApart(task, monotonicMs)) return false;
-  const obstacle = findObstacle(group, executor, {
-    free,
-    placedCount: placed.get(group) ?? 0,
-    ...(mayRun === undefined ? {} : { mayRun }),
-  });
-  return obstacle === undefined;
-}
-
-/** Cost of each latency-sensitive task beside a filling one, in millicores. */
-const LATENCY_SENSITIVE_PENALTY_CPU = 20_000;
-
-/** Cost of each task of the group in the same rack, in millicores. */
-const RACK_SPREAD_PENALTY_CPU = 4_000;
-
-/** Cost of an executor on which the task failed or was slow, in millicores. */
-const AVOIDED_PENALTY_CPU = 100_000_000;
-
-/** Cost of input data in another rack, in millicores. */
-const REMOTE_DATA_PENALTY_CPU = 1_000_000;
-
-/** Returns the cost of placing a task on an executor; the lowest is best. */
-function costOf(task: Task, candidate: Candidate): number {
-  const { step } = task.group;
-  const { executor, free } = candidate;
-  let cost = free.cpu;
-  if (task.avoidedExecutors.has(executor.id)) cost += AVOIDED_PENALTY_CPU;
-  if (step.rack !== "" && !executor.report.labels.includes(step.rack)) {
-    cost += REMOTE_DATA_PENALTY_CPU;
-  }
-  if (step.isLasting) {
-    // Lasting tasks in the same rack would fail together.
-    cost += RACK_SPREAD_PENALTY_CPU * countInRack(task.group, rackOf(executor));
-  }
-  if (task.crashes.length > 0) {
-    // Turns the cost around: one more crash should end as little as possible.
-    cost -= 2 * free.cpu;
-  } else if (step.isFilling) {
-    // Turns the cost around: filling tasks go where most is free.
-    cost += -2 * free.cpu +
-      LATENCY_SENSITIVE_PENALTY_CPU * countLatencySensitive(executor);
-  }
-  return cost;
-}
-
-function countInRack(group: TaskGroup, rack: string): number {
-  let count = 0;
-  for (const task of group.tasks) {
-    for (const run of task.runs) if (rackOf(run.executor) === rack) count++;
-  }
-  return count;
-}
-
-function countLatencySensitive(executor: ExecutorState): number {
-  let count = 0;
-  for (const run of executor.runs) {
-    if (run.task.group.step.targetMs > 0) count++;
-  }
-  return count;
-}
-
-/** Subtracts a task from the free capacity of a candidate. */
-function occupy(candidate: Candidate, task: Task): void {
-  const { group } = task;
-  const { size, isFilling } = group.step;
-  candidate.hasSuspectRun ||= isSuspect(task);
-  if (!isFilling) candidate.free.cpu -= size.cpu;
-  candidate.free.memoryMb -= size.memoryMb;
-  candidate.free.accelerators -= size.accelerators;
-  candidate.placed.set(group, (candidate.placed.get(group) ?? 0) + 1);
-}
-
 function assign(
   candidate: Candidate,
   { task, round }: { task: Task; round: PlacementRound },
 ): void {
-  const freeCpu = Math.round(candidate.free.cpu);
+  const { executor, free } = candidate;
+  const freeCpu = Math.round(free.cpu);
   occupy(candidate, task);
+  const { length } = executor.isReserved ? round.lastResorts : round.candidates;
+  const kind = executor.isReserved ? "reserved executors" : "executors";
   round.placements.push({
     task,
-    executor: candidate.executor,
-    reason:
-      `best of ${round.candidates.length} executors, with ${freeCpu} mcpu free`,
+    executor,
+    reason: `best of ${length} ${kind}, with ${freeCpu} mcpu free`,
   });
 }
