Look for work after each answer beside the loop of a session

Cause: the loop of a session waits until it is woken, and the answer of an extra poll beside it did not wake it. If only that answer showed a run (adopted, or to be stopped), nobody polled the executor again: it stayed occupied, or its run counted as running for good without its lease being renewed, until a new owner came. Every end of an extra poll now wakes the loop, which looks anew at what there is to do.

The new test failed before and passes now.

--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -274,7 +274,11 @@
     if (isClosed || executor.isRemoved) return;
     if (isLongPolling && !isExtraPollOpen) {
       isExtraPollOpen = true;
-      void pollOnce(0).finally(() => isExtraPollOpen = false);
+      void pollOnce(0).finally(() => {
+        isExtraPollOpen = false;
+        // The loop may have found nothing to do before this answer.
+        wake?.();
+      });
       return;
     }
     isPollRequested = true;
--- a/packages/jobs/run/executor_session_test.ts
+++ b/packages/jobs/run/executor_session_test.ts
@@ -61,4 +61,33 @@
     await advanceTime(2_000);
     expect([...executor.running.keys()]).toEqual([`${NEXT_JOB_ID}.0.0.0`]);
   });
+
+  // Guards against an executor that counts as occupied until a new owner, by a
+  // run that only a delayed answer has shown (LOST).
+  test("polls again if an answer beside another one shows a run", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(300);
+    const { poll } = fixture.executors;
+    let isDelayed = false;
+    fixture.executors.poll = async (target, request) => {
+      if (!isDelayed && request.waitMs === 0) {
+        isDelayed = true;
+        await new Promise((resolve) => setTimeout(resolve, 600));
+      }
+      return await poll(target, request);
+    };
+    fixture.cancel(JOB_ID);
+    await advanceTime(500);
+    // A start of an earlier owner, for a job that has been deleted, is late.
+    const late = { run: 1, checkpoint: "", startedAtMs: performance.now() };
+    executor.running.set("00000000000000ff.0.0.0", late);
+    await advanceTime(1_000);
+    expect(isDelayed).toBe(true);
+    expect(executor.running.size).toBe(0);
+    fixture.accept(NEXT_JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(5_000);
+    expect([...executor.running.keys()]).toEqual([`${NEXT_JOB_ID}.0.0.0`]);
+  });
 });
