Use an executor again that left the list for a moment after a restart

Cause: updateExecutor took a lease that has ended for the sign of an executor that was replaced, whose session must stay closed. The next incarnation of a restarted executor has no lease either before its first answer; one list without its entry in this time closed its session for good. `hasCrashed` says what was meant.

The new test failed before and passes now.

--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -121,7 +121,7 @@
     report !== undefined && report.startedAtMs === executor.report.startedAtMs
   ) {
     executor.report = report;
-    if (!executor.isRemoved || executor.leaseEndsMs === 0) return;
+    if (!executor.isRemoved || executor.hasCrashed) return;
     // The same incarnation is back on the list.
     executor.isRemoved = false;
     owner.sessions.get(executor)?.close();
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -176,4 +176,32 @@
     await advanceTime(500);
     expect(other.starts).toHaveLength(1);
   });
+
+  // Guards against an executor with capacity that gets no tasks any more, as it
+  // left the list for a moment before its new process had answered (LOST).
+  test("gets tasks after a restart and a gap in the list", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    executor.fault = "unreachable";
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(100);
+    const { poll } = fixture.executors;
+    fixture.executors.poll = async (target, request) => {
+      await new Promise((resolve) => setTimeout(resolve, 500));
+      return poll(target, request);
+    };
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    owner.refresh();
+    await advanceTime(50);
+    fixture.reports.delete("e1");
+    owner.refresh();
+    await advanceTime(200);
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    fixture.executors.poll = poll;
+    for (let second = 0; second < 20; second++) {
+      owner.refresh();
+      await advanceTime(1_000);
+    }
+    expect([...restarted.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
+  });
 });
