Avoid an executor on which a start of the task got no answer

Cause: an executor that answers polls counts as sound, also if starts there get no answer, and placement prefers the fullest one each time. A task now goes elsewhere after such a start, if it fits elsewhere. The new test failed before and passes now.

--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -130,7 +130,9 @@
     executor.suspendedUntilMs = performance.now() + REFUSAL_PAUSE_MS;
   }
   if (outcome === "ticket") owner.ticketCache?.forget(task.group, executor);
-  if (outcome === "bad") task.avoidedExecutors.add(executor.id);
+  if (outcome === "bad" || outcome.startsWith("unknown: ")) {
+    task.avoidedExecutors.add(executor.id);
+  }
   owner.sessions.get(executor)?.poll();
   owner.schedulePlacement();
 }
