Count a slow run for one suspension of its executor only

Cause: each check counted the same runs again, so that the suspension of 3 s was renewed as soon as it was over. Runs now count if they started since the last suspension; new tasks that turn slow there suspend the executor again.

The new test failed before and passes now.

--- a/packages/jobs/run/stragglers.ts
+++ b/packages/jobs/run/stragglers.ts
@@ -51,7 +51,7 @@
     for (const run of executor.runs) {
       const reason = findSlowness(run);
       if (reason === undefined) continue;
-      slowCount++;
+      if (isSinceSuspension(run)) slowCount++;
       if (!mayMove(run)) continue;
       places ??= findFreePlaces(owner);
       if (places.take(run)) moveRun(owner, run, reason);
@@ -60,6 +60,14 @@
   }
 }
 
+/**
+ * Returns whether a run started since its executor was last suspended, which
+ * would otherwise be suspended for as long as its runs can't be moved.
+ */
+function isSinceSuspension({ executor, startedAtMs }: Run): boolean {
+  return startedAtMs > executor.suspendedUntilMs - SUSPENSION_MS;
+}
+
 function mayMove({ stopReason, task }: Run): boolean {
   return stopReason === "" && task.moveCount < MAX_MOVES;
 }
--- a/packages/jobs/run/stragglers_test.ts
+++ b/packages/jobs/run/stragglers_test.ts
@@ -14,18 +14,20 @@
   JOB_ID,
   type OwnerFixture,
 } from "../_fixtures.ts";
+import type { PartitionOwner } from "../owned/partition_owner.ts";
 
 const TASK_COUNT = 4;
 
 describe("moveStragglers", () => {
   let fixture: OwnerFixture;
   let executors: MemoryExecutor[];
+  let owner: PartitionOwner;
 
   beforeEach(async () => {
     jest.useFakeTimers();
     fixture = createOwnerFixture();
     executors = ["e1", "e2", "e3"].map((id) => fixture.addExecutor(id));
-    await fixture.startOwner(1);
+    owner = await fixture.startOwner(1);
   });
 
   afterEach(() => {
@@ -134,4 +136,38 @@
     }
     expect(stops()).toHaveLength(1);
   });
+
+  // Guards against executors that are suspended for as long as their runs are
+  // slow, while a lasting task has no other place (LOST).
+  test("lets a lasting task start beside slow runs", async () => {
+    for (const id of ["e4", "e5", "e6"]) {
+      executors.push(fixture.addExecutor(id));
+    }
+    owner.refresh();
+    await advanceTime(50);
+    const slow = ["e1", "e2"];
+    const full = { cpu: 16_000, memoryMb: 500, accelerators: 0 };
+    executors.filter(({ report: { id } }) => !slow.includes(id))
+      .forEach(({ report: { id } }, index) =>
+        fixture.accept(`00000000000000b${index}`, [
+          createStep({
+            count: 1,
+            label: `rack-${id}`,
+            size: full,
+            isLasting: true,
+          }),
+        ])
+      );
+    for (const [index, id] of slow.entries()) {
+      const job = `00000000000000c${index}`;
+      for (const { progress } of executors) {
+        progress.set(`${job}.0.0.0`, 40).set(`${job}.0.0.1`, 40);
+      }
+      fixture.accept(job, [createStep({ count: 2, label: `rack-${id}` })]);
+    }
+    await advanceTime(5_000);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(7_000);
+    expect(executorOf(taskName(0))).toBeDefined();
+  });
 });
