Keep runs that may be on the next process of an executor

A task that ran well was also counted as one that had crashed an executor.

Cause: the answer to a start does not say which process has given it. A replaced executor ended all runs whose start was confirmed as lapsed, also those that the new process had confirmed, and their tasks were started elsewhere. Transferred runs had no lease, so that they ended at the first call without an answer. A stop that the earlier process had confirmed was not repeated at the new one, which a late start may still reach.

Now only a run that its process has listed counts as ended with the process. All others move to the next incarnation, and its first list shows whether they are there. If it gives none, they end after the longest lease that the platform grants, since the clock of the new process starts anew. A crash counts for a task that had just started once the next process turns out not to have its run.

"is given up after three crashes, with sameId" fails if the crashes of transferred runs are not counted.

The pause of a session moves to a file of its own.

--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -175,6 +175,7 @@
         },
         listMachines: () => Promise.resolve(fixture.machines),
         leaseMs: 4_500,
+        maxLeaseMs: 6_000,
         confirmedAtMs: () =>
           fixture.confirmedAtMs === "now"
             ? performance.now()
--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -126,13 +126,32 @@
   return undefined;
 }
 
+/** Notes that the current process of a run's executor has listed the run. */
+export function markListed(run: Run, clockMs: number): void {
+  run.confirmedClockMs ??= clockMs;
+  run.listedClockMs = clockMs;
+  run.pendingCrash = undefined;
+}
+
+/**
+ * Returns whether the current process of a run's executor has listed the run.
+ * An answer alone does not show which process has started it.
+ */
+export function isListed({ listedClockMs }: Run): boolean {
+  return listedClockMs > -Infinity;
+}
+
 /** Returns whether the start request of a run has no answer. */
 export function isUnanswered({ state }: Run): boolean {
   return state === "starting" || state === "uncertain";
 }
 
-/** Moves a run to the next incarnation of its executor. */
+/**
+ * Moves a run to the next incarnation of its executor. A confirmed stop may
+ * have been confirmed by the previous process, so that it has to be repeated.
+ */
 export function transferRun(run: Run, executor: ExecutorState): void {
+  if (run.state === "stopping") run.state = "uncertain";
   const size = occupiedBy(run.task.group);
   run.executor.runs.delete(run);
   adjustOccupied(run.executor, size, -1);
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -248,6 +248,7 @@
         },
         listMachines: options.machineClient.list,
         leaseMs,
+        maxLeaseMs: options.maxLeaseMs,
         confirmedAtMs: () => ownership.confirmedAtMs(),
         endedJobRetentionMs: options.endedJobRetentionMs,
         events,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -22,6 +22,11 @@
    * - `stopping`: the executor has confirmed a stop, but not yet the end.
    */
   state: "starting" | "running" | "uncertain" | "stopping";
+  /**
+   * Crash of the executor's previous process, which counts for the task unless
+   * the current one lists the run.
+   */
+  pendingCrash: Crash | undefined;
   /** Monotonic time of the start request, or of adopting the run. */
   startedAtMs: number;
   /** Progress in percent; a lasting task is ready at 100. */
@@ -168,8 +173,8 @@
   /** Whether the executor left the platform's list or has restarted. */
   isRemoved: boolean;
   /**
-   * Whether an answer showed that it restarted under the same id. Starts
-   * without an answer may then still reach the new process.
+   * Whether a later process has its id, as an answer or the platform's list
+   * shows. Runs that were not listed may be on that process.
    */
   hasRestarted: boolean;
   /** Whether another process has certainly taken its place. */
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -44,6 +44,8 @@
   listMachines(): Promise<Machine[] | undefined>;
   /** Duration of an executor's lease in milliseconds. */
   leaseMs: number;
+  /** Longest lease that executors grant, in milliseconds. */
+  maxLeaseMs: number;
   /** Monotonic time up to which the store has confirmed the ownership. */
   confirmedAtMs(): number;
   /** Time for which the state of an ended job is kept, in milliseconds. */
@@ -116,7 +118,10 @@
 /** Largest ratio of the speeds of two clocks of executors and owners. */
 const CLOCK_DRIFT_FACTOR = 1.05;
 
-/** Returns the longest time for which a lease of an earlier owner may last. */
+/**
+ * Returns the longest time for which a lease of some duration may last that was
+ * granted by a call of an earlier owner or a call that is still in flight.
+ */
 export function longestLeaseMs(leaseMs: number): number {
   return CLOCK_DRIFT_FACTOR * leaseMs + IN_FLIGHT_MARGIN_MS;
 }
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -87,6 +87,7 @@
     number,
     executor,
     state: "starting",
+    pendingCrash: undefined,
     startedAtMs: performance.now(),
     progressPercent: 0,
     initialProgressPercent: 0,
--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -34,3 +34,18 @@
   executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
   return Math.floor(expiryMs);
 }
+
+/**
+ * Notes that an executor has restarted under its id. The clock of the new
+ * process starts anew, so that a lease by the clock of the previous process may
+ * last as long there as any lease.
+ */
+export function recordRestart(
+  executor: ExecutorState,
+  longestLeaseMs: number,
+): void {
+  executor.hasCrashed = true;
+  if (executor.hasRestarted) return;
+  executor.hasRestarted = true;
+  executor.leaseEndsMs = performance.now() + longestLeaseMs;
+}
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -3,13 +3,17 @@
 import {
   type ExecutorState,
   findRun,
+  isListed,
   isUnanswered,
+  markListed,
   removeRun,
   setUntrackedRuns,
 } from "../executor_state.ts";
 import type { Size } from "../submission.ts";
-import { extendLease, recordAnswer } from "./_executor_clock.ts";
+import { extendLease, recordAnswer, recordRestart } from "./_executor_clock.ts";
+import { createWakeablePause } from "./_wakeable_pause.ts";
 import type {
+  Adoption,
   ExecutorSession,
   ExecutorSessionOptions,
 } from "./session_types.ts";
@@ -53,7 +57,8 @@
   /** Clock of the executor in the newest list of its runs. */
   let listClockMs = -Infinity;
   let isClosed = false;
-  let wake: (() => void) | undefined;
+  /** Pauses the loop, the only caller. */
+  const { pause, wake } = createWakeablePause();
   let isPollRequested = true;
   let isLongPolling = false;
   let isExtraPollOpen = false;
@@ -73,18 +78,28 @@
   const markRemoved = () => {
     if (executor.isRemoved) return;
     executor.isRemoved = true;
-    // The executor was replaced or ended, so its lease protects no run.
-    executor.leaseEndsMs = 0;
     callbacks.onChange(executor);
   };
 
-  /** Another process answers in the place of the executor. */
+  /** The executor has ended, so its lease protects no run. */
+  const markEnded = () => {
+    executor.leaseEndsMs = 0;
+    markRemoved();
+  };
+
+  /** Another executor answers in the place of this one. */
   const markReplaced = () => {
     executor.hasCrashed = true;
+    markEnded();
+  };
+
+  /** A later process of the executor answers. */
+  const markRestarted = () => {
+    recordRestart(executor, options.longestLeaseMs);
     markRemoved();
   };
 
-  const handleEnds = (ended: readonly RunEnd[]) => {
+  const handleEnds = (ended: readonly RunEnd[], clockMs: number) => {
     let isNew = false;
     for (const end of ended) {
       if (end.sequence <= executor.receivedSequence) continue;
@@ -95,6 +110,7 @@
         callbacks.onUnknownEnd(executor, end);
         continue;
       }
+      markListed(run, clockMs);
       removeRun(run);
       forgetRun(run);
       callbacks.onRunEnd(run, {
@@ -114,23 +130,18 @@
     });
   };
 
-  /** Adopts a run, or stops it and adds it to the untracked ones. */
-  const handleUnknownRun = (
-    report: RunReport,
-    untracked: Map<string, Size | undefined>,
-  ) => {
+  /** Adopts a run that this owner did not track, or stops it. */
+  const handleUnknownRun = (report: RunReport, clockMs: number): Adoption => {
     const adoption = callbacks.onUnknownRun(executor, report);
-    if (adoption.isAdopted) {
-      const run = findRun(executor, report);
-      if (run !== undefined) confirmedAtPoll.set(run, pollsSent);
-      return;
+    const run = findRun(executor, report);
+    if (run !== undefined) {
+      confirmedAtPoll.set(run, pollsSent);
+      markListed(run, clockMs);
     }
-    untracked.set(`${report.task}/${report.run}`, adoption.size);
-    void executorClient.stop(targetOf(executor), {
-      task: report.task,
-      run: report.run,
-      token,
-    });
+    if (adoption.isAdopted) return adoption;
+    const { task, run: number } = report;
+    void executorClient.stop(targetOf(executor), { task, run: number, token });
+    return adoption;
   };
 
   const handleRunning = (running: readonly RunReport[], clockMs: number) => {
@@ -138,7 +149,9 @@
     for (const report of running) {
       const run = findRun(executor, report);
       if (run === undefined) {
-        handleUnknownRun(report, untracked);
+        const adoption = handleUnknownRun(report, clockMs);
+        if (adoption.isAdopted) continue;
+        untracked.set(`${report.task}/${report.run}`, adoption.size);
         continue;
       }
       if (isUnanswered(run)) {
@@ -146,8 +159,7 @@
         confirmedAtPoll.set(run, pollsSent);
         unansweredAtPoll.delete(run);
       }
-      run.confirmedClockMs ??= clockMs;
-      run.listedClockMs = clockMs;
+      markListed(run, clockMs);
       run.reportedAtMs = performance.now();
       if (report.progressPercent > run.progressPercent) {
         run.progressedAtMs = run.reportedAtMs;
@@ -172,16 +184,16 @@
       outcome.running.map(({ task, run }) => `${task}/${run}`),
     );
     for (const run of [...executor.runs]) {
-      const isListed = listed.has(`${run.task.name}/${run.number}`);
+      const isPresent = listed.has(`${run.task.name}/${run.number}`);
       const unansweredAt = unansweredAtPoll.get(run);
       const mayStart = unansweredAt !== undefined && unansweredAt < pollNumber;
-      if (mayStart && !isListed) {
+      if (mayStart && !isPresent) {
         // The start may still arrive; a stop makes the executor refuse it.
         session.stop(run, "the start request timed out");
       }
       const confirmedAt = confirmedAtPoll.get(run);
       if (confirmedAt === undefined || confirmedAt >= pollNumber) continue;
-      if (isListed) continue;
+      if (isPresent) continue;
       removeRun(run);
       forgetRun(run);
       callbacks.onRunEnd(run, {
@@ -211,18 +223,17 @@
     if (outcome.type === "unknown") {
       recordFailure(outcome.reason);
       // An idle loop would not poll a silent executor.
-      wake?.();
+      wake();
       return;
     }
     if (
       outcome.startedAtMs !== undefined &&
       outcome.startedAtMs !== executor.report.startedAtMs
     ) {
-      executor.hasRestarted = true;
-      return markReplaced();
+      return markRestarted();
     }
     recordAnswer(executor, outcome.clockMs);
-    handleEnds(outcome.ended);
+    handleEnds(outcome.ended, outcome.clockMs);
     // Answers may overtake each other; an older list shows ended runs.
     if (outcome.clockMs >= listClockMs) {
       listClockMs = outcome.clockMs;
@@ -238,7 +249,7 @@
         executor.untrackedRuns.size === 0 && executor.failedCalls === 0 &&
         executor.receivedSequence === executor.acknowledgedSequence;
       if (isIdle && !isPollRequested) {
-        await pause(undefined);
+        await pause();
         continue;
       }
       if (
@@ -259,16 +270,6 @@
     }
   };
 
-  /** Pauses the loop, the only caller, until `wake` is called. */
-  const pause = (ms: number | undefined): Promise<void> =>
-    new Promise((resolve) => {
-      const timer = ms === undefined ? undefined : setTimeout(resolve, ms);
-      wake = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
-
   /** Polls at once, even while a long poll is waiting for the next end. */
   const requestPoll = () => {
     if (isClosed || executor.isRemoved) return;
@@ -277,12 +278,12 @@
       void pollOnce(0).finally(() => {
         isExtraPollOpen = false;
         // The loop may have found nothing to do before this answer.
-        wake?.();
+        wake();
       });
       return;
     }
     isPollRequested = true;
-    wake?.();
+    wake();
   };
 
   const session: ExecutorSession = {
@@ -307,7 +308,7 @@
           run.confirmedClockMs = outcome.clockMs;
         }
         confirmedAtPoll.set(run, pollsSent);
-        wake?.();
+        wake();
         return "started";
       }
       if (outcome.type === "notSent") {
@@ -352,12 +353,12 @@
       });
     },
     poll: requestPoll,
-    markEnded: markRemoved,
+    markEnded,
     expireRuns(confirmedMs) {
-      if (confirmedMs < executor.leaseEndsMs) return;
       if (!executor.isRemoved && executor.failedCalls === 0) return;
+      const hasExpired = confirmedMs >= executor.leaseEndsMs;
       const lost = [...executor.runs].filter((run) =>
-        !executor.hasRestarted || !isUnanswered(run)
+        hasExpired || (executor.hasRestarted && isListed(run))
       );
       if (lost.length > 0) callbacks.onLoss(executor, lost);
       for (const run of lost) {
@@ -371,7 +372,7 @@
     },
     close() {
       isClosed = true;
-      wake?.();
+      wake();
     },
   };
 
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -25,11 +25,18 @@
   addRun,
   createExecutorState,
   type ExecutorState,
-  isUnanswered,
+  isListed,
   occupiedBy,
   transferRun,
 } from "../executor_state.ts";
-import { recordLoss, resolveLoss, resolveLosses } from "./lost_executors.ts";
+import { recordRestart } from "./_executor_clock.ts";
+import {
+  deferLoss,
+  recordLoss,
+  recordPendingCrash,
+  resolveLoss,
+  resolveLosses,
+} from "./lost_executors.ts";
 import type { Adoption, ExecutorSession } from "./session_types.ts";
 import { createExecutorSession } from "./executor_session.ts";
 
@@ -121,7 +128,8 @@
     report !== undefined && report.startedAtMs === executor.report.startedAtMs
   ) {
     executor.report = report;
-    if (!executor.isRemoved || executor.hasCrashed) return;
+    const hasEnded = executor.hasCrashed || executor.leaseEndsMs === 0;
+    if (!executor.isRemoved || hasEnded) return;
     // The same incarnation is back on the list.
     executor.isRemoved = false;
     owner.sessions.get(executor)?.close();
@@ -134,14 +142,11 @@
       replaceExecutor(owner, executor, report);
     } else {
       confirmExecutor(owner, executor.id);
-      executor.leaseEndsMs = 0;
-      executor.hasRestarted = false;
+      recordRestart(executor, longestLeaseMs(owner.options.maxLeaseMs));
       removeExecutor(owner, executor);
     }
     return;
   }
-  // It has not come back, so that its lease bounds all of its runs.
-  executor.hasRestarted = false;
   if (!executor.isRemoved) {
     executor.isRemoved = true;
     owner.options.events.log("executorGone", {
@@ -195,25 +200,25 @@
 }
 
 /**
- * Replaces an executor that has restarted under the same id, so that its runs
- * have ended. A start without an answer may still reach the new process, which
- * knows nothing of it, so that the session with that one has to clear it up.
+ * Replaces an executor that has restarted under the same id, so that the runs
+ * which its process has listed have ended. Any other run may have started on
+ * the new process before the restart was noticed, or start there late, so that
+ * the session with that process has to clear it up.
  */
 function replaceExecutor(
   owner: OwnerState,
   executor: ExecutorState,
   report: ExecutorReport,
 ): void {
-  executor.leaseEndsMs = 0;
-  executor.hasRestarted = true;
-  executor.hasCrashed = true;
-  const unanswered = [...executor.runs].filter(isUnanswered);
-  recordLoss(owner, executor, unanswered);
+  recordRestart(executor, longestLeaseMs(owner.options.maxLeaseMs));
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
-  for (const run of unanswered) transferRun(run, next);
+  const unlisted = [...executor.runs].filter((run) => !isListed(run));
+  if (unlisted.length > 0) next.leaseEndsMs = executor.leaseEndsMs;
+  deferLoss(owner, executor, unlisted);
+  for (const run of unlisted) transferRun(run, next);
   removeExecutor(owner, executor);
-  if (unanswered.length > 0) recordUsedExecutor(owner, next.id);
+  if (unlisted.length > 0) recordUsedExecutor(owner, next.id);
   openExecutor(owner, next);
 }
 
@@ -242,12 +247,16 @@
     executorClient: owner.options.executorClient,
     token: owner.options.epoch,
     leaseMs: owner.options.leaseMs,
+    longestLeaseMs: longestLeaseMs(owner.options.maxLeaseMs),
     // A lease that is renewed during the release would outlast what the
     // handover says.
     mayRenew: () =>
       !owner.isReleasing && isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS),
     callbacks: {
-      onRunEnd: (run, end) => recordTrackedRunEnd(owner, run, end),
+      onRunEnd(run, end) {
+        recordPendingCrash(owner, run);
+        recordTrackedRunEnd(owner, run, end);
+      },
       onLoss: (executor, runs) => recordLoss(owner, executor, runs),
       onUnknownEnd(executor, end) {
         const task = findStartedTask(owner, end.task);
@@ -286,6 +295,7 @@
     number: report.run,
     executor,
     state: "running",
+    pendingCrash: undefined,
     startedAtMs: performance.now(),
     progressPercent: report.progressPercent,
     initialProgressPercent: report.progressPercent,
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -25,6 +25,14 @@
  */
 const HOLD_MS = 3_000;
 
+/** Returns whether an executor drains or its machine was taken away. */
+function endsAsPlanned(
+  owner: OwnerState,
+  { id, report }: ExecutorState,
+): boolean {
+  return report.isDraining || owner.endedExecutors.has(id);
+}
+
 /**
  * Notes that runs of an executor are lost. If it has not certainly crashed, the
  * platform's list or its next answer will show whether it has.
@@ -35,16 +43,9 @@
   runs: readonly Run[],
 ): void {
   const { id, address, report } = executor;
-  // An executor that drains, or whose machine was taken away, ends as planned.
-  if (report.isDraining || owner.endedExecutors.has(id)) return;
-  if (runs.length === 0) return;
+  if (endsAsPlanned(owner, executor) || runs.length === 0) return;
   const suspects = findSuspects(runs);
-  owner.options.events.log("executorLost", {
-    executor: id,
-    runs: runs.length,
-    justStarted: suspects.map(({ task }) => task.name).join(" "),
-    hasCrashed: executor.hasCrashed,
-  });
+  logLoss(owner, executor, runs);
   if (executor.hasCrashed) return recordCrashes(owner, id, suspects);
   const lostAtMs = performance.now();
   const { startedAtMs } = report;
@@ -60,13 +61,47 @@
   return onProbation.map((run) => ({
     task: run.task,
     number: run.number,
-    isAttributed: run.confirmedClockMs !== undefined &&
-      onProbation.every(({ task }) =>
-        task === run.task || task.crashes.length < run.task.crashes.length
-      ),
+    isAttributed: isAttributed(run, onProbation),
   }));
 }
 
+/** Returns whether a crash is attributed to one of the runs on probation. */
+function isAttributed(
+  { task, confirmedClockMs }: Run,
+  onProbation: readonly Run[],
+): boolean {
+  return confirmedClockMs !== undefined &&
+    onProbation.every((other) =>
+      other.task === task || other.task.crashes.length < task.crashes.length
+    );
+}
+
+/**
+ * Notes that an executor has crashed whose runs may be on its next process. For
+ * each that is not, the crash counts once that is certain.
+ */
+export function deferLoss(
+  owner: OwnerState,
+  executor: ExecutorState,
+  runs: readonly Run[],
+): void {
+  if (endsAsPlanned(owner, executor) || runs.length === 0) return;
+  logLoss(owner, executor, runs);
+  const onProbation = [...executor.runs].filter(isOnProbation);
+  for (const run of runs.filter(isOnProbation)) {
+    run.pendingCrash ??= {
+      run: run.number,
+      isAttributed: isAttributed(run, onProbation),
+    };
+  }
+}
+
+/** Counts the crash of a run's executor that was not certain to concern it. */
+export function recordPendingCrash(owner: OwnerState, run: Run): void {
+  const { task, executor: { id: executor }, pendingCrash: crash } = run;
+  if (crash !== undefined) recordCrash(owner, { task, executor, crash });
+}
+
 /** Notes that an executor whose runs were lost has answered again. */
 export function resolveLoss(owner: OwnerState, executor: ExecutorState): void {
   const loss = owner.lostExecutors.get(executor.id);
@@ -120,6 +155,20 @@
   }
 }
 
+function logLoss(
+  owner: OwnerState,
+  { id, hasCrashed }: ExecutorState,
+  runs: readonly Run[],
+): void {
+  const justStarted = runs.filter(isOnProbation).map(({ task }) => task.name);
+  owner.options.events.log("executorLost", {
+    executor: id,
+    runs: runs.length,
+    justStarted: justStarted.join(" "),
+    hasCrashed,
+  });
+}
+
 function logResolution(
   owner: OwnerState,
   executor: string,
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -49,6 +49,8 @@
   token: number;
   /** Duration of a lease in milliseconds. */
   leaseMs: number;
+  /** Longest time for which any lease may last, in milliseconds. */
+  longestLeaseMs: number;
   /** Whether the owner may renew leases, as its ownership is confirmed. */
   mayRenew(): boolean;
   callbacks: SessionCallbacks;
@@ -73,7 +75,8 @@
   /**
    * Ends the runs of an unreachable or removed executor if its lease had
    * expired by a monotonic time up to which the ownership is confirmed. Later
-   * than that, another owner may have renewed the lease.
+   * than that, another owner may have renewed the lease. If the executor has
+   * restarted, the runs that its process has listed end at once.
    */
   expireRuns(confirmedMs: number): void;
   close(): void;
--- a/packages/measure/soak/owner_series.ts
+++ b/packages/measure/soak/owner_series.ts
@@ -24,6 +24,9 @@
 /** Duration of an executor's lease. */
 const LEASE_MS = 4_500;
 
+/** Longest lease that the platform grants. */
+const MAX_LEASE_MS = 6_000;
+
 /** Longest time for which an owner stores its handover. */
 const RELEASE_TIMEOUT_MS = 500;
 
@@ -110,6 +113,7 @@
           return own.storePath.isCut ? undefined : options.listMachines();
         },
         leaseMs: LEASE_MS,
+        maxLeaseMs: MAX_LEASE_MS,
         confirmedAtMs: () =>
           own.confirmedAtMs === "now" ? performance.now() : own.confirmedAtMs,
         endedJobRetentionMs: 120_000,
