--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -110,7 +110,7 @@
     fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
     restarted.fault = undefined;
     owner.refresh();
-    await advanceTime(1_000);
+    await advanceTime(4_000);
     executor.deliverDelayed(restarted);
     await advanceTime(1_000);
     expect(restarted.starts.length + other.starts.length).toBe(1);
@@ -204,4 +204,25 @@
     }
     expect([...restarted.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
   });
+
+  // Guards against two runs of a task, as a start that got no answer reaches
+  // the restarted process, which its owner could not reach at first (TWICE).
+  test("blocks a task that may start late while it is silent", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    const { poll } = fixture.executors;
+    fixture.executors.poll = (target, request) =>
+      target.id === "e1"
+        ? Promise.resolve({ type: "unknown", reason: "no answer" })
+        : poll(target, request);
+    executor.fault = "delayed";
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(100);
+    const other = fixture.addExecutor("e2");
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    owner.refresh();
+    await advanceTime(4_000);
+    executor.deliverDelayed(restarted);
+    expect(restarted.running.size + other.running.size).toBe(1);
+  });
 });
