Count a third crash only for the run that started last

What callers would see: harmless lasting jobs are given up beside tasks that crash executors (at least two executors had crashed under each, so that the users' page allows it, but their callers lose them). Causes: a crash was attributed to the task with the most crashes, although another one had started after it; a fourth crash of any kind gave a task up; and tasks that were lost together gather on the executor with most capacity free.

Change: after two crashes a task starts alone on an executor, as nothing has just started there and nothing else does for 0.3 s, and a crash counts for it only if no other run started there as late. It waits at most 6 s for such an executor.

"gives up no task that ran beside several others" failed before and passes now.

--- a/packages/jobs/ended/record_crash.ts
+++ b/packages/jobs/ended/record_crash.ts
@@ -7,34 +7,46 @@
 
 import { hasEnded, type Task } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
-import type { Crash } from "./crash.ts";
+import { isSuspect } from "../placed/probation.ts";
+import type { SuspectedCrash } from "./crash.ts";
 import { finishJob, saveProgress } from "./finish_job.ts";
 
-/** Crashes for which a task is given up if the last one is attributed to it. */
-const MAX_ATTRIBUTED_CRASHES = 3;
+/** Crashes for which a task is given up if the last start was confirmed. */
+const MAX_CONFIRMED_CRASHES = 3;
 
 /** Crashes for which a task is given up in any case. */
 const MAX_CRASHES = 4;
 
-/** Counts a crash for a task, unless it counts already or the task is done. */
+/**
+ * Counts a crash for a task, unless it counts already or the task is done. A
+ * task that is suspect already was started alone, so that only crashes count
+ * that no later start can have caused.
+ */
 export function recordCrash(
   owner: OwnerState,
-  { task, executor, crash }: { task: Task; executor: string; crash: Crash },
+  { task, executor, crash }: {
+    task: Task;
+    executor: string;
+    crash: SuspectedCrash;
+  },
 ): void {
   const { job } = task.group;
+  const { run, isConfirmed, startedLast } = crash;
   if (task.isDone || hasEnded(job)) return;
-  if (task.crashes.some(({ run }) => run === crash.run)) return;
-  task.crashes.push(crash);
+  if (task.crashes.some((other) => other.run === run)) return;
+  if (isSuspect(task) && !startedLast) return;
+  task.crashes.push({ run, isConfirmed });
   const { length } = task.crashes;
   owner.options.events.log("taskSuspected", {
     task: task.name,
-    run: crash.run,
+    run,
     executor,
-    isAttributed: crash.isAttributed,
+    isConfirmed,
+    startedLast,
     crashes: length,
   });
   const mustGiveUp = length >= MAX_CRASHES ||
-    (length >= MAX_ATTRIBUTED_CRASHES && crash.isAttributed);
+    (length >= MAX_CONFIRMED_CRASHES && isConfirmed);
   if (mustGiveUp) {
     job.hasFailed = true;
     finishJob(owner, job, `${length} executors crashed under ${task.name}`);
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Crash } from "./ended/crash.ts";
+import type { Crash, SuspectedCrash } from "./ended/crash.ts";
 import type { ExecutorReport } from "./fleet.ts";
 import type { AcceptedJob, Size, Step } from "./submission.ts";
 
@@ -26,7 +26,7 @@
    * Crash of the executor's previous process, which counts for the task unless
    * the current one lists the run.
    */
-  pendingCrash: Crash | undefined;
+  pendingCrash: SuspectedCrash | undefined;
   /** Monotonic time of the start request, or of adopting the run. */
   startedAtMs: number;
   /** Progress in percent; a lasting task is ready at 100. */
--- a/packages/jobs/placed/choose_candidate.ts
+++ b/packages/jobs/placed/choose_candidate.ts
@@ -13,7 +13,7 @@
 import type { Task, TaskGroup } from "../job.ts";
 import type { Size } from "../submission.ts";
 import { findObstacle, type FindObstacleOptions } from "./find_obstacle.ts";
-import { hasSuspectRun, isSuspect, mustStartApart } from "./probation.ts";
+import { isSuspect, mustStartAlone, newTasksOn } from "./probation.ts";
 
 /** Executor with the capacity that is left in a round of decisions. */
 export type Candidate = {
@@ -21,8 +21,10 @@
   free: Size;
   /** Tasks that this round has placed there, by group. */
   placed: Map<TaskGroup, number>;
-  /** Whether a task that may have crashed several executors starts there. */
-  hasSuspectRun: boolean;
+  /** Whether a task has just started there. */
+  hasNewTask: boolean;
+  /** Whether a task that may have crashed executors has just started there. */
+  hasSuspectTask: boolean;
 };
 
 /** Options of {@linkcode chooseCandidate}. */
@@ -33,11 +35,13 @@
 
 /** Creates a candidate on which this round has placed nothing. */
 export function createCandidate(executor: ExecutorState): Candidate {
+  const newTasks = newTasksOn(executor);
   return {
     executor,
     free: freeCapacityOf(executor),
     placed: new Map(),
-    hasSuspectRun: hasSuspectRun(executor),
+    hasNewTask: newTasks.length > 0,
+    hasSuspectTask: newTasks.some(isSuspect),
   };
 }
 
@@ -62,11 +66,12 @@
 
 function fits(
   task: Task,
-  { executor, free, placed, hasSuspectRun }: Candidate,
+  { executor, free, placed, hasNewTask, hasSuspectTask }: Candidate,
   { mayRun, monotonicMs }: ChooseOptions,
 ): boolean {
   const { group } = task;
-  if (hasSuspectRun && mustStartApart(task, monotonicMs)) return false;
+  if (hasSuspectTask && !group.step.isGang) return false;
+  if (hasNewTask && mustStartAlone(task, monotonicMs)) return false;
   const obstacle = findObstacle(group, executor, {
     free,
     placedCount: placed.get(group) ?? 0,
@@ -131,7 +136,8 @@
 export function occupy(candidate: Candidate, task: Task): void {
   const { group } = task;
   const { size, isFilling } = group.step;
-  candidate.hasSuspectRun ||= isSuspect(task);
+  candidate.hasNewTask = true;
+  candidate.hasSuspectTask ||= isSuspect(task);
   if (!isFilling) candidate.free.cpu -= size.cpu;
   candidate.free.memoryMb -= size.memoryMb;
   candidate.free.accelerators -= size.accelerators;
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -21,7 +21,7 @@
   createCandidate,
   occupy,
 } from "./choose_candidate.ts";
-import { mustStartApart } from "./probation.ts";
+import { mustStartAlone } from "./probation.ts";
 
 /**
  * Time for which a lasting task waits before it may go to a reserved executor.
@@ -138,7 +138,7 @@
   for (const task of waiting) {
     const candidate = chooseCandidate(task, round.candidates, round.options);
     if (candidate === undefined) {
-      if (mustStartApart(task, round.options.monotonicMs)) continue;
+      if (mustStartAlone(task, round.options.monotonicMs)) continue;
       // All tasks of a step have the same size, so none of the others fits.
       noteFailure(group, round);
       return;
--- a/packages/jobs/placed/probation.ts
+++ b/packages/jobs/placed/probation.ts
@@ -1,7 +1,7 @@
 /**
  * Runs on probation: the executor has not been seen to outlast their start, so
  * that a crash of it may be theirs. Tasks under which several executors have
- * crashed start apart from each other, so that the next crash has one cause.
+ * crashed start alone on an executor, so that the next crash has one cause.
  *
  * @module
  */
@@ -12,36 +12,42 @@
 /** Time that an executor has to outlast a start, by its own clock. */
 const PROBATION_MS = 2_000;
 
-/** Crashes under a task from which it starts apart from others like it. */
-const MIN_ISOLATED_CRASHES = 2;
+/** The same until other tasks may start beside a suspect one. */
+export const ISOLATION_MS = 300;
 
-/** Time after which a task starts, although not apart from others like it. */
-const MAX_ISOLATION_WAIT_MS = 2_000;
+/** Crashes under a task from which it starts alone on an executor. */
+const MIN_SUSPECT_CRASHES = 2;
+
+/** Time after which a suspect task starts, although not alone. */
+const MAX_ISOLATION_WAIT_MS = 6_000;
 
 /** Returns whether the executor has not been seen to outlast a start. */
-export function isOnProbation(
-  { confirmedClockMs, listedClockMs }: Run,
-): boolean {
-  return confirmedClockMs === undefined ||
-    listedClockMs - confirmedClockMs < PROBATION_MS;
+export function isOnProbation(run: Run): boolean {
+  return !hasOutlasted(run, PROBATION_MS);
 }
 
 /** Returns whether a task may have crashed several executors. */
 export function isSuspect({ crashes }: Task): boolean {
-  return crashes.length >= MIN_ISOLATED_CRASHES;
+  return crashes.length >= MIN_SUSPECT_CRASHES;
 }
 
-/** Returns whether a task has to start apart from others like it. */
-export function mustStartApart(task: Task, monotonicMs: number): boolean {
+/** Returns whether a task may start only where nothing else just has. */
+export function mustStartAlone(task: Task, monotonicMs: number): boolean {
   // A gang works only as a whole, wherever its tasks start.
   return isSuspect(task) && !task.group.step.isGang &&
     monotonicMs - task.waitingSinceMs < MAX_ISOLATION_WAIT_MS;
 }
 
-/** Returns whether a run of a suspect task is on probation on an executor. */
-export function hasSuspectRun({ runs }: ExecutorState): boolean {
-  for (const run of runs) {
-    if (isSuspect(run.task) && isOnProbation(run)) return true;
-  }
-  return false;
+/** Returns the tasks that have just started on an executor. */
+export function newTasksOn({ runs }: ExecutorState): Task[] {
+  return [...runs].filter((run) => !hasOutlasted(run, ISOLATION_MS))
+    .map(({ task }) => task);
+}
+
+function hasOutlasted(
+  { confirmedClockMs, listedClockMs }: Run,
+  ms: number,
+): boolean {
+  return confirmedClockMs !== undefined &&
+    listedClockMs - confirmedClockMs >= ms;
 }
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -10,6 +10,7 @@
 import { addRun, type ExecutorState } from "../executor_state.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
+import { ISOLATION_MS, isSuspect } from "./probation.ts";
 
 /**
  * Run numbers per epoch. The runs of an inherited job are numbered from the
@@ -17,6 +18,9 @@
  */
 const RUN_NUMBERS_PER_EPOCH = 1_000;
 
+/** Time that a start needs to reach an executor, before it counts there. */
+const POLL_MARGIN_MS = 20;
+
 /** Time without new tasks for an executor that was full or unhealthy. */
 const REFUSAL_PAUSE_MS = 500;
 
@@ -109,6 +113,10 @@
     reason,
   });
   const ticket = owner.ticketCache?.ticketFor(task.group, executor) ?? "";
+  if (isSuspect(task)) {
+    const pollAfterMs = ISOLATION_MS + POLL_MARGIN_MS;
+    setTimeout(() => owner.sessions.get(executor)?.poll(), pollAfterMs);
+  }
   const { spec } = job.accepted.submission;
   void owner.sessions.get(executor)!.start(run, { spec, ticket })
     .then((outcome) => {
--- a/packages/jobs/run/crashing_task_test.ts
+++ b/packages/jobs/run/crashing_task_test.ts
@@ -141,8 +141,7 @@
     const step = createStep({ count: 4, isLasting: true });
     fixture.accept(JOB_ID, [createStep({ count: 1 })]);
     for (const id of others) fixture.accept(id, [step]);
-    const starts = await play(40, "newId");
-    expect(starts.length).toBeLessThanOrEqual(MAX_STARTS);
+    expect(await play(40, "newId")).toHaveLength(3);
     expect(await stateOf(JOB_ID)).toEqual({ type: "known", value: "failed" });
     for (const id of others) {
       expect(await stateOf(id)).toEqual({ type: "known", value: "running" });
@@ -196,7 +195,7 @@
   });
 
   // Guards against a third crash whose cause could be another task.
-  test("starts apart from others under which executors have crashed", async () => {
+  test("starts alone once two executors have crashed", async () => {
     addHost(1);
     owner = await fixture.startOwner(1);
     fixture.accept(JOB_ID, [createStep({ count: 2 })]);
@@ -367,4 +366,34 @@
     await play(10, "newId", () => false);
     expect(findRunning().size).toBe(60);
   });
+
+  // Guards against harmless jobs that fail as tasks which crash executors are
+  // started beside them again and again (LOST).
+  test("gives up no task that ran beside several others", async () => {
+    for (let index = 1; index <= 6; index++) addHost(index);
+    owner = await fixture.startOwner(1);
+    const harmless = Array.from(
+      { length: 20 },
+      (_, index) => `00000000000000${(0xb0 + index).toString(16)}`,
+    );
+    const step = createStep({ count: 1, isLasting: true });
+    for (const id of harmless) fixture.accept(id, [step]);
+    await play(5, "newId", () => false);
+    const isDeadly = (task: string) => task.startsWith("00000000000001");
+    for (let index = 0; index < 10; index++) {
+      fixture.accept(`000000000000010${index}`, [createStep({ count: 1 })]);
+      await play(2, "newId", isDeadly);
+    }
+    await play(40, "newId", isDeadly);
+    const states = await Promise.all(harmless.map(stateOf));
+    expect(
+      states.filter((state) =>
+        state.type !== "known" || state.value !== "running"
+      ),
+    ).toEqual([]);
+    for (let index = 0; index < 10; index++) {
+      expect(await stateOf(`000000000000010${index}`))
+        .toEqual({ type: "known", value: "failed" });
+    }
+  });
 });
--- a/packages/jobs/run/lost_executor.ts
+++ b/packages/jobs/run/lost_executor.ts
@@ -1,16 +1,8 @@
+import type { SuspectedCrash } from "../ended/crash.ts";
 import type { Task } from "../job.ts";
 
 /** Run that had just started on an executor as it was lost. */
-export type SuspectRun = {
-  task: Task;
-  number: number;
-  /**
-   * Whether a crash is attributed to the run: the executor had confirmed its
-   * start, and no other run that had just started there was of a task with as
-   * many crashes.
-   */
-  isAttributed: boolean;
-};
+export type SuspectRun = { task: Task; crash: SuspectedCrash };
 
 /** Executor whose runs were lost, while it may have crashed or be cut off. */
 export type LostExecutor = {
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -9,6 +9,7 @@
 
 import type { ExecutorState } from "../executor_state.ts";
 import type { ExecutorReport } from "../fleet.ts";
+import type { SuspectedCrash } from "../ended/crash.ts";
 import { recordCrash } from "../ended/record_crash.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import type { Run } from "../job.ts";
@@ -25,6 +26,9 @@
  */
 const HOLD_MS = 3_000;
 
+/** Time between two starts from which a crash is not due to the earlier one. */
+const APART_MS = 250;
+
 /** Returns whether an executor drains or its machine was taken away. */
 function endsAsPlanned(
   owner: OwnerState,
@@ -44,7 +48,11 @@
 ): void {
   const { id, address, report } = executor;
   if (endsAsPlanned(owner, executor) || runs.length === 0) return;
-  const suspects = findSuspects(runs);
+  const onProbation = runs.filter(isOnProbation);
+  const suspects = onProbation.map((run) => ({
+    task: run.task,
+    crash: suspectCrash(run, onProbation),
+  }));
   logLoss(owner, executor, runs);
   if (executor.hasCrashed) return recordCrashes(owner, id, suspects);
   const lostAtMs = performance.now();
@@ -55,25 +63,18 @@
   }
 }
 
-/** Returns the lost runs that had just started. */
-function findSuspects(runs: readonly Run[]): SuspectRun[] {
-  const onProbation = runs.filter(isOnProbation);
-  return onProbation.map((run) => ({
-    task: run.task,
-    number: run.number,
-    isAttributed: isAttributed(run, onProbation),
-  }));
-}
-
-/** Returns whether a crash is attributed to one of the runs on probation. */
-function isAttributed(
-  { task, confirmedClockMs }: Run,
+/** Returns what speaks for a crash by a run, beside others on probation. */
+function suspectCrash(
+  { number, confirmedClockMs, startedAtMs, task }: Run,
   onProbation: readonly Run[],
-): boolean {
-  return confirmedClockMs !== undefined &&
-    onProbation.every((other) =>
-      other.task === task || other.task.crashes.length < task.crashes.length
-    );
+): SuspectedCrash {
+  return {
+    run: number,
+    isConfirmed: confirmedClockMs !== undefined,
+    startedLast: onProbation.every((other) =>
+      other.task === task || other.startedAtMs + APART_MS <= startedAtMs
+    ),
+  };
 }
 
 /**
@@ -89,10 +90,7 @@
   logLoss(owner, executor, runs);
   const onProbation = [...executor.runs].filter(isOnProbation);
   for (const run of runs.filter(isOnProbation)) {
-    run.pendingCrash ??= {
-      run: run.number,
-      isAttributed: isAttributed(run, onProbation),
-    };
+    run.pendingCrash ??= suspectCrash(run, onProbation);
   }
 }
 
@@ -115,8 +113,8 @@
 
 /** Lets the tasks that waited for news of a lost executor start again. */
 function releaseTasks({ suspects }: LostExecutor): void {
-  for (const { task, number } of suspects) {
-    if (number >= task.lastEndedRunNumber) task.heldUntilMs = 0;
+  for (const { task, crash: { run } } of suspects) {
+    if (run >= task.lastEndedRunNumber) task.heldUntilMs = 0;
   }
 }
 
@@ -149,8 +147,7 @@
   executor: string,
   suspects: readonly SuspectRun[],
 ): void {
-  for (const { task, number, isAttributed } of suspects) {
-    const crash = { run: number, isAttributed };
+  for (const { task, crash } of suspects) {
     recordCrash(owner, { task, executor, crash });
   }
 }
