Start nothing while the handover that was read is still stored

What callers would see: a task runs twice (TWICE) after two changes of its owner in a row. Cause: an owner started waiting tasks before its deletion of the handover it had read was stored. If it ended before that, the next owner took the same handover for that of its predecessor, and blocked no task which the former had started in between. Nothing starts now until the deletion is stored, which takes one append.

"starts nothing before the handover is deleted" failed before and passes now.

--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -59,7 +59,12 @@
  * hold for the runs that this owner starts.
  */
 export function applyHandover(owner: OwnerState, handover: Handover): void {
+  owner.hasStoredHandover = true;
   owner.progress.put(HANDOVER_KEY, () => undefined);
+  owner.progress.whenStored(() => {
+    owner.hasStoredHandover = false;
+    owner.schedulePlacement();
+  });
   const { runs, unheard, blockedMs } = handover;
   const nowMs = performance.now();
   const othersEndMs = unheard.length === 0 ? 0 : nowMs + blockedMs;
--- a/packages/jobs/owned/handover_test.ts
+++ b/packages/jobs/owned/handover_test.ts
@@ -275,4 +275,29 @@
     await advanceTime(3_000);
     expect(other.starts).toEqual([]);
   });
+
+  // Guards against a handover that the owner after next still reads, as the
+  // next one ended before it had deleted it (TWICE).
+  test("starts nothing before the handover is deleted", async () => {
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    await Promise.all([first.release(1_000), advanceTime(1_000)]);
+    const hosts = ["e1", "e2"].map((id) => fixture.addExecutor(id));
+    const { append } = fixture.store;
+    fixture.store.append = async (partition, request) => {
+      if (request.records.length === 0) return append(partition, request);
+      await new Promise((resolve) => setTimeout(resolve, request.timeoutMs));
+      return { type: "unknown", reason: "ETIMEDOUT" };
+    };
+    const second = await fixture.startOwner(2);
+    await advanceTime(100);
+    second.close();
+    fixture.store.append = append;
+    const used = hosts.find(({ running }) => running.size > 0);
+    if (used !== undefined) used.fault = "unreachable";
+    await fixture.startOwner(3);
+    await advanceTime(500);
+    expect(hosts.flatMap(({ starts }) => starts).length).toBeLessThan(2);
+  });
 });
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -89,6 +89,11 @@
   /** Monotonic time at which the reservations expire. */
   reservedUntilMs: number;
   isLoaded: boolean;
+  /**
+   * Whether a handover that this owner has read is still stored. The next owner
+   * would read it again, so that nothing starts.
+   */
+  hasStoredHandover: boolean;
   isClosed: boolean;
   isReleasing: boolean;
   /** Offset of the next record to read from the jobs topic. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -197,6 +197,7 @@
     usedExecutors: new Set(),
     unconfirmedExecutors: new Map(),
     inheritedRuns: undefined,
+    hasStoredHandover: false,
     endedExecutors: new Map(),
     lostExecutors: new Map(),
     reservedExecutors: new Set(),
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -29,6 +29,7 @@
  * without stored progress is kept until that is stored.
  */
 export function startWaitingTasks(owner: OwnerState): void {
+  if (owner.hasStoredHandover) return;
   const executors = [...owner.executors.values()];
   const placements = placeTasks(placeableJobs(owner), {
     executors,
