Let the next owner count a crash that its predecessor did not see the end of

What callers would see: a task that crashes executors is started six times and more (BUDGET) as its owner changes while they are down. Cause: which runs had just started on a silent executor was known in memory only. The last start of a task after a crash is now stored with the job's progress, and a handover names the starts on probation on silent executors. The next owner treats these as losses of its own: it holds a task under which an executor has crashed for up to 3 s, and counts the crash once another process has the executor's id or address. A first crash whose owner is killed before it is noted still counts for nobody.

--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -6,7 +6,7 @@
 
 import { z } from "zod";
 import { type Job, parseTaskName, type TaskGroup } from "../job.ts";
-import { Crash } from "./crash.ts";
+import { Suspicion } from "./suspicion.ts";
 
 /**
  * Schema of the stored progress of a job. Failed runs are stored by run number,
@@ -20,8 +20,8 @@
   done: z.record(z.string(), z.string()),
   /** Numbers of the failed runs, by task name. */
   failed: z.record(z.string(), z.array(z.number())),
-  /** Crashes of executors under tasks, by task name. */
-  crashed: z.record(z.string(), z.array(Crash)).default({}),
+  /** Tasks under which executors have crashed, by task name. */
+  suspicions: z.record(z.string(), Suspicion).optional(),
   outcome: z.enum(["completed", "failed", "cancelled"]).optional(),
   /** Unix time at which the job ended, in milliseconds. */
   endedAtMs: z.number().optional(),
@@ -41,7 +41,7 @@
 
 /** Encodes the progress of a job as JSON for the store. */
 export function encodeProgress(job: Job, failed: FailedRuns): string {
-  const progress: Progress = { done: {}, failed: {}, crashed: {} };
+  const progress: Progress = { done: {}, failed: {} };
   for (const group of job.groups) {
     if (group.doneCount > 0) {
       progress.done[groupKey(group)] = encodeDoneBits(group);
@@ -50,7 +50,10 @@
       if (task.isDone) continue;
       const runs = failed.get(task.name);
       if (runs !== undefined) progress.failed[task.name] = [...runs];
-      if (task.crashes.length > 0) progress.crashed[task.name] = task.crashes;
+      if (task.crashes.length === 0) continue;
+      const { crashes, lastStart } = task;
+      progress.suspicions ??= {};
+      progress.suspicions[task.name] = { crashes, lastStart };
     }
   }
   if (job.endedAtMs !== undefined) {
@@ -62,11 +65,11 @@
 
 /** Returns the last occurrence of which something is stored, at least 0. */
 export function lastOccurrenceOf(
-  { done, failed, crashed }: Progress,
+  { done, failed, suspicions = {} }: Progress,
 ): number {
   const occurrences = [
     ...Object.keys(done).map((key) => Number.parseInt(key, 10)),
-    ...[...Object.keys(failed), ...Object.keys(crashed)]
+    ...[...Object.keys(failed), ...Object.keys(suspicions)]
       .map((name) => parseTaskName(name)?.occurrence ?? 0),
   ];
   return Math.max(0, ...occurrences);
@@ -88,7 +91,9 @@
         group.doneCount++;
         job.hasStarted = true;
       }
-      task.crashes = progress.crashed[task.name] ?? [];
+      const suspicion = progress.suspicions?.[task.name];
+      task.crashes = suspicion?.crashes ?? [];
+      task.lastStart = suspicion?.lastStart;
       const runs = progress.failed[task.name];
       if (runs === undefined) continue;
       failed.set(task.name, new Set(runs));
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -51,6 +51,7 @@
     how: end.result,
     ranMs: Math.round(performance.now() - run.startedAtMs),
   });
+  if (end.result !== "lapsed") task.lastStart = undefined;
   if (!isOnProbation(run)) task.crashes = [];
   if (end.result === "done") {
     executor.consecutiveFailures = 0;
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -116,6 +116,7 @@
         lastEndedRunNumber: 0,
         failureCount: 0,
         crashes: [],
+        lastStart: undefined,
         heldUntilMs: 0,
         checkpoint: "",
         blockedUntilMs: times.blockedUntilMs,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Crash, SuspectedCrash } from "./ended/crash.ts";
+import type { Start } from "./ended/suspicion.ts";
 import type { ExecutorReport } from "./fleet.ts";
 import type { AcceptedJob, Size, Step } from "./submission.ts";
 
@@ -66,6 +67,8 @@
   failureCount: number;
   /** Crashes of executors on which a run of the task had just started. */
   crashes: Crash[];
+  /** Last start after a crash, until its outcome is known. */
+  lastStart: Start | undefined;
   /**
    * Monotonic time until which the task waits, as it is not clear whether one
    * more executor has crashed under it.
--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -7,6 +7,7 @@
 
 import { findStartedTask } from "../accepted/apply_records.ts";
 import type { Task } from "../job.ts";
+import { suspectStart, unresolvedStarts } from "../run/lost_executors.ts";
 import { HANDOVER_KEY } from "../topics.ts";
 import type { Handover, HandoverRun } from "./handover_record.ts";
 import type { OwnerState } from "./owner_state.ts";
@@ -22,6 +23,7 @@
 }
 
 function createHandover(owner: OwnerState): Handover {
+  const suspectStarts = unresolvedStarts(owner);
   const runs: HandoverRun[] = [];
   for (const executor of owner.executors.values()) {
     for (const run of executor.runs) {
@@ -34,7 +36,9 @@
     }
   }
   const unheard = [...owner.unconfirmedExecutors.keys()];
-  if (unheard.length === 0) return { runs, unheard, blockedMs: 0 };
+  if (unheard.length === 0) {
+    return { runs, unheard, blockedMs: 0, suspectStarts };
+  }
   if (owner.inheritedRuns !== undefined) {
     // The previous handover lists all runs on the unconfirmed executors.
     for (const [executor, endsMs] of owner.unconfirmedExecutors) {
@@ -42,9 +46,10 @@
         runs.push({ ...inherited, leaseMs: remainingMs(endsMs) });
       }
     }
-    return { runs, unheard: [], blockedMs: 0 };
+    return { runs, unheard: [], blockedMs: 0, suspectStarts };
   }
-  return { runs, unheard, blockedMs: remainingMs(owner.blockedUntilMs) };
+  const blockedMs = remainingMs(owner.blockedUntilMs);
+  return { runs, unheard, blockedMs, suspectStarts };
 }
 
 function remainingMs(monotonicMs: number): number {
@@ -65,12 +70,16 @@
     owner.hasStoredHandover = false;
     owner.schedulePlacement();
   });
-  const { runs, unheard, blockedMs } = handover;
+  const { runs, unheard, blockedMs, suspectStarts = [] } = handover;
   const nowMs = performance.now();
   const othersEndMs = unheard.length === 0 ? 0 : nowMs + blockedMs;
   owner.blockedUntilMs = othersEndMs;
   owner.inheritedRuns = unheard.length === 0 ? new Map() : undefined;
   owner.unconfirmedExecutors = new Map(unheard.map((id) => [id, othersEndMs]));
+  for (const { task: name, ...start } of suspectStarts) {
+    const task = findStartedTask(owner, name);
+    if (task !== undefined) suspectStart(owner, task, start);
+  }
   const blockedUntil = new Map<Task, number>();
   for (const run of runs) {
     const { executor, leaseMs } = run;
--- a/packages/jobs/owned/handover_record.ts
+++ b/packages/jobs/owned/handover_record.ts
@@ -5,6 +5,7 @@
  */
 
 import { z } from "zod";
+import { TaskStart } from "../ended/suspicion.ts";
 
 /** Schema of a run that goes on when its owner gives up the partition. */
 const HandoverRun = z.object({
@@ -25,6 +26,8 @@
   unheard: z.array(z.string()),
   /** Longest time in milliseconds for which such runs may go on. */
   blockedMs: z.number(),
+  /** Starts that may have crashed their executors. */
+  suspectStarts: z.array(TaskStart).optional(),
 });
 
 /** Runs that may go on after an owner has given up the partition. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -16,7 +16,13 @@
 import { startRemovingExpiredJobs } from "../ended/remove_expired_jobs.ts";
 import { applyProgress, lastOccurrenceOf } from "../ended/progress.ts";
 import { createProgressLog } from "../ended/progress_log.ts";
-import { hasEnded, isComplete, type JobsById, stateOf } from "../job.ts";
+import {
+  hasEnded,
+  isComplete,
+  type Job,
+  type JobsById,
+  stateOf,
+} from "../job.ts";
 import {
   type PartitionReport,
   reportPartition,
@@ -34,6 +40,7 @@
 import { confirmEndedExecutors } from "../run/ended_executors.ts";
 import { drainExecutors } from "../run/drain_executors.ts";
 import { moveStragglers } from "../run/stragglers.ts";
+import { suspectStart } from "../run/lost_executors.ts";
 import type { QueryResult } from "../queries/query_result.ts";
 import type { JobState } from "../submission.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
@@ -274,6 +281,7 @@
     if (progress !== undefined) {
       createTasksUpTo(owner, job, lastOccurrenceOf(progress));
       applyProgress(job, { progress, failed: owner.failedRuns });
+      suspectLastStarts(owner, job);
     }
     if (state.cancelled.has(id)) applyCancellation(owner, id);
     // The earlier owner ended after it had stored the last end of a task.
@@ -307,6 +315,13 @@
   void confirmEndedExecutors(owner);
 }
 
+/** Notes the last starts of tasks under which executors have crashed. */
+function suspectLastStarts(owner: OwnerState, { groups }: Job): void {
+  for (const task of groups.flatMap(({ tasks }) => tasks)) {
+    if (task.lastStart !== undefined) suspectStart(owner, task, task.lastStart);
+  }
+}
+
 /**
  * Deletes progress without a job. It remains if an owner stops after it has
  * deleted the record of an expired job and before it has deleted its progress.
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -6,6 +6,7 @@
 
 import type { Run, Task, TaskGroup } from "../job.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
+import { saveProgress } from "../ended/finish_job.ts";
 import { USED_EXECUTORS_KEY } from "../topics.ts";
 import { addRun, type ExecutorState } from "../executor_state.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
@@ -113,6 +114,7 @@
     executor: executor.id,
     reason,
   });
+  if (task.crashes.length > 0) storeStart(owner, run);
   const ticket = owner.ticketCache?.ticketFor(task.group, executor) ?? "";
   if (isSuspect(task)) {
     const pollAfterMs = ISOLATION_MS + POLL_MARGIN_MS;
@@ -126,6 +128,13 @@
     });
 }
 
+/** Stores a start, so that a crash counts that only the next owner sees. */
+function storeStart(owner: OwnerState, { task, number, executor }: Run): void {
+  const { id, address, report: { startedAtMs } } = executor;
+  task.lastStart = { run: number, executor: id, address, startedAtMs };
+  saveProgress(owner, task.group.job);
+}
+
 function handleRefusal(owner: OwnerState, run: Run, outcome: string): void {
   const { task, executor } = run;
   if (outcome === "closed" || outcome === "ended") return;
--- a/packages/jobs/run/crashing_task_test.ts
+++ b/packages/jobs/run/crashing_task_test.ts
@@ -169,7 +169,7 @@
     owner.close();
     owner = await fixture.startOwner(2);
     // The first owner has counted one crash, and not seen the other one.
-    expect(await play(40, "sameId")).toHaveLength(4);
+    expect(await play(40, "sameId")).toHaveLength(3);
     expect(await stateOf(JOB_ID)).toEqual({ type: "known", value: "failed" });
   });
 
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -12,7 +12,8 @@
 import type { SuspectedCrash } from "../ended/crash.ts";
 import { recordCrash } from "../ended/record_crash.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
-import type { Run } from "../job.ts";
+import type { Start, TaskStart } from "../ended/suspicion.ts";
+import type { Run, Task } from "../job.ts";
 import { isOnProbation } from "../placed/probation.ts";
 import type { LostExecutor, SuspectRun } from "./lost_executor.ts";
 
@@ -63,6 +64,45 @@
   }
 }
 
+/**
+ * Notes a start of an earlier owner that may have crashed its executor. The
+ * list or the next answer of the executor will show whether it has.
+ */
+export function suspectStart(
+  owner: OwnerState,
+  task: Task,
+  { run, executor, address, startedAtMs }: Start,
+): void {
+  const lostAtMs = performance.now();
+  const crash = { run, isConfirmed: false, startedLast: true };
+  const loss = owner.lostExecutors.get(executor) ??
+    { address, startedAtMs, lostAtMs, suspects: [] };
+  loss.suspects.push({ task, crash });
+  owner.lostExecutors.set(executor, loss);
+  if (task.crashes.length > 0) task.heldUntilMs = lostAtMs + HOLD_MS;
+}
+
+/** Returns the starts that may have crashed executors, for the next owner. */
+export function unresolvedStarts(owner: OwnerState): TaskStart[] {
+  const starts: TaskStart[] = [];
+  const executors = owner.executors.values();
+  for (const [executor, loss] of owner.lostExecutors) {
+    const { address, startedAtMs, suspects } = loss;
+    for (const { task, crash: { run } } of suspects) {
+      starts.push({ task: task.name, run, executor, address, startedAtMs });
+    }
+  }
+  for (const { id, address, report, failedCalls, runs } of executors) {
+    if (failedCalls === 0) continue;
+    const { startedAtMs } = report;
+    for (const { task, number: run } of [...runs].filter(isOnProbation)) {
+      const start = { run, executor: id, address, startedAtMs };
+      starts.push({ task: task.name, ...start });
+    }
+  }
+  return starts;
+}
+
 /** Returns what speaks for a crash by a run, beside others on probation. */
 function suspectCrash(
   { number, confirmedClockMs, startedAtMs, task }: Run,
@@ -114,6 +154,7 @@
 /** Lets the tasks that waited for news of a lost executor start again. */
 function releaseTasks({ suspects }: LostExecutor): void {
   for (const { task, crash: { run } } of suspects) {
+    if (task.lastStart?.run === run) task.lastStart = undefined;
     if (run >= task.lastEndedRunNumber) task.heldUntilMs = 0;
   }
 }
