Give each executor of the soak test its own address

All had the address of the fixture, so that the owner takes any executor that appears for the next process at the address of a lost one, and counts a crash. The random draws stay the same.

--- a/packages/measure/soak/soak_world.ts
+++ b/packages/measure/soak/soak_world.ts
@@ -147,14 +147,14 @@
     between: (low, high) => low + Math.floor(random() * (high - low + 1)),
     addExecutor() {
       const id = `e${++hostCount}`;
+      const address = `127.0.0.1:${hostCount}`;
       world.log(`new executor ${id}`);
-      return addHost(hosts, reportOf(id, processCount++), {
-        executors,
-        cpuOf,
-      });
+      const report = reportOf({ id, address, startedAtMs: processCount++ });
+      return addHost(hosts, report, { executors, cpuOf });
     },
     restart(host) {
-      const report = reportOf(host.id, processCount++);
+      const { id, report: { address } } = host;
+      const report = reportOf({ id, address, startedAtMs: processCount++ });
       host.process = executors.add(report);
       host.isUp = true;
       host.isSilent = false;
@@ -205,6 +205,12 @@
 }
 
 /** Creates the entry of an executor in the platform's list. */
-function reportOf(id: string, startedAtMs: number): ExecutorReport {
-  return createReport(id, { startedAtMs, capacity: { ...HOST_CAPACITY } });
+function reportOf(
+  { id, address, startedAtMs }: Pick<
+    ExecutorReport,
+    "id" | "address" | "startedAtMs"
+  >,
+): ExecutorReport {
+  const capacity = { ...HOST_CAPACITY };
+  return createReport(id, { address, startedAtMs, capacity });
 }
