Play capacities that shrink and grow in the soak test

The capacity of an executor shrinks to 0.3 to 0.8 of itself and grows back, while it runs; its entry in the list shows so up to a heartbeat later. A third of the executors refuse what exceeds it. For the others, no start may bring them over the largest capacity of the last 4.5 s (LIMIT), counted from when the start was sent if it arrives late. Short jobs keep waiting meanwhile, since nothing would start on the executor otherwise. This is a plan of its own.

--- a/packages/measure/soak/draw_step.ts
+++ b/packages/measure/soak/draw_step.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Step } from "@lagoonloom/jobs";
-import { HOST_CAPACITY } from "./executor_hosts.ts";
+import { HOST_CAPACITY } from "./host_capacity.ts";
 
 /** Draws a step of lasting tasks or one of short tasks. */
 export function drawStep(
--- a/packages/measure/soak/executor_links.ts
+++ b/packages/measure/soak/executor_links.ts
@@ -23,6 +23,13 @@
 /** Longest time after its timeout at which a late request takes effect. */
 const MAX_LATENESS_MS = 3_500;
 
+/** Start of a run that took effect. */
+export type StartCall = {
+  run: number;
+  /** Time since its request was sent. */
+  sinceSentMs: number;
+};
+
 /** Stop of a run that took effect. */
 export type StopCall = {
   run: number;
@@ -34,7 +41,7 @@
 
 /** Calls that took effect at an executor. */
 export type CallObserver = {
-  onStarted(host: ExecutorHost, task: string, run: number): void;
+  onStarted(host: ExecutorHost, task: string, start: StartCall): void;
   onStopped(
     host: ExecutorHost,
     task: string,
@@ -127,8 +134,9 @@
     });
 
   return {
-    start: (target, request) =>
-      send(target.id, {
+    start(target, request) {
+      const sentAtMs = performance.now();
+      return send(target.id, {
         kind: "start",
         timeoutMs: CALL_TIMEOUT_MS,
         refused: { type: "notSent", reason: "connection refused" },
@@ -136,11 +144,14 @@
           const known = host.process.starts.length;
           const outcome = await executors.start(target, request);
           if (host.process.starts.length > known) {
-            observer.onStarted(host, request.task, request.run);
+            const { task, run } = request;
+            const sinceSentMs = performance.now() - sentAtMs;
+            observer.onStarted(host, task, { run, sinceSentMs });
           }
           return outcome;
         },
-      }),
+      });
+    },
     stop(target, request) {
       const sentAtMs = performance.now();
       return send(target.id, {
--- a/packages/measure/soak/fault_plan.ts
+++ b/packages/measure/soak/fault_plan.ts
@@ -7,6 +7,7 @@
 import type { Size } from "@lagoonloom/jobs";
 import type { CallFate, CallKind, ExecutorHost } from "./executor_hosts.ts";
 import { removeExecutor, stopProcess } from "./executor_hosts.ts";
+import { HOST_CAPACITY } from "./host_capacity.ts";
 import { drawStep } from "./draw_step.ts";
 import type { SoakWorld } from "./soak_world.ts";
 
@@ -26,6 +27,9 @@
 /** Size of lasting tasks that are accepted beside faults. */
 const SMALL_SIZE: Size = { cpu: 300, memoryMb: 500, accelerators: 0 };
 
+/** Longest time until an executor reports a change. */
+const HEARTBEAT_MS = 1_500;
+
 /** Least number of executors that stay up. */
 const MIN_HOSTS_UP = 3;
 
@@ -304,6 +308,41 @@
   await sleep(0);
 }
 
+/** An executor reports its capacity with its next heartbeat. */
+async function reportCapacity(
+  world: SoakWorld,
+  host: ExecutorHost,
+): Promise<void> {
+  const { process } = host;
+  await sleep(world.between(0, HEARTBEAT_MS));
+  if (host.process !== process) return;
+  const cpu = host.capacity.currentCpu();
+  host.report = { ...host.report, capacity: { ...HOST_CAPACITY, cpu } };
+}
+
+/** The capacity of an executor shrinks, and grows back while it runs. */
+async function shrinkCapacity(world: SoakWorld): Promise<void> {
+  const { between } = world;
+  const host = pickHostUp(world);
+  if (host === undefined) return;
+  const { process } = host;
+  const cpu = between(30, 80) * HOST_CAPACITY.cpu / 100;
+  const endMs = performance.now() + between(5_000, 12_000);
+  world.log(`FAULT ${host.id} shrinks to ${cpu} mcpu`);
+  host.capacity.set(cpu);
+  await reportCapacity(world, host);
+  while (performance.now() < endMs) {
+    // Without waiting tasks, nothing would start there.
+    world.accept(drawStep({ between, isLasting: false }));
+    await sleep(between(100, 900));
+  }
+  // A new process has the full capacity.
+  if (host.process !== process) return;
+  world.log(`${host.id} grows again`);
+  host.capacity.set(HOST_CAPACITY.cpu);
+  await reportCapacity(world, host);
+}
+
 /** Faults and planned changes, more frequent ones several times. */
 export const SOAK_FAULTS: readonly SoakFault[] = [
   harmLink,
@@ -332,3 +371,11 @@
   acceptDeadlyJob,
   acceptDeadlyJob,
 ];
+
+/** The same, with capacities that shrink and grow. */
+export const CAPACITY_FAULTS: readonly SoakFault[] = [
+  ...SOAK_FAULTS,
+  shrinkCapacity,
+  shrinkCapacity,
+  shrinkCapacity,
+];
--- a/packages/measure/soak/run_soak.ts
+++ b/packages/measure/soak/run_soak.ts
@@ -7,8 +7,8 @@
 
 import { createRandom } from "../random.ts";
 import { drawStep } from "./draw_step.ts";
-import type { SoakFault } from "./fault_plan.ts";
 import type { Violation } from "./soak_checker.ts";
+import type { SoakPlan } from "./soak_plans.ts";
 import { createSoakWorld, type SoakWorld } from "./soak_world.ts";
 
 /** Difference between the clock of the executors and the monotonic clock. */
@@ -39,18 +39,18 @@
  *
  * @example
  * ```ts
- * const { violations } = await runSoak(7, { faults, advanceTime });
+ * const { violations } = await runSoak(7, { plan, advanceTime });
  * ```
  */
 export async function runSoak(
   seed: number,
-  { faults, advanceTime }: {
-    faults: readonly SoakFault[];
+  { plan, advanceTime }: {
+    plan: SoakPlan;
     advanceTime(ms: number): Promise<void>;
   },
 ): Promise<SoakOutcome> {
   const random = createRandom(seed);
-  const world = createSoakWorld(random);
+  const world = createSoakWorld(random, plan);
   const { between, checker, owners } = world;
   let calmSinceMs: number | undefined;
   let lastReportMs = -Infinity;
@@ -84,6 +84,7 @@
     calmSinceMs = undefined;
     const endMs = performance.now() + world.between(2_000, 9_000);
     while (performance.now() < endMs) {
+      const { faults } = plan;
       const fault = faults[Math.floor(random() * faults.length)]!;
       const ended: Promise<void> = fault(world)
         .finally(() => active.delete(ended));
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -50,10 +50,16 @@
   end(task: string, result: RunEnd["result"]): void;
 };
 
+/** Options of an executor in memory. */
+export type MemoryExecutorOptions = {
+  /** Whether a task may start; by default, each may. */
+  hasCapacityFor?(task: string): boolean;
+};
+
 /** Client of executors in memory. */
 export type MemoryExecutors = ExecutorClient & {
   /** Adds an executor that runs nothing yet. */
-  add(report: ExecutorReport): MemoryExecutor;
+  add(report: ExecutorReport, options?: MemoryExecutorOptions): MemoryExecutor;
 };
 
 function hasFault(executor: MemoryExecutor, fault: MemoryFault): boolean {
@@ -75,6 +81,7 @@
     ((at: MemoryExecutor) => void)[]
   >();
   const highestRuns = new Map<MemoryExecutor, Map<string, number>>();
+  const optionsOf = new Map<MemoryExecutor, MemoryExecutorOptions>();
   const pollWaiters = new Set<() => void>();
 
   const clock = () => performance.now() + CLOCK_OFFSET_MS;
@@ -100,7 +107,9 @@
     executor: MemoryExecutor,
     request: StartRequest,
   ): StartOutcome => {
-    const refuse = (reason: "fence" | "late" | "old"): StartOutcome => ({
+    const refuse = (
+      reason: "fence" | "late" | "old" | "room",
+    ): StartOutcome => ({
       type: "refused",
       reason,
       clockMs: clock(),
@@ -117,6 +126,8 @@
     }
     const highestRun = highestRuns.get(executor)!.get(request.task) ?? 0;
     if (known !== undefined || request.run <= highestRun) return refuse("old");
+    const { hasCapacityFor } = optionsOf.get(executor)!;
+    if (hasCapacityFor?.(request.task) === false) return refuse("room");
     executor.running.set(request.task, {
       run: request.run,
       checkpoint: request.checkpoint,
@@ -173,7 +184,7 @@
   };
 
   return {
-    add(report) {
+    add(report, options = {}) {
       let ended = 0;
       const executor: MemoryExecutor = {
         report,
@@ -205,6 +216,7 @@
       };
       executors.set(report.id, executor);
       highestRuns.set(executor, new Map());
+      optionsOf.set(executor, options);
       return executor;
     },
     start: (target, request) =>
