Start nothing on executors from an old list of capacities

An executor that does not guard its capacity could get tasks beyond one that had shrunk more than 4.5 s before, while its owner could not read the list of executors: for 3.5 s if the whole store was out, without a bound if only reads of this list failed (LIMIT). The new test "gets no task from an old list" failed before. An executor reports within a heartbeat of 1.5 s, so that 3 s remain for the age of the list; owners use 2.5 s and leave the rest to calls under way. Where the configuration says that a service enforces its capacity, nothing changes.

The soak plan of capacities now has a service that enforces none.

--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -129,6 +129,8 @@
    * that it does so all the time.
    */
   confirmedAtMs: "now" | number;
+  /** Monotonic time at which the list of executors was last read, likewise. */
+  executorsReadAtMs: "now" | number;
   addExecutor(
     id: string,
     fields?: Partial<ExecutorReport>,
@@ -155,6 +157,7 @@
     lossReasons: [],
     loadTimeouts: 0,
     confirmedAtMs: "now",
+    executorsReadAtMs: "now",
     addExecutor(id, fields) {
       const report = createReport(id, fields);
       fixture.reports.set(id, report);
@@ -172,14 +175,12 @@
           layout: () => new Map([["quoting", [PARTITION]]]),
           executors: () => fixture.reports,
           hasExecutorList: () => true,
+          executorsReadAtMs: () => timeOf(fixture.executorsReadAtMs),
         },
         listMachines: () => Promise.resolve(fixture.machines),
         leaseMs: 4_500,
         maxLeaseMs: 6_000,
-        confirmedAtMs: () =>
-          fixture.confirmedAtMs === "now"
-            ? performance.now()
-            : fixture.confirmedAtMs,
+        confirmedAtMs: () => timeOf(fixture.confirmedAtMs),
         endedJobRetentionMs: 120_000,
         events: {
           log: (name, fields) =>
@@ -211,6 +212,10 @@
   return fixture;
 }
 
+function timeOf(time: "now" | number): number {
+  return time === "now" ? performance.now() : time;
+}
+
 /** Advances the fake timers by a time in milliseconds. */
 export async function advanceTime(ms: number): Promise<void> {
   const { jest } = await import("@jest/globals");
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -81,6 +81,8 @@
   executors(): ReadonlyMap<string, ExecutorReport>;
   /** Whether the list of executors has been read since it was last needed. */
   hasExecutorList(): boolean;
+  /** Monotonic time of the store's last answer about this list. */
+  executorsReadAtMs(): number;
   waves(): readonly UpkeepWave[];
   /** Monotonic time of the store's last answer about the configuration. */
   readAtMs(): number;
@@ -245,6 +247,7 @@
           layout: () => layout,
           executors: platform.executors,
           hasExecutorList: platform.hasExecutorList,
+          executorsReadAtMs: platform.executorsReadAtMs,
         },
         listMachines: options.machineClient.list,
         leaseMs,
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -29,6 +29,8 @@
   executors(): ReadonlyMap<string, ExecutorReport>;
   /** Whether the list of executors has been read. */
   hasExecutorList(): boolean;
+  /** Monotonic time of the store's last answer about this list. */
+  executorsReadAtMs(): number;
 };
 
 /** Options of a partition owner. */
--- a/packages/jobs/placed/free_places.ts
+++ b/packages/jobs/placed/free_places.ts
@@ -12,6 +12,7 @@
   createCandidate,
   occupy,
 } from "./choose_candidate.ts";
+import { isCapacityKnown } from "./known_capacity.ts";
 import { mayRun } from "./start_tasks.ts";
 
 /** Places that are left in a round of decisions. */
@@ -39,6 +40,7 @@
   const executors = [...owner.executors.values()];
   const candidates = executors
     .filter((executor) => isSchedulable(executor, nowMs))
+    .filter((executor) => isCapacityKnown(owner, executor))
     .map(createCandidate);
 
   const takeFor = (task: Task): boolean => {
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -9,6 +9,7 @@
 import { saveProgress } from "../ended/finish_job.ts";
 import { USED_EXECUTORS_KEY } from "../topics.ts";
 import { addRun, type ExecutorState } from "../executor_state.ts";
+import { isCapacityKnown } from "./known_capacity.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
 import { ISOLATION_MS, isSuspect } from "./probation.ts";
@@ -31,7 +32,8 @@
  */
 export function startWaitingTasks(owner: OwnerState): void {
   if (owner.hasStoredHandover) return;
-  const executors = [...owner.executors.values()];
+  const executors = [...owner.executors.values()]
+    .filter((executor) => isCapacityKnown(owner, executor));
   const placements = placeTasks(placeableJobs(owner), {
     executors,
     monotonicMs: performance.now(),
--- a/packages/jobs/run/changing_capacity_test.ts
+++ b/packages/jobs/run/changing_capacity_test.ts
@@ -117,6 +117,47 @@
     expect([...executor.running.keys()]).toEqual([nameTask(JOB_ID, 0)]);
   });
 
+  /** Lets a run end long after the list of executors was read last. */
+  async function endRunWithOldList(enforcesCapacity: boolean) {
+    const { services: [service, ...others], ...rest } = fixture.configuration;
+    const services = [{ ...service!, enforcesCapacity }, ...others];
+    fixture.configuration = { ...rest, services };
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    accept(JOB_ID, { count: 2, cpu: 8_000 });
+    await advanceTime(500);
+    accept(NEXT_JOB_ID, { count: 1, cpu: 4_000 });
+    await advanceTime(500);
+    fixture.executorsReadAtMs = performance.now();
+    await advanceTime(4_600);
+    executor.end(nameTask(JOB_ID, 0), "done");
+    await advanceTime(500);
+    return executor;
+  }
+
+  // Guards against starts beyond a capacity that has shrunk while the list of
+  // executors can't be read (LIMIT).
+  test("gets no task from an old list", async () => {
+    const executor = await endRunWithOldList(false);
+    expect([...executor.running.keys()]).toEqual([nameTask(JOB_ID, 1)]);
+    // The list has not changed, so that reading it reports no change.
+    fixture.executorsReadAtMs = "now";
+    await advanceTime(1_500);
+    expect([...executor.running.keys()]).toEqual([
+      nameTask(JOB_ID, 1),
+      nameTask(NEXT_JOB_ID, 0),
+    ]);
+  });
+
+  // Guards against tasks that wait for the list without need.
+  test("gets tasks from an old list if it guards its capacity", async () => {
+    const executor = await endRunWithOldList(true);
+    expect([...executor.running.keys()]).toEqual([
+      nameTask(JOB_ID, 1),
+      nameTask(NEXT_JOB_ID, 0),
+    ]);
+  });
+
   // Guards against a start beside a run that is being stopped (LIMIT).
   test("counts a run that is being stopped after it has shrunk", async () => {
     const executor = fixture.addExecutor("e1");
--- a/packages/measure/soak/owner_series.ts
+++ b/packages/measure/soak/owner_series.ts
@@ -74,7 +74,7 @@
   partition: number;
   store: Store;
   random: Random;
-  view: Omit<OwnerView, "executors" | "hasExecutorList">;
+  view: Omit<OwnerView, "executors" | "hasExecutorList" | "executorsReadAtMs">;
   listExecutors(): ReadonlyMap<string, ExecutorReport>;
   listMachines(): Machine[];
   createClient(owner: { isReached(id: string): boolean }): ExecutorClient;
@@ -97,6 +97,7 @@
       endReason: undefined,
     };
     let reports = options.listExecutors();
+    let readAtMs = performance.now();
     const member: SoakOwner = Object.assign(own, {
       owner: createPartitionOwner({
         partition: options.partition,
@@ -110,6 +111,7 @@
           ...options.view,
           executors: () => reports,
           hasExecutorList: () => true,
+          executorsReadAtMs: () => readAtMs,
         },
         listMachines: async () => {
           await sleep(MACHINE_LIST_MS);
@@ -132,6 +134,7 @@
       if (own.endReason !== undefined) return clearInterval(timer);
       if (own.isListStalled) return;
       reports = options.listExecutors();
+      readAtMs = performance.now();
       member.owner.refresh();
     }, LIST_INTERVAL_MS);
     all.push(member);
--- a/packages/measure/soak/soak_plans.ts
+++ b/packages/measure/soak/soak_plans.ts
@@ -15,12 +15,19 @@
 /** Faults of a run and the kind of its executors. */
 export type SoakPlan = SoakWorldOptions & { faults: readonly SoakFault[] };
 
+/** Executors that refuse nothing, although the configuration says they do. */
+const UNCHECKED: SoakWorldOptions = {
+  guardsCapacity: () => false,
+  enforcesCapacity: true,
+};
+
 /** Plans by name. A change of one leaves the random draws of the others. */
 export const SOAK_PLANS = {
-  basic: { faults: SOAK_FAULTS, guardsCapacity: () => false },
-  deadlyTasks: { faults: DEADLY_FAULTS, guardsCapacity: () => false },
+  basic: { ...UNCHECKED, faults: SOAK_FAULTS },
+  deadlyTasks: { ...UNCHECKED, faults: DEADLY_FAULTS },
   capacities: {
     faults: CAPACITY_FAULTS,
     guardsCapacity: (executorNumber) => executorNumber % 3 === 0,
+    enforcesCapacity: false,
   },
 } as const satisfies Record<string, SoakPlan>;
--- a/packages/measure/soak/soak_world.ts
+++ b/packages/measure/soak/soak_world.ts
@@ -84,12 +84,14 @@
 export type SoakWorldOptions = {
   /** Whether the executor of a number refuses starts beyond its capacity. */
   guardsCapacity(executorNumber: number): boolean;
+  /** Whether the configuration says that all executors do so. */
+  enforcesCapacity: boolean;
 };
 
 /** Creates a world without executors, jobs and owners. */
 export function createSoakWorld(
   random: Random,
-  { guardsCapacity }: SoakWorldOptions,
+  { guardsCapacity, enforcesCapacity }: SoakWorldOptions,
 ): SoakWorld {
   const hosts: ExecutorHosts = new Map();
   const executors = createMemoryExecutors();
@@ -98,7 +100,11 @@
     describeOwner: (task) => describeTask(world.owners.current, task),
     isUsed: (id) => isUsed(world, id),
   });
-  const configuration = createConfiguration();
+  const { services, ...others } = createConfiguration();
+  const configuration = {
+    ...others,
+    services: services.map((service) => ({ ...service, enforcesCapacity })),
+  };
   const { cpuOf } = checker;
   let hostCount = 0;
   let jobCount = 0;
