Store the start of a suspect task before it is requested

Cause: its owner was cut off from the store as it started the task, so that the next owner did not know of that start and of its crash. A task under which two executors have crashed is now started only once its start is stored, as jobs are started only once they have progress. It takes one append; while the store does not answer such a task waits.

--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -117,20 +117,29 @@
     reason,
   });
   if (task.crashes.length > 0) storeStart(owner, run);
+  if (!isSuspect(task)) return void requestStart(owner, run);
+  // The next owner has to know of a start whose crash only it may note.
+  owner.progress.whenStored(() => void requestStart(owner, run));
+}
+
+/** Requests the start of a run, unless it has ended or is to stop. */
+async function requestStart(owner: OwnerState, run: Run): Promise<void> {
+  const { task, executor } = run;
+  const { job } = task.group;
+  const session = owner.sessions.get(executor);
+  if (session === undefined || !executor.runs.has(run)) return;
+  if (run.state !== "starting" || run.stopReason !== "") return;
   const ticket = owner.ticketCache?.ticketFor(task.group, executor) ?? "";
   if (isSuspect(task)) {
-    const pollAfterMs = ISOLATION_MS + POLL_MARGIN_MS;
-    setTimeout(() => owner.sessions.get(executor)?.poll(), pollAfterMs);
+    setTimeout(session.poll, ISOLATION_MS + POLL_MARGIN_MS);
   }
   const { spec } = job.accepted.submission;
-  void owner.sessions.get(executor)!.start(run, { spec, ticket })
-    .then((outcome) => {
-      if (outcome === "started") job.hasStarted = true;
-      else handleRefusal(owner, run, outcome);
-    });
+  const outcome = await session.start(run, { spec, ticket });
+  if (outcome === "started") job.hasStarted = true;
+  else handleRefusal(owner, run, outcome);
 }
 
-/** Stores a start, so that a crash counts that only the next owner sees. */
+/** Stores a start, so that a crash counts that only the next owner notes. */
 function storeStart(owner: OwnerState, { task, number, executor }: Run): void {
   const { id, address, report: { startedAtMs } } = executor;
   task.lastStart = { run: number, executor: id, address, startedAtMs };
