Notice a restart by the clock in the answer to a start

Callers could see a task run twice, or again after it was done (TWICE), as an executor restarts unnoticed and a start is the first call that the new process answers.

Cause: only the answer to a poll says which process gives it. Until the next one, the owner took the answer to the start for one of the earlier process. It counted on a lease by that process's clock, while the clock of the new process starts anew, so that its lease is the longest that the platform grants. If the executor was then cut off, the task was started elsewhere before that lease expired. And the next poll acknowledged ends by the numbers of the earlier process, so that the new process forgot ends that nobody had seen.

The clock of a process is steady. If the answer to a start shows an earlier time than one that was known before the request was sent, another process has given it. The owner then makes no more calls in this session, as after a poll that shows a restart, and leaves the run to the session with the new process.

Evidence: "keeps such a run for the longest lease if its clock fell" and "acknowledges no end that only its new process has" fail without the change in executor_session.ts and pass with it. A process that answers later in its life than the earlier one had lived is noticed by its list, as before.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -19,6 +19,7 @@
     runs: new Set(),
     untrackedRuns: new Map(),
     occupied: { cpu: 0, memoryMb: 0, accelerators: 0 },
+    newestClockMs: -Infinity,
     clockOffsetMs: undefined,
     leaseEndsMs: 0,
     acknowledgedSequence: 0,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -157,6 +157,8 @@
   untrackedRuns: ReadonlyMap<string, Size | undefined>;
   /** Capacity that runs of a known size occupy. */
   occupied: Size;
+  /** Newest time on its clock that an answer has shown. */
+  newestClockMs: number;
   /** Executor clock minus monotonic time; undefined before its first answer. */
   clockOffsetMs: number | undefined;
   /** Monotonic time after which no lease from this owner can be valid. */
--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -12,10 +12,26 @@
 /** Longest time that a call takes to reach the executor. */
 const MAX_TRANSIT_MS = 100;
 
+/** Largest difference between readings of a clock that rounding explains. */
+const MAX_ROUNDING_MS = 2;
+
+/**
+ * Returns whether an answer is of a later process than the one whose clock had
+ * shown a time before the request was sent. The clock of each process is steady
+ * and starts anew.
+ */
+export function isOfLaterProcess(
+  clockMs: number,
+  knownClockMs: number,
+): boolean {
+  return clockMs < knownClockMs - MAX_ROUNDING_MS;
+}
+
 /** Notes an answer of an executor and what its clock showed in it. */
 export function recordAnswer(executor: ExecutorState, clockMs: number): void {
   const nowMs = performance.now();
   executor.answeredAtMs = nowMs;
+  executor.newestClockMs = Math.max(executor.newestClockMs, clockMs);
   executor.clockOffsetMs = clockMs - nowMs;
   executor.failedCalls = 0;
 }
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -1,7 +1,6 @@
 import type { Run } from "../job.ts";
 import type { PollOutcome, RunEnd, RunReport } from "../ports.ts";
 import {
-  type ExecutorState,
   findRun,
   isListed,
   isUnanswered,
@@ -10,7 +9,12 @@
   setUntrackedRuns,
 } from "../executor_state.ts";
 import type { Size } from "../submission.ts";
-import { extendLease, recordAnswer, recordRestart } from "./_executor_clock.ts";
+import {
+  extendLease,
+  isOfLaterProcess,
+  recordAnswer,
+  recordRestart,
+} from "./_executor_clock.ts";
 import { createWakeablePause } from "./_wakeable_pause.ts";
 import type {
   Adoption,
@@ -49,6 +53,7 @@
   options: ExecutorSessionOptions,
 ): ExecutorSession {
   const { executor, executorClient, token, callbacks } = options;
+  const target = { id: executor.id, address: executor.address };
   /** Number of polls sent before a start or stop was confirmed, by run. */
   const confirmedAtPoll = new Map<Run, number>();
   /** Number of polls sent before a start request went unanswered, by run. */
@@ -140,7 +145,7 @@
     }
     if (adoption.isAdopted) return adoption;
     const { task, run: number } = report;
-    void executorClient.stop(targetOf(executor), { task, run: number, token });
+    void executorClient.stop(target, { task, run: number, token });
     return adoption;
   };
 
@@ -209,7 +214,7 @@
       executor.clockOffsetMs !== undefined && executor.runs.size > 0;
     const isAcknowledged =
       executor.receivedSequence === executor.acknowledgedSequence;
-    const outcome = await executorClient.poll(targetOf(executor), {
+    const outcome = await executorClient.poll(target, {
       ...(mayRenew
         ? { leaseExpiryMs: extendLease(executor, options.leaseMs) }
         : {}),
@@ -289,7 +294,8 @@
   const session: ExecutorSession = {
     executor,
     async start(run, { spec, ticket }) {
-      const outcome = await executorClient.start(targetOf(executor), {
+      const knownClockMs = executor.newestClockMs;
+      const outcome = await executorClient.start(target, {
         task: run.task.name,
         run: run.number,
         spec,
@@ -300,13 +306,13 @@
       });
       if (isClosed) return "closed";
       if (!executor.runs.has(run)) return "ended";
+      if ("clockMs" in outcome && outcome.clockMs !== undefined) {
+        if (isOfLaterProcess(outcome.clockMs, knownClockMs)) markRestarted();
+        else recordAnswer(executor, outcome.clockMs);
+      }
       if (outcome.type === "started") {
-        recordAnswer(executor, outcome.clockMs);
         if (isUnanswered(run)) run.state = "running";
-        // A clock that has gone back is that of another process.
-        if (outcome.clockMs >= listClockMs) {
-          run.confirmedClockMs = outcome.clockMs;
-        }
+        if (!executor.hasRestarted) run.confirmedClockMs = outcome.clockMs;
         confirmedAtPoll.set(run, pollsSent);
         wake();
         return "started";
@@ -329,9 +335,6 @@
         markReplaced();
         return "replaced";
       }
-      if (outcome.clockMs !== undefined) {
-        recordAnswer(executor, outcome.clockMs);
-      }
       removeRun(run);
       if (outcome.reason === "fence") callbacks.onFenced();
       return outcome.reason;
@@ -343,7 +346,7 @@
     },
     throttle(run, percent) {
       run.ratePercent = percent;
-      void executorClient.throttle(targetOf(executor), {
+      void executorClient.throttle(target, {
         task: run.task.name,
         run: run.number,
         token,
@@ -378,7 +381,7 @@
 
   const repeatStop = async (run: Run): Promise<void> => {
     while (!isClosed && executor.runs.has(run) && !executor.isRemoved) {
-      const outcome = await executorClient.stop(targetOf(executor), {
+      const outcome = await executorClient.stop(target, {
         task: run.task.name,
         run: run.number,
         token,
@@ -415,7 +418,3 @@
   void loop();
   return session;
 }
-
-function targetOf(executor: ExecutorState) {
-  return { id: executor.id, address: executor.address };
-}
--- a/packages/jobs/run/unnoticed_restart_test.ts
+++ b/packages/jobs/run/unnoticed_restart_test.ts
@@ -14,6 +14,9 @@
   JOB_ID,
   type OwnerFixture,
 } from "../_fixtures.ts";
+import type { Step } from "../submission.ts";
+
+const EARLIER_JOB_ID = "00000000000000b2";
 
 /** Longest lease of the executors of the fixture. */
 const MAX_LEASE_MS = 6_000;
@@ -32,7 +35,11 @@
   });
 
   /** Lets a process start a task before its owner notices that it is new. */
-  async function startUnnoticed() {
+  async function startUnnoticed({ step = { isLasting: true }, clockOffsetMs }: {
+    step?: Partial<Step>;
+    /** Clock of the new process, if it differs from that of the earlier one. */
+    clockOffsetMs?: number;
+  } = {}) {
     fixture.addExecutor("e1");
     const other = fixture.addExecutor("e2", {
       capacity: { cpu: 20_000, memoryMb: 32_768, accelerators: 0 },
@@ -40,8 +47,9 @@
     const owner = await fixture.startOwner(1);
     const oldReport = fixture.reports.get("e1")!;
     const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    restarted.clockOffsetMs = clockOffsetMs ?? restarted.clockOffsetMs;
     fixture.reports.set("e1", oldReport);
-    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    fixture.accept(JOB_ID, [createStep({ count: 1, ...step })]);
     await advanceTime(50);
     expect(restarted.starts).toHaveLength(1);
     return { owner, other, restarted };
@@ -87,6 +95,43 @@
     expect(other.starts).toHaveLength(1);
   });
 
+  // Guards against two runs of a task, as a clock that starts anew prolongs the
+  // lease (TWICE).
+  test("keeps such a run for the longest lease if its clock fell", async () => {
+    const { other, restarted } = await startUnnoticed({ clockOffsetMs: 0 });
+    restarted.fault = "unreachable";
+    await advanceTime(MAX_LEASE_MS);
+    expect(other.starts).toEqual([]);
+    await advanceTime(1_500);
+    expect(other.starts).toHaveLength(1);
+  });
+
+  // Guards against a poll that acknowledges ends of the new process by their
+  // numbers on the earlier one, so that a task runs again (TWICE).
+  test("acknowledges no end that only its new process has", async () => {
+    const earlier = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    earlier.end(`${EARLIER_JOB_ID}.0.0.0`, "done");
+    await advanceTime(500);
+    expect(earlier.ends).toEqual([]);
+    const oldReport = fixture.reports.get("e1")!;
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    restarted.clockOffsetMs = 0;
+    fixture.reports.set("e1", oldReport);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    restarted.end(`${JOB_ID}.0.0.0`, "done");
+    await advanceTime(1_500);
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    owner.refresh();
+    await advanceTime(1_000);
+    expect(restarted.starts).toHaveLength(1);
+    expect(await owner.getJobState(JOB_ID))
+      .toEqual({ type: "known", value: "completed" });
+  });
+
   // Guards against a sound task that is taken for one that crashes executors.
   test("does not suspect a task that started after its restart", async () => {
     const { owner, restarted } = await startUnnoticed();
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -41,6 +41,8 @@
   token: number;
   /** Time on the executor's clock at which its lease expires. */
   leaseExpiryMs: number;
+  /** Difference between its clock and the monotonic clock. */
+  clockOffsetMs: number;
   /**
    * Carries out the starts and stops that the fault `delayed` held back, at
    * this executor or at the next process with its id.
@@ -66,9 +68,12 @@
   return executor.fault === fault;
 }
 
-/** Difference between the executors' clock and the monotonic clock. */
+/** Difference between executors' clocks and the monotonic clock by default. */
 const CLOCK_OFFSET_MS = 1_000_000;
 
+/** Longest lease that the executors grant. */
+const MAX_LEASE_MS = 6_000;
+
 /**
  * Creates a client without executors. The executors implement fencing tokens,
  * leases, run numbers and acknowledgement of ends as the documentation of the
@@ -84,10 +89,19 @@
   const optionsOf = new Map<MemoryExecutor, MemoryExecutorOptions>();
   const pollWaiters = new Set<() => void>();
 
-  const clock = () => performance.now() + CLOCK_OFFSET_MS;
+  const clockOf = ({ clockOffsetMs }: MemoryExecutor) =>
+    performance.now() + clockOffsetMs;
+
+  const extendLease = (executor: MemoryExecutor, leaseExpiryMs: number) => {
+    const longestMs = clockOf(executor) + MAX_LEASE_MS;
+    executor.leaseExpiryMs = Math.max(
+      executor.leaseExpiryMs,
+      Math.min(leaseExpiryMs, longestMs),
+    );
+  };
 
   const expireLease = (executor: MemoryExecutor) => {
-    if (clock() <= executor.leaseExpiryMs) return;
+    if (clockOf(executor) <= executor.leaseExpiryMs) return;
     for (const task of [...executor.running.keys()]) {
       executor.end(task, "lapsed");
     }
@@ -112,17 +126,14 @@
     ): StartOutcome => ({
       type: "refused",
       reason,
-      clockMs: clock(),
+      clockMs: clockOf(executor),
     });
     if (!acceptToken(executor, request.token)) return refuse("fence");
-    if (request.leaseExpiryMs <= clock()) return refuse("late");
-    executor.leaseExpiryMs = Math.max(
-      executor.leaseExpiryMs,
-      request.leaseExpiryMs,
-    );
+    if (request.leaseExpiryMs <= clockOf(executor)) return refuse("late");
+    extendLease(executor, request.leaseExpiryMs);
     const known = executor.running.get(request.task);
     if (known?.run === request.run) {
-      return { type: "started", clockMs: clock() };
+      return { type: "started", clockMs: clockOf(executor) };
     }
     const highestRun = highestRuns.get(executor)!.get(request.task) ?? 0;
     if (known !== undefined || request.run <= highestRun) return refuse("old");
@@ -138,7 +149,7 @@
       run: request.run,
       token: request.token,
     });
-    return { type: "started", clockMs: clock() };
+    return { type: "started", clockMs: clockOf(executor) };
   };
 
   const createPollOutcome = (
@@ -150,7 +161,7 @@
     );
     return {
       type: "polled",
-      clockMs: clock(),
+      clockMs: clockOf(executor),
       startedAtMs: executor.report.startedAtMs,
       running: [...executor.running].map(([task, run]) => ({
         task,
@@ -195,6 +206,7 @@
         starts: [],
         token: 0,
         leaseExpiryMs: 0,
+        clockOffsetMs: CLOCK_OFFSET_MS,
         deliverDelayed(at = executor) {
           for (const run of delayedRequests.get(executor) ?? []) run(at);
           delayedRequests.delete(executor);
@@ -248,12 +260,7 @@
         return { type: "unknown", reason: "no answer" };
       }
       if (!acceptToken(executor, token)) return { type: "fenced" };
-      if (leaseExpiryMs !== undefined) {
-        executor.leaseExpiryMs = Math.max(
-          executor.leaseExpiryMs,
-          leaseExpiryMs,
-        );
-      }
+      if (leaseExpiryMs !== undefined) extendLease(executor, leaseExpiryMs);
       const first = createPollOutcome(executor, acknowledgedSequence);
       if (waitMs === 0 || executor.ends.length > 0) return first;
       await new Promise<void>((resolve) => {
