Show that owners who replace each other wait for no machine that has moved

The third owner starts the waiting lasting task within 1.5 s. Both rows fail without the search for ended executors. No decision is changed.

--- a/packages/jobs/run/ended_executors_test.ts
+++ b/packages/jobs/run/ended_executors_test.ts
@@ -82,4 +82,29 @@
     expect(await isStarted).toBe(false);
     expect(lists).toBeGreaterThan(2);
   });
+
+  // Guards against owners that replace each other and wait anew each (LOST).
+  test.each(["is killed", "hands over"])(
+    "starts a waiting task although the next owner %s as well",
+    async (end) => {
+      fixture.machines = [createMachine("e1"), createMachine("e3")];
+      const executor = fixture.addExecutor("e1");
+      const silent = fixture.addExecutor("e2");
+      const first = await fixture.startOwner(1);
+      fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+      await advanceTime(500);
+      silent.fault = "unreachable";
+      executor.end(`${JOB_ID}.0.0.0`, "stopped");
+      first.close();
+      const second = await fixture.startOwner(2);
+      await advanceTime(300);
+      expect(executor.running.size).toBe(0);
+      if (end === "is killed") second.close();
+      else await Promise.all([second.release(1_000), advanceTime(100)]);
+      await fixture.startOwner(3);
+      await advanceTime(1_500);
+      expect(executor.running.size).toBe(1);
+      expect(executor.starts.at(-1)?.token).toBe(3);
+    },
+  );
 });
