Keep the place of a lasting task until it starts there

Cause: a lasting task is stopped on an executor that leaves or is reserved because there is a place elsewhere, but nothing kept that place until the stop had ended. Short tasks that came meanwhile took it. If its executor was idle, it was reported so, and its machine moved to another pool or went into upkeep.

Change: placement takes a place for each lasting task that is being stopped before it places short tasks, and a partition reports no executor as idle on which a lasting task that waits or is being stopped has its place.

Still open: the executor with the place may be lost, or selected for upkeep while it is busy.

--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -138,6 +138,11 @@
     task.blockedUntilMs <= monotonicMs;
 }
 
+/** Returns whether the runs of a task are all being stopped. */
+export function isBeingStopped({ runs }: Task): boolean {
+  return runs.length > 0 && runs.every(({ stopReason }) => stopReason !== "");
+}
+
 /** Returns whether all steps that a group depends on are done. */
 export function isGroupReady(group: TaskGroup): boolean {
   const firstIndex = group.job.groups.length === 0
--- a/packages/jobs/machines/partition_report.ts
+++ b/packages/jobs/machines/partition_report.ts
@@ -7,6 +7,7 @@
 
 import { isGroupReady, isPlaceable } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
+import { findFreePlaces } from "../placed/free_places.ts";
 import type { ExecutorState } from "../executor_state.ts";
 
 /** Demand of a service in one partition; `*Cpu` in thousandths of a core. */
@@ -32,7 +33,10 @@
   demand: ServiceDemand[];
   /** Executors that run at least one task. */
   busy: string[];
-  /** Executors that certainly run nothing; reserved ones get no new tasks. */
+  /**
+   * Executors that certainly run nothing and that no lasting task is to get;
+   * reserved ones get no new tasks.
+   */
   idle: string[];
 };
 
@@ -85,6 +89,7 @@
       }
     }
   }
+  const { kept } = findFreePlaces(owner);
   const executors = [...owner.executors.values()].filter(({ isRemoved }) =>
     !isRemoved
   );
@@ -92,6 +97,7 @@
     demand: [...demand.values()],
     busy: executors.filter(({ runs }) => runs.size > 0).map(({ id }) => id),
     idle: executors.filter((executor) => isIdle(owner, executor))
-      .map(({ id }) => id),
+      .map(({ id }) => id)
+      .filter((id) => !kept.has(id)),
   };
 }
--- a/packages/jobs/placed/choose_candidate.ts
+++ b/packages/jobs/placed/choose_candidate.ts
@@ -112,6 +112,24 @@
   return count;
 }
 
+/**
+ * Takes a place for a task on a candidate that does not run it.
+ *
+ * @returns the candidate, undefined if there is none
+ */
+export function takePlace(
+  task: Task,
+  candidates: readonly Candidate[],
+  options: ChooseOptions,
+): Candidate | undefined {
+  const others = candidates.filter(({ executor }) =>
+    task.runs.every((run) => run.executor !== executor)
+  );
+  const candidate = chooseCandidate(task, others, options);
+  if (candidate !== undefined) occupy(candidate, task.group);
+  return candidate;
+}
+
 /** Subtracts a task of a group from the free capacity of a candidate. */
 export function occupy(candidate: Candidate, group: TaskGroup): void {
   const { size, isFilling } = group.step;
--- a/packages/jobs/placed/free_places.ts
+++ b/packages/jobs/placed/free_places.ts
@@ -5,17 +5,26 @@
  */
 
 import { isSchedulable } from "../executor_state.ts";
-import { hasEnded, isGroupReady, type Run, type Task } from "../job.ts";
+import {
+  hasEnded,
+  isBeingStopped,
+  isGroupReady,
+  isPlaceable,
+  type Run,
+  type Task,
+} from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import {
-  chooseCandidate,
+  type ChooseOptions,
   createCandidate,
-  occupy,
+  takePlace,
 } from "./choose_candidate.ts";
 import { mayRun } from "./start_tasks.ts";
 
 /** Places that are left in a round of decisions. */
 export type FreePlaces = {
+  /** Executors with a place that a lasting task without a run is to get. */
+  kept: ReadonlySet<string>;
   /**
    * Takes a place for the task of a run on another executor.
    *
@@ -41,28 +50,25 @@
     .filter((executor) => isSchedulable(executor, nowMs))
     .map(createCandidate);
 
-  const takeFor = (task: Task): boolean => {
-    const others = candidates.filter(({ executor }) =>
-      task.runs.every((run) => run.executor !== executor)
-    );
-    const candidate = chooseCandidate(task, others, {
-      mayRun: (group, executor) =>
-        mayRun(owner, group, { executors, executor }),
-    });
-    if (candidate === undefined) return false;
-    occupy(candidate, task.group);
-    return true;
+  const options: ChooseOptions = {
+    mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
+  };
+  const kept = new Set<string>();
+  for (const task of lastingTasksToPlace(owner, nowMs)) {
+    const candidate = takePlace(task, candidates, options);
+    if (candidate !== undefined) kept.add(candidate.executor.id);
+  }
+  return {
+    kept,
+    take: ({ task }) => takePlace(task, candidates, options) !== undefined,
   };
-
-  for (const task of lastingTasksWithoutRun(owner)) takeFor(task);
-  return { take: ({ task }) => takeFor(task) };
 }
 
-/** Returns the lasting tasks that have no run, or one that is being stopped. */
-function lastingTasksWithoutRun(owner: OwnerState): Task[] {
+/** Returns the lasting tasks that could start now or are being stopped. */
+function lastingTasksToPlace(owner: OwnerState, nowMs: number): Task[] {
   return [...owner.jobs.values()].filter((job) => !hasEnded(job))
     .flatMap(({ groups }) => groups)
     .filter((group) => group.step.isLasting && isGroupReady(group))
     .flatMap(({ tasks }) => tasks)
-    .filter(({ runs }) => runs.every(({ stopReason }) => stopReason !== ""));
+    .filter((task) => isPlaceable(task, nowMs) || isBeingStopped(task));
 }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -4,7 +4,14 @@
  * @module
  */
 
-import { isPlaceable, type Job, type Task, type TaskGroup } from "../job.ts";
+import {
+  hasEnded,
+  isBeingStopped,
+  isPlaceable,
+  type Job,
+  type Task,
+  type TaskGroup,
+} from "../job.ts";
 import type { Size } from "../submission.ts";
 import {
   type ExecutorState,
@@ -20,6 +27,7 @@
   chooseCandidate,
   createCandidate,
   occupy,
+  takePlace,
 } from "./choose_candidate.ts";
 
 /**
@@ -81,13 +89,34 @@
     options,
     failedSizes: [],
   };
+  let arePlacesKept = false;
   for (const group of groups) {
+    if (!group.step.isLasting && !arePlacesKept) {
+      keepPlaces(jobs, round);
+      arePlacesKept = true;
+    }
     if (!hasFailed(group, round)) placeGroup(group, round);
   }
   placeOnLastResorts(groups, round);
   return round.placements;
 }
 
+/** Keeps places from short tasks for lasting tasks that are being moved. */
+function keepPlaces(
+  jobs: Iterable<Job>,
+  { candidates, options }: PlacementRound,
+): void {
+  for (const job of jobs) {
+    if (hasEnded(job)) continue;
+    for (const { step, tasks } of job.groups) {
+      if (!step.isLasting) continue;
+      for (const task of tasks) {
+        if (isBeingStopped(task)) takePlace(task, candidates, options);
+      }
+    }
+  }
+}
+
 /** Returns the most of each resource that one of the sizes has. */
 function largestOf(sizes: readonly Size[]): Size {
   const largest: Size = { cpu: 0, memoryMb: 0, accelerators: 0 };
--- a/packages/jobs/run/drain_executors_test.ts
+++ b/packages/jobs/run/drain_executors_test.ts
@@ -148,4 +148,36 @@
     expect(spare.running.size).toBe(1);
     expect(reserved.map(({ running }) => running.size).sort()).toEqual([0, 1]);
   });
+
+  /** Stops a lasting task on `e1`, which has a place on `e2`, for some time. */
+  async function startSlowStop() {
+    const reserved = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createLastingStep({ count: 1, cpu: 10_000 })]);
+    await advanceTime(2_000);
+    reserved.fault = "delayed";
+    const other = fixture.addExecutor("e2");
+    owner.refresh();
+    await reserve(owner, { ids: ["e1"], ms: 500 });
+    expect(fixture.logged.join()).toContain("runStopping");
+    return { owner, reserved, other };
+  }
+
+  // Guards against short tasks that take the place of a moved task (LOST).
+  test("keeps the place for a run that is being stopped", async () => {
+    const { owner, reserved, other } = await startSlowStop();
+    fixture.accept(OTHER_JOB_ID, [createStep({ count: 16 })]);
+    await reserve(owner, { ids: ["e1"], ms: 500 });
+    expect(other.running.size).toBe(6);
+    reserved.fault = undefined;
+    reserved.deliverDelayed();
+    await reserve(owner, { ids: ["e1"], ms: 1_500 });
+    expect(other.running.has(`${JOB_ID}.0.0.0`)).toBe(true);
+  });
+
+  // Guards against a machine that leaves just before a task gets there (LOST).
+  test("reports no executor as idle that a stopped run is to get", async () => {
+    const { owner } = await startSlowStop();
+    expect(owner.reserveAndReport(new Set(["e1"]), []).idle).toEqual([]);
+  });
 });
