Store the use of an executor before the first start there

Callers would see a task run twice at a time (TWICE). Cause: an owner recorded an executor as used and started a task there without waiting for the record to be stored. If the store did not answer that owner, and the executor left the platform's list before the next owner read it, the next owner neither found it on the list nor knew it as used. It ended the takeover without it and started the task once more.

Change: a start waits until the record is stored, as it does for the first progress of a job. The functions move to a file of their own.

Price: one append before the first start on each new executor.

--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -171,3 +171,10 @@
   /** Monotonic time until which it gets no new tasks. */
   suspendedUntilMs: number;
 };
+
+/** Record for the next owner of an executor that may run tasks. */
+export type UsedExecutor = {
+  isStored: boolean;
+  /** Monotonic time at which it was written. */
+  recordedAtMs: number;
+};
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -13,6 +13,7 @@
   Queue,
 } from "../fleet.ts";
 import type { Job, JobsById, Run } from "../job.ts";
+import type { UsedExecutor } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
@@ -63,8 +64,8 @@
   sessions: Map<ExecutorState, ExecutorSession>;
   /** Numbers of failed runs by task. */
   failedRuns: FailedRuns;
-  /** Executors on which this or earlier owners may have started tasks. */
-  usedExecutors: Set<string>;
+  /** Executors on which this or earlier owners may run tasks, by id. */
+  usedExecutors: Map<string, UsedExecutor>;
   /**
    * Executors that have not answered since the takeover, with the monotonic
    * time at which all runs of earlier owners there have certainly ended.
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -23,6 +23,7 @@
 } from "../machines/partition_report.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
+import { restoreUsedExecutors } from "../placed/used_executors.ts";
 import { createWaitingLog } from "../placed/waiting_log.ts";
 import {
   belongsToPartition,
@@ -194,7 +195,7 @@
     executors: new Map(),
     sessions: new Map(),
     failedRuns: new Map(),
-    usedExecutors: new Set(),
+    usedExecutors: new Map(),
     unconfirmedExecutors: new Map(),
     inheritedRuns: undefined,
     endedExecutors: new Map(),
@@ -281,7 +282,7 @@
     }
   }
   if (state.unreadableCount === 0) deleteOrphanedProgress(owner, state);
-  owner.usedExecutors = new Set(state.usedExecutors);
+  owner.usedExecutors = restoreUsedExecutors(state.usedExecutors);
   for (const id of state.usedExecutors) {
     owner.unconfirmedExecutors.set(id, owner.blockedUntilMs);
   }
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -6,10 +6,14 @@
 
 import type { Run, Task, TaskGroup } from "../job.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
-import { USED_EXECUTORS_KEY } from "../topics.ts";
 import { addRun, type ExecutorState } from "../executor_state.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
+import {
+  isUseStored,
+  recordUsedExecutor,
+  usableExecutors,
+} from "./used_executors.ts";
 
 /**
  * Run numbers per epoch. The runs of an inherited job are numbered from the
@@ -22,24 +26,23 @@
 
 /**
  * Places the waiting tasks and requests their starts. The capacity for a job
- * without stored progress is kept until that is stored.
+ * without stored progress, or on an executor whose use is not stored, is kept
+ * until that is stored.
  */
 export function startWaitingTasks(owner: OwnerState): void {
   const executors = [...owner.executors.values()];
   const placements = placeTasks(placeableJobs(owner), {
-    executors,
+    executors: usableExecutors(owner),
     monotonicMs: performance.now(),
     unixMs: Date.now(),
     priorityOf: (job) => queueOf(owner, job)?.priority ?? 9,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
   });
+  const unprepared = prepare(owner, placements);
   const gangRunNumbers = new Map<unknown, number>();
   for (const placement of placements) {
     const { group } = placement.task;
-    if (!group.job.hasStoredProgress) {
-      prepareJob(owner, group.job);
-      continue;
-    }
+    if (unprepared.has(group)) continue;
     let number = nextRunNumber(owner, placement.task);
     if (group.step.isGang) {
       // All tasks of a gang have to start under the same run number.
@@ -51,6 +54,29 @@
   }
 }
 
+/**
+ * Stores what the next owner has to know of the placed tasks, and returns the
+ * groups for which that is not stored yet.
+ */
+function prepare(
+  owner: OwnerState,
+  placements: readonly Placement[],
+): ReadonlySet<TaskGroup> {
+  const unprepared = new Set<TaskGroup>();
+  for (const { task: { group }, executor } of placements) {
+    const { job } = group;
+    if (!isUseStored(owner, executor.id)) {
+      recordUsedExecutor(owner, executor.id);
+      unprepared.add(group);
+    }
+    if (!job.hasStoredProgress) {
+      prepareJob(owner, job);
+      unprepared.add(group);
+    }
+  }
+  return unprepared;
+}
+
 /**
  * Returns whether an executor may run a step. If its ticket is not known, it is
  * requested together with those of the other executors.
@@ -98,7 +124,6 @@
     load: 0,
   };
   addRun(run);
-  recordUsedExecutor(owner, executor.id);
   owner.options.events.log("taskPlaced", {
     task: task.name,
     run: number,
@@ -132,18 +157,3 @@
   owner.sessions.get(executor)?.poll();
   owner.schedulePlacement();
 }
-
-/** Stores that an executor may run tasks, for the next owners. */
-export function recordUsedExecutor(owner: OwnerState, id: string): void {
-  if (owner.usedExecutors.has(id)) return;
-  owner.usedExecutors.add(id);
-  saveUsedExecutors(owner);
-}
-
-/** Stores the list of executors that may run tasks of the partition. */
-export function saveUsedExecutors(owner: OwnerState): void {
-  owner.progress.put(
-    USED_EXECUTORS_KEY,
-    () => JSON.stringify([...owner.usedExecutors]),
-  );
-}
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -17,9 +17,9 @@
   type OwnerState,
 } from "../owned/owner_state.ts";
 import {
+  forgetUsedExecutors,
   recordUsedExecutor,
-  saveUsedExecutors,
-} from "../placed/start_tasks.ts";
+} from "../placed/used_executors.ts";
 import type { RunReport } from "../ports.ts";
 import {
   addRun,
@@ -104,12 +104,10 @@
  * Otherwise, the next owner would wait until the longest lease of each expires.
  */
 function forgetUnusedExecutors(owner: OwnerState): void {
-  const unused = [...owner.usedExecutors].filter((id) =>
+  const unused = [...owner.usedExecutors.keys()].filter((id) =>
     !owner.executors.has(id)
   );
-  if (unused.length === 0) return;
-  for (const id of unused) owner.usedExecutors.delete(id);
-  saveUsedExecutors(owner);
+  forgetUsedExecutors(owner, unused);
 }
 
 function updateExecutor(
@@ -170,7 +168,7 @@
   owner.endedExecutors.set(id, performance.now());
   const executor = owner.executors.get(id);
   if (executor === undefined) {
-    if (owner.usedExecutors.delete(id)) saveUsedExecutors(owner);
+    forgetUsedExecutors(owner, [id]);
     return;
   }
   owner.sessions.get(executor)?.markEnded();
@@ -191,7 +189,7 @@
   owner.executors.delete(executor.id);
   // An unconfirmed executor may still run tasks of an earlier owner.
   if (owner.unconfirmedExecutors.has(executor.id)) return;
-  if (owner.usedExecutors.delete(executor.id)) saveUsedExecutors(owner);
+  forgetUsedExecutors(owner, [executor.id]);
 }
 
 /**
