Leave all partitions to one strong member while others restart

From 35.9 s on one of six strong members was left. At 36.5 s the small members saw fewer than two and all joined: nobody owned a partition from 36.9 to 38.1 s, and they loaded harvest's state (178 jobs, 10 Mbit/s) until 39.7 s. With 12 partitions and 37 members the strong ones that came back from 38.2 s on got no partition, so they were not on the list of owners and the small ones never stood aside.

Now a member joins beside a strong one only once those left have been too few for 5 s, longer than a planned restart; it still joins at once if none is left.

Ruled out as the only cause: processor time.

Two tests of three fail without the change (ownership_test.ts).

--- a/packages/jobs/owned/candidacy.ts
+++ b/packages/jobs/owned/candidacy.ts
@@ -15,6 +15,12 @@
 /** Time for which stronger members must have been seen to stand aside. */
 const STAND_ASIDE_DELAY_MS = 1_500;
 
+/**
+ * Time for which too few stronger members must have been seen to join them. A
+ * planned restart of a member takes less.
+ */
+const REPLACE_DELAY_MS = 5_000;
+
 /** Stronger members that are needed, so that one of them may be lost. */
 const MIN_STRONGER_MEMBERS = 2;
 
@@ -61,14 +67,21 @@
     usedPartitions: number;
   },
 ): boolean {
-  const stronger = members.flatMap(({ capacity }) =>
-    capacity !== undefined && isClearlyStronger(capacity, own) ? [capacity] : []
-  );
+  const stronger = capacitiesOfStronger(own, members);
   if (stronger.length < MIN_STRONGER_MEMBERS) return false;
   const cpu = stronger.reduce((sum, capacity) => sum + capacity.cpu, 0);
   return cpu >= usedPartitions * own.cpu;
 }
 
+function capacitiesOfStronger(
+  own: MemberCapacity,
+  members: readonly NamedMember[],
+): MemberCapacity[] {
+  return members.flatMap(({ capacity }) =>
+    capacity !== undefined && isClearlyStronger(capacity, own) ? [capacity] : []
+  );
+}
+
 function isClearlyStronger(
   other: MemberCapacity,
   own: MemberCapacity,
@@ -78,9 +91,12 @@
 }
 
 /**
- * Creates the candidacy of a member. It joins at once if the stronger members
- * can't carry the partitions, and stands aside only if they have been there for
- * a while, so that the partitions don't change hands with each restart.
+ * Creates the candidacy of a member. It joins at once if no stronger member is
+ * there, and after a while if those that are left can't carry the partitions.
+ * It stands aside only if enough of them have been there for a while. So the
+ * partitions don't change hands with each restart. A stronger member that comes
+ * back may get no partition from a group that is larger than their number, so
+ * that the others would not see it and keep them.
  *
  * @example
  * ```ts
@@ -94,7 +110,10 @@
   let readAtMs = -Infinity;
   let lastGeneration: number | undefined;
   let changedAtMs = -Infinity;
+  /** Time since which enough stronger members have been seen. */
   let strongerSinceMs: number | undefined;
+  /** Time since which too few stronger members have been seen. */
+  let tooFewSinceMs: number | undefined;
 
   const applyMembers = (members: readonly NamedMember[]) => {
     const nowMs = performance.now();
@@ -104,14 +123,20 @@
       members,
       usedPartitions: options.usedPartitionCount(),
     });
-    if (!isStronger) {
-      strongerSinceMs = undefined;
-      isCandidate = true;
+    if (isStronger) {
+      tooFewSinceMs = undefined;
+      strongerSinceMs ??= nowMs;
+      const hasLasted = nowMs - strongerSinceMs >= STAND_ASIDE_DELAY_MS;
+      if (isFirst || hasLasted) isCandidate = false;
       return;
     }
-    strongerSinceMs ??= nowMs;
-    const hasLasted = nowMs - strongerSinceMs >= STAND_ASIDE_DELAY_MS;
-    if (isFirst || hasLasted) isCandidate = false;
+    strongerSinceMs = undefined;
+    tooFewSinceMs ??= nowMs;
+    const isNoneLeft =
+      capacitiesOfStronger(options.capacity, members).length === 0;
+    const hasLasted = nowMs - tooFewSinceMs >= REPLACE_DELAY_MS;
+    if (isFirst) isCandidate = false;
+    if (isNoneLeft || hasLasted) isCandidate = true;
   };
 
   return {
@@ -120,7 +145,7 @@
       const nowMs = performance.now();
       if (generation !== lastGeneration) changedAtMs = nowMs;
       lastGeneration = generation;
-      const isSettled = strongerSinceMs === undefined &&
+      const isSettled = isCandidate && strongerSinceMs === undefined &&
         readAtMs >= changedAtMs + SETTLE_MS;
       if (isSettled || nowMs - checkedAtMs < CHECK_INTERVAL_MS) return;
       checkedAtMs = nowMs;
--- a/packages/jobs/owned/ownership_test.ts
+++ b/packages/jobs/owned/ownership_test.ts
@@ -140,6 +140,58 @@
     expect(small.size).toBe(PARTITIONS);
   });
 
+  // Guards against partitions that move to small members, and stay there, while
+  // the large ones restart in turn, as on scale-1 of Bizerte grown.
+  test("leaves all partitions to one stronger member during a restart", async () => {
+    const [small, large] = [new Set<number>(), new Set<number>()];
+    join("l1", large, LARGE);
+    join("l2", new Set(), LARGE);
+    await advanceTime(500);
+    join("s", small, SMALL);
+    await advanceTime(3_000);
+    void members[1]!.leave();
+    let elapsedMs = 0;
+    while (elapsedMs < 4_500) {
+      elapsedMs += 100;
+      await advanceTime(100);
+      expect(small.size).toBe(0);
+    }
+    expect(large.size).toBe(PARTITIONS);
+    const restarted = new Set<number>();
+    join("l2", restarted, LARGE);
+    await advanceTime(6_000);
+    expect([small.size, large.size, restarted.size]).toEqual([0, 2, 2]);
+  });
+
+  // Guards against a small member that takes partitions from the only large one
+  // as it starts.
+  test("keeps aside when it starts while a stronger member restarts", async () => {
+    const [small, large] = [new Set<number>(), new Set<number>()];
+    join("l1", large, LARGE);
+    await advanceTime(1_000);
+    join("s", small, SMALL);
+    await advanceTime(1_000);
+    join("l2", new Set(), LARGE);
+    await advanceTime(6_000);
+    expect([small.size, large.size]).toEqual([0, PARTITIONS / 2]);
+    expect(logged.filter((name) => name === "partitionDealt")).toHaveLength(
+      PARTITIONS + PARTITIONS / 2,
+    );
+  });
+
+  // Guards against one owner for good, whose loss stops everything.
+  test("joins the last stronger member if no other comes back", async () => {
+    const [small, large] = [new Set<number>(), new Set<number>()];
+    join("l1", large, LARGE);
+    join("l2", new Set(), LARGE);
+    await advanceTime(500);
+    join("s", small, SMALL);
+    await advanceTime(3_000);
+    void members[1]!.leave();
+    await advanceTime(9_000);
+    expect([small.size, large.size]).toEqual([2, 2]);
+  });
+
   // Guards against a restart in which small members take partitions for a
   // moment, only to give them up again.
   test("keeps aside when it starts beside stronger members", async () => {
