Hand the wait of the machines' owner over with the machines

Cause: an owner of the machines waits 2 s after its takeover, as an earlier one that is cut off may still send orders. If it left during that wait, it handed over all the same, and the next owner ordered at once, while the first might still do so (ONE, where the platform checks no fencing token).

The handover now holds what is left of the wait. The record of an earlier version has no such time, so that the next owner waits in full.

Test: "goes on with the wait of an owner that hands over during it" fails first. "sends orders at once after a planned handover" let the first owner leave 0.5 s after its takeover, within its own wait, which is the fault; now it leaves after 4 s, and the next one still has to order within 1 s of its start. Its orders are counted from then on, as the first one moves idle machines by that time.

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -45,6 +45,12 @@
 /** Schema of the stored initial sizes: machines by pool. */
 const StoredPoolSizes = z.record(z.string(), z.number());
 
+/**
+ * Schema of the handover of an owner without open orders: the time for which
+ * the owner before it may still send some.
+ */
+const Handover = z.object({ waitMs: z.number().min(0) });
+
 /** Options of {@linkcode createMachinesOwner}. */
 export type MachinesOwnerOptions = {
   /** Partition whose owner owns the machines. */
@@ -311,16 +317,30 @@
     await waves.announce(machines);
   };
 
+  const applyHandover = (documents: ReadonlyMap<string, unknown>) => {
+    if (!documents.has(HANDOVER_KEY)) return;
+    progress.put(HANDOVER_KEY, () => undefined);
+    const handover = Handover.safeParse(documents.get(HANDOVER_KEY));
+    if (!handover.success) return;
+    ordersAllowedFromMs = Math.min(
+      ordersAllowedFromMs,
+      performance.now() + handover.data.waitMs,
+    );
+  };
+
+  /** Stores that no order is open, and how long the own wait would last. */
+  const storeHandover = () => {
+    if (orders.hasUnanswered()) return;
+    const waitMs = Math.max(0, ordersAllowedFromMs - performance.now());
+    progress.put(HANDOVER_KEY, () => JSON.stringify({ waitMs }));
+  };
+
   const run = async () => {
     while (!isClosed) {
       const outcome = await loadPartition(options.store, { partition, epoch });
       if (outcome.type === "fenced") return handleLoss("store");
       if (outcome.type === "loaded") {
-        if (outcome.state.otherDocuments.has(HANDOVER_KEY)) {
-          // The previous owner has confirmed that none of its orders is open.
-          progress.put(HANDOVER_KEY, () => undefined);
-          ordersAllowedFromMs = 0;
-        }
+        applyHandover(outcome.state.otherDocuments);
         for (const [key, value] of outcome.state.otherDocuments) {
           const sizes = StoredPoolSizes.safeParse(value);
           if (key === INITIAL_SIZES_KEY && sizes.success) {
@@ -344,7 +364,7 @@
     epoch,
     async release() {
       isReleasing = true;
-      if (!orders.hasUnanswered()) progress.put(HANDOVER_KEY, () => "{}");
+      storeHandover();
       await progress.drain(RELEASE_TIMEOUT_MS);
       close();
     },
