--- a/packages/jobs/owned/blocked_tasks_test.ts
+++ b/packages/jobs/owned/blocked_tasks_test.ts
@@ -49,4 +49,26 @@
     await advanceTime(7_000);
     expect(others.flatMap(({ starts }) => starts)).toHaveLength(1);
   });
+
+  // Guards against two runs of a task, as its executor was used for the first
+  // time while the store was unreachable and has left the list (TWICE).
+  test("do not run beside a run that no stored record shows", async () => {
+    const first = await fixture.startOwner(1);
+    const failing = fixture.addExecutor("e1");
+    first.refresh();
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    expect(failing.running.size).toBe(1);
+    fixture.store.fault = "silent";
+    const executor = fixture.addExecutor("e2");
+    first.refresh();
+    failing.end(`${JOB_ID}.0.0.0`, "failed");
+    await advanceTime(500);
+    first.close();
+    fixture.reports.delete("e2");
+    fixture.store.fault = undefined;
+    await fixture.startOwner(2);
+    await advanceTime(2_000);
+    expect(failing.running.size + executor.running.size).toBe(1);
+  });
 });
