--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -110,7 +110,7 @@
     fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
     restarted.fault = undefined;
     owner.refresh();
-    await advanceTime(4_000);
+    await advanceTime(1_000);
     executor.deliverDelayed(restarted);
     await advanceTime(1_000);
     expect(restarted.starts.length + other.starts.length).toBe(1);
