Keep each start after a crash until its outcome is known

Cause: the one stored start of a task was replaced by the next, so that an owner after next no longer knew of a crash that was still unclear. All starts whose outcome is not known are stored now.

--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -51,9 +51,9 @@
       const runs = failed.get(task.name);
       if (runs !== undefined) progress.failed[task.name] = [...runs];
       if (task.crashes.length === 0) continue;
-      const { crashes, lastStart } = task;
+      const { crashes, openStarts } = task;
       progress.suspicions ??= {};
-      progress.suspicions[task.name] = { crashes, lastStart };
+      progress.suspicions[task.name] = { crashes, openStarts };
     }
   }
   if (job.endedAtMs !== undefined) {
@@ -93,7 +93,7 @@
       }
       const suspicion = progress.suspicions?.[task.name];
       task.crashes = suspicion?.crashes ?? [];
-      task.lastStart = suspicion?.lastStart;
+      task.openStarts = suspicion?.openStarts ?? [];
       const runs = progress.failed[task.name];
       if (runs === undefined) continue;
       failed.set(task.name, new Set(runs));
--- a/packages/jobs/ended/record_crash.ts
+++ b/packages/jobs/ended/record_crash.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { hasEnded, type Task } from "../job.ts";
+import { closeStart, hasEnded, type Task } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { isSuspect } from "../placed/probation.ts";
 import type { SuspectedCrash } from "./crash.ts";
@@ -33,6 +33,7 @@
   const { job } = task.group;
   const { run, isConfirmed, startedLast } = crash;
   if (task.isDone || hasEnded(job)) return;
+  closeStart(task, run);
   if (task.crashes.some((other) => other.run === run)) return;
   if (isSuspect(task) && !startedLast) return;
   task.crashes.push({ run, isConfirmed });
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -5,7 +5,13 @@
  * @module
  */
 
-import { hasEnded, isComplete, type Run, type Task } from "../job.ts";
+import {
+  closeStart,
+  hasEnded,
+  isComplete,
+  type Run,
+  type Task,
+} from "../job.ts";
 import { type OwnerState, queueOf, stopRun } from "../owned/owner_state.ts";
 import { isOnProbation } from "../placed/probation.ts";
 import type { RunEnd } from "../ports.ts";
@@ -51,7 +57,7 @@
     how: end.result,
     ranMs: Math.round(performance.now() - run.startedAtMs),
   });
-  if (end.result !== "lapsed") task.lastStart = undefined;
+  if (end.result !== "lapsed") closeStart(task, run.number);
   if (!isOnProbation(run)) task.crashes = [];
   if (end.result === "done") {
     executor.consecutiveFailures = 0;
--- a/packages/jobs/ended/suspicion.ts
+++ b/packages/jobs/ended/suspicion.ts
@@ -20,8 +20,8 @@
 export const Suspicion = z.object({
   /** Crashes of executors on which a run of the task had just started. */
   crashes: z.array(Crash),
-  /** Last start after a crash, of which an owner may not see the outcome. */
-  lastStart: Start.optional(),
+  /** Starts after a crash whose outcome is not known yet. */
+  openStarts: z.array(Start),
 });
 
 /** What is stored of a task under which executors have crashed. */
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -116,7 +116,7 @@
         lastEndedRunNumber: 0,
         failureCount: 0,
         crashes: [],
-        lastStart: undefined,
+        openStarts: [],
         heldUntilMs: 0,
         checkpoint: "",
         blockedUntilMs: times.blockedUntilMs,
@@ -130,6 +130,11 @@
   });
 }
 
+/** Notes that it is known what became of the start of a run. */
+export function closeStart(task: Task, run: number): void {
+  task.openStarts = task.openStarts.filter((start) => start.run !== run);
+}
+
 /** Returns whether a job has completed, failed or been cancelled. */
 export function hasEnded(job: Job): boolean {
   return job.endedAtMs !== undefined;
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -67,8 +67,8 @@
   failureCount: number;
   /** Crashes of executors on which a run of the task had just started. */
   crashes: Crash[];
-  /** Last start after a crash, until its outcome is known. */
-  lastStart: Start | undefined;
+  /** Starts after a crash whose outcome is not known yet. */
+  openStarts: Start[];
   /**
    * Monotonic time until which the task waits, as it is not clear whether one
    * more executor has crashed under it.
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -289,7 +289,7 @@
     if (progress !== undefined) {
       createTasksUpTo(owner, job, lastOccurrenceOf(progress));
       applyProgress(job, { progress, failed: owner.failedRuns });
-      suspectLastStarts(owner, job);
+      suspectOpenStarts(owner, job);
     }
     if (state.cancelled.has(id)) applyCancellation(owner, id);
     // The earlier owner ended after it had stored the last end of a task.
@@ -323,10 +323,10 @@
   void confirmEndedExecutors(owner);
 }
 
-/** Notes the last starts of tasks under which executors have crashed. */
-function suspectLastStarts(owner: OwnerState, { groups }: Job): void {
+/** Notes the starts of tasks that may have crashed their executors. */
+function suspectOpenStarts(owner: OwnerState, { groups }: Job): void {
   for (const task of groups.flatMap(({ tasks }) => tasks)) {
-    if (task.lastStart !== undefined) suspectStart(owner, task, task.lastStart);
+    for (const start of task.openStarts) suspectStart(owner, task, start);
   }
 }
 
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -167,7 +167,7 @@
 /** Stores a start, so that a crash counts that only the next owner notes. */
 function storeStart(owner: OwnerState, { task, number, executor }: Run): void {
   const { id, address, report: { startedAtMs } } = executor;
-  task.lastStart = { run: number, executor: id, address, startedAtMs };
+  task.openStarts.push({ run: number, executor: id, address, startedAtMs });
   saveProgress(owner, task.group.job);
 }
 
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -13,7 +13,7 @@
 import { recordCrash } from "../ended/record_crash.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import type { Start, TaskStart } from "../ended/suspicion.ts";
-import type { Run, Task } from "../job.ts";
+import { closeStart, type Run, type Task } from "../job.ts";
 import { isOnProbation } from "../placed/probation.ts";
 import type { LostExecutor, SuspectRun } from "./lost_executor.ts";
 
@@ -154,7 +154,7 @@
 /** Lets the tasks that waited for news of a lost executor start again. */
 function releaseTasks({ suspects }: LostExecutor): void {
   for (const { task, crash: { run } } of suspects) {
-    if (task.lastStart?.run === run) task.lastStart = undefined;
+    closeStart(task, run);
     if (run >= task.lastEndedRunNumber) task.heldUntilMs = 0;
   }
 }
