Count no crash for a run that an earlier owner started long before

Cause: an adopted run counted as one that had just started, from its adoption on. An executor that lists a run to a new owner has outlasted its start, so that an adopted run is on probation only if its start after a crash is open. Found by the soak test; no test of its own.

--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -288,6 +288,7 @@
     const hasRunEnded = report.run <= task.lastEndedRunNumber;
     if (hasRunEnded || task.runs.length > 0) return mustStop;
   }
+  const isStartOpen = task.openStarts.some(({ run }) => run === report.run);
   const run: Run = {
     task,
     number: report.run,
@@ -300,7 +301,8 @@
     reportedAtMs: performance.now(),
     progressedAtMs: performance.now(),
     ratePercent: 100,
-    confirmedClockMs: undefined,
+    // An executor that lists a run has outlasted it, unless it is suspect.
+    confirmedClockMs: isStartOpen ? undefined : -Infinity,
     listedClockMs: -Infinity,
     checkpoint: report.checkpoint,
     stopReason: "",
