Give a task up with its third crash if two of its starts were confirmed

Two confirmed starts are two executors that certainly crashed under the task, for which the users allow to give it up.

--- a/packages/jobs/ended/record_crash.ts
+++ b/packages/jobs/ended/record_crash.ts
@@ -11,8 +11,11 @@
 import type { SuspectedCrash } from "./crash.ts";
 import { finishJob, saveProgress } from "./finish_job.ts";
 
-/** Crashes for which a task is given up if the last start was confirmed. */
-const MAX_CONFIRMED_CRASHES = 3;
+/** Crashes for which a task is given up if enough starts were confirmed. */
+const MAX_CERTAIN_CRASHES = 3;
+
+/** Confirmed starts among these, after which executors certainly crashed. */
+const MIN_CONFIRMED_STARTS = 2;
 
 /** Crashes for which a task is given up in any case. */
 const MAX_CRASHES = 4;
@@ -46,10 +49,14 @@
     startedLast,
     crashes: length,
   });
-  const mustGiveUp = length >= MAX_CRASHES ||
-    (length >= MAX_CONFIRMED_CRASHES && isConfirmed);
-  if (mustGiveUp) {
+  if (mustGiveUp(task)) {
     job.hasFailed = true;
     finishJob(owner, job, `${length} executors crashed under ${task.name}`);
   } else saveProgress(owner, job);
 }
+
+function mustGiveUp({ crashes }: Task): boolean {
+  const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
+  const isCertain = confirmed.length >= MIN_CONFIRMED_STARTS;
+  return crashes.length >= (isCertain ? MAX_CERTAIN_CRASHES : MAX_CRASHES);
+}
