Let a restarted executor of the soak test show the capacity that it has

The list showed the full capacity of a new process up to 1.5 s after its start, also if it had shrunk since and had shown that: an older report after a newer one, for the rest of its life. The check and its bound are as before.

--- a/packages/measure/soak/crash_executor.ts
+++ b/packages/measure/soak/crash_executor.ts
@@ -8,6 +8,7 @@
 import {
   type ExecutorHost,
   removeExecutor,
+  showProcess,
   stopProcess,
 } from "./executor_hosts.ts";
 
@@ -52,7 +53,7 @@
   if (!hasNewId) {
     restart(host);
     await sleep(lagMs);
-    host.report = host.process.report;
+    showProcess(host);
     host.isListed = true;
     return;
   }
--- a/packages/measure/soak/executor_hosts.ts
+++ b/packages/measure/soak/executor_hosts.ts
@@ -107,6 +107,13 @@
   return host;
 }
 
+/** Shows the current process of an executor in the list, as it is now. */
+export function showProcess(host: ExecutorHost): void {
+  const { report } = host.process;
+  const cpu = host.capacity.currentCpu();
+  host.report = { ...report, capacity: { ...report.capacity, cpu } };
+}
+
 /** Ends the process of an executor together with its runs. */
 export function stopProcess(host: ExecutorHost): void {
   host.onProcessEnd();
--- a/packages/measure/soak/fault_plan.ts
+++ b/packages/measure/soak/fault_plan.ts
@@ -6,7 +6,7 @@
 
 import type { Size } from "@lagoonloom/jobs";
 import type { CallFate, CallKind, ExecutorHost } from "./executor_hosts.ts";
-import { removeExecutor, stopProcess } from "./executor_hosts.ts";
+import { removeExecutor, showProcess, stopProcess } from "./executor_hosts.ts";
 import { HOST_CAPACITY } from "./host_capacity.ts";
 import { drawStep } from "./draw_step.ts";
 import type { SoakWorld } from "./soak_world.ts";
@@ -151,7 +151,7 @@
   await sleep(downMs);
   world.restart(host);
   await sleep(lagMs);
-  host.report = host.process.report;
+  showProcess(host);
   host.isListed = true;
 }
 
