Store which starts were lost before it is clear whether their executor crashed

Cause: a start was stored only once a crash had been counted. A loss that was still unclear as the owner changed, and the starts after it, counted for nobody. The start of a lost run on probation is now stored with the progress of its job, as are further starts of its task, until the outcome is known.

--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -50,8 +50,8 @@
       if (task.isDone) continue;
       const runs = failed.get(task.name);
       if (runs !== undefined) progress.failed[task.name] = [...runs];
-      if (task.crashes.length === 0) continue;
       const { crashes, openStarts } = task;
+      if (crashes.length === 0 && openStarts.length === 0) continue;
       progress.suspicions ??= {};
       progress.suspicions[task.name] = { crashes, openStarts };
     }
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -141,7 +141,7 @@
     executor: executor.id,
     reason,
   });
-  if (task.crashes.length > 0) storeStart(owner, run);
+  if (mayHaveCrashed(task)) storeStart(owner, run);
   if (!isSuspect(task)) return void requestStart(owner, run);
   // The next owner has to know of a start whose crash only it may note.
   owner.progress.whenStored(() => void requestStart(owner, run));
@@ -164,6 +164,11 @@
   else handleRefusal(owner, run, outcome);
 }
 
+/** Returns whether an executor has crashed under a task, or may have. */
+function mayHaveCrashed({ crashes, openStarts }: Task): boolean {
+  return crashes.length > 0 || openStarts.length > 0;
+}
+
 /** Stores a start, so that a crash counts that only the next owner notes. */
 function storeStart(owner: OwnerState, { task, number, executor }: Run): void {
   const { id, address, report: { startedAtMs } } = executor;
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -10,6 +10,7 @@
 import type { ExecutorState } from "../executor_state.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import type { SuspectedCrash } from "../ended/crash.ts";
+import { saveProgress } from "../ended/finish_job.ts";
 import { recordCrash } from "../ended/record_crash.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import type { Start, TaskStart } from "../ended/suspicion.ts";
@@ -59,8 +60,12 @@
   const lostAtMs = performance.now();
   const { startedAtMs } = report;
   owner.lostExecutors.set(id, { address, startedAtMs, lostAtMs, suspects });
-  for (const { task } of suspects) {
+  for (const { task, crash: { run } } of suspects) {
     if (task.crashes.length > 0) task.heldUntilMs = lostAtMs + HOLD_MS;
+    // The next owner may be the first one to learn of a crash.
+    closeStart(task, run);
+    task.openStarts.push({ run, executor: id, address, startedAtMs });
+    saveProgress(owner, task.group.job);
   }
 }
 
