Store starts in one way, and look for new tasks without building lists

- A start whose outcome is not known was put together in three places and stored in two: openStart and startOf are the one way now.
- Each round of placement built two lists for each executor to see whether something has just started there.
One loop does it, and a candidate takes the result over.
- The handover names the starts that may have crashed executors in one place, not in each of its three results.

Left for later, as it would change what is stored: the starts in a handover are mostly in the progress of their jobs too.

--- /dev/null
+++ b/packages/jobs/ended/open_start.ts
@@ -0,0 +1,24 @@
+/**
+ * Starts whose outcome is not known, which the next owner has to know of.
+ *
+ * @module
+ */
+
+import { closeStart, type Run } from "../job.ts";
+import type { OwnerState } from "../owned/owner_state.ts";
+import { saveProgress } from "./finish_job.ts";
+import type { Start } from "./suspicion.ts";
+
+/** Returns the start of a run on the current process of its executor. */
+export function startOf({ number, executor }: Run): Start {
+  const { id, address, report: { startedAtMs } } = executor;
+  return { run: number, executor: id, address, startedAtMs };
+}
+
+/** Stores a start, so that a crash counts that only the next owner notes. */
+export function openStart(owner: OwnerState, run: Run): void {
+  const { task, number } = run;
+  closeStart(task, number);
+  task.openStarts.push(startOf(run));
+  saveProgress(owner, task.group.job);
+}
--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -18,12 +18,12 @@
  */
 export function storeHandover(owner: OwnerState): void {
   if (!owner.isLoaded) return;
-  const handover = createHandover(owner);
+  const suspectStarts = unresolvedStarts(owner);
+  const handover: Handover = { ...createHandover(owner), suspectStarts };
   owner.progress.put(HANDOVER_KEY, () => JSON.stringify(handover));
 }
 
 function createHandover(owner: OwnerState): Handover {
-  const suspectStarts = unresolvedStarts(owner);
   const runs: HandoverRun[] = [];
   for (const executor of owner.executors.values()) {
     for (const run of executor.runs) {
@@ -36,9 +36,7 @@
     }
   }
   const unheard = [...owner.unconfirmedExecutors.keys()];
-  if (unheard.length === 0) {
-    return { runs, unheard, blockedMs: 0, suspectStarts };
-  }
+  if (unheard.length === 0) return { runs, unheard, blockedMs: 0 };
   if (owner.inheritedRuns !== undefined) {
     // The previous handover lists all runs on the unconfirmed executors.
     for (const [executor, endsMs] of owner.unconfirmedExecutors) {
@@ -46,10 +44,9 @@
         runs.push({ ...inherited, leaseMs: remainingMs(endsMs) });
       }
     }
-    return { runs, unheard: [], blockedMs: 0, suspectStarts };
+    return { runs, unheard: [], blockedMs: 0 };
   }
-  const blockedMs = remainingMs(owner.blockedUntilMs);
-  return { runs, unheard, blockedMs, suspectStarts };
+  return { runs, unheard, blockedMs: remainingMs(owner.blockedUntilMs) };
 }
 
 function remainingMs(monotonicMs: number): number {
--- a/packages/jobs/placed/choose_candidate.ts
+++ b/packages/jobs/placed/choose_candidate.ts
@@ -13,18 +13,19 @@
 import type { Task, TaskGroup } from "../job.ts";
 import type { Size } from "../submission.ts";
 import { findObstacle, type FindObstacleOptions } from "./find_obstacle.ts";
-import { isSuspect, mustStartAlone, newTasksOn } from "./probation.ts";
+import {
+  findNewTasks,
+  isSuspect,
+  mustStartAlone,
+  type NewTasks,
+} from "./probation.ts";
 
 /** Executor with the capacity that is left in a round of decisions. */
-export type Candidate = {
+export type Candidate = NewTasks & {
   executor: ExecutorState;
   free: Size;
   /** Tasks that this round has placed there, by group. */
   placed: Map<TaskGroup, number>;
-  /** Whether a task has just started there. */
-  hasNewTask: boolean;
-  /** Whether a task that may have crashed executors has just started there. */
-  hasSuspectTask: boolean;
 };
 
 /** Options of {@linkcode chooseCandidate}. */
@@ -35,13 +36,11 @@
 
 /** Creates a candidate on which this round has placed nothing. */
 export function createCandidate(executor: ExecutorState): Candidate {
-  const newTasks = newTasksOn(executor);
   return {
     executor,
     free: freeCapacityOf(executor),
     placed: new Map(),
-    hasNewTask: newTasks.length > 0,
-    hasSuspectTask: newTasks.some(isSuspect),
+    ...findNewTasks(executor),
   };
 }
 
--- a/packages/jobs/placed/probation.ts
+++ b/packages/jobs/placed/probation.ts
@@ -38,10 +38,23 @@
     monotonicMs - task.waitingSinceMs < MAX_ISOLATION_WAIT_MS;
 }
 
-/** Returns the tasks that have just started on an executor. */
-export function newTasksOn({ runs }: ExecutorState): Task[] {
-  return [...runs].filter((run) => !hasOutlasted(run, ISOLATION_MS))
-    .map(({ task }) => task);
+/** Tasks that have just started on an executor. */
+export type NewTasks = {
+  /** Whether a task has just started there. */
+  hasNewTask: boolean;
+  /** Whether a task that may have crashed executors has just started there. */
+  hasSuspectTask: boolean;
+};
+
+/** Looks for tasks that have just started on an executor. */
+export function findNewTasks({ runs }: ExecutorState): NewTasks {
+  const found: NewTasks = { hasNewTask: false, hasSuspectTask: false };
+  for (const run of runs) {
+    if (hasOutlasted(run, ISOLATION_MS)) continue;
+    found.hasNewTask = true;
+    found.hasSuspectTask ||= isSuspect(run.task);
+  }
+  return found;
 }
 
 function hasOutlasted(
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -6,7 +6,7 @@
 
 import type { Run, Task, TaskGroup } from "../job.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
-import { saveProgress } from "../ended/finish_job.ts";
+import { openStart } from "../ended/open_start.ts";
 import { addRun, type ExecutorState } from "../executor_state.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
@@ -141,7 +141,7 @@
     executor: executor.id,
     reason,
   });
-  if (mayHaveCrashed(task)) storeStart(owner, run);
+  if (mayHaveCrashed(task)) openStart(owner, run);
   if (!isSuspect(task)) return void requestStart(owner, run);
   // The next owner has to know of a start whose crash only it may note.
   owner.progress.whenStored(() => void requestStart(owner, run));
@@ -169,13 +169,6 @@
   return crashes.length > 0 || openStarts.length > 0;
 }
 
-/** Stores a start, so that a crash counts that only the next owner notes. */
-function storeStart(owner: OwnerState, { task, number, executor }: Run): void {
-  const { id, address, report: { startedAtMs } } = executor;
-  task.openStarts.push({ run: number, executor: id, address, startedAtMs });
-  saveProgress(owner, task.group.job);
-}
-
 function handleRefusal(owner: OwnerState, run: Run, outcome: string): void {
   const { task, executor } = run;
   if (outcome === "closed" || outcome === "ended") return;
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -10,7 +10,7 @@
 import type { ExecutorState } from "../executor_state.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import type { SuspectedCrash } from "../ended/crash.ts";
-import { saveProgress } from "../ended/finish_job.ts";
+import { openStart, startOf } from "../ended/open_start.ts";
 import { recordCrash } from "../ended/record_crash.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import type { Start, TaskStart } from "../ended/suspicion.ts";
@@ -60,12 +60,11 @@
   const lostAtMs = performance.now();
   const { startedAtMs } = report;
   owner.lostExecutors.set(id, { address, startedAtMs, lostAtMs, suspects });
-  for (const { task, crash: { run } } of suspects) {
+  for (const run of onProbation) {
+    const { task } = run;
     if (task.crashes.length > 0) task.heldUntilMs = lostAtMs + HOLD_MS;
     // The next owner may be the first one to learn of a crash.
-    closeStart(task, run);
-    task.openStarts.push({ run, executor: id, address, startedAtMs });
-    saveProgress(owner, task.group.job);
+    openStart(owner, run);
   }
 }
 
@@ -90,19 +89,16 @@
 /** Returns the starts that may have crashed executors, for the next owner. */
 export function unresolvedStarts(owner: OwnerState): TaskStart[] {
   const starts: TaskStart[] = [];
-  const executors = owner.executors.values();
   for (const [executor, loss] of owner.lostExecutors) {
     const { address, startedAtMs, suspects } = loss;
     for (const { task, crash: { run } } of suspects) {
       starts.push({ task: task.name, run, executor, address, startedAtMs });
     }
   }
-  for (const { id, address, report, failedCalls, runs } of executors) {
+  for (const { failedCalls, runs } of owner.executors.values()) {
     if (failedCalls === 0) continue;
-    const { startedAtMs } = report;
-    for (const { task, number: run } of [...runs].filter(isOnProbation)) {
-      const start = { run, executor: id, address, startedAtMs };
-      starts.push({ task: task.name, ...start });
+    for (const run of [...runs].filter(isOnProbation)) {
+      starts.push({ task: run.task.name, ...startOf(run) });
     }
   }
   return starts;
