Log which evidence a takeover rests on

LL6204 now says whether a handover was read, LL6410 that a takeover waits no longer for a silent executor, and LL6312 that an owner reads the end of an earlier run of a task that it has started again, which is the moment in which TWICE shows.

--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -316,6 +316,7 @@
     jobs: state.jobs.length,
     unreadable: state.unreadableCount,
     executors: owner.unconfirmedExecutors.size,
+    hasHandover: handover !== undefined,
     tookMs: Math.round(performance.now() - owner.takenOverAtMs),
   });
   refreshExecutors(owner);
@@ -362,7 +363,10 @@
     session.expireRuns(confirmedMs);
   }
   for (const [id, endsMs] of owner.unconfirmedExecutors) {
-    if (nowMs >= endsMs) confirmExecutor(owner, id);
+    if (nowMs < endsMs) continue;
+    const { partition, events } = owner.options;
+    events.log("executorWaitOver", { executor: id, partition });
+    confirmExecutor(owner, id);
   }
   if (owner.reservedExecutors.size > 0 && nowMs >= owner.reservedUntilMs) {
     reserveExecutors(owner, new Set());
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -20,7 +20,7 @@
   forgetUsedExecutors,
   recordUsedExecutor,
 } from "../placed/used_executors.ts";
-import type { RunReport } from "../ports.ts";
+import type { RunEnd, RunReport } from "../ports.ts";
 import {
   addRun,
   createExecutorState,
@@ -256,10 +256,7 @@
         recordTrackedRunEnd(owner, run, end);
       },
       onLoss: (executor, runs) => recordLoss(owner, executor, runs),
-      onUnknownEnd(executor, end) {
-        const task = findStartedTask(owner, end.task);
-        if (task !== undefined) recordRunEnd(owner, task, { ...end, executor });
-      },
+      onUnknownEnd: (executor, end) => recordUnknownEnd(owner, executor, end),
       onUnknownRun: (executor, report) => adoptRun(owner, executor, report),
       whenStored: owner.progress.whenStored,
       onChange: (executor) => handleChange(owner, executor),
@@ -268,6 +265,26 @@
   });
 }
 
+/** Records the end of a run that this owner does not track. */
+function recordUnknownEnd(
+  owner: OwnerState,
+  executor: ExecutorState,
+  end: RunEnd,
+): void {
+  const task = findStartedTask(owner, end.task);
+  if (task === undefined) return;
+  const { run, result } = end;
+  if (task.runs.some(({ number }) => number > run)) {
+    owner.options.events.log("endReadLate", {
+      task: task.name,
+      run,
+      executor: executor.id,
+      how: result,
+    });
+  }
+  recordRunEnd(owner, task, { ...end, executor });
+}
+
 /** Takes over a run of an earlier owner, unless it must stop. */
 function adoptRun(
   owner: OwnerState,
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -105,6 +105,7 @@
       jobs: "number",
       unreadable: "number",
       executors: "number",
+      hasHandover: "boolean",
       tookMs: "number",
     },
   },
@@ -233,6 +234,17 @@
       crashes: "number",
     },
   },
+  endReadLate: {
+    id: "LL6312",
+    level: "warn",
+    message: "a run of an earlier owner has ended whose task runs again",
+    fields: {
+      task: "string",
+      run: "number",
+      executor: "string",
+      how: "string",
+    },
+  },
   progressDelayed: {
     id: "LL6308",
     level: "warn",
@@ -269,6 +281,12 @@
     message: "silent executor has ended, since no machine has it",
     fields: { executor: "string" },
   },
+  executorWaitOver: {
+    id: "LL6410",
+    level: "warn",
+    message: "takeover waits no longer for a silent executor",
+    fields: { executor: "string", partition: "number" },
+  },
   executorLost: {
     id: "LL6408",
     level: "warn",
