Confirm no executor by an answer that leaves out ends of runs

What callers would see: a task runs again after it was done (TWICE). Cause: an answer of an executor holds at most 500 ends, but a takeover took each answer for the whole list. If the rest was still to be read and the executor fell silent, the task whose end was among it started again. An executor now counts as heard only once an answer holds all its ends; a handover before that names it as unheard.

--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -23,6 +23,7 @@
     clockOffsetMs: undefined,
     leaseEndsMs: 0,
     acknowledgedSequence: 0,
+    hasMoreEnds: false,
     receivedSequence: 0,
     answeredAtMs: -Infinity,
     failedCalls: 0,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -165,6 +165,8 @@
   leaseEndsMs: number;
   /** Sequence number of the last run end that is stored. */
   acknowledgedSequence: number;
+  /** Whether its last answer left out ends, as an answer holds only so many. */
+  hasMoreEnds: boolean;
   /** Sequence number of the last run end that was received. */
   receivedSequence: number;
   /** Monotonic time of the last answer. */
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -184,7 +184,7 @@
     outcome: PollOutcome & { type: "polled" },
     pollNumber: number,
   ) => {
-    if (outcome.ended.length >= MAX_REPORTED_ENDS) return;
+    if (executor.hasMoreEnds) return;
     const listed = new Set(
       outcome.running.map(({ task, run }) => `${task}/${run}`),
     );
@@ -238,6 +238,7 @@
       return markRestarted();
     }
     recordAnswer(executor, outcome.clockMs);
+    executor.hasMoreEnds = outcome.ended.length >= MAX_REPORTED_ENDS;
     handleEnds(outcome.ended, outcome.clockMs);
     // Answers may overtake each other; an older list shows ended runs.
     if (outcome.clockMs >= listClockMs) {
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -344,7 +344,7 @@
   const hasAnswered = executor.failedCalls === 0 &&
     executor.clockOffsetMs !== undefined;
   if (hasAnswered) {
-    confirmExecutor(owner, executor.id);
+    if (!executor.hasMoreEnds) confirmExecutor(owner, executor.id);
     resolveLoss(owner, executor);
   }
   logReachability(owner, executor);
