Store a value after all that were put before it

What callers would see: a task runs again after it was done (TWICE). Cause: a value that was put again kept the place of the old one. A new owner deletes the handover that it read; if it was released before that was sent, its own handover took that place, ahead of the ends of runs that it no longer names. With more than 500 records waiting, as after a slow store, the handover could be stored without these, and the next owner waits for nobody.

"stores a value after all that were put before it" failed before and passes now. packages/jobs/ended and owned: 83 tests pass.

--- a/packages/jobs/ended/progress_log.ts
+++ b/packages/jobs/ended/progress_log.ts
@@ -157,6 +157,8 @@
 
   return {
     put(key, value, putOptions) {
+      // The new value may rely on records that were put after the old one.
+      values.delete(key);
       values.set(key, value);
       if (putOptions?.isUrgent === true) {
         isUrgent = true;
