Check a start that waited for the store before it is sent

What callers would see: two runs of a task at a time (TWICE). Cause: the start of a task under which two executors have crashed waits until the store has recorded it. Meanwhile the owner may have composed its handover, which names the lease of that executor as it was before the start, and the next owner waits no longer than that. Or the ownership may not be confirmed any more, as a frozen process reads the store's answer late, while the next owner waits only for starts that were sent in time. Now nothing is sent after a handover was composed, and a start without a confirmed ownership is taken back.

"is not sent once the partition is handed over" and "is not sent without a confirmed ownership" failed before and pass now. packages/jobs: 218 tests pass.

--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -4,10 +4,15 @@
  * @module
  */
 
-import type { Run, Task, TaskGroup } from "../job.ts";
-import { type OwnerState, queueOf } from "../owned/owner_state.ts";
+import { closeStart, type Run, type Task, type TaskGroup } from "../job.ts";
+import {
+  isOwnershipConfirmed,
+  OWNERSHIP_GRACE_MS,
+  type OwnerState,
+  queueOf,
+} from "../owned/owner_state.ts";
 import { openStart } from "../ended/open_start.ts";
-import { addRun, type ExecutorState } from "../executor_state.ts";
+import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
@@ -154,6 +159,11 @@
   const session = owner.sessions.get(executor);
   if (session === undefined || !executor.runs.has(run)) return;
   if (run.state !== "starting" || run.stopReason !== "") return;
+  // The next owner relies on both, which may have changed in the meantime.
+  if (owner.isReleasing) return;
+  if (!isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS)) {
+    return withdrawStart(owner, run);
+  }
   const ticket = owner.ticketCache?.ticketFor(task.group, executor) ?? "";
   if (isSuspect(task)) {
     setTimeout(session.poll, ISOLATION_MS + POLL_MARGIN_MS);
@@ -164,6 +174,13 @@
   else handleRefusal(owner, run, outcome);
 }
 
+/** Takes back a start that was not requested, so that its task waits again. */
+function withdrawStart(owner: OwnerState, run: Run): void {
+  removeRun(run);
+  closeStart(run.task, run.number);
+  handleRefusal(owner, run, "the ownership is not confirmed");
+}
+
 /** Returns whether an executor has crashed under a task, or may have. */
 function mayHaveCrashed({ crashes, openStarts }: Task): boolean {
   return crashes.length > 0 || openStarts.length > 0;
