Grant shorter leases by a clock that was read long ago

What callers would see: two runs of a task at a time (TWICE). Cause: the expiry of a lease is a time on the executor's clock, reckoned from its last answer. A clock that is 2% slow has fallen behind by 1.2 s after a minute without an answer, so that the lease lasted 5.3 s instead of 4 s. The owner itself allowed for that, but the next owner waits for 4.7 s at most beyond the starts of the earlier one. An idle executor is not polled, so that the first start there after a while was affected. The lease is now shorter by what the clock may lag.

--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -39,14 +39,15 @@
 /**
  * Returns the expiry of a new lease on the executor's clock, and notes the
  * monotonic time at which it has certainly expired. The executor must have
- * answered before.
+ * answered before. The longer ago that was, the shorter is the lease, so that
+ * it lasts no longer than the next owner would wait.
  */
 export function extendLease(executor: ExecutorState, leaseMs: number): number {
   const nowMs = performance.now();
-  const expiryMs = nowMs + executor.clockOffsetMs! + leaseMs;
-  const offsetAgeMs = nowMs - executor.answeredAtMs;
-  const endsMs = nowMs + leaseMs +
-    MAX_CLOCK_DRIFT * (leaseMs + offsetAgeMs) + MAX_TRANSIT_MS;
+  // The clock may have fallen behind since the last answer.
+  const lagMs = MAX_CLOCK_DRIFT * (nowMs - executor.answeredAtMs);
+  const expiryMs = nowMs + executor.clockOffsetMs! + leaseMs - lagMs;
+  const endsMs = nowMs + (1 + MAX_CLOCK_DRIFT) * leaseMs + MAX_TRANSIT_MS;
   executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
   return Math.floor(expiryMs);
 }
