Acknowledge only ends that an executor is known to report

What callers saw: a task ran again after it was done (TWICE). An executor had ended runs, all of them acknowledged, and restarted under its id without its owner noticing. Each poll still carried the highest acknowledged number. The new process numbers its ends anew, so it forgot ends that the owner had not read; the owner took these runs for gone and started the tasks again. The same happened with a poll without an answer that the new process carried out late.

A poll now carries a number only if the newest list shows stored ends, and 0 after any call without an answer until there is another list. An idle executor without an open poll gets 0 with its first poll. An executor whose stored ends are not acknowledged yet is polled also while it is idle.

Evidence: "acknowledges no end whose number an earlier process used" (two starts instead of one) and "forgets no end for a late poll of before its restart" (job running instead of completed) failed before. "is told again of a stored end after a lost poll" guards the repetition; it passed before, too.

--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -15,6 +15,7 @@
   recordAnswer,
   recordRestart,
 } from "./_executor_clock.ts";
+import { createAcknowledgement } from "./_acknowledgement.ts";
 import { createWakeablePause } from "./_wakeable_pause.ts";
 import type {
   Adoption,
@@ -28,12 +29,6 @@
 /** Pause after a poll or a stop without an answer. */
 const RETRY_MS = 300;
 
-/** Shortest time between polls while received ends are not stored yet. */
-const UNACKNOWLEDGED_PAUSE_MS = 250;
-
-/** Shortest pause before a poll while received ends are not stored yet. */
-const MIN_PAUSE_MS = 50;
-
 /** Number of ends from which the answer to a poll may be truncated. */
 const MAX_REPORTED_ENDS = 500;
 
@@ -58,6 +53,7 @@
   const confirmedAtPoll = new Map<Run, number>();
   /** Number of polls sent before a start request went unanswered, by run. */
   const unansweredAtPoll = new Map<Run, number>();
+  const acknowledgement = createAcknowledgement(executor);
   let pollsSent = 0;
   /** Clock of the executor in the newest list of its runs. */
   let listClockMs = -Infinity;
@@ -67,7 +63,6 @@
   let isPollRequested = true;
   let isLongPolling = false;
   let isExtraPollOpen = false;
-  let unacknowledgedSinceMs = 0;
 
   const forgetRun = (run: Run) => {
     confirmedAtPoll.delete(run);
@@ -75,6 +70,7 @@
   };
 
   const recordFailure = (reason: string) => {
+    acknowledgement.recordFailure();
     executor.failedCalls++;
     executor.lastFailure = reason;
     callbacks.onChange(executor);
@@ -123,16 +119,7 @@
         checkpoint: end.checkpoint,
       });
     }
-    if (!isNew) return;
-    const newest = executor.receivedSequence;
-    unacknowledgedSinceMs = performance.now();
-    callbacks.whenStored(() => {
-      executor.acknowledgedSequence = Math.max(
-        executor.acknowledgedSequence,
-        newest,
-      );
-      requestPoll();
-    });
+    if (isNew) acknowledgement.awaitStored(callbacks.whenStored, requestPoll);
   };
 
   /** Adopts a run that this owner did not track, or stops it. */
@@ -212,15 +199,15 @@
     const pollNumber = ++pollsSent;
     const mayRenew = options.mayRenew() && executor.failedCalls === 0 &&
       executor.clockOffsetMs !== undefined && executor.runs.size > 0;
-    const isAcknowledged =
-      executor.receivedSequence === executor.acknowledgedSequence;
+    const mayWait = executor.failedCalls === 0 &&
+      acknowledgement.areEndsStored();
     const outcome = await executorClient.poll(target, {
       ...(mayRenew
         ? { leaseExpiryMs: extendLease(executor, options.leaseMs) }
         : {}),
       token,
-      acknowledgedSequence: executor.acknowledgedSequence,
-      waitMs: executor.failedCalls === 0 && isAcknowledged ? maxWaitMs : 0,
+      acknowledgedSequence: acknowledgement.sequence(),
+      waitMs: mayWait ? maxWaitMs : 0,
     });
     if (isClosed) return;
     if (outcome.type === "fenced") return callbacks.onFenced();
@@ -242,6 +229,7 @@
     // Answers may overtake each other; an older list shows ended runs.
     if (outcome.clockMs >= listClockMs) {
       listClockMs = outcome.clockMs;
+      acknowledgement.recordList(outcome.ended);
       handleRunning(outcome.running, outcome.clockMs);
     }
     handleMissing(outcome, pollNumber);
@@ -252,18 +240,14 @@
     while (!isClosed && !executor.isRemoved) {
       const isIdle = executor.runs.size === 0 &&
         executor.untrackedRuns.size === 0 && executor.failedCalls === 0 &&
-        executor.receivedSequence === executor.acknowledgedSequence;
+        acknowledgement.areEndsStored() && !acknowledgement.isDue();
       if (isIdle && !isPollRequested) {
         await pause();
         continue;
       }
-      if (
-        executor.receivedSequence !== executor.acknowledgedSequence &&
-        !isPollRequested
-      ) {
+      if (!acknowledgement.areEndsStored() && !isPollRequested) {
         // A poll would report the same ends until they are acknowledged.
-        const waitedMs = performance.now() - unacknowledgedSinceMs;
-        await pause(Math.max(UNACKNOWLEDGED_PAUSE_MS - waitedMs, MIN_PAUSE_MS));
+        await pause(acknowledgement.pauseMs());
       }
       if (isClosed) return;
       const maxWaitMs = isPollRequested ? 0 : POLL_WAIT_MS;
@@ -397,6 +381,7 @@
       }
       if (outcome.type === "fenced") return callbacks.onFenced();
       if (outcome.type === "replaced") return markReplaced();
+      acknowledgement.recordFailure();
       await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
     }
   };
--- a/packages/jobs/run/unnoticed_restart_test.ts
+++ b/packages/jobs/run/unnoticed_restart_test.ts
@@ -17,6 +17,7 @@
 import type { Step } from "../submission.ts";
 
 const EARLIER_JOB_ID = "00000000000000b2";
+const LATER_JOB_ID = "00000000000000c3";
 
 /** Longest lease of the executors of the fixture. */
 const MAX_LEASE_MS = 6_000;
@@ -106,9 +107,8 @@
     expect(other.starts).toHaveLength(1);
   });
 
-  // Guards against a poll that acknowledges ends of the new process by their
-  // numbers on the earlier one, so that a task runs again (TWICE).
-  test("acknowledges no end that only its new process has", async () => {
+  /** Has an executor run a task whose end is acknowledged as number 1. */
+  async function acknowledgeFirstEnd() {
     const earlier = fixture.addExecutor("e1");
     const owner = await fixture.startOwner(1);
     fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
@@ -116,6 +116,13 @@
     earlier.end(`${EARLIER_JOB_ID}.0.0.0`, "done");
     await advanceTime(500);
     expect(earlier.ends).toEqual([]);
+    return owner;
+  }
+
+  // Guards against a poll that acknowledges ends of the new process by their
+  // numbers on the earlier one, so that a task runs again (TWICE).
+  test("acknowledges no end that only its new process has", async () => {
+    const owner = await acknowledgeFirstEnd();
     const oldReport = fixture.reports.get("e1")!;
     const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
     restarted.clockOffsetMs = 0;
@@ -132,6 +139,71 @@
       .toEqual({ type: "known", value: "completed" });
   });
 
+  // Guards against the same where no clock shows the restart of an idle
+  // executor before its new process has ended a task (TWICE).
+  test("acknowledges no end whose number an earlier process used", async () => {
+    const owner = await acknowledgeFirstEnd();
+    const oldReport = fixture.reports.get("e1")!;
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    fixture.reports.set("e1", oldReport);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    restarted.end(`${JOB_ID}.0.0.0`, "done");
+    await advanceTime(1_500);
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    owner.refresh();
+    await advanceTime(1_000);
+    expect(restarted.starts).toHaveLength(1);
+    expect(await owner.getJobState(JOB_ID))
+      .toEqual({ type: "known", value: "completed" });
+  });
+
+  // Guards against the same for a poll without an answer that the new process
+  // carries out late (TWICE).
+  test("forgets no end for a late poll of before its restart", async () => {
+    const owner = await acknowledgeFirstEnd();
+    const { poll } = fixture.executors;
+    const latePolls: (() => unknown)[] = [];
+    fixture.executors.poll = (target, request) => {
+      latePolls.push(() => poll(target, request));
+      return Promise.resolve({ type: "unknown", reason: "no answer" });
+    };
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(50);
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    owner.refresh();
+    fixture.executors.poll = poll;
+    fixture.accept(LATER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    restarted.end(`${LATER_JOB_ID}.0.0.0`, "done");
+    latePolls[0]!();
+    await advanceTime(1_000);
+    expect(await owner.getJobState(LATER_JOB_ID))
+      .toEqual({ type: "known", value: "completed" });
+    expect(restarted.starts.filter(({ task }) => task.startsWith(LATER_JOB_ID)))
+      .toHaveLength(1);
+  });
+
+  // Guards against an end that stays at an executor without runs, as the poll
+  // that was to acknowledge it got no answer.
+  test("is told again of a stored end after a lost poll", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    const { poll } = fixture.executors;
+    fixture.executors.poll = (target, request) =>
+      request.acknowledgedSequence > 0
+        ? Promise.resolve({ type: "unknown", reason: "no answer" })
+        : poll(target, request);
+    executor.end(`${JOB_ID}.0.0.0`, "done");
+    await advanceTime(1_000);
+    expect(executor.ends).toHaveLength(1);
+    fixture.executors.poll = poll;
+    await advanceTime(1_000);
+    expect(executor.ends).toEqual([]);
+  });
+
   // Guards against a sound task that is taken for one that crashes executors.
   test("does not suspect a task that started after its restart", async () => {
     const { owner, restarted } = await startUnnoticed();
