Close the start of a task once its executor has outlasted it

Cause: a start after a crash is kept open until its outcome is known, but nothing closed it while the run went on, and a run that was lost after its probation left it open for good.

Change: an answer that shows that an executor has outlasted a start closes it, clears the count of its task as the end of such a run did before, and stores both.

Evidence: the new test failed before (the job was failed) and passes now.

--- a/packages/jobs/ended/open_start.ts
+++ b/packages/jobs/ended/open_start.ts
@@ -5,7 +5,9 @@
  */
 
 import { closeStart, type Run } from "../job.ts";
+import type { ExecutorState } from "../executor_state.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
+import { isOnProbation } from "../placed/probation.ts";
 import { saveProgress } from "./finish_job.ts";
 import type { Start } from "./suspicion.ts";
 
@@ -22,3 +24,22 @@
   task.openStarts.push(startOf(run));
   saveProgress(owner, task.group.job);
 }
+
+/**
+ * Clears the tasks whose starts an executor has outlasted. A later crash there
+ * is not due to them, whichever owner notes it.
+ */
+export function closeOutlastedStarts(
+  owner: OwnerState,
+  { runs }: ExecutorState,
+): void {
+  for (const run of runs) {
+    const { task, number } = run;
+    const isOpen = task.openStarts.some((start) => start.run === number);
+    if (!isOpen && task.crashes.length === 0) continue;
+    if (isOnProbation(run)) continue;
+    closeStart(task, number);
+    task.crashes = [];
+    saveProgress(owner, task.group.job);
+  }
+}
--- a/packages/jobs/run/crashing_task_test.ts
+++ b/packages/jobs/run/crashing_task_test.ts
@@ -327,6 +327,29 @@
     },
   );
 
+  // Guards against starts that stay open after their executors have outlasted
+  // them, so that each later crash beside a new owner counts (AVAIL, LOST).
+  test("is not given up for starts that its executors outlasted", async () => {
+    for (let index = 1; index <= 6; index++) addHost(index);
+    owner = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(50);
+    for (let epoch = 2; epoch <= 6; epoch++) {
+      const [host] = hosts.filter(({ fault, running }) =>
+        fault === undefined && running.size > 0
+      );
+      void crash(host!, "newId");
+      // Only the first crash follows a start and is seen by the same owner.
+      if (epoch > 2) {
+        owner.close();
+        await advanceTime(DOWN_MS);
+        owner = await fixture.startOwner(epoch);
+      }
+      await play(20, "newId", () => false);
+    }
+    expect(await stateOf(JOB_ID)).toEqual({ type: "known", value: "running" });
+  });
+
   /** Returns the tasks that run on executors which are up. */
   const findRunning = () =>
     new Set(
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -6,6 +6,7 @@
  */
 
 import { findStartedTask } from "../accepted/apply_records.ts";
+import { closeOutlastedStarts } from "../ended/open_start.ts";
 import { recordRunEnd, recordTrackedRunEnd } from "../ended/record_run_end.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import { findTask, hasEnded as hasJobEnded, type Run } from "../job.ts";
@@ -329,6 +330,7 @@
   if (hasAnswered) {
     confirmExecutor(owner, executor.id);
     resolveLoss(owner, executor);
+    closeOutlastedStarts(owner, executor);
   }
   logReachability(owner, executor);
   owner.schedulePlacement();
