Compare the runs of a crash with starts that are kept for the next process

Cause: from two crashes on, one counts only for the run that started last. A start without an answer is not lost with a restart, but kept or moved to the next process, as it may be there. The lost runs were compared with each other only, so that the start which had crashed the executor was not among them.

Change: runs are compared with all on probation at their executor, and a restart that the list shows ends the listed runs before the others move.

Evidence: the new test failed before in both cases (restart seen by the list, or by an answer: startedLast was true) and passes now; all 82 tests of packages/jobs/run pass. Ruled out for tasks that do crash executors: nothing is started beside a suspect task before the executor has outlasted it by 0.3 s, so that a later start does not hide its crash.

--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -215,6 +215,9 @@
   const unlisted = [...executor.runs].filter((run) => !isListed(run));
   if (unlisted.length > 0) next.leaseEndsMs = executor.leaseEndsMs;
   deferLoss(owner, executor, unlisted);
+  // The others are lost first: which run started last shows while all are here.
+  executor.isRemoved = true;
+  owner.sessions.get(executor)?.expireRuns(-Infinity);
   for (const run of unlisted) transferRun(run, next);
   removeExecutor(owner, executor);
   if (unlisted.length > 0) recordUsedExecutor(owner, next.id);
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -51,9 +51,11 @@
   const { id, address, report } = executor;
   if (endsAsPlanned(owner, executor) || runs.length === 0) return;
   const onProbation = runs.filter(isOnProbation);
+  // Runs without an answer may have started last, although they are kept.
+  const others = [...executor.runs].filter(isOnProbation);
   const suspects = onProbation.map((run) => ({
     task: run.task,
-    crash: suspectCrash(run, onProbation),
+    crash: suspectCrash(run, others),
   }));
   logLoss(owner, executor, runs);
   if (executor.hasCrashed) return recordCrashes(owner, id, suspects);
--- a/packages/jobs/run/lost_executors_test.ts
+++ b/packages/jobs/run/lost_executors_test.ts
@@ -87,4 +87,35 @@
     await advanceTime(2_000);
     expect(lossesOf("e1")).toHaveLength(1);
   });
+
+  // Guards against a crash that counts for a task though a later start without
+  // an answer may have caused it (AVAIL, LOST).
+  test.each(["list", "answer"])(
+    "is not blamed on a run before a start without an answer, by the %s",
+    async (firstSign) => {
+      const executor = fixture.addExecutor("e1");
+      const owner = await fixture.startOwner(1);
+      fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+      await advanceTime(1_200);
+      const { start } = fixture.executors;
+      fixture.executors.start = async (target, request) => {
+        await start(target, request);
+        executor.fault = "unreachable";
+        return { type: "unknown", reason: "ECONNRESET" };
+      };
+      fixture.accept("00000000000000b1", [createStep({ count: 1 })]);
+      await advanceTime(3_000);
+      fixture.executors.start = start;
+      fixture.addExecutor("e1", { startedAtMs: 2 });
+      if (firstSign === "answer") await advanceTime(800);
+      owner.refresh();
+      await advanceTime(1_000);
+      const suspected = fixture.logged.filter((line) =>
+        line.startsWith("taskSuspected ") && line.includes(JOB_ID)
+      );
+      expect(suspected).toEqual([
+        expect.stringContaining(`"startedLast":false`),
+      ]);
+    },
+  );
 });
