--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -6,6 +6,7 @@
  */
 
 import { findStartedTask } from "../accepted/apply_records.ts";
+import { closeOutlastedStarts } from "../ended/open_start.ts";
 import { recordRunEnd, recordTrackedRunEnd } from "../ended/record_run_end.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import { findTask, hasEnded as hasJobEnded, type Run } from "../job.ts";
@@ -214,6 +215,9 @@
   const unlisted = [...executor.runs].filter((run) => !isListed(run));
   if (unlisted.length > 0) next.leaseEndsMs = executor.leaseEndsMs;
   deferLoss(owner, executor, unlisted);
+  // The others are lost first: which run started last shows while all are here.
+  executor.isRemoved = true;
+  owner.sessions.get(executor)?.expireRuns(-Infinity);
   for (const run of unlisted) transferRun(run, next);
   removeExecutor(owner, executor);
   if (unlisted.length > 0) recordUsedExecutor(owner, next.id);
@@ -346,6 +350,7 @@
   if (hasAnswered) {
     if (!executor.hasMoreEnds) confirmExecutor(owner, executor.id);
     resolveLoss(owner, executor);
+    closeOutlastedStarts(owner, executor);
   }
   logReachability(owner, executor);
   owner.schedulePlacement();
