Stop starts that the next process of an executor may carry out late

What callers saw: two runs of a task (TWICE). A start got no answer, its executor confirmed the stop, or its lease expired, and the task was started elsewhere. The executor then restarted under its id, and its new process, which knows neither tokens nor stops, carried the start out.

The owner now remembers for 12 s the runs that ended without any sign that their start was carried out. It stops them on the next process before its first poll there, or as soon as an answer shows that process, and repeats a stop without an answer.

Evidence: "refuses a late start that its earlier process was to stop", "refuses such a start after a gap in the list", "refuses such a start once a poll shows the restart" and "refuses a late start that was lost with its lease" failed before with the late start in the list of starts of the new process.

--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -194,6 +194,14 @@
   suspendedUntilMs: number;
 };
 
+/** Start without an answer that its owner has given up. */
+export type LateStart = {
+  task: string;
+  run: number;
+  /** Monotonic time at which its run ended for the owner. */
+  givenUpAtMs: number;
+};
+
 /** Record for the next owner of an executor that may run tasks. */
 export type UsedExecutor = {
   isStored: boolean;
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -13,7 +13,7 @@
   Queue,
 } from "../fleet.ts";
 import type { Job, JobsById, Run } from "../job.ts";
-import type { UsedExecutor } from "../model.ts";
+import type { LateStart, UsedExecutor } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
@@ -85,6 +85,8 @@
    * show.
    */
   endedExecutors: Map<string, number>;
+  /** Starts that the next process of an executor may carry out, by its id. */
+  lateStarts: Map<string, LateStart[]>;
   /** Executors whose runs were lost and that may have crashed, by id. */
   lostExecutors: Map<string, LostExecutor>;
   /** Executors to drain for a move or for upkeep of their machines. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -209,6 +209,7 @@
     inheritedRuns: undefined,
     hasStoredHandover: false,
     endedExecutors: new Map(),
+    lateStarts: new Map(),
     lostExecutors: new Map(),
     reservedExecutors: new Set(),
     reservedUntilMs: 0,
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -96,6 +96,7 @@
 
   /** A later process of the executor answers. */
   const markRestarted = () => {
+    if (!executor.hasRestarted) callbacks.onRestart(executor);
     recordRestart(executor, options.longestLeaseMs);
     markRemoved();
   };
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -37,6 +37,7 @@
   resolveLoss,
   resolveLosses,
 } from "./lost_executors.ts";
+import { recordLateStart, stopLateStarts } from "./late_starts.ts";
 import type { Adoption, ExecutorSession } from "./session_types.ts";
 import { createExecutorSession } from "./executor_session.ts";
 
@@ -240,6 +241,7 @@
   owner: OwnerState,
   executor: ExecutorState,
 ): ExecutorSession {
+  stopLateStarts(owner, executor);
   return createExecutorSession({
     executor,
     executorClient: owner.options.executorClient,
@@ -253,6 +255,7 @@
     callbacks: {
       onRunEnd(run, end) {
         recordPendingCrash(owner, run);
+        recordLateStart(owner, run);
         recordTrackedRunEnd(owner, run, end);
       },
       onLoss: (executor, runs) => recordLoss(owner, executor, runs),
@@ -262,6 +265,7 @@
       },
       onUnknownRun: (executor, report) => adoptRun(owner, executor, report),
       whenStored: owner.progress.whenStored,
+      onRestart: (executor) => stopLateStarts(owner, executor),
       onChange: (executor) => handleChange(owner, executor),
       onFenced: () => owner.loseOwnership("executor"),
     },
--- /dev/null
+++ b/packages/jobs/run/late_starts.ts
@@ -0,0 +1,66 @@
+/**
+ * Starts that may be carried out late by the next process of their executor.
+ *
+ * @module
+ */
+
+import { sleep } from "../_sleep.ts";
+import type { ExecutorState } from "../executor_state.ts";
+import type { Run } from "../job.ts";
+import type { OwnerState } from "../owned/owner_state.ts";
+
+/** Longest time after which a start without an answer is still carried out. */
+const MAX_LATENESS_MS = 12_000;
+
+/** Pause after a stop without an answer. */
+const RETRY_MS = 300;
+
+/**
+ * Remembers the start of a run that has ended without any sign of its executor
+ * that it began. A confirmed stop binds only the process that confirmed it.
+ */
+export function recordLateStart(owner: OwnerState, run: Run): void {
+  if (run.confirmedClockMs !== undefined) return;
+  for (const executor of owner.lateStarts.keys()) {
+    if (recentStarts(owner, executor).length > 0) continue;
+    owner.lateStarts.delete(executor);
+  }
+  const { id } = run.executor;
+  owner.lateStarts.set(id, [...recentStarts(owner, id), {
+    task: run.task.name,
+    run: run.number,
+    givenUpAtMs: performance.now(),
+  }]);
+}
+
+/**
+ * Has the current process of an executor refuse the starts that it may still
+ * carry out late, though their tasks have been started elsewhere.
+ */
+export function stopLateStarts(
+  owner: OwnerState,
+  executor: ExecutorState,
+): void {
+  const { id, address } = executor;
+  const { executorClient, epoch: token } = owner.options;
+  const repeatStop = async (task: string, run: number) => {
+    while (!owner.isClosed && owner.executors.get(id) === executor) {
+      const outcome = await executorClient.stop(
+        { id, address },
+        { task, run, token },
+      );
+      if (outcome.type !== "unknown") return;
+      await sleep(RETRY_MS);
+    }
+  };
+  for (const { task, run } of recentStarts(owner, id)) {
+    void repeatStop(task, run);
+  }
+}
+
+/** Returns the starts that an executor may still carry out late. */
+function recentStarts(owner: OwnerState, executor: string) {
+  const sinceMs = performance.now() - MAX_LATENESS_MS;
+  const starts = owner.lateStarts.get(executor) ?? [];
+  return starts.filter(({ givenUpAtMs }) => givenUpAtMs >= sinceMs);
+}
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -16,6 +16,8 @@
 } from "../_fixtures.ts";
 import { longestLeaseMs, OWNERSHIP_GRACE_MS } from "../owned/owner_state.ts";
 
+const LATER_JOB_ID = "00000000000000b2";
+
 /** Time that `startOwner` waits for a new owner. */
 const TAKEOVER_MS = 50;
 
@@ -75,6 +77,91 @@
     expect(restarted.running.size + other.running.size).toBe(1);
   });
 
+  /**
+   * Lets a start get no answer and its executor confirm the stop, so that the
+   * task runs on `e2`.
+   */
+  async function giveUpStart() {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    executor.fault = "delayed";
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(100);
+    const other = fixture.addExecutor("e2");
+    fixture.reports.set("e1", createReport("e1", { isDraining: true }));
+    owner.refresh();
+    executor.fault = undefined;
+    await advanceTime(2_000);
+    expect(executor.starts).toEqual([]);
+    expect(other.starts).toHaveLength(1);
+    return { executor, other, owner };
+  }
+
+  // Guards against two runs of a task, as the start reaches the next process,
+  // which knows nothing of the stop (TWICE).
+  test("refuses a late start that its earlier process was to stop", async () => {
+    const { executor, owner } = await giveUpStart();
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    owner.refresh();
+    await advanceTime(100);
+    executor.deliverDelayed(restarted);
+    expect(restarted.starts).toEqual([]);
+  });
+
+  // Guards against the same if the list does not show it for a moment (TWICE).
+  test("refuses such a start after a gap in the list", async () => {
+    const { executor, owner } = await giveUpStart();
+    fixture.reports.delete("e1");
+    owner.refresh();
+    await advanceTime(1_000);
+    expect(owner.executors.has("e1")).toBe(false);
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    owner.refresh();
+    await advanceTime(100);
+    executor.deliverDelayed(restarted);
+    expect(restarted.starts).toEqual([]);
+  });
+
+  // Guards against the same if an answer shows the restart before the list.
+  test("refuses such a start once a poll shows the restart", async () => {
+    const { executor, owner } = await giveUpStart();
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    fixture.reports.set("e1", createReport("e1"));
+    owner.refresh();
+    fixture.accept(LATER_JOB_ID, [createStep({ count: 30, isLasting: true })]);
+    await advanceTime(1_500);
+    expect(restarted.starts).not.toEqual([]);
+    executor.deliverDelayed(restarted);
+    expect(restarted.starts.filter(({ task }) => task.startsWith(JOB_ID)))
+      .toEqual([]);
+  });
+
+  // Guards against the same if the executor was silent until its lease had
+  // expired, so that no stop was confirmed (TWICE).
+  test("refuses a late start that was lost with its lease", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    executor.fault = "delayed";
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(100);
+    const { poll } = fixture.executors;
+    fixture.executors.poll = (target, request) =>
+      target.id === "e1"
+        ? Promise.resolve({ type: "unknown", reason: "no answer" })
+        : poll(target, request);
+    const other = fixture.addExecutor("e2");
+    owner.refresh();
+    await advanceTime(6_000);
+    expect(other.starts).toHaveLength(1);
+    fixture.executors.poll = poll;
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    restarted.clockOffsetMs = 0;
+    owner.refresh();
+    await advanceTime(100);
+    executor.deliverDelayed(restarted);
+    expect(restarted.starts).toEqual([]);
+  });
+
   // Guards against tasks on an executor that serves another service since its
   // restart (ROUTE).
   test("gets no tasks after a restart into another service", async () => {
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -36,6 +36,8 @@
   onUnknownRun(executor: ExecutorState, report: RunReport): Adoption;
   /** Calls back once the results of all reported ends are stored. */
   whenStored(callback: () => void): void;
+  /** An answer shows that a later process has the executor's id. */
+  onRestart(executor: ExecutorState): void;
   /** The executor has answered, failed to answer or been removed. */
   onChange(executor: ExecutorState): void;
   /** The executor has seen a higher fencing token, of a newer owner. */
