Set up owners of tests in one place

19 test files of packages/jobs each wrote fake timers and a platform in memory before a test, and their end after it, in the same lines. setUpOwners in packages/jobs/_fixtures.ts does so now; each test still gets a fixture of its own. createMachine and NEXT_JOB_ID, which stood in two and three files, moved there too. advanceTime takes jest by a plain import, as only tests use the fixtures.

--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { afterEach, beforeEach, jest } from "@jest/globals";
 import {
   createMemoryExecutors,
   createMemoryStore,
@@ -21,6 +22,7 @@
 
 export const PARTITION = 3;
 export const JOB_ID = "00000000000000a1";
+export const NEXT_JOB_ID = "00000000000000b2";
 
 /** Creates a step of two short tasks, with some fields replaced. */
 export function createStep(fields: Partial<Step> = {}): Step {
@@ -110,6 +112,11 @@
   };
 }
 
+/** Creates a machine of the pool `quoting` that runs an executor. */
+export function createMachine(executor: string): Machine {
+  return { id: `m-${executor}`, pool: "quoting", state: "up", executor };
+}
+
 /** Platform in memory, with owners of one partition. */
 export type OwnerFixture = {
   store: MemoryStore;
@@ -143,6 +150,27 @@
   close(): void;
 };
 
+/**
+ * Gives each test of a group fake timers and a platform in memory of its own,
+ * and ends both after it.
+ */
+export function setUpOwners(
+  onCreated: (fixture: OwnerFixture) => void,
+): void {
+  let fixture: OwnerFixture;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    fixture = createOwnerFixture();
+    onCreated(fixture);
+  });
+
+  afterEach(() => {
+    fixture.close();
+    jest.useRealTimers();
+  });
+}
+
 /** Creates a platform in memory, for a test that uses fake timers. */
 export function createOwnerFixture(): OwnerFixture {
   const owners: PartitionOwner[] = [];
@@ -218,6 +246,5 @@
 
 /** Advances the fake timers by a time in milliseconds. */
 export async function advanceTime(ms: number): Promise<void> {
-  const { jest } = await import("@jest/globals");
   await jest.advanceTimersByTimeAsync(ms);
 }
--- a/packages/jobs/ended/unstored_outcome_test.ts
+++ b/packages/jobs/ended/unstored_outcome_test.ts
@@ -1,32 +1,16 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
 
 describe("a job whose owner ends before its outcome is stored", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a job that stays running for good: the last end of a task is
   // stored before the outcome, and its executor can't report it again (LOST).
--- a/packages/jobs/owned/blocked_tasks_test.ts
+++ b/packages/jobs/owned/blocked_tasks_test.ts
@@ -1,31 +1,16 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
+  createMachine,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
 describe("tasks that a takeover blocks", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a lasting task that is not run again in calm after its
   // owner and its executor ended together (LOST).
@@ -39,12 +24,7 @@
     lost.fault = "unreachable";
     fixture.reports.delete("e1");
     const others = ["e2", "e3"].map((id) => fixture.addExecutor(id));
-    fixture.machines = others.map(({ report: { id } }) => ({
-      id: `m-${id}`,
-      pool: "quoting",
-      state: "up",
-      executor: id,
-    }));
+    fixture.machines = others.map(({ report }) => createMachine(report.id));
     await fixture.startOwner(2);
     await advanceTime(7_000);
     expect(others.flatMap(({ starts }) => starts)).toHaveLength(1);
--- a/packages/jobs/owned/clock_difference_test.ts
+++ b/packages/jobs/owned/clock_difference_test.ts
@@ -1,20 +1,13 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { beforeEach, describe, expect, jest, test } from "@jest/globals";
 import type { MemoryExecutor } from "@lagoonloom/standins";
 import {
   advanceTime,
   createAccepted,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
   PARTITION,
+  setUpOwners,
 } from "../_fixtures.ts";
 import { JOBS_TOPIC } from "../topics.ts";
 
@@ -29,17 +22,12 @@
   let fixture: OwnerFixture;
   let executor: MemoryExecutor;
 
+  setUpOwners((created) => fixture = created);
+
   beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
     executor = fixture.addExecutor("e1");
   });
 
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
-
   function acceptRepeatedJob() {
     const accepted = createAccepted([createStep({ count: 1 })]);
     accepted.submission.firstRunMs = Date.now();
--- a/packages/jobs/owned/handover_test.ts
+++ b/packages/jobs/owned/handover_test.ts
@@ -1,33 +1,17 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import { sleep } from "../_sleep.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
 
 describe("a takeover", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against relying on a handover from an owner that some executors had
   // not answered. On a randomised day of Lakeshore, 189 tasks ran twice.
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -1,31 +1,15 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
 describe("createPartitionOwner", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   const stateOf = async (
     owner: { getJobState(id: string): Promise<unknown> },
--- a/packages/jobs/owned/store_outage_test.ts
+++ b/packages/jobs/owned/store_outage_test.ts
@@ -1,18 +1,11 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import { createMemoryStore } from "@lagoonloom/standins";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import { createCandidacy } from "./candidacy.ts";
 import { followTopic } from "./follow_topic.ts";
@@ -23,16 +16,7 @@
 
 describe("after the store was silent", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a member that refuses callers for a second and more after
   // the store is back (trouble-3 of Bizerte), at any phase of its reads.
--- a/packages/jobs/placed/used_executors_test.ts
+++ b/packages/jobs/placed/used_executors_test.ts
@@ -1,32 +1,16 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
 describe("used executors", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   /**
    * Ends the only run of a job while the store does not answer and its executor
--- a/packages/jobs/placed/waiting_log_test.ts
+++ b/packages/jobs/placed/waiting_log_test.ts
@@ -1,31 +1,15 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
 describe("createWaitingLog", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a lasting task that waits without a line that says why.
   test("tells what each executor lacks for a task without a run", async () => {
--- a/packages/jobs/run/changing_capacity_test.ts
+++ b/packages/jobs/run/changing_capacity_test.ts
@@ -1,24 +1,16 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { Size } from "../submission.ts";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
+  NEXT_JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
-const NEXT_JOB_ID = "00000000000000b2";
-
 /** Names a task of the only step of a job. */
 const nameTask = (job: string, index: number) => `${job}.0.0.${index}`;
 
@@ -32,16 +24,7 @@
 
 describe("an executor whose capacity changes while it runs", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   function setCapacity(owner: PartitionOwner, cpu: number, startedAtMs = 1) {
     const capacity = capacityOf(cpu);
--- a/packages/jobs/run/crashing_task_test.ts
+++ b/packages/jobs/run/crashing_task_test.ts
@@ -1,19 +1,12 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { beforeEach, describe, expect, test } from "@jest/globals";
 import type { MemoryExecutor } from "@lagoonloom/standins";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 
@@ -48,19 +41,14 @@
   /** Time from a start to the crash of its executor. */
   let crashDelayMs: number;
 
+  setUpOwners((created) => fixture = created);
+
   beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
     hosts = [];
     crashed = new Set();
     crashDelayMs = 0;
   });
 
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
-
   const addHost = (index: number, life = 1) => {
     const host = fixture.addExecutor(`e${index}-${life}`, {
       address: `127.0.0.1:${index}`,
--- a/packages/jobs/run/drain_executors_test.ts
+++ b/packages/jobs/run/drain_executors_test.ts
@@ -1,18 +1,11 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { Step } from "../submission.ts";
@@ -38,16 +31,7 @@
 
 describe("draining", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a step that loses one task on a reserved executor and one on
   // an executor that leaves at the same time (AVAIL on a hunted Bizerte day).
--- a/packages/jobs/run/ended_executors_test.ts
+++ b/packages/jobs/run/ended_executors_test.ts
@@ -1,37 +1,16 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
+  createMachine,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
-import type { Machine } from "../fleet.ts";
-
-/** Creates a machine of the pool `quoting` that runs an executor. */
-function createMachine(executor: string): Machine {
-  return { id: `m-${executor}`, pool: "quoting", state: "up", executor };
-}
 
 describe("confirmEndedExecutors", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   /**
    * Loses an owner just after a lasting task was stopped, while the list still
--- a/packages/jobs/run/executor_session_test.ts
+++ b/packages/jobs/run/executor_session_test.ts
@@ -1,37 +1,20 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
+  NEXT_JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import type { PollOutcome } from "../ports.ts";
 
-const NEXT_JOB_ID = "00000000000000b2";
-
 /** Time after which a call without an answer is given up. */
 const CALL_TIMEOUT_MS = 700;
 
 describe("createExecutorSession", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   /** Lets the next poll that does not wait for an end get no answer. */
   function loseNextShortPoll(): void {
--- a/packages/jobs/run/lost_executors_test.ts
+++ b/packages/jobs/run/lost_executors_test.ts
@@ -1,32 +1,16 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
 describe("an executor whose runs are lost", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   const lossesOf = (id: string) =>
     fixture.logged.filter((line) =>
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -1,18 +1,11 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import { longestLeaseMs, OWNERSHIP_GRACE_MS } from "../owned/owner_state.ts";
 
@@ -24,16 +17,7 @@
 
 describe("an executor that comes back to the list", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a lasting task that counts as running for good (LOST).
   test("runs a task whose start was lost before it left the list", async () => {
--- a/packages/jobs/run/stragglers_test.ts
+++ b/packages/jobs/run/stragglers_test.ts
@@ -1,18 +1,11 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { beforeEach, describe, expect, test } from "@jest/globals";
 import type { MemoryExecutor } from "@lagoonloom/standins";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 
@@ -23,18 +16,13 @@
   let executors: MemoryExecutor[];
   let owner: PartitionOwner;
 
+  setUpOwners((created) => fixture = created);
+
   beforeEach(async () => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
     executors = ["e1", "e2", "e3"].map((id) => fixture.addExecutor(id));
     owner = await fixture.startOwner(1);
   });
 
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
-
   const taskName = (index: number) => `${JOB_ID}.0.0.${index}`;
 
   const executorOf = (name: string) =>
--- a/packages/jobs/run/unanswered_starts_test.ts
+++ b/packages/jobs/run/unanswered_starts_test.ts
@@ -1,31 +1,15 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
 describe("an executor that answers polls only", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a lasting task that is placed on the same executor again and
   // again, though its starts are lost there and others have capacity (LOST).
--- a/packages/jobs/run/unnoticed_restart_test.ts
+++ b/packages/jobs/run/unnoticed_restart_test.ts
@@ -1,18 +1,11 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import type { Step } from "../submission.ts";
 
@@ -23,16 +16,7 @@
 
 describe("an executor that has restarted unnoticed", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   /** Lets a process start a task before its owner notices that it is new. */
   async function startUnnoticed({ step = { isLasting: true }, clockOffsetMs }: {
--- a/packages/jobs/run/untracked_runs_test.ts
+++ b/packages/jobs/run/untracked_runs_test.ts
@@ -1,35 +1,19 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
+  NEXT_JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
-const NEXT_JOB_ID = "00000000000000b2";
 const LARGE = { cpu: 14_000, memoryMb: 500, accelerators: 0 };
 const SMALL = { cpu: 2_500, memoryMb: 500, accelerators: 0 };
 
 describe("runs that an owner finds and does not adopt", () => {
   let fixture: OwnerFixture;
-
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   function hasPlaced(job: string): boolean {
     return fixture.logged.some((line) =>
