Split the caller out of the fault fixture of request paths

_fault_fixture.ts (351 lines) held the deployment in which faults are injected and the HTTP caller of the tests.

--- a/packages/daemon/requests/_fault_cases.ts
+++ b/packages/daemon/requests/_fault_cases.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { Attempt } from "./_fault_caller.ts";
 import {
   answerBody,
   EXCHANGE_STEPS,
@@ -12,7 +13,6 @@
   type ExecutorFault,
 } from "./_fault_executor.ts";
 import {
-  type Attempt,
   createFaultFixture,
   type FaultFixtureOptions,
 } from "./_fault_fixture.ts";
--- a/packages/daemon/requests/_fault_fixture.ts
+++ b/packages/daemon/requests/_fault_fixture.ts
@@ -6,15 +6,19 @@
  */
 
 import { createCallerServer } from "@lagoonloom/callers";
-import type { RemoteSlots, Topology, Urgency } from "@lagoonloom/decisions";
+import type { RemoteSlots, Topology } from "@lagoonloom/decisions";
 import type { Service } from "@lagoonloom/objects";
 import { tailStream } from "@lagoonloom/platform";
 import type { AnswerRecord } from "@lagoonloom/records";
 import { createLogStore, createPlatformStandin } from "@lagoonloom/standins";
 import { createEventLog, createMetrics } from "@lagoonloom/telemetry";
 import { once } from "node:events";
-import { request } from "node:http";
 import type { AddressInfo } from "node:net";
+import {
+  type Attempt,
+  type CallOptions,
+  sendCallerRequest,
+} from "./_fault_caller.ts";
 import { type ExecutorState, serveFaultExecutor } from "./_fault_executor.ts";
 import { createRequestPath, type RequestPath } from "./create_request_path.ts";
 import type { RequestPathDependencies } from "./dependencies.ts";
@@ -25,18 +29,6 @@
 /** Slots of each entry host on each executor. */
 const SLOTS_PER_EXECUTOR = 3;
 
-/** Answer to one attempt of a caller. */
-export type Attempt = {
-  status: number;
-  body: string;
-  /** Whether the whole body arrived. */
-  isWhole: boolean;
-  outcome: "not-run" | "unknown" | undefined;
-  reason: string | undefined;
-  /** Runs of the key when the answer arrived. */
-  runsBefore: number;
-};
-
 /** Entry host of a test. */
 export type TestEntryHost = {
   name: string;
@@ -287,65 +279,3 @@
     idempotent_posts: name === "quoting",
   };
 }
-
-/** Options of a caller's request. */
-export type CallOptions = {
-  /** Idempotency key of an order; the request is a quote without one. */
-  key?: string;
-  body?: string;
-  service?: string;
-  token?: string;
-  urgency?: Urgency;
-  signal?: AbortSignal;
-};
-
-/** Sends a caller's request; also resolves if the connection breaks. */
-function sendCallerRequest(
-  address: string,
-  options: CallOptions,
-  countRuns: () => number,
-): Promise<Attempt> {
-  const { key, body = "", token = "token", urgency, signal } = options;
-  const { service = key === undefined ? "quoting" : "orders" } = options;
-  return new Promise((resolve) => {
-    const outgoing = request(`http://${address}/v1/services/${service}/a`, {
-      method: "POST",
-      agent: false,
-      headers: {
-        authorization: `Bearer ${token}`,
-        ...(key !== undefined && { "idempotency-key": key }),
-        ...(urgency !== undefined && { "request-class": urgency }),
-      },
-      ...(signal && { signal }),
-    }, (incoming) => {
-      const chunks: Buffer[] = [];
-      incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
-      incoming.on("error", () => undefined);
-      incoming.on("close", () => {
-        const text = Buffer.concat(chunks).toString();
-        const status = incoming.statusCode ?? 0;
-        const problem = status >= 400 && incoming.complete
-          ? JSON.parse(text) as Attempt
-          : undefined;
-        resolve({
-          status,
-          body: text,
-          isWhole: incoming.complete,
-          outcome: problem?.outcome,
-          reason: problem?.reason,
-          runsBefore: countRuns(),
-        });
-      });
-    });
-    const broken: Attempt = {
-      status: 0,
-      body: "",
-      isWhole: false,
-      outcome: undefined,
-      reason: "broken",
-      runsBefore: 0,
-    };
-    outgoing.on("error", () => resolve(broken));
-    outgoing.end(body);
-  });
-}
--- a/packages/daemon/requests/create_request_path_test.ts
+++ b/packages/daemon/requests/create_request_path_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import { createEventLog, createMetrics } from "@lagoonloom/telemetry";
-import { type CallOptions, createFaultFixture } from "./_fault_fixture.ts";
+import type { CallOptions } from "./_fault_caller.ts";
+import { createFaultFixture } from "./_fault_fixture.ts";
 
 type Fixture = Awaited<ReturnType<typeof createFaultFixture>>;
 
--- a/packages/daemon/requests/request_flood_test.ts
+++ b/packages/daemon/requests/request_flood_test.ts
@@ -1,7 +1,8 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import type { Urgency } from "@lagoonloom/decisions";
+import type { Attempt } from "./_fault_caller.ts";
 import { answerBody } from "./_fault_executor.ts";
-import { type Attempt, createFaultFixture } from "./_fault_fixture.ts";
+import { createFaultFixture } from "./_fault_fixture.ts";
 
 type Fixture = Awaited<ReturnType<typeof createFaultFixture>>;
 type Order = { key: string; attempt: Attempt };
