--- a/packages/decisions/fold/internal/fold_checkpoint.ts
+++ b/packages/decisions/fold/internal/fold_checkpoint.ts
@@ -5,12 +5,12 @@
  * @module
  */
 
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../recent_outcome.ts";
 import { APPLIED, refuse } from "./outcomes.ts";
 
-type Checkpoint = Extract<ControlRecord, { type: "checkpoint" }>;
+type Checkpoint = ControlRecordOf<"checkpoint">;
 
 /** Folds a chunk of a checkpoint, which is complete with its last one. */
 export function foldCheckpoint(
--- a/packages/decisions/fold/internal/fold_decider.ts
+++ b/packages/decisions/fold/internal/fold_decider.ts
@@ -4,12 +4,12 @@
  * @module
  */
 
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../recent_outcome.ts";
 import { APPLIED, refuse } from "./outcomes.ts";
 
-type DeciderClaimed = Extract<ControlRecord, { type: "decider.claimed" }>;
+type DeciderClaimed = ControlRecordOf<"decider.claimed">;
 
 /**
  * Folds a claim of a decider's lease, which is a renewal by the holder or,
--- a/packages/decisions/fold/internal/fold_job.ts
+++ b/packages/decisions/fold/internal/fold_job.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "../fleet_state.ts";
 import type { JobState, WorkerState } from "../job_state.ts";
 import type { RecordOutcome } from "../recent_outcome.ts";
@@ -28,12 +28,10 @@
 const MAX_RECENT_ATTEMPTS = 8;
 
 /** Record of one type. */
-type RecordOf<Type> = Extract<ControlRecord, { type: Type }>;
-
 /** Folds the submission of a new job of a known team. */
 export function foldJobSubmitted(
   state: FleetState,
-  record: RecordOf<"job.submitted">,
+  record: ControlRecordOf<"job.submitted">,
   log: LogRecord,
 ): RecordOutcome {
   if (state.jobs.has(record.job)) return refuse("The job is known.");
@@ -61,7 +59,7 @@
 /** Folds the start of the next attempt of a queued job. */
 export function foldJobPlaced(
   state: FleetState,
-  record: RecordOf<"job.placed">,
+  record: ControlRecordOf<"job.placed">,
   log: LogRecord,
 ): RecordOutcome {
   const problem = checkTerm(state, record, log.timeMs);
@@ -100,7 +98,7 @@
 /** Folds the end of an attempt, and queues the job unless it succeeded. */
 export function foldJobEnded(
   state: FleetState,
-  record: RecordOf<"job.ended">,
+  record: ControlRecordOf<"job.ended">,
   log: LogRecord,
 ): RecordOutcome {
   const job = state.jobs.get(record.job);
@@ -134,7 +132,7 @@
 /** Folds a cancellation; the job never starts again. */
 export function foldJobCancelled(
   state: FleetState,
-  record: RecordOf<"job.cancelled">,
+  record: ControlRecordOf<"job.cancelled">,
   log: LogRecord,
 ): RecordOutcome {
   const job = state.jobs.get(record.job);
@@ -155,7 +153,7 @@
  */
 export function foldJobParked(
   state: FleetState,
-  record: RecordOf<"job.parked">,
+  record: ControlRecordOf<"job.parked">,
   log: LogRecord,
 ): RecordOutcome {
   const problem = checkTerm(state, record, log.timeMs);
@@ -171,7 +169,7 @@
 /** Folds the suspension, trial or restoration of a worker. */
 export function foldWorkerChanged(
   state: FleetState,
-  record: RecordOf<"worker.changed">,
+  record: ControlRecordOf<"worker.changed">,
   log: LogRecord,
 ): RecordOutcome {
   const problem = checkTerm(state, record, log.timeMs);
@@ -205,7 +203,7 @@
 }
 
 type AttemptEnd = {
-  outcome: RecordOf<"job.ended">["outcome"];
+  outcome: ControlRecordOf<"job.ended">["outcome"];
   atMs: number;
 };
 
--- a/packages/decisions/fold/internal/fold_member.ts
+++ b/packages/decisions/fold/internal/fold_member.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../recent_outcome.ts";
 import { APPLIED, refuse } from "./outcomes.ts";
@@ -12,10 +12,10 @@
 /** Limit on the ended incarnations that are kept for each member. */
 const MAX_ENDED_INCARNATIONS = 16;
 
-type MemberJoined = Extract<ControlRecord, { type: "member.joined" }>;
-type MemberLeft = Extract<ControlRecord, { type: "member.left" }>;
-type MemberLost = Extract<ControlRecord, { type: "member.lost" }>;
-type MemberWatched = Extract<ControlRecord, { type: "member.watched" }>;
+type MemberJoined = ControlRecordOf<"member.joined">;
+type MemberLeft = ControlRecordOf<"member.left">;
+type MemberLost = ControlRecordOf<"member.lost">;
+type MemberWatched = ControlRecordOf<"member.watched">;
 
 /** Folds a join, which ends the previous incarnation of the same name. */
 export function foldMemberJoined(
--- a/packages/decisions/fold/internal/fold_move.ts
+++ b/packages/decisions/fold/internal/fold_move.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import { findJoinBlocker } from "../../budgets/find_join_blocker.ts";
 import type { FleetState, HostState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../recent_outcome.ts";
@@ -12,7 +12,7 @@
 import { indexHost, setMove } from "./host_index.ts";
 import { APPLIED, getOwn, refuse } from "./outcomes.ts";
 
-type MoveAdvanced = Extract<ControlRecord, { type: "move.advanced" }>;
+type MoveAdvanced = ControlRecordOf<"move.advanced">;
 
 /** Folds a step of a move; only the step `finished` changes the owner. */
 export function foldMoveAdvanced(
--- a/packages/decisions/fold/internal/fold_permit.ts
+++ b/packages/decisions/fold/internal/fold_permit.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import { findOutageBlocker } from "../../budgets/find_outage_blocker.ts";
 import { poolCapacity } from "../../budgets/pool_capacity.ts";
 import type { FleetState, HostState } from "../fleet_state.ts";
@@ -13,9 +13,9 @@
 import { setMove } from "./host_index.ts";
 import { APPLIED, getOwn, refuse } from "./outcomes.ts";
 
-type PermitGranted = Extract<ControlRecord, { type: "permit.granted" }>;
-type PermitReturned = Extract<ControlRecord, { type: "permit.returned" }>;
-type HostObserved = Extract<ControlRecord, { type: "host.observed" }>;
+type PermitGranted = ControlRecordOf<"permit.granted">;
+type PermitReturned = ControlRecordOf<"permit.returned">;
+type HostObserved = ControlRecordOf<"host.observed">;
 
 /** Folds a permit, unless the outage of the host would violate a budget. */
 export function foldPermitGranted(
--- a/packages/decisions/fold/internal/fold_set.ts
+++ b/packages/decisions/fold/internal/fold_set.ts
@@ -11,7 +11,7 @@
   type ObjectSet,
   type SetChange,
 } from "@lagoonloom/objects";
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import { isAvailable } from "../../budgets/pool_capacity.ts";
 import { poolLimits, requiredHosts } from "../../budgets/pool_limits.ts";
 import type { FleetState } from "../fleet_state.ts";
@@ -22,7 +22,7 @@
 /** Limit on the history, which covers 80 minutes at 8,900 changes a day. */
 export const MAX_HISTORY_ENTRIES = 500;
 
-type SetChanged = Extract<ControlRecord, { type: "set.changed" }>;
+type SetChanged = ControlRecordOf<"set.changed">;
 
 /** Folds a published change of the set, which takes effect as a whole. */
 export function foldSetChanged(
--- a/packages/decisions/fold/internal/fold_wave.ts
+++ b/packages/decisions/fold/internal/fold_wave.ts
@@ -1,10 +1,10 @@
-import type { ControlRecord, LogRecord } from "@lagoonloom/records";
+import type { ControlRecordOf, LogRecord } from "@lagoonloom/records";
 import type { FleetState } from "../fleet_state.ts";
 import type { RecordOutcome } from "../recent_outcome.ts";
 import { checkTerm } from "./fold_decider.ts";
 import { APPLIED, getOwn, refuse } from "./outcomes.ts";
 
-type WaveChanged = Extract<ControlRecord, { type: "wave.changed" }>;
+type WaveChanged = ControlRecordOf<"wave.changed">;
 
 /** Folds the start, pause or end of a maintenance wave. */
 export function foldWaveChanged(
--- a/packages/decisions/placement/internal/plan_attempts.ts
+++ b/packages/decisions/placement/internal/plan_attempts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { ControlRecord } from "@lagoonloom/records";
+import type { ControlRecordOf } from "@lagoonloom/records";
 import { planRecord } from "../../deciders/planned_record.ts";
 import type { JobSize, JobState } from "../../fold/job_state.ts";
 import type { TaskReport } from "../job_observations.ts";
@@ -23,7 +23,7 @@
 /** Different trusted workers on which a job fails before it is parked. */
 export const PARK_AFTER_WORKERS = 3;
 
-type JobEndedRecord = Extract<ControlRecord, { type: "job.ended" }>;
+type JobEndedRecord = ControlRecordOf<"job.ended">;
 
 const RUNNING_STATES: readonly string[] = ["running", "throttled"];
 
--- a/packages/decisions/placement/internal/plan_worker_states.ts
+++ b/packages/decisions/placement/internal/plan_worker_states.ts
@@ -1,4 +1,4 @@
-import type { ControlRecord } from "@lagoonloom/records";
+import type { ControlRecordOf } from "@lagoonloom/records";
 import { planRecord } from "../../deciders/planned_record.ts";
 import type { WorkerState } from "../../fold/job_state.ts";
 import { collectFailures, isFaulty, trialDelayMs } from "../worker_failures.ts";
@@ -13,7 +13,7 @@
 /** Run time in milliseconds after which a trial job counts as successful. */
 const TRIAL_RUN_MS = 60_000;
 
-type WorkerChangedRecord = Extract<ControlRecord, { type: "worker.changed" }>;
+type WorkerChangedRecord = ControlRecordOf<"worker.changed">;
 
 /**
  * Plans the changes of workers between the states suspended, on trial and
--- a/packages/measure/requests/measure_flood_stress.ts
+++ b/packages/measure/requests/measure_flood_stress.ts
@@ -6,9 +6,9 @@
   drawArrivals,
 } from "./demand.ts";
 import { type Deployment, DEPLOYMENTS } from "./deployment.ts";
-import { computeKeptGoodput } from "./measure_flood.ts";
 import { CHOSEN, SHARED_FIFO } from "./policy.ts";
-import { type RunResult, simulateRequests } from "./simulate_requests.ts";
+import { simulateFlood } from "./simulate_flood.ts";
+import type { RunResult } from "./simulate_requests.ts";
 
 /** Conditions that are harder than those of the deployments. */
 type Stress = {
@@ -78,16 +78,10 @@
   }));
   const arrivals = [...baseArrivals, ...flood].sort((a, b) => a.atMs - b.atMs);
   return [CHOSEN, SHARED_FIFO].flatMap((policy) => {
-    const withoutFlood = simulateRequests({
-      deployment,
+    const { withFlood, kept } = simulateFlood(deployment, {
       policy,
-      arrivals: baseArrivals,
-    });
-    const withFlood = simulateRequests({ deployment, policy, arrivals });
-    const kept = computeKeptGoodput(deployment, {
       baseArrivals,
-      withoutFlood,
-      withFlood,
+      arrivals,
     });
     const shareInTime = computeShareInTime(deployment, {
       arrivals,
--- a/packages/measure/requests/requests_test.ts
+++ b/packages/measure/requests/requests_test.ts
@@ -6,9 +6,8 @@
   FLOOD_START_MS,
 } from "./demand.ts";
 import { countSlots, DEPLOYMENTS, NYABARONGO } from "./deployment.ts";
-import { computeKeptGoodput } from "./measure_flood.ts";
 import { CHOSEN, FIXED_SHARES, type Policy, SHARED_FIFO } from "./policy.ts";
-import { simulateRequests } from "./simulate_requests.ts";
+import { simulateFlood } from "./simulate_flood.ts";
 import {
   createSlotOwnerLookup,
   createTopology,
@@ -31,16 +30,10 @@
   const baseArrivals = draw("none", 1);
   const arrivals = [...baseArrivals, ...draw("urgent", 2)]
     .sort((a, b) => a.atMs - b.atMs);
-  const withoutFlood = simulateRequests({
-    deployment,
+  const { withFlood, kept } = simulateFlood(deployment, {
     policy,
-    arrivals: baseArrivals,
-  });
-  const withFlood = simulateRequests({ deployment, policy, arrivals });
-  const kept = computeKeptGoodput(deployment, {
     baseArrivals,
-    withoutFlood,
-    withFlood,
+    arrivals,
   });
   return { kept, result: withFlood, arrivals };
 }
--- a/packages/records/control_record.ts
+++ b/packages/records/control_record.ts
@@ -179,3 +179,9 @@
 
 /** Record of the stream `control`. */
 export type ControlRecord = z.infer<typeof ControlRecord>;
+
+/** Record of the stream `control` of one type, such as `job.placed`. */
+export type ControlRecordOf<Type extends ControlRecord["type"]> = Extract<
+  ControlRecord,
+  { type: Type }
+>;
--- a/packages/standins/jobs/job_checker.ts
+++ b/packages/standins/jobs/job_checker.ts
@@ -5,7 +5,7 @@
  */
 
 import type { FleetState, RecordOutcome } from "@lagoonloom/decisions";
-import type { ControlRecord } from "@lagoonloom/records";
+import type { ControlRecord, ControlRecordOf } from "@lagoonloom/records";
 import type { WorkerTask, WorkerTasks } from "../worker_tasks.ts";
 
 /** Time in milliseconds in which a cancelled job may still start. */
@@ -155,7 +155,7 @@
   return isOver ? "the worker is over its capacity" : undefined;
 }
 
-type JobPlaced = Extract<ControlRecord, { type: "job.placed" }>;
+type JobPlaced = ControlRecordOf<"job.placed">;
 
 /** Finds an urgent job that could have run instead of the placed one. */
 function findBypassedUrgentJob(
