--- /dev/null
+++ b/packages/jobs/member_options.ts
@@ -0,0 +1,51 @@
+/**
+ * What a member is given: its name, its platform and the clients of others.
+ *
+ * @module
+ */
+
+import type { Configuration, ExecutorReport, UpkeepWave } from "./fleet.ts";
+import type { JobEventLog } from "./job_event_log.ts";
+import type { MemberCapacity } from "./owned/member_name.ts";
+import type {
+  AdviceClient,
+  ExecutorClient,
+  MachineClient,
+  Store,
+} from "./ports.ts";
+
+/** Configuration, executors and waves of upkeep, as this member read them. */
+export type PlatformState = {
+  configuration(): Configuration | undefined;
+  executors(): ReadonlyMap<string, ExecutorReport>;
+  /** Whether the list of executors has been read since it was last needed. */
+  hasExecutorList(): boolean;
+  /** Monotonic time of the store's last answer about this list. */
+  executorsReadAtMs(): number;
+  waves(): readonly UpkeepWave[];
+  /** Monotonic time of the store's last answer about the configuration. */
+  readAtMs(): number;
+  /** Starts or stops following the list of executors. */
+  followExecutors(isNeeded: boolean): void;
+};
+
+/** Options of a member. */
+export type MemberOptions = {
+  /** Name under which this process holds the lease on the machines. */
+  name: string;
+  peer: { host: string; port: number };
+  /** What this member's machine can carry. */
+  capacity: MemberCapacity;
+  store: Store;
+  executorClient: ExecutorClient;
+  machineClient: MachineClient;
+  adviceClient: AdviceClient | undefined;
+  events: JobEventLog;
+  partitionCount: number;
+  /** Longest lease that the platform grants. */
+  maxLeaseMs: number;
+  /** Time for which callers can ask for the state of an ended job. */
+  endedJobRetentionMs: number;
+  /** Starts to follow the platform; calls `onChange` after each change. */
+  followPlatform(onChange: () => void): PlatformState;
+};
