Let only values that rely on others move behind them

What callers would see: a task runs again after it was done (TWICE). Now a value keeps its place, and only the handover and the record of used executors, which rely on what was put before, move behind it.

--- a/packages/jobs/ended/progress_log.ts
+++ b/packages/jobs/ended/progress_log.ts
@@ -32,13 +32,15 @@
 export type ProgressLog = {
   /**
    * Stores the value of a key with the next batch. The value is computed when
-   * the batch is sent, and an undefined value removes the key. With `isUrgent`
-   * the batch is sent without waiting for more records.
+   * the batch is sent, and an undefined value removes the key. A key that waits
+   * already keeps its place, unless the value `isLast`: then it is stored after
+   * all others that were put before, as it relies on them. With `isUrgent` the
+   * batch is sent without waiting for more records.
    */
   put(
     key: string,
     value: () => string | undefined,
-    options?: { isUrgent?: boolean },
+    options?: { isUrgent?: boolean; isLast?: boolean },
   ): void;
   /** Calls back once all records put before this call are stored. */
   whenStored(callback: () => void): void;
@@ -157,8 +159,7 @@
 
   return {
     put(key, value, putOptions) {
-      // The new value may rely on records that were put after the old one.
-      values.delete(key);
+      if (putOptions?.isLast === true) values.delete(key);
       values.set(key, value);
       if (putOptions?.isUrgent === true) {
         isUrgent = true;
--- a/packages/jobs/ended/progress_log_test.ts
+++ b/packages/jobs/ended/progress_log_test.ts
@@ -23,9 +23,8 @@
     jest.useRealTimers();
   });
 
-  // Guards against a handover that is stored before the ends of runs that it
-  // leaves out, so that the next owner starts their tasks again (TWICE).
-  test("stores a value after all that were put before it", async () => {
+  /** Puts many records, and some of them again, and returns what is stored. */
+  async function storeRecords(): Promise<string[][]> {
     const store = createMemoryStore({ partitions: 1 });
     const { append } = store;
     const batches: string[][] = [];
@@ -45,10 +44,30 @@
     for (let index = 0; index < RECORDS; index++) {
       log.put(`job-${index}`, () => "{}");
     }
-    log.put("handover", () => "{}");
+    log.put("handover", () => "{}", { isLast: true });
+    for (let index = 0; index < RECORDS; index += 2) {
+      log.put(`job-${index}`, () => "{}");
+    }
     await advanceTime(1_000);
     log.close();
+    return batches;
+  }
+
+  // Guards against a handover that is stored before the ends of runs that it
+  // leaves out, so that the next owner starts their tasks again (TWICE).
+  test("stores a last value after all that were put before it", async () => {
+    const batches = await storeRecords();
     expect(batches.flat()).toHaveLength(RECORDS + 2);
     expect(batches.at(-1)!.at(-1)).toBe("handover");
   });
+
+  // Guards against ends of runs that a later end of their job moves behind the
+  // handover that leaves them out (TWICE).
+  test("stores a value that is put again where it was", async () => {
+    const keys = (await storeRecords()).flat();
+    const jobs = keys.filter((key) => key.startsWith("job-"));
+    expect(jobs).toEqual(
+      Array.from({ length: RECORDS }, (_, index) => `job-${index}`),
+    );
+  });
 });
--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -20,7 +20,9 @@
   if (!owner.isLoaded) return;
   const suspectStarts = unresolvedStarts(owner);
   const handover: Handover = { ...createHandover(owner), suspectStarts };
-  owner.progress.put(HANDOVER_KEY, () => JSON.stringify(handover));
+  owner.progress.put(HANDOVER_KEY, () => JSON.stringify(handover), {
+    isLast: true,
+  });
 }
 
 function createHandover(owner: OwnerState): Handover {
--- a/packages/jobs/placed/used_executors.ts
+++ b/packages/jobs/placed/used_executors.ts
@@ -67,6 +67,6 @@
   owner.progress.put(
     USED_EXECUTORS_KEY,
     () => JSON.stringify([...owner.usedExecutors.keys()]),
-    { isUrgent: true },
+    { isUrgent: true, isLast: true },
   );
 }
