Renew no lease while the handover that was read is still stored

What callers would see: two runs of a task at a time (TWICE). If the store fell silent then, the owner after next read the same handover and waited no longer than the leases that it names.

"renews no lease before the handover is deleted" failed before and passes now.

--- a/packages/jobs/owned/handover_test.ts
+++ b/packages/jobs/owned/handover_test.ts
@@ -317,4 +317,30 @@
     await advanceTime(500);
     expect(hosts.flatMap(({ starts }) => starts).length).toBeLessThan(2);
   });
+
+  // Guards against two runs of a task (TWICE): the owner after next reads the
+  // same handover, and waits no longer than the leases that it names.
+  test("renews no lease before the handover is deleted", async () => {
+    const used = fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(1_000);
+    used.fault = "unreachable";
+    await advanceTime(1_000);
+    await Promise.all([first.release(1_000), advanceTime(200)]);
+    used.fault = undefined;
+    const { leaseExpiryMs } = used;
+    const { readNewest } = fixture.store;
+    fixture.store.readNewest = async (partition) => {
+      const outcome = await readNewest(partition);
+      if (partition.topic === PROGRESS_TOPIC) fixture.store.fault = "silent";
+      return outcome;
+    };
+    await fixture.startOwner(2);
+    await advanceTime(300);
+    expect(used.leaseExpiryMs).toBe(leaseExpiryMs);
+    fixture.store.fault = undefined;
+    await advanceTime(1_000);
+    expect(used.leaseExpiryMs).toBeGreaterThan(leaseExpiryMs);
+  });
 });
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -252,10 +252,11 @@
     token: owner.options.epoch,
     leaseMs: owner.options.leaseMs,
     longestLeaseMs: longestLeaseMs(owner.options.maxLeaseMs),
-    // A lease that is renewed during the release would outlast what the
-    // handover says.
+    // A renewed lease would outlast what a handover says, be it the own one or
+    // one that the next owner may still read.
     mayRenew: () =>
-      !owner.isReleasing && isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS),
+      !owner.isReleasing && !owner.hasStoredHandover &&
+      isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS),
     callbacks: {
       onRunEnd(run, end) {
         recordPendingCrash(owner, run);
