Send no orders for machines while the handover that was read is still stored

What callers would see: orders of two owners for machines beside each other (ONE). A new owner of the machines ordered at once after a handover, before its deletion was stored; the next owner read it again and did not wait until the orders of the former had ended. That wait is now shortened only once the deletion is stored.

"sends no orders before the handover is deleted" failed before (one order) and passes now, as does "sends orders at once after a planned handover".

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -322,10 +322,14 @@
     progress.put(HANDOVER_KEY, () => undefined);
     const handover = Handover.safeParse(documents.get(HANDOVER_KEY));
     if (!handover.success) return;
-    ordersAllowedFromMs = Math.min(
-      ordersAllowedFromMs,
-      performance.now() + handover.data.waitMs,
-    );
+    const readAtMs = performance.now();
+    // The next owner would read it again, though this one has sent orders.
+    progress.whenStored(() => {
+      ordersAllowedFromMs = Math.min(
+        ordersAllowedFromMs,
+        readAtMs + handover.data.waitMs,
+      );
+    });
   };
 
   /** Stores that no order is open, and how long the own wait would last. */
--- a/packages/jobs/machines/machines_owner_test.ts
+++ b/packages/jobs/machines/machines_owner_test.ts
@@ -10,6 +10,7 @@
 import { advanceTime, createConfiguration, PARTITION } from "../_fixtures.ts";
 import type { Machine, UpkeepWave } from "../fleet.ts";
 import type { MachineClient } from "../ports.ts";
+import { PROGRESS_TOPIC } from "../topics.ts";
 import { createMachinesOwner, type MachinesOwner } from "./machines_owner.ts";
 import type { PartitionReport } from "./partition_report.ts";
 
@@ -198,4 +199,24 @@
     await advanceTime(1_500);
     expect(fixture.orders).toEqual(["upkeep m1 3"]);
   });
+
+  // Guards against orders beside those of an earlier owner (ONE), which sent
+  // them before its deletion of the handover was stored.
+  test("sends no orders before the handover is deleted", async () => {
+    fixture.waves = [];
+    const first = own(1);
+    await advanceTime(4_000);
+    await stop(first);
+    fixture.waves = [WAVE];
+    fixture.orders = [];
+    const { readNewest } = fixture.store;
+    fixture.store.readNewest = async (partition) => {
+      const outcome = await readNewest(partition);
+      if (partition.topic === PROGRESS_TOPIC) fixture.store.fault = "silent";
+      return outcome;
+    };
+    own(2);
+    await advanceTime(1_000);
+    expect(fixture.orders).toEqual([]);
+  });
 });
