Hand over the longest lease of a start without an answer

What callers would see: two runs of a task at a time (TWICE). Cause: the expiry of a lease is a time on the executor's clock. A process that has restarted under its id unnoticed has a clock that starts anew, and shortens such a lease only to the longest one that the platform allows. A handover named the remaining lease by the clock of the earlier process also for a start without an answer, which may have reached the next one. It now names the longest lease for these.

"hands over the longest lease of a start without an answer" failed before and passes now. Ruled out: the same for every run that no list has shown, as that makes tasks which have just started wait for seconds (an existing test shows it); for these the answer tells the clock of the process.

--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -6,11 +6,12 @@
  */
 
 import { findStartedTask } from "../accepted/apply_records.ts";
-import type { Task } from "../job.ts";
+import { isUnanswered } from "../executor_state.ts";
+import type { Run, Task } from "../job.ts";
 import { suspectStart, unresolvedStarts } from "../run/lost_executors.ts";
 import { HANDOVER_KEY } from "../topics.ts";
 import type { Handover, HandoverRun } from "./handover_record.ts";
-import type { OwnerState } from "./owner_state.ts";
+import { longestLeaseMs, type OwnerState } from "./owner_state.ts";
 
 /**
  * Stores the running tasks, and the executors that have not answered since this
@@ -33,7 +34,7 @@
         task: run.task.name,
         run: run.number,
         executor: executor.id,
-        leaseMs: remainingMs(executor.leaseEndsMs),
+        leaseMs: remainingMs(latestEndMs(owner, run)),
       });
     }
   }
@@ -51,6 +52,18 @@
   return { runs, unheard, blockedMs: remainingMs(owner.blockedUntilMs) };
 }
 
+/**
+ * Returns the monotonic time at which the lease of a run has certainly expired.
+ * A start without an answer may have reached a later process of its executor,
+ * whose clock makes the lease as long as the platform allows.
+ */
+function latestEndMs(owner: OwnerState, run: Run): number {
+  const { leaseEndsMs } = run.executor;
+  if (!isUnanswered(run)) return leaseEndsMs;
+  const longestMs = longestLeaseMs(owner.options.maxLeaseMs);
+  return Math.max(leaseEndsMs, run.startedAtMs + longestMs);
+}
+
 function remainingMs(monotonicMs: number): number {
   return Math.max(0, Math.ceil(monotonicMs - performance.now()));
 }
--- a/packages/jobs/owned/handover_test.ts
+++ b/packages/jobs/owned/handover_test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
+  createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
@@ -343,4 +344,31 @@
     await advanceTime(1_000);
     expect(used.leaseExpiryMs).toBeGreaterThan(leaseExpiryMs);
   });
+
+  // Guards against two runs of a task (TWICE), as its executor restarted
+  // unnoticed, so that the lease lasts longer by the clock of the new process.
+  test("hands over the longest lease of a start without an answer", async () => {
+    fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    restarted.clockOffsetMs = 0;
+    restarted.fault = "losingAnswers";
+    fixture.reports.set("e1", createReport("e1"));
+    const { poll } = fixture.executors;
+    fixture.executors.poll = () =>
+      Promise.resolve({ type: "unknown", reason: "no answer" });
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(150);
+    expect(restarted.running.size).toBe(1);
+    await Promise.all([first.release(1_000), advanceTime(150)]);
+    fixture.executors.poll = poll;
+    restarted.fault = "unreachable";
+    const other = fixture.addExecutor("e2");
+    await fixture.startOwner(2);
+    const clockMs = () => performance.now() + restarted.clockOffsetMs;
+    await advanceTime(restarted.leaseExpiryMs - clockMs());
+    expect(other.starts).toEqual([]);
+    await advanceTime(2_000);
+    expect(other.starts).toHaveLength(1);
+  });
 });
