Let the test of truncated responses wait for their first part

"streams a response, truncated: true" failed once beside a load of 24: the caller got nothing. Cause: the test ended the response 20 ms after its start, whether or not the caller had received its first part.

--- a/packages/callers/create_caller_app_test.ts
+++ b/packages/callers/create_caller_app_test.ts
@@ -38,10 +38,17 @@
 }
 
 /** Sends raw bytes and returns what is received until the connection closes. */
-async function sendRaw(port: number, text: string): Promise<string> {
+async function sendRaw(
+  port: number,
+  text: string,
+  { onData }: { onData?: (received: string) => void } = {},
+): Promise<string> {
   const socket = connect(port, "127.0.0.1");
   let received = "";
-  socket.on("data", (data) => received += data.toString());
+  socket.on("data", (data) => {
+    received += data.toString();
+    onData?.(received);
+  });
   socket.on("error", () => undefined);
   socket.write(text);
   await once(socket, "close");
@@ -243,8 +250,13 @@
         })
       );
       stream.write("abc");
-      setTimeout(() => isTruncated ? stream.destroy() : stream.end("def"), 20);
-      const response = await sendRaw(port, requestHead(`GET ${PATH}`, AUTH));
+      const response = await sendRaw(port, requestHead(`GET ${PATH}`, AUTH), {
+        onData(received) {
+          if (!received.endsWith("abc")) return;
+          if (isTruncated) stream.destroy();
+          else stream.end("def");
+        },
+      });
       expect(response).toContain("content-length: 6\r\n");
       expect(response.endsWith("abcdef")).toBe(!isTruncated);
     },
