--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -1,5 +1,5 @@
 /**
- * Creates the owners of the partitions that a member is dealt.
+ * Creates the owners of the partitions that are assigned to a member.
  *
  * @module
  */
@@ -31,7 +31,7 @@
 
 /**
  * Returns the function that creates the owner of a partition of jobs, or of the
- * machines, when this member is dealt it.
+ * machines, when it is assigned to this member.
  */
 export function createAcquisition(
   options: MemberOptions,
--- a/packages/jobs/owned/takeover_after_outage_test.ts
+++ b/packages/jobs/owned/takeover_after_outage_test.ts
@@ -1,19 +1,12 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import type { MemoryExecutor } from "@lagoonloom/standins";
 import {
   advanceTime,
-  createOwnerFixture,
   createReport,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
 import type { PartitionOwner } from "./partition_owner.ts";
@@ -34,15 +27,7 @@
   let used: MemoryExecutor;
   let other: MemoryExecutor;
 
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   /** Lets owner 75 store the progress of a job that starts nowhere yet. */
   async function prepareJob(): Promise<PartitionOwner> {
--- a/packages/jobs/placed/delayed_starts_test.ts
+++ b/packages/jobs/placed/delayed_starts_test.ts
@@ -1,18 +1,11 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import type { MemoryExecutor } from "@lagoonloom/standins";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 
@@ -24,15 +17,7 @@
   let owner: PartitionOwner;
   let executor: MemoryExecutor;
 
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   /** Lets an owner place a task that may have crashed two executors. */
   async function placeSuspectTask() {
--- a/packages/jobs/run/takeover_answers_test.ts
+++ b/packages/jobs/run/takeover_answers_test.ts
@@ -1,17 +1,10 @@
-import {
-  afterEach,
-  beforeEach,
-  describe,
-  expect,
-  jest,
-  test,
-} from "@jest/globals";
+import { describe, expect, test } from "@jest/globals";
 import {
   advanceTime,
-  createOwnerFixture,
   createStep,
   JOB_ID,
   type OwnerFixture,
+  setUpOwners,
 } from "../_fixtures.ts";
 
 /** Ends that one answer of the platform's executors holds. */
@@ -20,15 +13,7 @@
 describe("a takeover", () => {
   let fixture: OwnerFixture;
 
-  beforeEach(() => {
-    jest.useFakeTimers();
-    fixture = createOwnerFixture();
-  });
-
-  afterEach(() => {
-    fixture.close();
-    jest.useRealTimers();
-  });
+  setUpOwners((created) => fixture = created);
 
   // Guards against a task that runs again after it was done (TWICE), since its
   // end was not among the first ones that an executor reports.
