Review: the stand-ins end their daemons and remove their folder in any case

Cause: a case that was stopped from outside left its daemons running. Change: the deployment of the stand-ins ends its processes and removes its temporary folder as it exits, also after a signal. The longest lease of an executor can be set by a case.

--- a/review/standin/deployment.js
+++ b/review/standin/deployment.js
@@ -99,6 +99,15 @@
   const daemons = [];
   let isClosing = false;
 
+  // No daemon outlives the case, also if the case itself is stopped.
+  process.on("exit", () => {
+    for (const { child } of daemons) child?.kill("SIGKILL");
+    rmSync(temporary, { recursive: true, force: true });
+  });
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.on(signal, () => process.exit(NOT_RUN));
+  }
+
   const launch = (daemon) => {
     const [program, ...args] = readCommand();
     const child = spawn(program === "node" ? process.execPath : program, args, {
--- a/review/standin/executor_standin.js
+++ b/review/standin/executor_standin.js
@@ -3,6 +3,7 @@
 
 import { parseJson, serve } from "./http_server.js";
 
+/** Longest lease; each site has its own. */
 const HOLD_MAX_MS = 6_000;
 const STOP_MS = 50;
 const CHECK_MS = 20;
@@ -72,7 +73,7 @@
 
   extend(untilMs) {
     if (untilMs === undefined) return;
-    const longest = this.clockMs() + HOLD_MAX_MS;
+    const longest = this.clockMs() + (this.options.holdMaxMs ?? HOLD_MAX_MS);
     this.leaseMs = Math.max(this.leaseMs, Math.min(untilMs, longest));
   }
 
