Review: an order that is carried out late runs a work item twice (case 3)

Change: a script in which one order to start is carried out 4.55 s late by the next life of its executor.

--- a/review/standin/executor_standin.js
+++ b/review/standin/executor_standin.js
@@ -303,6 +303,11 @@
     const asked = parseJson(call.body);
     switch (call.path) {
       case "/lagoonloom/run-start":
+        // An order that is carried out late gets no answer.
+        if (options.isLate?.(asked, options.id) === true) {
+          options.record("order late", { task: asked.task, by: options.id });
+          return undefined;
+        }
         return current.start(asked);
       case "/lagoonloom/run-stop":
         return current.stop(asked);
@@ -334,11 +339,13 @@
     );
   };
   register();
-  const timer = setInterval(register, HEARTBEAT_MS);
+  let timer = setInterval(register, HEARTBEAT_MS);
   return {
     id: options.id,
     address: server.address,
     life: () => life,
+    /** Carries out a start that is late, at the life of now. */
+    carryOut: (asked) => life?.start(asked),
     /** Crashes; the executor starts again under its id after a while. */
     crash(downMs) {
       options.record("crash", { by: options.id, downMs });
@@ -347,7 +354,10 @@
       setTimeout(() => {
         life = new Life(options);
         options.record("back", { by: options.id });
-        register();
+        // The first heartbeat of the new life.
+        clearInterval(timer);
+        setTimeout(register, options.firstBeatMs ?? 0);
+        timer = setInterval(register, HEARTBEAT_MS);
       }, downMs);
     },
     close() {
