--- a/review/standin/deployment.js
+++ b/review/standin/deployment.js
@@ -31,15 +31,25 @@
   return run[1].split(" ");
 }
 
-function findPort(host) {
-  return new Promise((resolve, reject) => {
-    const probe = createServer();
-    probe.once("error", reject);
-    probe.listen(0, host, () => {
-      const { port } = probe.address();
-      probe.close(() => resolve(port));
+/** Range of the ports of daemons, below those of outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+
+const takenPorts = new Set();
+
+/** Returns a free port that was not returned before. */
+async function findPort(host) {
+  while (true) {
+    const port = FIRST_PORT + Math.floor(PORT_COUNT * Math.random());
+    if (takenPorts.has(port)) continue;
+    takenPorts.add(port);
+    const isFree = await new Promise((resolve) => {
+      const probe = createServer();
+      probe.once("error", () => resolve(false));
+      probe.listen(port, host, () => probe.close(() => resolve(true)));
     });
-  });
+    if (isFree) return port;
+  }
 }
 
 /** Collects what was sent, answered and run, with the time in ms. */
