--- a/packages/jobs/ended/progress_log.ts
+++ b/packages/jobs/ended/progress_log.ts
@@ -63,7 +63,17 @@
   /** Called when the store rejects the epoch as older than another one. */
   onFenced(): void;
   /** Called when an attempt to append has failed and will be retried. */
-  onFailure(reason: string): void;
+  onFailure(failure: AppendFailure): void;
+};
+
+/** Attempt to append a batch that has failed. */
+export type AppendFailure = {
+  reason: string;
+  /** Number of records in the batch. */
+  records: number;
+  /** Key of its largest record, and the length of that record's value. */
+  largestKey: string;
+  largestBytes: number;
 };
 
 /**
@@ -129,7 +139,8 @@
         sequence = outcome.expected;
         continue;
       }
-      options.onFailure("reason" in outcome ? outcome.reason : outcome.type);
+      const reason = "reason" in outcome ? outcome.reason : outcome.type;
+      options.onFailure(describeFailure(reason, records));
       await sleep(RETRY_DELAY_MS);
     }
     return false;
@@ -194,3 +205,22 @@
   }
   return records;
 }
+
+function describeFailure(
+  reason: string,
+  records: readonly KeyedRecord[],
+): AppendFailure {
+  const failure = {
+    reason,
+    records: records.length,
+    largestKey: "",
+    largestBytes: -1,
+  };
+  for (const { key, value } of records) {
+    const bytes = Buffer.byteLength(value ?? "");
+    if (bytes <= failure.largestBytes) continue;
+    failure.largestKey = key;
+    failure.largestBytes = bytes;
+  }
+  return failure;
+}
--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -124,7 +124,8 @@
     partition: { topic: PROGRESS_TOPIC, partition },
     writer: { name: writerName(partition), epoch },
     onFenced: () => handleLoss("store"),
-    onFailure: (reason) => events.log("progressDelayed", { partition, reason }),
+    onFailure: (failure) =>
+      events.log("progressDelayed", { partition, ...failure }),
   });
 
   const waves = createWaveTracker({
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -224,8 +224,8 @@
       partition: { topic: PROGRESS_TOPIC, partition },
       writer: { name: writerName(partition), epoch },
       onFenced: () => owner.loseOwnership("store"),
-      onFailure: (reason) =>
-        events.log("progressDelayed", { partition, reason }),
+      onFailure: (failure) =>
+        events.log("progressDelayed", { partition, ...failure }),
     }),
     ticketCache: options.adviceClient &&
       createTicketCache(options.adviceClient, {
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -249,7 +249,13 @@
     id: "LL6308",
     level: "warn",
     message: "progress could not be stored yet",
-    fields: { partition: "number", reason: "string" },
+    fields: {
+      partition: "number",
+      reason: "string",
+      records: "number",
+      largestKey: "string",
+      largestBytes: "number",
+    },
   },
   executorFound: {
     id: "LL6401",
