Bound what a schedule costs by the times that are at work

Cause: an owner created the tasks of each time that was due and dropped none, and the stored progress named each time that was done. Change: each step of a job has a number, below which its groups exist or are done. The record has these numbers and the groups at work. An ended job stores its outcome alone. The former record is still read. Why it works: no part of the state or of the record has an entry for a time that is over or has yet to come.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -5,39 +5,47 @@
  */
 
 import { finishJob } from "../ended/finish_job.ts";
+import { applyProgress, type Progress } from "../ended/progress.ts";
 import {
-  createDueOccurrences,
   createJob,
   findTask,
   hasEnded,
   type Job,
   parseTaskName,
-  scheduledTimeOf,
   type Task,
 } from "../job.ts";
+import {
+  closeDoneGroups,
+  isGroupOver,
+  openDueGroups,
+  openGroup,
+  type OpeningTimes,
+  totalOccurrences,
+} from "../occurrences.ts";
 import { decodeAccepted } from "../owned/load_partition.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
 import { prepareEarly } from "../placed/prepare_job.ts";
 import type { StoredRecord } from "../ports.ts";
-import type { AcceptedJob } from "../submission.ts";
+import type { AcceptedJob, Step } from "../submission.ts";
 import { JOBS_TOPIC, parseJobKey } from "../topics.ts";
 
 /**
- * Adds an accepted job to the owner's state; a job that is already known is
- * returned unchanged.
+ * Adds an accepted job to the owner's state, with the progress that an earlier
+ * owner has stored; a job that is already known is returned unchanged.
  */
 export function addJob(
   owner: OwnerState,
   id: string,
-  { accepted, offset, isInherited }: {
+  { accepted, offset, progress }: {
     accepted: AcceptedJob;
     offset: number;
-    isInherited: boolean;
+    progress: Progress | undefined;
   },
 ): Job {
   const known = owner.jobs.get(id);
   if (known !== undefined) return known;
+  const isInherited = progress !== undefined;
   const job = createJob(id, {
     accepted,
     offset,
@@ -45,7 +53,11 @@
     objectiveMs: objectiveMs(accepted, queueOf(owner, { accepted })),
   });
   owner.jobs.set(id, job);
-  createDueTasks(owner, job);
+  if (progress !== undefined) {
+    const times = openingTimes(owner, job);
+    applyProgress(job, { progress, failed: owner.failedRuns, times });
+  }
+  updateOccurrences(owner, job);
   if (!isInherited) {
     const { partition } = owner.options;
     owner.options.events.log("jobTaken", { job: id, partition, offset });
@@ -55,34 +67,34 @@
   return job;
 }
 
-/** Creates the tasks for all occurrences of a job that are due. */
-export function createDueTasks(owner: OwnerState, job: Job): void {
-  createDueOccurrences(job, {
+/**
+ * Creates the tasks of a job that are due and drops those that are over.
+ *
+ * @returns whether further tasks are due that have to wait for a later call
+ */
+export function updateOccurrences(owner: OwnerState, job: Job): boolean {
+  if (hasEnded(job)) return false;
+  const hasMore = openDueGroups(job, {
     unixMs: Date.now(),
-    monotonicMs: performance.now(),
-    blockedUntilMs: job.isInherited ? owner.blockedUntilMs : 0,
+    ...openingTimes(owner, job),
   });
+  for (const { tasks } of closeDoneGroups(job)) {
+    for (const { name } of tasks) owner.failedRuns.delete(name);
+  }
+  return hasMore;
 }
 
-/**
- * Creates the tasks of a job up to an occurrence, also if that is not due yet:
- * an earlier owner, whose clock was ahead, may have run them.
- */
-export function createTasksUpTo(
-  owner: OwnerState,
-  job: Job,
-  occurrence: number,
-): void {
-  createDueOccurrences(job, {
-    unixMs: Math.max(Date.now(), scheduledTimeOf(job, occurrence)),
+function openingTimes(owner: OwnerState, job: Job): OpeningTimes {
+  return {
     monotonicMs: performance.now(),
     blockedUntilMs: job.isInherited ? owner.blockedUntilMs : 0,
-  });
+  };
 }
 
 /**
- * Finds the task that an earlier owner has run; returns undefined if its job is
- * not known.
+ * Finds the task that an earlier owner has run, also if its occurrence is not
+ * due yet: the clock of that owner may have been ahead. Returns undefined if
+ * its job is not known or if the task is over.
  */
 export function findStartedTask(
   owner: OwnerState,
@@ -91,12 +103,20 @@
   const parts = parseTaskName(name);
   const job = parts && owner.jobs.get(parts.id);
   if (job === undefined) return undefined;
-  if (job.endedAtMs === undefined) {
-    createTasksUpTo(owner, job, parts!.occurrence);
-  }
+  const { occurrence, stepIndex } = parts!;
+  const isOpenable = !hasEnded(job) && occurrence < totalOccurrences(job) &&
+    stepIndex < job.nextOccurrences.length && !isGroupOver(job, parts!);
+  if (isOpenable) openGroup(job, parts!, openingTimes(owner, job));
   return findTask(owner.jobs, name);
 }
 
+/** Returns the step of a task by its name, if the job is known. */
+export function findStep(owner: OwnerState, name: string): Step | undefined {
+  const parts = parseTaskName(name);
+  const job = parts && owner.jobs.get(parts.id);
+  return job?.accepted.submission.steps[parts!.stepIndex];
+}
+
 /** Cancels a job if it is known and has not ended. */
 export function applyCancellation(owner: OwnerState, id: string): void {
   const job = owner.jobs.get(id);
@@ -118,7 +138,8 @@
     });
     return;
   }
-  addJob(owner, id, { accepted, offset: record.offset, isInherited: false });
+  const { offset } = record;
+  addJob(owner, id, { accepted, offset, progress: undefined });
 }
 
 /**
--- a/packages/jobs/ended/finish_job.ts
+++ b/packages/jobs/ended/finish_job.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { Job } from "../job.ts";
+import { hasEnded, type Job } from "../job.ts";
+import { isComplete } from "../occurrences.ts";
 import { type OwnerState, stopRun } from "../owned/owner_state.ts";
 import { encodeProgress, outcomeOf } from "./progress.ts";
 
@@ -38,3 +39,9 @@
   }
   owner.schedulePlacement();
 }
+
+/** Ends a job if all tasks of all its occurrences are done. */
+export function finishIfComplete(owner: OwnerState, job: Job): void {
+  if (hasEnded(job) || !isComplete(job)) return;
+  finishJob(owner, job, "all tasks are done");
+}
--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -6,6 +6,15 @@
 
 import { z } from "zod";
 import { type Job, parseTaskName, type TaskGroup } from "../job.ts";
+import {
+  findGroup,
+  isScheduled,
+  type OccurrenceStep,
+  openDueGroups,
+  openGroup,
+  type OpeningTimes,
+  totalOccurrences,
+} from "../occurrences.ts";
 import { Suspicion } from "./suspicion.ts";
 
 /**
@@ -18,6 +27,11 @@
    * stands for four tasks, lowest bit first.
    */
   done: z.record(z.string(), z.string()),
+  /**
+   * First occurrence without a start, by step, for a job that runs at set
+   * times. The tasks of earlier ones that `done` doesn't name are done.
+   */
+  opened: z.array(z.number()).optional(),
   /** Numbers of the failed runs, by task name. */
   failed: z.record(z.string(), z.array(z.number())),
   /** Tasks under which executors have crashed, by task name. */
@@ -39,11 +53,22 @@
   return job.hasFailed ? "failed" : "completed";
 }
 
-/** Encodes the progress of a job as JSON for the store. */
+/**
+ * Encodes the progress of a job as JSON for the store. Its length depends on
+ * the occurrences that are at work, but not on those that are over or wait.
+ */
 export function encodeProgress(job: Job, failed: FailedRuns): string {
   const progress: Progress = { done: {}, failed: {} };
+  if (job.endedAtMs !== undefined) {
+    progress.endedAtMs = job.endedAtMs;
+    progress.outcome = outcomeOf(job);
+    return JSON.stringify(progress);
+  }
+  if (isScheduled(job)) progress.opened = openedOccurrences(job);
   for (const group of job.groups) {
-    if (group.doneCount > 0) {
+    const isOpened =
+      group.occurrence < (progress.opened?.[group.stepIndex] ?? 0);
+    if (group.doneCount > 0 || isOpened) {
       progress.done[groupKey(group)] = encodeDoneBits(group);
     }
     for (const task of group.tasks) {
@@ -56,55 +81,97 @@
       progress.suspicions[task.name] = { crashes, openStarts };
     }
   }
-  if (job.endedAtMs !== undefined) {
-    progress.endedAtMs = job.endedAtMs;
-    progress.outcome = outcomeOf(job);
-  }
   return JSON.stringify(progress);
 }
 
-/** Returns the last occurrence of which something is stored, at least 0. */
-export function lastOccurrenceOf(
-  { done, failed, suspicions = {} }: Progress,
-): number {
-  const occurrences = [
-    ...Object.keys(done).map((key) => Number.parseInt(key, 10)),
-    ...[...Object.keys(failed), ...Object.keys(suspicions)]
-      .map((name) => parseTaskName(name)?.occurrence ?? 0),
-  ];
-  return Math.max(0, ...occurrences);
+/** Returns the first occurrence from which on nothing was started, by step. */
+function openedOccurrences(job: Job): number[] {
+  return job.nextOccurrences.map((next, stepIndex) => {
+    while (next > 0) {
+      const last = findGroup(job, { occurrence: next - 1, stepIndex });
+      if (last === undefined || !isUntouched(last)) break;
+      next--;
+    }
+    return next;
+  });
+}
+
+function isUntouched({ tasks }: TaskGroup): boolean {
+  return tasks.every(({ isDone, lastRunNumber }) =>
+    !isDone && lastRunNumber === 0
+  );
 }
 
 /**
- * Restores stored progress into a job whose occurrences have been created,
- * and the numbers of its failed runs into `failed`.
+ * Restores stored progress into a job without tasks, and the numbers of its
+ * failed runs into `failed`. Groups that are over are not created.
  */
 export function applyProgress(
   job: Job,
-  { progress, failed }: { progress: Progress; failed: FailedRuns },
+  { progress, failed, times }: {
+    progress: Progress;
+    failed: FailedRuns;
+    times: OpeningTimes;
+  },
 ): void {
-  for (const group of job.groups) {
-    const bits = progress.done[groupKey(group)] ?? "";
-    for (const task of group.tasks) {
-      if (!task.isDone && isBitSet(bits, task.index)) {
-        task.isDone = true;
-        group.doneCount++;
-        job.hasStarted = true;
-      }
-      const suspicion = progress.suspicions?.[task.name];
-      task.crashes = suspicion?.crashes ?? [];
-      task.openStarts = suspicion?.openStarts ?? [];
-      const runs = progress.failed[task.name];
-      if (runs === undefined) continue;
-      failed.set(task.name, new Set(runs));
-      task.failureCount = runs.length;
-      job.hasStarted = true;
-    }
-  }
   job.endedAtMs = progress.endedAtMs;
   job.isOutcomeStored = progress.outcome !== undefined;
   job.hasFailed = progress.outcome === "failed";
   job.isCancelled ||= progress.outcome === "cancelled";
+  if (job.endedAtMs !== undefined) return;
+  if (!isScheduled(job)) openDueGroups(job, { ...times, unixMs: 0 });
+  const total = totalOccurrences(job);
+  progress.opened?.forEach((opened, stepIndex) => {
+    if (stepIndex >= job.nextOccurrences.length) return;
+    job.nextOccurrences[stepIndex] = Math.min(opened, total);
+  });
+  for (const step of namedSteps(progress)) {
+    const isKnown = step.occurrence < total &&
+      step.stepIndex < job.nextOccurrences.length;
+    if (isKnown) openGroup(job, step, times);
+  }
+  for (const group of job.groups) restoreGroup(group, { progress, failed });
+  const openedCount = job.nextOccurrences.reduce((sum, next) => sum + next, 0);
+  const existing = job.groups.filter(({ occurrence, stepIndex }) =>
+    occurrence < job.nextOccurrences[stepIndex]!
+  );
+  job.hasStarted ||= openedCount > existing.length;
+}
+
+/** Returns the groups of which something is stored. */
+function namedSteps(
+  { done, failed, suspicions = {} }: Progress,
+): OccurrenceStep[] {
+  const groups = Object.keys(done).map((key) => {
+    const [occurrence, stepIndex] = key.split(".").map(Number);
+    return { occurrence: occurrence!, stepIndex: stepIndex! };
+  });
+  const tasks = [...Object.keys(failed), ...Object.keys(suspicions)]
+    .map(parseTaskName).filter((name) => name !== undefined);
+  return [...groups, ...tasks];
+}
+
+function restoreGroup(
+  group: TaskGroup,
+  { progress, failed }: { progress: Progress; failed: FailedRuns },
+): void {
+  const { job } = group;
+  const bits = progress.done[groupKey(group)] ?? "";
+  for (const task of group.tasks) {
+    if (!task.isDone && isBitSet(bits, task.index)) {
+      task.isDone = true;
+      group.doneCount++;
+      job.hasStarted = true;
+    }
+    const suspicion = progress.suspicions?.[task.name];
+    task.crashes = suspicion?.crashes ?? [];
+    task.openStarts = suspicion?.openStarts ?? [];
+    const runs = progress.failed[task.name];
+    if (runs === undefined) continue;
+    failed.set(task.name, new Set(runs));
+    task.failureCount = runs.length;
+    job.hasStarted = true;
+  }
 }
 
 function groupKey(group: TaskGroup): string {
@@ -116,7 +183,8 @@
   for (const task of group.tasks) {
     if (task.isDone) digits[task.index >> 2]! |= 1 << (task.index & 3);
   }
-  return digits.map((digit) => digit.toString(16)).join("");
+  const text = digits.map((digit) => digit.toString(16)).join("");
+  return text.replace(/0+$/, "");
 }
 
 function isBitSet(bits: string, index: number): boolean {
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -5,18 +5,12 @@
  * @module
  */
 
-import {
-  closeStart,
-  hasEnded,
-  isComplete,
-  type Run,
-  type Task,
-} from "../job.ts";
+import { closeStart, hasEnded, type Run, type Task } from "../job.ts";
 import { type OwnerState, queueOf, stopRun } from "../owned/owner_state.ts";
 import { isOnProbation } from "../placed/probation.ts";
 import type { RunEnd } from "../ports.ts";
 import type { ExecutorState } from "../executor_state.ts";
-import { finishJob, saveProgress } from "./finish_job.ts";
+import { finishIfComplete, finishJob, saveProgress } from "./finish_job.ts";
 
 /**
  * Different jobs with failed runs on an executor, without a successful run in
@@ -85,9 +79,7 @@
   task.waitingSinceMs = performance.now();
   if (end.result === "done") markDone(owner, task);
   else if (end.result === "failed") recordFailure(owner, task, end);
-  if (!hasEnded(job) && isComplete(job)) {
-    finishJob(owner, job, "all tasks are done");
-  }
+  finishIfComplete(owner, job);
   owner.schedulePlacement();
 }
 
--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -48,7 +48,7 @@
 }
 
 /** Returns the capacity that a run of a group's task occupies. */
-export function occupiedBy({ step }: TaskGroup): Size {
+export function occupiedBy({ step }: Pick<TaskGroup, "step">): Size {
   return step.isFilling ? { ...step.size, cpu: 0 } : step.size;
 }
 
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -1,10 +1,11 @@
 /**
- * Functions on jobs, their occurrences and the names of their tasks.
+ * Functions on jobs and the names of their tasks.
  *
  * @module
  */
 
-import type { Job, JobsById, Task, TaskGroup } from "./model.ts";
+import type { Job, JobsById, Task } from "./model.ts";
+import { findGroup, scheduledTimeOf } from "./occurrences.ts";
 import type { AcceptedJob, JobState } from "./submission.ts";
 
 export type { Job, JobsById, Run, Task, TaskGroup } from "./model.ts";
@@ -18,8 +19,7 @@
 };
 
 /**
- * Creates a job without tasks. {@linkcode createDueOccurrences} adds the tasks
- * of each occurrence once it is due.
+ * Creates a job without tasks, which are added once their occurrence is due.
  *
  * @example
  * ```ts
@@ -39,97 +39,16 @@
     endedAtMs: undefined,
     isOutcomeStored: false,
     groups: [],
-    createdOccurrences: 0,
+    groupsByKey: new Map(),
+    nextOccurrences: options.accepted.submission.steps.map(() => 0),
   };
 }
 
-/** Returns how often a job runs; a job without a schedule runs once. */
-export function totalOccurrences(job: Job): number {
-  return Math.max(1, job.accepted.submission.occurrences);
-}
-
-/** Returns the Unix time in milliseconds from which an occurrence may run. */
-export function scheduledTimeOf(job: Job, occurrence: number): number {
-  const { occurrences, firstRunMs, intervalMs } = job.accepted.submission;
-  if (occurrences === 0) return job.accepted.acceptedAtMs;
-  return firstRunMs + occurrence * intervalMs;
-}
-
 /** Returns the Unix time by which an occurrence should have completed. */
 export function dueTimeOf(job: Job, occurrence: number): number {
   return scheduledTimeOf(job, occurrence) + job.objectiveMs;
 }
 
-/** Returns the groups of each occurrence that has tasks. */
-export function occurrencesOf(job: Job): TaskGroup[][] {
-  if (job.createdOccurrences === 1) return [job.groups];
-  const stepCount = job.accepted.submission.steps.length;
-  return Array.from(
-    { length: job.createdOccurrences },
-    (_, occurrence) =>
-      job.groups.slice(occurrence * stepCount, (occurrence + 1) * stepCount),
-  );
-}
-
-/**
- * Creates the tasks of all occurrences whose scheduled time has come.
- *
- * @returns whether tasks were created
- */
-export function createDueOccurrences(
-  job: Job,
-  times: { unixMs: number; monotonicMs: number; blockedUntilMs: number },
-): boolean {
-  const previousCount = job.createdOccurrences;
-  const total = totalOccurrences(job);
-  const isScheduled = job.accepted.submission.occurrences > 0;
-  while (job.createdOccurrences < total) {
-    const scheduledMs = scheduledTimeOf(job, job.createdOccurrences);
-    if (isScheduled && scheduledMs > times.unixMs) break;
-    createOccurrence(job, times);
-  }
-  return job.createdOccurrences > previousCount;
-}
-
-function createOccurrence(
-  job: Job,
-  times: { monotonicMs: number; blockedUntilMs: number },
-): void {
-  const occurrence = job.createdOccurrences++;
-  job.accepted.submission.steps.forEach((step, stepIndex) => {
-    const group: TaskGroup = {
-      job,
-      occurrence,
-      stepIndex,
-      step,
-      tasks: [],
-      doneCount: 0,
-    };
-    for (let index = 0; index < step.count; index++) {
-      group.tasks.push({
-        name: `${job.id}.${occurrence}.${stepIndex}.${index}`,
-        group,
-        index,
-        isDone: false,
-        runs: [],
-        lastRunNumber: 0,
-        lastEndedRunNumber: 0,
-        failureCount: 0,
-        crashes: [],
-        openStarts: [],
-        heldUntilMs: 0,
-        checkpoint: "",
-        blockedUntilMs: times.blockedUntilMs,
-        durationMs: undefined,
-        moveCount: 0,
-        avoidedExecutors: new Set(),
-        waitingSinceMs: times.monotonicMs,
-      });
-    }
-    job.groups.push(group);
-  });
-}
-
 /** Notes that it is known what became of the start of a run. */
 export function closeStart(task: Task, run: number): void {
   task.openStarts = task.openStarts.filter((start) => start.run !== run);
@@ -151,28 +70,6 @@
   return runs.length > 0 && runs.every(({ stopReason }) => stopReason !== "");
 }
 
-/** Returns whether all steps that a group depends on are done. */
-export function isGroupReady(group: TaskGroup): boolean {
-  const firstIndex = group.job.groups.length === 0
-    ? 0
-    : group.occurrence * group.job.accepted.submission.steps.length;
-  return group.step.dependsOn.every((stepIndex) => {
-    const dependency = group.job.groups[firstIndex + stepIndex];
-    return dependency !== undefined && isGroupDone(dependency);
-  });
-}
-
-/** Returns whether all tasks of a group are done. */
-export function isGroupDone(group: TaskGroup): boolean {
-  return group.doneCount >= group.tasks.length;
-}
-
-/** Returns whether all tasks of all occurrences are done. */
-export function isComplete(job: Job): boolean {
-  return job.createdOccurrences >= totalOccurrences(job) &&
-    job.groups.every(isGroupDone);
-}
-
 /** Returns the state of a job that callers see. */
 export function stateOf(job: Job): JobState {
   if (job.isCancelled) return "cancelled";
@@ -210,8 +107,6 @@
   const parts = parseTaskName(name);
   const job = parts && jobs.get(parts.id);
   if (job === undefined) return undefined;
-  const stepCount = job.accepted.submission.steps.length;
-  if (parts!.stepIndex >= stepCount) return undefined;
-  const group = job.groups[parts!.occurrence * stepCount + parts!.stepIndex];
-  return group?.tasks[parts!.taskIndex];
+  if (parts!.stepIndex >= job.nextOccurrences.length) return undefined;
+  return findGroup(job, parts!)?.tasks[parts!.taskIndex];
 }
--- a/packages/jobs/machines/partition_report.ts
+++ b/packages/jobs/machines/partition_report.ts
@@ -5,7 +5,8 @@
  * @module
  */
 
-import { isGroupReady, isPlaceable } from "../job.ts";
+import { isPlaceable } from "../job.ts";
+import { isGroupReady } from "../occurrences.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { findFreePlaces } from "../placed/free_places.ts";
 import type { ExecutorState } from "../executor_state.ts";
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -116,9 +116,15 @@
   endedAtMs: number | undefined;
   /** Whether the outcome is stored, so that callers may see it. */
   isOutcomeStored: boolean;
+  /** Groups that exist, in the order of their creation. */
   groups: TaskGroup[];
-  /** Number of occurrences whose task groups exist. */
-  createdOccurrences: number;
+  /** The same groups by the number of their occurrence and step. */
+  groupsByKey: Map<number, TaskGroup>;
+  /**
+   * First occurrence that was not opened yet, by step. The groups of earlier
+   * ones exist or are done.
+   */
+  nextOccurrences: number[];
   /**
    * Whether the job has a progress record. Nothing is started before, as the
    * next owner takes a job without progress for one that never ran.
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -8,21 +8,13 @@
 import {
   addJob,
   applyCancellation,
-  createDueTasks,
-  createTasksUpTo,
   readNewRecords,
+  updateOccurrences,
 } from "../accepted/apply_records.ts";
-import { finishJob } from "../ended/finish_job.ts";
+import { finishIfComplete } from "../ended/finish_job.ts";
 import { startRemovingExpiredJobs } from "../ended/remove_expired_jobs.ts";
-import { applyProgress, lastOccurrenceOf } from "../ended/progress.ts";
 import { createProgressLog, type ProgressLog } from "../ended/progress_log.ts";
-import {
-  hasEnded,
-  isComplete,
-  type Job,
-  type JobsById,
-  stateOf,
-} from "../job.ts";
+import { type Job, type JobsById, stateOf } from "../job.ts";
 import {
   type PartitionReport,
   reportPartition,
@@ -285,18 +277,11 @@
     longestLeaseMs(leaseMs);
   for (const { id, accepted, offset } of state.jobs) {
     const progress = state.progress.get(id);
-    const isInherited = progress !== undefined;
-    const job = addJob(owner, id, { accepted, offset, isInherited });
-    if (progress !== undefined) {
-      createTasksUpTo(owner, job, lastOccurrenceOf(progress));
-      applyProgress(job, { progress, failed: owner.failedRuns });
-      suspectOpenStarts(owner, job);
-    }
+    const job = addJob(owner, id, { accepted, offset, progress });
+    suspectOpenStarts(owner, job);
     if (state.cancelled.has(id)) applyCancellation(owner, id);
     // The earlier owner ended after it had stored the last end of a task.
-    if (!hasEnded(job) && isComplete(job)) {
-      finishJob(owner, job, "all tasks are done");
-    }
+    finishIfComplete(owner, job);
   }
   if (state.unreadableCount === 0) deleteOrphanedProgress(owner, state);
   owner.usedExecutors = restoreUsedExecutors(state.usedExecutors);
@@ -375,7 +360,8 @@
   drainExecutors(owner);
   if (isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS)) moveStragglers(owner);
   for (const job of owner.jobs.values()) {
-    if (job.endedAtMs === undefined) createDueTasks(owner, job);
+    updateOccurrences(owner, job);
+    finishIfComplete(owner, job);
   }
   owner.schedulePlacement();
 }
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -5,17 +5,14 @@
  */
 
 import { isWithin, occupiedBy } from "../executor_state.ts";
+import { dueTimeOf, isPlaceable, type Job, type TaskGroup } from "../job.ts";
 import {
-  dueTimeOf,
+  groupsByOccurrence,
   isGroupDone,
   isGroupReady,
-  isPlaceable,
-  type Job,
-  occurrencesOf,
-  type TaskGroup,
-} from "../job.ts";
+} from "../occurrences.ts";
 import type { Size } from "../submission.ts";
-import { latenessOf, remainingWork } from "./due_time.ts";
+import { latenessOf, remainingStepsOf, remainingWork } from "./due_time.ts";
 
 /** Options of {@linkcode rankGroups}. */
 export type RankOptions = {
@@ -41,10 +38,10 @@
   const ranked: { group: TaskGroup; rank: number[] }[] = [];
   for (const job of jobs) {
     if (job.endedAtMs !== undefined) continue;
-    for (const [occurrence, groups] of occurrencesOf(job).entries()) {
+    for (const [occurrence, groups] of groupsByOccurrence(job)) {
       const waiting = groups.filter((group) => isWaiting(group, options));
       if (waiting.length === 0) continue;
-      const rank = rankOf(job, { occurrence, groups, options });
+      const rank = rankOf(job, occurrence, options);
       for (const group of waiting) {
         const lastingRank = group.step.isLasting ? 0 : 1;
         const fillingRank = group.step.isFilling ? 2 : 0;
@@ -67,14 +64,12 @@
  */
 function rankOf(
   job: Job,
-  { occurrence, groups, options }: {
-    occurrence: number;
-    groups: readonly TaskGroup[];
-    options: RankOptions;
-  },
+  occurrence: number,
+  options: RankOptions,
 ): number[] {
+  const steps = remainingStepsOf(job, occurrence);
   const dueAtMs = dueTimeOf(job, occurrence);
-  const lateness = latenessOf(groups, {
+  const lateness = latenessOf(steps, {
     objectiveMs: job.objectiveMs,
     remainingMs: dueAtMs - options.unixMs,
   });
@@ -82,7 +77,7 @@
   if (lateness === "inTime" || lateness === "abandoned") {
     return [...rank, dueAtMs, job.offset];
   }
-  const magnitude = Math.ceil(Math.log2(remainingWork(groups) + 1));
+  const magnitude = Math.ceil(Math.log2(remainingWork(steps) + 1));
   const isOverdue = lateness === "overdue" ? 1 : 0;
   return [...rank, magnitude, isOverdue, dueAtMs, job.offset];
 }
--- a/packages/jobs/placed/due_time.ts
+++ b/packages/jobs/placed/due_time.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { TaskGroup } from "../job.ts";
+import type { Job } from "../job.ts";
+import { countRemainingTasks } from "../occurrences.ts";
 import type { AcceptedJob, Step } from "../submission.ts";
 
 /**
@@ -23,18 +24,34 @@
   return Math.max(0, ...endsMs);
 }
 
+/** Step of an occurrence, with the number of its tasks that are not done. */
+export type RemainingStep = { step: Step; tasks: number };
+
+/** Returns what is left of an occurrence, by step. */
+export function remainingStepsOf(
+  job: Job,
+  occurrence: number,
+): RemainingStep[] {
+  return job.accepted.submission.steps.map((step, stepIndex) => ({
+    step,
+    tasks: countRemainingTasks(job, { occurrence, stepIndex }),
+  }));
+}
+
 /**
  * Returns the length in milliseconds of the critical path through the steps of
  * an occurrence that are not done, by their estimates.
  */
-export function remainingCriticalPathMs(groups: readonly TaskGroup[]): number {
+export function remainingCriticalPathMs(
+  steps: readonly RemainingStep[],
+): number {
   const endsMs: number[] = [];
-  for (const { step, doneCount, tasks } of groups) {
+  for (const { step, tasks } of steps) {
     const startMs = Math.max(
       0,
       ...step.dependsOn.map((index) => endsMs[index] ?? 0),
     );
-    const isOpen = !step.isLasting && doneCount < tasks.length;
+    const isOpen = !step.isLasting && tasks > 0;
     endsMs.push(startMs + (isOpen ? step.estimateMs : 0));
   }
   return Math.max(0, ...endsMs);
@@ -66,11 +83,11 @@
  * Returns the processor time that the rest of an occurrence takes by its
  * estimates, in thousandths of a core times milliseconds.
  */
-export function remainingWork(groups: readonly TaskGroup[]): number {
+export function remainingWork(steps: readonly RemainingStep[]): number {
   let work = 0;
-  for (const { step, tasks, doneCount } of groups) {
+  for (const { step, tasks } of steps) {
     if (step.isLasting) continue;
-    work += (tasks.length - doneCount) * step.size.cpu * step.estimateMs;
+    work += tasks * step.size.cpu * step.estimateMs;
   }
   return work;
 }
@@ -90,11 +107,12 @@
  *
  * @example
  * ```ts
- * latenessOf(groups, { objectiveMs: 2_000, remainingMs: dueAtMs - unixMs });
+ * const steps = remainingStepsOf(job, occurrence);
+ * latenessOf(steps, { objectiveMs: 2_000, remainingMs: dueAtMs - unixMs });
  * ```
  */
 export function latenessOf(
-  groups: readonly TaskGroup[],
+  steps: readonly RemainingStep[],
   { objectiveMs, remainingMs }: {
     objectiveMs: number;
     /** Time until the due time, negative after it. */
@@ -102,7 +120,7 @@
   },
 ): Lateness {
   const marginMs = remainingMs -
-    MIN_WORK_SHARE * remainingCriticalPathMs(groups);
+    MIN_WORK_SHARE * remainingCriticalPathMs(steps);
   if (marginMs >= 0) return "inTime";
   const patienceMs = PATIENCE_FACTOR * objectiveMs;
   if (marginMs + patienceMs - objectiveMs >= 0) return "late";
--- a/packages/jobs/placed/free_places.ts
+++ b/packages/jobs/placed/free_places.ts
@@ -8,11 +8,11 @@
 import {
   hasEnded,
   isBeingStopped,
-  isGroupReady,
   isPlaceable,
   type Run,
   type Task,
 } from "../job.ts";
+import { isGroupReady } from "../occurrences.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import {
   type ChooseOptions,
--- a/packages/jobs/placed/place_tasks_test.ts
+++ b/packages/jobs/placed/place_tasks_test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, test } from "@jest/globals";
 import { createAccepted, createReport, createStep } from "../_fixtures.ts";
-import { createDueOccurrences, createJob, type Job } from "../job.ts";
+import { createJob, type Job } from "../job.ts";
+import { openDueGroups } from "../occurrences.ts";
 import type { Step } from "../submission.ts";
 import { createExecutorState, type ExecutorState } from "../executor_state.ts";
 import { placeTasks } from "./place_tasks.ts";
@@ -19,7 +20,7 @@
     objectiveMs: dueAtMs - acceptedAtMs,
     isInherited: false,
   });
-  createDueOccurrences(job, { unixMs: 0, monotonicMs: 0, blockedUntilMs: 0 });
+  openDueGroups(job, { unixMs: 0, monotonicMs: 0, blockedUntilMs: 0 });
   return job;
 }
 
@@ -47,7 +48,7 @@
     const repeated = jobOf("repeated", { steps, dueAtMs: 1_000 });
     repeated.accepted.submission.occurrences = 6;
     repeated.accepted.submission.intervalMs = 2_000;
-    createDueOccurrences(repeated, {
+    openDueGroups(repeated, {
       unixMs: 8_000,
       monotonicMs: 0,
       blockedUntilMs: 0,
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { updateOccurrences } from "../accepted/apply_records.ts";
 import { closeStart, type Run, type Task, type TaskGroup } from "../job.ts";
 import {
   isOwnershipConfirmed,
@@ -11,6 +12,7 @@
   type OwnerState,
   queueOf,
 } from "../owned/owner_state.ts";
+import { createRun } from "../create_run.ts";
 import { openStart } from "../ended/open_start.ts";
 import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
@@ -42,6 +44,10 @@
  */
 export function startWaitingTasks(owner: OwnerState): void {
   if (owner.hasStoredHandover) return;
+  let hasMore = false;
+  for (const job of owner.jobs.values()) {
+    if (updateOccurrences(owner, job)) hasMore = true;
+  }
   const executors = usableExecutors(owner)
     .filter((executor) => isCapacityKnown(owner, executor));
   const placements = placeTasks(placeableJobs(owner), {
@@ -65,6 +71,7 @@
     }
     startTask(owner, placement, number);
   }
+  if (hasMore && placements.length > 0) owner.schedulePlacement();
 }
 
 /**
@@ -121,24 +128,7 @@
   const { job } = task.group;
   job.isPlaced = true;
   task.lastRunNumber = number;
-  const run: Run = {
-    task,
-    number,
-    executor,
-    state: "starting",
-    pendingCrash: undefined,
-    startedAtMs: performance.now(),
-    progressPercent: 0,
-    initialProgressPercent: 0,
-    reportedAtMs: performance.now(),
-    progressedAtMs: performance.now(),
-    ratePercent: 100,
-    confirmedClockMs: undefined,
-    listedClockMs: -Infinity,
-    checkpoint: task.checkpoint,
-    stopReason: "",
-    load: 0,
-  };
+  const run = createRun(task, executor, { number });
   addRun(run);
   owner.options.events.log("taskPlaced", {
     task: task.name,
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -10,7 +10,8 @@
   isLastResort,
   isSchedulable,
 } from "../executor_state.ts";
-import { hasEnded, isGroupReady, type Run, type Task } from "../job.ts";
+import { hasEnded, type Run, type Task } from "../job.ts";
+import { isGroupReady } from "../occurrences.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { findObstacle } from "./find_obstacle.ts";
 import { mayRun } from "./start_tasks.ts";
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -5,7 +5,8 @@
  * @module
  */
 
-import { findStartedTask } from "../accepted/apply_records.ts";
+import { findStartedTask, findStep } from "../accepted/apply_records.ts";
+import { createRun } from "../create_run.ts";
 import { closeOutlastedStarts } from "../ended/open_start.ts";
 import { recordRunEnd, recordTrackedRunEnd } from "../ended/record_run_end.ts";
 import type { ExecutorReport } from "../fleet.ts";
@@ -301,7 +302,10 @@
   report: RunReport,
 ): Adoption {
   const task = findStartedTask(owner, report.task);
-  if (task === undefined) return { isAdopted: false, size: undefined };
+  if (task === undefined) {
+    const step = findStep(owner, report.task);
+    return { isAdopted: false, size: step && occupiedBy({ step }) };
+  }
   const { job, step } = task.group;
   task.lastRunNumber = Math.max(task.lastRunNumber, report.run);
   const mustStop: Adoption = {
@@ -316,22 +320,13 @@
   }
   const isStartOpen = task.openStarts.some(({ run }) => run === report.run);
   const run: Run = {
-    task,
-    number: report.run,
-    executor,
+    ...createRun(task, executor, { number: report.run }),
     state: "running",
-    pendingCrash: undefined,
-    startedAtMs: performance.now(),
     progressPercent: report.progressPercent,
     initialProgressPercent: report.progressPercent,
-    reportedAtMs: performance.now(),
-    progressedAtMs: performance.now(),
-    ratePercent: 100,
     // An executor that lists a run has outlasted it, unless it is suspect.
     confirmedClockMs: isStartOpen ? undefined : -Infinity,
-    listedClockMs: -Infinity,
     checkpoint: report.checkpoint,
-    stopReason: "",
     load: report.load,
   };
   addRun(run);
--- a/packages/standins/store/memory_store.ts
+++ b/packages/standins/store/memory_store.ts
@@ -28,6 +28,13 @@
 /** Time without an answer after which the client gives up a call. */
 const ANSWER_TIMEOUT_MS = 800;
 
+/** Longest record, and total length of the records of one append. */
+const MAX_RECORD_BYTES = 262_144;
+const MAX_APPEND_BYTES = 2_097_152;
+
+/** Bytes that a record takes beside its key and its value. */
+const RECORD_HEADER_BYTES = 5;
+
 /** Number of a writer's last appends that are recognised if repeated. */
 const MAX_REMEMBERED_APPENDS = 5;
 
@@ -124,6 +131,9 @@
   ): AppendOutcome => {
     const state = getPartitionState(partition);
     const { records, writer, expectedNextOffset } = options;
+    if (isTooLong(records)) {
+      return { type: "refused", reason: "status 400", retryAfterMs: 500 };
+    }
     if (
       expectedNextOffset !== undefined &&
       expectedNextOffset !== state.nextOffset
@@ -338,3 +348,13 @@
   };
   return store;
 }
+
+/** Returns whether the store takes an append neither now nor later. */
+function isTooLong(records: readonly KeyedRecord[]): boolean {
+  const lengths = records.map(({ key, value }) =>
+    RECORD_HEADER_BYTES + Buffer.byteLength(key) +
+    Buffer.byteLength(value ?? "")
+  );
+  return lengths.some((length) => length > MAX_RECORD_BYTES) ||
+    lengths.reduce((sum, length) => sum + length, 0) > MAX_APPEND_BYTES;
+}
