Store a value that is longer than a record in pieces, and drop one that never fits

Cause: a refusal with status 400 or 413 was taken for a store that is away. A batch had up to 500 values of any length, though one append has a limit too. Change: the store client tells such a refusal apart (`rejected`). The progress log then halves its batch until it knows the value at fault, logs its key and length (LL6313), and drops it; only its job ends.

--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -16,6 +16,8 @@
   | { type: "stored" }
   /** Certainly not stored; the caller may retry after `retryAfterMs`. */
   | { type: "refused"; retryAfterMs: number; reason: string }
+  /** Certainly not stored, nor if the caller retries. */
+  | { type: "rejected"; reason: string }
   /** The record may be stored, or may still be stored later. */
   | { type: "unknown"; reason: string };
 
@@ -31,6 +33,12 @@
 /** Delay before an append with an unknown outcome is retried. */
 const RETRY_DELAY_MS = 100;
 
+/**
+ * Most tasks of a submission, or of each of its occurrences. Its owner holds
+ * all of them in memory, and stores what has failed in one append.
+ */
+export const MAX_TASKS = 20_000;
+
 /** Options of {@linkcode acceptJob} and {@linkcode cancelJob}. */
 export type RecordOptions = {
   store: Store;
@@ -56,7 +64,7 @@
 /**
  * Stores an accepted job. Any member may do so, also repeatedly: all records of
  * an id describe the same job, and the partition's owner applies only the
- * first.
+ * first. A job that no owner could hold is rejected.
  *
  * @example
  * ```ts
@@ -69,6 +77,11 @@
   options: RecordOptions,
 ): Promise<RecordOutcome> {
   const { queue } = options;
+  const tasks = submission.steps.reduce((sum, { count }) => sum + count, 0);
+  if (tasks > MAX_TASKS) {
+    const reason = `${tasks} tasks are more than ${MAX_TASKS}`;
+    return { type: "rejected", reason };
+  }
   const accepted: AcceptedJob = {
     queue: queue.name,
     service: queue.service,
@@ -112,7 +125,7 @@
     ...options,
     deadlineMs,
   });
-  if (direct?.type === "stored") return direct;
+  if (direct?.type === "stored" || direct?.type === "rejected") return direct;
   const relayed = await options.relay({ partition, ...record }, deadlineMs);
   if (relayed?.type === "stored") return relayed;
   // If either attempt may have stored the record, the outcome is unknown.
@@ -150,7 +163,7 @@
     if (attempt.type === "stored") return attempt;
     // A refused retry does not rule out that an earlier attempt was stored.
     outcome = outcome?.type === "unknown" ? outcome : attempt;
-    if (attempt.type === "refused") break;
+    if (attempt.type !== "unknown") break;
     await sleep(RETRY_DELAY_MS);
   }
   return outcome;
@@ -169,6 +182,7 @@
   switch (outcome.type) {
     case "stored":
     case "refused":
+    case "rejected":
     case "unknown":
       return outcome;
     default:
--- a/packages/jobs/ended/long_schedule_test.ts
+++ b/packages/jobs/ended/long_schedule_test.ts
@@ -21,6 +21,10 @@
 /** Rounds in which the job completes, with some reserve. */
 const MAX_ROUNDS = 120;
 
+const EXECUTORS = Array.from({ length: 12 }, (_, index) => `e${index}`);
+
+const NO_SIZE = { cpu: 0, memoryMb: 0, accelerators: 0 };
+
 const SMALL_STEP = createStep({
   count: 1,
   size: { cpu: 10, memoryMb: 1, accelerators: 0 },
@@ -111,3 +115,32 @@
     expect(new Set(starts).size).toBe(TIMES);
   });
 });
+
+describe("a job with many failed tasks", () => {
+  let fixture: OwnerFixture;
+
+  setUpOwners((created) => fixture = created);
+
+  // Guards against progress that outgrows a record of the store within one
+  // occurrence, by its failed runs (LOST, BUDGET).
+  test("goes on under the next owner with the failures that it had", async () => {
+    const count = 9_000;
+    fixture.accept(JOB_ID, [{ ...SMALL_STEP, size: NO_SIZE, count }]);
+    const executors = EXECUTORS.map((id) => fixture.addExecutor(id));
+    const first = await fixture.startOwner(1);
+    await advanceTime(500);
+    for (const executor of executors) {
+      const tasks = [...executor.running.keys()];
+      for (const task of tasks) executor.end(task, "failed");
+    }
+    await advanceTime(500);
+    first.close();
+    const second = await fixture.startOwner(2);
+    const { groups } = second.jobs.get(JOB_ID)!;
+    expect(groups[0]!.tasks.every(({ failureCount }) => failureCount === 1))
+      .toBe(true);
+    fixture.accept(NEXT_JOB_ID, [SMALL_STEP]);
+    await advanceTime(1_000);
+    expect(second.jobs.get(NEXT_JOB_ID)!.hasStarted).toBe(true);
+  });
+});
--- a/packages/jobs/ended/progress_log.ts
+++ b/packages/jobs/ended/progress_log.ts
@@ -6,6 +6,7 @@
 
 import { sleep } from "../_sleep.ts";
 import type { KeyedRecord, Store, TopicPartition } from "../ports.ts";
+import { countPieces, splitValue } from "./record_pieces.ts";
 
 /** Shortest time between the starts of two appends of collected records. */
 const FLUSH_INTERVAL_MS = 100;
@@ -25,8 +26,11 @@
 /** Distance between the first sequence numbers of two epochs. */
 const SEQUENCE_NUMBERS_PER_EPOCH = 1_000_000;
 
-/** Most records in one append. */
-const MAX_BATCH_RECORDS = 500;
+/** Most values in one append. */
+const MAX_BATCH_VALUES = 500;
+
+/** Length from which on an append takes no further value. */
+const MAX_BATCH_BYTES = 1_048_576;
 
 /** Writer of the progress of one partition in one epoch of its owner. */
 export type ProgressLog = {
@@ -51,6 +55,8 @@
    * whether they are stored.
    */
   drain(timeoutMs: number): Promise<boolean>;
+  /** Notes how many pieces of a value an earlier writer has stored. */
+  restorePieces(counts: ReadonlyMap<string, number>): void;
   /** Stops writing; records that are not stored yet are discarded. */
   close(): void;
 };
@@ -64,6 +70,11 @@
   onFenced(): void;
   /** Called when an attempt to append has failed and will be retried. */
   onFailure(failure: AppendFailure): void;
+  /**
+   * Called when the store will never take a value, which is dropped. Callbacks
+   * that wait for it also wait for the values that are put in this call.
+   */
+  onRejected(failure: AppendFailure): void;
 };
 
 /** Attempt to append a batch that has failed. */
@@ -76,6 +87,12 @@
   largestBytes: number;
 };
 
+/** Value that waits for its append, in one record or in several. */
+type BatchEntry = { key: string; records: KeyedRecord[]; bytes: number };
+
+/** Result of appending a batch; `rejected` if a part of it was dropped. */
+type BatchResult = "stored" | "rejected" | "ended";
+
 /**
  * Creates a writer that collects records and appends them in batches, one at a
  * time. A batch whose answer was lost is retried under the same sequence
@@ -95,6 +112,7 @@
  */
 export function createProgressLog(options: ProgressLogOptions): ProgressLog {
   const values = new Map<string, () => string | undefined>();
+  const pieceCounts = new Map<string, number>();
   let callbacks: (() => void)[] = [];
   let isClosed = false;
   let isRunning = false;
@@ -115,7 +133,8 @@
       };
     });
 
-  const appendBatch = async (records: KeyedRecord[]): Promise<boolean> => {
+  const appendBatch = async (entries: BatchEntry[]): Promise<BatchResult> => {
+    const records = entries.flatMap((entry) => entry.records);
     let timeoutMs = INITIAL_APPEND_TIMEOUT_MS;
     while (!isClosed) {
       const outcome = await options.store.append(options.partition, {
@@ -126,11 +145,12 @@
       timeoutMs = Math.min(2 * timeoutMs, MAX_APPEND_TIMEOUT_MS);
       if (outcome.type === "stored") {
         sequence++;
-        return true;
+        notePieces(entries);
+        return "stored";
       }
       if (outcome.type === "fenced") {
         options.onFenced();
-        return false;
+        return "ended";
       }
       if (
         outcome.type === "outOfSequence" && outcome.expected !== undefined
@@ -140,10 +160,50 @@
         continue;
       }
       const reason = "reason" in outcome ? outcome.reason : outcome.type;
-      options.onFailure(describeFailure(reason, records));
+      const failure = describeFailure(reason, records);
+      if (outcome.type === "rejected") return await isolate(entries, failure);
+      options.onFailure(failure);
       await sleep(RETRY_DELAY_MS);
     }
-    return false;
+    return "ended";
+  };
+
+  /** Drops the value that the store rejects, and stores the other ones. */
+  const isolate = async (
+    entries: BatchEntry[],
+    failure: AppendFailure,
+  ): Promise<BatchResult> => {
+    if (entries.length === 1) {
+      options.onRejected({ ...failure, largestKey: entries[0]!.key });
+      return "rejected";
+    }
+    const middle = Math.ceil(entries.length / 2);
+    const first = await appendBatch(entries.slice(0, middle));
+    if (first === "ended") return "ended";
+    const second = await appendBatch(entries.slice(middle));
+    return second === "stored" ? first : second;
+  };
+
+  const notePieces = (entries: readonly BatchEntry[]) => {
+    for (const { key, records } of entries) {
+      const count = countPieces(records);
+      if (count > 0) pieceCounts.set(key, count);
+      else pieceCounts.delete(key);
+    }
+  };
+
+  const takeBatch = (): BatchEntry[] => {
+    const entries: BatchEntry[] = [];
+    let bytes = 0;
+    for (const [key, value] of values) {
+      const entry = createEntry({ key, value: value() }, pieceCounts.get(key));
+      bytes += entry.bytes;
+      if (entries.length > 0 && bytes > MAX_BATCH_BYTES) break;
+      entries.push(entry);
+      values.delete(key);
+      if (entries.length >= MAX_BATCH_VALUES) break;
+    }
+    return entries;
   };
 
   const flush = async (): Promise<void> => {
@@ -154,12 +214,17 @@
       if (waitMs > 0 && mayWait) await waitForMore(waitMs);
       isUrgent = false;
       lastFlushMs = performance.now();
-      const records = takeBatch(values);
+      const entries = takeBatch();
       const isLastBatch = values.size === 0;
       const dueCallbacks = isLastBatch ? callbacks : [];
       if (isLastBatch) callbacks = [];
-      if (records.length > 0 && !await appendBatch(records)) break;
-      for (const callback of dueCallbacks) callback();
+      const result = entries.length === 0
+        ? "stored"
+        : await appendBatch(entries);
+      if (result === "ended") break;
+      if (result === "rejected" && values.size > 0) {
+        callbacks = [...dueCallbacks, ...callbacks];
+      } else for (const callback of dueCallbacks) callback();
     }
     isRunning = false;
   };
@@ -188,22 +253,25 @@
       while (isRunning && performance.now() < endMs) await sleep(20);
       return !isRunning;
     },
+    restorePieces(counts) {
+      for (const [key, count] of counts) pieceCounts.set(key, count);
+    },
     close() {
       isClosed = true;
     },
   };
 }
 
-function takeBatch(
-  values: Map<string, () => string | undefined>,
-): KeyedRecord[] {
-  const records: KeyedRecord[] = [];
-  for (const [key, value] of values) {
-    records.push({ key, value: value() });
-    values.delete(key);
-    if (records.length >= MAX_BATCH_RECORDS) break;
-  }
-  return records;
+function createEntry(
+  record: KeyedRecord,
+  previousPieces: number | undefined,
+): BatchEntry {
+  const records = splitValue(record, previousPieces ?? 0);
+  const bytes = records.reduce(
+    (sum, { key, value }) => sum + key.length + Buffer.byteLength(value ?? ""),
+    0,
+  );
+  return { key: record.key, records, bytes };
 }
 
 function describeFailure(
--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -126,6 +126,8 @@
     onFenced: () => handleLoss("store"),
     onFailure: (failure) =>
       events.log("progressDelayed", { partition, ...failure }),
+    onRejected: (failure) =>
+      events.log("progressRejected", { partition, ...failure }),
   });
 
   const waves = createWaveTracker({
--- a/packages/jobs/owned/load_partition.ts
+++ b/packages/jobs/owned/load_partition.ts
@@ -5,7 +5,7 @@
  */
 
 import { AcceptedJob } from "../submission.ts";
-import type { Store, StoredRecord } from "../ports.ts";
+import type { KeyedRecord, Store, StoredRecord } from "../ports.ts";
 import {
   JOBS_TOPIC,
   parseJobKey,
@@ -13,6 +13,7 @@
   USED_EXECUTORS_KEY,
 } from "../topics.ts";
 import { Progress } from "../ended/progress.ts";
+import { joinValues } from "../ended/record_pieces.ts";
 
 /** Decoded state of a partition. */
 export type LoadedPartition = {
@@ -24,6 +25,8 @@
   progress: Map<string, Progress>;
   /** Executors on which earlier owners may have started tasks. */
   usedExecutors: string[];
+  /** Number of pieces of the values of the progress topic that have several. */
+  pieceCounts: Map<string, number>;
   /** Documents of all other keys of the progress topic. */
   otherDocuments: Map<string, unknown>;
   /** Offset from which to read later records of the jobs topic. */
@@ -77,12 +80,15 @@
     cancelled: new Set(),
     progress: new Map(),
     usedExecutors: [],
+    pieceCounts: new Map(),
     otherDocuments: new Map(),
     nextOffset: jobs.nextOffset,
     unreadableCount: 0,
   };
   for (const record of jobs.records) addJobRecord(state, record);
-  for (const record of progress.records) addProgress(state, record);
+  const { values, pieceCounts } = joinValues(progress.records);
+  state.pieceCounts = pieceCounts;
+  for (const [key, value] of values) addProgress(state, { key, value });
   state.jobs.sort((left, right) => left.offset - right.offset);
   return { type: "loaded", state };
 }
@@ -111,7 +117,7 @@
   else state.jobs.push({ id, accepted, offset: record.offset });
 }
 
-function addProgress(state: LoadedPartition, record: StoredRecord): void {
+function addProgress(state: LoadedPartition, record: KeyedRecord): void {
   const document = parseJson(record.value);
   if (record.key === USED_EXECUTORS_KEY) {
     if (Array.isArray(document)) state.usedExecutors = document.map(String);
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -11,10 +11,14 @@
   readNewRecords,
   updateOccurrences,
 } from "../accepted/apply_records.ts";
-import { finishIfComplete } from "../ended/finish_job.ts";
+import { finishIfComplete, finishJob } from "../ended/finish_job.ts";
 import { startRemovingExpiredJobs } from "../ended/remove_expired_jobs.ts";
-import { createProgressLog, type ProgressLog } from "../ended/progress_log.ts";
-import { type Job, type JobsById, stateOf } from "../job.ts";
+import {
+  type AppendFailure,
+  createProgressLog,
+  type ProgressLog,
+} from "../ended/progress_log.ts";
+import { hasEnded, type Job, type JobsById, stateOf } from "../job.ts";
 import {
   type PartitionReport,
   reportPartition,
@@ -218,6 +222,7 @@
       onFenced: () => owner.loseOwnership("store"),
       onFailure: (failure) =>
         events.log("progressDelayed", { partition, ...failure }),
+      onRejected: (failure) => handleRejection(owner, failure),
     }),
     ticketCache: options.adviceClient &&
       createTicketCache(options.adviceClient, {
@@ -240,6 +245,16 @@
   return owner;
 }
 
+/** Ends the job whose progress the store does not take, as all others go on. */
+function handleRejection(owner: OwnerState, failure: AppendFailure): void {
+  const { partition, events } = owner.options;
+  events.log("progressRejected", { partition, ...failure });
+  const job = owner.jobs.get(failure.largestKey);
+  if (job === undefined || hasEnded(job)) return;
+  job.hasFailed = true;
+  finishJob(owner, job, "the store does not take its progress");
+}
+
 /** Resolves once all records that were put before are stored. */
 function untilStored(progress: ProgressLog): Promise<void> {
   return new Promise((resolve) => progress.whenStored(resolve));
@@ -270,6 +285,7 @@
 function applyState(owner: OwnerState, state: LoadedPartition): void {
   const { partition, epoch, events, view, leaseMs } = owner.options;
   owner.nextOffset = state.nextOffset;
+  owner.progress.restorePieces(state.pieceCounts);
   // The partition was assigned to this owner by then, so the store confirmed no
   // earlier owner later than that.
   const assignedAtMs = owner.takenOverAtMs;
--- a/packages/jobs/owner_handlers.ts
+++ b/packages/jobs/owner_handlers.ts
@@ -9,6 +9,7 @@
 const RELAY_OUTCOMES = {
   stored: RelayResponse_Outcome.STORED,
   refused: RelayResponse_Outcome.REFUSED,
+  rejected: RelayResponse_Outcome.REFUSED,
   unknown: RelayResponse_Outcome.UNKNOWN,
 };
 
--- a/packages/jobs/ports.ts
+++ b/packages/jobs/ports.ts
@@ -22,6 +22,8 @@
   | { type: "stored" }
   /** Certainly not stored. */
   | { type: "refused"; reason: string; retryAfterMs: number }
+  /** Certainly not stored, nor if it is repeated: too long or malformed. */
+  | { type: "rejected"; reason: string }
   /** A writer with a higher epoch has appended. */
   | { type: "fenced" }
   /** The sequence number does not follow the previous one. */
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -257,6 +257,18 @@
       largestBytes: "number",
     },
   },
+  progressRejected: {
+    id: "LL6313",
+    level: "error",
+    message: "the store will never take a value, which is dropped",
+    fields: {
+      partition: "number",
+      reason: "string",
+      records: "number",
+      largestKey: "string",
+      largestBytes: "number",
+    },
+  },
   executorFound: {
     id: "LL6401",
     level: "info",
