--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -78,8 +78,9 @@
     unixMs: Date.now(),
     ...openingTimes(owner, job),
   });
-  for (const { tasks } of closeDoneGroups(job)) {
-    for (const { name } of tasks) owner.failedRuns.delete(name);
+  for (const group of closeDoneGroups(job)) {
+    for (const { name } of group.tasks) owner.failedRuns.delete(name);
+    owner.ticketCache?.close(group);
   }
   return hasMore;
 }
--- a/packages/jobs/ended/finish_job.ts
+++ b/packages/jobs/ended/finish_job.ts
@@ -33,6 +33,7 @@
   saveProgress(owner, job);
   owner.progress.whenStored(() => job.isOutcomeStored = true);
   for (const group of job.groups) {
+    owner.ticketCache?.close(group);
     for (const task of group.tasks) {
       for (const run of task.runs) stopRun(owner, run, reason);
     }
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { avoidExecutor } from "../avoid_executor.ts";
 import { closeStart, hasEnded, type Run, type Task } from "../job.ts";
 import { type OwnerState, queueOf, stopRun } from "../owned/owner_state.ts";
 import { isOnProbation } from "../placed/probation.ts";
@@ -102,15 +103,20 @@
 
 function recordFailure(owner: OwnerState, task: Task, end: EndedRun): void {
   const { job, step } = task.group;
+  if (step.isLasting || task.isDone) {
+    // No limit applies to these failures, so that nothing needs their number.
+    avoidExecutor(task, end.executor.id);
+    recordExecutorFailure(owner, end.executor, job.id);
+    return;
+  }
   let runs = owner.failedRuns.get(task.name);
   if (runs === undefined) owner.failedRuns.set(task.name, runs = new Set());
   // Two owners may read the same end; it counts as one failure.
   if (runs.has(end.run)) return;
   runs.add(end.run);
   task.failureCount = runs.size;
-  task.avoidedExecutors.add(end.executor.id);
+  avoidExecutor(task, end.executor.id);
   recordExecutorFailure(owner, end.executor, job.id);
-  if (step.isLasting) return;
   saveProgress(owner, job);
   const maxFailures = queueOf(owner, job)?.maxFailures ?? Infinity;
   if (task.failureCount >= maxFailures && !hasEnded(job)) {
@@ -125,7 +131,9 @@
   job: string,
 ): void {
   executor.consecutiveFailures++;
-  executor.failedJobs.add(job);
+  if (executor.failedJobs.size < SUSPEND_AFTER_JOBS) {
+    executor.failedJobs.add(job);
+  }
   const hasManyFailures = executor.failedJobs.size >= SUSPEND_AFTER_JOBS;
   if (!hasManyFailures || !maySuspendAnother(owner)) return;
   executor.suspendedUntilMs = performance.now() + SUSPENSION_MS;
--- a/packages/jobs/ended/unstored_outcome_test.ts
+++ b/packages/jobs/ended/unstored_outcome_test.ts
@@ -4,6 +4,7 @@
   createStep,
   JOB_ID,
   type OwnerFixture,
+  PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
@@ -23,7 +24,7 @@
     fixture.store.append = async (partition, options) => {
       const outcome = await append(partition, options);
       const stores = options.records.some(({ value }) =>
-        value?.includes('"done":{"0.0"') === true
+        value?.includes('"outcome"') === true
       );
       if (partition.topic === PROGRESS_TOPIC && stores) first.close();
       return outcome;
@@ -40,4 +41,19 @@
       value: "completed",
     });
   });
+
+  // Guards against the same for a record of the last end without the outcome.
+  test("is completed by the next owner if only its last end is stored", async () => {
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    fixture.store.put({ topic: PROGRESS_TOPIC, partition: PARTITION }, {
+      key: JOB_ID,
+      value: JSON.stringify({ done: { "0.0": "1" }, failed: {} }),
+    });
+    const owner = await fixture.startOwner(2);
+    await advanceTime(500);
+    expect(await owner.getJobState(JOB_ID)).toEqual({
+      type: "known",
+      value: "completed",
+    });
+  });
 });
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -5,6 +5,7 @@
  */
 
 import { updateOccurrences } from "../accepted/apply_records.ts";
+import { avoidExecutor } from "../avoid_executor.ts";
 import { closeStart, type Run, type Task, type TaskGroup } from "../job.ts";
 import {
   isOwnershipConfirmed,
@@ -191,7 +192,7 @@
   }
   if (outcome === "ticket") owner.ticketCache?.forget(task.group, executor);
   if (outcome === "bad" || outcome.startsWith("unknown: ")) {
-    task.avoidedExecutors.add(executor.id);
+    avoidExecutor(task, executor.id);
   }
   owner.sessions.get(executor)?.poll();
   owner.schedulePlacement();
--- a/packages/jobs/placed/ticket_cache.ts
+++ b/packages/jobs/placed/ticket_cache.ts
@@ -32,6 +32,8 @@
   ticketFor(group: TaskGroup, executor: ExecutorState): string | undefined;
   /** Drops a ticket that the executor has refused. */
   forget(group: TaskGroup, executor: ExecutorState): void;
+  /** Drops all tickets of a step that needs none any more. */
+  close(group: TaskGroup): void;
 };
 
 /** Tickets of a step. */
@@ -108,6 +110,7 @@
       entry?.askedExecutors.delete(executor.id);
       entry?.tickets.delete(executor.id);
     },
+    close: (group) => void entries.delete(keyOf(group)),
   };
 }
 
--- a/packages/jobs/run/stragglers.ts
+++ b/packages/jobs/run/stragglers.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { avoidExecutor } from "../avoid_executor.ts";
 import type { Run, TaskGroup } from "../job.ts";
 import { maySuspendAnother } from "../ended/record_run_end.ts";
 import { type OwnerState, stopRun } from "../owned/owner_state.ts";
@@ -75,7 +76,7 @@
 function moveRun(owner: OwnerState, run: Run, reason: string): void {
   const { task } = run;
   task.moveCount++;
-  task.avoidedExecutors.add(run.executor.id);
+  avoidExecutor(task, run.executor.id);
   stopRun(owner, run, reason);
 }
 
