Let a gang resume from one checkpoint

Cause: each member resumed from its own checkpoint: the others from what they saved as they ended, the one on the crashed executor from what the last list had. The platform asks for the same value for all of them. Change: the checkpoint of any member counts for all; what was last seen of a lost member doesn't replace what another one saved as it ended. Owners also forget the executors of moved machines after a minute, one entry for each move until now.

--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -74,7 +74,7 @@
   end: EndedRun,
 ): void {
   const { job } = task.group;
-  if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
+  keepCheckpoint(task, end);
   task.lastRunNumber = Math.max(task.lastRunNumber, end.run);
   task.lastEndedRunNumber = Math.max(task.lastEndedRunNumber, end.run);
   task.waitingSinceMs = performance.now();
@@ -84,6 +84,25 @@
   owner.schedulePlacement();
 }
 
+/**
+ * Keeps the checkpoint of a run that has ended. The members of a gang have to
+ * resume from the same one, so that each keeps the newest of any member.
+ */
+function keepCheckpoint(task: Task, end: EndedRun): void {
+  const { checkpoint, run, result } = end;
+  if (checkpoint === "") return;
+  if (!task.group.step.isGang) {
+    task.checkpoint = checkpoint;
+    return;
+  }
+  const { tasks } = task.group;
+  // What was last seen of a lost member is older than what the others saved.
+  const isOutdated = result === "lapsed" && task.checkpoint !== "" &&
+    tasks.some(({ lastEndedRunNumber }) => lastEndedRunNumber >= run);
+  if (isOutdated) return;
+  for (const member of tasks) member.checkpoint = checkpoint;
+}
+
 function markDone(owner: OwnerState, task: Task): void {
   const { group } = task;
   if (group.step.isLasting) return;
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -161,6 +161,9 @@
 /** Time for which the platform's list may still show an ended executor. */
 const ENDED_LISTING_MS = 6_000;
 
+/** Time for which the end of an executor is remembered at least. */
+const ENDED_MEMORY_MS = 60_000;
+
 /** Returns whether an executor ended because its machine was taken away. */
 function hasExecutorEnded(owner: OwnerState, { id }: ExecutorReport): boolean {
   const sinceMs = owner.endedExecutors.get(id);
@@ -173,7 +176,11 @@
 /** Notes that an executor has ended, together with all of its runs. */
 export function markExecutorEnded(owner: OwnerState, id: string): void {
   confirmExecutor(owner, id);
-  owner.endedExecutors.set(id, performance.now());
+  const nowMs = performance.now();
+  for (const [other, sinceMs] of owner.endedExecutors) {
+    if (nowMs - sinceMs > ENDED_MEMORY_MS) owner.endedExecutors.delete(other);
+  }
+  owner.endedExecutors.set(id, nowMs);
   const executor = owner.executors.get(id);
   if (executor === undefined) {
     forgetUsedExecutors(owner, [id]);
