--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -16,6 +16,7 @@
 } from "../job.ts";
 import {
   closeDoneGroups,
+  hasMovingWindow,
   isGroupOver,
   openDueGroups,
   openGroup,
@@ -73,7 +74,7 @@
  * @returns whether further tasks are due that have to wait for a later call
  */
 export function updateOccurrences(owner: OwnerState, job: Job): boolean {
-  if (hasEnded(job)) return false;
+  if (hasEnded(job) || !hasMovingWindow(job)) return false;
   const hasMore = openDueGroups(job, {
     unixMs: Date.now(),
     ...openingTimes(owner, job),
--- a/packages/jobs/occurrences.ts
+++ b/packages/jobs/occurrences.ts
@@ -37,6 +37,11 @@
   return firstRunMs + occurrence * intervalMs;
 }
 
+/** Returns whether groups of a job may still have to be opened or dropped. */
+export function hasMovingWindow(job: Job): boolean {
+  return isScheduled(job) || job.nextOccurrences.includes(0);
+}
+
 /** Finds the group of a step, if it exists. */
 export function findGroup(
   job: Job,
--- a/packages/jobs/placed/due_time.ts
+++ b/packages/jobs/placed/due_time.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import type { Job } from "../job.ts";
-import { countRemainingTasks } from "../occurrences.ts";
+import type { Job, TaskGroup } from "../job.ts";
+import { countRemainingTasks, isScheduled } from "../occurrences.ts";
 import type { AcceptedJob, Step } from "../submission.ts";
 
 /**
@@ -32,12 +32,17 @@
   job: Job,
   occurrence: number,
 ): RemainingStep[] {
+  if (!isScheduled(job)) return job.groups.map(remainingStepOf);
   return job.accepted.submission.steps.map((step, stepIndex) => ({
     step,
     tasks: countRemainingTasks(job, { occurrence, stepIndex }),
   }));
 }
 
+function remainingStepOf({ step, tasks, doneCount }: TaskGroup): RemainingStep {
+  return { step, tasks: tasks.length - doneCount };
+}
+
 /**
  * Returns the length in milliseconds of the critical path through the steps of
  * an occurrence that are not done, by their estimates.
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -21,6 +21,7 @@
 import { measureSettling } from "./requests/measure_settling.ts";
 import { measureSlotExcess } from "./requests/measure_slot_excess.ts";
 import { measureStaleForward } from "./requests/measure_stale_forward.ts";
+import { measureSchedules } from "./schedules/mod.ts";
 
 /** Measures by the name that `--only` selects; all run by default. */
 export const MEASURES: Readonly<Record<string, Measure>> = {
@@ -40,8 +41,9 @@
 };
 
 /**
- * Measures with real processes by name. They run only if `--only` selects them,
- * since they take minutes and their values depend on the machine.
+ * Measures with real processes or in real time, by name. They run only if
+ * `--only` selects them, since they take minutes and their values depend on the
+ * machine.
  */
 export const PROCESS_MEASURES: Readonly<Record<string, Measure>> = {
   control: async () => {
@@ -52,6 +54,7 @@
     return rows;
   },
   "processes-flood": measureProcessesFlood,
+  schedules: measureSchedules,
   ...Object.fromEntries(CONTROL_SIZES.flatMap((daemons) => [
     [`control-${daemons}`, () => measureControl(daemons)],
     [
