Share the fixtures of records between tests and the measure of schedules

Cause: the measure repeated the step, the job and the list entry that the tests have, as their module imports jest. Change: these builders stand in a module of their own, which _fixtures.ts exports as before.

--- a/packages/measure/schedules/measure_schedules.ts
+++ b/packages/measure/schedules/measure_schedules.ts
@@ -8,6 +8,7 @@
 import {
   createPartitionOwner,
   type ExecutorReport,
+  JOBS_TOPIC,
   type PartitionOwner,
 } from "@lagoonloom/jobs";
 import {
@@ -19,6 +20,13 @@
 } from "@lagoonloom/standins";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
+import {
+  createAccepted,
+  createReport,
+  createStep,
+  JOB_ID,
+  PARTITION,
+} from "../../jobs/_record_fixtures.ts";
 import type { MeasureRow } from "../measure_row.ts";
 
 /** Numbers of times for which a job is measured. */
@@ -27,9 +35,7 @@
 /** When the times of a job are due. */
 export type ScheduleDue = "long-ago" | "now" | "future";
 
-const PARTITION = 0;
 const EXECUTORS = 8;
-const JOB = "00000000000000a1";
 
 /** Time for which the first owner runs the job. */
 const RUN_MS = 3_000;
@@ -66,57 +72,25 @@
 
 function createScene(due: ScheduleDue, times: number): Scene {
   const scene: Scene = {
-    store: createMemoryStore({ partitions: 1 }),
+    store: createMemoryStore({ partitions: PARTITION + 1 }),
     executors: createMemoryExecutors(),
     hosts: [],
     reports: new Map(),
   };
   for (let index = 0; index < EXECUTORS; index++) {
-    const report: ExecutorReport = {
-      id: `e${index}`,
-      service: "quoting",
-      address: "127.0.0.1:1",
-      zone: "detroit",
-      isDraining: false,
-      remainingMs: undefined,
-      capacity: { cpu: 16_000, memoryMb: 32_768, accelerators: 0 },
-      labels: ["a", `r${index}`],
-      startedAtMs: 1,
-    };
+    const report = createReport(`e${index}`);
     scene.reports.set(report.id, report);
     scene.hosts.push(scene.executors.add(report));
   }
-  const step = {
-    count: 1,
-    size: { cpu: 1_000, memoryMb: 100, accelerators: 0 },
-    estimateMs: WORK_MS,
-    dependsOn: [],
-    isCheckpointing: false,
-    isGang: false,
-    isSameRack: false,
-    isSpeculative: false,
-    isLasting: false,
-    isFilling: false,
-    label: "",
-    rack: "",
-    maxPerExecutor: 0,
-    image: "",
-    targetMs: 0,
-    maxAway: 0,
-  };
-  scene.store.put({ topic: "jobs", partition: PARTITION }, {
-    key: JOB,
-    value: JSON.stringify({
-      queue: "quotes",
-      service: "quoting",
-      acceptedAtMs: Date.now(),
-      submission: {
-        spec: "work",
-        steps: [step],
-        ...scheduleOf(due, times),
-        occurrences: times,
-      },
-    }),
+  const step = createStep({ count: 1, estimateMs: WORK_MS });
+  const accepted = createAccepted([step]);
+  Object.assign(accepted.submission, {
+    ...scheduleOf(due, times),
+    occurrences: times,
+  });
+  scene.store.put({ topic: JOBS_TOPIC, partition: PARTITION }, {
+    key: JOB_ID,
+    value: JSON.stringify(accepted),
   });
   return scene;
 }
