Write the failure, the pieces and the log fields once each

Cause: reading the change again, recordFailure had two branches with the same two calls, splitValue parsed the count that it had just written, and two log events listed the same five fields. Change: countFailure tells whether a failed run counts; the pieces are written by their own number; the fields stand once. Behaviour is unchanged.

--- a/packages/jobs/ended/record_pieces.ts
+++ b/packages/jobs/ended/record_pieces.ts
@@ -26,15 +26,13 @@
   previousCount: number,
 ): KeyedRecord[] {
   const pieces = cutValue(value ?? "");
-  const records = pieces.length === 1
-    ? [{ key, value }]
-    : [{ key, value: JSON.stringify({ pieces: pieces.length }) }];
-  const count = countPieces(records);
+  const isSplit = pieces.length > 1;
+  const main = isSplit ? JSON.stringify({ pieces: pieces.length }) : value;
+  const records: KeyedRecord[] = [{ key, value: main }];
+  const count = Math.max(isSplit ? pieces.length : 0, previousCount);
   for (let index = 0; index < count; index++) {
-    records.push({ key: pieceKey(key, index), value: pieces[index] });
-  }
-  for (let index = count; index < previousCount; index++) {
-    records.push({ key: pieceKey(key, index), value: undefined });
+    const piece = isSplit ? pieces[index] : undefined;
+    records.push({ key: pieceKey(key, index), value: piece });
   }
   return records;
 }
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -122,20 +122,12 @@
 
 function recordFailure(owner: OwnerState, task: Task, end: EndedRun): void {
   const { job, step } = task.group;
-  if (step.isLasting || task.isDone) {
-    // No limit applies to these failures, so that nothing needs their number.
-    avoidExecutor(task, end.executor.id);
-    recordExecutorFailure(owner, end.executor, job.id);
-    return;
-  }
-  let runs = owner.failedRuns.get(task.name);
-  if (runs === undefined) owner.failedRuns.set(task.name, runs = new Set());
-  // Two owners may read the same end; it counts as one failure.
-  if (runs.has(end.run)) return;
-  runs.add(end.run);
-  task.failureCount = runs.size;
+  // No limit applies to the others, so that nothing needs their number.
+  const isCounted = !step.isLasting && !task.isDone;
+  if (isCounted && !countFailure(owner, task, end.run)) return;
   avoidExecutor(task, end.executor.id);
   recordExecutorFailure(owner, end.executor, job.id);
+  if (!isCounted) return;
   saveProgress(owner, job);
   const maxFailures = queueOf(owner, job)?.maxFailures ?? Infinity;
   if (task.failureCount >= maxFailures && !hasEnded(job)) {
@@ -144,6 +136,19 @@
   }
 }
 
+/**
+ * Counts a failed run of a task. Returns false if it counts already, as two
+ * owners may read the same end.
+ */
+function countFailure(owner: OwnerState, task: Task, run: number): boolean {
+  let runs = owner.failedRuns.get(task.name);
+  if (runs === undefined) owner.failedRuns.set(task.name, runs = new Set());
+  if (runs.has(run)) return false;
+  runs.add(run);
+  task.failureCount = runs.size;
+  return true;
+}
+
 function recordExecutorFailure(
   owner: OwnerState,
   executor: ExecutorState,
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -1,5 +1,14 @@
 import type { LogEvent } from "./log_event.ts";
 
+/** Fields of an append of progress that the store did not take. */
+const APPEND_FAILURE_FIELDS = {
+  partition: "number",
+  reason: "string",
+  records: "number",
+  largestKey: "string",
+  largestBytes: "number",
+} as const;
+
 /**
  * Log events of members that run jobs on the users' platform. The second digit
  * of a number is 0 for the process, 1 for callers, 2 for the ownership of
@@ -249,25 +258,13 @@
     id: "LL6308",
     level: "warn",
     message: "progress could not be stored yet",
-    fields: {
-      partition: "number",
-      reason: "string",
-      records: "number",
-      largestKey: "string",
-      largestBytes: "number",
-    },
+    fields: APPEND_FAILURE_FIELDS,
   },
   progressRejected: {
     id: "LL6313",
     level: "error",
     message: "the store will never take a value, which is dropped",
-    fields: {
-      partition: "number",
-      reason: "string",
-      records: "number",
-      largestKey: "string",
-      largestBytes: "number",
-    },
+    fields: APPEND_FAILURE_FIELDS,
   },
   executorFound: {
     id: "LL6401",
