Log where submissions and cancellations stand, and what an owner reads

They have the offset at which an owner reads a new job, but not that of a cancelling, nor the partition and the offset at which either was stored. Change: LL6101 and LL6103 name the position of the stored record, LL6105 each cancelling that an owner reads and whether the job is known then, LL6204 the position from which an owner reads on, LL6211 and LL6212 reads of jobs without an answer. One assertion of accept_job_test.ts now also asks for the partition. No logic changes.

--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -13,7 +13,8 @@
 
 /** Outcome of storing an accepted job or a cancellation. */
 export type RecordOutcome =
-  | { type: "stored" }
+  /** Partition and offset tell where in the log the record stands, if known. */
+  | { type: "stored"; partition?: number; offset?: number | undefined }
   /** Certainly not stored; the caller may retry after `retryAfterMs`. */
   | { type: "refused"; retryAfterMs: number; reason: string }
   /** Certainly not stored, nor if the caller retries. */
@@ -125,9 +126,10 @@
     ...options,
     deadlineMs,
   });
-  if (direct?.type === "stored" || direct?.type === "rejected") return direct;
+  if (direct?.type === "stored") return { ...direct, partition };
+  if (direct?.type === "rejected") return direct;
   const relayed = await options.relay({ partition, ...record }, deadlineMs);
-  if (relayed?.type === "stored") return relayed;
+  if (relayed?.type === "stored") return { ...relayed, partition };
   // If either attempt may have stored the record, the outcome is unknown.
   const outcomes = [direct, relayed].filter((it) => it !== undefined);
   return outcomes.find(({ type }) => type === "unknown") ?? outcomes[0] ?? {
--- a/packages/jobs/accepted/accept_job_test.ts
+++ b/packages/jobs/accepted/accept_job_test.ts
@@ -125,7 +125,10 @@
   // append to the store, can't hold it.
   test("rejects a job of too many tasks", async () => {
     const step = createStep({ count: MAX_TASKS / 2 });
-    expect(await accept([step, step])).toEqual({ type: "stored" });
+    expect(await accept([step, step])).toEqual({
+      type: "stored",
+      partition: PARTITION,
+    });
     expect(await accept([step, step, createStep({ count: 1 })])).toEqual({
       type: "rejected",
       reason: "20001 tasks are more than 20000",
--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -130,17 +130,18 @@
 function applyRecord(owner: OwnerState, record: StoredRecord): void {
   if (record.value === undefined) return;
   const { id, isCancellation } = parseJobKey(record.key);
-  if (isCancellation) return applyCancellation(owner, id);
+  const { partition, events } = owner.options;
+  const { offset } = record;
+  if (isCancellation) {
+    const isKnown = owner.jobs.has(id);
+    events.log("cancellationRead", { job: id, partition, offset, isKnown });
+    return applyCancellation(owner, id);
+  }
   const accepted = decodeAccepted(record.value);
   if (accepted === undefined) {
-    const { partition } = owner.options;
-    owner.options.events.log("recordUnreadable", {
-      partition,
-      key: record.key,
-    });
+    events.log("recordUnreadable", { partition, key: record.key });
     return;
   }
-  const { offset } = record;
   addJob(owner, id, { accepted, offset, progress: undefined });
 }
 
@@ -159,7 +160,11 @@
   const source = { topic: JOBS_TOPIC, partition };
   const outcome = await store.read(source, { from: owner.nextOffset, waitMs });
   if (owner.isClosed) return true;
-  if (outcome.type === "failed") return false;
+  if (outcome.type === "failed") {
+    logUnread(owner, outcome.reason);
+    return false;
+  }
+  logReadAgain(owner);
   if (outcome.type === "read") {
     for (const record of outcome.records) applyRecord(owner, record);
     owner.nextOffset = Math.max(owner.nextOffset, outcome.nextOffset);
@@ -172,3 +177,20 @@
   owner.nextOffset = newest.nextOffset;
   return true;
 }
+
+/** Logs the first failed read since the last one that was answered. */
+function logUnread(owner: OwnerState, reason: string): void {
+  if (owner.unreadSinceMs !== undefined) return;
+  owner.unreadSinceMs = performance.now();
+  const { nextOffset: offset, options: { partition, events } } = owner;
+  events.log("jobsUnread", { partition, offset, reason });
+}
+
+/** Logs the first answer after failed reads. */
+function logReadAgain(owner: OwnerState): void {
+  if (owner.unreadSinceMs === undefined) return;
+  const silentMs = Math.round(performance.now() - owner.unreadSinceMs);
+  owner.unreadSinceMs = undefined;
+  const { nextOffset: offset, options: { partition, events } } = owner;
+  events.log("jobsReadAgain", { partition, offset, silentMs });
+}
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -103,6 +103,8 @@
   isReleasing: boolean;
   /** Offset of the next record to read from the jobs topic. */
   nextOffset: number;
+  /** Monotonic time of the first failed read of jobs since the last answer. */
+  unreadSinceMs: number | undefined;
   /** Monotonic time at which this owner began to take over. */
   takenOverAtMs: number;
   /** Monotonic time until which unknown runs of inherited jobs may go on. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -213,6 +213,7 @@
     isClosed: false,
     isReleasing: false,
     nextOffset: 0,
+    unreadSinceMs: undefined,
     takenOverAtMs: performance.now(),
     blockedUntilMs: 0,
     progress: createProgressLog({
@@ -316,6 +317,8 @@
     partition,
     epoch,
     jobs: state.jobs.length,
+    cancelled: state.cancelled.size,
+    nextOffset: state.nextOffset,
     unreadable: state.unreadableCount,
     executors: owner.unconfirmedExecutors.size,
     hasHandover: handover !== undefined,
--- a/packages/jobs/ports.ts
+++ b/packages/jobs/ports.ts
@@ -19,7 +19,8 @@
 
 /** Outcome of an append. */
 export type AppendOutcome =
-  | { type: "stored" }
+  /** `offset` is that of the first record, if the store names it. */
+  | { type: "stored"; offset?: number | undefined }
   /** Certainly not stored. */
   | { type: "refused"; reason: string; retryAfterMs: number }
   /** Certainly not stored, nor if it is repeated: too long or malformed. */
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -61,7 +61,12 @@
     id: "LL6101",
     level: "info",
     message: "job is stored",
-    fields: { job: "string", queue: "string", tookMs: "number" },
+    fields: {
+      job: "string",
+      queue: "string",
+      position: "string",
+      tookMs: "number",
+    },
   },
   jobNotAccepted: {
     id: "LL6102",
@@ -78,7 +83,7 @@
     id: "LL6103",
     level: "info",
     message: "cancellation of a job is stored",
-    fields: { job: "string" },
+    fields: { job: "string", position: "string" },
   },
   showFailed: {
     id: "LL6104",
@@ -86,6 +91,29 @@
     message: "state of a job could not be fetched for its caller",
     fields: { job: "string", queue: "string" },
   },
+  cancellationRead: {
+    id: "LL6105",
+    level: "info",
+    message: "owner of the partition has read a cancellation",
+    fields: {
+      job: "string",
+      partition: "number",
+      offset: "number",
+      isKnown: "boolean",
+    },
+  },
+  jobsUnread: {
+    id: "LL6211",
+    level: "warn",
+    message: "owner of a partition gets no answer to a read of new jobs",
+    fields: { partition: "number", offset: "number", reason: "string" },
+  },
+  jobsReadAgain: {
+    id: "LL6212",
+    level: "info",
+    message: "owner of a partition reads new jobs again",
+    fields: { partition: "number", offset: "number", silentMs: "number" },
+  },
   ownersChanged: {
     id: "LL6201",
     level: "info",
@@ -112,6 +140,8 @@
       partition: "number",
       epoch: "number",
       jobs: "number",
+      cancelled: "number",
+      nextOffset: "number",
       unreadable: "number",
       executors: "number",
       hasHandover: "boolean",
--- a/packages/telemetry/job_metrics_test.ts
+++ b/packages/telemetry/job_metrics_test.ts
@@ -15,7 +15,12 @@
   // Guards against metrics that disagree with the log.
   test("counts the events and records their durations", async () => {
     const { metrics, events } = create();
-    events.log("jobAccepted", { job: "a", queue: "quotes", tookMs: 8 });
+    events.log("jobAccepted", {
+      job: "a",
+      queue: "quotes",
+      position: "3/0",
+      tookMs: 8,
+    });
     events.log("runEnded", {
       task: "a.0.0.0",
       run: 1,
@@ -37,7 +42,12 @@
     const { metrics, events } = create();
     const names = Array.from({ length: 300 }, (_, index) => `queue-${index}`);
     for (const queue of names) {
-      events.log("jobAccepted", { job: "a", queue, tookMs: 8 });
+      events.log("jobAccepted", {
+        job: "a",
+        queue,
+        position: "3/0",
+        tookMs: 8,
+      });
     }
     const text = await metrics.registry.metrics();
     const lines = text.split("\n").filter((line) =>
