Cancel a job whose submission is stored after its cancelling

Cause: a live owner dropped a cancelling whose job it did not know. The record of the submission that is read later then counts as new work. That order comes about by a late append, by a repeated submission of which an owner reads only the newest record after a gap, and by an owner that loads the cancelling and reads the submission afterwards. Change: an owner keeps cancellations of unknown jobs, also those it loads, and cancels the job once it is known. They are deleted with their records after the retention time of ended jobs, so that neither grows without an end. Conclusion: the order of the two records no longer matters. Whether it is what the users saw is open: their clients cancel after the acknowledgement.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -23,12 +23,12 @@
   type OpeningTimes,
   totalOccurrences,
 } from "../occurrences.ts";
-import { decodeAccepted } from "../owned/load_partition.ts";
+import { decodeAccepted, decodeCancellation } from "../owned/load_partition.ts";
 import { type OwnerState, queueOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
 import { prepareEarly } from "../placed/prepare_job.ts";
 import type { StoredRecord } from "../ports.ts";
-import type { AcceptedJob, Step } from "../submission.ts";
+import type { AcceptedJob, Cancellation, Step } from "../submission.ts";
 import { JOBS_TOPIC, parseJobKey } from "../topics.ts";
 
 /**
@@ -62,8 +62,10 @@
   if (!isInherited) {
     const { partition } = owner.options;
     owner.options.events.log("jobTaken", { job: id, partition, offset });
-    prepareEarly(owner, job);
   }
+  const isCancelled = owner.earlyCancellations.delete(id);
+  if (isCancelled) cancelJob(owner, job);
+  else if (!isInherited) prepareEarly(owner, job);
   owner.schedulePlacement();
   return job;
 }
@@ -119,10 +121,22 @@
   return job?.accepted.submission.steps[parts!.stepIndex];
 }
 
-/** Cancels a job if it is known and has not ended. */
-export function applyCancellation(owner: OwnerState, id: string): void {
+/**
+ * Cancels a job. If it is not known yet, it is cancelled as soon as it is: its
+ * submission may be stored after the cancellation.
+ */
+export function applyCancellation(
+  owner: OwnerState,
+  id: string,
+  { cancelledAtMs }: Cancellation,
+): void {
   const job = owner.jobs.get(id);
-  if (job === undefined || hasEnded(job)) return;
+  if (job === undefined) owner.earlyCancellations.set(id, cancelledAtMs);
+  else cancelJob(owner, job);
+}
+
+function cancelJob(owner: OwnerState, job: Job): void {
+  if (hasEnded(job)) return;
   job.isCancelled = true;
   finishJob(owner, job, "cancelled by its caller");
 }
@@ -135,7 +149,7 @@
   if (isCancellation) {
     const isKnown = owner.jobs.has(id);
     events.log("cancellationRead", { job: id, partition, offset, isKnown });
-    return applyCancellation(owner, id);
+    return applyCancellation(owner, id, decodeCancellation(record.value));
   }
   const accepted = decodeAccepted(record.value);
   if (accepted === undefined) {
--- a/packages/jobs/ended/remove_expired_jobs.ts
+++ b/packages/jobs/ended/remove_expired_jobs.ts
@@ -8,15 +8,16 @@
 /** Interval between searches for expired jobs. */
 const INTERVAL_MS = 5_000;
 
-/** Most jobs that one append removes. */
+/** Most jobs that one append removes, and most cancellations without a job. */
 const MAX_JOBS_PER_APPEND = 200;
 
 const APPEND_TIMEOUT_MS = 1_500;
 
 /**
- * Starts removing ended jobs whose retention time is over, until the owner
- * closes. A job's acceptance record is removed before its progress: the next
- * owner would run an accepted job without progress again.
+ * Starts removing ended jobs whose retention time is over, and cancellations as
+ * old of jobs that never came, until the owner closes. A job's acceptance
+ * record is removed before its progress: the next owner would run an accepted
+ * job without progress again.
  */
 export function startRemovingExpiredJobs(owner: OwnerState): void {
   const timer = setInterval(() => {
@@ -33,8 +34,14 @@
   const expired = [...owner.jobs.values()]
     .filter((job) => isExpired(job, endedBeforeMs))
     .slice(0, MAX_JOBS_PER_APPEND);
-  if (expired.length === 0) return;
-  const keys = expired.flatMap(({ id }) => [id, cancelKey(id)]);
+  const cancellations = [...owner.earlyCancellations]
+    .filter(([, cancelledAtMs]) => cancelledAtMs <= endedBeforeMs)
+    .slice(0, MAX_JOBS_PER_APPEND).map(([id]) => id);
+  if (expired.length + cancellations.length === 0) return;
+  const keys = [
+    ...expired.flatMap(({ id }) => [id, cancelKey(id)]),
+    ...cancellations.map(cancelKey),
+  ];
   const outcome = await store.append({ topic: JOBS_TOPIC, partition }, {
     records: keys.map((key) => ({ key, value: undefined })),
     timeoutMs: APPEND_TIMEOUT_MS,
@@ -42,6 +49,8 @@
   // If the outcome is not certain, the next search removes the jobs again.
   if (outcome.type !== "stored" || owner.isClosed) return;
   for (const job of expired) removeJob(owner, job);
+  for (const id of cancellations) owner.earlyCancellations.delete(id);
+  if (expired.length === 0) return;
   owner.options.events.log("jobsForgotten", {
     partition,
     jobs: expired.length,
--- a/packages/jobs/owned/load_partition.ts
+++ b/packages/jobs/owned/load_partition.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { AcceptedJob } from "../submission.ts";
+import { AcceptedJob, Cancellation } from "../submission.ts";
 import type { KeyedRecord, Store, StoredRecord } from "../ports.ts";
 import {
   JOBS_TOPIC,
@@ -19,8 +19,8 @@
 export type LoadedPartition = {
   /** Accepted jobs in the order of their offsets. */
   jobs: { id: string; accepted: AcceptedJob; offset: number }[];
-  /** Ids of cancelled jobs. */
-  cancelled: Set<string>;
+  /** Cancellations by job id. */
+  cancellations: Map<string, Cancellation>;
   /** Progress by job id. */
   progress: Map<string, Progress>;
   /** Executors on which earlier owners may have started tasks. */
@@ -77,7 +77,7 @@
   if (progress.type === "failed") return progress;
   const state: LoadedPartition = {
     jobs: [],
-    cancelled: new Set(),
+    cancellations: new Map(),
     progress: new Map(),
     usedExecutors: [],
     pieceCounts: new Map(),
@@ -106,10 +106,16 @@
   return parsed.success ? parsed.data : undefined;
 }
 
+/** Decodes the record of a cancellation; one of no known time counts as new. */
+export function decodeCancellation(value: string | undefined): Cancellation {
+  const parsed = Cancellation.safeParse(parseJson(value));
+  return parsed.success ? parsed.data : { cancelledAtMs: Date.now() };
+}
+
 function addJobRecord(state: LoadedPartition, record: StoredRecord): void {
   const { id, isCancellation } = parseJobKey(record.key);
   if (isCancellation) {
-    state.cancelled.add(id);
+    state.cancellations.set(id, decodeCancellation(record.value));
     return;
   }
   const accepted = decodeAccepted(record.value);
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -66,6 +66,11 @@
   jobs: JobsById;
   executors: Map<string, ExecutorState>;
   sessions: Map<ExecutorState, ExecutorSession>;
+  /**
+   * Unix times of the cancellations of jobs that are not known (yet), by id, in
+   * milliseconds.
+   */
+  earlyCancellations: Map<string, number>;
   /** Numbers of failed runs by task. */
   failedRuns: FailedRuns;
   /** Executors on which this or earlier owners may run tasks, by id. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -199,6 +199,7 @@
     jobs: new Map(),
     executors: new Map(),
     sessions: new Map(),
+    earlyCancellations: new Map(),
     failedRuns: new Map(),
     usedExecutors: new Map(),
     unconfirmedExecutors: new Map(),
@@ -292,11 +293,13 @@
   const assignedAtMs = owner.takenOverAtMs;
   owner.blockedUntilMs = assignedAtMs + OWNERSHIP_GRACE_MS +
     longestLeaseMs(leaseMs);
+  for (const [id, cancellation] of state.cancellations) {
+    applyCancellation(owner, id, cancellation);
+  }
   for (const { id, accepted, offset } of state.jobs) {
     const progress = state.progress.get(id);
     const job = addJob(owner, id, { accepted, offset, progress });
     suspectOpenStarts(owner, job);
-    if (state.cancelled.has(id)) applyCancellation(owner, id);
     // The earlier owner ended after it had stored the last end of a task.
     finishIfComplete(owner, job);
   }
@@ -317,7 +320,7 @@
     partition,
     epoch,
     jobs: state.jobs.length,
-    cancelled: state.cancelled.size,
+    cancelled: state.cancellations.size,
     nextOffset: state.nextOffset,
     unreadable: state.unreadableCount,
     executors: owner.unconfirmedExecutors.size,
--- a/packages/jobs/submission.ts
+++ b/packages/jobs/submission.ts
@@ -79,6 +79,12 @@
 /** Stored record of an accepted job. */
 export type AcceptedJob = z.infer<typeof AcceptedJob>;
 
+/** Schema of the stored record of a cancellation. */
+export const Cancellation = z.object({ cancelledAtMs: z.number() });
+
+/** Stored record of a cancellation. */
+export type Cancellation = z.infer<typeof Cancellation>;
+
 /** State of a job that callers see. */
 export type JobState =
   | "queued"
