Keep the policy of a queue with the jobs that it has accepted

Cause: an owner looked the queue up in the newest configuration at each decision, and each caller of queueOf had a default of its own for a queue that is missing: no limit of attempts, no tickets, priority 9, an objective without stretch. An owner keeps the policy with the jobs that it takes over, also if an earlier version stored them; without any it allows 3 attempts. Why it works: what the owner needs is stored in the append that accepts the job, so that each owner has it that has the job.

--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -23,6 +23,7 @@
   createPartitionOwner,
   type PartitionOwner,
 } from "./owned/partition_owner.ts";
+import type { AdviceClient } from "./ports.ts";
 import type { Step } from "./submission.ts";
 import { cancelKey, JOBS_TOPIC, PROGRESS_TOPIC } from "./topics.ts";
 
@@ -32,6 +33,7 @@
 export type OwnerFixture = {
   store: MemoryStore;
   executors: MemoryExecutors;
+  adviceClient: AdviceClient | undefined;
   reports: Map<string, ExecutorReport>;
   configuration: Configuration;
   /** Machines of the platform; undefined if their list gets no answer. */
@@ -89,6 +91,7 @@
   const fixture: OwnerFixture = {
     store: createMemoryStore({ partitions: 8 }),
     executors: createMemoryExecutors(),
+    adviceClient: undefined,
     reports: new Map(),
     configuration: createConfiguration(),
     machines: undefined,
@@ -108,7 +111,7 @@
         epoch,
         store: fixture.store,
         executorClient: fixture.executors,
-        adviceClient: undefined,
+        adviceClient: fixture.adviceClient,
         view: {
           configuration: () => fixture.configuration,
           layout: () => new Map([["quoting", [PARTITION]]]),
--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -8,7 +8,11 @@
 import type { Queue } from "../fleet.ts";
 import { type Layout, partitionOf } from "../owned/layout.ts";
 import type { Store } from "../ports.ts";
-import type { AcceptedJob, Submission } from "../submission.ts";
+import {
+  type AcceptedJob,
+  QueuePolicy,
+  type Submission,
+} from "../submission.ts";
 import { cancelKey, JOBS_TOPIC } from "../topics.ts";
 
 /** Outcome of storing an accepted job or a cancellation. */
@@ -85,6 +89,7 @@
   }
   const accepted: AcceptedJob = {
     queue: queue.name,
+    policy: QueuePolicy.parse(queue),
     service: queue.service,
     acceptedAtMs: Date.now(),
     submission,
--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -24,7 +24,7 @@
   totalOccurrences,
 } from "../occurrences.ts";
 import { decodeAccepted, decodeCancellation } from "../owned/load_partition.ts";
-import { type OwnerState, queueOf } from "../owned/owner_state.ts";
+import { type OwnerState, policyOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
 import { prepareEarly } from "../placed/prepare_job.ts";
 import type { StoredRecord } from "../ports.ts";
@@ -47,11 +47,12 @@
   const known = owner.jobs.get(id);
   if (known !== undefined) return known;
   const isInherited = progress !== undefined;
+  const policy = policyOf(owner, accepted);
   const job = createJob(id, {
-    accepted,
+    accepted: { ...accepted, policy },
     offset,
     isInherited,
-    objectiveMs: objectiveMs(accepted, queueOf(owner, { accepted })),
+    objectiveMs: objectiveMs(accepted, policy),
   });
   owner.jobs.set(id, job);
   if (progress !== undefined) {
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -7,7 +7,7 @@
 
 import { avoidExecutor } from "../avoid_executor.ts";
 import { closeStart, hasEnded, type Run, type Task } from "../job.ts";
-import { type OwnerState, queueOf, stopRun } from "../owned/owner_state.ts";
+import { type OwnerState, policyOf, stopRun } from "../owned/owner_state.ts";
 import { isOnProbation } from "../placed/probation.ts";
 import type { RunEnd } from "../ports.ts";
 import type { ExecutorState } from "../executor_state.ts";
@@ -129,7 +129,7 @@
   recordExecutorFailure(owner, end.executor, job.id);
   if (!isCounted) return;
   saveProgress(owner, job);
-  const maxFailures = queueOf(owner, job)?.maxFailures ?? Infinity;
+  const { maxFailures } = policyOf(owner, job.accepted);
   if (task.failureCount >= maxFailures && !hasEnded(job)) {
     job.hasFailed = true;
     finishJob(owner, job, `${task.name} failed ${task.failureCount} times`);
--- a/packages/jobs/fleet.ts
+++ b/packages/jobs/fleet.ts
@@ -4,26 +4,14 @@
  * @module
  */
 
-import type { Size } from "./submission.ts";
+import type { QueuePolicy, Size } from "./submission.ts";
 
 /** Queue to which callers submit jobs. */
-export type Queue = {
+export type Queue = QueuePolicy & {
   name: string;
   host: string;
   pathPrefix: string;
   service: string;
-  /** Lower numbers are served first; 0 is the highest priority. */
-  priority: number;
-  /** Number of failed runs of one task that makes its job fail. */
-  maxFailures: number;
-  /**
-   * A job should complete within `stretch` times the length of its critical
-   * path, plus `targetLatencyMs`.
-   */
-  stretch: number;
-  targetLatencyMs: number;
-  /** Whether executors need a ticket of the advice service for each step. */
-  needsAdvice: boolean;
 };
 
 /** Service whose executors run jobs. */
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -6,19 +6,15 @@
 
 import type { FailedRuns } from "../ended/progress.ts";
 import type { ProgressLog } from "../ended/progress_log.ts";
-import type {
-  Configuration,
-  ExecutorReport,
-  Machine,
-  Queue,
-} from "../fleet.ts";
-import type { Job, JobsById, Run } from "../job.ts";
+import type { Configuration, ExecutorReport, Machine } from "../fleet.ts";
+import type { JobsById, Run } from "../job.ts";
 import type { LateStart, UsedExecutor } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
 import type { LostExecutor } from "../run/lost_executor.ts";
 import type { ExecutorSession } from "../run/session_types.ts";
+import type { AcceptedJob, QueuePolicy } from "../submission.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import type { HandoverRun } from "./handover_record.ts";
 import type { Layout } from "./layout.ts";
@@ -154,14 +150,25 @@
   return performance.now() - owner.options.confirmedAtMs() < withinMs;
 }
 
-/** Returns the queue of a job; undefined if it is not configured any more. */
-export function queueOf(
+/** Policy of a queue of which neither a configuration nor a record is known. */
+const UNKNOWN_POLICY: QueuePolicy = {
+  priority: 9,
+  maxFailures: 3,
+  stretch: 1,
+  targetLatencyMs: 0,
+  needsAdvice: false,
+};
+
+/**
+ * Returns the policy of the queue of an accepted job. If the queue is not
+ * configured any more, the job goes on under the policy that is kept with it.
+ */
+export function policyOf(
   owner: OwnerState,
-  { accepted }: Pick<Job, "accepted">,
-): Queue | undefined {
-  const { queue } = accepted;
-  return owner.options.view.configuration()?.queues
-    .find(({ name }) => name === queue);
+  { queue, policy }: AcceptedJob,
+): QueuePolicy {
+  const queues = owner.options.view.configuration()?.queues;
+  return queues?.find(({ name }) => name === queue) ?? policy ?? UNKNOWN_POLICY;
 }
 
 /** Stops a run and logs the reason, unless it is being stopped already. */
--- a/packages/jobs/placed/due_time.ts
+++ b/packages/jobs/placed/due_time.ts
@@ -6,7 +6,7 @@
 
 import type { Job, TaskGroup } from "../job.ts";
 import { countRemainingTasks, isScheduled } from "../occurrences.ts";
-import type { AcceptedJob, Step } from "../submission.ts";
+import type { AcceptedJob, QueuePolicy, Step } from "../submission.ts";
 
 /**
  * Returns the length in milliseconds of the critical path of a job, by the
@@ -69,10 +69,10 @@
  */
 export function objectiveMs(
   accepted: AcceptedJob,
-  queue: { stretch: number; targetLatencyMs: number } | undefined,
+  { stretch, targetLatencyMs }: QueuePolicy,
 ): number {
   const pathMs = criticalPathMs(accepted.submission.steps);
-  return (queue?.stretch ?? 1) * pathMs + (queue?.targetLatencyMs ?? 0);
+  return stretch * pathMs + targetLatencyMs;
 }
 
 /** Multiple of its objective for which the caller of a job waits. */
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -11,7 +11,7 @@
   isOwnershipConfirmed,
   OWNERSHIP_GRACE_MS,
   type OwnerState,
-  queueOf,
+  policyOf,
 } from "../owned/owner_state.ts";
 import { createRun } from "../create_run.ts";
 import { openStart } from "../ended/open_start.ts";
@@ -55,7 +55,7 @@
     executors,
     monotonicMs: performance.now(),
     unixMs: Date.now(),
-    priorityOf: (job) => queueOf(owner, job)?.priority ?? 9,
+    priorityOf: ({ accepted }) => policyOf(owner, accepted).priority,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
   });
   const unprepared = prepare(owner, placements);
@@ -110,7 +110,7 @@
     executor: ExecutorState;
   },
 ): boolean {
-  if (queueOf(owner, group.job)?.needsAdvice !== true) return true;
+  if (!policyOf(owner, group.job.accepted).needsAdvice) return true;
   return owner.ticketCache?.mayRun(group, executors, executor) ?? true;
 }
 
--- a/packages/jobs/submission.ts
+++ b/packages/jobs/submission.ts
@@ -68,9 +68,33 @@
 /** Job as its caller submits it. */
 export type Submission = z.infer<typeof Submission>;
 
+/** Schema of how a queue treats its jobs. */
+export const QueuePolicy = z.object({
+  /** Lower numbers are served first; 0 is the highest priority. */
+  priority: z.number(),
+  /** Number of failed runs of one task that makes its job fail. */
+  maxFailures: z.number(),
+  /**
+   * A job should complete within `stretch` times the length of its critical
+   * path, plus `targetLatencyMs`.
+   */
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  /** Whether executors need a ticket of the advice service for each step. */
+  needsAdvice: z.boolean(),
+});
+
+/** How a queue treats its jobs. */
+export type QueuePolicy = z.infer<typeof QueuePolicy>;
+
 /** Schema of the stored record of an accepted job. */
 export const AcceptedJob = z.object({
   queue: z.string(),
+  /**
+   * Policy of the queue, for the time after it was removed from the
+   * configuration. Records of earlier versions have none.
+   */
+  policy: QueuePolicy.optional(),
   service: z.string(),
   acceptedAtMs: z.number(),
   submission: Submission,
