Start no task unless the jobs were read in the last 2.7 s

Cause: whether an owner may start tasks followed from its last join alone. Its reads of new jobs may fail for longer: each connection that fell silent costs one call its time limit, and after 1.5 s without a join no new job is read at all. A join that is then answered first let it start what was cancelled meanwhile; so did a new owner that waited for the list of executors after it had loaded the jobs. Change: an owner notes up to when it has read all records, by the time at which an answered read was sent, and starts nothing once that is 2.7 s ago. Cost: during an outage of the store, starts of known tasks end up to 0.8 s earlier than by the ownership, which allows 3.5 s.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -173,6 +173,7 @@
 ): Promise<boolean> {
   const { store, partition } = owner.options;
   const source = { topic: JOBS_TOPIC, partition };
+  const sentAtMs = performance.now();
   const outcome = await store.read(source, { from: owner.nextOffset, waitMs });
   if (owner.isClosed) return true;
   if (outcome.type === "failed") {
@@ -183,6 +184,10 @@
   if (outcome.type === "read") {
     for (const record of outcome.records) applyRecord(owner, record);
     owner.nextOffset = Math.max(owner.nextOffset, outcome.nextOffset);
+    // The store waited for a record that did not come.
+    const hasWaited = outcome.records.length === 0 &&
+      performance.now() >= sentAtMs + waitMs;
+    noteKnown(owner, hasWaited ? sentAtMs + waitMs : sentAtMs);
     return true;
   }
   const newest = await store.readNewest(source);
@@ -190,9 +195,14 @@
   newest.records.sort((left, right) => left.offset - right.offset);
   for (const record of newest.records) applyRecord(owner, record);
   owner.nextOffset = newest.nextOffset;
+  noteKnown(owner, sentAtMs);
   return true;
 }
 
+function noteKnown(owner: OwnerState, monotonicMs: number): void {
+  owner.jobsKnownAtMs = Math.max(owner.jobsKnownAtMs, monotonicMs);
+}
+
 /** Logs the first failed read since the last one that was answered. */
 function logUnread(owner: OwnerState, reason: string): void {
   if (owner.unreadSinceMs !== undefined) return;
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -104,6 +104,8 @@
   isReleasing: boolean;
   /** Offset of the next record to read from the jobs topic. */
   nextOffset: number;
+  /** Monotonic time up to which this owner has read all job records. */
+  jobsKnownAtMs: number;
   /** Monotonic time of the first failed read of jobs since the last answer. */
   unreadSinceMs: number | undefined;
   /** Monotonic time at which this owner began to take over. */
@@ -150,6 +152,21 @@
   return performance.now() - owner.options.confirmedAtMs() < withinMs;
 }
 
+/**
+ * Age of the known job records up to which tasks are started. Callers rely on
+ * it that nothing starts 3 s after a cancellation was acknowledged.
+ */
+const MAX_JOBS_AGE_MS = 2_700;
+
+/**
+ * Returns whether tasks may be started: no other owner may do so, and no
+ * cancellation is stored that this owner should have read by now.
+ */
+export function mayStart(owner: OwnerState): boolean {
+  return isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS) &&
+    performance.now() - owner.jobsKnownAtMs < MAX_JOBS_AGE_MS;
+}
+
 /** Policy of a queue of which neither a configuration nor a record is known. */
 const UNKNOWN_POLICY: QueuePolicy = {
   priority: 9,
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -53,6 +53,7 @@
   ADMISSION_GRACE_MS,
   isOwnershipConfirmed,
   longestLeaseMs,
+  mayStart,
   OWNERSHIP_GRACE_MS,
   type OwnerState,
   type PartitionOwnerOptions,
@@ -214,6 +215,7 @@
     isClosed: false,
     isReleasing: false,
     nextOffset: 0,
+    jobsKnownAtMs: -Infinity,
     unreadSinceMs: undefined,
     takenOverAtMs: performance.now(),
     blockedUntilMs: 0,
@@ -236,7 +238,7 @@
       placementTimer = setTimeout(() => {
         placementTimer = undefined;
         if (owner.isClosed || owner.isReleasing) return;
-        if (!isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS)) return;
+        if (!mayStart(owner)) return;
         const startedAtMs = performance.now();
         startWaitingTasks(owner);
         lastRoundMs = performance.now() - startedAtMs;
@@ -274,6 +276,7 @@
       await sleep(CHECK_INTERVAL_MS);
     }
     if (outcome.type === "loaded" && !owner.isClosed) {
+      owner.jobsKnownAtMs = startedAtMs;
       applyState(owner, outcome.state);
       await followJobs(owner);
       return;
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -7,12 +7,7 @@
 import { updateOccurrences } from "../accepted/apply_records.ts";
 import { avoidExecutor } from "../avoid_executor.ts";
 import { closeStart, type Run, type Task, type TaskGroup } from "../job.ts";
-import {
-  isOwnershipConfirmed,
-  OWNERSHIP_GRACE_MS,
-  type OwnerState,
-  policyOf,
-} from "../owned/owner_state.ts";
+import { mayStart, type OwnerState, policyOf } from "../owned/owner_state.ts";
 import { createRun } from "../create_run.ts";
 import { openStart } from "../ended/open_start.ts";
 import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
@@ -152,9 +147,7 @@
   if (run.state !== "starting" || run.stopReason !== "") return;
   // The next owner relies on both, which may have changed in the meantime.
   if (owner.isReleasing) return;
-  if (!isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS)) {
-    return withdrawStart(owner, run);
-  }
+  if (!mayStart(owner)) return withdrawStart(owner, run);
   const ticket = owner.ticketCache?.ticketFor(task.group, executor) ?? "";
   if (isSuspect(task)) {
     setTimeout(session.poll, ISOLATION_MS + POLL_MARGIN_MS);
@@ -169,7 +162,11 @@
 function withdrawStart(owner: OwnerState, run: Run): void {
   removeRun(run);
   closeStart(run.task, run.number);
-  handleRefusal(owner, run, "the ownership is not confirmed");
+  handleRefusal(
+    owner,
+    run,
+    "the ownership is not confirmed or new jobs are not read",
+  );
 }
 
 /** Returns whether an executor has crashed under a task, or may have. */
