Bring no removed job back from an older list of records

What callers could see: a completed job that runs again (TWICE), if the store forgot its history just as its owner removed the job after the retention time. Cause: the newest records are read in pages that may be older than the removal. The owner took a record of a job that it had removed meanwhile for a new job. Change: a job that was known as the list was requested and is not any more is left out. A failed read of the list is logged as a failed read of new jobs is.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -180,20 +180,35 @@
     logUnread(owner, outcome.reason);
     return false;
   }
+  if (outcome.type === "gap") return await readNewestRecords(owner);
   logReadAgain(owner);
-  if (outcome.type === "read") {
-    for (const record of outcome.records) applyRecord(owner, record);
-    owner.nextOffset = Math.max(owner.nextOffset, outcome.nextOffset);
-    // The store waited for a record that did not come.
-    const hasWaited = outcome.records.length === 0 &&
-      performance.now() >= sentAtMs + waitMs;
-    noteKnown(owner, hasWaited ? sentAtMs + waitMs : sentAtMs);
-    return true;
+  for (const record of outcome.records) applyRecord(owner, record);
+  owner.nextOffset = Math.max(owner.nextOffset, outcome.nextOffset);
+  // The store waited for a record that did not come.
+  const hasWaited = outcome.records.length === 0 &&
+    performance.now() >= sentAtMs + waitMs;
+  noteKnown(owner, hasWaited ? sentAtMs + waitMs : sentAtMs);
+  return true;
+}
+
+async function readNewestRecords(owner: OwnerState): Promise<boolean> {
+  const { store, partition } = owner.options;
+  const sentAtMs = performance.now();
+  const knownBefore = new Set(owner.jobs.keys());
+  const newest = await store.readNewest({ topic: JOBS_TOPIC, partition });
+  if (owner.isClosed) return true;
+  if (newest.type === "failed") {
+    logUnread(owner, newest.reason);
+    return false;
   }
-  const newest = await store.readNewest(source);
-  if (newest.type === "failed") return false;
+  logReadAgain(owner);
   newest.records.sort((left, right) => left.offset - right.offset);
-  for (const record of newest.records) applyRecord(owner, record);
+  for (const record of newest.records) {
+    const { id } = parseJobKey(record.key);
+    // The pages may be older than the removal of an expired job.
+    const isRemoved = knownBefore.has(id) && !owner.jobs.has(id);
+    if (!isRemoved) applyRecord(owner, record);
+  }
   owner.nextOffset = newest.nextOffset;
   noteKnown(owner, sentAtMs);
   return true;
