End a job for crashes only if runs of its task had begun

Cause: each crash after a start counted, whether or not the start had taken effect, and the fourth one ended the job. An order without an answer and a task whose crash eats the answer looked alike. Change: a crash counts towards ending the job only on evidence that the run had begun: a confirmed start, a listed run, or, for a task that is started alone, an executor that answered a poll 30 ms before the start and none after it. Two such crashes are needed, one of them alone. Why it works: an executor that crashes later than 30 ms after the start answers the poll that follows it, without the run, so that its crash is no evidence. A task that crashes its executor at once leaves that poll without an answer.

--- a/packages/jobs/create_run.ts
+++ b/packages/jobs/create_run.ts
@@ -28,6 +28,7 @@
     progressedAtMs: nowMs,
     ratePercent: 100,
     confirmedClockMs: undefined,
+    probedStartAtMs: undefined,
     listedClockMs: -Infinity,
     checkpoint: task.checkpoint,
     stopReason: "",
--- a/packages/jobs/ended/open_start.ts
+++ b/packages/jobs/ended/open_start.ts
@@ -7,14 +7,15 @@
 import { closeStart, type Run } from "../job.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
-import { isOnProbation } from "../placed/probation.ts";
+import { hasEvidentlyBegun, isOnProbation } from "../placed/probation.ts";
 import { saveProgress } from "./finish_job.ts";
 import type { Start } from "./suspicion.ts";
 
 /** Returns the start of a run on the current process of its executor. */
-export function startOf({ number, executor }: Run): Start {
-  const { id, address, report: { startedAtMs } } = executor;
-  return { run: number, executor: id, address, startedAtMs };
+export function startOf(run: Run): Start {
+  const { number, executor: { id, address, report: { startedAtMs } } } = run;
+  const isConfirmed = hasEvidentlyBegun(run);
+  return { run: number, executor: id, address, startedAtMs, isConfirmed };
 }
 
 /** Stores a start, so that a crash counts that only the next owner notes. */
--- a/packages/jobs/ended/record_crash.ts
+++ b/packages/jobs/ended/record_crash.ts
@@ -7,18 +7,13 @@
 
 import { closeStart, hasEnded, type Task } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
-import { isSuspect } from "../placed/probation.ts";
+import { startBackoff } from "../placed/crash_backoff.ts";
+import { isSuspect, MIN_SUSPECT_CRASHES } from "../placed/probation.ts";
 import type { SuspectedCrash } from "./crash.ts";
 import { finishJob, saveProgress } from "./finish_job.ts";
 
-/** Crashes for which a task is given up if enough starts were confirmed. */
-const MAX_CERTAIN_CRASHES = 3;
-
-/** Confirmed starts among these, after which executors certainly crashed. */
-const MIN_CONFIRMED_STARTS = 2;
-
-/** Crashes for which a task is given up in any case. */
-const MAX_CRASHES = 4;
+/** Crashes with evidence that the run had begun, to give a task up. */
+const MIN_CONFIRMED_CRASHES = 2;
 
 /**
  * Counts a crash for a task, unless it counts already or the task is done. A
@@ -39,8 +34,9 @@
   closeStart(task, run);
   if (task.crashes.some((other) => other.run === run)) return;
   if (isSuspect(task) && !startedLast) return;
-  task.crashes.push({ run, isConfirmed });
+  task.crashes.push({ run, isConfirmed, countedAtMs: Date.now() });
   const { length } = task.crashes;
+  const waitMs = startBackoff(task);
   owner.options.events.log("taskSuspected", {
     task: task.name,
     run,
@@ -48,6 +44,7 @@
     isConfirmed,
     startedLast,
     crashes: length,
+    waitMs,
   });
   if (mustGiveUp(task)) {
     job.hasFailed = true;
@@ -55,8 +52,14 @@
   } else saveProgress(owner, job);
 }
 
+/**
+ * Returns whether a task ends its job. Crashes without evidence that a run had
+ * begun only delay it, as do crashes before it was started alone, which may be
+ * due to another task.
+ */
 function mustGiveUp({ crashes }: Task): boolean {
   const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
-  const isCertain = confirmed.length >= MIN_CONFIRMED_STARTS;
-  return crashes.length >= (isCertain ? MAX_CERTAIN_CRASHES : MAX_CRASHES);
+  const alone = crashes.slice(MIN_SUSPECT_CRASHES);
+  return confirmed.length >= MIN_CONFIRMED_CRASHES &&
+    alone.some(({ isConfirmed }) => isConfirmed);
 }
--- a/packages/jobs/ended/suspicion.ts
+++ b/packages/jobs/ended/suspicion.ts
@@ -11,6 +11,8 @@
   address: z.string(),
   /** Unix time at which its process started, in milliseconds. */
   startedAtMs: z.number(),
+  /** Whether there is evidence that the run has begun. */
+  isConfirmed: z.boolean().optional(),
 });
 
 /** Start of a run on one process of an executor. */
--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -159,6 +159,7 @@
   adjustOccupied(run.executor, size, -1);
   run.executor = executor;
   run.confirmedClockMs = undefined;
+  run.probedStartAtMs = undefined;
   executor.runs.add(run);
   adjustOccupied(executor, size, 1);
 }
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -59,10 +59,11 @@
   return job.endedAtMs !== undefined;
 }
 
-/** Returns whether a task needs a run and is neither blocked nor held. */
+/** Returns whether a task needs a run and does not have to wait. */
 export function isPlaceable(task: Task, monotonicMs: number): boolean {
-  return !task.isDone && task.runs.length === 0 &&
-    task.blockedUntilMs <= monotonicMs && task.heldUntilMs <= monotonicMs;
+  const { blockedUntilMs, heldUntilMs, backoffUntilMs } = task;
+  const waitsUntilMs = Math.max(blockedUntilMs, heldUntilMs, backoffUntilMs);
+  return !task.isDone && task.runs.length === 0 && waitsUntilMs <= monotonicMs;
 }
 
 /** Returns whether the runs of a task are all being stopped. */
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -42,6 +42,11 @@
   ratePercent: number;
   /** Clock of the executor as it confirmed the start, if it has. */
   confirmedClockMs: number | undefined;
+  /**
+   * Monotonic time of the start request to an executor that had answered just
+   * before; undefined for other starts.
+   */
+  probedStartAtMs: number | undefined;
   /** Clock of the executor in its newest list with the run. */
   listedClockMs: number;
   checkpoint: string;
@@ -74,6 +79,8 @@
    * more executor has crashed under it.
    */
   heldUntilMs: number;
+  /** Monotonic time until which the task waits after repeated crashes. */
+  backoffUntilMs: number;
   checkpoint: string;
   /** Monotonic time until which a run of an earlier owner may still go on. */
   blockedUntilMs: number;
--- a/packages/jobs/occurrences.ts
+++ b/packages/jobs/occurrences.ts
@@ -198,6 +198,7 @@
     crashes: [],
     openStarts: [],
     heldUntilMs: 0,
+    backoffUntilMs: 0,
     checkpoint: "",
     blockedUntilMs,
     durationMs: undefined,
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -23,6 +23,7 @@
   type PartitionReport,
   reportPartition,
 } from "../machines/partition_report.ts";
+import { startBackoff } from "../placed/crash_backoff.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { restoreUsedExecutors } from "../placed/used_executors.ts";
@@ -302,7 +303,7 @@
   for (const { id, accepted, offset } of state.jobs) {
     const progress = state.progress.get(id);
     const job = addJob(owner, id, { accepted, offset, progress });
-    suspectOpenStarts(owner, job);
+    restoreSuspicions(owner, job);
     // The earlier owner ended after it had stored the last end of a task.
     finishIfComplete(owner, job);
   }
@@ -335,9 +336,10 @@
   void confirmEndedExecutors(owner);
 }
 
-/** Notes the starts of tasks that may have crashed their executors. */
-function suspectOpenStarts(owner: OwnerState, { groups }: Job): void {
+/** Restores what is known of tasks that may have crashed their executors. */
+function restoreSuspicions(owner: OwnerState, { groups }: Job): void {
   for (const task of groups.flatMap(({ tasks }) => tasks)) {
+    startBackoff(task);
     for (const start of task.openStarts) suspectStart(owner, task, start);
   }
 }
--- a/packages/jobs/placed/probation.ts
+++ b/packages/jobs/placed/probation.ts
@@ -15,8 +15,11 @@
 /** The same until other tasks may start beside a suspect one. */
 export const ISOLATION_MS = 300;
 
+/** Time between the start of a suspect task and the polls around it. */
+export const PROBE_MS = 30;
+
 /** Crashes under a task from which it starts alone on an executor. */
-const MIN_SUSPECT_CRASHES = 2;
+export const MIN_SUSPECT_CRASHES = 2;
 
 /** Time after which a suspect task starts, although not alone. */
 const MAX_ISOLATION_WAIT_MS = 6_000;
@@ -26,6 +29,20 @@
   return !hasOutlasted(run, PROBATION_MS);
 }
 
+/**
+ * Returns whether there is evidence that a run began whose executor has
+ * crashed: the executor confirmed the start or listed the run, or it answered
+ * until the start was requested and not to the poll that followed. An executor
+ * that crashes later, before it carries the start out, answers that poll.
+ */
+export function hasEvidentlyBegun(
+  { confirmedClockMs, probedStartAtMs, executor }: Run,
+): boolean {
+  if (confirmedClockMs !== undefined) return true;
+  return probedStartAtMs !== undefined &&
+    executor.answeredAtMs < probedStartAtMs + PROBE_MS;
+}
+
 /** Returns whether a task may have crashed several executors. */
 export function isSuspect({ crashes }: Task): boolean {
   return crashes.length >= MIN_SUSPECT_CRASHES;
@@ -34,8 +51,9 @@
 /** Returns whether a task may start only where nothing else just has. */
 export function mustStartAlone(task: Task, monotonicMs: number): boolean {
   // A gang works only as a whole, wherever its tasks start.
+  const sinceMs = Math.max(task.waitingSinceMs, task.backoffUntilMs);
   return isSuspect(task) && !task.group.step.isGang &&
-    monotonicMs - task.waitingSinceMs < MAX_ISOLATION_WAIT_MS;
+    monotonicMs - sinceMs < MAX_ISOLATION_WAIT_MS;
 }
 
 /** Tasks that have just started on an executor. */
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -14,7 +14,12 @@
 import { isCapacityKnown } from "./known_capacity.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
-import { ISOLATION_MS, isSuspect } from "./probation.ts";
+import {
+  hasEvidentlyBegun,
+  ISOLATION_MS,
+  isSuspect,
+  PROBE_MS,
+} from "./probation.ts";
 import {
   isUseStored,
   recordUsedExecutor,
@@ -135,7 +140,24 @@
   if (mayHaveCrashed(task)) openStart(owner, run);
   if (!isSuspect(task)) return void requestStart(owner, run);
   // The next owner has to know of a start whose crash only it may note.
-  owner.progress.whenStored(() => void requestStart(owner, run));
+  owner.progress.whenStored(() => startAfterProbe(owner, run));
+}
+
+/**
+ * Requests the start of a suspect task once its executor had time to answer a
+ * poll, so that it is known whether it was up when the start came.
+ */
+function startAfterProbe(owner: OwnerState, run: Run): void {
+  const { executor } = run;
+  const probedAtMs = performance.now();
+  owner.sessions.get(executor)?.poll();
+  setTimeout(() => {
+    if (owner.isClosed) return;
+    if (executor.answeredAtMs >= probedAtMs) {
+      run.probedStartAtMs = performance.now();
+    }
+    void requestStart(owner, run);
+  }, PROBE_MS);
 }
 
 /** Requests the start of a run, unless it has ended or is to stop. */
@@ -150,10 +172,13 @@
   if (!mayStart(owner)) return withdrawStart(owner, run);
   const ticket = owner.ticketCache?.ticketFor(task.group, executor) ?? "";
   if (isSuspect(task)) {
+    setTimeout(session.poll, PROBE_MS);
     setTimeout(session.poll, ISOLATION_MS + POLL_MARGIN_MS);
   }
   const { spec } = job.accepted.submission;
   const outcome = await session.start(run, { spec, ticket });
+  const isOpen = task.openStarts.some((start) => start.run === run.number);
+  if (isOpen && hasEvidentlyBegun(run)) openStart(owner, run);
   if (outcome === "started") job.hasStarted = true;
   else handleRefusal(owner, run, outcome);
 }
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -83,6 +83,10 @@
     return `blocked by runs of earlier owners for up to ${leftMs} ms`;
   }
   if (task.heldUntilMs > nowMs) return "an executor may have crashed under it";
+  if (task.backoffUntilMs > nowMs) {
+    const leftMs = Math.round(task.backoffUntilMs - nowMs);
+    return `waits ${leftMs} ms after ${task.crashes.length} crashes under it`;
+  }
   if (!task.group.job.hasStoredProgress) return "progress is not stored yet";
   const executors = [...owner.executors.values()];
   const counts = new Map<string, number>();
--- a/packages/jobs/run/crashing_task_test.ts
+++ b/packages/jobs/run/crashing_task_test.ts
@@ -265,6 +265,24 @@
     expect(await stateOf(JOB_ID)).toEqual({ type: "known", value: "failed" });
   });
 
+  // Guards against the same if the crashes reset no connection (BUDGET).
+  test("is given up if its executors fall silent at its starts", async () => {
+    for (let index = 1; index <= 6; index++) addHost(index);
+    owner = await fixture.startOwner(1);
+    const { start } = fixture.executors;
+    fixture.executors.start = async (target, request) => {
+      await start(target, request);
+      const host = hosts.findLast(({ report }) => report.id === target.id)!;
+      crashed.add(host);
+      void crash(host, "newId");
+      await new Promise((resolve) => setTimeout(resolve, 700));
+      return { type: "unknown", reason: "ETIMEDOUT" };
+    };
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    expect((await play(60, "newId")).length).toBeLessThanOrEqual(MAX_STARTS);
+    expect(await stateOf(JOB_ID)).toEqual({ type: "known", value: "failed" });
+  });
+
   // Guards against a slow start whose own answer counts as a sign that its
   // executor has outlasted it (BUDGET).
   test("is given up if its starts take long to arrive", async () => {
--- a/packages/jobs/run/lost_executors.ts
+++ b/packages/jobs/run/lost_executors.ts
@@ -15,7 +15,7 @@
 import type { OwnerState } from "../owned/owner_state.ts";
 import type { Start, TaskStart } from "../ended/suspicion.ts";
 import { closeStart, type Run, type Task } from "../job.ts";
-import { isOnProbation } from "../placed/probation.ts";
+import { hasEvidentlyBegun, isOnProbation } from "../placed/probation.ts";
 import type { LostExecutor, SuspectRun } from "./lost_executor.ts";
 
 /** Time for which an executor that may have crashed is remembered. */
@@ -77,10 +77,10 @@
 export function suspectStart(
   owner: OwnerState,
   task: Task,
-  { run, executor, address, startedAtMs }: Start,
+  { run, executor, address, startedAtMs, isConfirmed = false }: Start,
 ): void {
   const lostAtMs = performance.now();
-  const crash = { run, isConfirmed: false, startedLast: true };
+  const crash = { run, isConfirmed, startedLast: true };
   const loss = owner.lostExecutors.get(executor) ??
     { address, startedAtMs, lostAtMs, suspects: [] };
   loss.suspects.push({ task, crash });
@@ -93,8 +93,9 @@
   const starts: TaskStart[] = [];
   for (const [executor, loss] of owner.lostExecutors) {
     const { address, startedAtMs, suspects } = loss;
-    for (const { task, crash: { run } } of suspects) {
-      starts.push({ task: task.name, run, executor, address, startedAtMs });
+    for (const { task, crash: { run, isConfirmed } } of suspects) {
+      const start = { run, executor, address, startedAtMs, isConfirmed };
+      starts.push({ task: task.name, ...start });
     }
   }
   for (const { failedCalls, runs } of owner.executors.values()) {
@@ -108,12 +109,13 @@
 
 /** Returns what speaks for a crash by a run, beside others on probation. */
 function suspectCrash(
-  { number, confirmedClockMs, startedAtMs, task }: Run,
+  run: Run,
   onProbation: readonly Run[],
 ): SuspectedCrash {
+  const { number, startedAtMs, task } = run;
   return {
     run: number,
-    isConfirmed: confirmedClockMs !== undefined,
+    isConfirmed: hasEvidentlyBegun(run),
     startedLast: onProbation.every((other) =>
       other.task === task || other.startedAtMs + APART_MS <= startedAtMs
     ),
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -271,6 +271,7 @@
       isConfirmed: "boolean",
       startedLast: "boolean",
       crashes: "number",
+      waitMs: "number",
     },
   },
   endReadLate: {
