Hold lasting tasks that crash executors back instead of ending their jobs

Cause: a task under which executors crash ended its job, whether or not it was to last. Lasting tasks have no limit of attempts and must be restarted however they end; to end a job stops all of its tasks. Change: a lasting task never ends its job. With the evidence by which a short one is given up it waits 5 s, then 60 s, then 5 min after each crash, and the other tasks go on. The next owner shows such a job as running. Why it works: the wait bounds the executors that the task takes, at most five in a minute in the tests, so that the job need not end for that.

--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -166,6 +166,7 @@
     const suspicion = progress.suspicions?.[task.name];
     task.crashes = suspicion?.crashes ?? [];
     task.openStarts = suspicion?.openStarts ?? [];
+    job.hasStarted ||= task.crashes.some(({ isConfirmed }) => isConfirmed);
     const runs = progress.failed[task.name];
     if (runs === undefined) continue;
     failed.set(task.name, new Set(runs));
--- a/packages/jobs/ended/record_crash.ts
+++ b/packages/jobs/ended/record_crash.ts
@@ -8,13 +8,10 @@
 import { closeStart, hasEnded, type Task } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { startBackoff } from "../placed/crash_backoff.ts";
-import { isSuspect, MIN_SUSPECT_CRASHES } from "../placed/probation.ts";
+import { crashesExecutors, isSuspect } from "../placed/probation.ts";
 import type { SuspectedCrash } from "./crash.ts";
 import { finishJob, saveProgress } from "./finish_job.ts";
 
-/** Crashes with evidence that the run had begun, to give a task up. */
-const MIN_CONFIRMED_CRASHES = 2;
-
 /**
  * Counts a crash for a task, unless it counts already or the task is done. A
  * task that is suspect already was started alone, so that only crashes count
@@ -46,20 +43,9 @@
     crashes: length,
     waitMs,
   });
-  if (mustGiveUp(task)) {
+  // Lasting tasks are restarted however they end.
+  if (crashesExecutors(task) && !task.group.step.isLasting) {
     job.hasFailed = true;
     finishJob(owner, job, `${length} executors crashed under ${task.name}`);
   } else saveProgress(owner, job);
 }
-
-/**
- * Returns whether a task ends its job. Crashes without evidence that a run had
- * begun only delay it, as do crashes before it was started alone, which may be
- * due to another task.
- */
-function mustGiveUp({ crashes }: Task): boolean {
-  const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
-  const alone = crashes.slice(MIN_SUSPECT_CRASHES);
-  return confirmed.length >= MIN_CONFIRMED_CRASHES &&
-    alone.some(({ isConfirmed }) => isConfirmed);
-}
--- a/packages/jobs/placed/crash_backoff.ts
+++ b/packages/jobs/placed/crash_backoff.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Task } from "../job.ts";
+import { crashesExecutors } from "./probation.ts";
 
 /** Crashes from which a task waits before it starts again. */
 const MIN_CRASHES = 3;
@@ -16,6 +17,9 @@
 /** Factor by which each further crash lengthens the wait. */
 const WAIT_FACTOR = 4;
 
+/** The same with evidence that the task crashes executors. */
+const EVIDENT_WAIT_FACTOR = 12;
+
 const MAX_WAIT_MS = 300_000;
 
 /**
@@ -27,8 +31,9 @@
 export function startBackoff(task: Task): number {
   const { crashes } = task;
   if (crashes.length < MIN_CRASHES) return 0;
-  const factor = WAIT_FACTOR ** (crashes.length - MIN_CRASHES);
-  const waitMs = Math.min(MAX_WAIT_MS, factor * INITIAL_WAIT_MS);
+  const factor = crashesExecutors(task) ? EVIDENT_WAIT_FACTOR : WAIT_FACTOR;
+  const growth = factor ** (crashes.length - MIN_CRASHES);
+  const waitMs = Math.min(MAX_WAIT_MS, growth * INITIAL_WAIT_MS);
   const nowMs = Date.now();
   const elapsedMs = nowMs - (crashes.at(-1)!.countedAtMs ?? nowMs);
   // The clock of an earlier owner may differ.
--- a/packages/jobs/placed/probation.ts
+++ b/packages/jobs/placed/probation.ts
@@ -19,7 +19,10 @@
 export const PROBE_MS = 30;
 
 /** Crashes under a task from which it starts alone on an executor. */
-export const MIN_SUSPECT_CRASHES = 2;
+const MIN_SUSPECT_CRASHES = 2;
+
+/** Crashes with evidence that a run had begun, by which a task is at fault. */
+const MIN_CONFIRMED_CRASHES = 2;
 
 /** Time after which a suspect task starts, although not alone. */
 const MAX_ISOLATION_WAIT_MS = 6_000;
@@ -48,6 +51,18 @@
   return crashes.length >= MIN_SUSPECT_CRASHES;
 }
 
+/**
+ * Returns whether there is evidence that a task crashes executors. Crashes
+ * without evidence that a run had begun are none, and those before the task was
+ * started alone may all be due to another one.
+ */
+export function crashesExecutors({ crashes }: Task): boolean {
+  const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
+  const alone = crashes.slice(MIN_SUSPECT_CRASHES);
+  return confirmed.length >= MIN_CONFIRMED_CRASHES &&
+    alone.some(({ isConfirmed }) => isConfirmed);
+}
+
 /** Returns whether a task may start only where nothing else just has. */
 export function mustStartAlone(task: Task, monotonicMs: number): boolean {
   // A gang works only as a whole, wherever its tasks start.
--- a/packages/measure/soak/run_soak.ts
+++ b/packages/measure/soak/run_soak.ts
@@ -147,10 +147,10 @@
     if (state === "failed" && mayFail) continue;
     const expected = cancelledAtMs !== undefined
       ? "cancelled"
-      : deadly !== undefined
-      ? "failed after two crashes"
       : step.isLasting
       ? "running"
+      : deadly !== undefined
+      ? "failed after two crashes"
       : "completed";
     if (state === expected) continue;
     const text = `is ${state} in the end, not ${expected}`;
