Poll an idle executor while it may carry out a start late

A start got no answer, its executor confirmed the stop, the task was done elsewhere, and the executor's next process under the same id carried the start out before its first heartbeat.

Cause: a confirmed stop binds only the process that confirmed it. The owner stops such starts on the next process for 12 s, but did not poll an executor on which nothing runs, so that it noticed the restart only with the list.

While an executor may carry out such a start, it is now polled also when idle, for at most 0.3 s at a time. The first answer shows the restart, and the start is refused or stopped there.

Evidence: "refuses such a start before the list shows the restart" failed before with the late start in the list of starts of the new process.

--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -26,6 +26,12 @@
 /** Longest time for which a poll waits at the executor for the next end. */
 const POLL_WAIT_MS = 1_000;
 
+/**
+ * The same while the executor may carry out a start late. Its next process does
+ * not answer such a poll sooner, so that this delays the notice of a restart.
+ */
+const LATE_START_POLL_WAIT_MS = 300;
+
 /** Pause after a poll or a stop without an answer. */
 const RETRY_MS = 300;
 
@@ -33,10 +39,11 @@
 const MAX_REPORTED_ENDS = 500;
 
 /**
- * Creates a session with an executor: polls it, renews its lease while it runs
- * tasks, and acknowledges ended runs once their results are stored. A run
- * counts as ended only when the executor reports so, when it no longer lists
- * the run, or when its lease has certainly expired.
+ * Creates a session with an executor: polls it while it runs tasks or may carry
+ * out a start late, renews its lease while it runs tasks, and acknowledges ends
+ * of runs once their results are stored. A run counts as ended only when the
+ * executor reports so, when it no longer lists the run, or when its lease has
+ * certainly expired.
  *
  * @example
  * ```ts
@@ -238,11 +245,15 @@
     callbacks.onChange(executor);
   };
 
+  const longestWaitMs = () =>
+    options.hasLateStarts() ? LATE_START_POLL_WAIT_MS : POLL_WAIT_MS;
+
   const loop = async (): Promise<void> => {
     while (!isClosed && !executor.isRemoved) {
       const isIdle = executor.runs.size === 0 &&
         executor.untrackedRuns.size === 0 && executor.failedCalls === 0 &&
-        acknowledgement.areEndsStored() && !acknowledgement.isDue();
+        acknowledgement.areEndsStored() && !acknowledgement.isDue() &&
+        !options.hasLateStarts();
       if (isIdle && !isPollRequested) {
         await pause();
         continue;
@@ -252,7 +263,7 @@
         await pause(acknowledgement.pauseMs());
       }
       if (isClosed) return;
-      const maxWaitMs = isPollRequested ? 0 : POLL_WAIT_MS;
+      const maxWaitMs = isPollRequested ? 0 : longestWaitMs();
       isPollRequested = false;
       isLongPolling = true;
       await pollOnce(maxWaitMs);
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -39,7 +39,11 @@
   resolveLoss,
   resolveLosses,
 } from "./lost_executors.ts";
-import { recordLateStart, stopLateStarts } from "./late_starts.ts";
+import {
+  hasLateStarts,
+  recordLateStart,
+  stopLateStarts,
+} from "./late_starts.ts";
 import type { Adoption, ExecutorSession } from "./session_types.ts";
 import { createExecutorSession } from "./executor_session.ts";
 
@@ -265,6 +269,7 @@
     mayRenew: () =>
       !owner.isReleasing && !owner.hasStoredHandover &&
       isOwnershipConfirmed(owner, OWNERSHIP_GRACE_MS),
+    hasLateStarts: () => hasLateStarts(owner, executor.id),
     callbacks: {
       onRunEnd(run, end) {
         recordPendingCrash(owner, run);
--- a/packages/jobs/run/late_starts.ts
+++ b/packages/jobs/run/late_starts.ts
@@ -58,6 +58,11 @@
   }
 }
 
+/** Returns whether an executor may still carry out a given-up start late. */
+export function hasLateStarts(owner: OwnerState, executor: string): boolean {
+  return recentStarts(owner, executor).length > 0;
+}
+
 /** Returns the starts that an executor may still carry out late. */
 function recentStarts(owner: OwnerState, executor: string) {
   const sinceMs = performance.now() - MAX_LATENESS_MS;
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -120,6 +120,17 @@
       .toEqual([]);
   });
 
+  // Guards against the same where nothing else runs and the list lags (TWICE).
+  test("refuses such a start before the list shows the restart", async () => {
+    const { executor, owner } = await giveUpStart();
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    fixture.reports.set("e1", createReport("e1", { isDraining: true }));
+    owner.refresh();
+    await advanceTime(1_500);
+    executor.deliverDelayed(restarted);
+    expect(restarted.starts).toEqual([]);
+  });
+
   // Guards against the same if the executor was silent until its lease had
   // expired, so that no stop was confirmed (TWICE).
   test("refuses a late start that was lost with its lease", async () => {
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -55,6 +55,11 @@
   longestLeaseMs: number;
   /** Whether the owner may renew leases, as its ownership is confirmed. */
   mayRenew(): boolean;
+  /**
+   * Whether the executor's next process may carry out a start that was given
+   * up, so that a restart has to show soon.
+   */
+  hasLateStarts(): boolean;
   callbacks: SessionCallbacks;
 };
 
