Share reads of new jobs between queries of jobs that are not known

Change: queries that come while such a read is under way share the next one, which begins after them, so that a 410 is never older than its query. The new test fails before: 20 reads for 20 queries, now 2 at most.

--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { shareCalls } from "../_share_calls.ts";
 import { sleep } from "../_sleep.ts";
 import {
   addJob,
@@ -136,6 +137,7 @@
   const { partition, epoch } = options;
   const owner = createState(options);
   const waitingLog = createWaitingLog(owner);
+  const readStoredRecords = shareCalls(() => readNewRecords(owner, 0));
   let loadingMs = 0;
   const timer = setInterval(() => {
     runChecks(owner);
@@ -167,7 +169,7 @@
     executors: owner.executors,
     isLoaded: () => owner.isLoaded,
     async getJobState(id) {
-      const isCurrent = owner.jobs.has(id) || await readNewRecords(owner, 0);
+      const isCurrent = owner.jobs.has(id) || await readStoredRecords();
       const job = owner.jobs.get(id);
       if (job !== undefined) return { type: "known", value: stateOf(job) };
       return { type: isCurrent && !owner.isClosed ? "missing" : "unavailable" };
--- a/packages/jobs/owned/partition_owner_test.ts
+++ b/packages/jobs/owned/partition_owner_test.ts
@@ -42,6 +42,18 @@
     expect(executor.ends).toEqual([]);
   });
 
+  // Guards against an owner under load that reads and applies the same records
+  // once for each query of a job that it does not know (UNASKED).
+  test("shares the read for queries of unknown jobs", async () => {
+    const owner = await fixture.startOwner(1);
+    fixture.store.calls["read"] = 0;
+    const queries = Array.from({ length: 20 }, () => stateOf(owner));
+    for (const result of await Promise.all(queries)) {
+      expect(result).toEqual({ type: "missing" });
+    }
+    expect(fixture.store.calls["read"]).toBeLessThanOrEqual(2);
+  });
+
   // Guards against acknowledging ends before they are stored. They would be
   // lost if their owner stopped.
   test("acknowledges no end while the store is unreachable", async () => {
