Take back a start that waits for a connection as its run is stopped

Cause: an owner short of processor time has many starts that wait for one of the six connections to their executor. A start that was decided before the cancelling was read was sent up to 1.2 s after that, and its stop waited behind it. Change: stopping a run takes its start back as long as it has no connection, so that it is never sent.

--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -213,6 +213,7 @@
     executor.suspendedUntilMs = performance.now() + REFUSAL_PAUSE_MS;
   }
   if (outcome === "ticket") owner.ticketCache?.forget(task.group, executor);
+  if (outcome === "withdrawn") closeStart(task, run.number);
   if (outcome === "bad" || outcome.startsWith("unknown: ")) {
     avoidExecutor(task, executor.id);
   }
--- a/packages/jobs/ports.ts
+++ b/packages/jobs/ports.ts
@@ -186,7 +186,15 @@
 
 /** Client of the executors, which run tasks. */
 export type ExecutorClient = {
-  start(target: ExecutorTarget, request: StartRequest): Promise<StartOutcome>;
+  /**
+   * Starts a run. The signal takes a request back that was not sent yet, which
+   * then ends as `notSent`.
+   */
+  start(
+    target: ExecutorTarget,
+    request: StartRequest,
+    options?: { signal?: AbortSignal },
+  ): Promise<StartOutcome>;
   stop(
     target: ExecutorTarget,
     request: { task: string; run: number; token: number },
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -26,10 +26,7 @@
 /** Longest time for which a poll waits at the executor for the next end. */
 const POLL_WAIT_MS = 1_000;
 
-/**
- * The same while the executor may carry out a start late. Its next process does
- * not answer such a poll sooner, so that this delays the notice of a restart.
- */
+/** The same while an answer of its next process would show a late start. */
 const LATE_START_POLL_WAIT_MS = 300;
 
 /** Pause after a poll or a stop without an answer. */
@@ -60,6 +57,8 @@
   const confirmedAtPoll = new Map<Run, number>();
   /** Number of polls sent before a start request went unanswered, by run. */
   const unansweredAtPoll = new Map<Run, number>();
+  /** Controllers that take back the starts that are not sent yet, by run. */
+  const withdrawals = new Map<Run, AbortController>();
   const acknowledgement = createAcknowledgement(executor);
   let pollsSent = 0;
   /** Clock of the executor in the newest list of its runs. */
@@ -245,9 +244,6 @@
     callbacks.onChange(executor);
   };
 
-  const longestWaitMs = () =>
-    options.hasLateStarts() ? LATE_START_POLL_WAIT_MS : POLL_WAIT_MS;
-
   const loop = async (): Promise<void> => {
     while (!isClosed && !executor.isRemoved) {
       const isIdle = executor.runs.size === 0 &&
@@ -263,7 +259,10 @@
         await pause(acknowledgement.pauseMs());
       }
       if (isClosed) return;
-      const maxWaitMs = isPollRequested ? 0 : longestWaitMs();
+      const longestMs = options.hasLateStarts()
+        ? LATE_START_POLL_WAIT_MS
+        : POLL_WAIT_MS;
+      const maxWaitMs = isPollRequested ? 0 : longestMs;
       isPollRequested = false;
       isLongPolling = true;
       await pollOnce(maxWaitMs);
@@ -292,6 +291,8 @@
     executor,
     async start(run, { spec, ticket }) {
       const knownClockMs = executor.newestClockMs;
+      const controller = new AbortController();
+      withdrawals.set(run, controller);
       const outcome = await executorClient.start(target, {
         task: run.task.name,
         run: run.number,
@@ -300,7 +301,8 @@
         token,
         checkpoint: run.checkpoint,
         ticket,
-      });
+      }, controller);
+      withdrawals.delete(run);
       if (isClosed) return "closed";
       if (!executor.runs.has(run)) return "ended";
       if ("clockMs" in outcome && outcome.clockMs !== undefined) {
@@ -315,8 +317,9 @@
         return "started";
       }
       if (outcome.type === "notSent") {
-        recordFailure(outcome.reason);
         removeRun(run);
+        if (controller.signal.aborted) return "withdrawn";
+        recordFailure(outcome.reason);
         requestPoll();
         return `not sent: ${outcome.reason}`;
       }
@@ -339,6 +342,7 @@
     stop(run, reason) {
       if (run.stopReason !== "") return;
       run.stopReason = reason;
+      withdrawals.get(run)?.abort();
       void repeatStop(run);
     },
     throttle(run, percent) {
--- a/packages/jobs/run/executor_session_test.ts
+++ b/packages/jobs/run/executor_session_test.ts
@@ -45,6 +45,37 @@
     expect([...executor.running.keys()]).toEqual([`${NEXT_JOB_ID}.0.0.0`]);
   });
 
+  // Guards against a start that waits for a connection and is sent after its
+  // job was cancelled (UNASKED).
+  test("takes back an unsent start as its job is cancelled", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    const { start } = fixture.executors;
+    const sent: string[] = [];
+    fixture.executors.start = (target, request, options) =>
+      new Promise((resolve) => {
+        const timer = setTimeout(() => {
+          sent.push(request.task);
+          resolve(start(target, request));
+        }, CALL_TIMEOUT_MS);
+        options?.signal?.addEventListener("abort", () => {
+          clearTimeout(timer);
+          resolve({ type: "notSent", reason: "withdrawn" });
+        });
+      });
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(CALL_TIMEOUT_MS / 2);
+    fixture.cancel(JOB_ID);
+    await advanceTime(CALL_TIMEOUT_MS);
+    expect(sent).toEqual([]);
+    fixture.executors.start = start;
+    fixture.accept(NEXT_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(300);
+    expect(executor.starts.map(({ task }) => task)).toEqual([
+      `${NEXT_JOB_ID}.0.0.0`,
+    ]);
+  });
+
   // Guards against an executor that counts as occupied until a new owner, by a
   // run that only a delayed answer has shown (LOST).
   test("polls again if an answer beside another one shows a run", async () => {
