Run one shared call at a time

Cause: a caller that came between the end of a call and the start of the next one, which others waited for already, began a call of its own beside that one. Change: it joins the one that is about to begin. Result: the new test fails before (three calls instead of two) and passes.

--- a/packages/jobs/_share_calls.ts
+++ b/packages/jobs/_share_calls.ts
@@ -14,8 +14,8 @@
     return running;
   };
   return () => {
+    if (next !== undefined) return next;
     if (running === undefined) return start();
-    next ??= running.then(start, start);
-    return next;
+    return next = running.then(start, start);
   };
 }
--- a/packages/jobs/_share_calls_test.ts
+++ b/packages/jobs/_share_calls_test.ts
@@ -17,6 +17,22 @@
     expect(await Promise.all(results)).toEqual([1, 2, 2]);
   });
 
+  // Guards against two calls at a time, of which the earlier one would count as
+  // the later one.
+  test("shares the next call with one that comes as the last one ends", async () => {
+    let count = 0;
+    const results: Promise<number>[] = [];
+    const shared = shareCalls(() => {
+      const call = Promise.resolve(++count);
+      if (count === 1) void call.then(() => undefined).then(join);
+      return call;
+    });
+    const join = () => results.push(shared());
+    results.push(shared(), shared());
+    await Promise.all(results);
+    expect(await Promise.all(results)).toEqual([1, 2, 2]);
+  });
+
   // Guards against a caller that waits for ever after a call that failed.
   test("starts the next call after one that failed", async () => {
     let count = 0;
