Start the owner of a test through the fixture

Cause: a test of unread cancellations listed all options of an owner again, for a list of executors that comes late and a slow store; six places named the partition of the jobs. Change: the fixture has hasExecutorList beside its other faults, and exports JOBS.

--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -29,6 +29,9 @@
 
 export * from "./_record_fixtures.ts";
 
+/** Partition of the jobs that the owners of a fixture own. */
+export const JOBS = { topic: JOBS_TOPIC, partition: PARTITION };
+
 /** Platform in memory, with owners of one partition. */
 export type OwnerFixture = {
   store: MemoryStore;
@@ -36,6 +39,8 @@
   adviceClient: AdviceClient | undefined;
   reports: Map<string, ExecutorReport>;
   configuration: Configuration;
+  /** Whether the list of executors has been read. */
+  hasExecutorList: boolean;
   /** Machines of the platform; undefined if their list gets no answer. */
   machines: Machine[] | undefined;
   /** Events that were logged, as `name {fields}`. */
@@ -87,13 +92,13 @@
 /** Creates a platform in memory, for a test that uses fake timers. */
 export function createOwnerFixture(): OwnerFixture {
   const owners: PartitionOwner[] = [];
-  const jobs = { topic: JOBS_TOPIC, partition: PARTITION };
   const fixture: OwnerFixture = {
     store: createMemoryStore({ partitions: 8 }),
     executors: createMemoryExecutors(),
     adviceClient: undefined,
     reports: new Map(),
     configuration: createConfiguration(),
+    hasExecutorList: true,
     machines: undefined,
     logged: [],
     lossReasons: [],
@@ -116,7 +121,7 @@
           configuration: () => fixture.configuration,
           layout: () => new Map([["quoting", [PARTITION]]]),
           executors: () => fixture.reports,
-          hasExecutorList: () => true,
+          hasExecutorList: () => fixture.hasExecutorList,
           executorsReadAtMs: () => timeOf(fixture.executorsReadAtMs),
         },
         listMachines: () => Promise.resolve(fixture.machines),
@@ -136,12 +141,12 @@
       return owner;
     },
     accept: (id, steps) =>
-      fixture.store.put(jobs, {
+      fixture.store.put(JOBS, {
         key: id,
         value: JSON.stringify(createAccepted(steps)),
       }),
     cancel: (id) =>
-      fixture.store.put(jobs, { key: cancelKey(id), value: "{}" }),
+      fixture.store.put(JOBS, { key: cancelKey(id), value: "{}" }),
     progress: () =>
       fixture.store.readNewestValues({
         topic: PROGRESS_TOPIC,
--- a/packages/jobs/accepted/early_cancellation_test.ts
+++ b/packages/jobs/accepted/early_cancellation_test.ts
@@ -3,14 +3,12 @@
   advanceTime,
   createStep,
   JOB_ID,
+  JOBS,
   NEXT_JOB_ID,
   type OwnerFixture,
-  PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
-import { cancelKey, JOBS_TOPIC } from "../topics.ts";
-
-const JOBS = { topic: JOBS_TOPIC, partition: PARTITION };
+import { cancelKey } from "../topics.ts";
 
 /** Time for which a cancellation without a job is kept. */
 const RETENTION_MS = 150_000;
--- a/packages/jobs/ended/long_schedule_test.ts
+++ b/packages/jobs/ended/long_schedule_test.ts
@@ -5,12 +5,11 @@
   createAccepted,
   createStep,
   JOB_ID,
+  JOBS,
   NEXT_JOB_ID,
   type OwnerFixture,
-  PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
-import { JOBS_TOPIC } from "../topics.ts";
 
 /** Times of a job that runs each minute for two weeks. */
 const TIMES = 20_160;
@@ -42,7 +41,7 @@
       intervalMs,
       occurrences: TIMES,
     });
-    fixture.store.put({ topic: JOBS_TOPIC, partition: PARTITION }, {
+    fixture.store.put(JOBS, {
       key: JOB_ID,
       value: JSON.stringify(accepted),
     });
--- a/packages/jobs/ended/removed_job_test.ts
+++ b/packages/jobs/ended/removed_job_test.ts
@@ -3,14 +3,11 @@
   advanceTime,
   createStep,
   JOB_ID,
+  JOBS,
   NEXT_JOB_ID,
   type OwnerFixture,
-  PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
-import { JOBS_TOPIC } from "../topics.ts";
-
-const JOBS = { topic: JOBS_TOPIC, partition: PARTITION };
 
 /** Time until a list of newest records arrives, on several pages. */
 const LIST_MS = 1_000;
--- a/packages/jobs/owned/clock_difference_test.ts
+++ b/packages/jobs/owned/clock_difference_test.ts
@@ -5,11 +5,10 @@
   createAccepted,
   createStep,
   JOB_ID,
+  JOBS,
   type OwnerFixture,
-  PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
-import { JOBS_TOPIC } from "../topics.ts";
 
 /** Time by which the clock of the first owner is ahead. */
 const CLOCK_DIFFERENCE_MS = 5_000;
@@ -33,7 +32,7 @@
     accepted.submission.firstRunMs = Date.now();
     accepted.submission.intervalMs = INTERVAL_MS;
     accepted.submission.occurrences = 2;
-    fixture.store.put({ topic: JOBS_TOPIC, partition: PARTITION }, {
+    fixture.store.put(JOBS, {
       key: JOB_ID,
       value: JSON.stringify(accepted),
     });
--- a/packages/jobs/owned/unread_cancellation_test.ts
+++ b/packages/jobs/owned/unread_cancellation_test.ts
@@ -4,13 +4,11 @@
   createAccepted,
   createStep,
   JOB_ID,
+  JOBS,
   NEXT_JOB_ID,
   type OwnerFixture,
-  PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
-import { JOBS_TOPIC } from "../topics.ts";
-import { createPartitionOwner } from "./partition_owner.ts";
 
 /** Time until a read of the jobs is answered, longer than until a poll is. */
 const READ_DELAY_MS = 20;
@@ -28,7 +26,7 @@
       intervalMs: 1_000,
       occurrences: 1,
     });
-    fixture.store.put({ topic: JOBS_TOPIC, partition: PARTITION }, {
+    fixture.store.put(JOBS, {
       key: JOB_ID,
       value: JSON.stringify(accepted),
     });
@@ -68,41 +66,18 @@
   test("starts no task that was cancelled while it waited for executors", async () => {
     const executor = fixture.addExecutor("e1");
     fixture.accept(JOB_ID, [createStep({ count: 1 })]);
-    let hasExecutorList = false;
-    const owner = createPartitionOwner({
-      partition: PARTITION,
-      epoch: 1,
-      store: {
-        ...fixture.store,
-        async read(partition, options) {
-          await new Promise((resolve) => setTimeout(resolve, READ_DELAY_MS));
-          return await fixture.store.read(partition, options);
-        },
-      },
-      executorClient: fixture.executors,
-      adviceClient: undefined,
-      view: {
-        configuration: () => fixture.configuration,
-        layout: () => new Map([["quoting", [PARTITION]]]),
-        executors: () => fixture.reports,
-        hasExecutorList: () => hasExecutorList,
-        executorsReadAtMs: () => performance.now(),
-      },
-      listMachines: () => Promise.resolve(undefined),
-      leaseMs: 4_000,
-      maxLeaseMs: 6_000,
-      confirmedAtMs: () => performance.now(),
-      endedJobRetentionMs: 120_000,
-      events: { log: () => undefined },
-      onLoadTimeout: () => undefined,
-      onLost: () => undefined,
-    });
+    fixture.hasExecutorList = false;
+    const { read } = fixture.store;
+    fixture.store.read = async (partition, options) => {
+      await new Promise((resolve) => setTimeout(resolve, READ_DELAY_MS));
+      return await read(partition, options);
+    };
+    await fixture.startOwner(1);
     await advanceTime(200);
     fixture.cancel(JOB_ID);
     await advanceTime(4_000);
-    hasExecutorList = true;
+    fixture.hasExecutorList = true;
     await advanceTime(2_000);
-    owner.close();
     expect(executor.starts).toEqual([]);
   });
 });
