Name the end of a cancelled job, and ask for late starts in one way

Cause: apply_records.ts had a private cancelJob beside the exported one of accept_job.ts, which stores a cancellation; recordLateStart repeated hasLateStarts. Change: endCancelled, and one call. Behaviour is the same. Result: tests of packages/jobs/accepted and packages/jobs/run/returning_executor pass.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -65,7 +65,7 @@
     owner.options.events.log("jobTaken", { job: id, partition, offset });
   }
   const isCancelled = owner.earlyCancellations.delete(id);
-  if (isCancelled) cancelJob(owner, job);
+  if (isCancelled) endCancelled(owner, job);
   else if (!isInherited) prepareEarly(owner, job);
   owner.schedulePlacement();
   return job;
@@ -133,10 +133,10 @@
 ): void {
   const job = owner.jobs.get(id);
   if (job === undefined) owner.earlyCancellations.set(id, cancelledAtMs);
-  else cancelJob(owner, job);
+  else endCancelled(owner, job);
 }
 
-function cancelJob(owner: OwnerState, job: Job): void {
+function endCancelled(owner: OwnerState, job: Job): void {
   if (hasEnded(job)) return;
   job.isCancelled = true;
   finishJob(owner, job, "cancelled by its caller");
--- a/packages/jobs/run/late_starts.ts
+++ b/packages/jobs/run/late_starts.ts
@@ -22,8 +22,7 @@
 export function recordLateStart(owner: OwnerState, run: Run): void {
   if (run.confirmedClockMs !== undefined) return;
   for (const executor of owner.lateStarts.keys()) {
-    if (recentStarts(owner, executor).length > 0) continue;
-    owner.lateStarts.delete(executor);
+    if (!hasLateStarts(owner, executor)) owner.lateStarts.delete(executor);
   }
   const { id } = run.executor;
   owner.lateStarts.set(id, [...recentStarts(owner, id), {
