--- a/review/standin-2/executor.mjs
+++ b/review/standin-2/executor.mjs
@@ -57,6 +57,7 @@
     it.highest.set(task, Math.max(run, it.highest.get(task) ?? 0));
     it.ended.push([++it.lastEnd, task, run, how, ""]);
     onEnd?.({ executor: it.id, service, task, run, how });
+    entry.gang?.leave(entry, how);
     for (const wake of [...it.waiters]) wake();
   };
 
@@ -103,7 +104,12 @@
     takeLease(it, untilMs);
     const entry = { task, run, size, startedMs: performance.now(), workMs: durationOf(task), isStopping: false };
     it.running.set(task, entry);
-    if (entry.workMs !== Infinity) entry.timer = setTimeout(() => end(it, entry, "done"), entry.workMs);
+    entry.finish = (how) => end(it, entry, how);
+    entry.gang = options.gangOf?.(task, run);
+    if (entry.gang !== undefined) {
+      entry.timer = setTimeout(() => end(it, entry, "alone"), bounds.gangWaitMs);
+      setImmediate(() => entry.gang.join(entry, labels[1]));
+    } else if (entry.workMs !== Infinity) entry.timer = setTimeout(() => end(it, entry, "done"), entry.workMs);
     onStart({ executor: it.id, service, address, labels, task, run, spec, token: fencingToken, boot: it.number });
     return [200, { clockMs: clockOf(it) }];
   };
@@ -188,9 +194,15 @@
       for (const entry of life.running.values()) {
         clearTimeout(entry.timer);
         onEnd?.({ executor: life.id, service, task: entry.task, run: entry.run, how: "lost with its executor" });
+        entry.gang?.leave(entry, "lost");
       }
       life.running.clear();
       server.close();
+      // The store drops an entry after three intervals of silence.
+      const crashed = life;
+      setTimeout(() => {
+        if (life === crashed) store.write("servers", id, undefined);
+      }, 3 * heartbeatMs).unref();
     },
     /** Starts again under its id, as a process that knows nothing of before. */
     async restart(changes = {}) {
--- a/review/standin-2/world.mjs
+++ b/review/standin-2/world.mjs
@@ -66,6 +66,16 @@
     return steps.get(`${id}.${step}`);
   };
 
+  const gangs = new Map();
+  /** Returns the run of the gang of a work item, if its step is one. */
+  const gangOf = (task, run) => {
+    const step = stepOf(task);
+    if (!step?.gang) return undefined;
+    const key = `${task.split(".").slice(0, 3).join(".")}/${run}`;
+    if (!gangs.has(key)) gangs.set(key, createGang(step));
+    return gangs.get(key);
+  };
+
   const world = {
     record, now, store, executors, daemons, starts, ends, stepOf,
     async addExecutor({ id, service, labels = ["a", "r1-1"], capacity }) {
@@ -73,6 +83,7 @@
         id, service, labels, store, zone: ZONE, bounds: BOUNDS, heartbeatMs: HEARTBEAT_MS,
         ...(capacity === undefined ? {} : { capacity }),
         address: `${net}.${10 + executors.length}:0`,
+        gangOf,
         sizeOf: (task) => {
           const { cpu = 0, memMb = 0 } = stepOf(task) ?? {};
           return { cpu, memMb };
@@ -177,6 +188,29 @@
   return world;
 }
 
+/**
+ * Creates one run of a gang: its work items work from the moment when all are
+ * present and end `done` together; if one ends otherwise, the others are broken.
+ */
+function createGang({ count, workMs, sameRack }) {
+  const present = new Map();
+  return {
+    join(entry, rack) {
+      present.set(entry, rack);
+      if (present.size < count) return;
+      const isFar = sameRack && new Set(present.values()).size > 1;
+      for (const member of present.keys()) {
+        clearTimeout(member.timer);
+        member.timer = setTimeout(() => member.finish("done"), workMs * (isFar ? BOUNDS.farPenalty : 1));
+      }
+    },
+    leave(entry, how) {
+      if (!present.delete(entry) || how === "done" || how === "alone") return;
+      for (const member of [...present.keys()]) member.finish("broken");
+    },
+  };
+}
+
 /** Runs a case; `play` returns why the rule is broken, or undefined. */
 export async function runCase(folder, options, play) {
   let world;
