Review: case 6 also sends a DELETE

Cause: that a DELETE misses the first copy was only read, not shown. Change: review/6 sends one and looks for work items that go on; the stand-ins can lose and delay answers and deal partitions anew.

--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -7,7 +7,7 @@
 const HOST = "pule25.example";
 const PREFIX = "/puxa400/";
 const ID = "5c0e7a21d94b36f8";
-const WORK_MS = 20_000;
+const WORK_MS = 25_000;
 
 const route = (name, service) => ({
   name, host: HOST, pathPrefix: PREFIX, type: "non_idempotent", timeoutMs: 3000, targetLatencyMs: 600,
@@ -60,7 +60,11 @@
   }
   const twice = [...tasks].filter(([, count]) => count > 1).map(([task]) => task);
   world.record(`work items that run twice at the same time: ${twice.join(", ") || "none"}`);
-  if (gone === 0 && twice.length === 0) return undefined;
+  const { status } = await world.call(daemons[0], queue, "DELETE", ID);
+  await sleep(BOUNDS.cancel_ms + BOUNDS.stopMs + 500);
+  const left = status === 200 ? world.executors.flatMap((it) => it.running()).length : 0;
+  world.record(`work items that run on after the DELETE was acknowledged: ${left}`);
+  if (gone === 0 && twice.length === 0 && left === 0) return undefined;
   return `LOST: ${gone} of 6 GETs for the accepted submission, which nobody has cancelled and which runs, were ` +
-    `answered 410; then TWICE: ${twice.length} of its work items run twice`;
+    `answered 410; then TWICE: ${twice.length} of its work items run twice; then UNASKED: ${left} run on after a DELETE`;
 });
--- a/review/standin-2/executor.mjs
+++ b/review/standin-2/executor.mjs
@@ -97,7 +97,7 @@
     if (untilMs <= clockOf(it)) return refuse("late");
     const size = options.sizeOf(task);
     const { cpu, memMb } = used(it);
-    if (cpu + size.cpu > capacity.cpu || memMb + size.memMb > capacity.memMb) {
+    if (options.guards !== false && (cpu + size.cpu > capacity.cpu || memMb + size.memMb > capacity.memMb)) {
       takeLease(it, untilMs);
       return refuse("room");
     }
@@ -109,8 +109,8 @@
     if (entry.gang !== undefined) {
       entry.timer = setTimeout(() => end(it, entry, "alone"), bounds.gangWaitMs);
       setImmediate(() => entry.gang.join(entry, labels[1]));
-    } else if (entry.workMs !== Infinity) entry.timer = setTimeout(() => end(it, entry, "done"), entry.workMs);
-    onStart({ executor: it.id, service, address, labels, task, run, spec, token: fencingToken, boot: it.number });
+    } else if (entry.workMs !== Infinity) entry.timer = setTimeout(() => end(it, entry, options.fails?.(task, run) ? "failed" : "done"), entry.workMs);
+    onStart({ used: { cpu: cpu + size.cpu, memMb: memMb + size.memMb }, capacity, executor: it.id, service, address, labels, task, run, spec, token: fencingToken, boot: it.number });
     return [200, { clockMs: clockOf(it) }];
   };
 
@@ -131,6 +131,9 @@
 
   const hold = async (it, { untilMs, lastSeen, waitMs = 0 }) => {
     takeLease(it, untilMs);
+    for (const row of it.ended) {
+      if (row[0] <= lastSeen) options.onNoted?.({ executor: it.id, task: row[1], run: row[2], how: row[3] });
+    }
     it.ended = it.ended.filter(([number]) => number > lastSeen);
     if (waitMs > 0 && it.ended.length === 0) {
       await new Promise((resolve) => {
@@ -172,7 +175,7 @@
 
   const up = async () => {
     boot();
-    server = await startHttp(address, handle);
+    server = await startHttp(address, handle, options.disturb);
     address = server.address;
   };
   await up();
--- a/review/standin-2/http.mjs
+++ b/review/standin-2/http.mjs
@@ -1,8 +1,12 @@
 // Small HTTP server and client on loopback addresses.
 import { createServer, request } from "node:http";
 
-/** Serves `handle`, which returns a status and a body (an object or bytes). */
-export async function startHttp(address, handle) {
+/**
+ * Serves `handle`, which returns a status and a body (an object or bytes).
+ * `disturb` may return `{ isLost, delayMs }` for a call: then it is carried out
+ * after the delay, and its answer is lost.
+ */
+export async function startHttp(address, handle, disturb) {
   const [host, port] = address.split(":");
   const server = createServer((incoming, outgoing) => {
     const chunks = [];
@@ -10,15 +14,18 @@
     incoming.on("error", () => undefined);
     incoming.on("end", async () => {
       const url = new URL(incoming.url, "http://loopback");
+      const path = url.pathname.replace("/lagoonloom/", "");
+      const trouble = disturb?.(path);
+      if (trouble?.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, trouble.delayMs));
       const reply = await handle({
         method: incoming.method,
-        path: url.pathname.replace("/lagoonloom/", ""),
+        path,
         query: url.searchParams,
         headers: incoming.headers,
         body: Buffer.concat(chunks),
       });
       // No reply: the channel stays silent.
-      if (reply === undefined || outgoing.destroyed) return;
+      if (reply === undefined || trouble?.isLost || outgoing.destroyed) return;
       const [status, body] = reply;
       const bytes = Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body));
       outgoing.writeHead(status, {
--- a/review/standin-2/store.mjs
+++ b/review/standin-2/store.mjs
@@ -4,7 +4,7 @@
 const PREFIX = "keyed.";
 
 /** Starts a store. `parts` is the number of partitions of each topic. */
-export async function startStore({ address, parts, appendMs = 2, log }) {
+export async function startStore({ address, parts, appendMs = 2, log, disturb }) {
   const partitions = new Map();
   const groups = new Map();
   const nowMs = () => performance.now();
@@ -215,7 +215,7 @@
     return [404, {}];
   };
 
-  const server = await startHttp(address, handle);
+  const server = await startHttp(address, handle, disturb);
   return {
     address: server.address,
     write,
@@ -225,6 +225,20 @@
       const item = items.find((entry) => entry.key === key);
       return item && JSON.parse(Buffer.from(item.value, "base64").toString());
     },
+    /** Deals all partitions anew at once, as the platform does at times. */
+    rebalance() {
+      const group = groupOf("owners");
+      const names = [...group.members.keys()];
+      if (names.length === 0) return;
+      group.generation++;
+      const shift = 1 + Math.floor(Math.random() * names.length);
+      for (const part of [...group.target.keys()]) {
+        const name = names[(part + shift) % names.length];
+        if (group.target.get(part) === name) continue;
+        group.target.set(part, name);
+        group.since.set(part, group.generation);
+      }
+    },
     /** Returns the member that holds a partition of the group. */
     holderOf: (part) => groupOf("owners").holder.get(part),
     close() {
--- a/review/standin-2/world.mjs
+++ b/review/standin-2/world.mjs
@@ -29,7 +29,7 @@
 export class NotRun extends Error {}
 
 /** Creates a world. `folder` is the folder of the case, for `record.txt`. */
-export async function createWorld({ folder, parts = 32, machineCount = 2 }) {
+export async function createWorld({ folder, parts = 32, advice }) {
   const recordPath = join(folder, "record.txt");
   writeFileSync(recordPath, "");
   const startedMs = performance.now();
@@ -42,7 +42,11 @@
   record(`trouble: ${TROUBLE ? "yes" : "no"}`);
   const temporary = mkdtempSync(join(tmpdir(), "review-"));
   const net = `127.${100 + Math.floor(Math.random() * 100)}.${1 + Math.floor(Math.random() * 250)}`;
-  const store = await startStore({ address: `${net}.1:0`, parts, log: record });
+  /** What a case may set: trouble for calls to the store or an executor. */
+  const disturb = { store: undefined, executor: undefined };
+  const store = await startStore({
+    address: `${net}.1:0`, parts, log: record, disturb: (path) => disturb.store?.(path),
+  });
   const executors = [];
   const daemons = [];
   /** Work items by `ID.STEP`, as the requester handed them in. */
@@ -61,6 +65,10 @@
     }];
   });
 
+  const adviceServer = advice === undefined
+    ? undefined
+    : await startHttp(`${net}.3:0`, async ({ body }) => advice(JSON.parse(body.toString()), executors));
+
   const stepOf = (task) => {
     const [id, , step] = task.split(".");
     return steps.get(`${id}.${step}`);
@@ -77,13 +85,14 @@
   };
 
   const world = {
-    record, now, store, executors, daemons, starts, ends, stepOf,
-    async addExecutor({ id, service, labels = ["a", "r1-1"], capacity }) {
+    record, now, store, disturb, executors, daemons, starts, ends, stepOf,
+    async addExecutor({ id, service, labels = ["a", "r1-1"], capacity, guards, fails, onNoted }) {
       const executor = await startExecutor({
         id, service, labels, store, zone: ZONE, bounds: BOUNDS, heartbeatMs: HEARTBEAT_MS,
         ...(capacity === undefined ? {} : { capacity }),
         address: `${net}.${10 + executors.length}:0`,
-        gangOf,
+        gangOf, guards, fails, onNoted,
+        disturb: (path) => disturb.executor?.(path, id),
         sizeOf: (task) => {
           const { cpu = 0, memMb = 0 } = stepOf(task) ?? {};
           return { cpu, memMb };
@@ -127,7 +136,7 @@
         limits: { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0 },
         dataDir: null, discovery: "platform", entry: "vip", heartbeatMs: HEARTBEAT_MS,
         contracts: ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"],
-        tolerate: { machines: 2, zones: 1, regions: 0 }, bounds: BOUNDS, orders: "rpc", advice: null,
+        tolerate: { machines: 2, zones: 1, regions: 0 }, bounds: BOUNDS, orders: "rpc", advice: adviceServer?.address ?? null,
         platform: { address: store.address, form: "log", writesPerS: 800, readsPerS: 2000, parts, appendMs: 2,
           partMbS: 20, readMbS: 80, recordBytes: 262_144, callBytes: 2_097_152, keep_s: 300, partMb: 200, ttlMinMs: 1000 },
         cloud: { address: cloud.address, ratePerS: 64, duties: [], dutiesPerS: 64 },
@@ -156,6 +165,9 @@
       }
       throw new NotRun(`${daemon.name} isn't ready; its last lines: ${daemon.log.slice(-3).join(" | ")}`);
     },
+    registerStep(id, index, step) {
+      steps.set(`${id}.${index}`, { ...step, workMs: step.longRunning ? Infinity : step.estimateMs });
+    },
     /** Hands a submission in until it is accepted, as a requester does. */
     async submit(daemon, route, id, body, { workMs, attempts = 5 } = {}) {
       body.steps.forEach((step, index) =>
@@ -181,6 +193,7 @@
       for (const { child } of daemons) if (child?.exitCode === null) child.kill("SIGKILL");
       for (const executor of executors) executor.close();
       cloud.close();
+      adviceServer?.close();
       store.close();
       rmSync(temporary, { recursive: true, force: true });
     },
