--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,5 +1,5 @@
-// A config removes a route and adds one with the same host and path prefix that
-// sends the queue to another service. A requester asks for its submission.
+// A config removes a route; the next one adds it again, for another service. A
+// requester asks for its submission.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { BOUNDS, NotRun, runCase, sleep, TROUBLE } from "../standin-2/world.mjs";
@@ -7,7 +7,7 @@
 const HOST = "pule25.example";
 const PREFIX = "/puxa400/";
 const ID = "5c0e7a21d94b36f8";
-const WORK_MS = 25_000;
+const WORK_MS = 30_000;
 
 const route = (name, service) => ({
   name, host: HOST, pathPrefix: PREFIX, type: "non_idempotent", timeoutMs: 3000, targetLatencyMs: 600,
@@ -16,6 +16,8 @@
 const service = (name) => ({
   name, healthPath: "/health", maxConns: 64, protocol: "h1", tls: false, enforcesCapacity: true, standby: false,
 });
+/** Another queue, which stays. */
+const other = { ...route("r-k9m68k7", "kafi81c"), pathPrefix: "/wuhu344/" };
 const services = [service("huvo11a"), service("kafi81c")];
 
 await runCase(dirname(fileURLToPath(import.meta.url)), {}, async (world) => {
@@ -24,7 +26,7 @@
       await world.addExecutor({ id: `i-${name}-${index}`, service: name, labels: ["a", `r${index}-1`] });
     }
   }
-  world.putConfig({ version: 7, routes: [route("r-anu6wsj", "huvo11a")], services });
+  world.putConfig({ version: 7, routes: [route("r-anu6wsj", "huvo11a"), other], services });
   const daemons = [await world.startDaemon(0), await world.startDaemon(1)];
   for (const daemon of daemons) await world.untilReady(daemon);
   await sleep(3_000);
@@ -38,7 +40,9 @@
     if (status !== 200) throw new NotRun("the submission isn't known before the change");
   }
 
-  if (TROUBLE) world.putConfig({ version: 9, routes: [route("r-b7tq2mz", "kafi81c")], services });
+  if (TROUBLE) world.putConfig({ version: 8, routes: [other], services });
+  await sleep(BOUNDS.configApplyMs + 500);
+  if (TROUBLE) world.putConfig({ version: 9, routes: [route("r-anu6wsj", "kafi81c"), other], services });
   // All machines have been in touch for longer than contactMs and the core is
   // stable: nothing is killed, stopped, cut, slow or down in this case.
   await sleep(BOUNDS.configApplyMs + 1_500);
--- a/review/standin-2/executor.mjs
+++ b/review/standin-2/executor.mjs
@@ -17,6 +17,8 @@
   let address = options.address;
   let seq = 0;
   let beatTimer;
+  /** Time until which it writes nothing to the store after a start. */
+  let quietUntilMs = 0;
   const id = options.id;
 
   const boot = () => {
@@ -40,7 +42,7 @@
   const clockOf = (it) => Math.floor(100_000 + performance.now() - it.startedMs);
 
   const beat = () => {
-    if (!life?.isUp) return;
+    if (!life?.isUp || performance.now() < quietUntilMs) return;
     seq++;
     store.write("servers", life.id, {
       service, address, zone, version: "v1", slots: 8,
@@ -211,8 +213,9 @@
     async restart(changes = {}) {
       if (changes.labels !== undefined) labels = changes.labels;
       await up();
-      if (changes.beatAfterMs === undefined) beat();
-      else setTimeout(beat, changes.beatAfterMs);
+      const { beatAfterMs = 0 } = changes;
+      quietUntilMs = performance.now() + beatAfterMs;
+      setTimeout(beat, beatAfterMs + 1);
     },
     close() {
       clearInterval(beatTimer);
--- a/review/standin-2/world.mjs
+++ b/review/standin-2/world.mjs
@@ -29,7 +29,7 @@
 export class NotRun extends Error {}
 
 /** Creates a world. `folder` is the folder of the case, for `record.txt`. */
-export async function createWorld({ folder, parts = 32, advice }) {
+export async function createWorld({ folder, parts = 32, advice, bounds = {} }) {
   const recordPath = join(folder, "record.txt");
   writeFileSync(recordPath, "");
   const startedMs = performance.now();
@@ -48,21 +48,67 @@
     address: `${net}.1:0`, parts, log: record, disturb: (path) => disturb.store?.(path),
   });
   const executors = [];
+  let executorCount = 0;
   const daemons = [];
   /** Work items by `ID.STEP`, as the requester handed them in. */
   const steps = new Map();
   const starts = [];
   const ends = [];
 
-  const cloud = await startHttp(`${net}.2:0`, async ({ path }) => {
+  /** Machines that a case has added, which the platform may move. */
+  const machines = [];
+  const orders = [];
+
+  /** Moves a machine: what runs there ends, and a new executor joins the pool. */
+  const move = (machine, pool) => {
+    machine.state = "moving";
+    machine.pool = pool;
+    const { executor } = machine;
+    machine.executor = undefined;
+    if (executor !== undefined) {
+      executor.crash();
+      executor.close();
+      store.write("servers", executor.id, undefined);
+      executors.splice(executors.indexOf(executor), 1);
+    }
+    setTimeout(async () => {
+      if (isClosed) return;
+      if (!machine.standby.has(pool)) await startOn(machine);
+      machine.state = "up";
+    }, 1_000 * BOUNDS.moveS);
+  };
+  const startOn = async (machine) => {
+    machine.lives++;
+    machine.executor = await world.addExecutor({
+      id: `i-${machine.id}-${machine.lives}`, service: machine.pool, labels: machine.labels,
+    });
+  };
+  let isClosed = false;
+  const cloud = await startHttp(`${net}.2:0`, async ({ path, headers, body }) => {
+    if (path === "machine-move") {
+      const { machineId, pool } = JSON.parse(body.toString());
+      const machine = machines.find(({ id }) => id === machineId);
+      const order = { machine: machineId, pool, holder: headers["x-lease-holder"], token: Number(headers["x-fencing-token"]), atMs: now() };
+      if (machine === undefined) return [400, {}];
+      // `requireFencing` is false in such a case: no token is refused.
+      orders.push(order);
+      const isDone = machine.pool === pool;
+      record(`order: ${machineId} to ${pool} by ${order.holder} with token ${order.token}`);
+      if (isDone) return [200, {}];
+      if (machine.state !== "up") return [409, { reason: "busy" }];
+      move(machine, pool);
+      return [200, {}];
+    }
     if (path !== "machines") return [409, { reason: "busy" }];
-    return [200, {
-      machines: executors.map((it) => ({
-        machineId: `m-${it.id}`, pool: it.service, state: it.isUp() ? "up" : "down", zone: ZONE,
-        labels: it.labels, capacity: { cpu: 16_000, memMb: 32_768, gpu: 0 }, id: it.id,
-      })),
-      nextToken: null,
-    }];
+    const added = machines.map(({ id, pool, state, labels, executor }) => ({
+      machineId: id, pool, state, zone: ZONE, labels, capacity: { cpu: 16_000, memMb: 32_768, gpu: 0 },
+      id: executor?.id ?? null,
+    }));
+    const fixed = executors.filter((it) => machines.every(({ executor }) => executor !== it)).map((it) => ({
+      machineId: `m-${it.id}`, pool: it.service, state: it.isUp() ? "up" : "down", zone: ZONE,
+      labels: it.labels, capacity: { cpu: 16_000, memMb: 32_768, gpu: 0 }, id: it.id,
+    }));
+    return [200, { machines: [...added, ...fixed], nextToken: null }];
   });
 
   const adviceServer = advice === undefined
@@ -85,12 +131,12 @@
   };
 
   const world = {
-    record, now, store, disturb, executors, daemons, starts, ends, stepOf,
+    net, record, now, store, disturb, machines, orders, executors, daemons, starts, ends, stepOf,
     async addExecutor({ id, service, labels = ["a", "r1-1"], capacity, guards, fails, onNoted }) {
       const executor = await startExecutor({
         id, service, labels, store, zone: ZONE, bounds: BOUNDS, heartbeatMs: HEARTBEAT_MS,
         ...(capacity === undefined ? {} : { capacity }),
-        address: `${net}.${10 + executors.length}:0`,
+        address: `${net}.${10 + executorCount++}:0`,
         gangOf, guards, fails, onNoted,
         disturb: (path) => disturb.executor?.(path, id),
         sizeOf: (task) => {
@@ -110,6 +156,12 @@
       executors.push(executor);
       return executor;
     },
+    /** Adds a machine; it has no executor while its pool is on standby. */
+    async addMachine({ id, pool, labels = ["a", "r1-1"], standby }) {
+      const machine = { id, pool, state: "up", labels, standby: new Set(standby), lives: 0, executor: undefined };
+      machines.push(machine);
+      if (!machine.standby.has(pool)) await startOn(machine);
+    },
     putConfig(config) {
       store.write("op", "config", {
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
@@ -120,7 +172,7 @@
       }`);
     },
     /** Starts a daemon with the command and the variables of the deploy file. */
-    async startDaemon(index) {
+    async startDaemon(index, { storeAddress = store.address } = {}) {
       const ip = `${net}.${200 + index}`;
       const name = `edge-${ZONE}-${index + 1}`;
       const known = daemons[index];
@@ -136,8 +188,8 @@
         limits: { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0 },
         dataDir: null, discovery: "platform", entry: "vip", heartbeatMs: HEARTBEAT_MS,
         contracts: ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"],
-        tolerate: { machines: 2, zones: 1, regions: 0 }, bounds: BOUNDS, orders: "rpc", advice: adviceServer?.address ?? null,
-        platform: { address: store.address, form: "log", writesPerS: 800, readsPerS: 2000, parts, appendMs: 2,
+        tolerate: { machines: 2, zones: 1, regions: 0 }, bounds: { ...BOUNDS, ...bounds }, orders: "rpc", advice: adviceServer?.address ?? null,
+        platform: { address: storeAddress, form: "log", writesPerS: 800, readsPerS: 2000, parts, appendMs: 2,
           partMbS: 20, readMbS: 80, recordBytes: 262_144, callBytes: 2_097_152, keep_s: 300, partMb: 200, ttlMinMs: 1000 },
         cloud: { address: cloud.address, ratePerS: 64, duties: [], dutiesPerS: 64 },
       }));
@@ -186,6 +238,7 @@
       return answer;
     },
     close() {
+      isClosed = true;
       // For a look at what the daemons log: a folder for their output.
       if (process.env.LOGS !== undefined) {
         for (const { name, log } of daemons) writeFileSync(join(process.env.LOGS, `${name}.log`), log.join("\n"));
