--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -11,17 +11,44 @@
 const STANDBY = "lohu93e";
 
 const service = (name, standby) => ({
-  name, healthPath: "/health", maxConns: 64, protocol: "h1", tls: false, enforcesCapacity: true, standby,
+  name,
+  healthPath: "/health",
+  maxConns: 64,
+  protocol: "h1",
+  tls: false,
+  enforcesCapacity: true,
+  standby,
 });
 
-await runCase(dirname(fileURLToPath(import.meta.url)), { bounds: { requireFencing: false } }, async (world) => {
-  for (let index = 1; index <= 3; index++) await world.addMachine({ id: `m-${index}`, pool: "huvo11a", standby: [STANDBY] });
-  for (let index = 4; index <= 6; index++) await world.addMachine({ id: `m-${index}`, pool: STANDBY, standby: [STANDBY] });
+await runCase(dirname(fileURLToPath(import.meta.url)), {
+  bounds: { requireFencing: false },
+}, async (world) => {
+  for (let index = 1; index <= 3; index++) {
+    await world.addMachine({
+      id: `m-${index}`,
+      pool: "huvo11a",
+      standby: [STANDBY],
+    });
+  }
+  for (let index = 4; index <= 6; index++) {
+    await world.addMachine({
+      id: `m-${index}`,
+      pool: STANDBY,
+      standby: [STANDBY],
+    });
+  }
   world.putConfig({
     version: 7,
     routes: [{
-      name: "r-anu6wsj", ...QUEUE, type: "non_idempotent", timeoutMs: 3000, targetLatencyMs: 600,
-      priority: 0, service: "huvo11a", attempts: 3, stretch: 1.6,
+      name: "r-anu6wsj",
+      ...QUEUE,
+      type: "non_idempotent",
+      timeoutMs: 3000,
+      targetLatencyMs: 600,
+      priority: 0,
+      service: "huvo11a",
+      attempts: 3,
+      stretch: 1.6,
     }],
     services: [service("huvo11a", false), service(STANDBY, true)],
   });
@@ -34,8 +61,11 @@
   const first = await world.startDaemon(0, { storeAddress: proxy.address });
   await world.untilReady(first);
   await sleep(5_000);
-  const isHolder = ({ ip }) => world.store.holderOf(31)?.startsWith(ip) === true;
-  if (!isHolder(first)) throw new NotRun("the store dealt the machines to the other daemon");
+  const isHolder = ({ ip }) =>
+    world.store.holderOf(31)?.startsWith(ip) === true;
+  if (!isHolder(first)) {
+    throw new NotRun("the store dealt the machines to the other daemon");
+  }
 
   if (TROUBLE) {
     world.record(`${first.name} is cut off from the store`);
@@ -46,7 +76,8 @@
   // A flood: more work than the pool of three machines holds.
   for (let number = 1; number <= 6; number++) {
     await world.submit(second, QUEUE, `5c0e7a21d94b36f${number}`, {
-      spec: "(text)", steps: [{ count: 2, cpu: 15_000, memMb: 256, estimateMs: WORK_MS }],
+      spec: "(text)",
+      steps: [{ count: 2, cpu: 15_000, memMb: 256, estimateMs: WORK_MS }],
     }, { workMs: WORK_MS });
   }
   await sleep(cutMs + CUT_MS - 600 - world.now());
@@ -64,14 +95,20 @@
   for (const { id } of world.machines) {
     let highest;
     for (const order of world.orders.filter(({ machine }) => machine === id)) {
-      if (highest !== undefined && order.token < highest.token) broken.push({ highest, order });
-      if (highest === undefined || order.token >= highest.token) highest = order;
+      if (highest !== undefined && order.token < highest.token) {
+        broken.push({ highest, order });
+      }
+      if (highest === undefined || order.token >= highest.token) {
+        highest = order;
+      }
     }
   }
   if (world.orders.length === 0) throw new NotRun("no machine was ordered");
   for (const { highest, order } of broken) {
-    world.record(`${order.machine}: token ${highest.token} of ${highest.holder} at ${highest.atMs} ms, then token ` +
-      `${order.token} of ${order.holder} at ${order.atMs} ms`);
+    world.record(
+      `${order.machine}: token ${highest.token} of ${highest.holder} at ${highest.atMs} ms, then token ` +
+        `${order.token} of ${order.holder} at ${order.atMs} ms`,
+    );
   }
   if (broken.length === 0) return undefined;
   return `ONE: ${broken.length} orders for machines carry a lower fencing token than an order before, where fences aren't checked`;
--- a/review/standin-2/executor.mjs
+++ b/review/standin-2/executor.mjs
@@ -9,7 +9,16 @@
  * of each run. It writes to the store every `heartbeatMs`.
  */
 export async function startExecutor(options) {
-  const { store, service, zone, bounds, heartbeatMs, durationOf, onStart, onEnd } = options;
+  const {
+    store,
+    service,
+    zone,
+    bounds,
+    heartbeatMs,
+    durationOf,
+    onStart,
+    onEnd,
+  } = options;
   const capacity = options.capacity ?? { cpu: 16_000, memMb: 32_768, gpu: 0 };
   let labels = options.labels;
   let life;
@@ -39,15 +48,25 @@
       isDraining: false,
     };
   };
-  const clockOf = (it) => Math.floor(100_000 + performance.now() - it.startedMs);
+  const clockOf = (it) =>
+    Math.floor(100_000 + performance.now() - it.startedMs);
 
   const beat = () => {
     if (!life?.isUp || performance.now() < quietUntilMs) return;
     seq++;
     store.write("servers", life.id, {
-      service, address, zone, version: "v1", slots: 8,
+      service,
+      address,
+      zone,
+      version: "v1",
+      slots: 8,
       state: life.isDraining ? "draining" : "ready",
-      coldRemainingMs: 0, capacity, labels, clockMs: clockOf(life), seq, born: life.born,
+      coldRemainingMs: 0,
+      capacity,
+      labels,
+      clockMs: clockOf(life),
+      seq,
+      born: life.born,
     });
   };
 
@@ -99,20 +118,50 @@
     if (untilMs <= clockOf(it)) return refuse("late");
     const size = options.sizeOf(task);
     const { cpu, memMb } = used(it);
-    if (options.guards !== false && (cpu + size.cpu > capacity.cpu || memMb + size.memMb > capacity.memMb)) {
+    if (
+      options.guards !== false &&
+      (cpu + size.cpu > capacity.cpu || memMb + size.memMb > capacity.memMb)
+    ) {
       takeLease(it, untilMs);
       return refuse("room");
     }
     takeLease(it, untilMs);
-    const entry = { task, run, size, startedMs: performance.now(), workMs: durationOf(task), isStopping: false };
+    const entry = {
+      task,
+      run,
+      size,
+      startedMs: performance.now(),
+      workMs: durationOf(task),
+      isStopping: false,
+    };
     it.running.set(task, entry);
     entry.finish = (how) => end(it, entry, how);
     entry.gang = options.gangOf?.(task, run);
     if (entry.gang !== undefined) {
-      entry.timer = setTimeout(() => end(it, entry, "alone"), bounds.gangWaitMs);
+      entry.timer = setTimeout(
+        () => end(it, entry, "alone"),
+        bounds.gangWaitMs,
+      );
       setImmediate(() => entry.gang.join(entry, labels[1]));
-    } else if (entry.workMs !== Infinity) entry.timer = setTimeout(() => end(it, entry, options.fails?.(task, run) ? "failed" : "done"), entry.workMs);
-    onStart({ used: { cpu: cpu + size.cpu, memMb: memMb + size.memMb }, capacity, executor: it.id, service, address, labels, task, run, spec, token: fencingToken, boot: it.number });
+    } else if (entry.workMs !== Infinity) {
+      entry.timer = setTimeout(
+        () => end(it, entry, options.fails?.(task, run) ? "failed" : "done"),
+        entry.workMs,
+      );
+    }
+    onStart({
+      used: { cpu: cpu + size.cpu, memMb: memMb + size.memMb },
+      capacity,
+      executor: it.id,
+      service,
+      address,
+      labels,
+      task,
+      run,
+      spec,
+      token: fencingToken,
+      boot: it.number,
+    });
     return [200, { clockMs: clockOf(it) }];
   };
 
@@ -128,13 +177,23 @@
 
   const percentOf = ({ startedMs, workMs }) => {
     const ranMs = performance.now() - startedMs;
-    return Math.min(100, Math.floor(100 * ranMs / (workMs === Infinity ? 500 : workMs)));
+    return Math.min(
+      100,
+      Math.floor(100 * ranMs / (workMs === Infinity ? 500 : workMs)),
+    );
   };
 
   const hold = async (it, { untilMs, lastSeen, waitMs = 0 }) => {
     takeLease(it, untilMs);
     for (const row of it.ended) {
-      if (row[0] <= lastSeen) options.onNoted?.({ executor: it.id, task: row[1], run: row[2], how: row[3] });
+      if (row[0] <= lastSeen) {
+        options.onNoted?.({
+          executor: it.id,
+          task: row[1],
+          run: row[2],
+          how: row[3],
+        });
+      }
     }
     it.ended = it.ended.filter(([number]) => number > lastSeen);
     if (waitMs > 0 && it.ended.length === 0) {
@@ -151,7 +210,9 @@
     return [200, {
       clockMs: clockOf(it),
       born: it.born,
-      running: [...it.running.values()].map((entry) => [entry.task, entry.run, "", percentOf(entry), entry.size.cpu]),
+      running: [...it.running.values()].map((
+        entry,
+      ) => [entry.task, entry.run, "", percentOf(entry), entry.size.cpu]),
       finished: it.ended.slice(0, 500),
     }];
   };
@@ -163,7 +224,9 @@
     if (expected !== undefined && expected !== it.id) return [421, {}];
     const json = JSON.parse(body.toString());
     checkLease(it);
-    if ((json.fencingToken ?? 0) < it.token) return [409, { clockMs: clockOf(it), reason: "fence" }];
+    if ((json.fencingToken ?? 0) < it.token) {
+      return [409, { clockMs: clockOf(it), reason: "fence" }];
+    }
     it.token = json.fencingToken ?? 0;
     if (path === "run-start") return start(it, json);
     if (path === "run-stop") return stop(it, json);
@@ -188,8 +251,11 @@
     id,
     service,
     address: () => address,
-    get labels() { return labels; },
-    running: () => [...life.running.values()].map(({ task, run }) => ({ task, run })),
+    get labels() {
+      return labels;
+    },
+    running: () =>
+      [...life.running.values()].map(({ task, run }) => ({ task, run })),
     isUp: () => life.isUp,
     isRunning: (task, run) => life.isUp && life.running.get(task)?.run === run,
     freeCpu: () => life.isUp ? capacity.cpu - used(life).cpu : 0,
@@ -198,7 +264,13 @@
       life.isUp = false;
       for (const entry of life.running.values()) {
         clearTimeout(entry.timer);
-        onEnd?.({ executor: life.id, service, task: entry.task, run: entry.run, how: "lost with its executor" });
+        onEnd?.({
+          executor: life.id,
+          service,
+          task: entry.task,
+          run: entry.run,
+          how: "lost with its executor",
+        });
         entry.gang?.leave(entry, "lost");
       }
       life.running.clear();
--- a/review/standin-2/http.mjs
+++ b/review/standin-2/http.mjs
@@ -16,7 +16,9 @@
       const url = new URL(incoming.url, "http://loopback");
       const path = url.pathname.replace("/lagoonloom/", "");
       const trouble = disturb?.(path);
-      if (trouble?.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, trouble.delayMs));
+      if (trouble?.delayMs > 0) {
+        await new Promise((resolve) => setTimeout(resolve, trouble.delayMs));
+      }
       const reply = await handle({
         method: incoming.method,
         path,
@@ -27,9 +29,13 @@
       // No reply: the channel stays silent.
       if (reply === undefined || trouble?.isLost || outgoing.destroyed) return;
       const [status, body] = reply;
-      const bytes = Buffer.isBuffer(body) ? body : Buffer.from(JSON.stringify(body));
+      const bytes = Buffer.isBuffer(body)
+        ? body
+        : Buffer.from(JSON.stringify(body));
       outgoing.writeHead(status, {
-        "content-type": Buffer.isBuffer(body) ? "application/octet-stream" : "application/json",
+        "content-type": Buffer.isBuffer(body)
+          ? "application/octet-stream"
+          : "application/json",
         "content-length": bytes.length,
       }).end(bytes);
     });
@@ -52,7 +58,9 @@
 export function send(address, { method, path, host, json, timeoutMs = 3_000 }) {
   const [ip, port] = address.split(":");
   return new Promise((resolve) => {
-    const bytes = json === undefined ? undefined : Buffer.from(JSON.stringify(json));
+    const bytes = json === undefined
+      ? undefined
+      : Buffer.from(JSON.stringify(json));
     const sent = request({
       host: ip,
       port: Number(port),
@@ -62,10 +70,16 @@
       headers: {
         ...(host === undefined ? {} : { host }),
         "x-deadline-ms": String(timeoutMs),
-        ...(bytes === undefined ? {} : { "content-type": "application/json", "content-length": bytes.length }),
+        ...(bytes === undefined ? {} : {
+          "content-type": "application/json",
+          "content-length": bytes.length,
+        }),
       },
     });
-    const timer = setTimeout(() => sent.destroy(new Error("no answer in time")), timeoutMs);
+    const timer = setTimeout(
+      () => sent.destroy(new Error("no answer in time")),
+      timeoutMs,
+    );
     sent.on("error", (error) => {
       clearTimeout(timer);
       resolve({ error: error.code ?? error.message });
--- a/review/standin-2/store.mjs
+++ b/review/standin-2/store.mjs
@@ -4,7 +4,9 @@
 const PREFIX = "keyed.";
 
 /** Starts a store. `parts` is the number of partitions of each topic. */
-export async function startStore({ address, parts, appendMs = 2, log, disturb }) {
+export async function startStore(
+  { address, parts, appendMs = 2, log, disturb },
+) {
   const partitions = new Map();
   const groups = new Map();
   const nowMs = () => performance.now();
@@ -13,7 +15,12 @@
     const key = `${topic}/${part}`;
     let found = partitions.get(key);
     if (found === undefined) {
-      found = { records: [], producers: new Map(), busyUntilMs: 0, waiters: new Set() };
+      found = {
+        records: [],
+        producers: new Map(),
+        busyUntilMs: 0,
+        waiters: new Set(),
+      };
       partitions.set(key, found);
     }
     return found;
@@ -116,7 +123,14 @@
   const groupOf = (name) => {
     let group = groups.get(name);
     if (group === undefined) {
-      group = { generation: 0, members: new Map(), holder: new Map(), target: new Map(), since: new Map(), topic: "" };
+      group = {
+        generation: 0,
+        members: new Map(),
+        holder: new Map(),
+        target: new Map(),
+        since: new Map(),
+        topic: "",
+      };
       groups.set(name, group);
     }
     return group;
@@ -209,7 +223,9 @@
     if (path === "log-owners") {
       expire();
       const group = groupOf(query.get("group"));
-      const rows = [...group.holder].map(([part, name]) => [group.topic, part, name, 0]);
+      const rows = [...group.holder].map((
+        [part, name],
+      ) => [group.topic, part, name, 0]);
       return [200, { parts: rows }];
     }
     return [404, {}];
@@ -221,7 +237,9 @@
     write,
     /** Returns the newest value of a key in partition 0 of a topic. */
     newestOf(topic, key) {
-      const items = newest(new URLSearchParams({ topic: PREFIX + topic, part: "0" }))[1].items;
+      const items =
+        newest(new URLSearchParams({ topic: PREFIX + topic, part: "0" }))[1]
+          .items;
       const item = items.find((entry) => entry.key === key);
       return item && JSON.parse(Buffer.from(item.value, "base64").toString());
     },
@@ -250,7 +268,11 @@
 
 function frameOf(key, text) {
   const keyBytes = Buffer.from(key);
-  return Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, Buffer.from(text)]);
+  return Buffer.concat([
+    Buffer.from([keyBytes.length]),
+    keyBytes,
+    Buffer.from(text),
+  ]);
 }
 
 function keyedOf(frame) {
