Review: ports below those of outgoing connections

Cause: in one run of case 6 a port that was free when it was chosen was taken by an outgoing connection before the daemon listened, so that the case could not run (exit code 2). Trials that started a daemon twice left processes. Change: the stand-ins choose ports from 10000 to 29999, each once, and end all processes that they started.

--- a/review/standin-2/world.mjs
+++ b/review/standin-2/world.mjs
@@ -87,6 +87,8 @@
   const executors = [];
   let executorCount = 0;
   const daemons = [];
+  /** All processes that were started, also those that were replaced. */
+  const children = [];
   /** Work items by `ID.STEP`, as the requester handed them in. */
   const steps = new Map();
   const starts = [];
@@ -372,6 +374,7 @@
         env: { PATH, HOME, LANG, ...env, LAGOONLOOM_CONFIG: path },
       });
       daemon.child = child;
+      children.push(child);
       daemon.log = daemon.log ?? [];
       const take = (chunk) =>
         daemon.log.push(
@@ -446,8 +449,8 @@
           writeFileSync(join(process.env.LOGS, `${name}.log`), log.join("\n"));
         }
       }
-      for (const { child } of daemons) {
-        if (child?.exitCode === null) child.kill("SIGKILL");
+      for (const child of children) {
+        if (child.exitCode === null) child.kill("SIGKILL");
       }
       for (const executor of executors) executor.close();
       cloud.close();
@@ -527,13 +530,24 @@
   return { command, args, env };
 }
 
-function freePort(ip) {
-  return new Promise((resolve, reject) => {
+/** Ports that were given out. */
+const givenPorts = new Set();
+
+/** Returns a free port below those of outgoing connections, each only once. */
+async function freePort(ip) {
+  for (let attempt = 0; attempt < 100; attempt++) {
+    const port = 10_000 + Math.floor(Math.random() * 20_000);
+    if (givenPorts.has(port) || !await canListen(ip, port)) continue;
+    givenPorts.add(port);
+    return port;
+  }
+  throw new NotRun(`no port is free at ${ip}`);
+}
+
+function canListen(ip, port) {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, ip, () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, ip, () => server.close(() => resolve(true)));
   });
 }
