Find jobs of a queue that has got another service

Callers saw: a configuration removed a route, and the next one added it again for another service.

Cause: the partition of a job was worked out from the service that its queue has now, not from the one that it was accepted for.

Change: members store for which services a queue accepts jobs, before the first job for each. States, repeated submissions, cancellations and counts use all of them; before a 410 they are read again.

Why it works: a pair of queue and service is stored before any job that relies on it, and never removed.

Ruled out: an old configuration (both daemons had the last one), a lost record (its owner answers running), the removal alone.

--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -44,11 +44,19 @@
  */
 export const MAX_TASKS = 20_000;
 
-/** Options of {@linkcode acceptJob} and {@linkcode cancelJob}. */
+/** Options of {@linkcode acceptJob}. */
+export type AcceptOptions = RecordOptions & { queue: Queue };
+
+/** Options of {@linkcode cancelJob}. */
+export type CancelOptions = RecordOptions & {
+  /** All services under which the job may have been accepted. */
+  services: readonly string[];
+};
+
+/** Options of storing a record of a job. */
 export type RecordOptions = {
   store: Store;
   layout: Layout;
-  queue: Queue;
   /** Time limit for all attempts together, in milliseconds. */
   timeoutMs: number;
   /** Whether an append to a partition of the jobs is worth a try. */
@@ -79,7 +87,7 @@
 export async function acceptJob(
   id: string,
   submission: Submission,
-  options: RecordOptions,
+  options: AcceptOptions,
 ): Promise<RecordOutcome> {
   const { queue } = options;
   const tasks = submission.steps.reduce((sum, { count }) => sum + count, 0);
@@ -97,33 +105,47 @@
   return await storeRecord(
     id,
     { key: id, value: JSON.stringify(accepted) },
-    options,
+    { ...options, service: queue.service },
   );
 }
 
-/** Stores a request to cancel a job. */
+/**
+ * Stores a request to cancel a job in the partitions of all services under
+ * which it may have been accepted. Its owner applies it, and the other owners
+ * forget it after a while.
+ */
 export async function cancelJob(
   id: string,
-  options: RecordOptions,
+  options: CancelOptions,
 ): Promise<RecordOutcome> {
   const value = JSON.stringify({ cancelledAtMs: Date.now() });
-  return await storeRecord(id, { key: cancelKey(id), value }, options);
+  const record = { key: cancelKey(id), value };
+  const outcomes = await Promise.all(
+    options.services.map((service) =>
+      storeRecord(id, record, { ...options, service })
+    ),
+  );
+  const missing = outcomes.find(({ type }) => type !== "stored");
+  if (missing === undefined) return outcomes[0]!;
+  const isPartlyStored = outcomes.some(({ type }) =>
+    type === "stored" || type === "unknown"
+  );
+  if (!isPartlyStored || missing.type === "stored") return missing;
+  return { type: "unknown", reason: missing.reason };
 }
 
 async function storeRecord(
   id: string,
   record: JobRecord,
-  options: RecordOptions,
+  options: RecordOptions & { service: string },
 ): Promise<RecordOutcome> {
-  const partition = partitionOf(options.layout, {
-    service: options.queue.service,
-    key: id,
-  });
+  const { layout, service } = options;
+  const partition = partitionOf(layout, { service, key: id });
   if (partition === undefined) {
     return {
       type: "refused",
       retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-      reason: `service ${options.queue.service} has no partition yet`,
+      reason: `service ${service} has no partition yet`,
     };
   }
   const deadlineMs = performance.now() + options.timeoutMs;
--- a/packages/jobs/accepted/accept_job_test.ts
+++ b/packages/jobs/accepted/accept_job_test.ts
@@ -15,8 +15,13 @@
   JOB_ID,
   PARTITION,
 } from "../_fixtures.ts";
-import { JOBS_TOPIC } from "../topics.ts";
-import { acceptJob, MAX_TASKS, type RecordOutcome } from "./accept_job.ts";
+import { cancelKey, JOBS_TOPIC } from "../topics.ts";
+import {
+  acceptJob,
+  cancelJob,
+  MAX_TASKS,
+  type RecordOutcome,
+} from "./accept_job.ts";
 
 /** Time limit of an acceptance. */
 const TIMEOUT_MS = 2_000;
@@ -145,3 +150,52 @@
     expect(isStored()).toBe(false);
   });
 });
+
+describe("cancelJob", () => {
+  const LAYOUT = new Map([["quoting", [PARTITION]], ["orders", [
+    PARTITION + 1,
+  ]]]);
+
+  let store: MemoryStore;
+
+  beforeEach(() => {
+    store = createMemoryStore({ partitions: 8 });
+  });
+
+  const cancel = (services: string[], mayAppend = (_: number) => true) =>
+    cancelJob(JOB_ID, {
+      store,
+      layout: LAYOUT,
+      services,
+      timeoutMs: TIMEOUT_MS,
+      mayAppend,
+      relay: () => Promise.resolve(undefined),
+    });
+
+  const isCancelled = (partition: number) =>
+    store.readNewestValues({ topic: JOBS_TOPIC, partition })
+      .has(cancelKey(JOB_ID));
+
+  // Guards against tasks that run on (UNASKED) as the queue of their job had
+  // another service when it was accepted.
+  test("stores the cancellation for each service", async () => {
+    const outcome = await cancel(["orders", "quoting"]);
+    expect(outcome).toEqual({ type: "stored", partition: PARTITION + 1 });
+    expect([PARTITION, PARTITION + 1].map(isCancelled)).toEqual([true, true]);
+  });
+
+  // Guards against a cancellation that is acknowledged, but not stored where
+  // the job is.
+  test("reports an unknown outcome if it is stored for some services", async () => {
+    const outcome = await cancel(
+      ["orders", "quoting"],
+      (partition) => partition !== PARTITION,
+    );
+    expect(outcome.type).toBe("unknown");
+  });
+
+  test("is refused if it is stored for no service", async () => {
+    const outcome = await cancel(["orders", "quoting"], () => false);
+    expect(outcome.type).toBe("refused");
+  });
+});
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -16,6 +16,7 @@
   type JobRecord,
   type RecordOutcome,
 } from "./accepted/accept_job.ts";
+import { createQueueServices } from "./accepted/queue_services.ts";
 import { createStoreMonitor } from "./accepted/store_monitor.ts";
 import { createRelayMonitor } from "./accepted/relay_monitor.ts";
 import { relayRecord } from "./accepted/relay_record.ts";
@@ -31,8 +32,8 @@
 import type { PartitionOwner } from "./owned/partition_owner.ts";
 import { createOwnerHandlers } from "./owner_handlers.ts";
 import {
+  findJobState,
   type OwnerAccess,
-  queryJobState,
   queryPendingCount,
 } from "./queries/query_owner.ts";
 import type { QueryResult } from "./queries/query_result.ts";
@@ -93,6 +94,7 @@
     options.peer,
   );
   const directory = createOwnerDirectory(store);
+  const queueServices = createQueueServices({ store, events });
 
   const access: OwnerAccess = {
     localOwner: (partition) => owners.get(partition),
@@ -174,27 +176,79 @@
       }),
   });
 
-  const partitionOfJob = (queue: Queue, id: string) =>
-    partitionOf(layout(), { service: queue.service, key: id });
+  /** Returns the partitions in which jobs with an id of a queue may be. */
+  const partitionsOf = (services: readonly string[], id: string) => {
+    const partitions = services
+      .map((service) => partitionOf(layout(), { service, key: id }))
+      .filter((partition) => partition !== undefined);
+    return [...new Set(partitions)];
+  };
+
+  /** Looks for a job in the partitions of earlier services of its queue. */
+  const findElsewhere = (id: string, queue: Queue, timeoutMs: number) => {
+    const [present] = partitionsOf([queue.service], id);
+    const partitions = partitionsOf(queueServices.servicesOf(queue), id)
+      .filter((partition) => partition !== present);
+    return findJobState(access, { partitions, job: id, timeoutMs });
+  };
+
+  const accept: Member["accept"] = async (id, options) => {
+    const { submission, queue, timeoutMs } = options;
+    const deadlineMs = performance.now() + timeoutMs;
+    const recorded = await queueServices.record(queue, timeoutMs);
+    if (recorded.type !== "stored") return recorded;
+    const leftMs = () => Math.max(0, deadlineMs - performance.now());
+    const elsewhere = await findElsewhere(id, queue, leftMs());
+    if (elsewhere.type === "known") return { type: "stored" };
+    if (elsewhere.type === "unavailable") {
+      const reason = "the owner of an earlier service does not answer";
+      return { type: "unknown", reason };
+    }
+    return await acceptJob(id, submission, {
+      ...appendOptions(),
+      queue,
+      timeoutMs: leftMs(),
+    });
+  };
+
+  const getJobState: Member["getJobState"] = async (id, options) => {
+    const { queue, timeoutMs } = options;
+    const deadlineMs = performance.now() + timeoutMs;
+    const partitions = partitionsOf(queueServices.servicesOf(queue), id);
+    if (partitions.length === 0) return { type: "unavailable" };
+    const query = { job: id, timeoutMs };
+    const found = await findJobState(access, { ...query, partitions });
+    if (found.type !== "missing") return found;
+    // The queue may have had another service at the members that accepted it.
+    if (!await queueServices.refresh()) return { type: "unavailable" };
+    return await findJobState(access, {
+      job: id,
+      partitions: partitionsOf(queueServices.servicesOf(queue), id)
+        .filter((partition) => !partitions.includes(partition)),
+      timeoutMs: Math.max(0, deadlineMs - performance.now()),
+    });
+  };
 
   return {
     platform,
     isReady: () =>
       platform.configuration() !== undefined && layout().size > 0 &&
-      !isUnreachable(),
-    accept: (id, { submission, queue, timeoutMs }) =>
-      acceptJob(id, submission, { ...appendOptions(), queue, timeoutMs }),
+      queueServices.isComplete() && !isUnreachable(),
+    accept,
     cancel: (id, { queue, timeoutMs }) =>
-      cancelJob(id, { ...appendOptions(), queue, timeoutMs }),
-    async getJobState(id, { queue, timeoutMs }) {
-      const partition = partitionOfJob(queue, id);
-      if (partition === undefined) return { type: "unavailable" };
-      return await queryJobState(access, { partition, job: id, timeoutMs });
-    },
+      cancelJob(id, {
+        ...appendOptions(),
+        services: queueServices.servicesOf(queue),
+        timeoutMs,
+      }),
+    getJobState,
     async countPending(queue, timeoutMs) {
-      const partitions = layout().get(queue.service) ?? [];
+      const services = queueServices.servicesOf(queue);
+      const partitions = new Set(
+        services.flatMap((service) => layout().get(service) ?? []),
+      );
       const counts = await Promise.all(
-        partitions.map((partition) =>
+        [...partitions].map((partition) =>
           queryPendingCount(access, { partition, queue: queue.name, timeoutMs })
         ),
       );
@@ -208,6 +262,7 @@
     leave: () => ownership.leave(),
     async close() {
       layoutWatch.close();
+      queueServices.close();
       relayMonitor.close();
       for (const client of clients.values()) client.close();
       await server.close();
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -53,6 +53,37 @@
   });
 }
 
+/**
+ * Queries the state of a job in several partitions, of which one may have it.
+ *
+ * @returns `missing` only if the owners of all partitions don't know the job
+ */
+export function findJobState(
+  access: OwnerAccess,
+  { partitions, job, timeoutMs }: {
+    partitions: readonly number[];
+    job: string;
+    timeoutMs: number;
+  },
+): Promise<QueryResult<JobState>> {
+  return new Promise((resolve) => {
+    let openCount = partitions.length;
+    let isUnavailable = false;
+    if (openCount === 0) resolve({ type: "missing" });
+    for (const partition of partitions) {
+      void queryJobState(access, { partition, job, timeoutMs }).then(
+        (result) => {
+          if (result.type === "known") resolve(result);
+          isUnavailable ||= result.type === "unavailable";
+          openCount--;
+          if (openCount > 0) return;
+          resolve({ type: isUnavailable ? "unavailable" : "missing" });
+        },
+      );
+    }
+  });
+}
+
 /** Queries the number of jobs of a queue of which nothing has started. */
 export async function queryPendingCount(
   access: OwnerAccess,
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -102,6 +102,12 @@
       isKnown: "boolean",
     },
   },
+  queueServiceStored: {
+    id: "LL6106",
+    level: "info",
+    message: "queue accepts its first job for a service",
+    fields: { queue: "string", service: "string", earlier: "number" },
+  },
   jobsUnread: {
     id: "LL6211",
     level: "warn",
