Take a partition over anew that another member has owned in between

Cause: a partition that is in two successive answers to joins counted as owned all the time, although the membership had run out between them.

Change: if the generation has advanced by more than one since the last answer, the member asks the store whether another owner has fenced the partitions that it kept, before its ownership counts as confirmed, and takes those over anew under the new generation.

Why it works: each change of the assignment has a generation, and each owner fences its partition before it acts.

Ruled out: late orders (sent 6 s after the cut ended) and two owners at a time (the other one had given up before).

--- a/packages/jobs/owned/load_partition.ts
+++ b/packages/jobs/owned/load_partition.ts
@@ -35,6 +35,9 @@
   unreadableCount: number;
 };
 
+/** Longest wait for the store to set the epoch of a new owner. */
+const FENCE_TIMEOUT_MS = 1_500;
+
 /** Outcome of {@linkcode loadPartition}. */
 export type LoadOutcome =
   | { type: "loaded"; state: LoadedPartition }
@@ -54,21 +57,12 @@
   store: Store,
   { partition, epoch }: { partition: number; epoch: number },
 ): Promise<LoadOutcome> {
-  const fenceOutcome = await store.append(
-    { topic: PROGRESS_TOPIC, partition },
-    {
-      records: [],
-      writer: { name: writerName(partition), epoch, sequence: 0 },
-      timeoutMs: 1_500,
-    },
-  );
-  if (fenceOutcome.type === "fenced") return { type: "fenced" };
-  if (fenceOutcome.type !== "stored") {
-    const reason = "reason" in fenceOutcome
-      ? fenceOutcome.reason
-      : fenceOutcome.type;
-    return { type: "failed", reason };
-  }
+  const fenced = await fencePartition(store, {
+    partition,
+    epoch,
+    timeoutMs: FENCE_TIMEOUT_MS,
+  });
+  if (fenced.type !== "stored") return fenced;
   const [jobs, progress] = await Promise.all([
     store.readNewest({ topic: JOBS_TOPIC, partition }),
     store.readNewest({ topic: PROGRESS_TOPIC, partition }),
@@ -93,6 +87,38 @@
   return { type: "loaded", state };
 }
 
+/** Outcome of {@linkcode fencePartition}. */
+export type FenceOutcome =
+  | { type: "stored" }
+  /** An owner with a later epoch has fenced this one. */
+  | { type: "fenced" }
+  | { type: "failed"; reason: string };
+
+/**
+ * Sets the epoch of a partition's writer, so that the store refuses further
+ * appends of earlier owners. Nothing changes if it has that epoch already.
+ */
+export async function fencePartition(
+  store: Store,
+  { partition, epoch, timeoutMs }: {
+    partition: number;
+    epoch: number;
+    timeoutMs: number;
+  },
+): Promise<FenceOutcome> {
+  const outcome = await store.append(
+    { topic: PROGRESS_TOPIC, partition },
+    {
+      records: [],
+      writer: { name: writerName(partition), epoch, sequence: 0 },
+      timeoutMs,
+    },
+  );
+  if (outcome.type === "stored" || outcome.type === "fenced") return outcome;
+  const reason = "reason" in outcome ? outcome.reason : outcome.type;
+  return { type: "failed", reason };
+}
+
 /** Returns the producer name of all owners of a partition. */
 export function writerName(partition: number): string {
   return `owner-${partition}`;
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -8,6 +8,7 @@
 import type { Store } from "../ports.ts";
 import { JOBS_TOPIC, OWNERS_GROUP } from "../topics.ts";
 import type { Candidacy } from "./candidacy.ts";
+import { fencePartition } from "./load_partition.ts";
 
 /** Interval at which a member renews its membership. */
 const JOIN_INTERVAL_MS = 400;
@@ -28,6 +29,12 @@
 /** Time without a join after which the store reassigns the partitions. */
 const MEMBER_TTL_MS = 1_600;
 
+/** Longest wait for the store to tell whether a partition was taken over. */
+const CHECK_TIMEOUT_MS = 500;
+
+/** Attempts to get an answer to that. */
+const CHECK_ATTEMPTS = 2;
+
 /** Time for which a member that gives way stays out of the group. */
 const GIVE_WAY_MS = 5_000;
 
@@ -139,6 +146,41 @@
     }
   };
 
+  /**
+   * Returns whether no other owner has acted on a partition since this member
+   * took it over: another one would have fenced this one first.
+   */
+  const isHeld = async (partition: number, epoch: number) => {
+    for (let attempt = 0; attempt < CHECK_ATTEMPTS; attempt++) {
+      const { type } = await fencePartition(store, {
+        partition,
+        epoch,
+        timeoutMs: CHECK_TIMEOUT_MS,
+      });
+      if (type !== "failed") return type === "stored";
+    }
+    return false;
+  };
+
+  /**
+   * Gives up partitions that are assigned to this member, but that another one
+   * may have owned in between. They count as assigned since `generation`.
+   */
+  const checkRetained = async (partitions: readonly number[]) => {
+    const retained = partitions.filter((it) => assignedSince.has(it));
+    await Promise.all(retained.map(async (partition) => {
+      const ownedPartition = owned.get(partition);
+      if (ownedPartition !== undefined) {
+        const { epoch } = ownedPartition;
+        if (await isHeld(partition, epoch)) return;
+        events.log("partitionSuperseded", { partition, epoch, generation });
+        owned.delete(partition);
+        await release(ownedPartition);
+      }
+      assignedSince.delete(partition);
+    }));
+  };
+
   const release = (ownedPartition: OwnedPartition): Promise<void> => {
     const released = ownedPartition.release()
       .finally(() => releases.delete(released));
@@ -186,8 +228,14 @@
         });
       }
       if (outcome.generation !== generation) changedAtMs = performance.now();
+      // Each change of the assignment has a generation. With only one of them
+      // since the last answer, a partition can't have gone and come back.
+      const mayHaveMissed = outcome.generation > generation + 1;
       generation = outcome.generation;
       hasJoinFailed = false;
+      // The owners must not count as confirmed before this is known.
+      if (mayHaveMissed) await checkRetained(outcome.partitions);
+      if (isLeaving) return;
       confirmedAt = sentAt;
       await applyAssignment(outcome.partitions);
     } else if (!hasJoinFailed) {
--- a/packages/jobs/owned/ownership_test.ts
+++ b/packages/jobs/owned/ownership_test.ts
@@ -8,7 +8,9 @@
 } from "@jest/globals";
 import { createMemoryStore, type MemoryStore } from "@lagoonloom/standins";
 import { advanceTime } from "../_fixtures.ts";
+import type { Store } from "../ports.ts";
 import { createCandidacy } from "./candidacy.ts";
+import { loadPartition } from "./load_partition.ts";
 import { formatMemberName } from "./member_name.ts";
 import {
   createOwnerDirectory,
@@ -34,6 +36,10 @@
   let isListLost: boolean;
   /** Duration of the release of a partition. */
   let releaseMs: number;
+  /** Addresses of the members that can't reach the store. */
+  let cutOff: Set<string>;
+  /** Epochs under which members took partitions over, in order. */
+  let takeovers: { address: string; partition: number; epoch: number }[];
 
   beforeEach(() => {
     jest.useFakeTimers();
@@ -44,6 +50,8 @@
     logged = [];
     isListLost = false;
     releaseMs = 0;
+    cutOff = new Set();
+    takeovers = [];
   });
 
   afterEach(async () => {
@@ -53,6 +61,19 @@
     jest.useRealTimers();
   });
 
+  /** Store as a member reaches it: its calls fail while it is cut off. */
+  const storeOf = (address: string): Store => ({
+    ...store,
+    join: (options) =>
+      cutOff.has(address)
+        ? Promise.resolve({ type: "failed", reason: "no answer" })
+        : store.join(options),
+    append: (partition, options) =>
+      cutOff.has(address)
+        ? Promise.resolve({ type: "unknown", reason: "no answer" })
+        : store.append(partition, options),
+  });
+
   const join = (
     address: string,
     owned: Set<number>,
@@ -61,7 +82,7 @@
     const directory = createOwnerDirectory(store);
     directories.set(address, directory);
     members.push(joinOwners({
-      store,
+      store: storeOf(address),
       createMemberName: () =>
         formatMemberName({ address, capacity }, String(++incarnations)),
       candidacy: createCandidacy({
@@ -74,6 +95,8 @@
       isUsed: () => true,
       acquire(partition, epoch) {
         owned.add(partition);
+        takeovers.push({ address, partition, epoch });
+        void loadPartition(storeOf(address), { partition, epoch });
         return {
           epoch,
           async release() {
@@ -286,4 +309,87 @@
     await advanceTime(8_000);
     expect([first.size, second.size]).toEqual([PARTITIONS / 2, PARTITIONS / 2]);
   });
+
+  const epochsOf = (address: string) =>
+    takeovers.filter((it) => it.address === address).map(({ epoch }) => epoch);
+
+  // Guards against orders with a lower fencing token than those of an owner in
+  // between (ONE): a member that was cut off kept its epoch as it came back.
+  test("takes partitions over again that another member has owned", async () => {
+    const first = new Set<number>();
+    const second = new Set<number>();
+    join("a", first);
+    await advanceTime(1_000);
+    const earlier = Math.max(...epochsOf("a"));
+    join("b", second);
+    await advanceTime(1_000);
+    cutOff.add("a");
+    await advanceTime(3_000);
+    expect(second.size).toBe(PARTITIONS);
+    void members[1]!.leave();
+    await advanceTime(100);
+    takeovers = takeovers.filter(({ address }) => address === "b");
+    cutOff.delete("a");
+    await advanceTime(1_000);
+    expect(first.size).toBe(PARTITIONS);
+    const latest = Math.max(...epochsOf("b"));
+    expect(latest).toBeGreaterThan(earlier);
+    expect(Math.min(...epochsOf("a"))).toBeGreaterThan(latest);
+    expect(epochsOf("a")).toHaveLength(PARTITIONS);
+  });
+
+  // Guards against an owner that counts as confirmed, and goes on, before it
+  // knows that another one had its partition.
+  test("is not confirmed until it knows whether others owned them", async () => {
+    join("a", new Set());
+    await advanceTime(1_000);
+    cutOff.add("a");
+    join("b", new Set());
+    await advanceTime(3_000);
+    void members[1]!.leave();
+    await advanceTime(100);
+    const { append } = store;
+    store.append = async (partition, options) => {
+      await new Promise((resolve) => setTimeout(resolve, 300));
+      return await append(partition, options);
+    };
+    cutOff.delete("a");
+    await advanceTime(350);
+    expect(performance.now() - members[0]!.confirmedAtMs())
+      .toBeGreaterThan(3_000);
+    await advanceTime(1_500);
+    expect(performance.now() - members[0]!.confirmedAtMs())
+      .toBeLessThan(1_000);
+  });
+
+  // Guards against takeovers after each outage of the store in which all
+  // memberships expire: they would delay the work that waits.
+  test("keeps partitions that no other member has owned", async () => {
+    const first = new Set<number>();
+    join("a", first);
+    await advanceTime(1_000);
+    const before = takeovers.length;
+    store.fault = "refusing";
+    await advanceTime(3_000);
+    store.fault = undefined;
+    await advanceTime(1_000);
+    expect(first.size).toBe(PARTITIONS);
+    expect(takeovers).toHaveLength(before);
+  });
+
+  // Guards against an owner that goes on although the store does not tell
+  // whether another one had its partition.
+  test("takes partitions over again if the store does not tell", async () => {
+    join("a", new Set());
+    await advanceTime(1_000);
+    const before = takeovers.length;
+    cutOff.add("a");
+    await advanceTime(3_000);
+    const { append } = store;
+    store.append = () => Promise.resolve({ type: "unknown", reason: "lost" });
+    cutOff.delete("a");
+    await advanceTime(1_000);
+    store.append = append;
+    expect(takeovers).toHaveLength(before + PARTITIONS);
+  });
 });
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -179,6 +179,13 @@
     message: "partition was taken over by another owner",
     fields: { partition: "number", epoch: "number", reason: "string" },
   },
+  partitionSuperseded: {
+    id: "LL6213",
+    level: "warn",
+    message:
+      "another member may have owned a partition in between; it is taken over again",
+    fields: { partition: "number", epoch: "number", generation: "number" },
+  },
   ownersLeft: {
     id: "LL6210",
     level: "info",
