Send an order for a machine again only if nothing runs there

The reservation of its executor lasts for 3 s and may have expired meanwhile, so that tasks which had started there would be ended (AVAIL for lasting ones).

A retry now needs a report that is younger than 1 s and says that nothing runs on the machine, or a list in which it is moving or down. A move that was carried out meanwhile and whose machine is up again waits until nothing runs on it; it is reserved until then, as before.

Tests: 'orders an upkeep again only once nothing runs there' failed before; the other new one guards against orders that are never settled.

--- a/packages/jobs/machines/machine_orders.ts
+++ b/packages/jobs/machines/machine_orders.ts
@@ -64,8 +64,11 @@
 export type MachineOrdersOptions = {
   epoch: number;
   events: JobEventLog;
-  /** Returns whether this process may currently send orders. */
-  mayOrder(): boolean;
+  /**
+   * Returns whether an order without an answer may be sent again now. What its
+   * executor was reserved for may have lapsed since the order was first sent.
+   */
+  mayRetry(order: MachineOrder): boolean;
   isClosed(): boolean;
   /** Called when an order was refused for an outdated fencing token. */
   onFenced(): void;
@@ -89,12 +92,13 @@
   const endedAtMs = new Map<string, number>();
 
   const callUntilKnown = async (
+    order: MachineOrder,
     call: () => Promise<MachineOutcome>,
   ): Promise<MachineOutcome> => {
     let outcome = await call();
     while (outcome.type === "unknown" && !options.isClosed()) {
       await sleep(ORDER_RETRY_DELAY_MS);
-      if (options.mayOrder()) outcome = await call();
+      if (options.mayRetry(order)) outcome = await call();
     }
     return outcome;
   };
@@ -115,7 +119,7 @@
     async send(order, call) {
       const entry: MachineOrder = { ...order, sentAtMs: performance.now() };
       orders.set(order.machine, entry);
-      const outcome = await callUntilKnown(call);
+      const outcome = await callUntilKnown(entry, call);
       options.events.log("machineOrdered", {
         machine: order.machine,
         order: order.kind,
--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -33,6 +33,12 @@
 /** Maximum age of the list of machines while waves, orders or tasks wait. */
 const BUSY_LIST_MAX_AGE_MS = 500;
 
+/**
+ * Maximum age of the reports on which an order is sent again. The reservations
+ * that were made with them last for longer.
+ */
+const MAX_REPORT_AGE_MS = 1_000;
+
 /** Longest wait for pending writes when ownership is released. */
 const RELEASE_TIMEOUT_MS = 500;
 
@@ -113,6 +119,8 @@
   let demand = new Map<string, ServiceDemand>();
   /** Machines that were selected for upkeep and are draining. */
   let draining: ReadonlySet<string> = new Set();
+  /** Monotonic time of the request for the last reports. */
+  let reportedAtMs = -Infinity;
   let isClosed = false;
   let isReleasing = false;
   /** Monotonic time until which an earlier owner may still send orders. */
@@ -150,7 +158,7 @@
   const orders = createMachineOrders({
     epoch,
     events,
-    mayOrder: () => mayOrder(),
+    mayRetry: ({ machine }) => mayRetry(machine),
     isClosed: () => isClosed,
     onFenced: () => handleLoss("machines"),
   });
@@ -159,6 +167,23 @@
   const mayOrder = () =>
     !isReleasing && isConfirmed() && performance.now() >= ordersAllowedFromMs;
 
+  /**
+   * Returns whether nothing runs on a machine that an order without an answer
+   * would end. Tasks may have started there since the order was first sent.
+   */
+  const mayRetry = (id: string) => {
+    const isRecent = performance.now() - reportedAtMs < MAX_REPORT_AGE_MS;
+    const isUp = machines.get(id)?.state === "up";
+    return mayOrder() && (!isUp || (isRecent && isIdle(id)));
+  };
+
+  const isIdle = (id: string) => {
+    const machine = machines.get(id);
+    if (machine?.state !== "up") return false;
+    if (standbyPools().has(machine.pool)) return true;
+    return machine.executor !== undefined && idleSinceMs.has(machine.executor);
+  };
+
   const isConfirmed = () =>
     performance.now() - options.confirmedAtMs() < ADMISSION_GRACE_MS;
 
@@ -298,17 +323,12 @@
     const reserved = selected
       .map((id) => machines.get(id)?.executor)
       .filter((id): id is string => id !== undefined);
+    const requestedAtMs = performance.now();
     applyReports(
       await options.collectReports(reserved, orders.endedExecutors()),
     );
+    reportedAtMs = requestedAtMs;
     if (isClosed) return;
-    const isIdle = (id: string) => {
-      const machine = machines.get(id);
-      if (machine?.state !== "up") return false;
-      if (standbyPools().has(machine.pool)) return true;
-      return machine.executor !== undefined &&
-        idleSinceMs.has(machine.executor);
-    };
     const calls: Promise<unknown>[] = [];
     for (const [machine, wave] of upkeep) {
       if (mayOrder() && isIdle(machine)) calls.push(maintain(machine, wave));
--- a/packages/jobs/machines/machines_owner_test.ts
+++ b/packages/jobs/machines/machines_owner_test.ts
@@ -29,6 +29,10 @@
   orders: string[];
   /** Whether upkeep orders are confirmed as already done, without effect. */
   isUpkeepDone: boolean;
+  /** Whether orders get no answer and have no effect. */
+  isUnanswered: boolean;
+  /** Executors that run tasks. */
+  busy: Set<string>;
   /** Executors that were reported to partition owners as ended. */
   ended: Set<string>;
   /** Number of times that reports were collected. */
@@ -43,7 +47,7 @@
     demand: [],
     busy: [],
     idle: [...fixture.machines.values()].flatMap(({ executor }) =>
-      executor === undefined ? [] : [executor]
+      executor === undefined || fixture.busy.has(executor) ? [] : [executor]
     ),
   });
   const platform: MachineClient = {
@@ -54,6 +58,9 @@
     },
     upkeep({ machine }, { token }) {
       fixture.orders.push(`upkeep ${machine} ${token}`);
+      if (fixture.isUnanswered) {
+        return Promise.resolve({ type: "unknown", reason: "no answer" });
+      }
       if (fixture.isUpkeepDone) return Promise.resolve({ type: "done" });
       const entry = fixture.machines.get(machine)!;
       fixture.machines.set(machine, {
@@ -78,6 +85,8 @@
     ]),
     orders: [],
     isUpkeepDone: false,
+    isUnanswered: false,
+    busy: new Set(),
     ended: new Set(),
     collectionCount: 0,
     confirmedAtMs: "now",
@@ -129,6 +138,9 @@
     return owner;
   };
 
+  const upkeeps = () =>
+    fixture.orders.filter((order) => order.startsWith("upkeep"));
+
   const stop = async (owner: MachinesOwner) => {
     await Promise.all([owner.release(), advanceTime(1_000)]);
   };
@@ -163,6 +175,44 @@
     expect(fixture.collectionCount).toBe(0);
   });
 
+  // Guards against ending tasks (AVAIL) that have started on an executor since
+  // its upkeep was ordered: the reservation expires while the store is down.
+  test("orders an upkeep again only once nothing runs there", async () => {
+    fixture.isUnanswered = true;
+    own(1);
+    await advanceTime(3_000);
+    expect(upkeeps().length).toBeGreaterThan(0);
+    fixture.confirmedAtMs = performance.now() - 2_000;
+    fixture.busy.add("e1");
+    await advanceTime(5_000);
+    fixture.orders = [];
+    fixture.isUnanswered = false;
+    fixture.confirmedAtMs = "now";
+    await advanceTime(2_000);
+    expect(upkeeps()).toEqual([]);
+    fixture.busy.delete("e1");
+    await advanceTime(1_000);
+    expect(upkeeps()).toEqual(["upkeep m1 1"]);
+  });
+
+  // Guards against an order that is never sent again, and so never settled,
+  // although it was carried out.
+  test("asks again for an upkeep that has begun", async () => {
+    fixture.isUnanswered = true;
+    own(1);
+    await advanceTime(2_100);
+    fixture.machines.set("m1", {
+      id: "m1",
+      pool: "quoting",
+      state: "upkeep",
+      executor: undefined,
+    });
+    await advanceTime(1_000);
+    fixture.orders = [];
+    await advanceTime(1_000);
+    expect(upkeeps().length).toBeGreaterThan(0);
+  });
+
   // Guards against sending orders while a partitioned earlier owner may still
   // send some.
   test("waits until an unresponsive earlier owner can send no orders", async () => {
