Doubt a partition until the store tells who has owned it

A partition for which the store did not tell in time was taken over anew. If only a part of the store is down, the new owner could not load it, and its leases would lapse after 4 s, though nobody else has owned it.

Such a partition now counts as confirmed before the gap only, so that its owner orders nothing after 1.5 s and starts nothing after 3.5 s, and the store is asked again with each join. Partitions that are revoked are released before the others are checked.

Submissions also wait at most 0.7 s for the service of their queue to be stored; the wait could use up the time of the request.

--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -63,7 +63,7 @@
       configuration: platform.configuration,
       waves: platform.waves,
       typicalMachineCpu: () => medianExecutorCpu(platform.executors()),
-      confirmedAtMs: () => ownership().confirmedAtMs(),
+      confirmedAtMs: () => ownership().confirmedAtMs(partition),
       collectReports: (reserved, ended) =>
         collectReports(access, { layout: layout(), reserved, ended }),
       onLost(reason) {
@@ -99,7 +99,7 @@
       listMachines: options.machineClient.list,
       leaseMs,
       maxLeaseMs: options.maxLeaseMs,
-      confirmedAtMs: () => ownership().confirmedAtMs(),
+      confirmedAtMs: () => ownership().confirmedAtMs(partition),
       endedJobRetentionMs: options.endedJobRetentionMs,
       events,
       onLoadTimeout: () => ownership().giveWay(),
--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -125,13 +125,12 @@
       storeRecord(id, record, { ...options, service })
     ),
   );
-  const missing = outcomes.find(({ type }) => type !== "stored");
-  if (missing === undefined) return outcomes[0]!;
-  const isPartlyStored = outcomes.some(({ type }) =>
-    type === "stored" || type === "unknown"
-  );
-  if (!isPartlyStored || missing.type === "stored") return missing;
-  return { type: "unknown", reason: missing.reason };
+  const failed = outcomes.filter((outcome) => outcome.type !== "stored");
+  const [failure] = failed;
+  if (failure === undefined) return outcomes[0]!;
+  const isPartlyStored = failed.length < outcomes.length ||
+    failed.some(({ type }) => type === "unknown");
+  return isPartlyStored ? { type: "unknown", reason: failure.reason } : failure;
 }
 
 async function storeRecord(
--- a/packages/jobs/accepted/queue_services.ts
+++ b/packages/jobs/accepted/queue_services.ts
@@ -22,6 +22,9 @@
 /** Longest time for which a read waits for a record of another member. */
 const READ_WAIT_MS = 5_000;
 
+/** Longest wait for the store's answer to one append. */
+const APPEND_TIMEOUT_MS = 700;
+
 /** Retry delay for callers while the service of their queue is not stored. */
 const RETRY_AFTER_MS = 500;
 
@@ -50,7 +53,7 @@
    * Without it, a job that is accepted for that service may not be found later.
    * All services that were stored before are known then.
    */
-  record(queue: Queue, timeoutMs: number): Promise<RecordOutcome>;
+  record(queue: Queue): Promise<RecordOutcome>;
   /**
    * Reads what other members have stored before this call.
    *
@@ -113,14 +116,11 @@
   const isKnown = (queue: Queue) =>
     services.get(queueKey(queue))?.has(queue.service) === true;
 
-  const storeService = async (
-    queue: Queue,
-    timeoutMs: number,
-  ): Promise<RecordOutcome> => {
+  const storeService = async (queue: Queue): Promise<RecordOutcome> => {
     const earlier = services.get(queueKey(queue))?.size ?? 0;
     const outcome = await store.append(QUEUES_PARTITION, {
       records: [encodeQueueService(queue)],
-      timeoutMs,
+      timeoutMs: APPEND_TIMEOUT_MS,
     });
     // This also shows whether an append without an answer was carried out.
     const isRead = await refresh();
@@ -143,12 +143,12 @@
     servicesOf: (queue) => [
       ...new Set([queue.service, ...services.get(queueKey(queue)) ?? []]),
     ],
-    async record(queue, timeoutMs) {
+    async record(queue) {
       if (isKnown(queue)) return { type: "stored" };
       const { key } = encodeQueueService(queue);
       let recording = recordings.get(key);
       if (recording === undefined) {
-        recording = storeService(queue, timeoutMs)
+        recording = storeService(queue)
           .finally(() => recordings.delete(key));
         recordings.set(key, recording);
       }
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -195,7 +195,7 @@
   const accept: Member["accept"] = async (id, options) => {
     const { submission, queue, timeoutMs } = options;
     const deadlineMs = performance.now() + timeoutMs;
-    const recorded = await queueServices.record(queue, timeoutMs);
+    const recorded = await queueServices.record(queue);
     if (recorded.type !== "stored") return recorded;
     const leftMs = () => Math.max(0, deadlineMs - performance.now());
     const elsewhere = await findElsewhere(id, queue, leftMs());
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -32,9 +32,6 @@
 /** Longest wait for the store to tell whether a partition was taken over. */
 const CHECK_TIMEOUT_MS = 500;
 
-/** Attempts to get an answer to that. */
-const CHECK_ATTEMPTS = 2;
-
 /** Time for which a member that gives way stays out of the group. */
 const GIVE_WAY_MS = 5_000;
 
@@ -54,9 +51,9 @@
   drop(partition: number): void;
   /**
    * Monotonic time up to which the store has confirmed that no other member
-   * owns this member's partitions.
+   * owns a partition of this member.
    */
-  confirmedAtMs(): number;
+  confirmedAtMs(partition: number): number;
   /** Gives up all partitions for a while, as this member can't serve them. */
   giveWay(): void;
   /** Gives up all partitions, so that other members take over at once. */
@@ -106,6 +103,11 @@
   const owned = new Map<number, OwnedPartition>();
   /** Generation since which a partition has been assigned to this member. */
   const assignedSince = new Map<number, number>();
+  /**
+   * Partitions that another member may have owned in between, with the last
+   * confirmation before that.
+   */
+  const doubted = new Map<number, ClockReading>();
   const { store, events, candidacy } = options;
   let member = options.createMemberName();
   const releases = new Set<Promise<void>>();
@@ -125,16 +127,17 @@
       !assigned.has(partition)
     );
     await Promise.all(revoked.map(async (partition) => {
-      assignedSince.delete(partition);
       const ownedPartition = owned.get(partition);
+      forget(partition);
       if (ownedPartition === undefined) return;
-      owned.delete(partition);
       events.log("partitionReleased", {
         partition,
         epoch: ownedPartition.epoch,
       });
       await release(ownedPartition);
     }));
+    await checkDoubted();
+    if (isLeaving) return;
     for (const partition of partitions) {
       if (!assignedSince.has(partition)) {
         assignedSince.set(partition, generation);
@@ -147,40 +150,48 @@
   };
 
   /**
-   * Returns whether no other owner has acted on a partition since this member
-   * took it over: another one would have fenced this one first.
+   * Notes that another member may have owned the partitions that this one has
+   * kept. Until the store tells, they count as confirmed before that only.
    */
-  const isHeld = async (partition: number, epoch: number) => {
-    for (let attempt = 0; attempt < CHECK_ATTEMPTS; attempt++) {
-      const { type } = await fencePartition(store, {
-        partition,
-        epoch,
-        timeoutMs: CHECK_TIMEOUT_MS,
-      });
-      if (type !== "failed") return type === "stored";
+  const doubtOwned = () => {
+    for (const partition of assignedSince.keys()) {
+      // Nobody relies on the epoch of a partition that is not used yet.
+      if (!owned.has(partition)) assignedSince.set(partition, generation);
+      else if (!doubted.has(partition)) doubted.set(partition, confirmedAt);
     }
-    return false;
   };
 
   /**
-   * Gives up partitions that are assigned to this member, but that another one
-   * may have owned in between. They count as assigned since `generation`.
+   * Asks the store whether other owners have acted on the doubted partitions,
+   * as each would have fenced this one first. If so, gives them up; they are
+   * taken over again as partitions that are assigned since now.
    */
-  const checkRetained = async (partitions: readonly number[]) => {
-    const retained = partitions.filter((it) => assignedSince.has(it));
-    await Promise.all(retained.map(async (partition) => {
+  const checkDoubted = async () => {
+    await Promise.all([...doubted.keys()].map(async (partition) => {
       const ownedPartition = owned.get(partition);
-      if (ownedPartition !== undefined) {
-        const { epoch } = ownedPartition;
-        if (await isHeld(partition, epoch)) return;
-        events.log("partitionSuperseded", { partition, epoch, generation });
-        owned.delete(partition);
-        await release(ownedPartition);
-      }
-      assignedSince.delete(partition);
+      if (ownedPartition === undefined) return;
+      const { epoch } = ownedPartition;
+      const { type } = await fencePartition(store, {
+        partition,
+        epoch,
+        timeoutMs: CHECK_TIMEOUT_MS,
+      });
+      if (owned.get(partition) !== ownedPartition) return;
+      if (type === "stored") doubted.delete(partition);
+      if (type !== "fenced") return;
+      events.log("partitionSuperseded", { partition, epoch, generation });
+      forget(partition);
+      await release(ownedPartition);
     }));
   };
 
+  /** Forgets a partition. Its next assignment counts from its own time on. */
+  const forget = (partition: number) => {
+    owned.delete(partition);
+    assignedSince.delete(partition);
+    doubted.delete(partition);
+  };
+
   const release = (ownedPartition: OwnedPartition): Promise<void> => {
     const released = ownedPartition.release()
       .finally(() => releases.delete(released));
@@ -193,6 +204,7 @@
     for (const ownedPartition of owned.values()) void release(ownedPartition);
     owned.clear();
     assignedSince.clear();
+    doubted.clear();
     await Promise.all(releases);
     await store.leave({ group: OWNERS_GROUP, member });
   };
@@ -233,9 +245,7 @@
       const mayHaveMissed = outcome.generation > generation + 1;
       generation = outcome.generation;
       hasJoinFailed = false;
-      // The owners must not count as confirmed before this is known.
-      if (mayHaveMissed) await checkRetained(outcome.partitions);
-      if (isLeaving) return;
+      if (mayHaveMissed) doubtOwned();
       confirmedAt = sentAt;
       await applyAssignment(outcome.partitions);
     } else if (!hasJoinFailed) {
@@ -265,13 +275,11 @@
   void renew();
 
   return {
-    confirmedAtMs: () => performance.now() - ageOf(confirmedAt),
-    drop(partition) {
-      owned.delete(partition);
-      // The fenced epoch can't be used again. The next join counts as a new
-      // assignment at the generation of that time.
-      assignedSince.delete(partition);
-    },
+    confirmedAtMs: (partition) =>
+      performance.now() - ageOf(doubted.get(partition) ?? confirmedAt),
+    // The fenced epoch can't be used again. The next join counts as a new
+    // assignment at the generation of that time.
+    drop: forget,
     giveWay() {
       asideUntilMs = performance.now() + GIVE_WAY_MS;
     },
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -183,7 +183,7 @@
     id: "LL6213",
     level: "warn",
     message:
-      "another member may have owned a partition in between; it is taken over again",
+      "another member has owned a partition in between; it is taken over again",
     fields: { partition: "number", epoch: "number", generation: "number" },
   },
   ownersLeft: {
