--- a/packages/jobs/rerouted_queue_test.ts
+++ b/packages/jobs/rerouted_queue_test.ts
@@ -1,4 +1,11 @@
-import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
+import {
+  afterAll,
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  test,
+} from "@jest/globals";
 import {
   createMemoryExecutors,
   createMemoryStore,
@@ -15,6 +22,7 @@
   NEXT_JOB_ID,
 } from "./_record_fixtures.ts";
 import { sleep } from "./_sleep.ts";
+import { QUEUES_PARTITION } from "./accepted/queue_services.ts";
 import type { Configuration, ExecutorReport, Queue } from "./fleet.ts";
 import { type Member, startMember } from "./member.ts";
 import type { QueryResult } from "./queries/query_result.ts";
@@ -26,6 +34,9 @@
 /** Timeout of a wait, far beyond the time that it usually takes. */
 const WAIT_TIMEOUT_MS = 20_000;
 
+/** Longest interval of the timers of an owner, and some more. */
+const LONGEST_TIMER_MS = 5_500;
+
 const SERVICES = ["quoting", "orders"].map((name) => ({
   name,
   enforcesCapacity: true,
@@ -78,8 +89,13 @@
       // its connection, of which the other members learn now.
       await sleep(50);
     }
+    // Ends the reads that wait for a record.
+    store.put(QUEUES_PARTITION, { key: "end", value: undefined });
   });
 
+  // A closed owner ends its timers with their next tick.
+  afterAll(() => sleep(LONGEST_TIMER_MS), WAIT_TIMEOUT_MS);
+
   function addExecutor(service: string): MemoryExecutor {
     const report = createReport(`e-${service}`, { service });
     reports.set(report.id, report);
