--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -134,7 +134,7 @@
 export function createPartitionOwner(
   options: PartitionOwnerOptions,
 ): PartitionOwner {
-  const { partition, epoch } = options;
+  const { partition, epoch, events } = options;
   const owner = createState(options);
   const waitingLog = createWaitingLog(owner);
   const readStoredRecords = shareCalls(() => readNewRecords(owner, 0));
@@ -177,7 +177,12 @@
     countPending: (queue) => countPending(owner, queue),
     refresh: () => refreshExecutors(owner),
     reserveAndReport(reserved, ended) {
-      for (const id of ended) markExecutorEnded(owner, id);
+      for (const id of ended) {
+        if (owner.executors.has(id)) {
+          events.log("executorTakenAway", { executor: id });
+        }
+        markExecutorEnded(owner, id);
+      }
       reserveExecutors(owner, reserved);
       owner.reservedUntilMs = performance.now() + RESERVATION_MS;
       return reportPartition(owner);
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -32,6 +32,7 @@
   transferRun,
 } from "../executor_state.ts";
 import { recordRestart } from "./_executor_clock.ts";
+import { logGivenUp, logReachability, logRestart } from "./_executor_log.ts";
 import {
   deferLoss,
   recordLoss,
@@ -222,6 +223,7 @@
   executor: ExecutorState,
   report: ExecutorReport,
 ): void {
+  if (!executor.hasRestarted) logRestart(owner, executor, "list");
   recordRestart(executor, longestLeaseMs(owner.options.maxLeaseMs));
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
@@ -276,11 +278,17 @@
         recordLateStart(owner, run);
         recordTrackedRunEnd(owner, run, end);
       },
-      onLoss: (executor, runs) => recordLoss(owner, executor, runs),
+      onLoss(executor, runs) {
+        logGivenUp(owner, executor, runs);
+        recordLoss(owner, executor, runs);
+      },
       onUnknownEnd: (executor, end) => recordUnknownEnd(owner, executor, end),
       onUnknownRun: (executor, report) => adoptRun(owner, executor, report),
       whenStored: owner.progress.whenStored,
-      onRestart: (executor) => stopLateStarts(owner, executor),
+      onRestart(executor) {
+        logRestart(owner, executor, "answer");
+        stopLateStarts(owner, executor);
+      },
       onChange: (executor) => handleChange(owner, executor),
       onFenced: () => owner.loseOwnership("executor"),
     },
@@ -367,24 +375,3 @@
   logReachability(owner, executor);
   owner.schedulePlacement();
 }
-
-/** Logs when an executor stops answering, and when it answers again. */
-function logReachability(owner: OwnerState, executor: ExecutorState): void {
-  const { failedCalls, silentSinceMs } = executor;
-  const isSilent = failedCalls > 0;
-  if (isSilent === (silentSinceMs !== undefined)) return;
-  const nowMs = performance.now();
-  executor.silentSinceMs = isSilent ? nowMs : undefined;
-  if (isSilent) {
-    owner.options.events.log("executorSilent", {
-      executor: executor.id,
-      runs: executor.runs.size,
-      reason: executor.lastFailure,
-    });
-    return;
-  }
-  owner.options.events.log("executorAnswering", {
-    executor: executor.id,
-    silentMs: Math.round(nowMs - silentSinceMs!),
-  });
-}
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -1,3 +1,4 @@
+import { EXECUTOR_LOG_EVENTS } from "./executor_log_events.ts";
 import type { LogEvent } from "./log_event.ts";
 
 /** Fields of an append of progress that the store did not take. */
@@ -310,91 +311,5 @@
     message: "the store will never take a value, which is dropped",
     fields: APPEND_FAILURE_FIELDS,
   },
-  executorFound: {
-    id: "LL6401",
-    level: "info",
-    message: "executor was found and may get tasks",
-    fields: { executor: "string", service: "string", partition: "number" },
-  },
-  executorGone: {
-    id: "LL6402",
-    level: "info",
-    message: "executor is no longer on the platform's list",
-    fields: { executor: "string", runs: "number" },
-  },
-  executorSilent: {
-    id: "LL6403",
-    level: "warn",
-    message: "executor does not answer",
-    fields: { executor: "string", runs: "number", reason: "string" },
-  },
-  executorAnswering: {
-    id: "LL6406",
-    level: "info",
-    message: "executor answers again",
-    fields: { executor: "string", silentMs: "number" },
-  },
-  executorEnded: {
-    id: "LL6407",
-    level: "info",
-    message: "silent executor has ended, since no machine has it",
-    fields: { executor: "string" },
-  },
-  executorWaitOver: {
-    id: "LL6410",
-    level: "warn",
-    message: "takeover waits no longer for a silent executor",
-    fields: { executor: "string", partition: "number" },
-  },
-  executorLost: {
-    id: "LL6408",
-    level: "warn",
-    message: "runs are lost, since their executor has crashed or is cut off",
-    fields: {
-      executor: "string",
-      runs: "number",
-      justStarted: "string",
-      hasCrashed: "boolean",
-    },
-  },
-  lossResolved: {
-    id: "LL6409",
-    level: "info",
-    message: "it is clear whether a lost executor has crashed",
-    fields: { executor: "string", hasCrashed: "boolean" },
-  },
-  executorSlow: {
-    id: "LL6405",
-    level: "warn",
-    message: "executor gets no work, since runs there are slow",
-    fields: { executor: "string", forMs: "number" },
-  },
-  executorSuspended: {
-    id: "LL6404",
-    level: "warn",
-    message: "executor gets no work after failures of several jobs",
-    fields: { executor: "string", failures: "number", forMs: "number" },
-  },
-  machineOrdered: {
-    id: "LL6501",
-    level: "info",
-    message: "move or maintenance of a machine was requested",
-    fields: {
-      machine: "string",
-      order: "string",
-      pool: "string",
-      epoch: "number",
-      outcome: "string",
-      reason: "string",
-    },
-  },
-  waveCompleted: {
-    id: "LL6502",
-    level: "info",
-    message: "maintenance wave is complete",
-    fields: {
-      wave: "number",
-      machines: "number",
-    },
-  },
+  ...EXECUTOR_LOG_EVENTS,
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./event_log.ts";
+export * from "./executor_log_events.ts";
 export * from "./job_log_events.ts";
 export * from "./job_metrics.ts";
 export * from "./label_allowlist.ts";
