--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -71,6 +71,8 @@
   failedRuns: FailedRuns;
   /** Executors on which this or earlier owners may run tasks, by id. */
   usedExecutors: Map<string, UsedExecutor>;
+  /** Executors to which earlier owners may have granted leases. */
+  inheritedExecutors: ReadonlySet<string>;
   /**
    * Executors that have not answered since the takeover, with the monotonic
    * time at which all runs of earlier owners there have certainly ended.
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -211,6 +211,7 @@
     earlyCancellations: new Map(),
     failedRuns: new Map(),
     usedExecutors: new Map(),
+    inheritedExecutors: new Set(),
     unconfirmedExecutors: new Map(),
     inheritedRuns: undefined,
     hasStoredHandover: false,
@@ -316,6 +317,7 @@
   }
   if (state.unreadableCount === 0) deleteOrphanedProgress(owner, state);
   owner.usedExecutors = restoreUsedExecutors(state.usedExecutors);
+  owner.inheritedExecutors = new Set(state.usedExecutors);
   for (const id of state.usedExecutors) {
     owner.unconfirmedExecutors.set(id, owner.blockedUntilMs);
   }
--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -52,6 +52,19 @@
   return Math.floor(expiryMs);
 }
 
+/**
+ * Notes that an executor may hold a lease of an earlier owner, as it answers for
+ * the first time. That lease may be the longest one, if it was granted by the
+ * clock of an earlier process.
+ */
+export function recordUnknownLease(
+  executor: ExecutorState,
+  longestLeaseMs: number,
+): void {
+  const endsMs = performance.now() + longestLeaseMs;
+  executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
+}
+
 /**
  * Notes that an executor has restarted under its id. The clock of the new
  * process starts anew, so that a lease by the clock of the previous process may
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -14,6 +14,7 @@
   isOfLaterProcess,
   recordAnswer,
   recordRestart,
+  recordUnknownLease,
 } from "./_executor_clock.ts";
 import { createAcknowledgement } from "./_acknowledgement.ts";
 import { createWakeablePause } from "./_wakeable_pause.ts";
@@ -231,6 +232,9 @@
     ) {
       return markRestarted();
     }
+    if (options.isInherited && executor.clockOffsetMs === undefined) {
+      recordUnknownLease(executor, options.longestLeaseMs);
+    }
     recordAnswer(executor, outcome.clockMs);
     executor.hasMoreEnds = outcome.ended.length >= MAX_REPORTED_ENDS;
     handleEnds(outcome.ended, outcome.clockMs);
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -266,6 +266,7 @@
     token: owner.options.epoch,
     leaseMs: owner.options.leaseMs,
     longestLeaseMs: longestLeaseMs(owner.options.maxLeaseMs),
+    isInherited: owner.inheritedExecutors.has(executor.id),
     // A renewed lease would outlast what a handover says, be it the own one or
     // one that the next owner may still read.
     mayRenew: () =>
--- /dev/null
+++ b/packages/jobs/run/longest_lease_test.ts
@@ -0,0 +1,63 @@
+import { describe, expect, test } from "@jest/globals";
+import type { MemoryExecutor } from "@lagoonloom/standins";
+import {
+  advanceTime,
+  createReport,
+  createStep,
+  JOB_ID,
+  type OwnerFixture,
+  setUpOwners,
+} from "../_fixtures.ts";
+import type { PartitionOwner } from "../owned/partition_owner.ts";
+
+/** Time from the end of a lease until its task has certainly started again. */
+const RESTART_MS = 1_500;
+
+const TASK = `${JOB_ID}.0.0.0`;
+
+describe("the longest lease that the platform grants", () => {
+  let fixture: OwnerFixture;
+  setUpOwners((created) => fixture = created);
+
+  /** Returns the time for which the lease of an executor is still valid. */
+  const leaseMsOf = ({ leaseExpiryMs, clockOffsetMs }: MemoryExecutor) =>
+    leaseExpiryMs - clockOffsetMs - performance.now();
+
+  /** Restarts an executor, whose clock starts anew as well. */
+  function restart(id: string, { isListed }: { isListed: boolean }) {
+    const earlier = fixture.reports.get(id)!;
+    const restarted = fixture.addExecutor(id, { startedAtMs: 2 });
+    restarted.clockOffsetMs = 0;
+    if (!isListed) fixture.reports.set(id, earlier);
+    return restarted;
+  }
+
+  /** Expects that a task starts elsewhere once its lease has expired. */
+  async function expectWait(
+    owner: PartitionOwner,
+    used: MemoryExecutor,
+  ) {
+    expect(used.running.has(TASK)).toBe(true);
+    const other = fixture.addExecutor("e2");
+    owner.refresh();
+    used.fault = "unreachable";
+    await advanceTime(leaseMsOf(used));
+    expect(other.starts).toEqual([]);
+    await advanceTime(RESTART_MS);
+    expect(other.starts).toHaveLength(1);
+  }
+
+  // Guards against two runs of a task (TWICE), as an earlier owner had granted a
+  // lease by the clock of the executor's earlier process.
+  test("is awaited where an earlier owner has caused it", async () => {
+    fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    const restarted = restart("e1", { isListed: false });
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(20);
+    first.close();
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    const owner = await fixture.startOwner(2);
+    await expectWait(owner, restarted);
+  });
+});
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -53,6 +53,8 @@
   leaseMs: number;
   /** Longest time for which any lease may last, in milliseconds. */
   longestLeaseMs: number;
+  /** Whether an earlier owner may have granted a lease to the executor. */
+  isInherited: boolean;
   /** Whether the owner may renew leases, as its ownership is confirmed. */
   mayRenew(): boolean;
   /**
