--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -6,6 +6,7 @@
 
 import type { ExecutorReport } from "./fleet.ts";
 import type { ExecutorState, Run, TaskGroup } from "./model.ts";
+import type { RunReport } from "./ports.ts";
 import type { Size } from "./submission.ts";
 
 export type { ExecutorState } from "./model.ts";
@@ -22,6 +23,7 @@
     newestClockMs: -Infinity,
     clockOffsetMs: undefined,
     leaseEndsMs: 0,
+    openGrants: new Set(),
     acknowledgedSequence: 0,
     hasMoreEnds: false,
     receivedSequence: 0,
@@ -135,6 +137,20 @@
   run.pendingCrash = undefined;
 }
 
+/** Notes what an executor reports about a run. */
+export function recordReport(
+  run: Run,
+  { progressPercent, load, checkpoint }: RunReport,
+): void {
+  run.reportedAtMs = performance.now();
+  if (progressPercent > run.progressPercent) {
+    run.progressedAtMs = run.reportedAtMs;
+  }
+  run.progressPercent = progressPercent;
+  run.load = load;
+  if (checkpoint !== "") run.checkpoint = checkpoint;
+}
+
 /**
  * Returns whether the current process of a run's executor has listed the run.
  * An answer alone does not show which process has started it.
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -176,6 +176,8 @@
   clockOffsetMs: number | undefined;
   /** Monotonic time after which no lease from this owner can be valid. */
   leaseEndsMs: number;
+  /** Calls without an answer that were to grant a lease. */
+  openGrants: Set<OpenGrant>;
   /** Sequence number of the last run end that is stored. */
   acknowledgedSequence: number;
   /** Whether its last answer left out ends, as an answer holds only so many. */
@@ -209,6 +211,20 @@
   suspendedUntilMs: number;
 };
 
+/** Call without an answer that was to grant a lease. */
+export type OpenGrant = {
+  /** Monotonic time of the call. */
+  sentAtMs: number;
+};
+
+/** Newest open grant of a process that its owner has given up. */
+export type LateGrant = {
+  /** Unix time at which the process started, in milliseconds. */
+  startedAtMs: number;
+  /** Monotonic time of the call. */
+  sentAtMs: number;
+};
+
 /** Start without an answer that its owner has given up. */
 export type LateStart = {
   task: string;
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -8,7 +8,7 @@
 import type { ProgressLog } from "../ended/progress_log.ts";
 import type { Configuration, ExecutorReport, Machine } from "../fleet.ts";
 import type { JobsById, Run } from "../job.ts";
-import type { LateStart, UsedExecutor } from "../model.ts";
+import type { LateGrant, LateStart, UsedExecutor } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
@@ -88,6 +88,8 @@
    * show.
    */
   endedExecutors: Map<string, number>;
+  /** Grants that the next process of an executor may carry out, by its id. */
+  lateGrants: Map<string, LateGrant>;
   /** Starts that the next process of an executor may carry out, by its id. */
   lateStarts: Map<string, LateStart[]>;
   /** Executors whose runs were lost and that may have crashed, by id. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -216,6 +216,7 @@
     inheritedRuns: undefined,
     hasStoredHandover: false,
     endedExecutors: new Map(),
+    lateGrants: new Map(),
     lateStarts: new Map(),
     lostExecutors: new Map(),
     reservedExecutors: new Set(),
--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -53,15 +53,13 @@
 }
 
 /**
- * Notes that an executor may hold a lease of an earlier owner, as it answers for
- * the first time. That lease may be the longest one, if it was granted by the
- * clock of an earlier process.
+ * Notes until which monotonic time a lease may be valid that an earlier owner
+ * or an earlier session has granted.
  */
-export function recordUnknownLease(
+export function recordForeignLease(
   executor: ExecutorState,
-  longestLeaseMs: number,
+  endsMs: number,
 ): void {
-  const endsMs = performance.now() + longestLeaseMs;
   executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
 }
 
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -5,6 +5,7 @@
   isListed,
   isUnanswered,
   markListed,
+  recordReport,
   removeRun,
   setUntrackedRuns,
 } from "../executor_state.ts";
@@ -13,10 +14,11 @@
   extendLease,
   isOfLaterProcess,
   recordAnswer,
+  recordForeignLease,
   recordRestart,
-  recordUnknownLease,
 } from "./_executor_clock.ts";
 import { createAcknowledgement } from "./_acknowledgement.ts";
+import { callGranting } from "./late_grants.ts";
 import { createWakeablePause } from "./_wakeable_pause.ts";
 import type {
   Adoption,
@@ -71,9 +73,11 @@
   let isLongPolling = false;
   let isExtraPollOpen = false;
 
-  const forgetRun = (run: Run) => {
+  const endRun = (run: Run, end: Pick<RunEnd, "result" | "checkpoint">) => {
+    removeRun(run);
     confirmedAtPoll.delete(run);
     unansweredAtPoll.delete(run);
+    callbacks.onRunEnd(run, end);
   };
 
   const recordFailure = (reason: string) => {
@@ -120,12 +124,8 @@
         continue;
       }
       markListed(run, clockMs);
-      removeRun(run);
-      forgetRun(run);
-      callbacks.onRunEnd(run, {
-        result: end.result,
-        checkpoint: end.checkpoint,
-      });
+      const { result, checkpoint } = end;
+      endRun(run, { result, checkpoint });
     }
     if (isNew) acknowledgement.awaitStored(callbacks.whenStored, requestPoll);
   };
@@ -160,13 +160,7 @@
         unansweredAtPoll.delete(run);
       }
       markListed(run, clockMs);
-      run.reportedAtMs = performance.now();
-      if (report.progressPercent > run.progressPercent) {
-        run.progressedAtMs = run.reportedAtMs;
-      }
-      run.progressPercent = report.progressPercent;
-      run.load = report.load;
-      if (report.checkpoint !== "") run.checkpoint = report.checkpoint;
+      recordReport(run, report);
     }
     setUntrackedRuns(executor, untracked);
   };
@@ -194,12 +188,8 @@
       const confirmedAt = confirmedAtPoll.get(run);
       if (confirmedAt === undefined || confirmedAt >= pollNumber) continue;
       if (isPresent) continue;
-      removeRun(run);
-      forgetRun(run);
-      callbacks.onRunEnd(run, {
-        result: run.state === "stopping" ? "stopped" : "lapsed",
-        checkpoint: run.checkpoint,
-      });
+      const result = run.state === "stopping" ? "stopped" : "lapsed";
+      endRun(run, { result, checkpoint: run.checkpoint });
     }
   };
 
@@ -209,14 +199,17 @@
       executor.clockOffsetMs !== undefined && executor.runs.size > 0;
     const mayWait = executor.failedCalls === 0 &&
       acknowledgement.areEndsStored();
-    const outcome = await executorClient.poll(target, {
-      ...(mayRenew
-        ? { leaseExpiryMs: extendLease(executor, options.leaseMs) }
-        : {}),
+    const request = {
       token,
       acknowledgedSequence: acknowledgement.sequence(),
       waitMs: mayWait ? maxWaitMs : 0,
-    });
+    };
+    const outcome = mayRenew
+      ? await callGranting(executor, () => {
+        const leaseExpiryMs = extendLease(executor, options.leaseMs);
+        return executorClient.poll(target, { ...request, leaseExpiryMs });
+      })
+      : await executorClient.poll(target, request);
     if (isClosed) return;
     if (outcome.type === "fenced") return callbacks.onFenced();
     if (outcome.type === "replaced") return markReplaced();
@@ -232,8 +225,8 @@
     ) {
       return markRestarted();
     }
-    if (options.isInherited && executor.clockOffsetMs === undefined) {
-      recordUnknownLease(executor, options.longestLeaseMs);
+    if (executor.clockOffsetMs === undefined) {
+      recordForeignLease(executor, options.foreignLeaseEndsMs());
     }
     recordAnswer(executor, outcome.clockMs);
     executor.hasMoreEnds = outcome.ended.length >= MAX_REPORTED_ENDS;
@@ -297,15 +290,19 @@
       const knownClockMs = executor.newestClockMs;
       const controller = new AbortController();
       withdrawals.set(run, controller);
-      const outcome = await executorClient.start(target, {
-        task: run.task.name,
-        run: run.number,
-        spec,
-        leaseExpiryMs: extendLease(executor, options.leaseMs),
-        token,
-        checkpoint: run.checkpoint,
-        ticket,
-      }, controller);
+      const outcome = await callGranting(
+        executor,
+        () =>
+          executorClient.start(target, {
+            task: run.task.name,
+            run: run.number,
+            spec,
+            leaseExpiryMs: extendLease(executor, options.leaseMs),
+            token,
+            checkpoint: run.checkpoint,
+            ticket,
+          }, controller),
+      );
       withdrawals.delete(run);
       if (isClosed) return "closed";
       if (!executor.runs.has(run)) return "ended";
@@ -370,12 +367,7 @@
       );
       if (lost.length > 0) callbacks.onLoss(executor, lost);
       for (const run of lost) {
-        removeRun(run);
-        forgetRun(run);
-        callbacks.onRunEnd(run, {
-          result: "lapsed",
-          checkpoint: run.checkpoint,
-        });
+        endRun(run, { result: "lapsed", checkpoint: run.checkpoint });
       }
     },
     close() {
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -40,6 +40,7 @@
   resolveLoss,
   resolveLosses,
 } from "./lost_executors.ts";
+import { foreignLeaseEndsMs, recordLateGrant } from "./late_grants.ts";
 import {
   hasLateStarts,
   recordLateStart,
@@ -207,6 +208,7 @@
   owner.sessions.get(executor)?.close();
   owner.sessions.delete(executor);
   owner.executors.delete(executor.id);
+  recordLateGrant(owner, executor);
   // An unconfirmed executor may still run tasks of an earlier owner.
   if (owner.unconfirmedExecutors.has(executor.id)) return;
   forgetUsedExecutors(owner, [executor.id]);
@@ -266,7 +268,7 @@
     token: owner.options.epoch,
     leaseMs: owner.options.leaseMs,
     longestLeaseMs: longestLeaseMs(owner.options.maxLeaseMs),
-    isInherited: owner.inheritedExecutors.has(executor.id),
+    foreignLeaseEndsMs: () => foreignLeaseEndsMs(owner, executor),
     // A renewed lease would outlast what a handover says, be it the own one or
     // one that the next owner may still read.
     mayRenew: () =>
--- /dev/null
+++ b/packages/jobs/run/late_grants.ts
@@ -0,0 +1,63 @@
+/**
+ * Grants of leases that the next process of an executor may carry out late.
+ * Their expiry is by the clock of the earlier process, so that the next one,
+ * whose clock starts anew, grants the longest lease to all that runs there.
+ *
+ * @module
+ */
+
+import type { ExecutorState } from "../executor_state.ts";
+import { longestLeaseMs, type OwnerState } from "../owned/owner_state.ts";
+import { MAX_LATENESS_MS } from "./late_starts.ts";
+
+/** Makes a call that grants a lease and remembers it until it is answered. */
+export async function callGranting<Outcome extends { type: string }>(
+  { openGrants }: ExecutorState,
+  call: () => Promise<Outcome>,
+): Promise<Outcome> {
+  const sentAtMs = performance.now();
+  for (const grant of openGrants) {
+    if (grant.sentAtMs < sentAtMs - MAX_LATENESS_MS) openGrants.delete(grant);
+  }
+  const grant = { sentAtMs };
+  openGrants.add(grant);
+  const outcome = await call();
+  if (outcome.type !== "unknown") openGrants.delete(grant);
+  return outcome;
+}
+
+/** Remembers the newest open grant of a process that is given up. */
+export function recordLateGrant(
+  owner: OwnerState,
+  { id, openGrants, report: { startedAtMs } }: ExecutorState,
+): void {
+  const earliestMs = performance.now() - MAX_LATENESS_MS - longestMs(owner);
+  for (const [other, { sentAtMs }] of owner.lateGrants) {
+    if (sentAtMs < earliestMs) owner.lateGrants.delete(other);
+  }
+  if (openGrants.size === 0) return;
+  const sentAtMs = Math.max(...[...openGrants].map((it) => it.sentAtMs));
+  owner.lateGrants.set(id, { startedAtMs, sentAtMs });
+}
+
+/**
+ * Returns the monotonic time until which an executor that answers for the first
+ * time may hold a lease that is longer than this owner knows. One by the clock
+ * of an earlier process is as long as the platform grants.
+ */
+export function foreignLeaseEndsMs(
+  owner: OwnerState,
+  { id, report }: ExecutorState,
+): number {
+  const grant = owner.lateGrants.get(id);
+  const inheritedMs = owner.inheritedExecutors.has(id) ? performance.now() : 0;
+  const isLate = grant !== undefined &&
+    grant.startedAtMs !== report.startedAtMs;
+  const lateMs = isLate ? grant.sentAtMs + MAX_LATENESS_MS : 0;
+  const grantedMs = Math.max(inheritedMs, lateMs);
+  return grantedMs === 0 ? 0 : grantedMs + longestMs(owner);
+}
+
+function longestMs({ options }: OwnerState): number {
+  return longestLeaseMs(options.maxLeaseMs);
+}
--- a/packages/jobs/run/late_starts.ts
+++ b/packages/jobs/run/late_starts.ts
@@ -9,8 +9,8 @@
 import type { Run } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 
-/** Longest time after which a start without an answer is still carried out. */
-const MAX_LATENESS_MS = 12_000;
+/** Longest time after which a call without an answer is still carried out. */
+export const MAX_LATENESS_MS = 12_000;
 
 /** Pause after a stop without an answer. */
 const RETRY_MS = 300;
--- a/packages/jobs/run/longest_lease_test.ts
+++ b/packages/jobs/run/longest_lease_test.ts
@@ -9,6 +9,10 @@
   setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
+import { MAX_LATENESS_MS } from "./late_starts.ts";
+
+/** Longest lease of the executors of the fixture. */
+const MAX_LEASE_MS = 6_000;
 
 /** Time from the end of a lease until its task has certainly started again. */
 const RESTART_MS = 1_500;
@@ -47,8 +51,8 @@
     expect(other.starts).toHaveLength(1);
   }
 
-  // Guards against two runs of a task (TWICE), as an earlier owner had granted a
-  // lease by the clock of the executor's earlier process.
+  // Guards against two runs of a task (TWICE), as an earlier owner had granted
+  // a lease by the clock of the executor's earlier process.
   test("is awaited where an earlier owner has caused it", async () => {
     fixture.addExecutor("e1");
     const first = await fixture.startOwner(1);
@@ -60,4 +64,51 @@
     const owner = await fixture.startOwner(2);
     await expectWait(owner, restarted);
   });
+
+  /** Has the next process of an executor carry out a renewal late. */
+  async function renewLate() {
+    const earlier = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    const { poll } = fixture.executors;
+    let renew: (() => Promise<unknown>) | undefined;
+    fixture.executors.poll = (target, request) => {
+      if (request.leaseExpiryMs !== undefined) {
+        renew = () => poll(target, { ...request, waitMs: 0 });
+      }
+      return poll(target, request);
+    };
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(3_000);
+    earlier.fault = "unreachable";
+    await advanceTime(1_500);
+    fixture.executors.poll = poll;
+    const restarted = restart("e1", { isListed: true });
+    owner.refresh();
+    await advanceTime(500);
+    expect(restarted.running.has(TASK)).toBe(true);
+    await renew!();
+    return { owner, restarted };
+  }
+
+  // Guards against the same by a renewal that was meant for the earlier process
+  // and is carried out late.
+  test("is awaited after a late renewal", async () => {
+    const { owner, restarted } = await renewLate();
+    expect(leaseMsOf(restarted)).toBe(MAX_LEASE_MS);
+    const other = fixture.addExecutor("e2");
+    owner.refresh();
+    restarted.fault = "unreachable";
+    await advanceTime(MAX_LEASE_MS);
+    expect(other.starts).toEqual([]);
+  });
+
+  // Guards against tasks of a silent executor that wait for ever (LOST).
+  test("is awaited no longer than a late call may take", async () => {
+    const { owner, restarted } = await renewLate();
+    const other = fixture.addExecutor("e2");
+    owner.refresh();
+    restarted.fault = "unreachable";
+    await advanceTime(MAX_LATENESS_MS + MAX_LEASE_MS);
+    expect(other.starts).toHaveLength(1);
+  });
 });
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -53,8 +53,11 @@
   leaseMs: number;
   /** Longest time for which any lease may last, in milliseconds. */
   longestLeaseMs: number;
-  /** Whether an earlier owner may have granted a lease to the executor. */
-  isInherited: boolean;
+  /**
+   * Monotonic time until which a lease may be valid that this session does not
+   * grant; it is called as the executor answers for the first time.
+   */
+  foreignLeaseEndsMs(): number;
   /** Whether the owner may renew leases, as its ownership is confirmed. */
   mayRenew(): boolean;
   /**
