--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -230,7 +230,8 @@
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
   const unlisted = [...executor.runs].filter((run) => !isListed(run));
-  if (unlisted.length > 0) next.leaseEndsMs = executor.leaseEndsMs;
+  // The new process may have answered a call that granted the longest lease.
+  next.leaseEndsMs = executor.leaseEndsMs;
   deferLoss(owner, executor, unlisted);
   // The others are lost first: which run started last shows while all are here.
   executor.isRemoved = true;
--- a/packages/jobs/run/longest_lease_test.ts
+++ b/packages/jobs/run/longest_lease_test.ts
@@ -5,6 +5,7 @@
   createReport,
   createStep,
   JOB_ID,
+  NEXT_JOB_ID,
   type OwnerFixture,
   setUpOwners,
 } from "../_fixtures.ts";
@@ -111,4 +112,25 @@
     await advanceTime(MAX_LATENESS_MS + MAX_LEASE_MS);
     expect(other.starts).toHaveLength(1);
   });
+
+  // Guards against the same by a renewal that the next process answers.
+  test("is awaited after a renewal that shows the restart", async () => {
+    const executor = fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    fixture.accept(NEXT_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(3_000);
+    // The owner polls at intervals while an end is not stored.
+    fixture.store.fault = "silent";
+    executor.end(`${NEXT_JOB_ID}.0.0.0`, "done");
+    await advanceTime(100);
+    const restarted = restart("e1", { isListed: false });
+    await advanceTime(300);
+    expect(leaseMsOf(restarted)).toBeGreaterThan(MAX_LEASE_MS - 300);
+    fixture.store.fault = undefined;
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+    owner.refresh();
+    await advanceTime(500);
+    await expectWait(owner, restarted);
+  });
 });
