--- a/packages/measure/soak/describe_outcome.ts
+++ b/packages/measure/soak/describe_outcome.ts
@@ -10,7 +10,8 @@
 export function describeOutcome({ seed, violations, world }: SoakOutcome) {
   return violations.map(({ rule, task, text, atMs }) => {
     const history = world.history.filter((line) =>
-      line.includes(task) || /FAULT|CALM|owner \d+$|again|gone|moved/.test(line)
+      line.includes(task) ||
+      /FAULT|CALM|LEASE|owner \d+$|again|gone|moved/.test(line)
     );
     return [
       `seed ${seed}: ${rule} at ${(atMs / 1_000).toFixed(3)}: ${task} ${text}`,
--- a/packages/measure/soak/executor_hosts.ts
+++ b/packages/measure/soak/executor_hosts.ts
@@ -6,7 +6,11 @@
  */
 
 import type { ExecutorReport, Machine } from "@lagoonloom/jobs";
-import type { MemoryExecutor, MemoryExecutors } from "@lagoonloom/standins";
+import type {
+  MemoryExecutor,
+  MemoryExecutorOptions,
+  MemoryExecutors,
+} from "@lagoonloom/standins";
 import { createHostCapacity, type HostCapacity } from "./host_capacity.ts";
 
 /** Kind of a call to an executor. */
@@ -68,19 +72,22 @@
 export function addHost(
   hosts: ExecutorHosts,
   report: ExecutorReport,
-  { executors, guardsCapacity, cpuOf, onProcessEnd }: {
+  { executors, guardsCapacity, cpuOf, createClock, onProcessEnd }: {
     executors: MemoryExecutors;
     guardsCapacity: boolean;
     cpuOf(task: string): number;
+    createClock(): MemoryExecutorOptions["clock"];
     onProcessEnd(host: ExecutorHost): void;
   },
 ): ExecutorHost {
   const hasCapacityFor = (task: string) =>
     !guardsCapacity ||
     host.usedCpu() + cpuOf(task) <= host.capacity.currentCpu();
+  const startProcess = (next: ExecutorReport) =>
+    executors.add(next, { hasCapacityFor, clock: createClock() });
   const host: ExecutorHost = {
     id: report.id,
-    process: executors.add(report, { hasCapacityFor }),
+    process: startProcess(report),
     isUp: true,
     isSilent: false,
     isReplaced: false,
@@ -97,7 +104,7 @@
       return cpu;
     },
     startProcess(next) {
-      host.process = executors.add(next, { hasCapacityFor });
+      host.process = startProcess(next);
       host.capacity = createHostCapacity();
       host.isUp = true;
       host.isSilent = false;
--- a/packages/measure/soak/executor_links.ts
+++ b/packages/measure/soak/executor_links.ts
@@ -5,7 +5,7 @@
  */
 
 import type { ExecutorClient } from "@lagoonloom/jobs";
-import type { MemoryExecutors } from "@lagoonloom/standins";
+import type { MemoryExecutor, MemoryExecutors } from "@lagoonloom/standins";
 import type { Random } from "../random.ts";
 import type {
   CallFate,
@@ -20,9 +20,6 @@
 /** Longest time that a request or an answer takes on a sound link. */
 const MAX_SOUND_DELAY_MS = 12;
 
-/** Longest time after its timeout at which a late request takes effect. */
-const MAX_LATENESS_MS = 3_500;
-
 /** Start of a run that took effect. */
 export type StartCall = {
   run: number;
@@ -48,6 +45,8 @@
     stop: StopCall,
   ): void;
   onAcknowledged(host: ExecutorHost, sequence: number): void;
+  /** Notes a call that prolonged a lease, which is named for a reader. */
+  onLeased(host: ExecutorHost, call: string): void;
 };
 
 /** Options of {@linkcode createExecutorLinks}. */
@@ -58,6 +57,10 @@
   observer: CallObserver;
   /** Whether the caller reaches an executor. */
   isReached(id: string): boolean;
+  /** Longest time after its timeout at which a late request takes effect. */
+  maxLatenessMs: number;
+  /** Whether late requests take effect though their executor is cut off. */
+  keepsLateCalls: boolean;
 };
 
 type Unknown = { type: "unknown"; reason: string };
@@ -112,11 +115,13 @@
       if (host === undefined || !options.isReached(id)) return;
       const { fate, maxDelayMs } = drawFate(host, call.kind);
       if (fate === "requestLost") return;
+      const isKept = fate === "late" && options.keepsLateCalls;
+      if (isKept && host.isSilent) return;
       const delayMs = fate === "late"
-        ? call.timeoutMs + random() * MAX_LATENESS_MS
+        ? call.timeoutMs + random() * options.maxLatenessMs
         : random() * maxDelayMs;
       const arrive = async () => {
-        if (host.isSilent) return;
+        if (host.isSilent && !isKept) return;
         if (host.isReplaced) return answer({ type: "replaced" });
         if (!host.isUp) return answer(call.refused);
         const { process } = host;
@@ -133,16 +138,44 @@
       setTimeout(() => void arrive(), delayMs);
     });
 
+  /** Tells the observer of a lease that a call prolonged. */
+  const observeLease = <Outcome>(
+    host: ExecutorHost,
+    call: {
+      /** Name of the call for a reader. */
+      name: string;
+      sentAtMs: number;
+      /** Process that was to carry it out. */
+      target: MemoryExecutor | undefined;
+      carryOut(): Promise<Outcome>;
+    },
+  ): Promise<Outcome> => {
+    const { process } = host;
+    const { leaseExpiryMs } = process;
+    const outcome = call.carryOut();
+    if (process.leaseExpiryMs === leaseExpiryMs) return outcome;
+    const ageMs = Math.round(performance.now() - call.sentAtMs);
+    const target = call.target === process ? "it" : "an earlier process";
+    observer.onLeased(host, `${call.name}, sent to ${target} ${ageMs} ms ago`);
+    return outcome;
+  };
+
   return {
     start(target, request) {
       const sentAtMs = performance.now();
+      const intended = hosts.get(target.id)?.process;
       return send(target.id, {
         kind: "start",
         timeoutMs: CALL_TIMEOUT_MS,
         refused: { type: "notSent", reason: "connection refused" },
         async deliver(host) {
           const known = host.process.starts.length;
-          const outcome = await executors.start(target, request);
+          const outcome = await observeLease(host, {
+            name: `start of ${request.task} by owner ${request.token}`,
+            sentAtMs,
+            target: intended,
+            carryOut: () => executors.start(target, request),
+          });
           if (host.process.starts.length > known) {
             const { task, run } = request;
             const sinceSentMs = performance.now() - sentAtMs;
@@ -172,8 +205,10 @@
       });
     },
     throttle: () => Promise.resolve({ type: "done" }),
-    poll: (target, request) =>
-      send(target.id, {
+    poll(target, request) {
+      const sentAtMs = performance.now();
+      const intended = hosts.get(target.id)?.process;
+      return send(target.id, {
         kind: request.waitMs > 0 ? "longPoll" : "shortPoll",
         timeoutMs: CALL_TIMEOUT_MS + request.waitMs,
         refused: { type: "unknown", reason: "connection refused" },
@@ -181,8 +216,14 @@
           if (request.token >= host.process.token) {
             observer.onAcknowledged(host, request.acknowledgedSequence);
           }
-          return executors.poll(target, request);
+          return observeLease(host, {
+            name: `poll by owner ${request.token}`,
+            sentAtMs,
+            target: intended,
+            carryOut: () => executors.poll(target, request),
+          });
         },
-      }),
+      });
+    },
   };
 }
--- a/packages/measure/soak/fault_plan.ts
+++ b/packages/measure/soak/fault_plan.ts
@@ -5,60 +5,27 @@
  */
 
 import type { Size } from "@lagoonloom/jobs";
-import type { CallFate, CallKind, ExecutorHost } from "./executor_hosts.ts";
+import {
+  FATES,
+  KINDS,
+  pick,
+  pickHost,
+  pickHostUp,
+  sleep,
+  type SoakFault,
+} from "./_fault_draws.ts";
+import type { ExecutorHost } from "./executor_hosts.ts";
 import { removeExecutor, showProcess, stopProcess } from "./executor_hosts.ts";
 import { HOST_CAPACITY } from "./host_capacity.ts";
 import { drawStep } from "./draw_step.ts";
 import type { SoakWorld } from "./soak_world.ts";
 
-/** Fault or planned change, which resolves once it is over. */
-export type SoakFault = (world: SoakWorld) => Promise<void>;
-
-const KINDS: readonly (CallKind | undefined)[] = [
-  undefined,
-  "longPoll",
-  "shortPoll",
-  "start",
-  "stop",
-];
-
-const FATES: readonly CallFate[] = ["requestLost", "answerLost", "late"];
-
 /** Size of lasting tasks that are accepted beside faults. */
 const SMALL_SIZE: Size = { cpu: 300, memoryMb: 500, accelerators: 0 };
 
 /** Longest time until an executor reports a change. */
 const HEARTBEAT_MS = 1_500;
 
-/** Least number of executors that stay up. */
-const MIN_HOSTS_UP = 3;
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
-function pick<Item>({ random }: SoakWorld, items: readonly Item[]): Item {
-  return items[Math.floor(random() * items.length)]!;
-}
-
-function hostsUp({ hosts }: SoakWorld): ExecutorHost[] {
-  return [...hosts.values()].filter(({ isUp, isListed, report }) =>
-    isUp && isListed && !report.isDraining
-  );
-}
-
-/** Picks an executor that is up, if there is one. */
-function pickHostUp(world: SoakWorld): ExecutorHost | undefined {
-  const up = hostsUp(world);
-  return up.length === 0 ? undefined : pick(world, up);
-}
-
-/** Picks an executor, unless too few would be left. */
-function pickHost(world: SoakWorld): ExecutorHost | undefined {
-  const up = hostsUp(world);
-  return up.length <= MIN_HOSTS_UP ? undefined : pick(world, up);
-}
-
 /** All calls of some kind meet a fault for a while. */
 async function harmLink(world: SoakWorld): Promise<void> {
   const host = pickHostUp(world);
--- a/packages/measure/soak/owner_series.ts
+++ b/packages/measure/soak/owner_series.ts
@@ -21,12 +21,6 @@
 /** Time until the list of machines is answered. */
 const MACHINE_LIST_MS = 20;
 
-/** Duration of an executor's lease. */
-const LEASE_MS = 4_500;
-
-/** Longest lease that the platform grants. */
-const MAX_LEASE_MS = 6_000;
-
 /** Time for which ended jobs are kept, longer than a run of the soak test. */
 const ENDED_JOB_RETENTION_MS = 600_000;
 
@@ -74,6 +68,10 @@
   partition: number;
   store: Store;
   random: Random;
+  /** Duration of an executor's lease. */
+  leaseMs: number;
+  /** Longest lease that the platform grants. */
+  maxLeaseMs: number;
   view: Omit<OwnerView, "executors" | "hasExecutorList" | "executorsReadAtMs">;
   listExecutors(): ReadonlyMap<string, ExecutorReport>;
   listMachines(): Machine[];
@@ -117,8 +115,8 @@
           await sleep(MACHINE_LIST_MS);
           return own.storePath.isCut ? undefined : options.listMachines();
         },
-        leaseMs: LEASE_MS,
-        maxLeaseMs: MAX_LEASE_MS,
+        leaseMs: options.leaseMs,
+        maxLeaseMs: options.maxLeaseMs,
         confirmedAtMs: () =>
           own.confirmedAtMs === "now" ? performance.now() : own.confirmedAtMs,
         endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
--- a/packages/measure/soak/run_soak.ts
+++ b/packages/measure/soak/run_soak.ts
@@ -11,9 +11,6 @@
 import type { SoakPlan } from "./soak_plans.ts";
 import { createSoakWorld, type SoakWorld } from "./soak_world.ts";
 
-/** Difference between the clock of the executors and the monotonic clock. */
-const CLOCK_OFFSET_MS = 1_000_000;
-
 /** Interval of the checks. */
 const STEP_MS = 20;
 
@@ -113,10 +110,10 @@
 }
 
 function expireLeases({ hosts, log }: SoakWorld): void {
-  const clockMs = performance.now() + CLOCK_OFFSET_MS;
   for (const { id, process, isUp } of hosts.values()) {
+    if (process.clockMs() <= process.leaseExpiryMs) continue;
+    process.lapsedAtMs = performance.now();
     if (!isUp || process.running.size === 0) continue;
-    if (clockMs <= process.leaseExpiryMs) continue;
     log(`lease of ${id} ends: ${[...process.running.keys()]}`);
     for (const task of [...process.running.keys()]) process.end(task, "lapsed");
   }
--- a/packages/measure/soak/soak_checker.ts
+++ b/packages/measure/soak/soak_checker.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Step } from "@lagoonloom/jobs";
+import type { MemoryExecutor } from "@lagoonloom/standins";
 import type { ExecutorHost, ExecutorHosts } from "./executor_hosts.ts";
 import type { StartCall, StopCall } from "./executor_links.ts";
 
@@ -82,8 +83,17 @@
   isStopped: boolean;
   /** Whether an end as done was acknowledged. */
   isDoneNoted: boolean;
+  /** Newest run that has ended as done, if any has. */
+  doneRun: DoneRun | undefined;
+  /** Newest start. */
+  newestStart: { text: string; atMs: number } | undefined;
+  /** Descriptions of runs whose starts were carried out late, by executor. */
+  lateRuns: Map<string, string>;
 };
 
+/** Run that has ended as done on a process. */
+type DoneRun = { process: MemoryExecutor; atMs: number };
+
 /** Broken promise. */
 export type Violation = {
   /**
@@ -114,6 +124,8 @@
     task: string,
     options: StopCall,
   ): void;
+  /** Notes that a run of a task has ended as done. */
+  onDone(host: ExecutorHost, task: string): void;
   onAcknowledged(host: ExecutorHost, sequence: number): void;
   /** Notes the end of a process, while its runs are still there. */
   onProcessEnd(host: ExecutorHost): void;
@@ -207,6 +219,19 @@
     report({ rule: "LIMIT", task: name, text });
   };
 
+  /** An end that is acknowledged counts from then on, unless a lease lapsed. */
+  const checkStartsSince = (process: MemoryExecutor, task: SoakTask) => {
+    const { doneRun, newestStart } = task;
+    if (doneRun?.process !== process || newestStart === undefined) return;
+    if (newestStart.atMs <= doneRun.atMs) return;
+    const isLapsed = process.lapsedAtMs >= doneRun.atMs ||
+      process.clockMs() > process.leaseExpiryMs;
+    if (isLapsed) return;
+    const text = `${newestStart.text} had started after the end as done that ` +
+      `${process.report.id} is told to forget`;
+    report({ rule: "TWICE", task: task.name, text });
+  };
+
   const countCandidates = ({ job }: SoakTask): number => {
     const { size, maxPerExecutor } = job.step;
     let count = 0;
@@ -279,29 +304,43 @@
           awaySinceMs: performance.now(),
           isStopped: false,
           isDoneNoted: false,
+          doneRun: undefined,
+          newestStart: undefined,
+          lateRuns: new Map(),
         });
       }
     },
     onStarted(host, name, start) {
-      const { run } = start;
+      const { run, sinceSentMs } = start;
       const task = tasks.get(name);
       if (task === undefined) {
         report({ rule: "UNASKED", task: name, text: "is not known" });
         return;
       }
+      task.lateRuns.delete(host.id);
+      if (sinceSentMs > MAX_TRANSIT_MS) {
+        const lateness = `${Math.round(sinceSentMs)} ms after it was sent`;
+        task.lateRuns.set(host.id, `${host.id} (${lateness})`);
+      }
+      const describe = ({ id }: ExecutorHost) => task.lateRuns.get(id) ?? id;
+      const place = describe(host);
       const others = hostsRunning(name).filter((other) => other !== host);
       if (others.length > 0) {
-        const ids = others.map(({ id }) => id).join(" and ");
+        const ids = others.map(describe).join(" and ");
         report({
           rule: "TWICE",
           task: name,
-          text: `run ${run} starts on ${host.id} while it runs on ${ids}`,
+          text: `run ${run} starts on ${place} while it runs on ${ids}`,
         });
       }
       if (task.isDoneNoted) {
-        const text = `run ${run} starts on ${host.id} after an end as done`;
+        const text = `run ${run} starts on ${place} after an end as done`;
         report({ rule: "TWICE", task: name, text });
       }
+      task.newestStart = {
+        text: `run ${run} on ${place}`,
+        atMs: performance.now(),
+      };
       checkCapacity(host, name, start);
       checkCrashes(host, task, run);
     },
@@ -330,11 +369,18 @@
         text: `run ${run} is stopped on ${host.id} while ${names} are away`,
       });
     },
+    onDone({ process }, name) {
+      const task = tasks.get(name);
+      if (task === undefined) return;
+      task.doneRun = { process, atMs: performance.now() };
+    },
     onAcknowledged({ process }, sequence) {
       for (const end of process.ends) {
         if (end.sequence > sequence || end.result !== "done") continue;
         const task = tasks.get(end.task);
-        if (task !== undefined) task.isDoneNoted = true;
+        if (task === undefined) continue;
+        task.isDoneNoted = true;
+        checkStartsSince(process, task);
       }
     },
     onProcessEnd({ process }) {
--- a/packages/measure/soak/soak_plans.ts
+++ b/packages/measure/soak/soak_plans.ts
@@ -4,30 +4,54 @@
  * @module
  */
 
-import {
-  CAPACITY_FAULTS,
-  DEADLY_FAULTS,
-  SOAK_FAULTS,
-  type SoakFault,
-} from "./fault_plan.ts";
+import type { SoakFault } from "./_fault_draws.ts";
+import { CAPACITY_FAULTS, DEADLY_FAULTS, SOAK_FAULTS } from "./fault_plan.ts";
+import { LEASE_FAULTS } from "./lease_faults.ts";
 import type { SoakWorldOptions } from "./soak_world.ts";
 
 /** Faults of a run and the kind of its executors. */
 export type SoakPlan = SoakWorldOptions & { faults: readonly SoakFault[] };
 
+/** Speed of the slowest clock of executors. */
+const MIN_CLOCK_RATE = 0.98;
+
+/** Executors whose clock and longest lease suit their owners. */
+const LEASES = {
+  leaseMs: 4_500,
+  maxLeaseMs: 6_000,
+  maxLatenessMs: 3_500,
+  keepsLateCalls: false,
+  createClock: () => undefined,
+} as const satisfies Partial<SoakWorldOptions>;
+
 /** Executors that refuse nothing, although the configuration says they do. */
-const UNCHECKED: SoakWorldOptions = {
+const UNCHECKED = {
   guardsCapacity: () => false,
   enforcesCapacity: true,
-};
+} as const satisfies Partial<SoakWorldOptions>;
 
 /** Plans by name. A change of one leaves the random draws of the others. */
 export const SOAK_PLANS = {
-  basic: { ...UNCHECKED, faults: SOAK_FAULTS },
-  deadlyTasks: { ...UNCHECKED, faults: DEADLY_FAULTS },
+  basic: { ...UNCHECKED, ...LEASES, faults: SOAK_FAULTS },
+  deadlyTasks: { ...UNCHECKED, ...LEASES, faults: DEADLY_FAULTS },
   capacities: {
+    ...LEASES,
     faults: CAPACITY_FAULTS,
     guardsCapacity: (executorNumber) => executorNumber % 3 === 0,
     enforcesCapacity: false,
   },
+  // Executors that grant far longer leases than owners request, and whose
+  // clocks start anew with each process.
+  longLeases: {
+    ...UNCHECKED,
+    faults: LEASE_FAULTS,
+    leaseMs: 4_000,
+    maxLeaseMs: 10_000,
+    maxLatenessMs: 12_000,
+    keepsLateCalls: true,
+    createClock(random) {
+      const clockRate = 1 - random() * (1 - MIN_CLOCK_RATE);
+      return { clockRate, clockOffsetMs: -clockRate * performance.now() };
+    },
+  },
 } as const satisfies Record<string, SoakPlan>;
--- a/packages/measure/soak/soak_test.ts
+++ b/packages/measure/soak/soak_test.ts
@@ -11,6 +11,14 @@
 import { runSoak } from "./run_soak.ts";
 import { SOAK_PLANS } from "./soak_plans.ts";
 
+/** Seeds with leases that last long that run in CI. */
+const LEASE_CI_SEEDS = [
+  1,
+  2,
+  18,
+  28,
+];
+
 /** Seeds with changing capacities that run in CI, with causes of failures. */
 const CAPACITY_CI_SEEDS = [
   1,
@@ -110,4 +118,15 @@
       expect(describeOutcome(outcome)).toBe("");
     },
   );
+
+  // Guards against owners that hold for expired what an executor still runs, as
+  // its clock started anew or the next process carried out an earlier call.
+  test.each(seedsOr(LEASE_CI_SEEDS))(
+    "keep their promises as leases last long, seed %i",
+    async (seed) => {
+      const plan = SOAK_PLANS.longLeases;
+      const outcome = await runSoak(seed, { plan, advanceTime });
+      expect(describeOutcome(outcome)).toBe("");
+    },
+  );
 });
--- a/packages/measure/soak/soak_world.ts
+++ b/packages/measure/soak/soak_world.ts
@@ -14,6 +14,8 @@
 import {
   createMemoryExecutors,
   createMemoryStore,
+  type MemoryExecutor,
+  type MemoryExecutorOptions,
   type MemoryStore,
 } from "@lagoonloom/standins";
 import {
@@ -48,6 +50,12 @@
 /** Time that a lasting task takes to get ready. */
 const READY_AFTER_MS = 700;
 
+/** Estimate from which the progress of a short task rises while it runs. */
+const LONG_ESTIMATE_MS = 2_000;
+
+/** Interval at which it rises by a percent. */
+const PROGRESS_INTERVAL_MS = 500;
+
 /** World of a soak test. */
 export type SoakWorld = {
   random: Random;
@@ -86,15 +94,29 @@
   guardsCapacity(executorNumber: number): boolean;
   /** Whether the configuration says that all executors do so. */
   enforcesCapacity: boolean;
+  /** Duration of the leases that owners request. */
+  leaseMs: number;
+  /** Longest lease that the executors grant. */
+  maxLeaseMs: number;
+  /** Longest time after its timeout at which a late call takes effect. */
+  maxLatenessMs: number;
+  /**
+   * Whether an executor that is cut off carries out late calls that had reached
+   * it before.
+   */
+  keepsLateCalls: boolean;
+  /** Returns the clock of a new process; undefined for one that all share. */
+  createClock(random: Random): MemoryExecutorOptions["clock"];
 };
 
 /** Creates a world without executors, jobs and owners. */
 export function createSoakWorld(
   random: Random,
-  { guardsCapacity, enforcesCapacity }: SoakWorldOptions,
+  options: SoakWorldOptions,
 ): SoakWorld {
+  const { guardsCapacity, enforcesCapacity, leaseMs, maxLeaseMs } = options;
   const hosts: ExecutorHosts = new Map();
-  const executors = createMemoryExecutors();
+  const executors = createMemoryExecutors({ maxLeaseMs });
   const store = createMemoryStore({ partitions: 8 });
   const checker = createSoakChecker(hosts, {
     describeOwner: (task) => describeTask(world.owners.current, task),
@@ -131,11 +153,13 @@
       return;
     }
     process.progress.set(task, step.isLasting ? 0 : 50);
+    if (step.estimateMs > LONG_ESTIMATE_MS) reportProgress(process, task);
     setTimeout(() => {
       if (!host.isUp || process.running.get(task)?.run !== run) return;
       if (step.isLasting) process.progress.set(task, 100);
       else {
         world.log(`${host.id} ends ${task} run ${run}: done`);
+        checker.onDone(host, task);
         process.end(task, "done");
       }
     }, step.isLasting ? READY_AFTER_MS : step.estimateMs);
@@ -157,6 +181,8 @@
       partition: PARTITION,
       store,
       random,
+      leaseMs,
+      maxLeaseMs,
       view: {
         configuration: () => configuration,
         layout: () => new Map([["quoting", [PARTITION]]]),
@@ -169,6 +195,8 @@
           executors,
           random,
           isReached,
+          maxLatenessMs: options.maxLatenessMs,
+          keepsLateCalls: options.keepsLateCalls,
           observer: {
             onStarted,
             onStopped(host, task, stop) {
@@ -176,6 +204,9 @@
               checker.onStopped(host, task, stop);
             },
             onAcknowledged: checker.onAcknowledged,
+            onLeased(host, call) {
+              logLongLease(world, { host, leaseMs, call });
+            },
           },
         }),
       log: (text) => world.log(text),
@@ -191,6 +222,7 @@
         executors,
         guardsCapacity: guardsCapacity(hostCount),
         cpuOf,
+        createClock: () => options.createClock(random),
         onProcessEnd: checker.onProcessEnd,
       });
     },
@@ -238,6 +270,30 @@
   return world;
 }
 
+/** Lets the progress of a task rise while it runs on a process. */
+function reportProgress(process: MemoryExecutor, task: string): void {
+  const timer = setInterval(() => {
+    const percent = process.progress.get(task)!;
+    if (!process.running.has(task) || percent >= 99) clearInterval(timer);
+    else process.progress.set(task, percent + 1);
+  }, PROGRESS_INTERVAL_MS);
+}
+
+/** Logs a lease that is longer than owners request. */
+function logLongLease(
+  world: SoakWorld,
+  { host, leaseMs, call }: {
+    host: ExecutorHost;
+    leaseMs: number;
+    call: string;
+  },
+): void {
+  const { id, process } = host;
+  const remainingMs = Math.round(process.leaseExpiryMs - process.clockMs());
+  if (remainingMs <= leaseMs) return;
+  world.log(`LEASE of ${id} lasts ${remainingMs} ms by a ${call}`);
+}
+
 /** Returns whether the current owner may give tasks to an executor. */
 function isUsed({ owners, reserved }: SoakWorld, id: string): boolean {
   if (owners.current === undefined || reserved.has(id)) return true;
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -41,8 +41,14 @@
   token: number;
   /** Time on the executor's clock at which its lease expires. */
   leaseExpiryMs: number;
-  /** Difference between its clock and the monotonic clock. */
+  /** Monotonic time at which a lease of it was last seen to be over. */
+  lapsedAtMs: number;
+  /** Speed of its clock; 1 is that of the monotonic clock. */
+  clockRate: number;
+  /** Time that its clock shows as the monotonic clock shows 0. */
   clockOffsetMs: number;
+  /** Reads its clock. */
+  clockMs(): number;
   /**
    * Carries out the starts and stops that the fault `delayed` held back, at
    * this executor or at the next process with its id.
@@ -56,6 +62,8 @@
 export type MemoryExecutorOptions = {
   /** Whether a task may start; by default, each may. */
   hasCapacityFor?(task: string): boolean;
+  /** Clock of its process; by default, all have the same one. */
+  clock?: Pick<MemoryExecutor, "clockRate" | "clockOffsetMs"> | undefined;
 };
 
 /** Client of executors in memory. */
@@ -68,18 +76,23 @@
   return executor.fault === fault;
 }
 
-/** Difference between executors' clocks and the monotonic clock by default. */
-const CLOCK_OFFSET_MS = 1_000_000;
+/** Clock of executors by default. */
+const DEFAULT_CLOCK = { clockRate: 1, clockOffsetMs: 1_000_000 };
 
-/** Longest lease that the executors grant. */
-const MAX_LEASE_MS = 6_000;
+/** Longest lease that executors grant by default. */
+const DEFAULT_MAX_LEASE_MS = 6_000;
 
 /**
  * Creates a client without executors. The executors implement fencing tokens,
  * leases, run numbers and acknowledgement of ends as the documentation of the
  * platform requires.
  */
-export function createMemoryExecutors(): MemoryExecutors {
+export function createMemoryExecutors(
+  { maxLeaseMs = DEFAULT_MAX_LEASE_MS }: {
+    /** Longest lease that the executors grant. */
+    maxLeaseMs?: number;
+  } = {},
+): MemoryExecutors {
   const executors = new Map<string, MemoryExecutor>();
   const delayedRequests = new Map<
     MemoryExecutor,
@@ -89,11 +102,8 @@
   const optionsOf = new Map<MemoryExecutor, MemoryExecutorOptions>();
   const pollWaiters = new Set<() => void>();
 
-  const clockOf = ({ clockOffsetMs }: MemoryExecutor) =>
-    performance.now() + clockOffsetMs;
-
   const extendLease = (executor: MemoryExecutor, leaseExpiryMs: number) => {
-    const longestMs = clockOf(executor) + MAX_LEASE_MS;
+    const longestMs = executor.clockMs() + maxLeaseMs;
     executor.leaseExpiryMs = Math.max(
       executor.leaseExpiryMs,
       Math.min(leaseExpiryMs, longestMs),
@@ -101,7 +111,8 @@
   };
 
   const expireLease = (executor: MemoryExecutor) => {
-    if (clockOf(executor) <= executor.leaseExpiryMs) return;
+    if (executor.clockMs() <= executor.leaseExpiryMs) return;
+    executor.lapsedAtMs = performance.now();
     for (const task of [...executor.running.keys()]) {
       executor.end(task, "lapsed");
     }
@@ -126,14 +137,14 @@
     ): StartOutcome => ({
       type: "refused",
       reason,
-      clockMs: clockOf(executor),
+      clockMs: executor.clockMs(),
     });
     if (!acceptToken(executor, request.token)) return refuse("fence");
-    if (request.leaseExpiryMs <= clockOf(executor)) return refuse("late");
+    if (request.leaseExpiryMs <= executor.clockMs()) return refuse("late");
     extendLease(executor, request.leaseExpiryMs);
     const known = executor.running.get(request.task);
     if (known?.run === request.run) {
-      return { type: "started", clockMs: clockOf(executor) };
+      return { type: "started", clockMs: executor.clockMs() };
     }
     const highestRun = highestRuns.get(executor)!.get(request.task) ?? 0;
     if (known !== undefined || request.run <= highestRun) return refuse("old");
@@ -149,7 +160,7 @@
       run: request.run,
       token: request.token,
     });
-    return { type: "started", clockMs: clockOf(executor) };
+    return { type: "started", clockMs: executor.clockMs() };
   };
 
   const createPollOutcome = (
@@ -161,7 +172,7 @@
     );
     return {
       type: "polled",
-      clockMs: clockOf(executor),
+      clockMs: executor.clockMs(),
       startedAtMs: executor.report.startedAtMs,
       running: [...executor.running].map(([task, run]) => ({
         task,
@@ -206,7 +217,11 @@
         starts: [],
         token: 0,
         leaseExpiryMs: 0,
-        clockOffsetMs: CLOCK_OFFSET_MS,
+        lapsedAtMs: performance.now(),
+        ...DEFAULT_CLOCK,
+        ...options.clock,
+        clockMs: () =>
+          executor.clockRate * performance.now() + executor.clockOffsetMs,
         deliverDelayed(at = executor) {
           for (const run of delayedRequests.get(executor) ?? []) run(at);
           delayedRequests.delete(executor);
