--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -18,8 +18,9 @@
   recordRestart,
 } from "./_executor_clock.ts";
 import { createAcknowledgement } from "./_acknowledgement.ts";
+import { createPollLoop } from "./_poll_loop.ts";
 import { callGranting } from "./late_grants.ts";
-import { createWakeablePause } from "./_wakeable_pause.ts";
+import { stopUntilAnswered } from "./_stop_until_answered.ts";
 import type {
   Adoption,
   ExecutorSession,
@@ -32,9 +33,6 @@
 /** The same while an answer of its next process would show a late start. */
 const LATE_START_POLL_WAIT_MS = 300;
 
-/** Pause after a poll or a stop without an answer. */
-const RETRY_MS = 300;
-
 /** Number of ends from which the answer to a poll may be truncated. */
 const MAX_REPORTED_ENDS = 500;
 
@@ -67,11 +65,6 @@
   /** Clock of the executor in the newest list of its runs. */
   let listClockMs = -Infinity;
   let isClosed = false;
-  /** Pauses the loop, the only caller. */
-  const { pause, wake } = createWakeablePause();
-  let isPollRequested = true;
-  let isLongPolling = false;
-  let isExtraPollOpen = false;
 
   const endRun = (run: Run, end: Pick<RunEnd, "result" | "checkpoint">) => {
     removeRun(run);
@@ -216,7 +209,7 @@
     if (outcome.type === "unknown") {
       recordFailure(outcome.reason);
       // An idle loop would not poll a silent executor.
-      wake();
+      polls.wake();
       return;
     }
     if (
@@ -241,49 +234,21 @@
     callbacks.onChange(executor);
   };
 
-  const loop = async (): Promise<void> => {
-    while (!isClosed && !executor.isRemoved) {
-      const isIdle = executor.runs.size === 0 &&
-        executor.untrackedRuns.size === 0 && executor.failedCalls === 0 &&
-        acknowledgement.areEndsStored() && !acknowledgement.isDue() &&
-        !options.hasLateStarts();
-      if (isIdle && !isPollRequested) {
-        await pause();
-        continue;
-      }
-      if (!acknowledgement.areEndsStored() && !isPollRequested) {
-        // A poll would report the same ends until they are acknowledged.
-        await pause(acknowledgement.pauseMs());
-      }
-      if (isClosed) return;
-      const longestMs = options.hasLateStarts()
-        ? LATE_START_POLL_WAIT_MS
-        : POLL_WAIT_MS;
-      const maxWaitMs = isPollRequested ? 0 : longestMs;
-      isPollRequested = false;
-      isLongPolling = true;
-      await pollOnce(maxWaitMs);
-      isLongPolling = false;
-      if (executor.failedCalls > 0) await pause(RETRY_MS);
-    }
-  };
-
-  /** Polls at once, even while a long poll is waiting for the next end. */
-  const requestPoll = () => {
-    if (isClosed || executor.isRemoved) return;
-    if (isLongPolling && !isExtraPollOpen) {
-      isExtraPollOpen = true;
-      void pollOnce(0).finally(() => {
-        isExtraPollOpen = false;
-        // The loop may have found nothing to do before this answer.
-        wake();
-      });
-      return;
-    }
-    isPollRequested = true;
-    wake();
-  };
-
+  const polls = createPollLoop({
+    pollOnce,
+    isOver: () => isClosed || executor.isRemoved,
+    isIdle: () =>
+      executor.runs.size === 0 && executor.untrackedRuns.size === 0 &&
+      executor.failedCalls === 0 && acknowledgement.areEndsStored() &&
+      !acknowledgement.isDue() && !options.hasLateStarts(),
+    // A poll would report the same ends until they are acknowledged.
+    pauseMs: () =>
+      acknowledgement.areEndsStored() ? 0 : acknowledgement.pauseMs(),
+    longestWaitMs: () =>
+      options.hasLateStarts() ? LATE_START_POLL_WAIT_MS : POLL_WAIT_MS,
+    hasFailed: () => executor.failedCalls > 0,
+  });
+  const requestPoll = () => polls.request();
   const session: ExecutorSession = {
     executor,
     async start(run, { spec, ticket }) {
@@ -314,7 +279,7 @@
         if (isUnanswered(run)) run.state = "running";
         if (!executor.hasRestarted) run.confirmedClockMs = outcome.clockMs;
         confirmedAtPoll.set(run, pollsSent);
-        wake();
+        polls.wake();
         return "started";
       }
       if (outcome.type === "notSent") {
@@ -372,31 +337,27 @@
     },
     close() {
       isClosed = true;
-      wake();
+      polls.wake();
     },
   };
 
   const repeatStop = async (run: Run): Promise<void> => {
-    while (!isClosed && executor.runs.has(run) && !executor.isRemoved) {
-      const outcome = await executorClient.stop(target, {
-        task: run.task.name,
-        run: run.number,
-        token,
-      });
-      if (isClosed) return;
-      if (outcome.type === "done") {
-        if (run.state !== "stopping") {
-          run.state = "stopping";
-          confirmedAtPoll.set(run, pollsSent);
-        }
-        requestPoll();
-        return;
-      }
-      if (outcome.type === "fenced") return callbacks.onFenced();
-      if (outcome.type === "replaced") return markReplaced();
-      acknowledgement.recordFailure();
-      await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+    const { task: { name }, number } = run;
+    const request = { task: name, run: number, token };
+    const outcome = await stopUntilAnswered(executorClient, request, {
+      target,
+      isWanted: () =>
+        !isClosed && executor.runs.has(run) && !executor.isRemoved,
+      onFailure: acknowledgement.recordFailure,
+    });
+    if (isClosed || outcome === undefined) return;
+    if (outcome.type === "fenced") return callbacks.onFenced();
+    if (outcome.type === "replaced") return markReplaced();
+    if (run.state !== "stopping") {
+      run.state = "stopping";
+      confirmedAtPoll.set(run, pollsSent);
     }
+    requestPoll();
   };
 
   /** Follows the runs that an earlier session with the executor started. */
@@ -413,6 +374,6 @@
   };
 
   takeOverRuns();
-  void loop();
+  polls.start();
   return session;
 }
--- a/packages/jobs/run/late_starts.ts
+++ b/packages/jobs/run/late_starts.ts
@@ -4,17 +4,14 @@
  * @module
  */
 
-import { sleep } from "../_sleep.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import type { Run } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
+import { stopUntilAnswered } from "./_stop_until_answered.ts";
 
 /** Longest time after which a call without an answer is still carried out. */
 export const MAX_LATENESS_MS = 12_000;
 
-/** Pause after a stop without an answer. */
-const RETRY_MS = 300;
-
 /**
  * Remembers the start of a run that has ended without any sign of its executor
  * that it began. A confirmed stop binds only the process that confirmed it.
@@ -42,18 +39,12 @@
 ): void {
   const { id, address } = executor;
   const { executorClient, epoch: token } = owner.options;
-  const repeatStop = async (task: string, run: number) => {
-    while (!owner.isClosed && owner.executors.get(id) === executor) {
-      const outcome = await executorClient.stop(
-        { id, address },
-        { task, run, token },
-      );
-      if (outcome.type !== "unknown") return;
-      await sleep(RETRY_MS);
-    }
-  };
+  const isWanted = () =>
+    !owner.isClosed && owner.executors.get(id) === executor;
   for (const { task, run } of recentStarts(owner, id)) {
-    void repeatStop(task, run);
+    const target = { id, address };
+    const request = { task, run, token };
+    void stopUntilAnswered(executorClient, request, { target, isWanted });
   }
 }
 
