--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -106,6 +106,11 @@
   step: Step;
   tasks: Task[];
   doneCount: number;
+  /**
+   * Monotonic time at which a gang for one rack first had room on several racks
+   * only; undefined if it never had.
+   */
+  spreadableSinceMs: number | undefined;
 };
 
 /** Job of a partition. */
--- a/packages/jobs/occurrences.ts
+++ b/packages/jobs/occurrences.ts
@@ -172,6 +172,7 @@
     step: job.accepted.submission.steps[stepIndex]!,
     tasks: [],
     doneCount: 0,
+    spreadableSinceMs: undefined,
   };
   for (let index = 0; index < group.step.count; index++) {
     group.tasks.push(createTask(group, index, times));
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -19,8 +19,13 @@
   isSchedulable,
   isWithin,
   occupiedBy,
-  rackOf,
 } from "../executor_state.ts";
+import {
+  type Choice,
+  chooseInOneRack,
+  chooseTogether,
+} from "./_choose_together.ts";
+import { maySpreadGang } from "./_may_spread_gang.ts";
 import { rankGroups } from "./_rank_groups.ts";
 import {
   type Candidate,
@@ -201,44 +206,33 @@
 
 /**
  * Places all tasks of a gang or none. If the step asks for one rack, they are
- * placed in a rack that has capacity for all of them; without such a rack, only
- * tasks of a gang wait.
+ * placed in a rack that has capacity for all of them. Without such a rack, the
+ * tasks are spread over several ones, where they are slow, but still make
+ * progress; a gang may wait for a rack first.
  */
 function placeTogether(
   group: TaskGroup,
   { waiting, round }: { waiting: Task[]; round: PlacementRound },
 ): void {
-  if (group.step.isGang && waiting.length < group.tasks.length) return;
-  const racks = group.step.isSameRack
-    ? [...new Set(round.candidates.map(({ executor }) => rackOf(executor)))]
-    : [undefined];
-  for (const rack of racks) {
-    const candidates = round.candidates
-      .filter(({ executor }) => rack === undefined || rackOf(executor) === rack)
-      .map((candidate) => ({
-        ...candidate,
-        free: { ...candidate.free },
-        placed: new Map(candidate.placed),
-        original: candidate,
-      }));
-    const assignments: { task: Task; candidate: Candidate }[] = [];
-    for (const task of waiting) {
-      const candidate = chooseCandidate(task, candidates, round.options);
-      if (candidate === undefined) break;
-      occupy(candidate, task);
-      assignments.push({
-        task,
-        candidate: (candidate as typeof candidates[number]).original,
-      });
-    }
-    if (assignments.length < waiting.length) continue;
-    for (const { task, candidate } of assignments) {
-      assign(candidate, { task, round });
-    }
-    return;
+  const { candidates, options } = round;
+  const { isGang, isSameRack } = group.step;
+  if (isGang && waiting.length < group.tasks.length) return;
+  if (isSameRack) {
+    const inOneRack = chooseInOneRack(waiting, candidates, options);
+    if (inOneRack !== undefined) return assignAll(inOneRack, round);
   }
-  if (group.step.isGang) return;
-  // Tasks that are spread over racks are slow, but still make progress.
+  if (!isGang) return placeOneByOne(waiting, round);
+  const anywhere = chooseTogether(waiting, candidates, options);
+  if (anywhere === undefined) return;
+  if (isSameRack && !maySpreadGang(group, options.executors, options)) return;
+  assignAll(anywhere, round);
+}
+
+/** Places as many tasks of one size as there is capacity for. */
+function placeOneByOne(
+  waiting: readonly Task[],
+  round: PlacementRound,
+): void {
   for (const task of waiting) {
     const candidate = chooseCandidate(task, round.candidates, round.options);
     if (candidate === undefined) return;
@@ -246,6 +240,10 @@
   }
 }
 
+function assignAll(choices: readonly Choice[], round: PlacementRound): void {
+  for (const { task, candidate } of choices) assign(candidate, { task, round });
+}
+
 function assign(
   candidate: Candidate,
   { task, round }: { task: Task; round: PlacementRound },
