--- a/packages/jobs/accepted/queue_services.ts
+++ b/packages/jobs/accepted/queue_services.ts
@@ -6,6 +6,7 @@
 
 import { createHash } from "node:crypto";
 import { z } from "zod";
+import { parseJson } from "../_parse_json.ts";
 import { shareCalls } from "../_share_calls.ts";
 import type { Queue } from "../fleet.ts";
 import type { JobEventLog } from "../job_event_log.ts";
@@ -175,9 +176,5 @@
 function decodeQueueService(
   value: string | undefined,
 ): QueueService | undefined {
-  try {
-    return QueueService.safeParse(JSON.parse(value ?? "null")).data;
-  } catch {
-    return undefined;
-  }
+  return QueueService.safeParse(parseJson(value)).data;
 }
--- a/packages/jobs/owned/load_partition.ts
+++ b/packages/jobs/owned/load_partition.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { parseJson } from "../_parse_json.ts";
 import { AcceptedJob, Cancellation } from "../submission.ts";
 import type { KeyedRecord, Store, StoredRecord } from "../ports.ts";
 import {
@@ -159,11 +160,3 @@
   if (parsed.success) state.progress.set(record.key, parsed.data);
   else state.otherDocuments.set(record.key, document);
 }
-
-function parseJson(value: string | undefined): unknown {
-  try {
-    return JSON.parse(value ?? "null");
-  } catch {
-    return undefined;
-  }
-}
