--- a/packages/jobs/ended/progress_log_test.ts
+++ b/packages/jobs/ended/progress_log_test.ts
@@ -6,10 +6,14 @@
   jest,
   test,
 } from "@jest/globals";
-import { createMemoryStore } from "@lagoonloom/standins";
+import { createMemoryStore, type MemoryStore } from "@lagoonloom/standins";
 import { advanceTime } from "../_fixtures.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
-import { createProgressLog, type ProgressLog } from "./progress_log.ts";
+import {
+  createProgressLog,
+  type ProgressLog,
+  type ProgressLogOptions,
+} from "./progress_log.ts";
 import { joinValues } from "./record_pieces.ts";
 
 /** More records than one append holds. */
@@ -23,6 +27,22 @@
 /** Length of a value that the store takes only in pieces. */
 const LONG_BYTES = 700_000;
 
+/** Creates a log of the first writer, with some options replaced. */
+function createLog(
+  store: MemoryStore,
+  options: Partial<ProgressLogOptions> = {},
+): ProgressLog {
+  return createProgressLog({
+    store,
+    partition: PROGRESS,
+    writer: { name: "owner-0", epoch: 1 },
+    onFenced: () => undefined,
+    onFailure: () => undefined,
+    onRejected: () => undefined,
+    ...options,
+  });
+}
+
 describe("createProgressLog", () => {
   beforeEach(() => {
     jest.useFakeTimers();
@@ -41,14 +61,7 @@
       batches.push(request.records.map(({ key }) => key));
       return append(partition, request);
     };
-    const log = createProgressLog({
-      store,
-      partition: PROGRESS,
-      writer: { name: "owner-0", epoch: 1 },
-      onFenced: () => undefined,
-      onFailure: () => undefined,
-      onRejected: () => undefined,
-    });
+    const log = createLog(store);
     log.put("first", () => "{}");
     log.put("handover", () => undefined);
     for (let index = 0; index < RECORDS; index++) {
@@ -86,12 +99,7 @@
     onRejected: (key: string, log: ProgressLog) => void,
   ) {
     const store = createMemoryStore({ partitions: 1 });
-    const log: ProgressLog = createProgressLog({
-      store,
-      partition: PROGRESS,
-      writer: { name: "owner-0", epoch: 1 },
-      onFenced: () => undefined,
-      onFailure: () => undefined,
+    const log: ProgressLog = createLog(store, {
       onRejected: ({ largestKey }) => onRejected(largestKey, log),
     });
     const stored = () => {
@@ -158,14 +166,7 @@
     const { log, store, stored } = createRejectingLog(() => undefined);
     log.put("job", () => "x".repeat(LONG_BYTES));
     await advanceTime(500);
-    const next = createProgressLog({
-      store,
-      partition: PROGRESS,
-      writer: { name: "owner-0", epoch: 2 },
-      onFenced: () => undefined,
-      onFailure: () => undefined,
-      onRejected: () => undefined,
-    });
+    const next = createLog(store, { writer: { name: "owner-0", epoch: 2 } });
     next.restorePieces(stored().pieceCounts);
     next.put("job", () => undefined);
     await advanceTime(500);
