--- a/packages/jobs/machines/machines_owner_test.ts
+++ b/packages/jobs/machines/machines_owner_test.ts
@@ -223,15 +223,20 @@
     expect(fixture.orders).toEqual(["upkeep m1 2"]);
   });
 
-  // Guards against waves that miss their deadline because each planned restart
-  // of a member, as in a rolling restart, delays orders by two seconds.
-  test("sends orders at once after a planned handover", async () => {
+  /** Lets an owner without orders to send hand over, then requests a wave. */
+  async function handOver() {
     fixture.waves = [];
     const first = own(1);
     await advanceTime(4_000);
     await stop(first);
     fixture.waves = [WAVE];
     fixture.orders = [];
+  }
+
+  // Guards against waves that miss their deadline because each planned restart
+  // of a member, as in a rolling restart, delays orders by two seconds.
+  test("sends orders at once after a planned handover", async () => {
+    await handOver();
     own(2);
     await advanceTime(1_000);
     expect(fixture.orders).toEqual(["upkeep m1 2"]);
@@ -253,12 +258,7 @@
   // Guards against orders beside those of an earlier owner (ONE), which sent
   // them before its deletion of the handover was stored.
   test("sends no orders before the handover is deleted", async () => {
-    fixture.waves = [];
-    const first = own(1);
-    await advanceTime(4_000);
-    await stop(first);
-    fixture.waves = [WAVE];
-    fixture.orders = [];
+    await handOver();
     const { readNewest } = fixture.store;
     fixture.store.readNewest = async (partition) => {
       const outcome = await readNewest(partition);
