--- a/packages/jobs/_record_fixtures.ts
+++ b/packages/jobs/_record_fixtures.ts
@@ -5,6 +5,8 @@
  */
 
 import type { Configuration, ExecutorReport, Machine, Queue } from "./fleet.ts";
+import { createJob, type TaskGroup } from "./job.ts";
+import { openGroup } from "./occurrences.ts";
 import type { AcceptedJob, Step } from "./submission.ts";
 
 export const PARTITION = 3;
@@ -50,6 +52,18 @@
   };
 }
 
+/** Creates the tasks of a job that runs once and has one step. */
+export function createGroup(): TaskGroup {
+  const job = createJob(JOB_ID, {
+    accepted: createAccepted([createStep()]),
+    offset: 0,
+    objectiveMs: 0,
+    isInherited: false,
+  });
+  const times = { monotonicMs: 0, blockedUntilMs: 0 };
+  return openGroup(job, { occurrence: 0, stepIndex: 0 }, times);
+}
+
 /** Creates a configuration with one queue, with some fields replaced. */
 export function createConfiguration(
   fields: Partial<Queue> = {},
--- a/packages/jobs/placed/ticket_cache_test.ts
+++ b/packages/jobs/placed/ticket_cache_test.ts
@@ -1,26 +1,8 @@
 import { describe, expect, test } from "@jest/globals";
-import {
-  createAccepted,
-  createReport,
-  createStep,
-  JOB_ID,
-} from "../_fixtures.ts";
+import { createGroup, createReport, JOB_ID } from "../_fixtures.ts";
 import { createExecutorState } from "../executor_state.ts";
-import { createJob, type TaskGroup } from "../job.ts";
-import { openDueGroups } from "../occurrences.ts";
 import { createTicketCache } from "./ticket_cache.ts";
 
-function createGroup(): TaskGroup {
-  const job = createJob(JOB_ID, {
-    accepted: createAccepted([createStep()]),
-    offset: 0,
-    objectiveMs: 0,
-    isInherited: false,
-  });
-  openDueGroups(job, { unixMs: 0, monotonicMs: 0, blockedUntilMs: 0 });
-  return job.groups[0]!;
-}
-
 describe("createTicketCache", () => {
   // Guards against an owner whose memory grows with each step that has run.
   test("keeps no tickets of a step that is over", async () => {
