--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -39,6 +39,8 @@
   adviceClient: AdviceClient | undefined;
   reports: Map<string, ExecutorReport>;
   configuration: Configuration;
+  /** Services that share the partition. */
+  services: string[];
   /** Whether the list of executors has been read. */
   hasExecutorList: boolean;
   /** Machines of the platform; undefined if their list gets no answer. */
@@ -62,7 +64,8 @@
   ): MemoryExecutor;
   /** Starts an owner and waits until it has polled its executors. */
   startOwner(epoch: number): Promise<PartitionOwner>;
-  accept(id: string, steps: Step[]): void;
+  /** Accepts a job, by default for the service `quoting`. */
+  accept(id: string, steps: Step[], service?: string): void;
   cancel(id: string): void;
   progress(): Map<string, string>;
   close(): void;
@@ -98,6 +101,7 @@
     adviceClient: undefined,
     reports: new Map(),
     configuration: createConfiguration(),
+    services: ["quoting"],
     hasExecutorList: true,
     machines: undefined,
     logged: [],
@@ -119,7 +123,8 @@
         adviceClient: fixture.adviceClient,
         view: {
           configuration: () => fixture.configuration,
-          layout: () => new Map([["quoting", [PARTITION]]]),
+          layout: () =>
+            new Map(fixture.services.map((name) => [name, [PARTITION]])),
           executors: () => fixture.reports,
           hasExecutorList: () => fixture.hasExecutorList,
           executorsReadAtMs: () => timeOf(fixture.executorsReadAtMs),
@@ -140,10 +145,10 @@
       await advanceTime(50);
       return owner;
     },
-    accept: (id, steps) =>
+    accept: (id, steps, service = "quoting") =>
       fixture.store.put(JOBS, {
         key: id,
-        value: JSON.stringify(createAccepted(steps)),
+        value: JSON.stringify({ ...createAccepted(steps), service }),
       }),
     cancel: (id) =>
       fixture.store.put(JOBS, { key: cancelKey(id), value: "{}" }),
--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -22,7 +22,7 @@
 /** Time for which a suspended executor gets no tasks. */
 const SUSPENSION_MS = 4_000;
 
-/** Largest share of the executors that may be suspended at a time. */
+/** Largest share of a service's executors that may be suspended at a time. */
 const MAX_SUSPENDED_SHARE = 1 / 3;
 
 /** End of a run of a task. */
@@ -159,7 +159,7 @@
     executor.failedJobs.add(job);
   }
   const hasManyFailures = executor.failedJobs.size >= SUSPEND_AFTER_JOBS;
-  if (!hasManyFailures || !maySuspendAnother(owner)) return;
+  if (!hasManyFailures || !maySuspend(owner, executor)) return;
   executor.suspendedUntilMs = performance.now() + SUSPENSION_MS;
   owner.options.events.log("executorSuspended", {
     executor: executor.id,
@@ -170,13 +170,17 @@
 
 /**
  * Returns whether one more executor may be suspended. If tasks fail on many
- * executors at the same time, the executors are not the cause.
+ * executors of a service at the same time, the executors are not the cause.
  */
-export function maySuspendAnother(owner: OwnerState): boolean {
+export function maySuspend(
+  owner: OwnerState,
+  { report: { service } }: ExecutorState,
+): boolean {
   const nowMs = performance.now();
-  let suspended = 0;
-  for (const { suspendedUntilMs } of owner.executors.values()) {
-    if (suspendedUntilMs > nowMs) suspended++;
-  }
-  return suspended + 1 <= owner.executors.size * MAX_SUSPENDED_SHARE;
+  const ofService = [...owner.executors.values()]
+    .filter(({ report }) => report.service === service);
+  const suspended = ofService.filter(({ suspendedUntilMs }) =>
+    suspendedUntilMs > nowMs
+  );
+  return suspended.length + 1 <= ofService.length * MAX_SUSPENDED_SHARE;
 }
--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -49,6 +49,17 @@
   return executor.report.labels[1] ?? executor.report.zone;
 }
 
+/**
+ * Returns whether an executor belongs to the service of a group's job. Services
+ * may share a partition, so that its owner has executors of several.
+ */
+export function isOfService(
+  { report }: Pick<ExecutorState, "report">,
+  { job }: Pick<TaskGroup, "job">,
+): boolean {
+  return report.service === job.accepted.service;
+}
+
 /** Returns the capacity that a run of a group's task occupies. */
 export function occupiedBy({ step }: Pick<TaskGroup, "step">): Size {
   return step.isFilling ? { ...step.size, cpu: 0 } : step.size;
--- a/packages/jobs/machines/collect_reports.ts
+++ b/packages/jobs/machines/collect_reports.ts
@@ -1,4 +1,4 @@
-import type { Layout } from "../owned/layout.ts";
+import { type Layout, servicePartitions } from "../owned/layout.ts";
 import type { OwnerAccess } from "../queries/query_owner.ts";
 import type { PartitionReport } from "./partition_report.ts";
 
@@ -21,7 +21,7 @@
     ended: readonly string[];
   },
 ): Promise<(PartitionReport | undefined)[]> {
-  const partitions = [...new Set([...layout.values()].flat())];
+  const partitions = [...servicePartitions(layout)];
   return await Promise.all(partitions.map(async (partition) => {
     const owner = access.localOwner(partition);
     if (owner !== undefined) {
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -25,7 +25,12 @@
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
 import { createCandidacy } from "./owned/candidacy.ts";
-import { type Layout, machinesPartition, partitionOf } from "./owned/layout.ts";
+import {
+  type Layout,
+  machinesPartition,
+  partitionOf,
+  servicePartitions,
+} from "./owned/layout.ts";
 import { formatMemberName } from "./owned/member_name.ts";
 import { createOwnerDirectory } from "./owned/owner_directory.ts";
 import { joinOwners, type Ownership } from "./owned/ownership.ts";
@@ -141,7 +146,7 @@
       ),
     candidacy: createCandidacy({
       capacity: options.capacity,
-      usedPartitionCount: () => [...layout().values()].flat().length + 1,
+      usedPartitionCount: () => servicePartitions(layout()).size + 1,
       readMembers: directory.readMembers,
     }),
     isUsed: (partition) => isUsed(layout(), partition, options.partitionCount),
@@ -184,11 +189,14 @@
     return [...new Set(partitions)];
   };
 
-  /** Looks for a job in the partitions of earlier services of its queue. */
-  const findElsewhere = (id: string, queue: Queue, timeoutMs: number) => {
-    const [present] = partitionsOf([queue.service], id);
-    const partitions = partitionsOf(queueServices.servicesOf(queue), id)
-      .filter((partition) => partition !== present);
+  /**
+   * Looks for a job in the partitions of earlier services of its queue. One of
+   * them may share the partition of the present service.
+   */
+  const findEarlier = (id: string, queue: Queue, timeoutMs: number) => {
+    const services = queueServices.servicesOf(queue)
+      .filter((service) => service !== queue.service);
+    const partitions = partitionsOf(services, id);
     return findJobState(access, { partitions, job: id, timeoutMs });
   };
 
@@ -198,9 +206,9 @@
     const recorded = await queueServices.record(queue);
     if (recorded.type !== "stored") return recorded;
     const leftMs = () => Math.max(0, deadlineMs - performance.now());
-    const elsewhere = await findElsewhere(id, queue, leftMs());
-    if (elsewhere.type === "known") return { type: "stored" };
-    if (elsewhere.type === "unavailable") {
+    const earlier = await findEarlier(id, queue, leftMs());
+    if (earlier.type === "known") return { type: "stored" };
+    if (earlier.type === "unavailable") {
       const reason = "the owner of an earlier service does not answer";
       return { type: "unknown", reason };
     }
@@ -277,6 +285,5 @@
   partitionCount: number,
 ): boolean {
   if (partition === machinesPartition(partitionCount)) return layout.size > 0;
-  for (const used of layout.values()) if (used.includes(partition)) return true;
-  return false;
+  return servicePartitions(layout).has(partition);
 }
--- a/packages/jobs/owned/layout.ts
+++ b/packages/jobs/owned/layout.ts
@@ -77,6 +77,11 @@
   return first % usableCount;
 }
 
+/** Returns the partitions of all services, each once. */
+export function servicePartitions(layout: Layout): ReadonlySet<number> {
+  return new Set([...layout.values()].flat());
+}
+
 /** Returns the partition whose owner manages the machines. */
 export function machinesPartition(partitionCount: number): number {
   return partitionCount - 1;
--- a/packages/jobs/placed/find_obstacle.ts
+++ b/packages/jobs/placed/find_obstacle.ts
@@ -1,9 +1,14 @@
-import { type ExecutorState, isWithin, occupiedBy } from "../executor_state.ts";
+import {
+  type ExecutorState,
+  isOfService,
+  isWithin,
+  occupiedBy,
+} from "../executor_state.ts";
 import type { TaskGroup } from "../job.ts";
 import type { Size } from "../submission.ts";
 
 /** Reason why a schedulable executor can't take a task. */
-export type Obstacle = "full" | "label" | "spread" | "ticket";
+export type Obstacle = "service" | "full" | "label" | "spread" | "ticket";
 
 /** Options of {@linkcode findObstacle}. */
 export type FindObstacleOptions = {
@@ -25,6 +30,7 @@
   { free, placedCount, mayRun }: FindObstacleOptions,
 ): Obstacle | undefined {
   const { label, maxPerExecutor } = group.step;
+  if (!isOfService(executor, group)) return "service";
   if (!isWithin(occupiedBy(group), free)) return "full";
   if (label !== "" && !executor.report.labels.includes(label)) return "label";
   if (maxPerExecutor > 0) {
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -59,13 +59,14 @@
 };
 
 /**
- * Chooses executors for tasks that are ready to run. Lasting tasks come first
- * and filling ones last. Within these classes, jobs that can still be on time
- * come first, and those that nobody waits for any more last, as in an overload
- * not all can be served. A task goes to the executor of the lowest cost that
- * has capacity for it, which is by default the one with the least free
- * processor time. A lasting task that has waited for 1.5 s may also go to
- * an executor that is reserved, but not drained yet.
+ * Chooses executors for tasks that are ready to run, among those of the service
+ * of their job. Lasting tasks come first and filling ones last. Within these
+ * classes, jobs that can still be on time come first, and those that nobody
+ * waits for any more last, as in an overload not all can be served. A task goes
+ * to the executor of the lowest cost that has capacity for it, which is by
+ * default the one with the least free processor time. A lasting task that has
+ * waited for 1.5 s may also go to an executor that is reserved, but not drained
+ * yet.
  *
  * @example
  * ```ts
@@ -75,6 +76,37 @@
 export function placeTasks(
   jobs: Iterable<Job>,
   options: PlaceOptions,
+): Placement[] {
+  const executors = groupByKey(
+    options.executors,
+    ({ report }) => report.service,
+  );
+  const jobsByService = groupByKey(jobs, ({ accepted }) => accepted.service);
+  return [...jobsByService].flatMap(([service, ofService]) =>
+    placeOfService(ofService, {
+      ...options,
+      executors: executors.get(service) ?? [],
+    })
+  );
+}
+
+function groupByKey<Value>(
+  values: Iterable<Value>,
+  keyOf: (value: Value) => string,
+): Map<string, Value[]> {
+  const groups = new Map<string, Value[]>();
+  for (const value of values) {
+    const group = groups.get(keyOf(value));
+    if (group === undefined) groups.set(keyOf(value), [value]);
+    else group.push(value);
+  }
+  return groups;
+}
+
+/** Chooses executors for the tasks of one service, which share no capacity. */
+function placeOfService(
+  jobs: readonly Job[],
+  options: PlaceOptions,
 ): Placement[] {
   const { executors, monotonicMs } = options;
   const candidates = executors
@@ -109,7 +141,7 @@
 
 /** Keeps places from short tasks for lasting tasks that are being moved. */
 function keepPlaces(
-  jobs: Iterable<Job>,
+  jobs: readonly Job[],
   { candidates, options }: PlacementRound,
 ): void {
   for (const job of jobs) {
@@ -150,7 +182,7 @@
   if (!hasCapacity) round.failedSizes.push(size);
 }
 
-/** State of one call of {@linkcode placeTasks}. */
+/** State of one call of {@linkcode placeOfService}. */
 type PlacementRound = {
   candidates: Candidate[];
   /** Reserved executors for lasting tasks that fit on no candidate. */
--- a/packages/jobs/placed/place_tasks_test.ts
+++ b/packages/jobs/placed/place_tasks_test.ts
@@ -105,6 +105,19 @@
     ]);
   });
 
+  // Guards against starting a task on an executor of another service, which
+  // shares the partition (ROUTE).
+  test("places tasks only on executors of the job's service", () => {
+    const job = jobOf("a", { steps: [createStep({ count: 3 })] });
+    job.accepted.service = "orders";
+    const foreign = executorOf("e1");
+    const own = executorOf("e2");
+    own.report = { ...own.report, service: "orders" };
+    expect(place([job], [foreign])).toEqual([]);
+    expect(place([job], [foreign, own]).map(([, id]) => id))
+      .toEqual(["e2", "e2", "e2"]);
+  });
+
   // Guards against starting part of a gang while there is no capacity for the
   // rest (GANG).
   test("places all tasks of a gang or none", () => {
@@ -226,6 +239,26 @@
     expect(looks).toBeLessThanOrEqual(2 * executors.length);
   });
 
+  // Guards against the same while another service has capacity.
+  test("looks at no executor of another service", () => {
+    let looks = 0;
+    const foreign = executorOf("e1");
+    const { capacity } = foreign.report;
+    Object.defineProperty(foreign.report, "capacity", {
+      get() {
+        looks++;
+        return capacity;
+      },
+    });
+    const jobs = Array.from({ length: 200 }, (_, index) => {
+      const job = jobOf(`${index}`, { steps: [createStep()] });
+      job.accepted.service = "orders";
+      return job;
+    });
+    expect(place(jobs, [foreign])).toEqual([]);
+    expect(looks).toBe(0);
+  });
+
   // Guards against retrying a task on the executor where it failed, and against
   // never running it when there is no other executor.
   test("places a task where it failed only as a last resort", () => {
--- a/packages/jobs/placed/ticket_cache.ts
+++ b/packages/jobs/placed/ticket_cache.ts
@@ -6,7 +6,7 @@
 
 import type { TaskGroup } from "../job.ts";
 import type { AdviceClient } from "../ports.ts";
-import type { ExecutorState } from "../executor_state.ts";
+import { type ExecutorState, isOfService } from "../executor_state.ts";
 
 /** Largest number of executors in one request. */
 const MAX_REQUESTED_EXECUTORS = 30;
@@ -21,7 +21,7 @@
 export type TicketCache = {
   /**
    * Whether an executor may run a step. If that is not known, returns false and
-   * requests the tickets of the step.
+   * requests the tickets of the step for the executors of its service.
    */
   mayRun(
     group: TaskGroup,
@@ -57,7 +57,11 @@
 ): TicketCache {
   const entries = new Map<string, CacheEntry>();
 
-  const request = async (key: string, executors: readonly ExecutorState[]) => {
+  const request = async (
+    group: TaskGroup,
+    executors: readonly ExecutorState[],
+  ) => {
+    const key = keyOf(group);
     const entry = entries.get(key) ?? {
       tickets: new Map<string, string>(),
       askedExecutors: new Set<string>(),
@@ -68,9 +72,13 @@
     if (entry.isRequesting) return;
     const isExpired = performance.now() > entry.validUntilMs;
     if (isExpired) entry.askedExecutors.clear();
-    const requested = executors.filter(({ id, isRemoved }) =>
-      !isRemoved && !entry.askedExecutors.has(id)
-    ).slice(0, MAX_REQUESTED_EXECUTORS).map(({ id }) => id);
+    const requested = executors
+      .filter((executor) => isOfService(executor, group))
+      .filter(({ id, isRemoved }) =>
+        !isRemoved && !entry.askedExecutors.has(id)
+      )
+      .slice(0, MAX_REQUESTED_EXECUTORS)
+      .map(({ id }) => id);
     if (requested.length === 0) return;
     entry.isRequesting = true;
     const sentMs = performance.now();
@@ -94,12 +102,11 @@
 
   return {
     mayRun(group, executors, executor) {
-      const key = keyOf(group);
-      const entry = entries.get(key);
+      const entry = entries.get(keyOf(group));
       if (isValid(entry) && entry.askedExecutors.has(executor.id)) {
         return entry.tickets.has(executor.id);
       }
-      void request(key, executors);
+      void request(group, executors);
       return false;
     },
     ticketFor(group, executor) {
--- a/packages/jobs/placed/ticket_cache_test.ts
+++ b/packages/jobs/placed/ticket_cache_test.ts
@@ -4,6 +4,25 @@
 import { createTicketCache } from "./ticket_cache.ts";
 
 describe("createTicketCache", () => {
+  // Guards against calls that pay for executors which may not run the step, as
+  // another service shares the partition.
+  test("requests tickets only for executors of the service", async () => {
+    const requested: string[] = [];
+    const tickets = createTicketCache({
+      requestTickets(_, executors) {
+        requested.push(...executors);
+        return Promise.resolve(undefined);
+      },
+    }, { onChange: () => undefined });
+    const foreign = createExecutorState(
+      createReport("e1", { service: "orders" }),
+    );
+    const own = createExecutorState(createReport("e2"));
+    tickets.mayRun(createGroup(), [foreign, own], own);
+    await Promise.resolve();
+    expect(requested).toEqual(["e2"]);
+  });
+
   // Guards against an owner whose memory grows with each step that has run.
   test("keeps no tickets of a step that is over", async () => {
     const requested: string[] = [];
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -8,6 +8,7 @@
   type ExecutorState,
   freeCapacityOf,
   isLastResort,
+  isOfService,
   isSchedulable,
 } from "../executor_state.ts";
 import { hasEnded, type Run, type Task } from "../job.ts";
@@ -88,7 +89,8 @@
     return `waits ${leftMs} ms after ${task.crashes.length} crashes under it`;
   }
   if (!task.group.job.hasStoredProgress) return "progress is not stored yet";
-  const executors = [...owner.executors.values()];
+  const executors = [...owner.executors.values()]
+    .filter((executor) => isOfService(executor, task.group));
   const counts = new Map<string, number>();
   for (const executor of executors) {
     const reason = findUnavailability(executor, nowMs) ??
--- a/packages/jobs/rerouted_queue_test.ts
+++ b/packages/jobs/rerouted_queue_test.ts
@@ -25,10 +25,16 @@
 import { QUEUES_PARTITION } from "./accepted/queue_services.ts";
 import type { Configuration, ExecutorReport, Queue } from "./fleet.ts";
 import { type Member, startMember } from "./member.ts";
+import { decodeAccepted } from "./owned/load_partition.ts";
 import type { QueryResult } from "./queries/query_result.ts";
 import type { JobState } from "./submission.ts";
+import { JOBS_TOPIC } from "./topics.ts";
 
-const PARTITIONS = 8;
+/** Number of partitions, of which the services use all but one. */
+const LAYOUTS = [
+  { kind: "a partition for each service", partitions: 8 },
+  { kind: "a partition that the services share", partitions: 2 },
+];
 const TIMEOUT_MS = 2_000;
 
 /** Timeout of a wait, far beyond the time that it usually takes. */
@@ -58,7 +64,7 @@
   }
 }
 
-describe("a queue that a configuration sends to another service", () => {
+describe.each(LAYOUTS)("a queue sent elsewhere, $kind", ({ partitions }) => {
   let store: MemoryStore;
   let executors: MemoryExecutors;
   let reports: Map<string, ExecutorReport>;
@@ -69,7 +75,7 @@
   let orders: MemoryExecutor;
 
   beforeEach(async () => {
-    store = createMemoryStore({ partitions: PARTITIONS });
+    store = createMemoryStore({ partitions });
     executors = createMemoryExecutors();
     reports = new Map();
     members = [];
@@ -122,7 +128,7 @@
       },
       adviceClient: undefined,
       events: { log: () => undefined },
-      partitionCount: PARTITIONS,
+      partitionCount: partitions,
       maxLeaseMs: 6_000,
       endedJobRetentionMs: 120_000,
       followPlatform(onChange) {
@@ -196,6 +202,27 @@
     expect(quoting.running.size).toBe(2);
   }, 2 * WAIT_TIMEOUT_MS);
 
+  // Guards against a job that goes on at the other service under the next
+  // owner, which reads its newest record.
+  test(
+    "keeps the service of a job whose submission is repeated",
+    async () => {
+      const queue = await runAndReroute();
+      for (const member of members) await accept(member, JOB_ID, queue);
+      const services = Array.from(
+        { length: partitions },
+        (_, partition) =>
+          store.readNewestValues({ topic: JOBS_TOPIC, partition }).get(
+            JOB_ID,
+          ),
+      )
+        .filter((value) => value !== undefined)
+        .map((value) => decodeAccepted(value)?.service);
+      expect(services).toEqual(["quoting"]);
+    },
+    2 * WAIT_TIMEOUT_MS,
+  );
+
   // Guards against tasks that run on after their job was cancelled (UNASKED):
   // the cancellation was stored among those of the other service only.
   test("cancels a job that was accepted before", async () => {
--- a/packages/jobs/run/stragglers.ts
+++ b/packages/jobs/run/stragglers.ts
@@ -7,7 +7,7 @@
 
 import { avoidExecutor } from "../avoid_executor.ts";
 import type { Run, TaskGroup } from "../job.ts";
-import { maySuspendAnother } from "../ended/record_run_end.ts";
+import { maySuspend } from "../ended/record_run_end.ts";
 import { type OwnerState, stopRun } from "../owned/owner_state.ts";
 import { findFreePlaces, type FreePlaces } from "../placed/free_places.ts";
 import type { ExecutorState } from "../executor_state.ts";
@@ -127,7 +127,7 @@
 
 function suspendExecutor(owner: OwnerState, executor: ExecutorState): void {
   const nowMs = performance.now();
-  if (executor.suspendedUntilMs > nowMs || !maySuspendAnother(owner)) return;
+  if (executor.suspendedUntilMs > nowMs || !maySuspend(owner, executor)) return;
   executor.suspendedUntilMs = nowMs + SUSPENSION_MS;
   owner.options.events.log("executorSlow", {
     executor: executor.id,
--- a/packages/jobs/submission.ts
+++ b/packages/jobs/submission.ts
@@ -95,6 +95,10 @@
    * configuration. Records of earlier versions have none.
    */
   policy: QueuePolicy.optional(),
+  /**
+   * Service whose executors run the job, also after a configuration has sent
+   * its queue to another one.
+   */
   service: z.string(),
   acceptedAtMs: z.number(),
   submission: Submission,
