--- a/packages/jobs/owned/layout.ts
+++ b/packages/jobs/owned/layout.ts
@@ -29,7 +29,8 @@
 
 /**
  * Assigns a partition to each service that has none yet. They are evenly
- * spaced, so that an even assignment mostly gives them to different members.
+ * spaced, so that an even assignment mostly gives them to different members,
+ * and evenly shared where there are more services than partitions.
  * The last partition stands for the machines and belongs to no service.
  *
  * A service is not divided: its owner has to see all of its executors, since a
@@ -52,29 +53,31 @@
   },
 ): Layout {
   const usableCount = Math.max(1, partitionCount - 1);
-  const used = new Set([...layout.values()].flat());
+  const assigned = [...layout.values()].flat();
+  const serviceCounts = Array.from(
+    { length: usableCount },
+    (_, partition) => assigned.filter((it) => it === partition).length,
+  );
   const added = services.filter((name) => !layout.has(name)).sort();
   const planned = new Map(layout);
   added.forEach((name, rank) => {
     const first = Math.floor(rank * usableCount / added.length);
-    planned.set(name, [takeNextFree(first, { used, usableCount })]);
+    planned.set(name, [takeLeastShared(first, serviceCounts)]);
   });
   return planned;
 }
 
-/** Takes the first unused partition at or after a number, with wrap-around. */
-function takeNextFree(
-  first: number,
-  { used, usableCount }: { used: Set<number>; usableCount: number },
-): number {
-  for (let step = 0; step < usableCount; step++) {
-    const candidate = (first + step) % usableCount;
-    if (used.has(candidate)) continue;
-    used.add(candidate);
-    return candidate;
-  }
-  // With more services than partitions, services share partitions.
-  return first % usableCount;
+/**
+ * Takes the partition with the fewest services, the next one at or after a
+ * number with wrap-around. With more services than partitions, services share
+ * partitions.
+ */
+function takeLeastShared(first: number, serviceCounts: number[]): number {
+  const fewest = Math.min(...serviceCounts);
+  const next = serviceCounts.indexOf(fewest, first);
+  const partition = next === -1 ? serviceCounts.indexOf(fewest) : next;
+  serviceCounts[partition]!++;
+  return partition;
 }
 
 /** Returns the partitions of all services, each once. */
