--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { ageOf, type ClockReading, readClocks } from "../_clock_reading.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { Store } from "../ports.ts";
 import { JOBS_TOPIC, OWNERS_GROUP } from "../topics.ts";
@@ -73,22 +74,6 @@
   candidacy: Candidacy;
 };
 
-/** Reading of both clocks of this machine at one moment. */
-type ClockReading = { monotonicMs: number; unixMs: number };
-
-function readClocks(): ClockReading {
-  return { monotonicMs: performance.now(), unixMs: Date.now() };
-}
-
-/**
- * Returns the time since a reading, in milliseconds. The monotonic clock does
- * not count the time for which the machine was suspended, and the time of day
- * may be set back, so that the clock that shows more time counts.
- */
-function ageOf({ monotonicMs, unixMs }: ClockReading): number {
-  return Math.max(performance.now() - monotonicMs, Date.now() - unixMs);
-}
-
 /**
  * Joins the group of owners and renews the membership. The store assigns the
  * partitions. The generation of the group at which a partition is assigned is
