--- a/packages/measure/soak/fault_plan.ts
+++ b/packages/measure/soak/fault_plan.ts
@@ -153,7 +153,8 @@
   world.addExecutor();
 }
 
-async function killOwner(world: SoakWorld): Promise<void> {
+/** An owner ends without a handover. */
+export async function killOwner(world: SoakWorld): Promise<void> {
   const { owners } = world;
   const { current } = owners;
   if (current === undefined) return;
@@ -165,7 +166,8 @@
   owners.start();
 }
 
-async function handOver(world: SoakWorld): Promise<void> {
+/** An owner ends after it has stored its handover. */
+export async function handOver(world: SoakWorld): Promise<void> {
   const { owners } = world;
   const { current } = owners;
   if (current === undefined) return;
--- a/packages/measure/soak/lease_faults.ts
+++ b/packages/measure/soak/lease_faults.ts
@@ -20,7 +20,7 @@
   showProcess,
   stopProcess,
 } from "./executor_hosts.ts";
-import { SOAK_FAULTS } from "./fault_plan.ts";
+import { handOver, killOwner, SOAK_FAULTS } from "./fault_plan.ts";
 import type { SoakWorld } from "./soak_world.ts";
 
 /** Size of tasks of which each executor takes many. */
@@ -62,9 +62,15 @@
   if (host.process === process && host.isUp) showProcess(host);
 }
 
+/** Ends the owner in some cases, with a handover or without one. */
+async function mayEndOwner(world: SoakWorld): Promise<void> {
+  const fault = pick(world, [undefined, undefined, killOwner, handOver]);
+  await fault?.(world);
+}
+
 /**
  * An executor starts again at once, the list lags behind, and the new process
- * is cut off before its first calls or after them.
+ * is cut off before its first calls or after them. Its owner may end as well.
  */
 async function restartAndCutOff(
   world: SoakWorld,
@@ -83,8 +89,13 @@
   const shown = showLater(host, lagMs);
   const { process } = host;
   await sleep(soundMs);
+  const hasOwnerEnded = mayEndOwner(world);
+  if (world.random() < 0.5) {
+    world.accept(drawSpreadStep(world));
+    await sleep(world.between(20, 1_500));
+  }
   if (host.process === process && host.isUp) await cutOff(world, host);
-  await shown;
+  await Promise.all([shown, hasOwnerEnded]);
 }
 
 /** An idle executor restarts, so that no call shows it. */
@@ -99,7 +110,7 @@
   const host = pickHost(world);
   if (host === undefined) return;
   const fault = {
-    kind: pick(world, KINDS),
+    kind: pick(world, [...KINDS, "longPoll", "shortPoll"] as const),
     fate: "late" as const,
     probability: pick(world, [0.5, 1]),
     maxDelayMs: 12,
