--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -32,6 +32,14 @@
 /** Partition of the jobs that the owners of a fixture own. */
 export const JOBS = { topic: JOBS_TOPIC, partition: PARTITION };
 
+/** Leases of the executors of a fixture. */
+export type Leases = {
+  /** Duration of the leases that owners request. */
+  leaseMs: number;
+  /** Longest lease that executors grant. */
+  maxLeaseMs: number;
+};
+
 /** Platform in memory, with owners of one partition. */
 export type OwnerFixture = {
   store: MemoryStore;
@@ -74,12 +82,13 @@
  */
 export function setUpOwners(
   onCreated: (fixture: OwnerFixture) => void,
+  leases?: Leases,
 ): void {
   let fixture: OwnerFixture;
 
   beforeEach(() => {
     jest.useFakeTimers();
-    fixture = createOwnerFixture();
+    fixture = createOwnerFixture(leases);
     onCreated(fixture);
   });
 
@@ -90,11 +99,13 @@
 }
 
 /** Creates a platform in memory, for a test that uses fake timers. */
-export function createOwnerFixture(): OwnerFixture {
+export function createOwnerFixture(
+  { leaseMs, maxLeaseMs }: Leases = { leaseMs: 4_500, maxLeaseMs: 6_000 },
+): OwnerFixture {
   const owners: PartitionOwner[] = [];
   const fixture: OwnerFixture = {
     store: createMemoryStore({ partitions: 8 }),
-    executors: createMemoryExecutors(),
+    executors: createMemoryExecutors({ maxLeaseMs }),
     adviceClient: undefined,
     reports: new Map(),
     configuration: createConfiguration(),
@@ -125,8 +136,8 @@
           executorsReadAtMs: () => timeOf(fixture.executorsReadAtMs),
         },
         listMachines: () => Promise.resolve(fixture.machines),
-        leaseMs: 4_500,
-        maxLeaseMs: 6_000,
+        leaseMs,
+        maxLeaseMs,
         confirmedAtMs: () => timeOf(fixture.confirmedAtMs),
         endedJobRetentionMs: 120_000,
         events: {
--- /dev/null
+++ b/packages/jobs/run/long_leases_test.ts
@@ -0,0 +1,127 @@
+import type {
+  MemoryExecutor,
+  MemoryExecutorOptions,
+} from "@lagoonloom/standins";
+import { describe, expect, test } from "@jest/globals";
+import {
+  advanceTime,
+  createReport,
+  createStep,
+  JOB_ID,
+  type OwnerFixture,
+  setUpOwners,
+} from "../_fixtures.ts";
+
+/** Task that must not run twice. */
+const TASK = `${JOB_ID}.0.0.0`;
+
+/** Leases of a site whose executors grant more than owners request. */
+const LEASES = { leaseMs: 4_000, maxLeaseMs: 10_000 };
+
+/** Time for which the first process of an executor runs. */
+const FIRST_LIFE_MS = 20_000;
+
+/** Longest time until a task of a lost executor runs elsewhere. */
+const MAX_WAIT_MS = 30_000;
+
+const STEP_MS = 20;
+
+describe("an executor whose lease is longer than its owner requested", () => {
+  let fixture: OwnerFixture;
+  setUpOwners((created) => fixture = created, LEASES);
+
+  /** Starts a process of `e1`, whose clock starts anew. */
+  function startProcess(
+    startedAtMs: number,
+    options?: MemoryExecutorOptions,
+  ): MemoryExecutor {
+    const report = createReport("e1", { startedAtMs });
+    return fixture.executors.add(report, {
+      ...options,
+      clock: { clockRate: 1, clockOffsetMs: -performance.now() },
+    });
+  }
+
+  /** Starts an owner of `e1`, and of `e2`, which takes what `e1` does not. */
+  async function startOwner() {
+    const first = startProcess(1);
+    fixture.reports.set("e1", first.report);
+    const other = fixture.addExecutor("e2", {
+      capacity: { cpu: 20_000, memoryMb: 32_768, accelerators: 0 },
+    });
+    const owner = await fixture.startOwner(1);
+    await advanceTime(FIRST_LIFE_MS);
+    return { owner, first, other };
+  }
+
+  /** Restarts `e1`, which the platform's list does not show yet. */
+  function restart(options?: MemoryExecutorOptions): MemoryExecutor {
+    return startProcess(2, options);
+  }
+
+  /** Has the platform's list show the second process of `e1`. */
+  function showRestart(): void {
+    fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
+  }
+
+  function acceptLastingTask(): void {
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+  }
+
+  /**
+   * Lets `e1` restart while it is idle and then start the task by the clock of
+   * its first process, before the platform's list shows the restart.
+   */
+  async function startUnnoticed() {
+    const { owner, other } = await startOwner();
+    const restarted = restart();
+    acceptLastingTask();
+    await advanceTime(50);
+    return { owner, other, restarted };
+  }
+
+  /** Returns how much longer the lease of a process lasts. */
+  function leaseLeftMs(process: MemoryExecutor): number {
+    return process.leaseExpiryMs - process.clockMs();
+  }
+
+  /**
+   * Waits until the task of a process that is cut off starts elsewhere, and
+   * checks that its lease has expired by then.
+   */
+  async function expectStartAfterLease(
+    lost: MemoryExecutor,
+    other: MemoryExecutor,
+  ): Promise<void> {
+    expect([...lost.running.keys()]).toEqual([TASK]);
+    const hasStarted = () => other.starts.some(({ task }) => task === TASK);
+    const endMs = performance.now() + MAX_WAIT_MS;
+    while (!hasStarted() && performance.now() < endMs) {
+      await advanceTime(STEP_MS);
+    }
+    expect(hasStarted()).toBe(true);
+    expect(leaseLeftMs(lost)).toBeLessThanOrEqual(0);
+  }
+
+  // Guards against two runs of a task that the next owner adopted: it held the
+  // lease for one that it could have requested, whatever the handover said
+  // (TWICE).
+  test("keeps a run that was handed over", async () => {
+    const { owner, other, restarted } = await startUnnoticed();
+    await Promise.all([owner.release(500), advanceTime(500)]);
+    showRestart();
+    await fixture.startOwner(2);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
+
+  // Guards against the same after an owner that left no handover (TWICE).
+  test("keeps a run whose owner was killed", async () => {
+    const { owner, other, restarted } = await startUnnoticed();
+    owner.close();
+    showRestart();
+    await fixture.startOwner(2);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
+});
