--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -124,4 +124,14 @@
     restarted.fault = "unreachable";
     await expectStartAfterLease(restarted, other);
   });
+
+  // Guards against two runs of a task on an executor that never answered the
+  // next owner, which waited for leases that it could have requested (TWICE).
+  test("keeps a run that the next owner never heard of", async () => {
+    const { owner, other, restarted } = await startUnnoticed();
+    owner.close();
+    restarted.fault = "unreachable";
+    await fixture.startOwner(2);
+    await expectStartAfterLease(restarted, other);
+  });
 });
