--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -12,6 +12,8 @@
   setUpOwners,
 } from "../_fixtures.ts";
 
+const EARLIER_JOB_ID = "00000000000000b2";
+
 /** Task that must not run twice. */
 const TASK = `${JOB_ID}.0.0.0`;
 
@@ -68,6 +70,12 @@
     fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
   }
 
+  /** Ends the task of the earlier job wherever it runs. */
+  function endEarlierTask(...executors: MemoryExecutor[]): void {
+    const task = `${EARLIER_JOB_ID}.0.0.0`;
+    for (const executor of executors) executor.end(task, "done");
+  }
+
   /**
    * Lets `e1` restart while it is idle and then start the task by the clock of
    * its first process, before the platform's list shows the restart.
@@ -134,4 +142,21 @@
     await fixture.startOwner(2);
     await expectStartAfterLease(restarted, other);
   });
+
+  // Guards against two runs of a task that the next owner starts on a process
+  // to which the owner before gave a long lease: it knew of none (TWICE).
+  test("keeps a run beside one of an earlier owner", async () => {
+    const { owner, other } = await startOwner();
+    const restarted = restart();
+    fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    owner.close();
+    showRestart();
+    await fixture.startOwner(2);
+    endEarlierTask(restarted);
+    acceptLastingTask();
+    await advanceTime(500);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
 });
