--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -159,4 +159,19 @@
     restarted.fault = "unreachable";
     await expectStartAfterLease(restarted, other);
   });
+
+  // Guards against two runs of a task on an executor that was idle for so long
+  // that the clock of its next process had passed the last known time, and that
+  // left the list before that showed the restart (TWICE).
+  test("keeps a run if its clock has passed the last known time", async () => {
+    const { owner, other } = await startOwner();
+    const restarted = restart();
+    await advanceTime(1_000);
+    acceptLastingTask();
+    await advanceTime(50);
+    restarted.fault = "unreachable";
+    fixture.reports.delete("e1");
+    owner.refresh();
+    await expectStartAfterLease(restarted, other);
+  });
 });
