--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -174,4 +174,20 @@
     owner.refresh();
     await expectStartAfterLease(restarted, other);
   });
+
+  // Guards against two runs of a task on a process that had refused a start by
+  // the clock of its predecessor, which prolonged its lease (TWICE).
+  test("keeps a run after a start that was refused for room", async () => {
+    const { owner, other } = await startOwner();
+    const restarted = restart({ hasCapacityFor: (task) => task === TASK });
+    fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    endEarlierTask(other);
+    showRestart();
+    owner.refresh();
+    acceptLastingTask();
+    await advanceTime(500);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
 });
