--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -190,4 +190,79 @@
     restarted.fault = "unreachable";
     await expectStartAfterLease(restarted, other);
   });
+
+  /**
+   * Lets the first process of `e1` run a task and leave polls unanswered that
+   * renew its lease. Returns a function that carries one of them out late.
+   */
+  async function holdPolls() {
+    const { poll } = fixture.executors;
+    const held: (() => unknown)[] = [];
+    fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    fixture.executors.poll = (target, request) => {
+      if (target.id !== "e1") return poll(target, request);
+      if (request.leaseExpiryMs !== undefined) {
+        held.push(() => poll(target, request));
+      }
+      return Promise.resolve({ type: "unknown", reason: "no answer" });
+    };
+    await advanceTime(1_500);
+    fixture.executors.poll = poll;
+    expect(held.length).toBeGreaterThan(0);
+    return () => void held[0]!();
+  }
+
+  // Guards against two runs of a task on a process that carries out a poll of
+  // before its start, by the clock of its predecessor (TWICE).
+  test("keeps a run beside a late poll of before its restart", async () => {
+    const { owner, other } = await startOwner();
+    const carryOutLate = await holdPolls();
+    const restarted = restart();
+    showRestart();
+    owner.refresh();
+    await advanceTime(500);
+    endEarlierTask(restarted, other);
+    acceptLastingTask();
+    await advanceTime(500);
+    carryOutLate();
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
+
+  /**
+   * Lets the next start on `e1` get no answer. Returns a function that carries
+   * it out late.
+   */
+  function holdStart() {
+    const { start } = fixture.executors;
+    let held: () => unknown = () => undefined;
+    fixture.executors.start = (target, request) => {
+      if (target.id !== "e1") return start(target, request);
+      held = () => start(target, request);
+      fixture.executors.start = start;
+      return Promise.resolve({ type: "unknown", reason: "no answer" });
+    };
+    return () => void held();
+  }
+
+  // Guards against the same for a start that the process refuses, since it was
+  // told to stop that run: a refusal prolongs the lease as well (TWICE).
+  test("keeps a run beside a late start that is refused", async () => {
+    const { owner, other } = await startOwner();
+    const carryOutLate = holdStart();
+    fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    const restarted = restart();
+    showRestart();
+    owner.refresh();
+    await advanceTime(500);
+    endEarlierTask(other);
+    acceptLastingTask();
+    await advanceTime(500);
+    carryOutLate();
+    expect([...restarted.running.keys()]).toEqual([TASK]);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
 });
