--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -265,4 +265,22 @@
     restarted.fault = "unreachable";
     await expectStartAfterLease(restarted, other);
   });
+
+  // Guards against the same for a poll of the owner before, which the process
+  // carries out before it hears from the next owner (TWICE).
+  test("keeps a run beside a late poll of an earlier owner", async () => {
+    const { owner, other } = await startOwner();
+    const carryOutLate = await holdPolls();
+    owner.close();
+    const restarted = restart();
+    showRestart();
+    carryOutLate();
+    await fixture.startOwner(2);
+    await advanceTime(500);
+    endEarlierTask(restarted, other);
+    acceptLastingTask();
+    await advanceTime(500);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
 });
