--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -283,4 +283,24 @@
     restarted.fault = "unreachable";
     await expectStartAfterLease(restarted, other);
   });
+
+  // Guards against the same while the owner waits until the longest lease since
+  // the restart has expired, which a later call prolongs (TWICE).
+  test("keeps a run beside a late start during its wait", async () => {
+    const { other } = await startOwner();
+    const carryOutLate = holdStart();
+    fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    endEarlierTask(other);
+    const restarted = restart({ hasCapacityFor: (task) => task === TASK });
+    acceptLastingTask();
+    await advanceTime(50);
+    restarted.fault = "unreachable";
+    await advanceTime(5_000);
+    restarted.fault = undefined;
+    carryOutLate();
+    restarted.fault = "unreachable";
+    expect([...restarted.running.keys()]).toEqual([TASK]);
+    await expectStartAfterLease(restarted, other);
+  });
 });
