--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -303,4 +303,25 @@
     expect([...restarted.running.keys()]).toEqual([TASK]);
     await expectStartAfterLease(restarted, other);
   });
+
+  // Guards against the same for a poll of the owner before, while the next one
+  // waits for the process, which it can't reach (TWICE).
+  test("keeps a run beside a late poll during a takeover", async () => {
+    const { owner, first, other } = await startOwner();
+    const carryOutLate = await holdPolls();
+    await advanceTime(500);
+    endEarlierTask(first);
+    await advanceTime(500);
+    const restarted = restart();
+    acceptLastingTask();
+    await advanceTime(50);
+    owner.close();
+    restarted.fault = "unreachable";
+    await fixture.startOwner(2);
+    await advanceTime(5_000);
+    restarted.fault = undefined;
+    carryOutLate();
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
 });
