--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -87,15 +87,32 @@
  */
 export function confirmExecutor(owner: OwnerState, id: string): void {
   if (!owner.unconfirmedExecutors.delete(id)) return;
-  for (const { task } of owner.inheritedRuns?.get(id) ?? []) {
+  const confirmed = owner.inheritedRuns?.get(id) ?? [];
+  owner.inheritedRuns?.delete(id);
+  for (const { task } of confirmed) {
     const blocked = findTask(owner.jobs, task);
-    if (blocked !== undefined) blocked.blockedUntilMs = 0;
+    if (blocked !== undefined) {
+      blocked.blockedUntilMs = inheritedEndMs(owner, task);
+    }
   }
-  owner.inheritedRuns?.delete(id);
   unblockTasks(owner);
   owner.schedulePlacement();
 }
 
+/**
+ * Returns the monotonic time until which inherited runs of a task may go on at
+ * executors that are not confirmed; 0 if there are none.
+ */
+function inheritedEndMs(owner: OwnerState, task: string): number {
+  let endsMs = 0;
+  for (const [executor, runs] of owner.inheritedRuns ?? []) {
+    if (!runs.some((run) => run.task === task)) continue;
+    const untilMs = owner.unconfirmedExecutors.get(executor) ?? 0;
+    endsMs = Math.max(endsMs, untilMs);
+  }
+  return endsMs;
+}
+
 /**
  * Ends the takeover once all executors are confirmed: no run of an earlier
  * owner can be unknown any more, so that no task has to wait.
