--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -216,6 +216,17 @@
   suspendedUntilMs: number;
 };
 
+/** Executor that has ended with all that ran there. */
+export type EndedExecutor = {
+  /** Monotonic time at which that was known. */
+  endedAtMs: number;
+  /**
+   * Unix time at which its last known process started, in milliseconds;
+   * undefined if no list has shown one.
+   */
+  startedAtMs: number | undefined;
+};
+
 /** Call without an answer that was to grant a lease. */
 export type OpenGrant = {
   /** Monotonic time of the call. */
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -8,7 +8,12 @@
 import type { ProgressLog } from "../ended/progress_log.ts";
 import type { Configuration, ExecutorReport, Machine } from "../fleet.ts";
 import type { JobsById, Run } from "../job.ts";
-import type { LateGrant, LateStart, UsedExecutor } from "../model.ts";
+import type {
+  EndedExecutor,
+  LateGrant,
+  LateStart,
+  UsedExecutor,
+} from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
@@ -83,11 +88,8 @@
    * of the previous owner says; undefined if there may be others.
    */
   inheritedRuns: Map<string, HandoverRun[]> | undefined;
-  /**
-   * Monotonic times at which executors ended that the platform's list may still
-   * show.
-   */
-  endedExecutors: Map<string, number>;
+  /** Executors that ended and that the platform's list may still show. */
+  endedExecutors: Map<string, EndedExecutor>;
   /** Grants that the next process of an executor may carry out, by its id. */
   lateGrants: Map<string, LateGrant>;
   /** Starts that the next process of an executor may carry out, by its id. */
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -187,11 +187,18 @@
 /** Time for which the end of an executor is remembered at least. */
 const ENDED_MEMORY_MS = 60_000;
 
-/** Returns whether an executor ended because its machine was taken away. */
-function hasExecutorEnded(owner: OwnerState, { id }: ExecutorReport): boolean {
-  const sinceMs = owner.endedExecutors.get(id);
-  if (sinceMs === undefined) return false;
-  if (performance.now() - sinceMs < ENDED_LISTING_MS) return true;
+/**
+ * Returns whether the list shows an executor that has ended. Another process
+ * under its id has to be polled soon, so that it refuses late calls.
+ */
+function hasExecutorEnded(
+  owner: OwnerState,
+  { id, startedAtMs }: ExecutorReport,
+): boolean {
+  const ended = owner.endedExecutors.get(id);
+  if (ended === undefined) return false;
+  const isOver = performance.now() - ended.endedAtMs >= ENDED_LISTING_MS;
+  if (!isOver && startedAtMs === ended.startedAtMs) return true;
   owner.endedExecutors.delete(id);
   return false;
 }
@@ -200,11 +207,13 @@
 export function markExecutorEnded(owner: OwnerState, id: string): void {
   confirmExecutor(owner, id);
   const nowMs = performance.now();
-  for (const [other, sinceMs] of owner.endedExecutors) {
-    if (nowMs - sinceMs > ENDED_MEMORY_MS) owner.endedExecutors.delete(other);
+  for (const [other, { endedAtMs }] of owner.endedExecutors) {
+    if (nowMs - endedAtMs > ENDED_MEMORY_MS) owner.endedExecutors.delete(other);
   }
-  owner.endedExecutors.set(id, nowMs);
   const executor = owner.executors.get(id);
+  const { startedAtMs } = executor?.report ??
+    owner.options.view.executors().get(id) ?? {};
+  owner.endedExecutors.set(id, { endedAtMs: nowMs, startedAtMs });
   if (executor === undefined) {
     forgetUsedExecutors(owner, [id]);
     return;
