--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -161,6 +161,8 @@
     return;
   }
   if (report !== undefined) {
+    // The entry of an earlier process may be written late.
+    if (executor.earlierStartsMs.has(report.startedAtMs)) return;
     if (belongsToPartition(owner, report)) {
       // Only an answer shows what earlier owners ran on the new process.
       replaceExecutor(owner, executor, report);
@@ -255,6 +257,10 @@
   recordRestart(executor, longestLeaseMs(owner.options.maxLeaseMs));
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
+  next.earlierStartsMs = new Set([
+    ...executor.earlierStartsMs,
+    executor.report.startedAtMs,
+  ]);
   const unlisted = [...executor.runs].filter((run) => !isListed(run));
   // The new process may have answered a call that granted the longest lease.
   next.leaseEndsMs = executor.leaseEndsMs;
