--- a/packages/jobs/owned/_member_link.ts
+++ b/packages/jobs/owned/_member_link.ts
@@ -22,6 +22,8 @@
 /** Link of a member, on which a test decides what happens to each call. */
 export type LinkOptions = {
   process: Process;
+  /** Whether nothing passes to or from an executor, or the store, now. */
+  isCut(target: string): boolean;
   /** Draws the fault of a call to an executor, or to the store. */
   drawFault(target: string): CallFault;
   /** Called after each call that has reached its target. */
@@ -38,7 +40,7 @@
 
 /** Makes calls of a member, each with the fault that the test draws. */
 async function pass<Outcome>(
-  { process, drawFault, onCarriedOut }: LinkOptions,
+  { process, isCut, drawFault, onCarriedOut }: LinkOptions,
   { target, timeoutMs, lost, call }: {
     target: string;
     timeoutMs: number;
@@ -50,10 +52,10 @@
     new Promise<Outcome>((resolve) => {
       const fault = drawFault(target);
       const timer = setTimeout(() => resolve(lost), timeoutMs);
-      if (fault.isLost === true) return;
+      if (fault.isLost === true || isCut(target)) return;
       const answer = (outcome: Outcome) => {
         // A cut that has begun meanwhile takes the answer as well.
-        if (drawFault(target).isLost === true) return;
+        if (isCut(target)) return;
         setTimeout(() => {
           clearTimeout(timer);
           resolve(outcome);
--- a/packages/jobs/owned/_members_world.ts
+++ b/packages/jobs/owned/_members_world.ts
@@ -48,6 +48,8 @@
 /** Interval at which executors are observed. */
 const TICK_MS = 20;
 
+const SOUND_CALL: CallFault = { beforeMs: 2, afterMs: 2 };
+
 /** Share by which the clock of an executor may be slow. */
 export const MAX_CLOCK_LAG = 0.02;
 
@@ -82,8 +84,10 @@
 
 /** Options of {@linkcode createMembersWorld}. */
 export type MembersWorldOptions = {
-  /** Draws the fault of a member's call to an executor, or to the store. */
-  drawFault(address: string, target: string): CallFault;
+  /** Whether a member is cut off from an executor, or from the store, now. */
+  isCut(address: string, target: string): boolean;
+  /** Draws the fault of a member's call; by default, there is none. */
+  drawFault?(address: string, target: string): CallFault;
   /** Called at each tick, before the executors are observed. */
   onTick?(world: MembersWorld): void;
 };
@@ -150,7 +154,9 @@
     let storeAnsweredAtMs = performance.now();
     const link = {
       process,
-      drawFault: (target: string) => options.drawFault(address, target),
+      isCut: (target: string) => options.isCut(address, target),
+      drawFault: (target: string) =>
+        options.drawFault?.(address, target) ?? SOUND_CALL,
       onCarriedOut(target: string) {
         if (target !== STORE) world.observer.check();
       },
--- a/packages/jobs/owned/owner_in_between_test.ts
+++ b/packages/jobs/owned/owner_in_between_test.ts
@@ -10,9 +10,6 @@
 import { createMembersWorld, type MembersWorld } from "./_members_world.ts";
 import { STORE } from "./_member_link.ts";
 
-const WORKING = { beforeMs: 2, afterMs: 2 };
-const LOST = { isLost: true, ...WORKING };
-
 describe("an owner in between", () => {
   let world: MembersWorld;
   /** Links without any effect, as `member target`. */
@@ -22,8 +19,7 @@
     jest.useFakeTimers();
     cut = new Set();
     world = createMembersWorld({
-      drawFault: (address, target) =>
-        cut.has(`${address} ${target}`) ? LOST : WORKING,
+      isCut: (address, target) => cut.has(`${address} ${target}`),
     });
   });
 
