--- a/packages/jobs/owned/successive_handovers_test.ts
+++ b/packages/jobs/owned/successive_handovers_test.ts
@@ -55,4 +55,33 @@
     await advanceTime(3_000);
     expect([...e3.running.keys()]).toContain(TASK);
   });
+
+  // Guards against an owner that hands on the end of its general wait instead
+  // of that for a silent executor, whose lease lasts longer.
+  test("hand on how long the lease of a silent executor lasts", async () => {
+    const step = createStep({ count: 1, isLasting: true });
+    fixture.addExecutor("e0").fault = "unreachable";
+    const e1 = fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    await advanceTime(7_000);
+    fixture.accept(JOB_ID, [step]);
+    await advanceTime(1_000);
+    expect([...e1.running.keys()]).toEqual([TASK]);
+    await release(first);
+
+    e1.fault = "unreachable";
+    const second = await fixture.startOwner(2);
+    await advanceTime(1_500);
+    await release(second);
+    expect(leaseMs(e1)).toBeGreaterThan(1_000);
+
+    const e2 = fixture.addExecutor("e2");
+    await fixture.startOwner(3);
+    while (leaseMs(e1) > 0) {
+      expect([...e2.running.keys()]).not.toContain(TASK);
+      await advanceTime(10);
+    }
+    await advanceTime(3_000);
+    expect([...e2.running.keys()]).toContain(TASK);
+  });
 });
