--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -59,11 +59,29 @@
   return job.endedAtMs !== undefined;
 }
 
-/** Returns whether a task needs a run and does not have to wait. */
-export function isPlaceable(task: Task, monotonicMs: number): boolean {
+/** Times at which it is decided whether a task may start. */
+export type PlacementTimes = {
+  /** Current monotonic time in milliseconds. */
+  monotonicMs: number;
+  /**
+   * Monotonic time up to which the ownership is confirmed; the current one if
+   * undefined.
+   */
+  confirmedMs?: number | undefined;
+};
+
+/**
+ * Returns whether a task needs a run and does not have to wait. The lease of an
+ * earlier run counts only as far as no other owner may have renewed it.
+ */
+export function isPlaceable(
+  task: Task,
+  { monotonicMs, confirmedMs = monotonicMs }: PlacementTimes,
+): boolean {
   const { blockedUntilMs, heldUntilMs, backoffUntilMs } = task;
-  const waitsUntilMs = Math.max(blockedUntilMs, heldUntilMs, backoffUntilMs);
-  return !task.isDone && task.runs.length === 0 && waitsUntilMs <= monotonicMs;
+  return !task.isDone && task.runs.length === 0 &&
+    blockedUntilMs <= confirmedMs &&
+    Math.max(heldUntilMs, backoffUntilMs) <= monotonicMs;
 }
 
 /** Returns whether the runs of a task are all being stopped. */
--- a/packages/jobs/machines/partition_report.ts
+++ b/packages/jobs/machines/partition_report.ts
@@ -82,7 +82,7 @@
         if (task.runs.length > 0) {
           if (isLasting) entry.lastingCpu += size.cpu;
           else entry.runningCpu += size.cpu;
-        } else if (isReady && isPlaceable(task, nowMs)) {
+        } else if (isReady && isPlaceable(task, { monotonicMs: nowMs })) {
           entry.waitingCpu += size.cpu;
           const waitedMs = nowMs - task.waitingSinceMs;
           entry.waitedMs = Math.max(entry.waitedMs, Math.round(waitedMs));
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -386,7 +386,7 @@
     session.expireRuns(confirmedMs);
   }
   for (const [id, endsMs] of owner.unconfirmedExecutors) {
-    if (nowMs < endsMs) continue;
+    if (confirmedMs < endsMs) continue;
     const { partition, events } = owner.options;
     events.log("executorWaitOver", { executor: id, partition });
     confirmExecutor(owner, id);
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -5,7 +5,13 @@
  */
 
 import { isWithin, occupiedBy } from "../executor_state.ts";
-import { dueTimeOf, isPlaceable, type Job, type TaskGroup } from "../job.ts";
+import {
+  dueTimeOf,
+  isPlaceable,
+  type Job,
+  type PlacementTimes,
+  type TaskGroup,
+} from "../job.ts";
 import {
   groupsByOccurrence,
   isGroupDone,
@@ -15,9 +21,7 @@
 import { latenessOf, remainingStepsOf, remainingWork } from "./due_time.ts";
 
 /** Options of {@linkcode rankGroups}. */
-export type RankOptions = {
-  /** Current monotonic time in milliseconds. */
-  monotonicMs: number;
+export type RankOptions = PlacementTimes & {
   /** Current Unix time in milliseconds. */
   unixMs: number;
   /** Priority of a job's queue; lower numbers are served first. */
@@ -85,11 +89,12 @@
 /** Returns whether a group has tasks that could be placed now. */
 function isWaiting(
   group: TaskGroup,
-  { monotonicMs, largestFree }: RankOptions,
+  options: RankOptions,
 ): boolean {
-  return !isGroupDone(group) && isWithin(occupiedBy(group), largestFree) &&
+  return !isGroupDone(group) &&
+    isWithin(occupiedBy(group), options.largestFree) &&
     isGroupReady(group) &&
-    group.tasks.some((task) => isPlaceable(task, monotonicMs));
+    group.tasks.some((task) => isPlaceable(task, options));
 }
 
 function compareRanks(left: number[], right: number[]): number {
--- a/packages/jobs/placed/free_places.ts
+++ b/packages/jobs/placed/free_places.ts
@@ -73,5 +73,7 @@
     .flatMap(({ groups }) => groups)
     .filter((group) => group.step.isLasting && isGroupReady(group))
     .flatMap(({ tasks }) => tasks)
-    .filter((task) => isPlaceable(task, nowMs) || isBeingStopped(task));
+    .filter((task) =>
+      isPlaceable(task, { monotonicMs: nowMs }) || isBeingStopped(task)
+    );
 }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -9,6 +9,7 @@
   isBeingStopped,
   isPlaceable,
   type Job,
+  type PlacementTimes,
   type Task,
   type TaskGroup,
 } from "../job.ts";
@@ -46,10 +47,8 @@
 export type Placement = { task: Task; executor: ExecutorState; reason: string };
 
 /** Options of {@linkcode placeTasks}. */
-export type PlaceOptions = {
+export type PlaceOptions = PlacementTimes & {
   executors: readonly ExecutorState[];
-  /** Current monotonic time in milliseconds. */
-  monotonicMs: number;
   /** Current Unix time in milliseconds. */
   unixMs: number;
   /** Priority of a job's queue; lower numbers are served first. */
@@ -195,7 +194,7 @@
 
 function placeGroup(group: TaskGroup, round: PlacementRound): void {
   const waiting = group.tasks.filter((task) =>
-    isPlaceable(task, round.options.monotonicMs)
+    isPlaceable(task, round.options)
   );
   if (group.step.isGang || group.step.isSameRack) {
     placeTogether(group, { waiting, round });
@@ -229,7 +228,7 @@
     for (const task of tasks) {
       const waitedMs = options.monotonicMs - task.waitingSinceMs;
       if (waitedMs < LAST_RESORT_AFTER_MS || placed.has(task)) continue;
-      if (!isPlaceable(task, options.monotonicMs)) continue;
+      if (!isPlaceable(task, options)) continue;
       const candidate = chooseCandidate(task, lastResorts, options);
       if (candidate !== undefined) assign(candidate, { task, round });
     }
