--- a/packages/jobs/owned/handover.ts
+++ b/packages/jobs/owned/handover.ts
@@ -49,7 +49,9 @@
     }
     return { runs, unheard: [], blockedMs: 0 };
   }
-  return { runs, unheard, blockedMs: remainingMs(owner.blockedUntilMs) };
+  // Runs that an earlier handover names may last longer than unknown ones.
+  const endsMs = [owner.blockedUntilMs, ...owner.unconfirmedExecutors.values()];
+  return { runs, unheard, blockedMs: remainingMs(Math.max(...endsMs)) };
 }
 
 /**
