--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -298,14 +298,14 @@
 }
 
 function applyState(owner: OwnerState, state: LoadedPartition): void {
-  const { partition, epoch, events, view, leaseMs } = owner.options;
+  const { partition, epoch, events, view, maxLeaseMs } = owner.options;
   owner.nextOffset = state.nextOffset;
   owner.progress.restorePieces(state.pieceCounts);
   // The partition was assigned to this owner by then, so the store confirmed no
   // earlier owner later than that.
   const assignedAtMs = owner.takenOverAtMs;
   owner.blockedUntilMs = assignedAtMs + OWNERSHIP_GRACE_MS +
-    longestLeaseMs(leaseMs);
+    longestLeaseMs(maxLeaseMs);
   for (const [id, cancellation] of state.cancellations) {
     applyCancellation(owner, id, cancellation);
   }
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -14,8 +14,8 @@
 /** Time that `startOwner` waits for a new owner. */
 const TAKEOVER_MS = 50;
 
-/** Lease of the owners of the fixture. */
-const LEASE_MS = 4_500;
+/** Longest lease of the executors of the fixture. */
+const MAX_LEASE_MS = 6_000;
 
 describe("an executor that comes back to the list", () => {
   let fixture: OwnerFixture;
@@ -259,7 +259,8 @@
   test("blocks tasks until earlier leases expire if none answers", async () => {
     const { other, owner } = await takeOverWithOutdatedList();
     const sinceMs = performance.now() - TAKEOVER_MS;
-    const expiredMs = sinceMs + OWNERSHIP_GRACE_MS + longestLeaseMs(LEASE_MS);
+    const expiredMs = sinceMs + OWNERSHIP_GRACE_MS +
+      longestLeaseMs(MAX_LEASE_MS);
     await advanceTime(6_000);
     fixture.reports.set("e1", createReport("e1", { startedAtMs: 2 }));
     owner.refresh();
