--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -230,7 +230,8 @@
           const run = executor.running.get(task);
           if (run === undefined) return;
           executor.running.delete(task);
-          highestRuns.get(executor)!.set(task, run.run);
+          const runs = highestRuns.get(executor)!;
+          runs.set(task, Math.max(runs.get(task) ?? 0, run.run));
           executor.ends.push({
             sequence: ++ended,
             task,
