--- a/packages/measure/soak/soak_test.ts
+++ b/packages/measure/soak/soak_test.ts
@@ -11,12 +11,26 @@
 import { runSoak } from "./run_soak.ts";
 import { SOAK_PLANS } from "./soak_plans.ts";
 
-/** Seeds with leases that last long that run in CI. */
+/** Seeds with long leases that run in CI, with the causes of failures. */
 const LEASE_CI_SEEDS = [
   1,
   2,
   18,
   28,
+  // A run that the next owner adopted, for less than its lease.
+  81,
+  // The same, after a handover that named the short time.
+  191,
+  // A run that the next owner started beside a longer lease.
+  87,
+  // A new owner that waited for a silent executor for less than its lease.
+  257,
+  // A late poll that prolonged the lease meanwhile.
+  73,
+  // The same while an owner waited since a restart.
+  168,
+  // A late poll that prolonged the lease of a new process that answers.
+  169,
 ];
 
 /** Seeds with changing capacities that run in CI, with causes of failures. */
