--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -23,6 +23,7 @@
     newestClockMs: -Infinity,
     clockOffsetMs: undefined,
     leaseEndsMs: 0,
+    grantedUntilMs: 0,
     openGrants: new Set(),
     acknowledgedSequence: 0,
     hasMoreEnds: false,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -179,8 +179,10 @@
   newestClockMs: number;
   /** Executor clock minus monotonic time; undefined before its first answer. */
   clockOffsetMs: number | undefined;
-  /** Monotonic time after which no lease from this owner can be valid. */
+  /** Monotonic time after which no lease can be valid. */
   leaseEndsMs: number;
+  /** The same for the leases that this owner has granted to this process. */
+  grantedUntilMs: number;
   /** Calls without an answer that were to grant a lease. */
   openGrants: Set<OpenGrant>;
   /** Sequence number of the last run end that is stored. */
@@ -253,6 +255,11 @@
 
 /** Record for the next owner of an executor that may run tasks. */
 export type UsedExecutor = {
+  /**
+   * Unix time at which the only process started that may hold leases of this or
+   * earlier owners, in milliseconds; undefined if there may be several.
+   */
+  startedAtMs: number | undefined;
   isStored: boolean;
   /** Monotonic time at which it was written. */
   recordedAtMs: number;
--- /dev/null
+++ b/packages/jobs/owned/_take_over.ts
@@ -0,0 +1,171 @@
+/**
+ * Takeover of a partition by its new owner.
+ *
+ * @module
+ */
+
+import { sleep } from "../_sleep.ts";
+import {
+  addJob,
+  applyCancellation,
+  readNewRecords,
+} from "../accepted/apply_records.ts";
+import { finishIfComplete } from "../ended/finish_job.ts";
+import type { Job } from "../job.ts";
+import { startBackoff } from "../placed/crash_backoff.ts";
+import {
+  hasOneProcess,
+  restoreUsedExecutors,
+} from "../placed/used_executors.ts";
+import {
+  belongsToPartition,
+  refreshExecutors,
+  unblockTasks,
+} from "../run/follow_executors.ts";
+import { suspectStart } from "../run/lost_executors.ts";
+import { EXECUTOR_STARTS_KEY, HANDOVER_KEY } from "../topics.ts";
+import { applyHandover } from "./handover.ts";
+import { decodeHandover } from "./handover_record.ts";
+import { type LoadedPartition, loadPartition } from "./load_partition.ts";
+import {
+  ADMISSION_GRACE_MS,
+  isOwnershipConfirmed,
+  longestLeaseMs,
+  OWNERSHIP_GRACE_MS,
+  type OwnerState,
+} from "./owner_state.ts";
+
+/** Pause before the list of executors is looked at again. */
+const LIST_PAUSE_MS = 100;
+
+/**
+ * Longest time for which a read waits for the next job record. If its answer is
+ * lost, new jobs wait for it.
+ */
+const READ_WAIT_MS = 1_000;
+
+/** Pause after a failed read. */
+const RETRY_MS = 300;
+
+/**
+ * Loads the state of a partition, applies it and reads new jobs from then on,
+ * until the owner closes.
+ */
+export async function takeOver(owner: OwnerState): Promise<void> {
+  const { partition, epoch, store, events } = owner.options;
+  while (!owner.isClosed) {
+    const startedAtMs = performance.now();
+    const outcome = await loadPartition(store, { partition, epoch });
+    const tookMs = Math.round(performance.now() - startedAtMs);
+    if (owner.isClosed) return;
+    if (outcome.type === "fenced") return owner.loseOwnership("store");
+    while (!owner.isClosed && !owner.options.view.hasExecutorList()) {
+      await sleep(LIST_PAUSE_MS);
+    }
+    if (outcome.type === "loaded" && !owner.isClosed) {
+      owner.jobsKnownAtMs = startedAtMs;
+      applyState(owner, outcome.state);
+      await followJobs(owner);
+      return;
+    }
+    if (outcome.type !== "failed") return;
+    events.log("loadDelayed", { partition, reason: outcome.reason, tookMs });
+    await sleep(RETRY_MS);
+  }
+}
+
+function applyState(owner: OwnerState, state: LoadedPartition): void {
+  const { partition, epoch, events } = owner.options;
+  owner.nextOffset = state.nextOffset;
+  owner.progress.restorePieces(state.pieceCounts);
+  const { usedExecutors: ids, otherDocuments } = state;
+  const starts = otherDocuments.get(EXECUTOR_STARTS_KEY);
+  owner.usedExecutors = restoreUsedExecutors(ids, starts);
+  owner.inheritedExecutors = restoreUsedExecutors(ids, starts);
+  awaitEarlierRuns(owner);
+  for (const [id, cancellation] of state.cancellations) {
+    applyCancellation(owner, id, cancellation);
+  }
+  for (const { id, accepted, offset } of state.jobs) {
+    const progress = state.progress.get(id);
+    const job = addJob(owner, id, { accepted, offset, progress });
+    restoreSuspicions(owner, job);
+    // The earlier owner ended after it had stored the last end of a task.
+    finishIfComplete(owner, job);
+  }
+  if (state.unreadableCount === 0) deleteOrphanedProgress(owner, state);
+
+  const handover = decodeHandover(otherDocuments.get(HANDOVER_KEY));
+  if (handover !== undefined) applyHandover(owner, handover);
+  owner.isLoaded = true;
+  events.log("partitionLoaded", {
+    partition,
+    epoch,
+    jobs: state.jobs.length,
+    cancelled: state.cancellations.size,
+    nextOffset: state.nextOffset,
+    unreadable: state.unreadableCount,
+    executors: owner.unconfirmedExecutors.size,
+    hasHandover: handover !== undefined,
+    tookMs: Math.round(performance.now() - owner.takenOverAtMs),
+  });
+  refreshExecutors(owner);
+  unblockTasks(owner);
+}
+
+/**
+ * Notes until when runs of earlier owners may go on at executors that do not
+ * answer: as long as the longest lease that such an owner can have caused.
+ */
+function awaitEarlierRuns(owner: OwnerState): void {
+  const { view, leaseMs, maxLeaseMs } = owner.options;
+  // The partition was assigned to this owner by then, so the store confirmed no
+  // earlier owner later than that.
+  const lastStartMs = owner.takenOverAtMs + OWNERSHIP_GRACE_MS;
+  const reports = view.executors();
+  for (const [id, used] of owner.usedExecutors) {
+    const longestMs = hasOneProcess(used, reports.get(id))
+      ? leaseMs
+      : maxLeaseMs;
+    const endsMs = lastStartMs + longestLeaseMs(longestMs);
+    owner.unconfirmedExecutors.set(id, endsMs);
+  }
+  for (const report of reports.values()) {
+    if (owner.usedExecutors.has(report.id)) continue;
+    if (!belongsToPartition(owner, report)) continue;
+    const endsMs = lastStartMs + longestLeaseMs(leaseMs);
+    owner.unconfirmedExecutors.set(report.id, endsMs);
+  }
+  owner.blockedUntilMs = Math.max(0, ...owner.unconfirmedExecutors.values());
+}
+
+/** Restores what is known of tasks that may have crashed their executors. */
+function restoreSuspicions(owner: OwnerState, { groups }: Job): void {
+  for (const task of groups.flatMap(({ tasks }) => tasks)) {
+    startBackoff(task);
+    for (const start of task.openStarts) suspectStart(owner, task, start);
+  }
+}
+
+/**
+ * Deletes progress without a job. It remains if an owner stops after it has
+ * deleted the record of an expired job and before it has deleted its progress.
+ */
+function deleteOrphanedProgress(
+  owner: OwnerState,
+  state: LoadedPartition,
+): void {
+  for (const id of state.progress.keys()) {
+    if (!owner.jobs.has(id)) owner.progress.put(id, () => undefined);
+  }
+}
+
+async function followJobs(owner: OwnerState): Promise<void> {
+  let waitMs = READ_WAIT_MS;
+  while (!owner.isClosed && !owner.isReleasing) {
+    const isRead = isOwnershipConfirmed(owner, ADMISSION_GRACE_MS) &&
+      await readNewRecords(owner, waitMs);
+    waitMs = isRead ? READ_WAIT_MS : 0;
+    if (!isRead) await sleep(RETRY_MS);
+  }
+}
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -76,8 +76,8 @@
   failedRuns: FailedRuns;
   /** Executors on which this or earlier owners may run tasks, by id. */
   usedExecutors: Map<string, UsedExecutor>;
-  /** Executors to which earlier owners may have granted leases. */
-  inheritedExecutors: ReadonlySet<string>;
+  /** Executors to which earlier owners may have granted leases, by id. */
+  inheritedExecutors: ReadonlyMap<string, UsedExecutor>;
   /**
    * Executors that have not answered since the takeover, with the monotonic
    * time at which all runs of earlier owners there have certainly ended.
@@ -92,6 +92,8 @@
   endedExecutors: Map<string, EndedExecutor>;
   /** Grants that the next process of an executor may carry out, by its id. */
   lateGrants: Map<string, LateGrant>;
+  /** Whether the owner looks for executors that have ended. */
+  isSearchingEnded: boolean;
   /** Starts that the next process of an executor may carry out, by its id. */
   lateStarts: Map<string, LateStart[]>;
   /** Executors whose runs were lost and that may have crashed, by id. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -7,8 +7,6 @@
 import { shareCalls } from "../_share_calls.ts";
 import { sleep } from "../_sleep.ts";
 import {
-  addJob,
-  applyCancellation,
   readNewRecords,
   updateOccurrences,
 } from "../accepted/apply_records.ts";
@@ -19,42 +17,32 @@
   createProgressLog,
   type ProgressLog,
 } from "../ended/progress_log.ts";
-import { hasEnded, type Job, type JobsById, stateOf } from "../job.ts";
+import { hasEnded, type JobsById, stateOf } from "../job.ts";
 import {
   type PartitionReport,
   reportPartition,
 } from "../machines/partition_report.ts";
-import { startBackoff } from "../placed/crash_backoff.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
-import { restoreUsedExecutors } from "../placed/used_executors.ts";
 import { createWaitingLog } from "../placed/waiting_log.ts";
 import {
-  belongsToPartition,
   confirmExecutor,
   markExecutorEnded,
   refreshExecutors,
-  unblockTasks,
 } from "../run/follow_executors.ts";
 import { confirmEndedExecutors } from "../run/ended_executors.ts";
 import { drainExecutors } from "../run/drain_executors.ts";
 import { moveStragglers } from "../run/stragglers.ts";
-import { suspectStart } from "../run/lost_executors.ts";
 import type { QueryResult } from "../queries/query_result.ts";
 import type { JobState } from "../submission.ts";
-import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
+import { PROGRESS_TOPIC } from "../topics.ts";
 import type { ExecutorState } from "../executor_state.ts";
-import { applyHandover, storeHandover } from "./handover.ts";
-import { decodeHandover } from "./handover_record.ts";
-import {
-  type LoadedPartition,
-  loadPartition,
-  writerName,
-} from "./load_partition.ts";
+import { takeOver } from "./_take_over.ts";
+import { storeHandover } from "./handover.ts";
+import { writerName } from "./load_partition.ts";
 import {
   ADMISSION_GRACE_MS,
   isOwnershipConfirmed,
-  longestLeaseMs,
   mayStart,
   OWNERSHIP_GRACE_MS,
   type OwnerState,
@@ -64,21 +52,12 @@
 /** Interval of the owner's regular checks. */
 const CHECK_INTERVAL_MS = 100;
 
-/**
- * Longest time for which a read waits for the next job record. If its answer is
- * lost, new jobs wait for it.
- */
-const READ_WAIT_MS = 1_000;
-
 /**
  * Longest time to load a partition. Another member may have a faster link; on
  * one of 7 Mbit/s, 8 MB can be loaded in this time.
  */
 const MAX_LOAD_MS = 10_000;
 
-/** Pause after a failed read. */
-const RETRY_MS = 300;
-
 /**
  * Least delay of a round of placement, which collects several changes into one.
  * It is as long as the last round took, so that placement leaves time to handle
@@ -211,11 +190,12 @@
     earlyCancellations: new Map(),
     failedRuns: new Map(),
     usedExecutors: new Map(),
-    inheritedExecutors: new Set(),
+    inheritedExecutors: new Map(),
     unconfirmedExecutors: new Map(),
     inheritedRuns: undefined,
     hasStoredHandover: false,
     endedExecutors: new Map(),
+    isSearchingEnded: false,
     lateGrants: new Map(),
     lateStarts: new Map(),
     lostExecutors: new Map(),
@@ -274,109 +254,6 @@
   return new Promise((resolve) => progress.whenStored(resolve));
 }
 
-async function takeOver(owner: OwnerState): Promise<void> {
-  const { partition, epoch, store, events } = owner.options;
-  while (!owner.isClosed) {
-    const startedAtMs = performance.now();
-    const outcome = await loadPartition(store, { partition, epoch });
-    const tookMs = Math.round(performance.now() - startedAtMs);
-    if (owner.isClosed) return;
-    if (outcome.type === "fenced") return owner.loseOwnership("store");
-    while (!owner.isClosed && !owner.options.view.hasExecutorList()) {
-      await sleep(CHECK_INTERVAL_MS);
-    }
-    if (outcome.type === "loaded" && !owner.isClosed) {
-      owner.jobsKnownAtMs = startedAtMs;
-      applyState(owner, outcome.state);
-      await followJobs(owner);
-      return;
-    }
-    if (outcome.type !== "failed") return;
-    events.log("loadDelayed", { partition, reason: outcome.reason, tookMs });
-    await sleep(RETRY_MS);
-  }
-}
-
-function applyState(owner: OwnerState, state: LoadedPartition): void {
-  const { partition, epoch, events, view, maxLeaseMs } = owner.options;
-  owner.nextOffset = state.nextOffset;
-  owner.progress.restorePieces(state.pieceCounts);
-  // The partition was assigned to this owner by then, so the store confirmed no
-  // earlier owner later than that.
-  const assignedAtMs = owner.takenOverAtMs;
-  owner.blockedUntilMs = assignedAtMs + OWNERSHIP_GRACE_MS +
-    longestLeaseMs(maxLeaseMs);
-  for (const [id, cancellation] of state.cancellations) {
-    applyCancellation(owner, id, cancellation);
-  }
-  for (const { id, accepted, offset } of state.jobs) {
-    const progress = state.progress.get(id);
-    const job = addJob(owner, id, { accepted, offset, progress });
-    restoreSuspicions(owner, job);
-    // The earlier owner ended after it had stored the last end of a task.
-    finishIfComplete(owner, job);
-  }
-  if (state.unreadableCount === 0) deleteOrphanedProgress(owner, state);
-  owner.usedExecutors = restoreUsedExecutors(state.usedExecutors);
-  owner.inheritedExecutors = new Set(state.usedExecutors);
-  for (const id of state.usedExecutors) {
-    owner.unconfirmedExecutors.set(id, owner.blockedUntilMs);
-  }
-  for (const report of view.executors().values()) {
-    if (!belongsToPartition(owner, report)) continue;
-    owner.unconfirmedExecutors.set(report.id, owner.blockedUntilMs);
-  }
-
-  const handover = decodeHandover(state.otherDocuments.get(HANDOVER_KEY));
-  if (handover !== undefined) applyHandover(owner, handover);
-  owner.isLoaded = true;
-  events.log("partitionLoaded", {
-    partition,
-    epoch,
-    jobs: state.jobs.length,
-    cancelled: state.cancellations.size,
-    nextOffset: state.nextOffset,
-    unreadable: state.unreadableCount,
-    executors: owner.unconfirmedExecutors.size,
-    hasHandover: handover !== undefined,
-    tookMs: Math.round(performance.now() - owner.takenOverAtMs),
-  });
-  refreshExecutors(owner);
-  unblockTasks(owner);
-  void confirmEndedExecutors(owner);
-}
-
-/** Restores what is known of tasks that may have crashed their executors. */
-function restoreSuspicions(owner: OwnerState, { groups }: Job): void {
-  for (const task of groups.flatMap(({ tasks }) => tasks)) {
-    startBackoff(task);
-    for (const start of task.openStarts) suspectStart(owner, task, start);
-  }
-}
-
-/**
- * Deletes progress without a job. It remains if an owner stops after it has
- * deleted the record of an expired job and before it has deleted its progress.
- */
-function deleteOrphanedProgress(
-  owner: OwnerState,
-  state: LoadedPartition,
-): void {
-  for (const id of state.progress.keys()) {
-    if (!owner.jobs.has(id)) owner.progress.put(id, () => undefined);
-  }
-}
-
-async function followJobs(owner: OwnerState): Promise<void> {
-  let waitMs = READ_WAIT_MS;
-  while (!owner.isClosed && !owner.isReleasing) {
-    const isRead = isOwnershipConfirmed(owner, ADMISSION_GRACE_MS) &&
-      await readNewRecords(owner, waitMs);
-    waitMs = isRead ? READ_WAIT_MS : 0;
-    if (!isRead) await sleep(RETRY_MS);
-  }
-}
-
 function runChecks(owner: OwnerState): void {
   if (!owner.isLoaded) return;
   const nowMs = performance.now();
@@ -391,6 +268,7 @@
     events.log("executorWaitOver", { executor: id, partition });
     confirmExecutor(owner, id);
   }
+  void confirmEndedExecutors(owner);
   if (owner.reservedExecutors.size > 0 && nowMs >= owner.reservedUntilMs) {
     reserveExecutors(owner, new Set());
   }
--- a/packages/jobs/placed/used_executors.ts
+++ b/packages/jobs/placed/used_executors.ts
@@ -6,20 +6,45 @@
  * @module
  */
 
+import { z } from "zod";
 import type { ExecutorState } from "../executor_state.ts";
+import type { ExecutorReport } from "../fleet.ts";
 import type { UsedExecutor } from "../model.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
-import { USED_EXECUTORS_KEY } from "../topics.ts";
+import { EXECUTOR_STARTS_KEY, USED_EXECUTORS_KEY } from "../topics.ts";
 
 /** Time after which executors without a stored record get no tasks. */
 const MAX_RECORDING_MS = 100;
 
-/** Returns the records of executors that earlier owners have stored. */
+/** Schema of the stored start times of executors, by id. */
+const ExecutorStarts = z.record(z.string(), z.number());
+
+/**
+ * Returns the records of executors that earlier owners have stored.
+ * `startsDocument` is the value of their start times, if there is one.
+ */
 export function restoreUsedExecutors(
   ids: readonly string[],
+  startsDocument: unknown,
 ): Map<string, UsedExecutor> {
+  const starts = ExecutorStarts.safeParse(startsDocument).data ?? {};
   const recordedAtMs = performance.now();
-  return new Map(ids.map((id) => [id, { isStored: true, recordedAtMs }]));
+  return new Map(ids.map((id) => {
+    const startedAtMs = Object.hasOwn(starts, id) ? starts[id] : undefined;
+    return [id, { isStored: true, recordedAtMs, startedAtMs }];
+  }));
+}
+
+/**
+ * Returns whether all leases that an executor may hold were granted by the
+ * clock of the process that the platform's list shows, if it shows one.
+ */
+export function hasOneProcess(
+  { startedAtMs }: UsedExecutor,
+  report: ExecutorReport | undefined,
+): boolean {
+  return startedAtMs !== undefined &&
+    (report === undefined || report.startedAtMs === startedAtMs);
 }
 
 /** Returns whether the next owner will know that an executor was used. */
@@ -30,7 +55,13 @@
 /** Stores that an executor may run tasks, for the next owners. */
 export function recordUsedExecutor(owner: OwnerState, id: string): void {
   if (owner.usedExecutors.has(id)) return;
-  const entry = { isStored: false, recordedAtMs: performance.now() };
+  const entry: UsedExecutor = {
+    isStored: false,
+    recordedAtMs: performance.now(),
+    startedAtMs: owner.lateGrants.has(id)
+      ? undefined
+      : owner.executors.get(id)?.report.startedAtMs,
+  };
   owner.usedExecutors.set(id, entry);
   saveUsedExecutors(owner);
   owner.progress.whenStored(() => {
@@ -39,6 +70,14 @@
   });
 }
 
+/** Notes that a used executor has restarted, for the next owners. */
+export function recordUsedRestart(owner: OwnerState, id: string): void {
+  const entry = owner.usedExecutors.get(id);
+  if (entry?.startedAtMs === undefined) return;
+  entry.startedAtMs = undefined;
+  saveUsedExecutors(owner);
+}
+
 /** Removes the records of executors that can't run anything any more. */
 export function forgetUsedExecutors(
   owner: OwnerState,
@@ -64,9 +103,15 @@
 }
 
 function saveUsedExecutors(owner: OwnerState): void {
-  owner.progress.put(
+  const { progress, usedExecutors } = owner;
+  const options = { isUrgent: true, isLast: true };
+  progress.put(EXECUTOR_STARTS_KEY, () => {
+    const starts = [...usedExecutors].map(([id, it]) => [id, it.startedAtMs]);
+    return JSON.stringify(Object.fromEntries(starts));
+  }, options);
+  progress.put(
     USED_EXECUTORS_KEY,
-    () => JSON.stringify([...owner.usedExecutors.keys()]),
-    { isUrgent: true, isLast: true },
+    () => JSON.stringify([...usedExecutors.keys()]),
+    options,
   );
 }
--- a/packages/jobs/placed/used_executors_test.ts
+++ b/packages/jobs/placed/used_executors_test.ts
@@ -4,9 +4,11 @@
   createReport,
   createStep,
   JOB_ID,
+  NEXT_JOB_ID,
   type OwnerFixture,
   setUpOwners,
 } from "../_fixtures.ts";
+import { EXECUTOR_STARTS_KEY } from "../topics.ts";
 
 describe("used executors", () => {
   let fixture: OwnerFixture;
@@ -66,4 +68,49 @@
     await advanceTime(1_000);
     expect(used.running.size).toBe(1);
   });
+
+  /** Returns the stored start times of the executors. */
+  const storedStarts = () =>
+    JSON.parse(fixture.progress().get(EXECUTOR_STARTS_KEY)!) as object;
+
+  // Guards against a next owner that takes an executor with leases by two
+  // clocks for one that has never restarted (TWICE).
+  test("have no start time once they have restarted", async () => {
+    fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    expect(storedStarts()).toEqual({ e1: 1 });
+    fixture.addExecutor("e1", { startedAtMs: 2 });
+    owner.refresh();
+    await advanceTime(500);
+    expect(storedStarts()).toEqual({});
+    owner.close();
+    const next = await fixture.startOwner(2);
+    fixture.addExecutor("e3");
+    next.refresh();
+    fixture.accept(NEXT_JOB_ID, [createStep({
+      count: 1,
+      size: { cpu: 16_000, memoryMb: 500, accelerators: 0 },
+    })]);
+    await advanceTime(500);
+    expect(storedStarts()).toEqual({ e3: 1 });
+  });
+
+  // Guards against a lasting task that waits for the longest lease of the
+  // platform at an executor that has never restarted (LOST).
+  test("hold no longer lease than owners grant if they did not", async () => {
+    const used = fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    first.close();
+    const owner = await fixture.startOwner(2);
+    const next = fixture.addExecutor("e2");
+    owner.refresh();
+    await advanceTime(500);
+    used.fault = "unreachable";
+    await advanceTime(5_800);
+    expect(next.starts).toHaveLength(1);
+  });
 });
--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -48,6 +48,7 @@
   const lagMs = MAX_CLOCK_DRIFT * (nowMs - executor.answeredAtMs);
   const expiryMs = nowMs + executor.clockOffsetMs! + leaseMs - lagMs;
   const endsMs = nowMs + (1 + MAX_CLOCK_DRIFT) * leaseMs + MAX_TRANSIT_MS;
+  executor.grantedUntilMs = endsMs;
   executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
   return Math.floor(expiryMs);
 }
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -21,6 +21,7 @@
 import {
   forgetUsedExecutors,
   recordUsedExecutor,
+  recordUsedRestart,
 } from "../placed/used_executors.ts";
 import type { RunEnd, RunReport } from "../ports.ts";
 import {
@@ -269,6 +270,7 @@
   executor.isRemoved = true;
   owner.sessions.get(executor)?.expireRuns(-Infinity);
   for (const run of unlisted) transferRun(run, next);
+  recordUsedRestart(owner, next.id);
   removeExecutor(owner, executor);
   if (unlisted.length > 0) recordUsedExecutor(owner, next.id);
   openExecutor(owner, next);
--- a/packages/jobs/run/late_grants.ts
+++ b/packages/jobs/run/late_grants.ts
@@ -8,6 +8,7 @@
 
 import type { ExecutorState } from "../executor_state.ts";
 import { longestLeaseMs, type OwnerState } from "../owned/owner_state.ts";
+import { hasOneProcess } from "../placed/used_executors.ts";
 import { MAX_LATENESS_MS } from "./late_starts.ts";
 
 /** Makes a call that grants a lease and remembers it until it is answered. */
@@ -50,7 +51,10 @@
   { id, report }: ExecutorState,
 ): number {
   const grant = owner.lateGrants.get(id);
-  const inheritedMs = owner.inheritedExecutors.has(id) ? performance.now() : 0;
+  const inherited = owner.inheritedExecutors.get(id);
+  const isForeign = inherited !== undefined &&
+    !hasOneProcess(inherited, report);
+  const inheritedMs = isForeign ? performance.now() : 0;
   const isLate = grant !== undefined &&
     grant.startedAtMs !== report.startedAtMs;
   const lateMs = isLate ? grant.sentAtMs + MAX_LATENESS_MS : 0;
--- a/packages/jobs/run/longest_lease_test.ts
+++ b/packages/jobs/run/longest_lease_test.ts
@@ -2,6 +2,7 @@
 import type { MemoryExecutor } from "@lagoonloom/standins";
 import {
   advanceTime,
+  createMachine,
   createReport,
   createStep,
   JOB_ID,
@@ -15,6 +16,9 @@
 /** Longest lease of the executors of the fixture. */
 const MAX_LEASE_MS = 6_000;
 
+/** Longest lease that an owner of the fixture grants, with its margin. */
+const OWN_LEASE_MS = 4_800;
+
 /** Time from the end of a lease until its task has certainly started again. */
 const RESTART_MS = 1_500;
 
@@ -133,4 +137,16 @@
     await advanceTime(500);
     await expectWait(owner, restarted);
   });
+
+  // Guards against a lasting task that waits for such a lease although its
+  // executor has ended for good (LOST).
+  test("is not awaited once no machine has the executor", async () => {
+    const { owner, restarted } = await renewLate();
+    fixture.machines = [createMachine("e2")];
+    const other = fixture.addExecutor("e2");
+    owner.refresh();
+    restarted.fault = "unreachable";
+    await advanceTime(OWN_LEASE_MS + RESTART_MS);
+    expect(other.starts).toHaveLength(1);
+  });
 });
--- a/packages/jobs/topics.ts
+++ b/packages/jobs/topics.ts
@@ -16,6 +16,12 @@
 /** Key of the list of executors on which an owner may have started tasks. */
 export const USED_EXECUTORS_KEY = "executors";
 
+/**
+ * Key of the Unix times at which these executors started, by id. An executor
+ * that has restarted since its first use has none.
+ */
+export const EXECUTOR_STARTS_KEY = "executor-starts";
+
 /** Key of the runs that an owner leaves when it gives up a partition. */
 export const HANDOVER_KEY = "handover";
 
