--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -9,6 +9,9 @@
 /** Share of the elapsed time by which the clock of an executor may lag. */
 const MAX_CLOCK_DRIFT = 0.03;
 
+/** Longest time after which a call without an answer is still carried out. */
+export const MAX_LATENESS_MS = 12_000;
+
 /** Longest time that a call takes to reach the executor. */
 const MAX_TRANSIT_MS = 100;
 
@@ -67,7 +70,8 @@
 /**
  * Notes that an executor has restarted under its id. The clock of the new
  * process starts anew, so that a lease by the clock of the previous process may
- * last as long there as any lease.
+ * last as long there as any lease, from the latest time on at which a call
+ * without an answer can still be carried out there.
  */
 export function recordRestart(
   executor: ExecutorState,
@@ -76,5 +80,12 @@
   executor.hasCrashed = true;
   if (executor.hasRestarted) return;
   executor.hasRestarted = true;
-  executor.leaseEndsMs = performance.now() + longestLeaseMs;
+  const lastGrantMs = latestGrantMs(executor) + MAX_LATENESS_MS;
+  executor.leaseEndsMs = Math.max(performance.now(), lastGrantMs) +
+    longestLeaseMs;
+}
+
+/** Returns the time of the newest granting call that has no answer. */
+export function latestGrantMs({ openGrants }: ExecutorState): number {
+  return Math.max(-Infinity, ...[...openGrants].map((it) => it.sentAtMs));
 }
--- a/packages/jobs/run/late_grants.ts
+++ b/packages/jobs/run/late_grants.ts
@@ -9,7 +9,7 @@
 import type { ExecutorState } from "../executor_state.ts";
 import { longestLeaseMs, type OwnerState } from "../owned/owner_state.ts";
 import { hasOneProcess } from "../placed/used_executors.ts";
-import { MAX_LATENESS_MS } from "./late_starts.ts";
+import { latestGrantMs, MAX_LATENESS_MS } from "./_executor_clock.ts";
 
 /** Makes a call that grants a lease and remembers it until it is answered. */
 export async function callGranting<Outcome extends { type: string }>(
@@ -30,14 +30,15 @@
 /** Remembers the newest open grant of a process that is given up. */
 export function recordLateGrant(
   owner: OwnerState,
-  { id, openGrants, report: { startedAtMs } }: ExecutorState,
+  executor: ExecutorState,
 ): void {
   const earliestMs = performance.now() - MAX_LATENESS_MS - longestMs(owner);
   for (const [other, { sentAtMs }] of owner.lateGrants) {
     if (sentAtMs < earliestMs) owner.lateGrants.delete(other);
   }
+  const { id, openGrants, report: { startedAtMs } } = executor;
   if (openGrants.size === 0) return;
-  const sentAtMs = Math.max(...[...openGrants].map((it) => it.sentAtMs));
+  const sentAtMs = latestGrantMs(executor);
   owner.lateGrants.set(id, { startedAtMs, sentAtMs });
 }
 
--- a/packages/jobs/run/late_starts.ts
+++ b/packages/jobs/run/late_starts.ts
@@ -7,11 +7,9 @@
 import type { ExecutorState } from "../executor_state.ts";
 import type { Run } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
+import { MAX_LATENESS_MS } from "./_executor_clock.ts";
 import { stopUntilAnswered } from "./_stop_until_answered.ts";
 
-/** Longest time after which a call without an answer is still carried out. */
-export const MAX_LATENESS_MS = 12_000;
-
 /**
  * Remembers the start of a run that has ended without any sign of its executor
  * that it began. A confirmed stop binds only the process that confirmed it.
--- a/packages/jobs/run/longest_lease_test.ts
+++ b/packages/jobs/run/longest_lease_test.ts
@@ -11,7 +11,7 @@
   setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
-import { MAX_LATENESS_MS } from "./late_starts.ts";
+import { MAX_LATENESS_MS } from "./_executor_clock.ts";
 
 /** Longest lease of the executors of the fixture. */
 const MAX_LEASE_MS = 6_000;
