--- a/packages/jobs/owned/_member_faults.ts
+++ b/packages/jobs/owned/_member_faults.ts
@@ -151,6 +151,62 @@
   return faults;
 }
 
+/** Draws outages of the store for all members. */
+function drawOutages(drawing: Drawing): MemberFault[] {
+  const { random, members, untilMs } = drawing;
+  if (random() < 0.7) return [];
+  const atMs = drawInt(random, 2_000, untilMs);
+  const endsMs = atMs + drawInt(random, 500, 8_000);
+  const targets = new Set([STORE]);
+  return members.map((member) => ({
+    atMs,
+    endsMs,
+    member,
+    targets,
+    kind: "cut",
+  }));
+}
+
+/**
+ * Draws handovers in quick succession, of which some are followed by the loss
+ * of a membership. Meanwhile, each member reaches only some executors.
+ */
+function drawHandovers(drawing: Drawing): MemberFault[] {
+  const { random, members, executors, untilMs } = drawing;
+  const faults: MemberFault[] = [];
+  for (let count = drawInt(random, 0, 2); count > 0; count--) {
+    let atMs = drawInt(random, 3_000, untilMs - 5_000);
+    const endsMs = atMs + drawInt(random, 8_000, 14_000);
+    for (const member of members) {
+      const targets = new Set(executors.filter(() => random() < 0.5));
+      const cutMs = atMs - drawInt(random, -2_000, 2_000);
+      faults.push({ atMs: cutMs, endsMs, member, targets, kind: "cut" });
+    }
+    for (let series = drawInt(random, 2, 5); series > 0; series--) {
+      atMs += drawInt(random, 300, 2_500);
+      const member = drawOne(random, members);
+      const none = new Set<string>();
+      faults.push({
+        atMs,
+        endsMs: atMs,
+        member,
+        targets: none,
+        kind: "reassign",
+      });
+      if (random() < 0.6) continue;
+      const lostMs = atMs + drawInt(random, 200, 2_000);
+      faults.push({
+        atMs: lostMs,
+        endsMs: lostMs + drawInt(random, 1_600, 4_000),
+        member,
+        targets: new Set([STORE]),
+        kind: "cut",
+      });
+    }
+  }
+  return faults;
+}
+
 /** Draws faults of single links, several at about the same time. */
 function drawLinkFaults(drawing: Drawing): MemberFault[] {
   const { random, members, executors, untilMs } = drawing;
@@ -186,6 +242,8 @@
     drawPartitions,
     drawGaps,
     drawAlternations,
+    drawOutages,
+    drawHandovers,
     drawLinkFaults,
   ].flatMap((draw) => draw({ random, ...drawing }));
 
--- a/packages/jobs/owned/members_fuzz_test.ts
+++ b/packages/jobs/owned/members_fuzz_test.ts
@@ -11,7 +11,7 @@
 import { type MembersPlay, PLAY_MS, startPlay } from "./_members_play.ts";
 
 /** Seeds that CI plays. MEMBERS_SEEDS names others, such as `1-400`. */
-const CI_SEEDS = "1-8";
+const CI_SEEDS = "1-20";
 
 /** Returns the seeds of a range such as `1-200`. */
 function parseSeeds(range: string): number[] {
