--- a/packages/jobs/owned/_member_faults.ts
+++ b/packages/jobs/owned/_member_faults.ts
@@ -174,16 +174,16 @@
 function drawHandovers(drawing: Drawing): MemberFault[] {
   const { random, members, executors, untilMs } = drawing;
   const faults: MemberFault[] = [];
-  for (let count = drawInt(random, 0, 2); count > 0; count--) {
+  for (let count = drawInt(random, 1, 2); count > 0; count--) {
     let atMs = drawInt(random, 3_000, untilMs - 5_000);
-    const endsMs = atMs + drawInt(random, 8_000, 14_000);
+    const endsMs = atMs + drawInt(random, 8_000, 18_000);
     for (const member of members) {
       const targets = new Set(executors.filter(() => random() < 0.5));
       const cutMs = atMs - drawInt(random, -2_000, 2_000);
       faults.push({ atMs: cutMs, endsMs, member, targets, kind: "cut" });
     }
-    for (let series = drawInt(random, 2, 5); series > 0; series--) {
-      atMs += drawInt(random, 300, 2_500);
+    for (let series = drawInt(random, 3, 7); series > 0; series--) {
+      atMs += drawInt(random, 400, 4_500);
       const member = drawOne(random, members);
       const none = new Set<string>();
       faults.push({
--- a/packages/jobs/owned/_members_play.ts
+++ b/packages/jobs/owned/_members_play.ts
@@ -22,6 +22,9 @@
 /** Time after which a member that leaves is killed. */
 const GRACE_MS = 6_000;
 
+/** Longest time that a run needs to stop. */
+const MAX_STOP_MS = 400;
+
 /** Time that a lasting task needs until its progress is complete. */
 const STARTUP_MS = 400;
 
@@ -54,6 +57,7 @@
     world.addExecutor(id, {
       cpu: 6_000,
       clockLag: MAX_CLOCK_LAG * random(),
+      stopMs: drawInt(random, 0, MAX_STOP_MS),
     });
   }
   startMembers(world, { addresses, faults: plan.faults });
--- a/packages/jobs/owned/_members_world.ts
+++ b/packages/jobs/owned/_members_world.ts
@@ -73,7 +73,7 @@
   logged: string[];
   addExecutor(
     id: string,
-    options?: { cpu?: number; clockLag?: number },
+    options?: { cpu?: number; clockLag?: number; stopMs?: number },
   ): WorldExecutor;
   startMember(address: string): WorldMember;
   /** Stores a job that is accepted. */
@@ -108,12 +108,14 @@
     executors: new Map(),
     observer: observeRuns(memory),
     logged: [],
-    addExecutor(id, { cpu = 16_000, clockLag = 0 } = {}) {
+    addExecutor(id, { cpu = 16_000, clockLag = 0, stopMs = 0 } = {}) {
       const report = createReport(id, {
         capacity: { cpu, memoryMb: 32_768, accelerators: 0 },
       });
       reports.set(id, report);
-      const executor = Object.assign(memory.add(report), { clockLag });
+      const executor = Object.assign(memory.add(report, { stopMs }), {
+        clockLag,
+      });
       world.executors.set(id, executor);
       world.observer.add(executor);
       for (const refresh of refreshes) refresh();
--- a/packages/jobs/owned/_process_clocks.ts
+++ b/packages/jobs/owned/_process_clocks.ts
@@ -36,6 +36,9 @@
   cancel(timer: Timer): void;
 };
 
+/** Difference between the clocks of two processes that start one by one. */
+const CLOCK_SPACING_MS = 7_000;
+
 /** Process whose code runs; undefined outside of all. */
 const current = new AsyncLocalStorage<TimedProcess | undefined>();
 
@@ -93,7 +96,13 @@
 
   return {
     createProcess() {
-      const process = createProcess({ nowMs, setTimeout, clearTimeout });
+      // The monotonic clocks of processes have nothing in common.
+      const originMs = CLOCK_SPACING_MS * processes.length;
+      const process = createProcess({
+        nowMs: () => nowMs() + originMs,
+        setTimeout,
+        clearTimeout,
+      });
       processes.push(process);
       return process;
     },
--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -56,6 +56,8 @@
 export type MemoryExecutorOptions = {
   /** Whether a task may start; by default, each may. */
   hasCapacityFor?(task: string): boolean;
+  /** Time that a run needs to stop, in milliseconds; 0 by default. */
+  stopMs?: number;
 };
 
 /** Client of executors in memory. */
@@ -240,9 +242,13 @@
         }
         const runs = highestRuns.get(executor)!;
         runs.set(task, Math.max(runs.get(task) ?? 0, run));
-        if (executor.running.get(task)?.run === run) {
+        const end = () => {
+          if (executor.running.get(task)?.run !== run) return;
           executor.end(task, "stopped");
-        }
+        };
+        const { stopMs = 0 } = optionsOf.get(executor)!;
+        if (stopMs === 0) end();
+        else setTimeout(end, stopMs);
         return { type: "done" as const };
       })),
     throttle: () => Promise.resolve({ type: "done" }),
