--- a/packages/standins/store/memory_executors.ts
+++ b/packages/standins/store/memory_executors.ts
@@ -64,6 +64,8 @@
   hasCapacityFor?(task: string): boolean;
   /** Clock of its process; by default, all have the same one. */
   clock?: Pick<MemoryExecutor, "clockRate" | "clockOffsetMs"> | undefined;
+  /** Time that a run needs to stop, in milliseconds; 0 by default. */
+  stopMs?: number;
 };
 
 /** Client of executors in memory. */
@@ -256,9 +258,13 @@
         }
         const runs = highestRuns.get(executor)!;
         runs.set(task, Math.max(runs.get(task) ?? 0, run));
-        if (executor.running.get(task)?.run === run) {
+        const end = () => {
+          if (executor.running.get(task)?.run !== run) return;
           executor.end(task, "stopped");
-        }
+        };
+        const { stopMs = 0 } = optionsOf.get(executor)!;
+        if (stopMs === 0) end();
+        else setTimeout(end, stopMs);
         return { type: "done" as const };
       })),
     throttle: () => Promise.resolve({ type: "done" }),
