--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -100,6 +100,7 @@
       leaseMs,
       maxLeaseMs: options.maxLeaseMs,
       confirmedAtMs: () => ownership().confirmedAtMs(partition),
+      undisputedAtMs: () => ownership().undisputedAtMs(partition),
       endedJobRetentionMs: options.endedJobRetentionMs,
       events,
       onLoadTimeout: () => ownership().giveWay(),
--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -144,6 +144,7 @@
         leaseMs,
         maxLeaseMs,
         confirmedAtMs: () => timeOf(fixture.confirmedAtMs),
+        undisputedAtMs: () => timeOf(fixture.confirmedAtMs),
         endedJobRetentionMs: 120_000,
         events: {
           log: (name, fields) =>
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -64,10 +64,10 @@
   /** Current monotonic time in milliseconds. */
   monotonicMs: number;
   /**
-   * Monotonic time up to which the ownership is confirmed; the current one if
-   * undefined.
+   * Monotonic time up to which no other owner can have acted; the current one
+   * if undefined.
    */
-  confirmedMs?: number | undefined;
+  undisputedMs?: number | undefined;
 };
 
 /**
@@ -76,11 +76,11 @@
  */
 export function isPlaceable(
   task: Task,
-  { monotonicMs, confirmedMs = monotonicMs }: PlacementTimes,
+  { monotonicMs, undisputedMs = monotonicMs }: PlacementTimes,
 ): boolean {
   const { blockedUntilMs, heldUntilMs, backoffUntilMs } = task;
   return !task.isDone && task.runs.length === 0 &&
-    blockedUntilMs <= confirmedMs &&
+    blockedUntilMs <= undisputedMs &&
     Math.max(heldUntilMs, backoffUntilMs) <= monotonicMs;
 }
 
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -52,6 +52,8 @@
   maxLeaseMs: number;
   /** Monotonic time up to which the store has confirmed the ownership. */
   confirmedAtMs(): number;
+  /** Monotonic time up to which no other owner can have acted. */
+  undisputedAtMs(): number;
   /** Time for which the state of an ended job is kept, in milliseconds. */
   endedJobRetentionMs: number;
   events: JobEventLog;
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -10,6 +10,7 @@
 import { JOBS_TOPIC, OWNERS_GROUP } from "../topics.ts";
 import type { Candidacy } from "./candidacy.ts";
 import { fencePartition } from "./load_partition.ts";
+import { IN_FLIGHT_MARGIN_MS, OWNERSHIP_GRACE_MS } from "./owner_state.ts";
 
 /** Interval at which a member renews its membership. */
 const JOIN_INTERVAL_MS = 400;
@@ -33,9 +34,25 @@
 /** Longest wait for the store to tell whether a partition was taken over. */
 const CHECK_TIMEOUT_MS = 500;
 
+/**
+ * Time after a gap in the membership in which an owner in between may still
+ * act: it goes on without confirmation for longer than its membership lasts.
+ */
+const DISPUTE_MS = OWNERSHIP_GRACE_MS - MEMBER_TTL_MS + IN_FLIGHT_MARGIN_MS;
+
 /** Time for which a member that gives way stays out of the group. */
 const GIVE_WAY_MS = 5_000;
 
+/** Doubt whether another member has owned a partition in between. */
+type Doubt = {
+  /** Last confirmation before that. */
+  before: ClockReading;
+  /** Monotonic time at which the gap in the membership was found. */
+  sinceMs: number;
+  /** Whether the store has answered since that no other owner has acted. */
+  isChecked: boolean;
+};
+
 /** Partition that a member owns. */
 export type OwnedPartition = {
   epoch: number;
@@ -55,6 +72,11 @@
    * owns a partition of this member.
    */
   confirmedAtMs(partition: number): number;
+  /**
+   * Monotonic time up to which no other member can have acted as the owner of a
+   * partition of this member, also not after the store has confirmed this one.
+   */
+  undisputedAtMs(partition: number): number;
   /** Gives up all partitions for a while, as this member can't serve them. */
   giveWay(): void;
   /** Gives up all partitions, so that other members take over at once. */
@@ -88,11 +110,8 @@
   const owned = new Map<number, OwnedPartition>();
   /** Generation since which a partition has been assigned to this member. */
   const assignedSince = new Map<number, number>();
-  /**
-   * Partitions that another member may have owned in between, with the last
-   * confirmation before that.
-   */
-  const doubted = new Map<number, ClockReading>();
+  /** Partitions that another member may have owned in between. */
+  const doubts = new Map<number, Doubt>();
   const { store, events, candidacy } = options;
   let member = options.createMemberName();
   const releases = new Set<Promise<void>>();
@@ -139,22 +158,30 @@
    * kept. Until the store tells, they count as confirmed before that only.
    */
   const doubtOwned = () => {
+    const sinceMs = performance.now();
     for (const partition of assignedSince.keys()) {
       // Nobody relies on the epoch of a partition that is not used yet.
       if (!owned.has(partition)) assignedSince.set(partition, generation);
-      else if (!doubted.has(partition)) doubted.set(partition, confirmedAt);
+      else {
+        const before = doubts.get(partition)?.before ?? confirmedAt;
+        doubts.set(partition, { before, sinceMs, isChecked: false });
+      }
     }
   };
 
   /**
    * Asks the store whether other owners have acted on the doubted partitions,
    * as each would have fenced this one first. If so, gives them up; they are
-   * taken over again as partitions that are assigned since now.
+   * taken over again as partitions that are assigned since now. An owner that
+   * is about to act may do so after the first answer, so that it takes another
+   * one, of a time at which its ownership is not confirmed any more.
    */
   const checkDoubted = async () => {
-    await Promise.all([...doubted.keys()].map(async (partition) => {
+    await Promise.all([...doubts].map(async ([partition, doubt]) => {
       const ownedPartition = owned.get(partition);
       if (ownedPartition === undefined) return;
+      const isSettled = performance.now() - doubt.sinceMs >= DISPUTE_MS;
+      if (doubt.isChecked && !isSettled) return;
       const { epoch } = ownedPartition;
       const { type } = await fencePartition(store, {
         partition,
@@ -162,7 +189,10 @@
         timeoutMs: CHECK_TIMEOUT_MS,
       });
       if (owned.get(partition) !== ownedPartition) return;
-      if (type === "stored") doubted.delete(partition);
+      if (type === "stored") doubt.isChecked = true;
+      if (type === "stored" && isSettled && doubts.get(partition) === doubt) {
+        doubts.delete(partition);
+      }
       if (type !== "fenced") return;
       events.log("partitionSuperseded", { partition, epoch, generation });
       forget(partition);
@@ -174,7 +204,7 @@
   const forget = (partition: number) => {
     owned.delete(partition);
     assignedSince.delete(partition);
-    doubted.delete(partition);
+    doubts.delete(partition);
   };
 
   const release = (ownedPartition: OwnedPartition): Promise<void> => {
@@ -189,7 +219,7 @@
     for (const ownedPartition of owned.values()) void release(ownedPartition);
     owned.clear();
     assignedSince.clear();
-    doubted.clear();
+    doubts.clear();
     await Promise.all(releases);
     await store.leave({ group: OWNERS_GROUP, member });
   };
@@ -260,8 +290,13 @@
   void renew();
 
   return {
-    confirmedAtMs: (partition) =>
-      performance.now() - ageOf(doubted.get(partition) ?? confirmedAt),
+    confirmedAtMs(partition) {
+      const doubt = doubts.get(partition);
+      const isDoubted = doubt !== undefined && !doubt.isChecked;
+      return performance.now() - ageOf(isDoubted ? doubt.before : confirmedAt);
+    },
+    undisputedAtMs: (partition) =>
+      performance.now() - ageOf(doubts.get(partition)?.before ?? confirmedAt),
     // The fenced epoch can't be used again. The next join counts as a new
     // assignment at the generation of that time.
     drop: forget,
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -257,13 +257,13 @@
 function runChecks(owner: OwnerState): void {
   if (!owner.isLoaded) return;
   const nowMs = performance.now();
-  // While the ownership is not confirmed, another owner may renew leases.
-  const confirmedMs = Math.min(nowMs, owner.options.confirmedAtMs());
+  // Later than that, another owner may have renewed leases.
+  const undisputedMs = Math.min(nowMs, owner.options.undisputedAtMs());
   for (const session of owner.sessions.values()) {
-    session.expireRuns(confirmedMs);
+    session.expireRuns(undisputedMs);
   }
   for (const [id, endsMs] of owner.unconfirmedExecutors) {
-    if (confirmedMs < endsMs) continue;
+    if (undisputedMs < endsMs) continue;
     const { partition, events } = owner.options;
     events.log("executorWaitOver", { executor: id, partition });
     confirmExecutor(owner, id);
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -54,7 +54,7 @@
   const placements = placeTasks(placeableJobs(owner), {
     executors,
     monotonicMs: performance.now(),
-    confirmedMs: owner.options.confirmedAtMs(),
+    undisputedMs: owner.options.undisputedAtMs(),
     unixMs: Date.now(),
     priorityOf: ({ accepted }) => policyOf(owner, accepted).priority,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
--- a/packages/jobs/run/_executor_log.ts
+++ b/packages/jobs/run/_executor_log.ts
@@ -24,7 +24,7 @@
     startedAtMs: report.startedAtMs,
     silentMs: sinceMs(answeredAtMs),
     leaseOverMs: sinceMs(leaseEndsMs),
-    confirmedMs: sinceMs(owner.options.confirmedAtMs()),
+    confirmedMs: sinceMs(owner.options.undisputedAtMs()),
   });
 }
 
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -231,7 +231,7 @@
  */
 function removeExecutor(owner: OwnerState, executor: ExecutorState): void {
   executor.isRemoved = true;
-  const nowMs = Math.min(performance.now(), owner.options.confirmedAtMs());
+  const nowMs = Math.min(performance.now(), owner.options.undisputedAtMs());
   owner.sessions.get(executor)?.expireRuns(nowMs);
   if (executor.runs.size > 0) return;
   owner.sessions.get(executor)?.close();
--- a/packages/measure/schedules/measure_schedules.ts
+++ b/packages/measure/schedules/measure_schedules.ts
@@ -113,6 +113,7 @@
     leaseMs: 4_500,
     maxLeaseMs: 6_000,
     confirmedAtMs: () => performance.now(),
+    undisputedAtMs: () => performance.now(),
     endedJobRetentionMs: 120_000,
     events: { log: () => undefined },
     onLoadTimeout: () => undefined,
--- a/packages/measure/soak/owner_series.ts
+++ b/packages/measure/soak/owner_series.ts
@@ -117,8 +117,8 @@
         },
         leaseMs: options.leaseMs,
         maxLeaseMs: options.maxLeaseMs,
-        confirmedAtMs: () =>
-          own.confirmedAtMs === "now" ? performance.now() : own.confirmedAtMs,
+        confirmedAtMs: () => confirmedAtMs(own),
+        undisputedAtMs: () => confirmedAtMs(own),
         endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
         events: {
           log: (name, fields) =>
@@ -161,6 +161,10 @@
   return series;
 }
 
+function confirmedAtMs(own: Pick<SoakOwner, "confirmedAtMs">): number {
+  return own.confirmedAtMs === "now" ? performance.now() : own.confirmedAtMs;
+}
+
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
