--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -17,7 +17,6 @@
   recordForeignLease,
   recordRestart,
 } from "./_executor_clock.ts";
-import { shareCalls } from "../_share_calls.ts";
 import { createAcknowledgement } from "./_acknowledgement.ts";
 import { createPollLoop } from "./_poll_loop.ts";
 import { callGranting } from "./late_grants.ts";
@@ -258,7 +257,8 @@
     hasFailed: () => executor.failedCalls > 0,
   });
   const requestPoll = () => polls.request();
-  const checkOnce = shareCalls(() => pollOnce(0, { isCheck: true }));
+  /** Check that has no answer yet, which all starts at the executor share. */
+  let openCheck: Promise<void> | undefined;
 
   const session: ExecutorSession = {
     executor,
@@ -268,7 +268,9 @@
       return performance.now() - executor.answeredAtMs < longestMs;
     },
     async check() {
-      await checkOnce();
+      openCheck ??= pollOnce(0, { isCheck: true })
+        .finally(() => openCheck = undefined);
+      await openCheck;
       return !isClosed && !executor.isRemoved && executor.failedCalls === 0;
     },
     async start(run, { spec, ticket }) {
--- a/packages/jobs/run/idle_restart_test.ts
+++ b/packages/jobs/run/idle_restart_test.ts
@@ -14,6 +14,9 @@
 /** Longest lease of the executors of the fixture. */
 const MAX_LEASE_MS = 6_000;
 
+/** Time that an executor takes to answer a poll. */
+const ANSWER_MS = 100;
+
 const TASK = `${JOB_ID}.0.0.0`;
 
 describe("an executor that has restarted while it was idle", () => {
@@ -80,4 +83,24 @@
     await advanceTime(1_000);
     expect([...other.running.keys()]).toEqual([TASK]);
   });
+
+  // Guards against tasks that wait for a second check where several are placed
+  // at once, and against the price of it.
+  test("is checked once for all tasks that are placed there", async () => {
+    const executor = fixture.addExecutor("e1");
+    await fixture.startOwner(1);
+    await advanceTime(IDLE_MS);
+    const { poll } = fixture.executors;
+    let pollCount = 0;
+    fixture.executors.poll = async (target, request) => {
+      pollCount++;
+      await new Promise((done) => setTimeout(done, ANSWER_MS));
+      return poll(target, request);
+    };
+    fixture.accept(JOB_ID, [createStep({ count: 4 })]);
+    await advanceTime(ANSWER_MS + 50);
+    expect(executor.starts).toHaveLength(4);
+    // The other one waits for the ends of the runs.
+    expect(pollCount).toBe(2);
+  });
 });
