--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -29,6 +29,7 @@
     hasMoreEnds: false,
     receivedSequence: 0,
     answeredAtMs: -Infinity,
+    heardAt: undefined,
     failedCalls: 0,
     lastFailure: "",
     silentSinceMs: undefined,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { ClockReading } from "./_clock_reading.ts";
 import type { Crash, SuspectedCrash } from "./ended/crash.ts";
 import type { Start } from "./ended/suspicion.ts";
 import type { ExecutorReport } from "./fleet.ts";
@@ -193,6 +194,8 @@
   receivedSequence: number;
   /** Monotonic time of the last answer. */
   answeredAtMs: number;
+  /** Both clocks of this machine at the last answer, if there was one. */
+  heardAt: ClockReading | undefined;
   /** Calls without an answer since the last answer. */
   failedCalls: number;
   /** Reason of the last failed call. */
--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { readClocks } from "../_clock_reading.ts";
 import type { ExecutorState } from "../executor_state.ts";
 
 /** Share of the elapsed time by which the clock of an executor may lag. */
@@ -34,6 +35,7 @@
 export function recordAnswer(executor: ExecutorState, clockMs: number): void {
   const nowMs = performance.now();
   executor.answeredAtMs = nowMs;
+  executor.heardAt = readClocks();
   executor.newestClockMs = Math.max(executor.newestClockMs, clockMs);
   executor.clockOffsetMs = clockMs - nowMs;
   executor.failedCalls = 0;
--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -1,3 +1,4 @@
+import { ageOf } from "../_clock_reading.ts";
 import type { Run } from "../job.ts";
 import type { PollOutcome, RunEnd, RunReport } from "../ports.ts";
 import {
@@ -265,7 +266,8 @@
     isHeard() {
       // While a poll is open, the end of the process ends its connection.
       const longestMs = polls.isOpen() ? POLL_WAIT_MS + HEARD_MS : HEARD_MS;
-      return performance.now() - executor.answeredAtMs < longestMs;
+      const { heardAt } = executor;
+      return heardAt !== undefined && ageOf(heardAt) < longestMs;
     },
     async check() {
       openCheck ??= pollOnce(0, { isCheck: true })
--- a/packages/jobs/run/idle_restart_test.ts
+++ b/packages/jobs/run/idle_restart_test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, test } from "@jest/globals";
+import { describe, expect, jest, test } from "@jest/globals";
 import {
   advanceTime,
   createStep,
@@ -24,10 +24,10 @@
   setUpOwners((created) => fixture = created);
 
   /** Restarts an idle executor before the list shows its next process. */
-  async function restartUnlisted() {
+  async function restartUnlisted(idleMs = IDLE_MS) {
     const listed = fixture.addExecutor("e1", { labels: ["small"] }).report;
     const owner = await fixture.startOwner(1);
-    await advanceTime(IDLE_MS);
+    await advanceTime(idleMs);
     const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
     restarted.clockOffsetMs = 0;
     fixture.reports.set("e1", listed);
@@ -103,4 +103,17 @@
     // The other one waits for the ends of the runs.
     expect(pollCount).toBe(2);
   });
+
+  // Guards against the same after a suspension of the owner's machine, which
+  // the monotonic clock does not count (ROUTE).
+  test("gets no task by an answer from before a suspension", async () => {
+    const { owner, restarted } = await restartUnlisted(50);
+    jest.setSystemTime(Date.now() + IDLE_MS);
+    fixture.accept(JOB_ID, [createStep({ count: 1, label: "small" })]);
+    await advanceTime(50);
+    const other = addOther(owner);
+    await advanceTime(1_000);
+    expect(restarted.starts).toEqual([]);
+    expect([...other.running.keys()]).toEqual([TASK]);
+  });
 });
