--- a/packages/jobs/run/ended_executors_test.ts
+++ b/packages/jobs/run/ended_executors_test.ts
@@ -62,6 +62,33 @@
     expect(lists).toBeGreaterThan(2);
   });
 
+  // Guards against two runs of a task, as an owner that holds an executor for
+  // ended does not call the next process under its id, which then carries out
+  // a late start of the earlier owner (TWICE).
+  test("calls an executor whose machine was down and is back", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    executor.fault = "delayed";
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(100);
+    const other = fixture.addExecutor("e2");
+    fixture.machines = [
+      createMachine("e2"),
+      { ...createMachine("e1"), state: "down", executor: undefined },
+    ];
+    executor.fault = "unreachable";
+    first.close();
+    const next = await fixture.startOwner(2);
+    await advanceTime(1_000);
+    expect(other.starts).toHaveLength(1);
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    fixture.machines = [createMachine("e1"), createMachine("e2")];
+    next.refresh();
+    await advanceTime(500);
+    executor.deliverDelayed(restarted);
+    expect(restarted.starts).toEqual([]);
+  });
+
   // Guards against owners that replace each other and wait anew each (LOST).
   test.each(["is killed", "hands over"])(
     "starts a waiting task although the next owner %s as well",
