--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -40,6 +40,28 @@
     expect([...executor.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
   });
 
+  // Guards against two runs of a task, as the list goes back to an entry of the
+  // earlier process that was written late (TWICE).
+  test("goes on with its runs if the list shows its earlier process", async () => {
+    fixture.addExecutor("e1");
+    const owner = await fixture.startOwner(1);
+    const earlierReport = fixture.reports.get("e1")!;
+    const executor = fixture.addExecutor("e1", { startedAtMs: 2 });
+    const report = fixture.reports.get("e1")!;
+    owner.refresh();
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(1_500);
+    expect(executor.running.size).toBe(1);
+    const other = fixture.addExecutor("e2");
+    fixture.reports.set("e1", earlierReport);
+    owner.refresh();
+    await advanceTime(1_500);
+    fixture.reports.set("e1", report);
+    owner.refresh();
+    await advanceTime(1_500);
+    expect(executor.starts.length + other.starts.length).toBe(1);
+  });
+
   // Guards against two runs of a task, as a start that got no answer reaches
   // the restarted process, which knows of neither its token nor a stop (TWICE).
   test("refuses a late start that was sent before it restarted", async () => {
