--- a/packages/jobs/run/unnoticed_restart_test.ts
+++ b/packages/jobs/run/unnoticed_restart_test.ts
@@ -91,6 +91,34 @@
     expect(other.starts).toHaveLength(1);
   });
 
+  // Guards against the same where the answer to the start is lost, so that
+  // neither a clock nor the list shows the restart (TWICE).
+  test("keeps a run for the longest lease if its start has no answer", async () => {
+    fixture.addExecutor("e1");
+    const other = fixture.addExecutor("e2", {
+      capacity: { cpu: 20_000, memoryMb: 32_768, accelerators: 0 },
+    });
+    await fixture.startOwner(1);
+    const oldReport = fixture.reports.get("e1")!;
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 2 });
+    restarted.clockOffsetMs = 0;
+    restarted.fault = "losingAnswers";
+    fixture.reports.set("e1", oldReport);
+    const { poll } = fixture.executors;
+    fixture.executors.poll = (target, request) =>
+      target.id === "e1"
+        ? Promise.resolve({ type: "unknown", reason: "no answer" })
+        : poll(target, request);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(50);
+    expect(restarted.starts).toHaveLength(1);
+    restarted.fault = "unreachable";
+    while (performance.now() <= restarted.leaseExpiryMs) {
+      expect(other.starts).toEqual([]);
+      await advanceTime(50);
+    }
+  });
+
   /** Has an executor run a task whose end is acknowledged as number 1. */
   async function acknowledgeFirstEnd() {
     const earlier = fixture.addExecutor("e1");
