--- a/packages/jobs/owned/repeated_handover_test.ts
+++ b/packages/jobs/owned/repeated_handover_test.ts
@@ -38,4 +38,29 @@
     expect(other.starts.filter(({ task }) => task.startsWith(JOB_ID)))
       .toEqual([]);
   });
+
+  // Guards against two runs of a task, as the next handover but one takes the
+  // wait for other silent executors for that of a run's lease (TWICE).
+  test("keeps the lease of a run beside executors of no known runs", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    first.close();
+    const unheard = fixture.addExecutor("e2");
+    unheard.fault = "unreachable";
+    const second = await fixture.startOwner(2);
+    // Nearly as long as a new owner waits for `e2`.
+    await advanceTime(7_000);
+    executor.fault = "unreachable";
+    await Promise.all([second.release(1_000), advanceTime(100)]);
+    const third = await fixture.startOwner(3);
+    await Promise.all([third.release(1_000), advanceTime(100)]);
+    const other = fixture.addExecutor("e3");
+    await fixture.startOwner(4);
+    await advanceTime(2_000);
+    expect(executor.leaseExpiryMs - executor.clockOffsetMs)
+      .toBeGreaterThan(performance.now());
+    expect(other.starts).toEqual([]);
+  });
 });
