--- a/packages/jobs/owned/_member_link.ts
+++ b/packages/jobs/owned/_member_link.ts
@@ -25,7 +25,7 @@
   /** Whether nothing passes to or from an executor, or the store, now. */
   isCut(target: string): boolean;
   /** Draws the fault of a call to an executor, or to the store. */
-  drawFault(target: string): CallFault;
+  drawFault(target: string, method: string): CallFault;
   /** Called after each call that has reached its target. */
   onCarriedOut(target: string): void;
 };
@@ -41,8 +41,9 @@
 /** Makes calls of a member, each with the fault that the test draws. */
 async function pass<Outcome>(
   { process, isCut, drawFault, onCarriedOut }: LinkOptions,
-  { target, timeoutMs, lost, call }: {
+  { target, method, timeoutMs, lost, call }: {
     target: string;
+    method: string;
     timeoutMs: number;
     lost: Outcome;
     call(): Promise<Outcome>;
@@ -50,7 +51,7 @@
 ): Promise<Outcome> {
   const outcome = await runOutside(() =>
     new Promise<Outcome>((resolve) => {
-      const fault = drawFault(target);
+      const fault = drawFault(target, method);
       const timer = setTimeout(() => resolve(lost), timeoutMs);
       if (fault.isLost === true || isCut(target)) return;
       const answer = (outcome: Outcome) => {
@@ -84,6 +85,7 @@
     append: (partition, append) =>
       pass(options, {
         target,
+        method: "append",
         timeoutMs: append.timeoutMs,
         lost: { type: "unknown", reason: "no answer" },
         call: () => store.append(partition, append),
@@ -91,6 +93,7 @@
     read: (partition, read) =>
       pass(options, {
         target,
+        method: "read",
         timeoutMs: READ_TIMEOUT_MS + read.waitMs,
         lost: failed,
         call: () => store.read(partition, read),
@@ -98,6 +101,7 @@
     readNewest: (partition) =>
       pass(options, {
         target,
+        method: "readNewest",
         timeoutMs: READ_TIMEOUT_MS,
         lost: failed,
         call: () => store.readNewest(partition),
@@ -105,6 +109,7 @@
     join: (join) =>
       pass(options, {
         target,
+        method: "join",
         timeoutMs: GROUP_TIMEOUT_MS,
         lost: failed,
         call: () => group.join(join),
@@ -112,6 +117,7 @@
     leave: (leave) =>
       pass(options, {
         target,
+        method: "leave",
         timeoutMs: GROUP_TIMEOUT_MS,
         lost: undefined,
         call: () => group.leave(leave),
@@ -119,6 +125,7 @@
     owners: (name) =>
       pass(options, {
         target,
+        method: "owners",
         timeoutMs: GROUP_TIMEOUT_MS,
         lost: undefined,
         call: () => group.owners(name),
@@ -137,6 +144,7 @@
     start: (target, request) =>
       pass(options, {
         target: target.id,
+        method: "start",
         timeoutMs,
         lost,
         call: () => executors.start(target, request),
@@ -144,6 +152,7 @@
     stop: (target, request) =>
       pass(options, {
         target: target.id,
+        method: "stop",
         timeoutMs,
         lost,
         call: () => executors.stop(target, request),
@@ -151,6 +160,7 @@
     throttle: (target, request) =>
       pass(options, {
         target: target.id,
+        method: "throttle",
         timeoutMs,
         lost,
         call: () => executors.throttle(target, request),
@@ -158,6 +168,7 @@
     poll: (target, request) =>
       pass(options, {
         target: target.id,
+        method: "poll",
         timeoutMs: timeoutMs + request.waitMs,
         lost,
         call: () => executors.poll(target, request),
--- a/packages/jobs/owned/_members_world.ts
+++ b/packages/jobs/owned/_members_world.ts
@@ -48,7 +48,8 @@
 /** Interval at which executors are observed. */
 const TICK_MS = 20;
 
-const SOUND_CALL: CallFault = { beforeMs: 2, afterMs: 2 };
+/** Call on a link without faults. */
+export const SOUND_CALL: CallFault = { beforeMs: 2, afterMs: 2 };
 
 /** Share by which the clock of an executor may be slow. */
 export const MAX_CLOCK_LAG = 0.02;
@@ -87,7 +88,7 @@
   /** Whether a member is cut off from an executor, or from the store, now. */
   isCut(address: string, target: string): boolean;
   /** Draws the fault of a member's call; by default, there is none. */
-  drawFault?(address: string, target: string): CallFault;
+  drawFault?(address: string, target: string, method: string): CallFault;
   /** Called at each tick, before the executors are observed. */
   onTick?(world: MembersWorld): void;
 };
@@ -157,8 +158,8 @@
     const link = {
       process,
       isCut: (target: string) => options.isCut(address, target),
-      drawFault: (target: string) =>
-        options.drawFault?.(address, target) ?? SOUND_CALL,
+      drawFault: (target: string, method: string) =>
+        options.drawFault?.(address, target, method) ?? SOUND_CALL,
       onCarriedOut(target: string) {
         if (target !== STORE) world.observer.check();
       },
