--- a/packages/jobs/owned/handover_test.ts
+++ b/packages/jobs/owned/handover_test.ts
@@ -4,7 +4,6 @@
   createReport,
   createStep,
   JOB_ID,
-  NEXT_JOB_ID,
   type OwnerFixture,
   setUpOwners,
 } from "../_fixtures.ts";
@@ -107,33 +106,6 @@
       .toHaveLength(3);
   });
 
-  // Guards against two runs of a task that two handovers name on two executors,
-  // as the end of the wait for one unblocks it (TWICE).
-  test("waits for each executor on which a task may run", async () => {
-    const cut = fixture.addExecutor("e1");
-    const first = await fixture.startOwner(1);
-    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
-    await advanceTime(500);
-    cut.fault = "unreachable";
-    // A start without an answer makes the wait for `e1` longer than the lease.
-    fixture.accept(NEXT_JOB_ID, [createStep({ count: 1 })]);
-    await advanceTime(100);
-    await Promise.all([first.release(1_000), advanceTime(100)]);
-    const silent = fixture.addExecutor("e2");
-    const second = await fixture.startOwner(2);
-    await advanceTime(5_000);
-    expect([...silent.running.keys()]).toEqual([`${JOB_ID}.0.0.0`]);
-    silent.fault = "unreachable";
-    await Promise.all([second.release(1_000), advanceTime(100)]);
-    const other = fixture.addExecutor("e3");
-    await fixture.startOwner(3);
-    await advanceTime(3_000);
-    expect(silent.leaseExpiryMs - silent.clockOffsetMs)
-      .toBeGreaterThan(performance.now());
-    expect(other.starts.filter(({ task }) => task.startsWith(JOB_ID)))
-      .toEqual([]);
-  });
-
   // Guards against a partition that starts nothing for the duration of a lease
   // at each planned handover while one executor is cut off (9 s on trouble-2 of
   // Lakeshore).
