--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -243,13 +243,14 @@
    * Lets the next start on `e1` get no answer. Returns a function that carries
    * it out late.
    */
-  function holdStart() {
+  function holdStart({ onHeld }: { onHeld?: () => void } = {}) {
     const { start } = fixture.executors;
     let held: () => unknown = () => undefined;
     fixture.executors.start = (target, request) => {
       if (target.id !== "e1") return start(target, request);
       held = () => start(target, request);
       fixture.executors.start = start;
+      onHeld?.();
       return Promise.resolve({ type: "unknown", reason: "no answer" });
     };
     return () => void held();
@@ -335,4 +336,70 @@
     restarted.fault = "unreachable";
     await expectStartAfterLease(restarted, other);
   });
+
+  /** Has the second process of `e1` refuse a start, which its owner notices. */
+  async function refuseUnnoticed() {
+    const { owner, first, other } = await startOwner();
+    await hear(first);
+    const restarted = restart({ hasCapacityFor: (task) => task === TASK });
+    fixture.accept(EARLIER_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(50);
+    expect(leaseLeftMs(restarted)).toBeGreaterThan(9_000);
+    showRestart();
+    owner.refresh();
+    endEarlierTask(other);
+    await advanceTime(100);
+    return { owner, other, restarted };
+  }
+
+  // Guards against two runs of a task whose owner knew of a long lease that a
+  // refused start had granted, and whose next owner did not (TWICE).
+  test("keeps a run that was handed over after a refused start", async () => {
+    const { owner, other, restarted } = await refuseUnnoticed();
+    acceptLastingTask();
+    await advanceTime(500);
+    expect([...restarted.running.keys()]).toEqual([TASK]);
+    await Promise.all([owner.release(500), advanceTime(500)]);
+    await fixture.startOwner(2);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
+
+  // Guards against the same if the next owner is the first to use the process,
+  // as the record of its use was taken away with the restart (TWICE).
+  test("keeps a run of the next owner after a refused start", async () => {
+    const { owner, other, restarted } = await refuseUnnoticed();
+    await Promise.all([owner.release(500), advanceTime(500)]);
+    await fixture.startOwner(2);
+    acceptLastingTask();
+    await advanceTime(500);
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
+
+  // Guards against two runs of a task whose executor restarts twice: the second
+  // restart shortened the wait for a call of before the first (TWICE).
+  test("keeps a run beside a late start of before two restarts", async () => {
+    const { owner, first, other } = await startOwner();
+    await hear(first);
+    const carryOutLate = holdStart({
+      onHeld: () => first.fault = "unreachable",
+    });
+    acceptLastingTask();
+    await advanceTime(50);
+    let last = first;
+    for (const startedAtMs of [2, 3]) {
+      await advanceTime(1_000);
+      last = startProcess(startedAtMs);
+      last.fault = "unreachable";
+      fixture.reports.set("e1", createReport("e1", { startedAtMs }));
+      owner.refresh();
+    }
+    await advanceTime(9_000);
+    expect(other.starts.filter(({ task }) => task === TASK)).toEqual([]);
+    last.fault = undefined;
+    carryOutLate();
+    last.fault = "unreachable";
+    await expectStartAfterLease(last, other);
+  });
 });
