--- a/packages/jobs/run/long_leases_test.ts
+++ b/packages/jobs/run/long_leases_test.ts
@@ -402,4 +402,31 @@
     last.fault = "unreachable";
     await expectStartAfterLease(last, other);
   });
+
+  // Guards against two runs of a task on a process that leaves the list for a
+  // moment: its open call replaced that of the earlier process (TWICE).
+  test("keeps a run beside a late poll of before it left the list", async () => {
+    const { owner, other } = await startOwner();
+    const carryOutLate = await holdPolls();
+    const restarted = restart();
+    showRestart();
+    owner.refresh();
+    await advanceTime(500);
+    endEarlierTask(restarted, other);
+    holdStart();
+    fixture.accept(HEARD_JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    other.end(`${HEARD_JOB_ID}.0.0.0`, "done");
+    fixture.reports.delete("e1");
+    owner.refresh();
+    await advanceTime(50);
+    showRestart();
+    owner.refresh();
+    await advanceTime(300);
+    acceptLastingTask();
+    await advanceTime(300);
+    carryOutLate();
+    restarted.fault = "unreachable";
+    await expectStartAfterLease(restarted, other);
+  });
 });
