--- a/packages/jobs/owned/recurring_gaps_test.ts
+++ b/packages/jobs/owned/recurring_gaps_test.ts
@@ -7,7 +7,8 @@
   test,
 } from "@jest/globals";
 import { createMemoryStore, type MemoryStore } from "@lagoonloom/standins";
-import { advanceTime } from "../_fixtures.ts";
+import { advanceTime, createGroup } from "../_fixtures.ts";
+import { isPlaceable } from "../job.ts";
 import { createCandidacy } from "./candidacy.ts";
 import { formatMemberName } from "./member_name.ts";
 import { joinOwners, type Ownership } from "./ownership.ts";
@@ -95,4 +96,18 @@
     }
     expect(longestMs).toBeLessThan(1_500);
   });
+
+  // Guards against tasks without an earlier run that wait for one: after a step
+  // of the time of day, the undisputed time is before the start of all clocks.
+  test("places tasks that wait for no lease", async () => {
+    jest.setSystemTime(Date.now() + 60_000);
+    await restartOthers();
+    await advanceTime(1_000);
+    const [task] = createGroup().tasks;
+    const times = {
+      monotonicMs: performance.now(),
+      undisputedMs: member.undisputedAtMs(0),
+    };
+    expect(isPlaceable(task!, times)).toBe(true);
+  });
 });
