--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -43,14 +43,20 @@
 /** Time for which a member that gives way stays out of the group. */
 const GIVE_WAY_MS = 5_000;
 
+/** Gap in the membership. */
+type Gap = {
+  /** Last confirmation before it. */
+  before: ClockReading;
+  /** Monotonic time at which it was found. */
+  foundAtMs: number;
+};
+
 /** Doubt whether another member has owned a partition in between. */
 type Doubt = {
-  /** Last confirmation before that. */
-  before: ClockReading;
-  /** Monotonic time at which the gap in the membership was found. */
-  sinceMs: number;
-  /** Whether the store has answered since that no other owner has acted. */
-  isChecked: boolean;
+  /** Gaps in which an owner in between may still act, the first one first. */
+  gaps: Gap[];
+  /** Last confirmation before the gaps of which the store was not asked yet. */
+  confirmedBefore: ClockReading | undefined;
 };
 
 /** Partition that a member owns. */
@@ -158,13 +164,14 @@
    * kept. Until the store tells, they count as confirmed before that only.
    */
   const doubtOwned = () => {
-    const sinceMs = performance.now();
+    const gap = { before: confirmedAt, foundAtMs: performance.now() };
     for (const partition of assignedSince.keys()) {
       // Nobody relies on the epoch of a partition that is not used yet.
       if (!owned.has(partition)) assignedSince.set(partition, generation);
       else {
-        const before = doubts.get(partition)?.before ?? confirmedAt;
-        doubts.set(partition, { before, sinceMs, isChecked: false });
+        const { gaps = [], confirmedBefore = confirmedAt } =
+          doubts.get(partition) ?? {};
+        doubts.set(partition, { gaps: [...gaps, gap], confirmedBefore });
       }
     }
   };
@@ -180,8 +187,10 @@
     await Promise.all([...doubts].map(async ([partition, doubt]) => {
       const ownedPartition = owned.get(partition);
       if (ownedPartition === undefined) return;
-      const isSettled = performance.now() - doubt.sinceMs >= DISPUTE_MS;
-      if (doubt.isChecked && !isSettled) return;
+      const settledMs = performance.now() - DISPUTE_MS;
+      const open = doubt.gaps.filter(({ foundAtMs }) => foundAtMs > settledMs);
+      const isNew = doubt.confirmedBefore !== undefined;
+      if (!isNew && open.length === doubt.gaps.length) return;
       const { epoch } = ownedPartition;
       const { type } = await fencePartition(store, {
         partition,
@@ -189,9 +198,9 @@
         timeoutMs: CHECK_TIMEOUT_MS,
       });
       if (owned.get(partition) !== ownedPartition) return;
-      if (type === "stored") doubt.isChecked = true;
-      if (type === "stored" && isSettled && doubts.get(partition) === doubt) {
-        doubts.delete(partition);
+      if (type === "stored") {
+        doubts.set(partition, { gaps: open, confirmedBefore: undefined });
+        if (open.length === 0) doubts.delete(partition);
       }
       if (type !== "fenced") return;
       events.log("partitionSuperseded", { partition, epoch, generation });
@@ -292,11 +301,12 @@
   return {
     confirmedAtMs(partition) {
       const doubt = doubts.get(partition);
-      const isDoubted = doubt !== undefined && !doubt.isChecked;
-      return performance.now() - ageOf(isDoubted ? doubt.before : confirmedAt);
+      return performance.now() - ageOf(doubt?.confirmedBefore ?? confirmedAt);
+    },
+    undisputedAtMs(partition) {
+      const gap = doubts.get(partition)?.gaps[0];
+      return performance.now() - ageOf(gap?.before ?? confirmedAt);
     },
-    undisputedAtMs: (partition) =>
-      performance.now() - ageOf(doubts.get(partition)?.before ?? confirmedAt),
     // The fenced epoch can't be used again. The next join counts as a new
     // assignment at the generation of that time.
     drop: forget,
