--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -80,7 +80,7 @@
 ): boolean {
   const { blockedUntilMs, heldUntilMs, backoffUntilMs } = task;
   return !task.isDone && task.runs.length === 0 &&
-    blockedUntilMs <= undisputedMs &&
+    (blockedUntilMs === 0 || blockedUntilMs <= undisputedMs) &&
     Math.max(heldUntilMs, backoffUntilMs) <= monotonicMs;
 }
 
