--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -24,6 +24,7 @@
     clockOffsetMs: undefined,
     leaseEndsMs: 0,
     grantedUntilMs: 0,
+    foreignUntilMs: Infinity,
     openGrants: new Set(),
     acknowledgedSequence: 0,
     hasMoreEnds: false,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -184,6 +184,8 @@
   leaseEndsMs: number;
   /** The same for the leases that this owner has granted to this process. */
   grantedUntilMs: number;
+  /** The same for other leases, once it has answered; Infinity before. */
+  foreignUntilMs: number;
   /** Calls without an answer that were to grant a lease. */
   openGrants: Set<OpenGrant>;
   /** Sequence number of the last run end that is stored. */
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -93,7 +93,7 @@
   /** Executors that ended and that the platform's list may still show. */
   endedExecutors: Map<string, EndedExecutor>;
   /** Grants that the next process of an executor may carry out, by its id. */
-  lateGrants: Map<string, LateGrant>;
+  lateGrants: Map<string, LateGrant[]>;
   /** Whether the owner looks for executors that have ended. */
   isSearchingEnded: boolean;
   /** Starts that the next process of an executor may carry out, by its id. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -24,6 +24,7 @@
 } from "../machines/partition_report.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
+import { recordKnownStarts } from "../placed/used_executors.ts";
 import { createWaitingLog } from "../placed/waiting_log.ts";
 import {
   confirmExecutor,
@@ -269,6 +270,7 @@
     confirmExecutor(owner, id);
   }
   void confirmEndedExecutors(owner);
+  recordKnownStarts(owner);
   if (owner.reservedExecutors.size > 0 && nowMs >= owner.reservedUntilMs) {
     reserveExecutors(owner, new Set());
   }
--- a/packages/jobs/placed/used_executors.ts
+++ b/packages/jobs/placed/used_executors.ts
@@ -78,6 +78,24 @@
   saveUsedExecutors(owner);
 }
 
+/**
+ * Notes for the next owners which used executors hold no leases any more that
+ * another process or an earlier owner may have caused.
+ */
+export function recordKnownStarts(owner: OwnerState): void {
+  const nowMs = performance.now();
+  let hasChanged = false;
+  for (const [id, entry] of owner.usedExecutors) {
+    if (entry.startedAtMs !== undefined) continue;
+    const executor = owner.executors.get(id);
+    if (executor === undefined || executor.isRemoved) continue;
+    if (nowMs < executor.foreignUntilMs) continue;
+    entry.startedAtMs = executor.report.startedAtMs;
+    hasChanged = true;
+  }
+  if (hasChanged) saveUsedExecutors(owner);
+}
+
 /** Removes the records of executors that can't run anything any more. */
 export function forgetUsedExecutors(
   owner: OwnerState,
--- a/packages/jobs/run/_executor_clock.ts
+++ b/packages/jobs/run/_executor_clock.ts
@@ -60,13 +60,14 @@
 
 /**
  * Notes until which monotonic time a lease may be valid that an earlier owner
- * or an earlier session has granted.
+ * or an earlier session has granted, as the executor gives its first answer.
  */
 export function recordForeignLease(
   executor: ExecutorState,
   endsMs: number,
 ): void {
   executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
+  executor.foreignUntilMs = executor.leaseEndsMs;
 }
 
 /**
@@ -83,8 +84,9 @@
   if (executor.hasRestarted) return;
   executor.hasRestarted = true;
   const lastGrantMs = latestGrantMs(executor) + MAX_LATENESS_MS;
-  executor.leaseEndsMs = Math.max(performance.now(), lastGrantMs) +
-    longestLeaseMs;
+  const endsMs = Math.max(performance.now(), lastGrantMs) + longestLeaseMs;
+  // A call to a process before that one may be carried out later still.
+  executor.leaseEndsMs = Math.max(executor.leaseEndsMs, endsMs);
 }
 
 /** Returns the time of the newest granting call that has no answer. */
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -234,13 +234,18 @@
   const nowMs = Math.min(performance.now(), owner.options.undisputedAtMs());
   owner.sessions.get(executor)?.expireRuns(nowMs);
   if (executor.runs.size > 0) return;
+  detachExecutor(owner, executor);
+  // An unconfirmed executor may still run tasks of an earlier owner.
+  if (owner.unconfirmedExecutors.has(executor.id)) return;
+  forgetUsedExecutors(owner, [executor.id]);
+}
+
+/** Takes an executor off whose runs have ended or moved to the next process. */
+function detachExecutor(owner: OwnerState, executor: ExecutorState): void {
   owner.sessions.get(executor)?.close();
   owner.sessions.delete(executor);
   owner.executors.delete(executor.id);
   recordLateGrant(owner, executor);
-  // An unconfirmed executor may still run tasks of an earlier owner.
-  if (owner.unconfirmedExecutors.has(executor.id)) return;
-  forgetUsedExecutors(owner, [executor.id]);
 }
 
 /**
@@ -270,8 +275,9 @@
   executor.isRemoved = true;
   owner.sessions.get(executor)?.expireRuns(-Infinity);
   for (const run of unlisted) transferRun(run, next);
+  detachExecutor(owner, executor);
+  // Its record stays, as refused starts may have prolonged the lease as well.
   recordUsedRestart(owner, next.id);
-  removeExecutor(owner, executor);
   if (unlisted.length > 0) recordUsedExecutor(owner, next.id);
   openExecutor(owner, next);
 }
--- a/packages/jobs/run/late_grants.ts
+++ b/packages/jobs/run/late_grants.ts
@@ -7,6 +7,7 @@
  */
 
 import type { ExecutorState } from "../executor_state.ts";
+import type { LateGrant } from "../model.ts";
 import { longestLeaseMs, type OwnerState } from "../owned/owner_state.ts";
 import { hasOneProcess } from "../placed/used_executors.ts";
 import { latestGrantMs, MAX_LATENESS_MS } from "./_executor_clock.ts";
@@ -32,14 +33,20 @@
   owner: OwnerState,
   executor: ExecutorState,
 ): void {
-  const earliestMs = performance.now() - MAX_LATENESS_MS - longestMs(owner);
-  for (const [other, { sentAtMs }] of owner.lateGrants) {
-    if (sentAtMs < earliestMs) owner.lateGrants.delete(other);
+  for (const id of owner.lateGrants.keys()) {
+    if (recentGrants(owner, id).length === 0) owner.lateGrants.delete(id);
   }
   const { id, openGrants, report: { startedAtMs } } = executor;
   if (openGrants.size === 0) return;
-  const sentAtMs = latestGrantMs(executor);
-  owner.lateGrants.set(id, { startedAtMs, sentAtMs });
+  const grant = { startedAtMs, sentAtMs: latestGrantMs(executor) };
+  owner.lateGrants.set(id, [...recentGrants(owner, id), grant]);
+}
+
+/** Returns the grants that may still hold on a next process. */
+function recentGrants(owner: OwnerState, id: string): LateGrant[] {
+  const sinceMs = performance.now() - MAX_LATENESS_MS - longestMs(owner);
+  const grants = owner.lateGrants.get(id) ?? [];
+  return grants.filter(({ sentAtMs }) => sentAtMs >= sinceMs);
 }
 
 /**
@@ -51,16 +58,15 @@
   owner: OwnerState,
   { id, report }: ExecutorState,
 ): number {
-  const grant = owner.lateGrants.get(id);
   const inherited = owner.inheritedExecutors.get(id);
   const isForeign = inherited !== undefined &&
     !hasOneProcess(inherited, report);
-  const inheritedMs = isForeign ? performance.now() : 0;
-  const isLate = grant !== undefined &&
-    grant.startedAtMs !== report.startedAtMs;
-  const lateMs = isLate ? grant.sentAtMs + MAX_LATENESS_MS : 0;
-  const grantedMs = Math.max(inheritedMs, lateMs);
-  return grantedMs === 0 ? 0 : grantedMs + longestMs(owner);
+  const endsMs = isForeign ? [performance.now() + longestMs(owner)] : [];
+  for (const { startedAtMs, sentAtMs } of recentGrants(owner, id)) {
+    if (startedAtMs === report.startedAtMs) continue;
+    endsMs.push(sentAtMs + MAX_LATENESS_MS + longestMs(owner));
+  }
+  return Math.max(0, ...endsMs);
 }
 
 function longestMs({ options }: OwnerState): number {
