--- a/packages/jobs/owned/_take_over.ts
+++ b/packages/jobs/owned/_take_over.ts
@@ -54,15 +54,16 @@
 export async function takeOver(owner: OwnerState): Promise<void> {
   const { partition, epoch, store, events } = owner.options;
   while (!owner.isClosed) {
+    // A state that waits for the list may be outdated once that is there.
+    while (!owner.isClosed && !owner.options.view.hasExecutorList()) {
+      await sleep(LIST_PAUSE_MS);
+    }
     const startedAtMs = performance.now();
     const outcome = await loadPartition(store, { partition, epoch });
     const tookMs = Math.round(performance.now() - startedAtMs);
     if (owner.isClosed) return;
     if (outcome.type === "fenced") return owner.loseOwnership("store");
-    while (!owner.isClosed && !owner.options.view.hasExecutorList()) {
-      await sleep(LIST_PAUSE_MS);
-    }
-    if (outcome.type === "loaded" && !owner.isClosed) {
+    if (outcome.type === "loaded") {
       owner.jobsKnownAtMs = startedAtMs;
       applyState(owner, outcome.state);
       await followJobs(owner);
--- a/packages/jobs/owned/takeover_after_outage_test.ts
+++ b/packages/jobs/owned/takeover_after_outage_test.ts
@@ -6,9 +6,11 @@
   createStep,
   JOB_ID,
   type OwnerFixture,
+  PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
+import { fencePartition } from "./load_partition.ts";
 import type { PartitionOwner } from "./partition_owner.ts";
 
 const TASK = `${JOB_ID}.0.0.0`;
@@ -131,4 +133,23 @@
     expect(other.starts).toEqual([]);
     await expectOneRun(next);
   });
+
+  // Guards against two runs of a task (TWICE): the state that an owner has read
+  // is outdated once the list of executors is there.
+  test("does not act if another owner comes before the list", async () => {
+    const executor = fixture.addExecutor("e1");
+    const first = await fixture.startOwner(1);
+    first.close();
+    fixture.hasExecutorList = false;
+    await fixture.startOwner(2);
+    await fencePartition(fixture.store, {
+      partition: PARTITION,
+      epoch: 3,
+      timeoutMs: 100,
+    });
+    fixture.hasExecutorList = true;
+    await advanceTime(500);
+    expect(fixture.lossReasons).toEqual(["store"]);
+    expect(executor.token).toBe(1);
+  });
 });
