--- a/packages/jobs/machines/machines_owner_test.ts
+++ b/packages/jobs/machines/machines_owner_test.ts
@@ -10,7 +10,6 @@
 import { advanceTime, createConfiguration, PARTITION } from "../_fixtures.ts";
 import type { Machine, UpkeepWave } from "../fleet.ts";
 import type { MachineClient } from "../ports.ts";
-import { PROGRESS_TOPIC } from "../topics.ts";
 import { createMachinesOwner, type MachinesOwner } from "./machines_owner.ts";
 import type { PartitionReport } from "./partition_report.ts";
 
@@ -259,11 +258,11 @@
   // them before its deletion of the handover was stored.
   test("sends no orders before the handover is deleted", async () => {
     await handOver();
-    const { readNewest } = fixture.store;
-    fixture.store.readNewest = async (partition) => {
-      const outcome = await readNewest(partition);
-      if (partition.topic === PROGRESS_TOPIC) fixture.store.fault = "silent";
-      return outcome;
+    const { append } = fixture.store;
+    fixture.store.append = (partition, request) => {
+      // The deletion is the first record of the new owner.
+      if (request.records.length > 0) fixture.store.fault = "silent";
+      return append(partition, request);
     };
     own(2);
     await advanceTime(1_000);
--- a/packages/jobs/owned/takeover_after_outage_test.ts
+++ b/packages/jobs/owned/takeover_after_outage_test.ts
@@ -9,7 +9,7 @@
   PARTITION,
   setUpOwners,
 } from "../_fixtures.ts";
-import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
+import { HANDOVER_KEY } from "../topics.ts";
 import { fencePartition } from "./load_partition.ts";
 import type { PartitionOwner } from "./partition_owner.ts";
 
@@ -96,14 +96,14 @@
   // but is read again as that owner could not delete it (TWICE, issue 30).
   test("runs a task once if a handover could not be deleted", async () => {
     await handOver();
-    const { readNewest } = fixture.store;
-    fixture.store.readNewest = async (partition) => {
-      const outcome = await readNewest(partition);
-      if (partition.topic === PROGRESS_TOPIC) fixture.store.fault = "silent";
-      return outcome;
+    const { append } = fixture.store;
+    fixture.store.append = (partition, request) => {
+      // The deletion is the first record of the new owner.
+      if (request.records.length > 0) fixture.store.fault = "silent";
+      return append(partition, request);
     };
     const owner = await fixture.startOwner(76);
-    fixture.store.readNewest = readNewest;
+    fixture.store.append = append;
     await expectOneRun(await followInOutage(owner));
   });
 
