--- a/packages/jobs/run/executor_session.ts
+++ b/packages/jobs/run/executor_session.ts
@@ -348,9 +348,9 @@
     },
     poll: requestPoll,
     markEnded,
-    expireRuns(confirmedMs) {
+    expireRuns(undisputedMs) {
       if (!executor.isRemoved && executor.failedCalls === 0) return;
-      const hasExpired = confirmedMs >= executor.leaseEndsMs;
+      const hasExpired = undisputedMs >= executor.leaseEndsMs;
       const lost = [...executor.runs].filter((run) =>
         hasExpired || (executor.hasRestarted && isListed(run))
       );
--- a/packages/jobs/run/session_types.ts
+++ b/packages/jobs/run/session_types.ts
@@ -93,10 +93,10 @@
   markEnded(): void;
   /**
    * Ends the runs of an unreachable or removed executor if its lease had
-   * expired by a monotonic time up to which the ownership is confirmed. Later
-   * than that, another owner may have renewed the lease. If the executor has
+   * expired by a monotonic time up to which no other owner can have acted.
+   * Later than that, one may have renewed the lease. If the executor has
    * restarted, the runs that its process has listed end at once.
    */
-  expireRuns(confirmedMs: number): void;
+  expireRuns(undisputedMs: number): void;
   close(): void;
 };
