--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -37,7 +37,6 @@
     isRemoved: false,
     hasRestarted: false,
     hasCrashed: false,
-    earlierStartsMs: new Set(),
     isReserved: false,
     consecutiveFailures: 0,
     failedJobs: new Set(),
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -213,8 +213,6 @@
   hasRestarted: boolean;
   /** Whether another process has certainly taken its place. */
   hasCrashed: boolean;
-  /** Unix times at which earlier processes of its id started. */
-  earlierStartsMs: ReadonlySet<number>;
   /** Whether it is drained for a move or for upkeep of its machine. */
   isReserved: boolean;
   /** Failed runs since the last one that was done. */
--- a/packages/jobs/run/follow_executors.ts
+++ b/packages/jobs/run/follow_executors.ts
@@ -162,8 +162,12 @@
     return;
   }
   if (report !== undefined) {
-    // The entry of an earlier process may be written late.
-    if (executor.earlierStartsMs.has(report.startedAtMs)) return;
+    const isEarlier = report.startedAtMs < executor.report.startedAtMs;
+    if (isEarlier && !executor.hasRestarted) {
+      // The entry of an earlier process may be written late; an answer tells.
+      owner.sessions.get(executor)?.poll();
+      return;
+    }
     if (belongsToPartition(owner, report)) {
       // Only an answer shows what earlier owners ran on the new process.
       replaceExecutor(owner, executor, report);
@@ -263,10 +267,6 @@
   recordRestart(executor, longestLeaseMs(owner.options.maxLeaseMs));
   owner.sessions.get(executor)?.close();
   const next = createExecutorState(report);
-  next.earlierStartsMs = new Set([
-    ...executor.earlierStartsMs,
-    executor.report.startedAtMs,
-  ]);
   const unlisted = [...executor.runs].filter((run) => !isListed(run));
   // The new process may have answered a call that granted the longest lease.
   next.leaseEndsMs = executor.leaseEndsMs;
--- a/packages/jobs/run/returning_executor_test.ts
+++ b/packages/jobs/run/returning_executor_test.ts
@@ -62,6 +62,35 @@
     expect(executor.starts.length + other.starts.length).toBe(1);
   });
 
+  // Guards against the same where the earlier process was before its owner.
+  test("goes on with its runs if the next owner sees that first", async () => {
+    const earlierReport = createReport("e1", { startedAtMs: 1 });
+    const executor = fixture.addExecutor("e1", { startedAtMs: 2 });
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 1, isLasting: true })]);
+    await advanceTime(500);
+    first.close();
+    const next = await fixture.startOwner(2);
+    const other = fixture.addExecutor("e2");
+    fixture.reports.set("e1", earlierReport);
+    next.refresh();
+    await advanceTime(1_500);
+    expect(executor.starts.length + other.starts.length).toBe(1);
+  });
+
+  // Guards against a restart that is ignored, as the time of day was set back.
+  test("is replaced if its next process seems to be an earlier one", async () => {
+    fixture.addExecutor("e1", { startedAtMs: 2 });
+    const owner = await fixture.startOwner(1);
+    const restarted = fixture.addExecutor("e1", { startedAtMs: 1 });
+    owner.refresh();
+    await advanceTime(100);
+    owner.refresh();
+    fixture.accept(JOB_ID, [createStep({ count: 1 })]);
+    await advanceTime(500);
+    expect(restarted.running.size).toBe(1);
+  });
+
   // Guards against two runs of a task, as a start that got no answer reaches
   // the restarted process, which knows of neither its token nor a stop (TWICE).
   test("refuses a late start that was sent before it restarted", async () => {
