--- a/packages/jobs/owned/_members_world.ts
+++ b/packages/jobs/owned/_members_world.ts
@@ -72,6 +72,10 @@
   observer: RunObserver;
   /** Events of the members, as `time member name {fields}`. */
   logged: string[];
+  /** Returns whether a member has logged an event, given as `member name`. */
+  hasLogged(event: string): boolean;
+  /** Returns the names of the tasks that run on an executor, in order. */
+  runningOn(executor: string): string[];
   addExecutor(
     id: string,
     options?: { cpu?: number; clockLag?: number; stopMs?: number },
@@ -109,6 +113,10 @@
     executors: new Map(),
     observer: observeRuns(memory),
     logged: [],
+    hasLogged: (event) =>
+      world.logged.some((line) => line.includes(` ${event} `)),
+    runningOn: (executor) =>
+      [...world.executors.get(executor)!.running.keys()].sort(),
     addExecutor(id, { cpu = 16_000, clockLag = 0, stopMs = 0 } = {}) {
       const report = createReport(id, {
         capacity: { cpu, memoryMb: 32_768, accelerators: 0 },
--- a/packages/jobs/owned/late_fence_test.ts
+++ b/packages/jobs/owned/late_fence_test.ts
@@ -23,7 +23,8 @@
     isCutAtTakeover = false;
     world = createMembersWorld({
       isCut(address, target) {
-        const hasTakenOver = isCutAtTakeover && hasLogged("a partitionDealt");
+        const hasTakenOver = isCutAtTakeover &&
+          world.hasLogged("a partitionDealt");
         if (hasTakenOver && address === "a" && target === STORE) return true;
         return cut.has(`${address} ${target}`);
       },
@@ -35,12 +36,6 @@
     jest.useRealTimers();
   });
 
-  const hasLogged = (text: string) =>
-    world.logged.some((line) => line.includes(` ${text} `));
-
-  const runningOn = (executor: string) =>
-    [...world.executors.get(executor)!.running.keys()].sort();
-
   // Guards against an owner that goes on as nobody has fenced it yet, though
   // another one was assigned the partition meanwhile and fences it afterwards.
   test("adopts no runs that its successor holds for lapsed", async () => {
@@ -57,8 +52,8 @@
     ]);
     world.startMember("a");
     await advanceTime(4_000);
-    expect(hasLogged("a partitionDealt")).toBe(false);
-    const [ended, task] = runningOn("e0");
+    expect(world.hasLogged("a partitionDealt")).toBe(false);
+    const [ended, task] = world.runningOn("e0");
 
     // The lease on e0 is renewed as a run there ends, just before the pause.
     e0.end(ended!, "done");
@@ -66,18 +61,20 @@
     cut = new Set(["b e0", "a e1"]);
     isCutAtTakeover = true;
     b.process.pause();
-    while (!hasLogged("a partitionDealt")) await advanceTime(10);
+    while (!world.hasLogged("a partitionDealt")) await advanceTime(10);
     // The membership of a has expired, and its second attempt to fence is due
     // soon.
     await advanceTime(1_620);
     b.process.resume();
     await advanceTime(150);
     isCutAtTakeover = false;
-    expect(hasLogged("a loadDelayed")).toBe(true);
+    expect(world.hasLogged("a loadDelayed")).toBe(true);
 
     // The lease that b knows of expires before one that a has renewed.
     await advanceTime(15_000);
     expect(world.observer.violations).toEqual([]);
-    expect([...runningOn("e0"), ...runningOn("e1")]).toContain(task);
+    expect([...world.runningOn("e0"), ...world.runningOn("e1")]).toContain(
+      task,
+    );
   });
 });
--- a/packages/jobs/owned/owner_in_between_test.ts
+++ b/packages/jobs/owned/owner_in_between_test.ts
@@ -35,9 +35,6 @@
     jest.useRealTimers();
   });
 
-  const runningOn = (executor: string) =>
-    [...world.executors.get(executor)!.running.keys()].sort();
-
   // Guards against an owner that comes back and takes an executor that it can't
   // reach for empty, as it has not renewed the lease there itself.
   test("renews leases that its predecessor must not hold for expired", async () => {
@@ -53,27 +50,29 @@
       { ...lasting, count: 1, size: { ...lasting.size, cpu: 16_000 } },
     ]);
     await advanceTime(4_000);
-    expect(runningOn("e0")).toHaveLength(2);
-    expect(runningOn("e1")).toHaveLength(1);
+    expect(world.runningOn("e0")).toHaveLength(2);
+    expect(world.runningOn("e1")).toHaveLength(1);
 
     cut = new Set([`b ${STORE}`, "b e0", "a e1"]);
     const a = world.startMember("a");
     await advanceTime(11_000);
-    const [task] = runningOn("e0");
+    const [task] = world.runningOn("e0");
     world.executors.get("e0")!.end(task!, "done");
     await advanceTime(1_500);
     expect(world.logged.join("\n")).toMatch(/ a runAdopted .* a taskPlaced /s);
-    expect(runningOn("e0")).toHaveLength(2);
+    expect(world.runningOn("e0")).toHaveLength(2);
 
     // The executor's lease is that of the owner in between.
     cut.delete(`b ${STORE}`);
     void a.leave();
     await advanceTime(1_000);
-    expect(runningOn("e0")).toHaveLength(2);
+    expect(world.runningOn("e0")).toHaveLength(2);
     expect(world.observer.violations).toEqual([]);
     await advanceTime(14_000);
     expect(world.observer.violations).toEqual([]);
-    expect([...runningOn("e0"), ...runningOn("e1")]).toHaveLength(3);
+    expect([...world.runningOn("e0"), ...world.runningOn("e1")]).toHaveLength(
+      3,
+    );
   });
 
   // Guards against an owner that stops waiting for an executor that it can't
@@ -91,8 +90,8 @@
       { ...lasting, count: 1, size: { ...lasting.size, cpu: 16_000 } },
     ]);
     await advanceTime(4_000);
-    const [ended, task] = runningOn("e0");
-    expect(runningOn("e1")).toHaveLength(1);
+    const [ended, task] = world.runningOn("e0");
+    expect(world.runningOn("e1")).toHaveLength(1);
 
     // The lease on e0 is renewed just before the handover, as a run ends.
     cut = new Set(["b e0", "a e1"]);
@@ -105,10 +104,10 @@
     cut.add(`b ${STORE}`);
     await advanceTime(2_000);
     expect(world.logged.join("\n")).toMatch(/ a runAdopted /);
-    expect(runningOn("e0")).toContain(task);
+    expect(world.runningOn("e0")).toContain(task);
 
     await advanceTime(1_000);
-    expect(runningOn("e0")).toContain(task);
+    expect(world.runningOn("e0")).toContain(task);
     expect(world.observer.violations).toEqual([]);
     await advanceTime(15_000);
     expect(world.observer.violations).toEqual([]);
--- a/packages/jobs/owned/slow_load_test.ts
+++ b/packages/jobs/owned/slow_load_test.ts
@@ -32,7 +32,8 @@
       isCut: (address, target) => cut.has(`${address} ${target}`),
       drawFault(address, target, method) {
         if (!isSlow || address !== "a" || target !== STORE) return SOUND_CALL;
-        const isAnswerLost = method === "join" && hasLogged("a partitionDealt");
+        const isAnswerLost = method === "join" &&
+          world.hasLogged("a partitionDealt");
         return { ...SOUND_CALL, afterMs: SLOW_ANSWER_MS, isAnswerLost };
       },
     });
@@ -43,12 +44,6 @@
     jest.useRealTimers();
   });
 
-  const hasLogged = (text: string) =>
-    world.logged.some((line) => line.includes(` ${text} `));
-
-  const runningOn = (executor: string) =>
-    [...world.executors.get(executor)!.running.keys()].sort();
-
   // Guards against an owner that reads the state after its successor has taken
   // the handover away, and renews leases for whose end that one waits.
   test("does not act once its successor has fenced it", async () => {
@@ -65,21 +60,23 @@
     ]);
     world.startMember("a");
     await advanceTime(4_000);
-    const [task] = runningOn("e0");
-    expect(hasLogged("a partitionDealt")).toBe(false);
+    const [task] = world.runningOn("e0");
+    expect(world.hasLogged("a partitionDealt")).toBe(false);
 
     // b hands over to a, and gets the partition back while a reads the state.
     cut = new Set(["b e0", "a e1"]);
     isSlow = true;
     world.group.reassign();
-    while (!hasLogged("a partitionDealt")) await advanceTime(10);
+    while (!world.hasLogged("a partitionDealt")) await advanceTime(10);
     await advanceTime(50);
     world.group.reassign();
     await advanceTime(1_300);
     isSlow = false;
-    expect(hasLogged("b partitionReleased")).toBe(true);
+    expect(world.hasLogged("b partitionReleased")).toBe(true);
     await advanceTime(15_000);
     expect(world.observer.violations).toEqual([]);
-    expect([...runningOn("e0"), ...runningOn("e1")]).toContain(task);
+    expect([...world.runningOn("e0"), ...world.runningOn("e1")]).toContain(
+      task,
+    );
   });
 });
