--- a/packages/jobs/_record_fixtures.ts
+++ b/packages/jobs/_record_fixtures.ts
@@ -78,6 +78,7 @@
     stretch: 1.6,
     targetLatencyMs: 600,
     needsAdvice: false,
+    isPublic: false,
     ...fields,
   };
   return {
@@ -87,6 +88,7 @@
       { name: "quoting", enforcesCapacity: true, isStandby: false },
       { name: "backoffice", enforcesCapacity: true, isStandby: true },
     ],
+    organisations: undefined,
     maxHeaderBytes: 16_384,
     maxBodyBytes: 262_144,
     headerTimeoutMs: 3_000,
--- a/packages/jobs/fleet.ts
+++ b/packages/jobs/fleet.ts
@@ -12,6 +12,22 @@
   host: string;
   pathPrefix: string;
   service: string;
+  /** Whether calls need no key, also where there are organisations. */
+  isPublic: boolean;
+};
+
+/** Organisation whose callers submit jobs under keys of its own. */
+export type Organisation = {
+  name: string;
+  /** Keys that its callers send; any of them is valid. */
+  apiKeys: readonly string[];
+  /**
+   * Share of the capacity when all is in use, relative to the other
+   * organisations, and number of jobs a second that it may rely on.
+   */
+  weight: number;
+  /** Most that its tasks may use at a time over all executors; 0: no limit. */
+  cap: Size;
 };
 
 /** Service whose executors run jobs. */
@@ -28,6 +44,11 @@
   version: number;
   queues: readonly Queue[];
   services: readonly Service[];
+  /**
+   * Organisations whose keys calls need. Where it is undefined, calls need no
+   * key, and jobs belong to no organisation.
+   */
+  organisations: readonly Organisation[] | undefined;
   maxHeaderBytes: number;
   maxBodyBytes: number;
   headerTimeoutMs: number;
--- a/packages/jobs/submission.ts
+++ b/packages/jobs/submission.ts
@@ -100,6 +100,8 @@
    * its queue to another one.
    */
   service: z.string(),
+  /** Organisation of the caller; undefined if none is known. */
+  organisation: z.string().optional(),
   acceptedAtMs: z.number(),
   submission: Submission,
 });
