Order waiting tasks by the shares of organisations

Cause: an organisation that sends several times its usual number of jobs made the jobs of all others late, since placement orders by due time alone.

Change: the owner of a partition keeps a token bucket for each organisation, by the time at which its jobs were accepted, and marks the jobs beyond the weight; a new owner rebuilds the marks from the records. Marked jobs come after all others that somebody waits for. Among short jobs of equal class, standing and priority, those go first whose organisation uses the least of its share (dominant resource fairness, by quarters of a share); the order inside an organisation stays. Without organisations the order is the old one (property against a copy of the old rank).

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -24,6 +24,7 @@
   totalOccurrences,
 } from "../occurrences.ts";
 import { decodeAccepted, decodeCancellation } from "../owned/load_partition.ts";
+import { sharesOf } from "../organisations/shares.ts";
 import { type OwnerState, policyOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
 import { prepareEarly } from "../placed/prepare_job.ts";
@@ -53,6 +54,7 @@
     offset,
     isInherited,
     objectiveMs: objectiveMs(accepted, policy),
+    isBeyondWeight: isBeyondWeight(owner, accepted),
   });
   owner.jobs.set(id, job);
   if (progress !== undefined) {
@@ -71,6 +73,24 @@
   return job;
 }
 
+/**
+ * Returns whether a new job is beyond the weight of its organisation. A new
+ * owner calls it for all jobs that it loads, in the order of their records, so
+ * that it continues as the previous one did.
+ */
+function isBeyondWeight(
+  owner: OwnerState,
+  { organisation, acceptedAtMs }: AcceptedJob,
+): boolean {
+  const shares = sharesOf(owner.options.view.configuration());
+  if (shares === undefined || organisation === undefined) return false;
+  return !owner.weightBuckets.take(organisation, {
+    weight: shares.weightOf(organisation),
+    acceptedAtMs,
+    nowMs: Date.now(),
+  });
+}
+
 /**
  * Creates the tasks of a job that are due and drops those that are over.
  *
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -16,6 +16,8 @@
   offset: number;
   objectiveMs: number;
   isInherited: boolean;
+  /** Whether it is beyond the weight of its organisation; by default not. */
+  isBeyondWeight?: boolean;
 };
 
 /**
@@ -29,6 +31,7 @@
 export function createJob(id: string, options: CreateJobOptions): Job {
   return {
     id,
+    isBeyondWeight: false,
     ...options,
     hasStoredProgress: options.isInherited,
     preparedAtMs: options.isInherited ? 0 : undefined,
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -122,6 +122,8 @@
   offset: number;
   /** Time in milliseconds in which each occurrence should complete. */
   objectiveMs: number;
+  /** Whether its organisation sent it beyond its weight, in jobs a second. */
+  isBeyondWeight: boolean;
   isCancelled: boolean;
   hasFailed: boolean;
   hasStarted: boolean;
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -22,6 +22,7 @@
   type PartitionReport,
   reportPartition,
 } from "../machines/partition_report.ts";
+import { createWeightBuckets } from "../organisations/weight_buckets.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { recordKnownStarts } from "../placed/used_executors.ts";
@@ -223,6 +224,7 @@
       createTicketCache(options.adviceClient, {
         onChange: () => owner.schedulePlacement(),
       }),
+    weightBuckets: createWeightBuckets(),
     schedulePlacement() {
       if (placementTimer !== undefined || !owner.isLoaded) return;
       const delayMs = Math.max(MIN_PLACEMENT_DELAY_MS, lastRoundMs);
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { isWithin, occupiedBy } from "../executor_state.ts";
+import { type ExecutorState, isWithin, occupiedBy } from "../executor_state.ts";
 import {
   dueTimeOf,
   isPlaceable,
@@ -17,8 +17,20 @@
   isGroupDone,
   isGroupReady,
 } from "../occurrences.ts";
+import {
+  addSize,
+  noCapacity,
+  orderByShares,
+  type WaitingWork,
+} from "../organisations/order_by_shares.ts";
+import type { Shares } from "../organisations/shares.ts";
 import type { Size } from "../submission.ts";
-import { latenessOf, remainingStepsOf, remainingWork } from "./due_time.ts";
+import {
+  type Lateness,
+  latenessOf,
+  remainingStepsOf,
+  remainingWork,
+} from "./due_time.ts";
 
 /** Options of {@linkcode rankGroups}. */
 export type RankOptions = PlacementTimes & {
@@ -28,8 +40,15 @@
   priorityOf(job: Job): number;
   /** Most of each resource that any executor has free. */
   largestFree: Size;
+  /** Weights of organisations; undefined if there are none. */
+  shares?: Shares | undefined;
+  /** Executors of the service, among which the organisations share. */
+  executors: readonly ExecutorState[];
 };
 
+/** Group with its rank, of which earlier numbers decide before later ones. */
+type RankedGroup = WaitingWork & { group: TaskGroup; rank: number[] };
+
 /**
  * Returns the groups with tasks to place, in the order of placement. Groups
  * whose tasks fit on no executor are left out, which are most of them while a
@@ -39,7 +58,9 @@
   jobs: Iterable<Job>,
   options: RankOptions,
 ): TaskGroup[] {
-  const ranked: { group: TaskGroup; rank: number[] }[] = [];
+  const { shares, executors } = options;
+  const shortTasks = shares && sumShortTasks(executors);
+  const ranked: RankedGroup[] = [];
   for (const job of jobs) {
     if (job.endedAtMs !== undefined) continue;
     for (const [occurrence, groups] of groupsByOccurrence(job)) {
@@ -47,18 +68,115 @@
       if (waiting.length === 0) continue;
       const rank = rankOf(job, occurrence, options);
       for (const group of waiting) {
-        const lastingRank = group.step.isLasting ? 0 : 1;
-        const fillingRank = group.step.isFilling ? 2 : 0;
-        ranked.push({ group, rank: [lastingRank + fillingRank, ...rank] });
+        ranked.push({
+          group,
+          rank: [classOf(group), ...rank],
+          organisation: job.accepted.organisation,
+          size: group.step.size,
+          count: group.tasks.length - group.doneCount -
+            (shortTasks?.runCounts.get(group) ?? 0),
+        });
       }
     }
   }
   ranked.sort((left, right) => compareRanks(left.rank, right.rank));
-  return ranked.map(({ group }) => group);
+  const ordered = shares === undefined || shortTasks === undefined
+    ? ranked
+    : inOrderOfShares(ranked, { shares, ...shortTasks });
+  return ordered.map(({ group }) => group);
+}
+
+/** Class of tasks that end by themselves and that their callers wait for. */
+const SHORT_CLASS = 1;
+
+/** Returns the class of a group; lower numbers are served first. */
+function classOf({ step }: TaskGroup): number {
+  const lastingRank = step.isLasting ? 0 : SHORT_CLASS;
+  const fillingRank = step.isFilling ? 2 : 0;
+  return lastingRank + fillingRank;
+}
+
+/**
+ * Length of the first part of a rank, which decides before the shares of
+ * organisations do: class, standing and priority.
+ */
+const PEER_RANK_LENGTH = 3;
+
+/**
+ * Orders groups by the shares of their organisations. Only short tasks compete
+ * by shares, for what the lasting ones leave: these come first, and would use
+ * up the shares of those who have many of them.
+ */
+function inOrderOfShares(
+  ranked: readonly RankedGroup[],
+  { shares, held, capacity }: ShortTasks & { shares: Shares },
+): readonly RankedGroup[] {
+  const isShort = ({ rank }: RankedGroup) => rank[0] === SHORT_CLASS;
+  const first = ranked.findIndex(isShort);
+  if (first < 0) return ranked;
+  const end = ranked.findLastIndex(isShort) + 1;
+  const ordered = orderByShares(ranked.slice(first, end), {
+    shares,
+    held,
+    capacity,
+    isPeer: (left, right) => haveSameStart(left.rank, right.rank),
+  });
+  return [...ranked.slice(0, first), ...ordered, ...ranked.slice(end)];
+}
+
+/** Sums over the short tasks that run on the executors of a service. */
+type ShortTasks = {
+  /** Capacity that lasting and filling tasks leave. */
+  capacity: Size;
+  /** Part of it that the short tasks of each organisation hold. */
+  held: Map<string | undefined, Size>;
+  /** Numbers of their runs by group. */
+  runCounts: Map<TaskGroup, number>;
+};
+
+function sumShortTasks(executors: readonly ExecutorState[]): ShortTasks {
+  const capacity = noCapacity();
+  const held = new Map<string | undefined, Size>();
+  const runCounts = new Map<TaskGroup, number>();
+  for (const { report, runs } of executors) {
+    addSize(capacity, report.capacity);
+    for (const { task: { group } } of runs) {
+      if (classOf(group) !== SHORT_CLASS) {
+        addSize(capacity, occupiedBy(group), -1);
+        continue;
+      }
+      runCounts.set(group, (runCounts.get(group) ?? 0) + 1);
+      const { organisation } = group.job.accepted;
+      const size = held.get(organisation) ?? noCapacity();
+      addSize(size, group.step.size);
+      held.set(organisation, size);
+    }
+  }
+  return { capacity, held, runCounts };
+}
+
+function haveSameStart(left: number[], right: number[]): boolean {
+  for (let index = 0; index < PEER_RANK_LENGTH; index++) {
+    if (left[index] !== right[index]) return false;
+  }
+  return true;
 }
 
 /** Order of occurrences by their lateness; lower numbers are served first. */
-const LATENESS_RANK = { inTime: 0, late: 1, overdue: 1, abandoned: 2 };
+const LATENESS_RANK = { inTime: 0, late: 1, overdue: 1, abandoned: 4 };
+
+/** Added to this if the job is beyond the weight of its organisation. */
+const BEYOND_WEIGHT_RANK = { inTime: 2, late: 2, overdue: 2, abandoned: 1 };
+
+/**
+ * Returns the standing of an occurrence; lower numbers are served first. Jobs
+ * beyond the weight of their organisation come after all others that somebody
+ * waits for, also where those are late already.
+ */
+function standingOf({ isBeyondWeight }: Job, lateness: Lateness): number {
+  const penalty = isBeyondWeight ? BEYOND_WEIGHT_RANK[lateness] : 0;
+  return LATENESS_RANK[lateness] + penalty;
+}
 
 /**
  * Returns the rank of an occurrence, after its class. Late ones with the least
@@ -77,7 +195,7 @@
     objectiveMs: job.objectiveMs,
     remainingMs: dueAtMs - options.unixMs,
   });
-  const rank = [LATENESS_RANK[lateness], options.priorityOf(job)];
+  const rank = [standingOf(job, lateness), options.priorityOf(job)];
   if (lateness === "inTime" || lateness === "abandoned") {
     return [...rank, dueAtMs, job.offset];
   }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -13,6 +13,7 @@
   type Task,
   type TaskGroup,
 } from "../job.ts";
+import type { Shares } from "../organisations/shares.ts";
 import type { Size } from "../submission.ts";
 import {
   type ExecutorState,
@@ -55,13 +56,17 @@
   priorityOf(job: Job): number;
   /** Whether an executor may run a step; true for all if undefined. */
   mayRun?(group: TaskGroup, executor: ExecutorState): boolean;
+  /** Weights of organisations; undefined if there are none. */
+  shares?: Shares | undefined;
 };
 
 /**
  * Chooses executors for tasks that are ready to run, among those of the service
  * of their job. Lasting tasks come first and filling ones last. Within these
  * classes, jobs that can still be on time come first, and those that nobody
- * waits for any more last, as in an overload not all can be served. A task goes
+ * waits for any more last, as in an overload not all can be served. Where there
+ * are organisations, jobs beyond the weight of theirs come after the others,
+ * and jobs of equal standing are ordered by the shares of theirs. A task goes
  * to the executor of the lowest cost that has capacity for it, which is by
  * default the one with the least free processor time. A lasting task that has
  * waited for 1.5 s may also go to an executor that is reserved, but not drained
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -7,6 +7,7 @@
 import { updateOccurrences } from "../accepted/apply_records.ts";
 import { avoidExecutor } from "../avoid_executor.ts";
 import { closeStart, type Run, type Task, type TaskGroup } from "../job.ts";
+import { sharesOf } from "../organisations/shares.ts";
 import { mayStart, type OwnerState, policyOf } from "../owned/owner_state.ts";
 import { createRun } from "../create_run.ts";
 import { openStart } from "../ended/open_start.ts";
@@ -58,6 +59,7 @@
     unixMs: Date.now(),
     priorityOf: ({ accepted }) => policyOf(owner, accepted).priority,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
+    shares: sharesOf(owner.options.view.configuration()),
   });
   const unprepared = prepare(owner, placements);
   const gangRunNumbers = new Map<unknown, number>();
