Refuse at once what is beyond a weight while a service is full

Cause: jobs that an organisation sends beyond its weight to a full service were stored, only to wait behind all others until their callers had given up. Nobody told these when to come back; Retry-After was always 1.

Change: an owner says in its answers to Show and CountPending which of its services are full and which organisations have used up their weight. A member that has heard so in the last 2 s asks the owner whether it knows the id; if not, and the service is still full, it answers 429 with the seconds until there is room again, and stores nothing. Without an answer the job is accepted.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -84,11 +84,13 @@
 ): boolean {
   const shares = sharesOf(owner.options.view.configuration());
   if (shares === undefined || organisation === undefined) return false;
-  return !owner.weightBuckets.take(organisation, {
-    weight: shares.weightOf(organisation),
-    acceptedAtMs,
-    nowMs: Date.now(),
-  });
+  const weight = shares.weightOf(organisation);
+  const arrival = { weight, acceptedAtMs, nowMs: Date.now() };
+  const isWithin = owner.weightBuckets.take(organisation, arrival);
+  if (owner.isLoaded) {
+    owner.arrivals.count(organisation, { weight, isBeyondWeight: !isWithin });
+  }
+  return !isWithin;
 }
 
 /**
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -16,6 +16,10 @@
   type JobRecord,
   type RecordOutcome,
 } from "./accepted/accept_job.ts";
+import {
+  type BeyondWeightOutcome,
+  refuseBeyondWeight,
+} from "./accepted/refuse_beyond_weight.ts";
 import { createQueueServices } from "./accepted/queue_services.ts";
 import { createStoreMonitor } from "./accepted/store_monitor.ts";
 import { createRelayMonitor } from "./accepted/relay_monitor.ts";
@@ -24,6 +28,7 @@
 import { createLayoutWatch } from "./_layout_watch.ts";
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
+import { createAdmissionView } from "./organisations/admission_view.ts";
 import { createCandidacy } from "./owned/candidacy.ts";
 import {
   type Layout,
@@ -52,8 +57,14 @@
   isReady(): boolean;
   accept(
     id: string,
-    options: { submission: Submission; queue: Queue; timeoutMs: number },
-  ): Promise<RecordOutcome>;
+    options: {
+      submission: Submission;
+      queue: Queue;
+      /** Organisation of the caller; undefined if its calls need no key. */
+      organisation?: string | undefined;
+      timeoutMs: number;
+    },
+  ): Promise<RecordOutcome | BeyondWeightOutcome>;
   cancel(
     id: string,
     options: { queue: Queue; timeoutMs: number },
@@ -101,7 +112,9 @@
   const directory = createOwnerDirectory(store);
   const queueServices = createQueueServices({ store, events });
 
+  const admission = createAdmissionView();
   const access: OwnerAccess = {
+    noteFullServices: admission.note,
     localOwner: (partition) => owners.get(partition),
     directory,
     ownAddress: server.address,
@@ -201,7 +214,7 @@
   };
 
   const accept: Member["accept"] = async (id, options) => {
-    const { submission, queue, timeoutMs } = options;
+    const { submission, queue, organisation, timeoutMs } = options;
     const deadlineMs = performance.now() + timeoutMs;
     const recorded = await queueServices.record(queue);
     if (recorded.type !== "stored") return recorded;
@@ -212,6 +225,19 @@
       const reason = "the owner of an earlier service does not answer";
       return { type: "unknown", reason };
     }
+    const { service } = queue;
+    const partitions = partitionsOf([service], id);
+    const job = { partition: partitions[0], service, organisation };
+    const refusal = await refuseBeyondWeight(job, {
+      view: admission,
+      findJob: (maxMs) =>
+        findJobState(access, {
+          partitions,
+          job: id,
+          timeoutMs: Math.min(maxMs, leftMs()),
+        }),
+    });
+    if (refusal !== undefined) return refusal;
     return await acceptJob(id, submission, {
       ...appendOptions(),
       queue,
--- a/packages/jobs/organisations/_load_play.ts
+++ b/packages/jobs/organisations/_load_play.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { jest } from "@jest/globals";
 import { createAccepted, createReport, createStep } from "../_fixtures.ts";
 import { createRun } from "../create_run.ts";
 import {
@@ -17,6 +18,8 @@
 import { openDueGroups } from "../occurrences.ts";
 import { placeTasks } from "../placed/place_tasks.ts";
 import type { Step } from "../submission.ts";
+import { createAdmissionView } from "./admission_view.ts";
+import { findFullServices } from "./full_services.ts";
 import { createShares } from "./shares.ts";
 import { createWeightBuckets } from "./weight_buckets.ts";
 
@@ -38,11 +41,18 @@
   durationMs: number;
   /** Whether the decision knows the organisations. */
   hasShares?: boolean;
+  /** Members that take jobs and may refuse them; by default none may. */
+  memberCount?: number;
 };
 
 /** What an organisation has got. */
 export type LoadResult = {
+  /** Jobs that were accepted. */
   jobs: number;
+  /** Jobs that were refused. */
+  refused: number;
+  /** Accepted jobs beyond the weight. */
+  beyondWeight: number;
   /** Jobs that completed within their objective. */
   onTime: number;
   /** Jobs of which at least one task has started. */
@@ -54,21 +64,37 @@
 const ROUND_MS = 50;
 const OBJECTIVE_MS = 2_200;
 
-/** Plays a load and returns what each organisation has got. */
+/** Interval in which a member hears from the owner. */
+const HEARING_MS = 500;
+
+/** Partition of the jobs, and service of their queue. */
+const PLACE = { partition: 0, service: "quoting" };
+
+/**
+ * Plays a load, for which fake timers have to be in use, and returns
+ * what each organisation has got.
+ */
 export function playLoad(options: LoadOptions): Map<string, LoadResult> {
   const { organisations, durationMs, hasShares = true } = options;
-  const shares = createShares({
+  const configuration = {
     organisations: organisations.map(({ name, weight }) => ({
       name,
       weight,
       apiKeys: [],
       cap: { cpu: 0, memoryMb: 0, accelerators: 0 },
     })),
-  })!;
+  };
+  const shares = createShares(configuration)!;
+  const members = Array.from(
+    { length: options.memberCount ?? 0 },
+    createAdmissionView,
+  );
   const buckets = createWeightBuckets();
   const executors = createExecutors(options.executorCount);
   const results = new Map(organisations.map(({ name }) => [name, {
     jobs: 0,
+    refused: 0,
+    beyondWeight: 0,
     onTime: 0,
     started: 0,
     coreSeconds: 0,
@@ -76,12 +102,19 @@
   const credits = organisations.map((_, index) => index / organisations.length);
   const jobs = new Set<Job>();
   let offset = 0;
+  let arrivals = 0;
   for (let nowMs = 0; nowMs < durationMs; nowMs += ROUND_MS) {
     organisations.forEach(({ name, weight, rateAt, step }, index) => {
       credits[index]! += rateAt(nowMs) * ROUND_MS / 1_000;
       for (; credits[index]! >= 1; credits[index]!--) {
         const times = { weight, acceptedAtMs: nowMs, nowMs };
+        const member = members[arrivals++ % members.length];
+        if (member?.isBeyondWeight({ ...PLACE, organisation: name })) {
+          results.get(name)!.refused++;
+          continue;
+        }
         const isWithin = buckets.take(name, times);
+        if (!isWithin) results.get(name)!.beyondWeight++;
         jobs.add(createLoadJob(`job-${offset}`, {
           organisation: name,
           offset: offset++,
@@ -92,7 +125,19 @@
         results.get(name)!.jobs++;
       }
     });
+    jest.advanceTimersByTime(ROUND_MS);
     endRuns(executors, nowMs);
+    members.forEach((member, index) => {
+      const heardAtMs = Math.floor(index * HEARING_MS / members.length);
+      if (Math.floor((nowMs - heardAtMs) / ROUND_MS) % 10 !== 0) return;
+      const load = { jobs, executors, monotonicMs: nowMs, unixMs: nowMs };
+      const full = findFullServices([PLACE.service], {
+        ...load,
+        ...configuration,
+        weightBuckets: buckets,
+      });
+      member.note(PLACE.partition, full);
+    });
     for (const job of jobs) {
       const { tasks, doneCount } = job.groups[0]!;
       if (doneCount < tasks.length) continue;
--- a/packages/jobs/organisations/load_test.ts
+++ b/packages/jobs/organisations/load_test.ts
@@ -1,4 +1,11 @@
-import { describe, expect, test } from "@jest/globals";
+import {
+  afterEach,
+  beforeEach,
+  describe,
+  expect,
+  jest,
+  test,
+} from "@jest/globals";
 import { type LoadOrganisation, playLoad } from "./_load_play.ts";
 
 /** Executors of 16 cores, which 19 of 20 are busy with at the usual load. */
@@ -32,6 +39,9 @@
   }));
 }
 
+beforeEach(() => void jest.useFakeTimers());
+afterEach(() => void jest.useRealTimers());
+
 describe("placement by shares", () => {
   // Guards against one organisation at five times its usual that makes the
   // others late, on a service that the usual load fills.
@@ -99,3 +109,34 @@
     expect(results.get("small")!.onTime).toBeGreaterThanOrEqual(250);
   });
 });
+
+describe("refusal of what is beyond a weight", () => {
+  const LOAD = {
+    executorCount: EXECUTOR_COUNT,
+    durationMs: 20_000,
+    memberCount: 12,
+  };
+
+  // Guards against a hot organisation whose jobs are stored only to wait behind
+  // all others, against refusing more of it than is beyond its weight, and
+  // against refusing any job of the others.
+  test("refuses of the hot one about what is beyond its weight", () => {
+    const organisations = createOrganisations({ index: 0, factor: 5 });
+    const results = playLoad({ ...LOAD, organisations });
+    const { jobs, refused, beyondWeight } = results.get("organisation-0")!;
+    const { weight, rateAt } = organisations[0]!;
+    const usual = 10 * rateAt(0);
+    const within = jobs - beyondWeight;
+    expect(within).toBeGreaterThanOrEqual(0.9 * (usual + 10 * weight));
+    expect(refused).toBeGreaterThanOrEqual(2 * beyondWeight);
+    for (const [name, result] of results) {
+      if (name !== "organisation-0") expect(result.refused).toBe(0);
+    }
+  });
+
+  // Guards against refusals on a day without such a load.
+  test("refuses nothing of the usual load", () => {
+    const results = playLoad({ ...LOAD, organisations: createOrganisations() });
+    for (const { refused } of results.values()) expect(refused).toBe(0);
+  });
+});
--- a/packages/jobs/organisations/shares_test.ts
+++ b/packages/jobs/organisations/shares_test.ts
@@ -160,8 +160,12 @@
     const buckets = createWeightBuckets();
     const arrival = { weight: 0.25, acceptedAtMs: 0, nowMs: 0 };
     for (let index = 0; index < 3; index++) buckets.take("a", arrival);
+    expect(buckets.readyInMs("a", { weight: 0.25, nowMs: 0 })).toBe(0);
+    buckets.take("a", arrival);
     expect(buckets.readyInMs("a", { weight: 0.25, nowMs: 1_000 })).toBe(3_000);
     expect(buckets.readyInMs("a", { weight: 0.25, nowMs: 4_000 })).toBe(0);
-    expect(buckets.readyInMs("b", { weight: 0, nowMs: 0 })).toBe(30_000);
+    buckets.take("none", { ...arrival, weight: 0 });
+    expect(buckets.readyInMs("none", { weight: 0, nowMs: 0 })).toBe(30_000);
+    expect(buckets.readyInMs("calm", { weight: 0, nowMs: 0 })).toBe(0);
   });
 });
--- a/packages/jobs/organisations/weight_buckets.ts
+++ b/packages/jobs/organisations/weight_buckets.ts
@@ -12,8 +12,13 @@
 /** Least number of jobs that may come at once, if the weight is not 0. */
 const MIN_BURST_JOBS = 3;
 
-/** Shortest and longest time after which a bucket is said to have room. */
-const MIN_READY_MS = 1;
+/**
+ * Time in seconds for which a bucket that was empty fills up before it is said
+ * to have room. Members hear of it with a delay, in which more jobs come.
+ */
+const REFILL_S = 1;
+
+/** Longest time after which a bucket is said to have room. */
 const MAX_READY_MS = 30_000;
 
 /** Token buckets of the organisations that send jobs to a service. */
@@ -25,8 +30,9 @@
    */
   take(organisation: string, arrival: Arrival): boolean;
   /**
-   * Returns the milliseconds until the bucket of an organisation has a token;
-   * 0 if it has one now.
+   * Returns the milliseconds until an organisation that has sent a job beyond
+   * its weight should send more; 0 if it has sent none since its bucket has
+   * filled up for a while.
    */
   readyInMs(organisation: string, now: Moment): number;
 };
@@ -45,7 +51,12 @@
   acceptedAtMs: number;
 };
 
-type Bucket = { tokens: number; updatedAtMs: number };
+type Bucket = {
+  tokens: number;
+  updatedAtMs: number;
+  /** Whether a job has found no token since the bucket was filled up. */
+  isSpent: boolean;
+};
 
 /**
  * Creates buckets, which are full at first. A job beyond the weight takes no
@@ -71,7 +82,7 @@
     const burst = weight === 0 ? 0 : Math.max(MIN_BURST_JOBS, BURST_S * weight);
     let bucket = buckets.get(organisation);
     if (bucket === undefined) {
-      bucket = { tokens: burst, updatedAtMs: atMs };
+      bucket = { tokens: burst, updatedAtMs: atMs, isSpent: false };
       buckets.set(organisation, bucket);
     }
     // The clock of this process was set back.
@@ -80,22 +91,31 @@
     const gained = weight * elapsedMs / 1_000;
     bucket.tokens = Math.min(burst, bucket.tokens + gained);
     bucket.updatedAtMs += elapsedMs;
+    if (weight > 0 && bucket.tokens >= refillOf(weight)) bucket.isSpent = false;
     return bucket;
   };
 
   return {
     take(organisation, arrival) {
       const bucket = refill(organisation, arrival);
-      if (bucket.tokens < 1) return false;
+      if (bucket.tokens < 1) {
+        bucket.isSpent = true;
+        return false;
+      }
       bucket.tokens--;
       return true;
     },
     readyInMs(organisation, { weight, nowMs }) {
       const arrival = { weight, acceptedAtMs: nowMs, nowMs };
-      const { tokens } = refill(organisation, arrival);
-      if (tokens >= 1) return 0;
-      const missingMs = (1 - tokens) / weight * 1_000;
-      return Math.min(MAX_READY_MS, Math.max(MIN_READY_MS, missingMs));
+      const { tokens, isSpent } = refill(organisation, arrival);
+      if (!isSpent) return 0;
+      const missingMs = (refillOf(weight) - tokens) / weight * 1_000;
+      return Math.min(MAX_READY_MS, missingMs);
     },
   };
 }
+
+/** Returns the number of tokens from which on a bucket has room again. */
+function refillOf(weight: number): number {
+  return Math.max(1, REFILL_S * weight);
+}
--- a/packages/jobs/owned/_members_world.ts
+++ b/packages/jobs/owned/_members_world.ts
@@ -215,6 +215,7 @@
       store: memberStore,
       access: {
         localOwner: (partition) => owners.get(partition),
+        noteFullServices: () => undefined,
         directory: {
           find: () => Promise.resolve(undefined),
           members: () => [],
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -15,6 +15,7 @@
   UsedExecutor,
 } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
+import type { ArrivalLog } from "../organisations/arrival_log.ts";
 import type { WeightBuckets } from "../organisations/weight_buckets.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
@@ -127,6 +128,7 @@
   ticketCache: TicketCache | undefined;
   /** Jobs that each organisation may still send within its weight. */
   weightBuckets: WeightBuckets;
+  arrivals: ArrivalLog;
   /** Schedules a round of placement, unless one is scheduled already. */
   schedulePlacement(): void;
   /** Stops this owner because another one has taken over. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -22,6 +22,9 @@
   type PartitionReport,
   reportPartition,
 } from "../machines/partition_report.ts";
+import { createArrivalLog } from "../organisations/arrival_log.ts";
+import type { FullService } from "../organisations/full_services.ts";
+import { watchFullServices } from "../organisations/watch_full_services.ts";
 import { createWeightBuckets } from "../organisations/weight_buckets.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
@@ -87,6 +90,11 @@
   getJobState(id: string): Promise<QueryResult<JobState>>;
   /** Counts the accepted jobs of a queue that have not started. */
   countPending(queue: string): number;
+  /**
+   * Returns the full services, and the organisations whose further jobs are
+   * beyond their weight at the moment.
+   */
+  fullServices(): readonly FullService[];
   /** Applies changes of the configuration and of the list of executors. */
   refresh(): void;
   /**
@@ -123,6 +131,7 @@
   const timer = setInterval(() => {
     runChecks(owner);
     waitingLog.check();
+    owner.arrivals.check();
     // While the store is down for all, no other member can load it either.
     if (owner.isLoaded || !isOwnershipConfirmed(owner, ADMISSION_GRACE_MS)) {
       return;
@@ -156,6 +165,7 @@
       return { type: isCurrent && !owner.isClosed ? "missing" : "unavailable" };
     },
     countPending: (queue) => countPending(owner, queue),
+    fullServices: watchFullServices(owner),
     refresh: () => refreshExecutors(owner),
     reserveAndReport(reserved, ended) {
       for (const id of ended) {
@@ -225,6 +235,7 @@
         onChange: () => owner.schedulePlacement(),
       }),
     weightBuckets: createWeightBuckets(),
+    arrivals: createArrivalLog(partition, events),
     schedulePlacement() {
       if (placementTimer !== undefined || !owner.isLoaded) return;
       const delayMs = Math.max(MIN_PLACEMENT_DELAY_MS, lastRoundMs);
--- a/packages/jobs/owner_handlers.ts
+++ b/packages/jobs/owner_handlers.ts
@@ -39,12 +39,17 @@
         isOwner: true,
         state: state.type === "known" ? state.value : "",
         isUnavailable: state.type === "unavailable",
+        full: [...owner.fullServices()],
       };
     },
     countPending({ partition, queue }) {
       const owner = findLoaded(partition);
       if (owner === undefined) return { isOwner: false };
-      return { isOwner: true, pending: owner.countPending(queue) };
+      return {
+        isOwner: true,
+        pending: owner.countPending(queue),
+        full: [...owner.fullServices()],
+      };
     },
     async relay({ partition, key, value }) {
       const outcome = await appendOnce(partition, { key, value }, {
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -8,6 +8,7 @@
 import type { OwnerDirectory } from "../owned/owner_directory.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { JobState } from "../submission.ts";
+import type { FullService } from "../organisations/full_services.ts";
 import type { QueryResult } from "./query_result.ts";
 
 /** Longest wait for one answer of another member. */
@@ -25,6 +26,8 @@
   client(address: string): OwnerClient;
   /** Peer address of this process. */
   ownAddress: string;
+  /** Takes over which services of a partition are full, as its owner says. */
+  noteFullServices(partition: number, full: readonly FullService[]): void;
 };
 
 /**
@@ -42,10 +45,15 @@
   const { partition, job } = options;
   return await queryOwner<JobState>(access, {
     ...options,
-    local: (owner) => owner.getJobState(job),
+    async local(owner) {
+      const result = await owner.getJobState(job);
+      access.noteFullServices(partition, owner.fullServices());
+      return result;
+    },
     async remote(client, timeoutMs) {
       const answer = await client.show({ partition, job }, timeoutMs);
       if (answer?.isOwner !== true) return undefined;
+      access.noteFullServices(partition, answer.full);
       if (answer.isUnavailable) return { type: "unavailable" };
       if (answer.state === "") return { type: "missing" };
       return { type: "known", value: answer.state as JobState };
@@ -92,14 +100,18 @@
   const { partition, queue } = options;
   return await queryOwner<number>(access, {
     ...options,
-    local: (owner) =>
-      Promise.resolve({ type: "known", value: owner.countPending(queue) }),
+    local(owner) {
+      access.noteFullServices(partition, owner.fullServices());
+      const value = owner.countPending(queue);
+      return Promise.resolve({ type: "known", value });
+    },
     async remote(client, timeoutMs) {
       const answer = await client.countPending(
         { partition, queue },
         timeoutMs,
       );
       if (answer?.isOwner !== true) return undefined;
+      access.noteFullServices(partition, answer.full);
       return { type: "known", value: answer.pending };
     },
   });
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -109,6 +109,18 @@
     message: "queue accepts its first job for a service",
     fields: { queue: "string", service: "string", earlier: "number" },
   },
+  jobBeyondWeight: {
+    id: "LL6124",
+    level: "warn",
+    message: "job was refused: its service is full, its organisation sends " +
+      "more than its weight",
+    fields: {
+      job: "string",
+      queue: "string",
+      organisation: "string",
+      retryAfterMs: "number",
+    },
+  },
   jobsUnread: {
     id: "LL6211",
     level: "warn",
@@ -299,6 +311,18 @@
       how: "string",
     },
   },
+  organisationJobs: {
+    id: "LL6320",
+    level: "info",
+    message: "jobs of an organisation in the last ten seconds",
+    fields: {
+      organisation: "string",
+      partition: "number",
+      weight: "number",
+      jobs: "number",
+      beyondWeight: "number",
+    },
+  },
   progressDelayed: {
     id: "LL6308",
     level: "warn",
--- a/packages/telemetry/job_metrics.ts
+++ b/packages/telemetry/job_metrics.ts
@@ -12,6 +12,9 @@
 /** Most queues with time series of their own; others count as `other`. */
 export const MAX_QUEUE_LABELS = 200;
 
+/** Most organisations with time series of their own, likewise. */
+export const MAX_ORGANISATION_LABELS = 200;
+
 const ACCEPTANCE_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2];
 
 const RUN_BUCKETS_S = [0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60, 300];
@@ -39,6 +42,9 @@
   const registry = new Registry();
   const registers = [registry];
   const queues = createLabelAllowlist({ maxValues: MAX_QUEUE_LABELS });
+  const organisations = createLabelAllowlist({
+    maxValues: MAX_ORGANISATION_LABELS,
+  });
   const counts = new Counter({
     name: "lagoonloom_job_events_total",
     help: "Log events by number.",
@@ -65,6 +71,21 @@
     buckets: TAKEOVER_BUCKETS_S,
     registers,
   });
+  const organisationJobs = new Counter({
+    name: "lagoonloom_organisation_jobs_total",
+    help: "Jobs by organisation: within its weight, beyond it, or refused.",
+    labelNames: ["organisation", "outcome"] as const,
+    registers,
+  });
+  const countJobs = (
+    name: unknown,
+    outcome: "within_weight" | "beyond_weight" | "refused",
+    jobs: number,
+  ) => {
+    organisations.allow([String(name)]);
+    const organisation = organisations.label(String(name));
+    organisationJobs.inc({ organisation, outcome }, jobs);
+  };
   return {
     registry,
     observe({ id }, fields) {
@@ -81,6 +102,13 @@
         );
       } else if (id === JOB_LOG_EVENTS.takeoverComplete.id) {
         takeovers.observe(toSeconds(fields["tookMs"]));
+      } else if (id === JOB_LOG_EVENTS.jobBeyondWeight.id) {
+        countJobs(fields["organisation"], "refused", 1);
+      } else if (id === JOB_LOG_EVENTS.organisationJobs.id) {
+        const name = fields["organisation"];
+        const beyond = Number(fields["beyondWeight"]);
+        countJobs(name, "within_weight", Number(fields["jobs"]) - beyond);
+        countJobs(name, "beyond_weight", beyond);
       }
     },
   };
--- a/packages/telemetry/job_metrics_test.ts
+++ b/packages/telemetry/job_metrics_test.ts
@@ -1,6 +1,10 @@
 import { describe, expect, test } from "@jest/globals";
 import { createEventLog } from "./event_log.ts";
-import { createJobMetrics, MAX_QUEUE_LABELS } from "./job_metrics.ts";
+import {
+  createJobMetrics,
+  MAX_ORGANISATION_LABELS,
+  MAX_QUEUE_LABELS,
+} from "./job_metrics.ts";
 
 describe("createJobMetrics", () => {
   const create = () => {
@@ -55,4 +59,34 @@
     );
     expect(lines).toHaveLength(MAX_QUEUE_LABELS + 1);
   });
+
+  // Guards against numbers of organisations that disagree with the log, and an
+  // unbounded number of time series.
+  test("counts jobs by organisation", async () => {
+    const { metrics, events } = create();
+    const names = Array.from({ length: 300 }, (_, index) => `o${index}`);
+    for (const organisation of names) {
+      const fields = { partition: 3, weight: 1, jobs: 5, beyondWeight: 2 };
+      events.log("organisationJobs", { organisation, ...fields });
+    }
+    events.log("jobBeyondWeight", {
+      job: "a",
+      queue: "quotes",
+      organisation: "o0",
+      retryAfterMs: 900,
+    });
+    const text = await metrics.registry.metrics();
+    const lines = text.split("\n").filter((line) =>
+      line.startsWith("lagoonloom_organisation_jobs_total{")
+    );
+    expect(lines.filter((line) => line.includes('"o0"'))).toEqual([
+      'lagoonloom_organisation_jobs_total{organisation="o0",' +
+      'outcome="within_weight"} 3',
+      'lagoonloom_organisation_jobs_total{organisation="o0",' +
+      'outcome="beyond_weight"} 2',
+      'lagoonloom_organisation_jobs_total{organisation="o0",' +
+      'outcome="refused"} 1',
+    ]);
+    expect(lines).toHaveLength(2 * (MAX_ORGANISATION_LABELS + 1) + 1);
+  });
 });
