Refuse calls whose key is unknown or may have been taken away

No key was read, and the age of the configuration was counted from the answer of a long poll. Change: - A member keeps with its configuration the instant at which the request was sent whose answer showed that nothing newer existed, on the monotonic clock, the time of day and the boot clock. Answers that are cut off, come from a copy that lags, or hold an older or unreadable version confirm nothing. - Each call is decided about by its key and that age: 401, 503 or served; a submission once more after its body. Before a refusal a member that may be behind reads the store once, at most twice a second for all calls. - A member that is cut off from the store asks others for version, age and record. - A job has the organisation of its caller. Without organisations neither key nor age is looked at.

--- a/packages/jobs/_record_fixtures.ts
+++ b/packages/jobs/_record_fixtures.ts
@@ -7,6 +7,7 @@
 import type { Configuration, ExecutorReport, Machine, Queue } from "./fleet.ts";
 import { createJob, type TaskGroup } from "./job.ts";
 import { openGroup } from "./occurrences.ts";
+import type { HeldConfiguration } from "./organisations/held_configuration.ts";
 import type { AcceptedJob, Step } from "./submission.ts";
 
 export const PARTITION = 3;
@@ -96,6 +97,21 @@
   };
 }
 
+/** Creates the holder of a configuration that is always the newest one. */
+export function createHeldFixture(
+  current: () => Configuration,
+): HeldConfiguration {
+  return {
+    current,
+    record: () => undefined,
+    ageMs: () => 0,
+    createSource: () => ({
+      offer: () => undefined,
+      confirm: () => undefined,
+    }),
+  };
+}
+
 /** Creates the list entry of an executor of 16 cores. */
 export function createReport(
   id: string,
--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -10,6 +10,8 @@
 import type { Store } from "../ports.ts";
 import {
   type AcceptedJob,
+  type Caller,
+  type Cancellation,
   QueuePolicy,
   type Submission,
 } from "../submission.ts";
@@ -45,12 +47,18 @@
 export const MAX_TASKS = 20_000;
 
 /** Options of {@linkcode acceptJob}. */
-export type AcceptOptions = RecordOptions & { queue: Queue };
+export type AcceptOptions = RecordOptions & {
+  queue: Queue;
+  /** Organisation of the caller; undefined if its calls need no key. */
+  organisation?: string | undefined;
+};
 
 /** Options of {@linkcode cancelJob}. */
 export type CancelOptions = RecordOptions & {
   /** All services under which the job may have been accepted. */
   services: readonly string[];
+  /** Who cancels the job. */
+  caller?: Caller;
 };
 
 /** Options of storing a record of a job. */
@@ -89,7 +97,7 @@
   submission: Submission,
   options: AcceptOptions,
 ): Promise<RecordOutcome> {
-  const { queue } = options;
+  const { queue, organisation } = options;
   const tasks = submission.steps.reduce((sum, { count }) => sum + count, 0);
   if (tasks > MAX_TASKS) {
     const reason = `${tasks} tasks are more than ${MAX_TASKS}`;
@@ -99,6 +107,7 @@
     queue: queue.name,
     policy: QueuePolicy.parse(queue),
     service: queue.service,
+    ...(organisation === undefined ? {} : { organisation }),
     acceptedAtMs: Date.now(),
     submission,
   };
@@ -118,8 +127,15 @@
   id: string,
   options: CancelOptions,
 ): Promise<RecordOutcome> {
-  const value = JSON.stringify({ cancelledAtMs: Date.now() });
-  const record = { key: cancelKey(id), value };
+  const { caller = {} } = options;
+  const cancellation: Cancellation = {
+    cancelledAtMs: Date.now(),
+    ...(Object.keys(caller).length === 0 ? {} : { caller }),
+  };
+  const record = {
+    key: cancelKey(id, caller),
+    value: JSON.stringify(cancellation),
+  };
   const outcomes = await Promise.all(
     options.services.map((service) =>
       storeRecord(id, record, { ...options, service })
--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { sleep } from "../_sleep.ts";
 import { finishJob } from "../ended/finish_job.ts";
 import { applyProgress, type Progress } from "../ended/progress.ts";
 import {
@@ -23,13 +24,23 @@
   type OpeningTimes,
   totalOccurrences,
 } from "../occurrences.ts";
+import {
+  mayAccess,
+  replacesOrganisation,
+} from "../organisations/job_access.ts";
 import { decodeAccepted, decodeCancellation } from "../owned/load_partition.ts";
 import { type OwnerState, policyOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
 import { prepareEarly } from "../placed/prepare_job.ts";
 import type { StoredRecord } from "../ports.ts";
 import type { AcceptedJob, Cancellation, Step } from "../submission.ts";
-import { JOBS_TOPIC, parseJobKey } from "../topics.ts";
+import { cancelKey, JOBS_TOPIC, parseJobKey } from "../topics.ts";
+
+/** Longest wait for the store to take the record of a job again. */
+const RESTORE_TIMEOUT_MS = 1_500;
+
+/** Pause before this is tried again. */
+const RESTORE_RETRY_MS = 300;
 
 /**
  * Adds an accepted job to the owner's state, with the progress that an earlier
@@ -64,8 +75,7 @@
     const { partition } = owner.options;
     owner.options.events.log("jobTaken", { job: id, partition, offset });
   }
-  const isCancelled = owner.earlyCancellations.delete(id);
-  if (isCancelled) endCancelled(owner, job);
+  if (takeCancellation(owner, job)) endCancelled(owner, job);
   else if (!isInherited) prepareEarly(owner, job);
   owner.schedulePlacement();
   return job;
@@ -123,17 +133,48 @@
 }
 
 /**
- * Cancels a job. If it is not known yet, it is cancelled as soon as it is: its
- * submission may be stored after the cancellation.
+ * Cancels a job if it is accessible to the caller of the cancellation. If it is
+ * not known yet, it is cancelled as soon as it is: its submission may be stored
+ * after the cancellation.
  */
 export function applyCancellation(
   owner: OwnerState,
   id: string,
-  { cancelledAtMs }: Cancellation,
+  cancellation: Cancellation,
 ): void {
   const job = owner.jobs.get(id);
-  if (job === undefined) owner.earlyCancellations.set(id, cancelledAtMs);
-  else endCancelled(owner, job);
+  const { caller } = cancellation;
+  // The record of a caller has a key of its own, which is removed by itself.
+  if (job === undefined || caller !== undefined) {
+    keepCancellation(owner, id, cancellation);
+  }
+  if (job === undefined) return;
+  if (mayAccess(job.accepted, caller ?? {})) endCancelled(owner, job);
+}
+
+/** Keeps a cancellation in place of an earlier one by the same caller. */
+function keepCancellation(
+  owner: OwnerState,
+  id: string,
+  cancellation: Cancellation,
+): void {
+  const key = cancelKey(id, cancellation.caller);
+  const others = (owner.cancellations.get(id) ?? [])
+    .filter(({ caller }) => cancelKey(id, caller) !== key);
+  owner.cancellations.set(id, [...others, cancellation]);
+}
+
+/**
+ * Returns whether a new job was cancelled before it was known. The record of a
+ * cancellation without a caller is removed with the job.
+ */
+function takeCancellation(owner: OwnerState, { id, accepted }: Job): boolean {
+  const kept = owner.cancellations.get(id);
+  if (kept === undefined) return false;
+  const withCaller = kept.filter(({ caller }) => caller !== undefined);
+  if (withCaller.length > 0) owner.cancellations.set(id, withCaller);
+  else owner.cancellations.delete(id);
+  return kept.some(({ caller }) => mayAccess(accepted, caller ?? {}));
 }
 
 function endCancelled(owner: OwnerState, job: Job): void {
@@ -157,9 +198,32 @@
     events.log("recordUnreadable", { partition, key: record.key });
     return;
   }
+  const known = owner.jobs.get(id);
+  if (known !== undefined && replacesOrganisation(known.accepted, accepted)) {
+    void restoreAcceptance(owner, known);
+    return;
+  }
   addJob(owner, id, { accepted, offset, progress: undefined });
 }
 
+/**
+ * Stores the record of a job again after a call of another organisation has
+ * replaced it, so that the next owner finds the first one.
+ */
+async function restoreAcceptance(owner: OwnerState, job: Job): Promise<void> {
+  const { store, partition, events } = owner.options;
+  events.log("jobIdInUse", { job: job.id, partition });
+  const record = { key: job.id, value: JSON.stringify(job.accepted) };
+  while (!owner.isClosed && owner.jobs.get(job.id) === job) {
+    const outcome = await store.append({ topic: JOBS_TOPIC, partition }, {
+      records: [record],
+      timeoutMs: RESTORE_TIMEOUT_MS,
+    });
+    if (outcome.type === "stored" || outcome.type === "rejected") return;
+    await sleep(RESTORE_RETRY_MS);
+  }
+}
+
 /**
  * Reads the records after the last one that was read and applies them. If the
  * store no longer has the next record, reads the newest record of each key
--- a/packages/jobs/ended/remove_expired_jobs.ts
+++ b/packages/jobs/ended/remove_expired_jobs.ts
@@ -1,5 +1,6 @@
 import type { Job } from "../job.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
+import type { Cancellation } from "../submission.ts";
 import { cancelKey, JOBS_TOPIC } from "../topics.ts";
 
 /** Time for which an ended job is kept after its retention time. */
@@ -34,13 +35,12 @@
   const expired = [...owner.jobs.values()]
     .filter((job) => isExpired(job, endedBeforeMs))
     .slice(0, MAX_JOBS_PER_APPEND);
-  const cancellations = [...owner.earlyCancellations]
-    .filter(([, cancelledAtMs]) => cancelledAtMs <= endedBeforeMs)
-    .slice(0, MAX_JOBS_PER_APPEND).map(([id]) => id);
+  const cancellations = expiredCancellations(owner, endedBeforeMs)
+    .slice(0, MAX_JOBS_PER_APPEND);
   if (expired.length + cancellations.length === 0) return;
   const keys = [
     ...expired.flatMap(({ id }) => [id, cancelKey(id)]),
-    ...cancellations.map(cancelKey),
+    ...cancellations.map(({ id, caller }) => cancelKey(id, caller)),
   ];
   const outcome = await store.append({ topic: JOBS_TOPIC, partition }, {
     records: keys.map((key) => ({ key, value: undefined })),
@@ -49,7 +49,7 @@
   // If the outcome is not certain, the next search removes the jobs again.
   if (outcome.type !== "stored" || owner.isClosed) return;
   for (const job of expired) removeJob(owner, job);
-  for (const id of cancellations) owner.earlyCancellations.delete(id);
+  forgetCancellations(owner, cancellations);
   if (expired.length === 0) return;
   owner.options.events.log("jobsForgotten", {
     partition,
@@ -57,6 +57,40 @@
   });
 }
 
+type KnownCancellation = Cancellation & { id: string };
+
+/**
+ * Returns the old cancellations that no job needs any more: one of a job whose
+ * outcome is not stored is what the next owner learns it from.
+ */
+function expiredCancellations(
+  owner: OwnerState,
+  endedBeforeMs: number,
+): KnownCancellation[] {
+  const expired: KnownCancellation[] = [];
+  for (const [id, cancellations] of owner.cancellations) {
+    if (owner.jobs.get(id)?.isOutcomeStored === false) continue;
+    for (const cancellation of cancellations) {
+      if (cancellation.cancelledAtMs > endedBeforeMs) continue;
+      expired.push({ ...cancellation, id });
+    }
+  }
+  return expired;
+}
+
+function forgetCancellations(
+  owner: OwnerState,
+  expired: readonly KnownCancellation[],
+): void {
+  for (const { id, caller } of expired) {
+    const key = cancelKey(id, caller);
+    const others = (owner.cancellations.get(id) ?? [])
+      .filter((kept) => cancelKey(id, kept.caller) !== key);
+    if (others.length > 0) owner.cancellations.set(id, others);
+    else owner.cancellations.delete(id);
+  }
+}
+
 function isExpired(job: Job, endedBeforeMs: number): boolean {
   if (job.endedAtMs === undefined || !job.isOutcomeStored) return false;
   if (job.endedAtMs > endedBeforeMs) return false;
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -24,6 +24,13 @@
 import { createLayoutWatch } from "./_layout_watch.ts";
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
+import {
+  authorizeCall,
+  type CallDecision,
+} from "./organisations/authorize_call.ts";
+import { createConfigurationRefresh } from "./organisations/configuration_refresh.ts";
+import { callerOf } from "./organisations/job_access.ts";
+import { startMemberExchange } from "./organisations/member_exchange.ts";
 import { createCandidacy } from "./owned/candidacy.ts";
 import {
   type Layout,
@@ -45,22 +52,37 @@
 import type { JobState, Submission } from "./submission.ts";
 import { JOBS_TOPIC } from "./topics.ts";
 
+/** Options of calls about a job. */
+export type CallOptions = {
+  queue: Queue;
+  /** Organisation of the caller; undefined if its calls need no key. */
+  organisation?: string | undefined;
+  timeoutMs: number;
+};
+
 /** Process that accepts jobs and owns some of their partitions. */
 export type Member = {
   platform: PlatformState;
   /** Whether requests can be served, with a configuration and the store. */
   isReady(): boolean;
+  /**
+   * Decides whether a call to a queue is served. The configuration that decides
+   * is the one at hand, so that the call must have been read before.
+   */
+  authorize(queue: Queue, key: string): CallDecision;
+  /**
+   * Reads the configuration for a call that would be refused, if this member
+   * may be behind. Returns whether the call should be decided anew.
+   */
+  refreshConfiguration(): Promise<boolean>;
   accept(
     id: string,
-    options: { submission: Submission; queue: Queue; timeoutMs: number },
-  ): Promise<RecordOutcome>;
-  cancel(
-    id: string,
-    options: { queue: Queue; timeoutMs: number },
+    options: CallOptions & { submission: Submission },
   ): Promise<RecordOutcome>;
+  cancel(id: string, options: CallOptions): Promise<RecordOutcome>;
   getJobState(
     id: string,
-    options: { queue: Queue; timeoutMs: number },
+    options: CallOptions,
   ): Promise<QueryResult<JobState>>;
   /** Counts the accepted jobs of a queue that have not started. */
   countPending(queue: Queue, timeoutMs: number): Promise<QueryResult<number>>;
@@ -69,6 +91,9 @@
   close(): Promise<void>;
 };
 
+/** Stands for the configuration before one is known, which names no queue. */
+const NO_ORGANISATIONS = { organisations: [] };
+
 /**
  * Starts a member: follows the platform, joins the group of partition owners
  * and serves the calls of other members.
@@ -83,9 +108,10 @@
   const owners = new Map<number, PartitionOwner>();
   const clients = new Map<string, OwnerClient>();
 
-  const platform = options.followPlatform(() => {
+  const refreshOwners = () => {
     for (const owner of owners.values()) owner.refresh();
-  });
+  };
+  const platform = options.followPlatform(refreshOwners);
 
   const { store, isUnreachable, mayAppend } = createStoreMonitor(
     options.store,
@@ -94,6 +120,7 @@
   const server = await createOwnerServer(
     createOwnerHandlers(owners, {
       store,
+      held: platform.held,
       isStoreReached: () => !isUnreachable(),
     }),
     options.peer,
@@ -121,9 +148,7 @@
     store,
     partitionCount: options.partitionCount,
     configuration: platform.configuration,
-    onComplete() {
-      for (const owner of owners.values()) owner.refresh();
-    },
+    onComplete: refreshOwners,
   });
   const { layout } = layoutWatch;
 
@@ -155,17 +180,28 @@
 
   layoutWatch.start();
 
+  const otherMembers = () =>
+    directory.members().map(({ address }) => address)
+      .filter((address) => address !== server.address);
+
   const relayMonitor = createRelayMonitor({
     isStoreUnreachable: isUnreachable,
-    otherMembers: () =>
-      directory.members().map(({ address }) => address)
-        .filter((address) => address !== server.address),
+    otherMembers,
     async reach(address, timeoutMs) {
       const answer = await access.client(address).reach(timeoutMs);
       return answer?.isStoreReached;
     },
   });
 
+  const { maxRevocationMs } = options;
+  const exchange = startMemberExchange(platform.held, {
+    access,
+    otherMembers,
+    maxRevocationMs,
+    events,
+    onChange: refreshOwners,
+  });
+
   const appendOptions = () => ({
     store,
     layout: layout(),
@@ -193,20 +229,38 @@
    * Looks for a job in the partitions of earlier services of its queue. One of
    * them may share the partition of the present service.
    */
-  const findEarlier = (id: string, queue: Queue, timeoutMs: number) => {
+  const findEarlier = (id: string, options: CallOptions) => {
+    const { queue, timeoutMs } = options;
     const services = queueServices.servicesOf(queue)
       .filter((service) => service !== queue.service);
     const partitions = partitionsOf(services, id);
-    return findJobState(access, { partitions, job: id, timeoutMs });
+    const caller = toCaller(options);
+    return findJobState(access, { partitions, job: id, caller, timeoutMs });
   };
 
+  const toCaller = (options: CallOptions) =>
+    callerOf(platform.configuration(), options);
+
+  /** Returns whether this member knows that others use the id of a job. */
+  const isForeign = (id: string, options: CallOptions) =>
+    partitionsOf([options.queue.service], id).some((partition) =>
+      owners.get(partition)?.isForeign(id, toCaller(options))
+    );
+
   const accept: Member["accept"] = async (id, options) => {
-    const { submission, queue, timeoutMs } = options;
+    const { submission, queue, organisation, timeoutMs } = options;
+    if (isForeign(id, options)) {
+      const reason = "the id is in use by another organisation";
+      return { type: "refused", retryAfterMs: 0, reason };
+    }
     const deadlineMs = performance.now() + timeoutMs;
     const recorded = await queueServices.record(queue);
     if (recorded.type !== "stored") return recorded;
     const leftMs = () => Math.max(0, deadlineMs - performance.now());
-    const earlier = await findEarlier(id, queue, leftMs());
+    const earlier = await findEarlier(id, {
+      ...options,
+      timeoutMs: leftMs(),
+    });
     if (earlier.type === "known") return { type: "stored" };
     if (earlier.type === "unavailable") {
       const reason = "the owner of an earlier service does not answer";
@@ -215,6 +269,7 @@
     return await acceptJob(id, submission, {
       ...appendOptions(),
       queue,
+      organisation,
       timeoutMs: leftMs(),
     });
   };
@@ -224,13 +279,13 @@
     const deadlineMs = performance.now() + timeoutMs;
     const partitions = partitionsOf(queueServices.servicesOf(queue), id);
     if (partitions.length === 0) return { type: "unavailable" };
-    const query = { job: id, timeoutMs };
+    const query = { job: id, caller: toCaller(options), timeoutMs };
     const found = await findJobState(access, { ...query, partitions });
     if (found.type !== "missing") return found;
     // The queue may have had another service at the members that accepted it.
     if (!await queueServices.refresh()) return { type: "unavailable" };
     return await findJobState(access, {
-      job: id,
+      ...query,
       partitions: partitionsOf(queueServices.servicesOf(queue), id)
         .filter((partition) => !partitions.includes(partition)),
       timeoutMs: Math.max(0, deadlineMs - performance.now()),
@@ -242,12 +297,23 @@
     isReady: () =>
       platform.configuration() !== undefined && layout().size > 0 &&
       queueServices.isComplete() && !isUnreachable(),
+    authorize: (queue, key) =>
+      authorizeCall(platform.configuration() ?? NO_ORGANISATIONS, {
+        queue,
+        key,
+        configurationAgeMs: platform.held.ageMs,
+        maxRevocationMs,
+      }),
+    refreshConfiguration: createConfigurationRefresh(platform.held, {
+      read: platform.readConfiguration,
+    }),
     accept,
-    cancel: (id, { queue, timeoutMs }) =>
+    cancel: (id, options) =>
       cancelJob(id, {
         ...appendOptions(),
-        services: queueServices.servicesOf(queue),
-        timeoutMs,
+        services: queueServices.servicesOf(options.queue),
+        caller: toCaller(options),
+        timeoutMs: options.timeoutMs,
       }),
     getJobState,
     async countPending(queue, timeoutMs) {
@@ -271,6 +337,7 @@
     async close() {
       layoutWatch.close();
       queueServices.close();
+      exchange?.close();
       relayMonitor.close();
       for (const client of clients.values()) client.close();
       await server.close();
--- a/packages/jobs/member_options.ts
+++ b/packages/jobs/member_options.ts
@@ -6,6 +6,7 @@
 
 import type { Configuration, ExecutorReport, UpkeepWave } from "./fleet.ts";
 import type { JobEventLog } from "./job_event_log.ts";
+import type { HeldConfiguration } from "./organisations/held_configuration.ts";
 import type { MemberCapacity } from "./owned/member_name.ts";
 import type {
   AdviceClient,
@@ -17,6 +18,10 @@
 /** Configuration, executors and waves of upkeep, as this member read them. */
 export type PlatformState = {
   configuration(): Configuration | undefined;
+  /** The configuration with the time since it was certainly the newest one. */
+  held: HeldConfiguration;
+  /** Reads the newest configuration at once. */
+  readConfiguration(): Promise<void>;
   executors(): ReadonlyMap<string, ExecutorReport>;
   /** Whether the list of executors has been read since it was last needed. */
   hasExecutorList(): boolean;
@@ -44,6 +49,11 @@
   partitionCount: number;
   /** Longest lease that the platform grants. */
   maxLeaseMs: number;
+  /**
+   * Time after a key was taken away from which no call with it is served, in
+   * milliseconds; undefined if there is no such promise.
+   */
+  maxRevocationMs?: number | undefined;
   /** Time for which callers can ask for the state of an ended job. */
   endedJobRetentionMs: number;
   /** Starts to follow the platform; calls `onChange` after each change. */
--- a/packages/jobs/owned/_members_world.ts
+++ b/packages/jobs/owned/_members_world.ts
@@ -15,6 +15,7 @@
 import {
   createAccepted,
   createConfiguration,
+  createHeldFixture,
   createReport,
   PARTITION,
 } from "../_record_fixtures.ts";
@@ -183,6 +184,8 @@
     };
     const platform: PlatformState = {
       configuration: createConfiguration,
+      held: createHeldFixture(createConfiguration),
+      readConfiguration: () => Promise.resolve(),
       executors: () => reports,
       hasExecutorList: () => true,
       executorsReadAtMs: () => storeAnsweredAtMs,
--- a/packages/jobs/owned/_take_over.ts
+++ b/packages/jobs/owned/_take_over.ts
@@ -84,8 +84,10 @@
   owner.usedExecutors = restoreUsedExecutors(ids, starts);
   owner.inheritedExecutors = restoreUsedExecutors(ids, starts);
   awaitEarlierRuns(owner);
-  for (const [id, cancellation] of state.cancellations) {
-    applyCancellation(owner, id, cancellation);
+  for (const [id, cancellations] of state.cancellations) {
+    for (const cancellation of cancellations) {
+      applyCancellation(owner, id, cancellation);
+    }
   }
   for (const { id, accepted, offset } of state.jobs) {
     const progress = state.progress.get(id);
--- a/packages/jobs/owned/follow_topic.ts
+++ b/packages/jobs/owned/follow_topic.ts
@@ -4,7 +4,13 @@
  * @module
  */
 
-import type { Store, StoredRecord, TopicPartition } from "../ports.ts";
+import { type Instant, readInstant } from "../organisations/instant.ts";
+import type {
+  ReadOutcome,
+  Store,
+  StoredRecord,
+  TopicPartition,
+} from "../ports.ts";
 
 /** Pause after a read that failed. */
 const RETRY_MS = 250;
@@ -29,6 +35,11 @@
    * of all keys, and replace all that came before; otherwise they are changes.
    */
   onRecords(records: readonly StoredRecord[], isSnapshot: boolean): void;
+  /**
+   * Called after an answer with all that was stored when its request was sent,
+   * and after its records were received.
+   */
+  onCurrent?(requestedAt: Instant): void;
   onFailure(reason: string): void;
 };
 
@@ -54,6 +65,7 @@
   let nextOffset: number | undefined;
 
   const readSnapshot = async (): Promise<boolean> => {
+    const requestedAt = readInstant();
     const outcome = await store.readNewest(topicPartition);
     if (outcome.type === "failed") {
       options.onFailure(outcome.reason);
@@ -63,11 +75,13 @@
     nextOffset = outcome.nextOffset;
     readAtMs = performance.now();
     options.onRecords(outcome.records, true);
+    options.onCurrent?.(requestedAt);
     isComplete = true;
     return true;
   };
 
   const readChanges = async (offset: number): Promise<boolean> => {
+    const requestedAt = readInstant();
     const outcome = await store.read(topicPartition, {
       from: offset,
       // After a failure, the answer shows at once that the store is back.
@@ -85,6 +99,7 @@
     nextOffset = Math.max(offset, outcome.nextOffset);
     readAtMs = performance.now();
     if (outcome.records.length > 0) options.onRecords(outcome.records, false);
+    if (isWhole(outcome, offset)) options.onCurrent?.(requestedAt);
     return true;
   };
 
@@ -110,3 +125,15 @@
     },
   };
 }
+
+/**
+ * Returns whether an answer has all records from an offset on. It may be cut
+ * off, or come from a copy of the partition that ends before that offset.
+ */
+function isWhole(
+  { records, nextOffset, end }: ReadOutcome & { type: "read" },
+  offset: number,
+): boolean {
+  if (end === undefined) return records.length === 0;
+  return end >= offset && nextOffset >= end;
+}
--- a/packages/jobs/owned/load_partition.ts
+++ b/packages/jobs/owned/load_partition.ts
@@ -21,7 +21,7 @@
   /** Accepted jobs in the order of their offsets. */
   jobs: { id: string; accepted: AcceptedJob; offset: number }[];
   /** Cancellations by job id. */
-  cancellations: Map<string, Cancellation>;
+  cancellations: Map<string, Cancellation[]>;
   /** Progress by job id. */
   progress: Map<string, Progress>;
   /** Executors on which earlier owners may have started tasks. */
@@ -150,7 +150,9 @@
 function addJobRecord(state: LoadedPartition, record: StoredRecord): void {
   const { id, isCancellation } = parseJobKey(record.key);
   if (isCancellation) {
-    state.cancellations.set(id, decodeCancellation(record.value));
+    const known = state.cancellations.get(id) ?? [];
+    const cancellation = decodeCancellation(record.value);
+    state.cancellations.set(id, [...known, cancellation]);
     return;
   }
   const accepted = decodeAccepted(record.value);
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -19,7 +19,7 @@
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
 import type { LostExecutor } from "../run/lost_executor.ts";
 import type { ExecutorSession } from "../run/session_types.ts";
-import type { AcceptedJob, QueuePolicy } from "../submission.ts";
+import type { AcceptedJob, Cancellation, QueuePolicy } from "../submission.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import type { HandoverRun } from "./handover_record.ts";
 import type { Layout } from "./layout.ts";
@@ -70,10 +70,10 @@
   executors: Map<string, ExecutorState>;
   sessions: Map<ExecutorState, ExecutorSession>;
   /**
-   * Unix times of the cancellations of jobs that are not known (yet), by id, in
-   * milliseconds.
+   * Cancellations by job, of jobs that are not known (yet) and by callers whose
+   * records have keys of their own.
    */
-  earlyCancellations: Map<string, number>;
+  cancellations: Map<string, Cancellation[]>;
   /** Numbers of failed runs by task. */
   failedRuns: FailedRuns;
   /** Executors on which this or earlier owners may run tasks, by id. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -17,7 +17,7 @@
   createProgressLog,
   type ProgressLog,
 } from "../ended/progress_log.ts";
-import { hasEnded, type JobsById, stateOf } from "../job.ts";
+import { hasEnded, type Job, type JobsById, stateOf } from "../job.ts";
 import {
   type PartitionReport,
   reportPartition,
@@ -35,9 +35,10 @@
 import { drainExecutors } from "../run/drain_executors.ts";
 import { moveStragglers } from "../run/stragglers.ts";
 import type { QueryResult } from "../queries/query_result.ts";
-import type { JobState } from "../submission.ts";
+import type { Caller, JobState } from "../submission.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
 import type { ExecutorState } from "../executor_state.ts";
+import { isOrganisationGone, mayAccess } from "../organisations/job_access.ts";
 import { takeOver } from "./_take_over.ts";
 import { storeHandover } from "./handover.ts";
 import { writerName } from "./load_partition.ts";
@@ -81,9 +82,12 @@
   isLoaded(): boolean;
   /**
    * Returns the state of a job; `unavailable` if the job is not known and the
-   * store does not answer.
+   * store does not answer, or if it is not clear whether it is the caller's.
+   * Jobs of others are answered as unknown.
    */
-  getJobState(id: string): Promise<QueryResult<JobState>>;
+  getJobState(id: string, caller?: Caller): Promise<QueryResult<JobState>>;
+  /** Whether the id of a job is in use by others than the caller. */
+  isForeign(id: string, caller: Caller): boolean;
   /** Counts the accepted jobs of a queue that have not started. */
   countPending(queue: string): number;
   /** Applies changes of the configuration and of the list of executors. */
@@ -148,12 +152,16 @@
     jobs: owner.jobs,
     executors: owner.executors,
     isLoaded: () => owner.isLoaded,
-    async getJobState(id) {
+    async getJobState(id, caller = {}) {
       const isCurrent = owner.jobs.has(id) || await readStoredRecords();
       const job = owner.jobs.get(id);
-      if (job !== undefined) return { type: "known", value: stateOf(job) };
+      if (job !== undefined) return showTo(owner, { job, caller });
       return { type: isCurrent && !owner.isClosed ? "missing" : "unavailable" };
     },
+    isForeign(id, caller) {
+      const job = owner.jobs.get(id);
+      return job !== undefined && !mayAccess(job.accepted, caller);
+    },
     countPending: (queue) => countPending(owner, queue),
     refresh: () => refreshExecutors(owner),
     reserveAndReport(reserved, ended) {
@@ -179,6 +187,19 @@
   };
 }
 
+function showTo(
+  owner: OwnerState,
+  { job, caller }: { job: Job; caller: Caller },
+): QueryResult<JobState> {
+  if (mayAccess(job.accepted, caller)) {
+    return { type: "known", value: stateOf(job) };
+  }
+  const configuration = owner.options.view.configuration();
+  return isOrganisationGone(job.accepted, configuration)
+    ? { type: "unavailable" }
+    : { type: "missing" };
+}
+
 function createState(options: PartitionOwnerOptions): OwnerState {
   const { partition, epoch, store, events } = options;
   let placementTimer: NodeJS.Timeout | undefined;
@@ -188,7 +209,7 @@
     jobs: new Map(),
     executors: new Map(),
     sessions: new Map(),
-    earlyCancellations: new Map(),
+    cancellations: new Map(),
     failedRuns: new Map(),
     usedExecutors: new Map(),
     inheritedExecutors: new Map(),
--- a/packages/jobs/owner_handlers.ts
+++ b/packages/jobs/owner_handlers.ts
@@ -1,5 +1,7 @@
 import { type OwnerHandlers, RelayResponse_Outcome } from "@lagoonloom/peers";
 import { appendOnce } from "./accepted/accept_job.ts";
+import type { HeldConfiguration } from "./organisations/held_configuration.ts";
+import { compactCaller } from "./organisations/job_access.ts";
 import type { PartitionOwner } from "./owned/partition_owner.ts";
 import type { Store } from "./ports.ts";
 
@@ -19,22 +21,30 @@
  *
  * @example
  * ```ts
- * const handlers = createOwnerHandlers(owners, { store, isStoreReached });
+ * const handlers = createOwnerHandlers(owners, {
+ *   store,
+ *   held,
+ *   isStoreReached,
+ * });
  * ```
  */
 export function createOwnerHandlers(
   owners: ReadonlyMap<number, PartitionOwner>,
-  { store, isStoreReached }: { store: Store; isStoreReached(): boolean },
+  { store, held, isStoreReached }: {
+    store: Store;
+    held: HeldConfiguration;
+    isStoreReached(): boolean;
+  },
 ): OwnerHandlers {
   const findLoaded = (partition: number) => {
     const owner = owners.get(partition);
     return owner?.isLoaded() === true ? owner : undefined;
   };
   return {
-    async show({ partition, job }) {
+    async show({ partition, job, caller }) {
       const owner = findLoaded(partition);
       if (owner === undefined) return { isOwner: false };
-      const state = await owner.getJobState(job);
+      const state = await owner.getJobState(job, compactCaller(caller ?? {}));
       return {
         isOwner: true,
         state: state.type === "known" ? state.value : "",
@@ -54,6 +64,18 @@
       return { outcome: RELAY_OUTCOMES[outcome.type] };
     },
     reach: () => ({ isStoreReached: isStoreReached() }),
+    configuration({ knownVersion }) {
+      const version = held.current()?.version;
+      if (version === undefined) return { version: -1 };
+      const ageMs = held.ageMs();
+      const isNewer = version > knownVersion;
+      const record = isNewer ? held.record() : undefined;
+      return {
+        version,
+        ...(Number.isFinite(ageMs) ? { ageMs } : {}),
+        ...(record === undefined ? {} : { record }),
+      };
+    },
     report({ partition, reserved, ended }) {
       const owner = findLoaded(partition);
       if (owner === undefined) return { isOwner: false };
--- a/packages/jobs/ports.ts
+++ b/packages/jobs/ports.ts
@@ -48,7 +48,13 @@
  * not read yet.
  */
 export type ReadOutcome =
-  | { type: "read"; records: StoredRecord[]; nextOffset: number }
+  | {
+    type: "read";
+    records: StoredRecord[];
+    nextOffset: number;
+    /** Offset after the last record of the partition, if it is named. */
+    end?: number;
+  }
   | { type: "gap" }
   | { type: "failed"; reason: string };
 
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -5,9 +5,10 @@
  */
 
 import type { OwnerClient } from "@lagoonloom/peers";
+import { compactCaller } from "../organisations/job_access.ts";
 import type { OwnerDirectory } from "../owned/owner_directory.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
-import type { JobState } from "../submission.ts";
+import type { Caller, JobState } from "../submission.ts";
 import type { QueryResult } from "./query_result.ts";
 
 /** Longest wait for one answer of another member. */
@@ -32,19 +33,32 @@
  *
  * @example
  * ```ts
- * const result = await showJob(access, { partition, job: id, timeoutMs });
+ * const result = await queryJobState(access, {
+ *   partition,
+ *   job: id,
+ *   caller,
+ *   timeoutMs,
+ * });
  * ```
  */
 export async function queryJobState(
   access: OwnerAccess,
-  options: { partition: number; job: string; timeoutMs: number },
+  options: {
+    partition: number;
+    job: string;
+    caller: Caller;
+    timeoutMs: number;
+  },
 ): Promise<QueryResult<JobState>> {
-  const { partition, job } = options;
+  const { partition, job, caller } = options;
   return await queryOwner<JobState>(access, {
     ...options,
-    local: (owner) => owner.getJobState(job),
+    local: (owner) => owner.getJobState(job, caller),
     async remote(client, timeoutMs) {
-      const answer = await client.show({ partition, job }, timeoutMs);
+      const answer = await client.show(
+        { partition, job, caller: compactCaller(caller) },
+        timeoutMs,
+      );
       if (answer?.isOwner !== true) return undefined;
       if (answer.isUnavailable) return { type: "unavailable" };
       if (answer.state === "") return { type: "missing" };
@@ -56,13 +70,15 @@
 /**
  * Queries the state of a job in several partitions, of which one may have it.
  *
- * @returns `missing` only if the owners of all partitions don't know the job
+ * @returns `missing` only if the owners of all partitions don't know the job,
+ * or have it for others than the caller
  */
 export function findJobState(
   access: OwnerAccess,
-  { partitions, job, timeoutMs }: {
+  { partitions, ...query }: {
     partitions: readonly number[];
     job: string;
+    caller: Caller;
     timeoutMs: number;
   },
 ): Promise<QueryResult<JobState>> {
@@ -71,7 +87,7 @@
     let isUnavailable = false;
     if (openCount === 0) resolve({ type: "missing" });
     for (const partition of partitions) {
-      void queryJobState(access, { partition, job, timeoutMs }).then(
+      void queryJobState(access, { partition, ...query }).then(
         (result) => {
           if (result.type === "known") resolve(result);
           isUnavailable ||= result.type === "unavailable";
--- a/packages/jobs/rerouted_queue_test.ts
+++ b/packages/jobs/rerouted_queue_test.ts
@@ -16,6 +16,7 @@
 import {
   createAccepted,
   createConfiguration,
+  createHeldFixture,
   createReport,
   createStep,
   JOB_ID,
@@ -135,6 +136,8 @@
         changeListeners.push(onChange);
         return {
           configuration: () => configuration,
+          held: createHeldFixture(() => configuration),
+          readConfiguration: () => Promise.resolve(),
           executors: () => reports,
           hasExecutorList: () => true,
           executorsReadAtMs: () => performance.now(),
--- a/packages/jobs/submission.ts
+++ b/packages/jobs/submission.ts
@@ -109,8 +109,24 @@
 /** Stored record of an accepted job. */
 export type AcceptedJob = z.infer<typeof AcceptedJob>;
 
+/**
+ * Schema of the caller of a job: its organisation or, if calls of the queue
+ * need no key, the queue. A caller with neither may use all jobs.
+ */
+export const Caller = z.object({
+  organisation: z.string().optional(),
+  queue: z.string().optional(),
+});
+
+/** Caller of a job. */
+export type Caller = z.infer<typeof Caller>;
+
 /** Schema of the stored record of a cancellation. */
-export const Cancellation = z.object({ cancelledAtMs: z.number() });
+export const Cancellation = z.object({
+  cancelledAtMs: z.number(),
+  /** Only a job that is accessible to this caller is cancelled. */
+  caller: Caller.optional(),
+});
 
 /** Stored record of a cancellation. */
 export type Cancellation = z.infer<typeof Cancellation>;
--- a/packages/jobs/topics.ts
+++ b/packages/jobs/topics.ts
@@ -4,6 +4,9 @@
  * @module
  */
 
+import { createHash } from "node:crypto";
+import type { Caller } from "./submission.ts";
+
 /** Topic of accepted and cancelled jobs, to which any member appends. */
 export const JOBS_TOPIC = "jobs";
 
@@ -27,9 +30,23 @@
 
 const CANCEL_SUFFIX = ".c";
 
-/** Returns the key of the record that cancels a job. */
-export function cancelKey(id: string): string {
-  return id + CANCEL_SUFFIX;
+/** Length of the part of a key that stands for a caller. */
+const CALLER_DIGITS = 16;
+
+/**
+ * Returns the key of the record by which a caller cancels a job. Callers have
+ * keys of their own, since the store keeps the newest record of each key: the
+ * cancellation of an organisation must not replace that of another one.
+ */
+export function cancelKey(id: string, caller: Caller = {}): string {
+  const { organisation, queue } = caller;
+  if (organisation === undefined && queue === undefined) {
+    return id + CANCEL_SUFFIX;
+  }
+  const digest = createHash("sha256")
+    .update(JSON.stringify([organisation ?? null, queue ?? null]))
+    .digest("hex").slice(0, CALLER_DIGITS);
+  return `${id}.${digest}${CANCEL_SUFFIX}`;
 }
 
 /** Returns the job of a key, and whether the record cancels that job. */
@@ -38,7 +55,7 @@
 ): { id: string; isCancellation: boolean } {
   const isCancellation = key.endsWith(CANCEL_SUFFIX);
   return {
-    id: isCancellation ? key.slice(0, -CANCEL_SUFFIX.length) : key,
+    id: isCancellation ? key.slice(0, key.indexOf(".")) : key,
     isCancellation,
   };
 }
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -11,6 +11,8 @@
   Http2SessionManager,
 } from "@connectrpc/connect-node";
 import {
+  type ConfigurationRequestSchema,
+  type ConfigurationResponse,
   type CountPendingRequestSchema,
   type CountPendingResponse,
   OwnerService,
@@ -53,6 +55,11 @@
   ): Promise<RelayResponse | undefined>;
   /** Returns whether the member can reach the store. */
   reach(timeoutMs: number): Promise<ReachResponse | undefined>;
+  /** Returns the member's configuration and how old it is. */
+  configuration(
+    request: MessageInitShape<typeof ConfigurationRequestSchema>,
+    timeoutMs: number,
+  ): Promise<ConfigurationResponse | undefined>;
   /** Ends the connection; calls in progress fail. */
   close(): void;
 };
@@ -107,6 +114,8 @@
     relay: (request, timeoutMs) =>
       undefinedOnFailure(client.relay(request, { timeoutMs })),
     reach: (timeoutMs) => undefinedOnFailure(client.reach({}, { timeoutMs })),
+    configuration: (request, timeoutMs) =>
+      undefinedOnFailure(client.configuration(request, { timeoutMs })),
     close: () => sessionManager.abort(),
   };
 }
--- a/packages/peers/create_owner_server.ts
+++ b/packages/peers/create_owner_server.ts
@@ -9,6 +9,8 @@
 import { createServer, type ServerHttp2Session } from "node:http2";
 import type { AddressInfo } from "node:net";
 import {
+  type ConfigurationRequest,
+  type ConfigurationResponseSchema,
   type CountPendingRequest,
   type CountPendingResponseSchema,
   OwnerService,
@@ -41,6 +43,10 @@
   ): Promise<MessageInitShape<typeof RelayResponseSchema>>;
   /** Returns whether this member can reach the store. */
   reach(): MessageInitShape<typeof ReachResponseSchema>;
+  /** Returns this member's configuration and how old it is. */
+  configuration(
+    request: ConfigurationRequest,
+  ): MessageInitShape<typeof ConfigurationResponseSchema>;
 };
 
 /** Server for the calls of other members. */
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -52,6 +52,18 @@
     message: "platform's store did not answer a read",
     fields: { topic: "string", reason: "string" },
   },
+  organisationUnreadable: {
+    id: "LL6021",
+    level: "warn",
+    message: "part of an organisation in the configuration can't be decoded",
+    fields: { version: "number", problem: "string" },
+  },
+  configurationFromMember: {
+    id: "LL6022",
+    level: "info",
+    message: "newer configuration comes from another member",
+    fields: { address: "string", version: "number", ageMs: "number" },
+  },
   recordUnreadable: {
     id: "LL6006",
     level: "warn",
@@ -109,6 +121,25 @@
     message: "queue accepts its first job for a service",
     fields: { queue: "string", service: "string", earlier: "number" },
   },
+  keysRejected: {
+    id: "LL6121",
+    level: "warn",
+    message: "calls were refused, since no organisation has their key",
+    fields: { queue: "string", calls: "number" },
+  },
+  callsOutdated: {
+    id: "LL6122",
+    level: "warn",
+    message: "calls with keys were refused, since the configuration is too old",
+    fields: { queue: "string", calls: "number", ageMs: "number" },
+  },
+  jobIdInUse: {
+    id: "LL6123",
+    level: "warn",
+    message:
+      "another organisation has sent the id of a job, which stays as it is",
+    fields: { job: "string", partition: "number" },
+  },
   jobsUnread: {
     id: "LL6211",
     level: "warn",
--- a/packages/telemetry/job_metrics.ts
+++ b/packages/telemetry/job_metrics.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { JOB_LOG_EVENTS } from "./job_log_events.ts";
 import { createLabelAllowlist } from "./label_allowlist.ts";
 import type { LogEvent } from "./log_event.ts";
@@ -23,6 +23,8 @@
   registry: Registry;
   /** Counts a log event and records the durations in its fields. */
   observe(event: LogEvent, fields: Readonly<Record<string, unknown>>): void;
+  /** Exports the age of the configuration, which is read for each scrape. */
+  readConfigurationAge(readMs: () => number): void;
 };
 
 /**
@@ -65,6 +67,23 @@
     buckets: TAKEOVER_BUCKETS_S,
     registers,
   });
+  const refusals = new Counter({
+    name: "lagoonloom_job_calls_refused_total",
+    help: "Calls refused for their key or an old configuration, by queue.",
+    labelNames: ["queue", "reason"] as const,
+    registers,
+  });
+  const countRefused = (
+    fields: Readonly<Record<string, unknown>>,
+    reason: "unknown_key" | "outdated",
+  ) => {
+    const name = String(fields["queue"]);
+    queues.allow([name]);
+    refusals.inc(
+      { queue: queues.label(name), reason },
+      Number(fields["calls"]),
+    );
+  };
   return {
     registry,
     observe({ id }, fields) {
@@ -81,8 +100,22 @@
         );
       } else if (id === JOB_LOG_EVENTS.takeoverComplete.id) {
         takeovers.observe(toSeconds(fields["tookMs"]));
+      } else if (id === JOB_LOG_EVENTS.keysRejected.id) {
+        countRefused(fields, "unknown_key");
+      } else if (id === JOB_LOG_EVENTS.callsOutdated.id) {
+        countRefused(fields, "outdated");
       }
     },
+    readConfigurationAge(readMs) {
+      new Gauge({
+        name: "lagoonloom_job_configuration_age_seconds",
+        help: "Time since the configuration was certainly the newest one.",
+        registers,
+        collect() {
+          this.set(toSeconds(readMs()));
+        },
+      });
+    },
   };
 }
 
--- a/packages/telemetry/job_metrics_test.ts
+++ b/packages/telemetry/job_metrics_test.ts
@@ -36,6 +36,22 @@
     expect(text).toContain('lagoonloom_task_run_seconds_sum{how="done"} 0.7');
   });
 
+  // Guards against refusals and an old configuration that operators don't see.
+  test("counts refused calls and reads the configuration's age", async () => {
+    const { metrics, events } = create();
+    metrics.readConfigurationAge(() => 1_500);
+    events.log("keysRejected", { queue: "quotes", calls: 3 });
+    events.log("callsOutdated", { queue: "quotes", calls: 2, ageMs: 4_950 });
+    const text = await metrics.registry.metrics();
+    expect(text).toContain(
+      'calls_refused_total{queue="quotes",reason="unknown_key"} 3',
+    );
+    expect(text).toContain(
+      'calls_refused_total{queue="quotes",reason="outdated"} 2',
+    );
+    expect(text).toContain("lagoonloom_job_configuration_age_seconds 1.5");
+  });
+
   // Guards against an unbounded number of time series when a configuration has
   // many queues.
   test("counts queues beyond the limit as other", async () => {
