--- a/packages/jobs/organisations/full_services_rpc_test.ts
+++ b/packages/jobs/organisations/full_services_rpc_test.ts
@@ -4,6 +4,7 @@
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { Store } from "../ports.ts";
 import type { FullService } from "./full_services.ts";
+import type { HeldConfiguration } from "./held_configuration.ts";
 
 // Guards against what an owner says of full services that does not reach the
 // other members, also for an organisation of weight 0.
@@ -24,6 +25,7 @@
   const owners = new Map([[3, owner as PartitionOwner]]);
   const handlers = createOwnerHandlers(owners, {
     store: {} as Store,
+    held: {} as HeldConfiguration,
     isStoreReached: () => true,
   });
   const server = await createOwnerServer(handlers, {
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -5,10 +5,11 @@
  */
 
 import type { OwnerClient } from "@lagoonloom/peers";
+import { compactCaller } from "../organisations/job_access.ts";
 import type { OwnerDirectory } from "../owned/owner_directory.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
-import type { JobState } from "../submission.ts";
 import type { FullService } from "../organisations/full_services.ts";
+import type { Caller, JobState } from "../submission.ts";
 import type { QueryResult } from "./query_result.ts";
 
 /** Longest wait for one answer of another member. */
@@ -35,23 +36,36 @@
  *
  * @example
  * ```ts
- * const result = await showJob(access, { partition, job: id, timeoutMs });
+ * const result = await queryJobState(access, {
+ *   partition,
+ *   job: id,
+ *   caller,
+ *   timeoutMs,
+ * });
  * ```
  */
 export async function queryJobState(
   access: OwnerAccess,
-  options: { partition: number; job: string; timeoutMs: number },
+  options: {
+    partition: number;
+    job: string;
+    caller: Caller;
+    timeoutMs: number;
+  },
 ): Promise<QueryResult<JobState>> {
-  const { partition, job } = options;
+  const { partition, job, caller } = options;
   return await queryOwner<JobState>(access, {
     ...options,
     async local(owner) {
-      const result = await owner.getJobState(job);
+      const result = await owner.getJobState(job, caller);
       access.noteFullServices(partition, owner.fullServices());
       return result;
     },
     async remote(client, timeoutMs) {
-      const answer = await client.show({ partition, job }, timeoutMs);
+      const answer = await client.show(
+        { partition, job, caller: compactCaller(caller) },
+        timeoutMs,
+      );
       if (answer?.isOwner !== true) return undefined;
       access.noteFullServices(partition, answer.full);
       if (answer.isUnavailable) return { type: "unavailable" };
@@ -64,13 +78,15 @@
 /**
  * Queries the state of a job in several partitions, of which one may have it.
  *
- * @returns `missing` only if the owners of all partitions don't know the job
+ * @returns `missing` only if the owners of all partitions don't know the job,
+ * or have it for others than the caller
  */
 export function findJobState(
   access: OwnerAccess,
-  { partitions, job, timeoutMs }: {
+  { partitions, ...query }: {
     partitions: readonly number[];
     job: string;
+    caller: Caller;
     timeoutMs: number;
   },
 ): Promise<QueryResult<JobState>> {
@@ -79,7 +95,7 @@
     let isUnavailable = false;
     if (openCount === 0) resolve({ type: "missing" });
     for (const partition of partitions) {
-      void queryJobState(access, { partition, job, timeoutMs }).then(
+      void queryJobState(access, { partition, ...query }).then(
         (result) => {
           if (result.type === "known") resolve(result);
           isUnavailable ||= result.type === "unavailable";
