--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -8,7 +8,18 @@
 import { collectReports } from "./machines/collect_reports.ts";
 import { createMachinesOwner } from "./machines/machines_owner.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
-import { type Layout, machinesPartition } from "./owned/layout.ts";
+import {
+  createOrganisationCaps,
+  type OrganisationCaps,
+} from "./organisations/organisation_caps.ts";
+import { runCapBroker } from "./organisations/run_cap_broker.ts";
+import { sendLimits } from "./organisations/send_limits.ts";
+import {
+  type Layout,
+  machinesPartition,
+  servicePartitions,
+} from "./owned/layout.ts";
+import { ADMISSION_GRACE_MS } from "./owned/owner_state.ts";
 import type { OwnedPartition, Ownership } from "./owned/ownership.ts";
 import {
   createPartitionOwner,
@@ -35,7 +46,15 @@
  */
 export function createAcquisition(
   options: MemberOptions,
-  { owners, platform, store, access, layout, ownership }: {
+  {
+    owners,
+    platform,
+    store,
+    access,
+    layout,
+    ownership,
+    caps = createOrganisationCaps(platform.configuration),
+  }: {
     /** Owners of partitions of jobs; changed as they come and go. */
     owners: Map<number, PartitionOwner>;
     platform: PlatformState;
@@ -43,6 +62,8 @@
     access: OwnerAccess;
     layout(): Layout;
     ownership(): Ownership;
+    /** Caps of organisations; by default those of the configuration. */
+    caps?: OrganisationCaps;
   },
 ): (partition: number, epoch: number) => OwnedPartition {
   const { events } = options;
@@ -53,6 +74,18 @@
   const acquireMachines = (partition: number, epoch: number) => {
     ownsMachines = true;
     platform.followExecutors(true);
+    const isConfirmed = () =>
+      performance.now() - ownership().confirmedAtMs(partition) <
+        ADMISSION_GRACE_MS;
+    const capBroker = runCapBroker({
+      epoch,
+      caps,
+      partitions: () => servicePartitions(layout()),
+      isConfirmed,
+      send: (to, message) =>
+        sendLimits(access, { partition: to, message, maySend: isConfirmed }),
+      events,
+    });
     const owner = createMachinesOwner({
       partition,
       epoch,
@@ -69,6 +102,7 @@
       onLost(reason) {
         events.log("partitionLost", { partition, epoch, reason });
         ownsMachines = false;
+        capBroker.close();
         ownership().drop(partition);
       },
     });
@@ -76,6 +110,7 @@
       epoch,
       async release() {
         ownsMachines = false;
+        capBroker.close();
         await owner.release();
       },
     };
@@ -101,6 +136,8 @@
       maxLeaseMs: options.maxLeaseMs,
       confirmedAtMs: () => ownership().confirmedAtMs(partition),
       undisputedAtMs: () => ownership().undisputedAtMs(partition),
+      caps,
+      capOvershoot: options.capOvershoot ?? 0,
       endedJobRetentionMs: options.endedJobRetentionMs,
       events,
       onLoadTimeout: () => ownership().giveWay(),
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -24,6 +24,7 @@
 import { createLayoutWatch } from "./_layout_watch.ts";
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
+import { createOrganisationCaps } from "./organisations/organisation_caps.ts";
 import { createCandidacy } from "./owned/candidacy.ts";
 import {
   type Layout,
@@ -83,7 +84,10 @@
   const owners = new Map<number, PartitionOwner>();
   const clients = new Map<string, OwnerClient>();
 
-  const platform = options.followPlatform(() => {
+  const caps = createOrganisationCaps(() => platform.configuration());
+  const platform: PlatformState = options.followPlatform(() => {
+    // A later broker has to know the caps under which earlier ones lent.
+    caps.all();
     for (const owner of owners.values()) owner.refresh();
   });
 
@@ -134,6 +138,7 @@
     access,
     layout,
     ownership: () => ownership,
+    caps,
   });
 
   const ownership: Ownership = joinOwners({
--- a/packages/jobs/member_options.ts
+++ b/packages/jobs/member_options.ts
@@ -44,6 +44,8 @@
   partitionCount: number;
   /** Longest lease that the platform grants. */
   maxLeaseMs: number;
+  /** Part of its cap by which an organisation may exceed it; 0 by default. */
+  capOvershoot?: number;
   /** Time for which callers can ask for the state of an ended job. */
   endedJobRetentionMs: number;
   /** Starts to follow the platform; calls `onChange` after each change. */
--- a/packages/jobs/organisations/cap_broker_test.ts
+++ b/packages/jobs/organisations/cap_broker_test.ts
@@ -205,7 +205,7 @@
     const count = this.running[partition]! + doubtful;
     const size = cpuOf(this.sizes[partition]!);
     const waiting = this.waiting[partition]!;
-    const limit = limits.grantedTo(NAME);
+    const limit = limits.granted().get(NAME) ?? NOTHING;
     const use = {
       mayRun: plus(NOTHING, size, count),
       waiting: plus(NOTHING, size, waiting),
--- a/packages/jobs/organisations/organisation_limits.ts
+++ b/packages/jobs/organisations/organisation_limits.ts
@@ -29,8 +29,8 @@
    * @returns whether it was not outdated
    */
   apply(message: LimitMessage): boolean;
-  /** Returns the limit that a broker has set; nothing if none has. */
-  grantedTo(organisation: string): Size;
+  /** Returns the limits that a broker has set, by organisation. */
+  granted(): ReadonlyMap<string, Size>;
   /** Returns the limit to keep to: the granted one, or the own floor. */
   limitOf(organisation: string, cap: Size): Size;
 };
@@ -58,8 +58,6 @@
 ): OrganisationLimits {
   const granted = new Map<string, Size>();
   let newest = { brokerEpoch: 0, sequence: 0 };
-  const grantedTo = (organisation: string) =>
-    granted.get(organisation) ?? NOTHING;
   return {
     apply({ brokerEpoch, sequence, ownerEpoch, limits }) {
       const isLater = brokerEpoch > newest.brokerEpoch ||
@@ -72,11 +70,11 @@
       }
       return true;
     },
-    grantedTo,
+    granted: () => granted,
     limitOf(organisation, cap) {
       const share = capOvershoot / Math.max(1, partitionCount());
       const floor = sizeOf((resource) => cap[resource] * share);
-      const limit = largerOf(grantedTo(organisation), floor);
+      const limit = largerOf(granted.get(organisation) ?? NOTHING, floor);
       return sizeOf((it) => cap[it] === Infinity ? Infinity : limit[it]);
     },
   };
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -15,6 +15,10 @@
   UsedExecutor,
 } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
+import type { OrganisationCaps } from "../organisations/organisation_caps.ts";
+import type {
+  OrganisationLimits,
+} from "../organisations/organisation_limits.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
 import type { LostExecutor } from "../run/lost_executor.ts";
@@ -54,6 +58,10 @@
   confirmedAtMs(): number;
   /** Monotonic time up to which no other owner can have acted. */
   undisputedAtMs(): number;
+  /** Caps of organisations; by default those of the configuration. */
+  caps?: OrganisationCaps;
+  /** Part of its cap by which an organisation may exceed it; 0 by default. */
+  capOvershoot?: number;
   /** Time for which the state of an ended job is kept, in milliseconds. */
   endedJobRetentionMs: number;
   events: JobEventLog;
@@ -122,6 +130,12 @@
   takenOverAtMs: number;
   /** Monotonic time until which unknown runs of inherited jobs may go on. */
   blockedUntilMs: number;
+  /** Caps of organisations. */
+  caps: OrganisationCaps;
+  /** Limits within these caps that this owner keeps to. */
+  limits: OrganisationLimits;
+  /** Monotonic times of the last log lines about organisations at a limit. */
+  loggedAtCapMs: Map<string, number>;
   progress: ProgressLog;
   ticketCache: TicketCache | undefined;
   /** Schedules a round of placement, unless one is scheduled already. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -22,6 +22,13 @@
   type PartitionReport,
   reportPartition,
 } from "../machines/partition_report.ts";
+import { answerLimits } from "../organisations/answer_limits.ts";
+import type { LimitAnswer } from "../organisations/cap_broker.ts";
+import { createOrganisationCaps } from "../organisations/organisation_caps.ts";
+import {
+  createOrganisationLimits,
+  type LimitMessage,
+} from "../organisations/organisation_limits.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { recordKnownStarts } from "../placed/used_executors.ts";
@@ -40,6 +47,7 @@
 import type { ExecutorState } from "../executor_state.ts";
 import { takeOver } from "./_take_over.ts";
 import { storeHandover } from "./handover.ts";
+import { servicePartitions } from "./layout.ts";
 import { writerName } from "./load_partition.ts";
 import {
   ADMISSION_GRACE_MS,
@@ -97,6 +105,11 @@
     reserved: ReadonlySet<string>,
     ended: readonly string[],
   ): PartitionReport;
+  /**
+   * Sets what tasks of each organisation may run here, and tells what they use;
+   * undefined if this owner must not answer.
+   */
+  applyLimits(message: LimitMessage): LimitAnswer | undefined;
   /** Stores pending changes and a handover, then gives up the partition. */
   release(timeoutMs: number): Promise<void>;
   close(): void;
@@ -167,6 +180,7 @@
       owner.reservedUntilMs = performance.now() + RESERVATION_MS;
       return reportPartition(owner);
     },
+    applyLimits: (message) => answerLimits(owner, message),
     async release(timeoutMs) {
       owner.isReleasing = true;
       storeHandover(owner);
@@ -210,6 +224,13 @@
     unreadSinceMs: undefined,
     takenOverAtMs: performance.now(),
     blockedUntilMs: 0,
+    caps: options.caps ?? createOrganisationCaps(options.view.configuration),
+    limits: createOrganisationLimits({
+      epoch,
+      capOvershoot: options.capOvershoot ?? 0,
+      partitionCount: () => servicePartitions(options.view.layout()).size,
+    }),
+    loggedAtCapMs: new Map(),
     progress: createProgressLog({
       store,
       partition: { topic: PROGRESS_TOPIC, partition },
--- a/packages/jobs/owner_handlers.ts
+++ b/packages/jobs/owner_handlers.ts
@@ -1,5 +1,6 @@
 import { type OwnerHandlers, RelayResponse_Outcome } from "@lagoonloom/peers";
 import { appendOnce } from "./accepted/accept_job.ts";
+import { decodeLimits, encodeAnswer } from "./organisations/limit_records.ts";
 import type { PartitionOwner } from "./owned/partition_owner.ts";
 import type { Store } from "./ports.ts";
 
@@ -54,6 +55,10 @@
       return { outcome: RELAY_OUTCOMES[outcome.type] };
     },
     reach: () => ({ isStoreReached: isStoreReached() }),
+    limit: (request) =>
+      encodeAnswer(
+        findLoaded(request.partition)?.applyLimits(decodeLimits(request)),
+      ),
     report({ partition, reserved, ended }) {
       const owner = findLoaded(partition);
       if (owner === undefined) return { isOwner: false };
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -26,6 +26,7 @@
   chooseInOneRack,
   chooseTogether,
 } from "./_choose_together.ts";
+import type { PlacementBudget } from "../organisations/placement_budget.ts";
 import { maySpreadGang } from "./_may_spread_gang.ts";
 import { rankGroups } from "./_rank_groups.ts";
 import {
@@ -55,6 +56,8 @@
   priorityOf(job: Job): number;
   /** Whether an executor may run a step; true for all if undefined. */
   mayRun?(group: TaskGroup, executor: ExecutorState): boolean;
+  /** What may start of each organisation; anything if undefined. */
+  budget?: PlacementBudget | undefined;
 };
 
 /**
@@ -193,9 +196,11 @@
 };
 
 function placeGroup(group: TaskGroup, round: PlacementRound): void {
-  const waiting = group.tasks.filter((task) =>
-    isPlaceable(task, round.options)
-  );
+  // A group beyond its organisation's budget must not delay those behind it.
+  const affordable = countAffordable(group, round.options);
+  if (affordable === 0) return;
+  const waiting = group.tasks.filter((task) => isPlaceable(task, round.options))
+    .slice(0, affordable);
   if (group.step.isGang || group.step.isSameRack) {
     placeTogether(group, { waiting, round });
     return;
@@ -212,6 +217,14 @@
   }
 }
 
+/** Returns how many tasks of a group its organisation's budget allows. */
+function countAffordable(
+  { job, step }: TaskGroup,
+  { budget }: PlaceOptions,
+): number {
+  return budget?.count(job, step.size) ?? Infinity;
+}
+
 /**
  * Places lasting tasks that have waited for long on reserved executors, which
  * are not drained while their own tasks fit nowhere else.
@@ -229,6 +242,7 @@
       const waitedMs = options.monotonicMs - task.waitingSinceMs;
       if (waitedMs < LAST_RESORT_AFTER_MS || placed.has(task)) continue;
       if (!isPlaceable(task, options)) continue;
+      if (countAffordable(task.group, options) === 0) break;
       const candidate = chooseCandidate(task, lastResorts, options);
       if (candidate !== undefined) assign(candidate, { task, round });
     }
@@ -282,6 +296,7 @@
   const { executor, free } = candidate;
   const freeCpu = Math.round(free.cpu);
   occupy(candidate, task);
+  round.options.budget?.take(task.group.job, task.group.step.size);
   const { length } = executor.isReserved ? round.lastResorts : round.candidates;
   const kind = executor.isReserved ? "reserved executors" : "executors";
   round.placements.push({
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -11,6 +11,8 @@
 import { createRun } from "../create_run.ts";
 import { openStart } from "../ended/open_start.ts";
 import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
+import { logAtCap } from "../organisations/log_at_cap.ts";
+import { createPlacementBudget } from "../organisations/placement_budget.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
@@ -51,7 +53,9 @@
   }
   const executors = usableExecutors(owner)
     .filter((executor) => isCapacityKnown(owner, executor));
+  const budget = createPlacementBudget(owner);
   const placements = placeTasks(placeableJobs(owner), {
+    budget,
     executors,
     monotonicMs: performance.now(),
     undisputedMs: owner.options.undisputedAtMs(),
@@ -59,6 +63,7 @@
     priorityOf: ({ accepted }) => policyOf(owner, accepted).priority,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
   });
+  if (budget !== undefined) logAtCap(owner, budget);
   const unprepared = prepare(owner, placements);
   const gangRunNumbers = new Map<unknown, number>();
   for (const placement of placements) {
--- a/packages/jobs/run/late_starts.ts
+++ b/packages/jobs/run/late_starts.ts
@@ -6,6 +6,7 @@
 
 import type { ExecutorState } from "../executor_state.ts";
 import type { Run } from "../job.ts";
+import type { LateStart } from "../model.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { MAX_LATENESS_MS } from "./_executor_clock.ts";
 import { stopUntilAnswered } from "./_stop_until_answered.ts";
@@ -51,6 +52,12 @@
   return recentStarts(owner, executor).length > 0;
 }
 
+/** Returns all given-up starts that may still be carried out late. */
+export function openLateStarts(owner: OwnerState): LateStart[] {
+  return [...owner.lateStarts.keys()]
+    .flatMap((executor) => recentStarts(owner, executor));
+}
+
 /** Returns the starts that an executor may still carry out late. */
 function recentStarts(owner: OwnerState, executor: string) {
   const sinceMs = performance.now() - MAX_LATENESS_MS;
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -13,6 +13,8 @@
 import {
   type CountPendingRequestSchema,
   type CountPendingResponse,
+  type LimitRequestSchema,
+  type LimitResponse,
   OwnerService,
   type ReachResponse,
   type RelayRequestSchema,
@@ -51,6 +53,11 @@
     request: MessageInitShape<typeof RelayRequestSchema>,
     timeoutMs: number,
   ): Promise<RelayResponse | undefined>;
+  /** Sets what tasks of each organisation a partition's owner may run. */
+  limit(
+    request: MessageInitShape<typeof LimitRequestSchema>,
+    timeoutMs: number,
+  ): Promise<LimitResponse | undefined>;
   /** Returns whether the member can reach the store. */
   reach(timeoutMs: number): Promise<ReachResponse | undefined>;
   /** Ends the connection; calls in progress fail. */
@@ -106,6 +113,8 @@
       undefinedOnFailure(client.report(request, { timeoutMs })),
     relay: (request, timeoutMs) =>
       undefinedOnFailure(client.relay(request, { timeoutMs })),
+    limit: (request, timeoutMs) =>
+      undefinedOnFailure(client.limit(request, { timeoutMs })),
     reach: (timeoutMs) => undefinedOnFailure(client.reach({}, { timeoutMs })),
     close: () => sessionManager.abort(),
   };
--- a/packages/peers/create_owner_server.ts
+++ b/packages/peers/create_owner_server.ts
@@ -11,6 +11,8 @@
 import {
   type CountPendingRequest,
   type CountPendingResponseSchema,
+  type LimitRequest,
+  type LimitResponseSchema,
   OwnerService,
   type ReachResponseSchema,
   type RelayRequest,
@@ -39,6 +41,10 @@
   relay(
     request: RelayRequest,
   ): Promise<MessageInitShape<typeof RelayResponseSchema>>;
+  /** Sets what tasks of each organisation a partition's owner may run. */
+  limit(
+    request: LimitRequest,
+  ): MessageInitShape<typeof LimitResponseSchema>;
   /** Returns whether this member can reach the store. */
   reach(): MessageInitShape<typeof ReachResponseSchema>;
 };
