Show operators what organisations run against their caps

Cause: a job that waits for its organisation's cap looked like any other. Tasks beyond a cap don't call for machines.

--- a/packages/jobs/machines/partition_report.ts
+++ b/packages/jobs/machines/partition_report.ts
@@ -7,6 +7,7 @@
 
 import { isPlaceable } from "../job.ts";
 import { isGroupReady } from "../occurrences.ts";
+import { createPlacementBudget } from "../organisations/placement_budget.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { findFreePlaces } from "../placed/free_places.ts";
 import type { ExecutorState } from "../executor_state.ts";
@@ -55,6 +56,8 @@
 export function reportPartition(owner: OwnerState): PartitionReport {
   const demand = new Map<string, ServiceDemand>();
   const nowMs = performance.now();
+  // Machines are no help for tasks beyond the cap of their organisation.
+  const budget = createPlacementBudget(owner, (_, cap) => cap);
   for (const job of owner.jobs.values()) {
     if (job.endedAtMs !== undefined) continue;
     const { service } = job.accepted;
@@ -83,6 +86,8 @@
           if (isLasting) entry.lastingCpu += size.cpu;
           else entry.runningCpu += size.cpu;
         } else if (isReady && isPlaceable(task, { monotonicMs: nowMs })) {
+          if (budget?.count(job, size) === 0) continue;
+          budget?.take(job, size);
           entry.waitingCpu += size.cpu;
           const waitedMs = nowMs - task.waitingSinceMs;
           entry.waitedMs = Math.max(entry.waitedMs, Math.round(waitedMs));
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -25,6 +25,10 @@
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
 import { createOrganisationCaps } from "./organisations/organisation_caps.ts";
+import {
+  type OrganisationUse,
+  sumOrganisationUse,
+} from "./organisations/read_organisation_use.ts";
 import { createCandidacy } from "./owned/candidacy.ts";
 import {
   type Layout,
@@ -65,6 +69,8 @@
   ): Promise<QueryResult<JobState>>;
   /** Counts the accepted jobs of a queue that have not started. */
   countPending(queue: Queue, timeoutMs: number): Promise<QueryResult<number>>;
+  /** Returns what the organisations with caps use at the owners here. */
+  organisationUse(): ReadonlyMap<string, OrganisationUse>;
   /** Gives up all partitions, so that other members take them over at once. */
   leave(): Promise<void>;
   close(): Promise<void>;
@@ -255,6 +261,10 @@
         timeoutMs,
       }),
     getJobState,
+    organisationUse: () =>
+      sumOrganisationUse(
+        [...owners.values()].map((owner) => owner.organisationUse()),
+      ),
     async countPending(queue, timeoutMs) {
       const services = queueServices.servicesOf(queue);
       const partitions = new Set(
--- a/packages/jobs/organisations/organisation_use.ts
+++ b/packages/jobs/organisations/organisation_use.ts
@@ -47,9 +47,17 @@
 export function countMayRun(owner: OwnerState): RunningUse {
   const known = new Map<string, Size>();
   let unknown = NOTHING;
+  // Called for each run in each round of placement, so that it creates nothing.
   const add = (organisation: string | undefined, size: Size) => {
     if (organisation === undefined) return;
-    known.set(organisation, plus(known.get(organisation) ?? NOTHING, size));
+    let sum = known.get(organisation);
+    if (sum === undefined) {
+      sum = { ...NOTHING };
+      known.set(organisation, sum);
+    }
+    sum.cpu += size.cpu;
+    sum.memoryMb += size.memoryMb;
+    sum.accelerators += size.accelerators;
   };
   const addNamed = (name: string): boolean => {
     const step = findStep(owner, name);
--- a/packages/jobs/organisations/placement_budget.ts
+++ b/packages/jobs/organisations/placement_budget.ts
@@ -26,7 +26,8 @@
 
 /**
  * Creates the budget of a round of placement; undefined if no organisation has
- * a cap. What may be running is counted once in a round.
+ * a cap. What may be running is counted once in a round. The limits are by
+ * default those that the broker of the caps has set.
  *
  * @example
  * ```ts
@@ -36,6 +37,7 @@
  */
 export function createPlacementBudget(
   owner: OwnerState,
+  limitOf: (organisation: string, cap: Size) => Size = owner.limits.limitOf,
 ): OwnerBudget | undefined {
   if (!owner.caps.hasCaps()) return undefined;
   let running: RunningUse | undefined;
@@ -48,7 +50,7 @@
       running.known.get(organisation) ?? NOTHING,
       running.unknown,
     );
-    return { mayRun, limit: owner.limits.limitOf(organisation, cap) };
+    return { mayRun, limit: limitOf(organisation, cap) };
   };
 
   const freeOf = (organisation: string, cap: Size): Size => {
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -29,6 +29,10 @@
   createOrganisationLimits,
   type LimitMessage,
 } from "../organisations/organisation_limits.ts";
+import {
+  type OrganisationUse,
+  readOrganisationUse,
+} from "../organisations/read_organisation_use.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { recordKnownStarts } from "../placed/used_executors.ts";
@@ -110,6 +114,8 @@
    * undefined if this owner must not answer.
    */
   applyLimits(message: LimitMessage): LimitAnswer | undefined;
+  /** Returns what the organisations with caps use here. */
+  organisationUse(): ReadonlyMap<string, OrganisationUse>;
   /** Stores pending changes and a handover, then gives up the partition. */
   release(timeoutMs: number): Promise<void>;
   close(): void;
@@ -181,6 +187,7 @@
       return reportPartition(owner);
     },
     applyLimits: (message) => answerLimits(owner, message),
+    organisationUse: () => readOrganisationUse(owner),
     async release(timeoutMs) {
       owner.isReleasing = true;
       storeHandover(owner);
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -13,6 +13,10 @@
 } from "../executor_state.ts";
 import { hasEnded, type Run, type Task } from "../job.ts";
 import { isGroupReady } from "../occurrences.ts";
+import {
+  createPlacementBudget,
+  type PlacementBudget,
+} from "../organisations/placement_budget.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { findObstacle } from "./find_obstacle.ts";
 import { mayRun } from "./start_tasks.ts";
@@ -46,7 +50,10 @@
   const loggedAtMs = new WeakMap<Task, number>();
   let checkedAtMs = -Infinity;
 
-  const logTask = (task: Task, nowMs: number) => {
+  const logTask = (
+    task: Task,
+    { nowMs, budget }: { nowMs: number; budget: PlacementBudget | undefined },
+  ) => {
     const [run] = task.runs;
     const sinceMs = run?.reportedAtMs ?? task.waitingSinceMs;
     if (nowMs - sinceMs < MIN_WAIT_MS) return;
@@ -56,7 +63,7 @@
       task: task.name,
       waitedMs: Math.round(nowMs - sinceMs),
       reason: run === undefined
-        ? explainWait(owner, task, nowMs)
+        ? explainWait(owner, task, { nowMs, budget })
         : explainRun(run),
     });
   };
@@ -66,11 +73,12 @@
       const nowMs = performance.now();
       if (nowMs - checkedAtMs < INTERVAL_MS) return;
       checkedAtMs = nowMs;
+      const budget = createPlacementBudget(owner);
       for (const job of owner.jobs.values()) {
         if (hasEnded(job)) continue;
         for (const group of job.groups) {
           if (!group.step.isLasting || !isGroupReady(group)) continue;
-          for (const task of group.tasks) logTask(task, nowMs);
+          for (const task of group.tasks) logTask(task, { nowMs, budget });
         }
       }
     },
@@ -78,7 +86,11 @@
 }
 
 /** Returns why a task without a run is not placed. */
-function explainWait(owner: OwnerState, task: Task, nowMs: number): string {
+function explainWait(
+  owner: OwnerState,
+  task: Task,
+  { nowMs, budget }: { nowMs: number; budget: PlacementBudget | undefined },
+): string {
   if (task.blockedUntilMs > nowMs) {
     const leftMs = Math.round(task.blockedUntilMs - nowMs);
     return `blocked by runs of earlier owners for up to ${leftMs} ms`;
@@ -88,7 +100,11 @@
     const leftMs = Math.round(task.backoffUntilMs - nowMs);
     return `waits ${leftMs} ms after ${task.crashes.length} crashes under it`;
   }
-  if (!task.group.job.hasStoredProgress) return "progress is not stored yet";
+  const { job, step } = task.group;
+  if (budget?.count(job, step.size) === 0) {
+    return "its organisation is at the limit of its cap here";
+  }
+  if (!job.hasStoredProgress) return "progress is not stored yet";
   const executors = [...owner.executors.values()]
     .filter((executor) => isOfService(executor, task.group));
   const counts = new Map<string, number>();
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -9,6 +9,7 @@
 export * from "./job_log_events.ts";
 export * from "./job_metrics.ts";
 export * from "./label_allowlist.ts";
+export * from "./organisation_metrics.ts";
 export * from "./log_event.ts";
 export * from "./log_events.ts";
 export * from "./metrics.ts";
