--- a/packages/jobs/organisations/divide_cap.ts
+++ b/packages/jobs/organisations/divide_cap.ts
@@ -65,6 +65,8 @@
   /** What of the running and the waiting tasks is not covered yet. */
   runningLeft: Size;
   waitingLeft: Size;
+  /** Number of units that it gets at a time. */
+  unitsPerPart: number;
 };
 
 /**
@@ -92,6 +94,7 @@
     amount: NOTHING,
     runningLeft: demand.mayRun,
     waitingLeft: demand.waiting,
+    unitsPerPart: countPerPart(demand, cap),
   }));
   let free = cap;
   const handOut = (takers: readonly Share[], nextOf: typeof nextUnits) => {
@@ -196,10 +199,9 @@
 function nextUnits(share: Share, free: Size): Size | undefined {
   if (isNothing(share.waitingLeft)) return undefined;
   const { unit } = share.demand;
-  const wanted = Math.max(1, countUnits(share.demand.waiting, unit) / PARTS);
   const left = countUnits(share.waitingLeft, unit);
   const count = Math.min(
-    Math.ceil(wanted),
+    share.unitsPerPart,
     Math.max(1, left),
     countFitting(unit, free),
   );
@@ -210,6 +212,11 @@
   return sizeOf((resource) => count * unit[resource]);
 }
 
+function countPerPart({ waiting, unit }: CapDemand, cap: Size): number {
+  const count = Math.min(countUnits(waiting, unit), countFitting(unit, cap));
+  return Math.max(1, Math.ceil(count / PARTS));
+}
+
 /** Returns the number of units that an amount is, rounded up. */
 function countUnits(amount: Size, unit: Size): number {
   let count = 0;
