--- a/packages/measure/soak/run_soak.ts
+++ b/packages/measure/soak/run_soak.ts
@@ -142,6 +142,8 @@
     const state = result.type === "known" ? result.value : result.type;
     const mayFail = checker.mayFail(job);
     if (state === "failed" && mayFail) continue;
+    const mayWait = world.cap?.mayFillUp(jobs) === true;
+    if (mayWait && (state === "queued" || state === "running")) continue;
     const expected = cancelledAtMs !== undefined
       ? "cancelled"
       : step.isLasting
--- a/packages/measure/soak/soak_plans.ts
+++ b/packages/measure/soak/soak_plans.ts
@@ -40,6 +40,8 @@
     guardsCapacity: (executorNumber) => executorNumber % 3 === 0,
     enforcesCapacity: false,
   },
+  // An organisation whose cap is less than its jobs mostly ask for.
+  caps: { ...UNCHECKED, ...LEASES, faults: SOAK_FAULTS, capCpu: 10_000 },
   // Executors that grant far longer leases than owners request, and whose
   // clocks start anew with each process.
   longLeases: {
--- a/packages/measure/soak/soak_test.ts
+++ b/packages/measure/soak/soak_test.ts
@@ -62,6 +62,9 @@
   6,
 ];
 
+/** Seeds with a cap that run in CI. */
+const CAP_CI_SEEDS = [1, 2, 3, 4, 5, 6];
+
 /** Seeds that run in CI, with the causes of those that failed once. */
 const CI_SEEDS = [
   1,
@@ -135,6 +138,17 @@
     },
   );
 
+  // Guards against runs beyond a cap that an owner does not know of, and
+  // against tasks that wait while half of the cap is free.
+  test.each(seedsOr(CAP_CI_SEEDS))(
+    "keep their promises and a cap, seed %i",
+    async (seed) => {
+      const plan = SOAK_PLANS.caps;
+      const outcome = await runSoak(seed, { plan, advanceTime });
+      expect(describeOutcome(outcome)).toBe("");
+    },
+  );
+
   // Guards against owners that hold for expired what an executor still runs, as
   // its clock started anew or the next process carried out an earlier call.
   test.each(seedsOr(LEASE_CI_SEEDS))(
