--- a/packages/measure/soak/cap_play.ts
+++ b/packages/measure/soak/cap_play.ts
@@ -19,9 +19,6 @@
 /** Organisation of all jobs. */
 export const SOAK_ORGANISATION = "northwind";
 
-/** Part of the cap by which it may be exceeded. */
-export const CAP_OVERSHOOT = 0.1;
-
 /** Time after which another broker takes over. */
 const BROKER_LIFE_MS = 3_700;
 
@@ -76,7 +73,7 @@
   return {
     findExcess() {
       const cpu = usedCpu();
-      if (cpu <= capCpu * (1 + CAP_OVERSHOOT)) return undefined;
+      if (cpu <= capCpu) return undefined;
       return `brings its organisation to ${cpu} mcpu of ${capCpu} mcpu`;
     },
     isHalfFree: () => usedCpu() < capCpu / 2,
--- a/packages/measure/soak/owner_series.ts
+++ b/packages/measure/soak/owner_series.ts
@@ -14,7 +14,6 @@
   type Store,
 } from "@lagoonloom/jobs";
 import type { Random } from "../random.ts";
-import { CAP_OVERSHOOT } from "./cap_play.ts";
 
 /** Interval at which a member reads the platform's list. */
 const LIST_INTERVAL_MS = 250;
@@ -120,7 +119,6 @@
         maxLeaseMs: options.maxLeaseMs,
         confirmedAtMs: () => confirmedAtMs(own),
         undisputedAtMs: () => confirmedAtMs(own),
-        capOvershoot: CAP_OVERSHOOT,
         endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
         events: {
           log: (name, fields) =>
--- a/packages/measure/soak/soak_test.ts
+++ b/packages/measure/soak/soak_test.ts
@@ -62,8 +62,15 @@
   6,
 ];
 
-/** Seeds with a cap that run in CI. */
-const CAP_CI_SEEDS = [1, 2, 3, 4, 5, 6];
+/** Seeds with a cap that run in CI, with what each needs to pass. */
+const CAP_CI_SEEDS = [
+  1,
+  2,
+  // Counting the tasks that an earlier owner may have started.
+  9,
+  // Counting starts that were given up and may be carried out late.
+  33,
+];
 
 /** Seeds that run in CI, with the causes of those that failed once. */
 const CI_SEEDS = [
