--- a/packages/jobs/organisations/_caps_world.ts
+++ b/packages/jobs/organisations/_caps_world.ts
@@ -21,7 +21,7 @@
   type PartitionOwner,
 } from "../owned/partition_owner.ts";
 import type { Size, Step } from "../submission.ts";
-import { JOBS_TOPIC } from "../topics.ts";
+import { cancelKey, JOBS_TOPIC } from "../topics.ts";
 import { createOrganisationCaps } from "./organisation_caps.ts";
 import { type CapBrokerRun, runCapBroker } from "./run_cap_broker.ts";
 
@@ -31,6 +31,9 @@
 /** Services of a world, one for each partition. */
 const SERVICES = ["quoting", "orders", "shipping"];
 
+/** Time that a run needs to stop. */
+export const STOP_MS = 1_500;
+
 /** Interval at which the executors are observed. */
 const TICK_MS = 5;
 
@@ -54,6 +57,7 @@
     id: string,
     options: { partition: number; step: Step; organisation?: string },
   ): void;
+  cancel(id: string, partition: number): void;
   /** Returns the number of tasks that run, of one partition or all. */
   countRunning(partition?: number): number;
   close(): void;
@@ -146,6 +150,11 @@
         }),
       });
     },
+    cancel: (id, partition) =>
+      store.put({ topic: JOBS_TOPIC, partition }, {
+        key: cancelKey(id),
+        value: "{}",
+      }),
     countRunning(partition) {
       let count = 0;
       for (const executor of world.executors.values()) {
@@ -169,7 +178,7 @@
     for (const number of [1, 2]) {
       const report = createReport(`e${index}-${number}`, { service });
       reports.set(report.id, report);
-      world.executors.set(report.id, memory.add(report));
+      world.executors.set(report.id, memory.add(report, { stopMs: STOP_MS }));
     }
     world.startOwner(index);
   }
--- a/packages/jobs/organisations/caps_of_owners_test.ts
+++ b/packages/jobs/organisations/caps_of_owners_test.ts
@@ -7,7 +7,7 @@
   test,
 } from "@jest/globals";
 import { advanceTime, createStep, JOB_ID, NEXT_JOB_ID } from "../_fixtures.ts";
-import { type CapsWorld, createCapsWorld } from "./_caps_world.ts";
+import { type CapsWorld, createCapsWorld, STOP_MS } from "./_caps_world.ts";
 
 const CAP = { cpu: 12_000, memoryMb: 0, accelerators: 0 };
 
@@ -87,6 +87,25 @@
     expect(world.countRunning()).toBeLessThanOrEqual(MAX_RUNNING);
   });
 
+  // Guards against runs of cancelled jobs that the next owner does not count
+  // while it stops them (QUOTA).
+  test("count runs that the next owner only stops", async () => {
+    world.setCap(CAP);
+    world.startBroker();
+    await advanceTime(1_000);
+    world.accept(JOB_ID, { partition: 0, step: lasting(12) });
+    await advanceTime(3_000);
+    world.killOwner(0);
+    world.cancel(JOB_ID, 0);
+    world.accept(NEXT_JOB_ID, { partition: 0, step: lasting(12) });
+    world.startOwner(0);
+    await advanceTime(STOP_MS - 300);
+    expect(world.countRunning()).toBeGreaterThanOrEqual(11);
+    await advanceTime(3_000);
+    expectWithinCap();
+    expect(world.countRunning()).toBeGreaterThanOrEqual(11);
+  });
+
   // Guards against a limit that a broker lends twice, as its owner is cut off.
   test("keep to the cap while the broker does not reach one", async () => {
     world.setCap(CAP);
