Pass limits on at once as the broker learns who needs them

Cause: a job whose service had no part of its cap waited for three rounds, and a broker that had not heard all owners sent limits without processor time, after which two of three owners kept none while nobody asked for more. Change: two messages may follow an answer at once; an owner without any limit gets a part; no limit is set for a resource without a cap.

--- a/packages/jobs/organisations/cap_broker.ts
+++ b/packages/jobs/organisations/cap_broker.ts
@@ -33,8 +33,13 @@
 
 /** Broker of the caps of all organisations. */
 export type CapBroker = {
-  /** Returns the messages to send to owners that have no open call. */
-  nextMessages(): Map<number, LimitMessage>;
+  /**
+   * Returns the messages to send to owners that have no open call; if
+   * `onlyLimits` is set, those that change a limit.
+   */
+  nextMessages(
+    options?: { onlyLimits: boolean },
+  ): Map<number, LimitMessage>;
   /** Handles the answer to a message; undefined if there was none. */
   handleAnswer(
     partition: number,
@@ -120,12 +125,13 @@
   };
 
   return {
-    nextMessages() {
+    nextMessages({ onlyLimits } = { onlyLimits: false }) {
       const messages = new Map<number, LimitMessage>();
       if (isSuperseded) return messages;
       const planned = planLimits();
       for (const partition of partitions()) {
         if (openCalls.has(partition)) continue;
+        if (onlyLimits && !planned.has(partition)) continue;
         openCalls.add(partition);
         const ownerEpoch = isKnown(owners.get(partition))
           ? owners.get(partition)!.epoch
--- a/packages/jobs/organisations/cap_ledger.ts
+++ b/packages/jobs/organisations/cap_ledger.ts
@@ -96,9 +96,6 @@
     });
   };
 
-  const isShort = ({ use, granted }: Entry): boolean =>
-    !isNothing(use.waiting) && !isWithin(plus(use.mayRun, use.unit), granted);
-
   return {
     hear(partition, use) {
       const isFirst = !entries.has(partition);
@@ -118,7 +115,7 @@
       const committed = sumOf([...entries.values()].map(committedTo));
       const isOver = !isWithin(committed, available);
       const needsMore = [...entries.values()].some((entry) =>
-        isShort(entry) || isNothing(entry.granted)
+        isShort(entry, cap) || isWithoutLimit(entry, cap)
       );
       if (!isOver && !needsMore) return new Map();
       const targets = divideCap(available, demands);
@@ -128,7 +125,7 @@
       const limits = new Map<number, Size>();
       // Those that lack something come first.
       const ordered = [...entries].sort(([, left], [, right]) =>
-        Number(isShort(right)) - Number(isShort(left))
+        Number(isShort(right, cap)) - Number(isShort(left, cap))
       );
       for (const [partition, entry] of ordered) {
         if (!isReachable(partition)) continue;
@@ -161,13 +158,26 @@
 function limitFor(entry: Entry, target: Size, free: Size): Size {
   const committed = committedTo(entry);
   return sizeOf((resource) => {
-    if (target[resource] === Infinity) return Infinity;
+    // Owners need no limit for a resource without a cap.
+    if (target[resource] === Infinity) return entry.granted[resource];
     const highest = committed[resource] + free[resource];
     const limit = Math.max(entry.granted[resource], highest);
     return Math.floor(Math.min(target[resource], limit));
   });
 }
 
+/** Returns whether something waits that the limit has no room for. */
+function isShort({ use, granted }: Entry, cap: Size): boolean {
+  const needed = plus(use.mayRun, use.unit);
+  return !isNothing(use.waiting) &&
+    RESOURCES.some((it) => cap[it] < Infinity && needed[it] > granted[it]);
+}
+
+/** Returns whether a first task would find nothing of a resource. */
+function isWithoutLimit({ granted }: Entry, cap: Size): boolean {
+  return RESOURCES.some((it) => cap[it] < Infinity && granted[it] <= 0);
+}
+
 function sumOf(sizes: readonly Size[]): Size {
   return sizes.reduce((sum, size) => plus(sum, size), NOTHING);
 }
--- a/packages/jobs/organisations/caps_of_owners_test.ts
+++ b/packages/jobs/organisations/caps_of_owners_test.ts
@@ -55,7 +55,7 @@
     world.startBroker();
     await advanceTime(1_000);
     world.accept(JOB_ID, { partition: 2, step: lasting(30) });
-    await advanceTime(1_200);
+    await advanceTime(500);
     expect(world.countRunning(2)).toBeGreaterThanOrEqual(11);
     expectWithinCap();
   });
--- a/packages/jobs/organisations/run_cap_broker.ts
+++ b/packages/jobs/organisations/run_cap_broker.ts
@@ -9,11 +9,14 @@
 import type { OrganisationCaps } from "./organisation_caps.ts";
 import type { LimitMessage } from "./organisation_limits.ts";
 
+/** Interval between two rounds, which show the broker who needs more. */
+const ROUND_INTERVAL_MS = 250;
+
 /**
- * Interval between two rounds. What one owner leaves unused reaches another one
- * in three: the first shows who needs it, the second takes it back.
+ * Messages to each owner, on average, that may follow at once in a round: one
+ * takes back what an owner leaves unused, and one passes it on.
  */
-const ROUND_INTERVAL_MS = 250;
+const FOLLOW_UPS_PER_OWNER = 2;
 
 /** Running broker. */
 export type CapBrokerRun = {
@@ -52,21 +55,40 @@
   const { epoch, caps, partitions, isConfirmed, send, events } = options;
   const broker = createCapBroker({ epoch, caps, partitions });
   let hasLoggedLoss = false;
+  let isClosed = false;
+  let followUpsLeft = 0;
 
   const sendOne = async (partition: number, message: LimitMessage) => {
     const answer = await send(partition, message);
     broker.handleAnswer(partition, message, answer);
-    if (!broker.isSuperseded() || hasLoggedLoss) return;
-    hasLoggedLoss = true;
-    events.log("capBrokerReplaced", { epoch });
+    if (broker.isSuperseded() && !hasLoggedLoss) {
+      hasLoggedLoss = true;
+      events.log("capBrokerReplaced", { epoch });
+    }
+    if (answer !== undefined && followUpsLeft > 0) {
+      followUpsLeft -= sendAll({ onlyLimits: true });
+    }
   };
 
-  const timer = setInterval(() => {
-    if (!caps.hasCaps() || !isConfirmed()) return;
-    for (const [partition, message] of broker.nextMessages()) {
+  /** Sends the next messages; returns how many. */
+  const sendAll = (options: { onlyLimits: boolean }): number => {
+    if (isClosed || !caps.hasCaps() || !isConfirmed()) return 0;
+    const messages = broker.nextMessages(options);
+    for (const [partition, message] of messages) {
       void sendOne(partition, message);
     }
+    return messages.size;
+  };
+
+  const timer = setInterval(() => {
+    followUpsLeft = FOLLOW_UPS_PER_OWNER * partitions().size;
+    sendAll({ onlyLimits: false });
   }, ROUND_INTERVAL_MS);
 
-  return { close: () => clearInterval(timer) };
+  return {
+    close() {
+      isClosed = true;
+      clearInterval(timer);
+    },
+  };
 }
