Lend nothing of a cap before the layout is read

Cause: a new broker that had not read the layout took an empty list of partitions for one whose owners it had all heard. Found by reading.

--- a/packages/jobs/organisations/cap_ledger.ts
+++ b/packages/jobs/organisations/cap_ledger.ts
@@ -68,7 +68,7 @@
  * ```ts
  * const ledger = createCapLedger();
  * ledger.hear(3, use);
- * const limits = ledger.plan({ cap, partitions, isReachable });
+ * const limits = ledger.plan({ cap, highestCap, partitions, isReachable });
  * ```
  */
 export function createCapLedger(): CapLedger {
@@ -87,7 +87,8 @@
       demands: readonly CapDemand[];
     },
   ): Size => {
-    isComplete ||= [...partitions].every((it) => entries.has(it));
+    isComplete ||= partitions.size > 0 &&
+      [...partitions].every((it) => entries.has(it));
     if (isComplete) return raiseToLongestWaiting(cap, demands);
     return sizeOf((resource) => {
       if (cap[resource] === Infinity) return Infinity;
--- a/packages/jobs/organisations/limits_and_budgets_test.ts
+++ b/packages/jobs/organisations/limits_and_budgets_test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, test } from "@jest/globals";
 import { createConfiguration, createStep } from "../_record_fixtures.ts";
 import { NOTHING, plus } from "./_amounts.ts";
+import { createCapLedger } from "./cap_ledger.ts";
 import { type CapDemand, divideCap } from "./divide_cap.ts";
 import {
   decodeAnswer,
@@ -53,6 +54,24 @@
   });
 });
 
+// Guards against a new broker that lends what owners have which it does not
+// know of yet, as it has not read the layout.
+test("createCapLedger lends nothing before all owners are heard", () => {
+  const ledger = createCapLedger();
+  const plan = (partitions: number[]) => [...ledger.plan({
+    cap: cpuOf(100),
+    highestCap: cpuOf(100),
+    partitions: new Set(partitions),
+    isReachable: () => true,
+  })];
+  const use = { ...demandOf(0, [0, 50, 5, 100]), limit: NOTHING };
+  expect(plan([])).toEqual([]);
+  ledger.hear(0, use);
+  expect(plan([0, 1])).toEqual([]);
+  ledger.hear(1, { ...use, mayRun: cpuOf(60), limit: cpuOf(60) });
+  expect(plan([0, 1])).toContainEqual([0, cpuOf(40)]);
+});
+
 // Guards against a cap that no task, or any task, is within.
 test.each<[string, number, number | undefined]>([
   ["none", 0, undefined],
