--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -36,6 +36,11 @@
 import { createConfigurationRefresh } from "./organisations/configuration_refresh.ts";
 import { callerOf } from "./organisations/job_access.ts";
 import { startMemberExchange } from "./organisations/member_exchange.ts";
+import { createOrganisationCaps } from "./organisations/organisation_caps.ts";
+import {
+  type OrganisationUse,
+  sumOrganisationUse,
+} from "./organisations/read_organisation_use.ts";
 import { createCandidacy } from "./owned/candidacy.ts";
 import {
   type Layout,
@@ -91,6 +96,8 @@
   ): Promise<QueryResult<JobState>>;
   /** Counts the accepted jobs of a queue that have not started. */
   countPending(queue: Queue, timeoutMs: number): Promise<QueryResult<number>>;
+  /** Returns what the organisations with caps use at the owners here. */
+  organisationUse(): ReadonlyMap<string, OrganisationUse>;
   /** Gives up all partitions, so that other members take them over at once. */
   leave(): Promise<void>;
   close(): Promise<void>;
@@ -113,10 +120,13 @@
   const owners = new Map<number, PartitionOwner>();
   const clients = new Map<string, OwnerClient>();
 
+  const caps = createOrganisationCaps(() => platform.configuration());
   const refreshOwners = () => {
+    // A later broker has to know the caps under which earlier ones lent.
+    caps.all();
     for (const owner of owners.values()) owner.refresh();
   };
-  const platform = options.followPlatform(refreshOwners);
+  const platform: PlatformState = options.followPlatform(refreshOwners);
 
   const { store, isUnreachable, mayAppend } = createStoreMonitor(
     options.store,
@@ -166,6 +176,7 @@
     access,
     layout,
     ownership: () => ownership,
+    caps,
   });
 
   const ownership: Ownership = joinOwners({
@@ -337,6 +348,10 @@
         timeoutMs: options.timeoutMs,
       }),
     getJobState,
+    organisationUse: () =>
+      sumOrganisationUse(
+        [...owners.values()].map((owner) => owner.organisationUse()),
+      ),
     async countPending(queue, timeoutMs) {
       const services = queueServices.servicesOf(queue);
       const partitions = new Set(
--- a/packages/jobs/member_options.ts
+++ b/packages/jobs/member_options.ts
@@ -54,6 +54,8 @@
    * milliseconds; undefined if there is no such promise.
    */
   maxRevocationMs?: number | undefined;
+  /** Part of its cap by which an organisation may exceed it; 0 by default. */
+  capOvershoot?: number;
   /** Time for which callers can ask for the state of an ended job. */
   endedJobRetentionMs: number;
   /** Starts to follow the platform; calls `onChange` after each change. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -26,6 +26,17 @@
 import type { FullService } from "../organisations/full_services.ts";
 import { watchFullServices } from "../organisations/watch_full_services.ts";
 import { createWeightBuckets } from "../organisations/weight_buckets.ts";
+import { answerLimits } from "../organisations/answer_limits.ts";
+import type { LimitAnswer } from "../organisations/cap_broker.ts";
+import { createOrganisationCaps } from "../organisations/organisation_caps.ts";
+import {
+  createOrganisationLimits,
+  type LimitMessage,
+} from "../organisations/organisation_limits.ts";
+import {
+  type OrganisationUse,
+  readOrganisationUse,
+} from "../organisations/read_organisation_use.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { recordKnownStarts } from "../placed/used_executors.ts";
@@ -45,6 +56,7 @@
 import { isOrganisationGone, mayAccess } from "../organisations/job_access.ts";
 import { takeOver } from "./_take_over.ts";
 import { storeHandover } from "./handover.ts";
+import { servicePartitions } from "./layout.ts";
 import { writerName } from "./load_partition.ts";
 import {
   ADMISSION_GRACE_MS,
@@ -110,6 +122,13 @@
     reserved: ReadonlySet<string>,
     ended: readonly string[],
   ): PartitionReport;
+  /**
+   * Sets what tasks of each organisation may run here, and tells what they use;
+   * undefined if this owner must not answer.
+   */
+  applyLimits(message: LimitMessage): LimitAnswer | undefined;
+  /** Returns what the organisations with caps use here. */
+  organisationUse(): ReadonlyMap<string, OrganisationUse>;
   /** Stores pending changes and a handover, then gives up the partition. */
   release(timeoutMs: number): Promise<void>;
   close(): void;
@@ -186,6 +205,8 @@
       owner.reservedUntilMs = performance.now() + RESERVATION_MS;
       return reportPartition(owner);
     },
+    applyLimits: (message) => answerLimits(owner, message),
+    organisationUse: () => readOrganisationUse(owner),
     async release(timeoutMs) {
       owner.isReleasing = true;
       storeHandover(owner);
@@ -242,6 +263,13 @@
     unreadSinceMs: undefined,
     takenOverAtMs: performance.now(),
     blockedUntilMs: 0,
+    caps: options.caps ?? createOrganisationCaps(options.view.configuration),
+    limits: createOrganisationLimits({
+      epoch,
+      capOvershoot: options.capOvershoot ?? 0,
+      partitionCount: () => servicePartitions(options.view.layout()).size,
+    }),
+    loggedAtCapMs: new Map(),
     progress: createProgressLog({
       store,
       partition: { topic: PROGRESS_TOPIC, partition },
--- a/packages/jobs/owner_handlers.ts
+++ b/packages/jobs/owner_handlers.ts
@@ -2,6 +2,7 @@
 import { appendOnce } from "./accepted/accept_job.ts";
 import type { HeldConfiguration } from "./organisations/held_configuration.ts";
 import { compactCaller } from "./organisations/job_access.ts";
+import { decodeLimits, encodeAnswer } from "./organisations/limit_records.ts";
 import type { PartitionOwner } from "./owned/partition_owner.ts";
 import type { Store } from "./ports.ts";
 
@@ -81,6 +82,10 @@
         ...(record === undefined ? {} : { record }),
       };
     },
+    limit: (request) =>
+      encodeAnswer(
+        findLoaded(request.partition)?.applyLimits(decodeLimits(request)),
+      ),
     report({ partition, reserved, ended }) {
       const owner = findLoaded(partition);
       if (owner === undefined) return { isOwner: false };
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -15,6 +15,8 @@
   type ConfigurationResponse,
   type CountPendingRequestSchema,
   type CountPendingResponse,
+  type LimitRequestSchema,
+  type LimitResponse,
   OwnerService,
   type ReachResponse,
   type RelayRequestSchema,
@@ -53,6 +55,11 @@
     request: MessageInitShape<typeof RelayRequestSchema>,
     timeoutMs: number,
   ): Promise<RelayResponse | undefined>;
+  /** Sets what tasks of each organisation a partition's owner may run. */
+  limit(
+    request: MessageInitShape<typeof LimitRequestSchema>,
+    timeoutMs: number,
+  ): Promise<LimitResponse | undefined>;
   /** Returns whether the member can reach the store. */
   reach(timeoutMs: number): Promise<ReachResponse | undefined>;
   /** Returns the member's configuration and how old it is. */
@@ -113,6 +120,8 @@
       undefinedOnFailure(client.report(request, { timeoutMs })),
     relay: (request, timeoutMs) =>
       undefinedOnFailure(client.relay(request, { timeoutMs })),
+    limit: (request, timeoutMs) =>
+      undefinedOnFailure(client.limit(request, { timeoutMs })),
     reach: (timeoutMs) => undefinedOnFailure(client.reach({}, { timeoutMs })),
     configuration: (request, timeoutMs) =>
       undefinedOnFailure(client.configuration(request, { timeoutMs })),
--- a/packages/peers/create_owner_server.ts
+++ b/packages/peers/create_owner_server.ts
@@ -13,6 +13,8 @@
   type ConfigurationResponseSchema,
   type CountPendingRequest,
   type CountPendingResponseSchema,
+  type LimitRequest,
+  type LimitResponseSchema,
   OwnerService,
   type ReachResponseSchema,
   type RelayRequest,
@@ -41,6 +43,10 @@
   relay(
     request: RelayRequest,
   ): Promise<MessageInitShape<typeof RelayResponseSchema>>;
+  /** Sets what tasks of each organisation a partition's owner may run. */
+  limit(
+    request: LimitRequest,
+  ): MessageInitShape<typeof LimitResponseSchema>;
   /** Returns whether this member can reach the store. */
   reach(): MessageInitShape<typeof ReachResponseSchema>;
   /** Returns this member's configuration and how old it is. */
