--- a/packages/callers/create_caller_app.ts
+++ b/packages/callers/create_caller_app.ts
@@ -8,7 +8,7 @@
 import { createMemoryBudget, type MemoryBudget } from "@lagoonloom/endpoints";
 import Koa from "koa";
 import { notRunProblem, parseHead } from "./_parse_request.ts";
-import { readBody } from "./_read_body.ts";
+import { readBody, reserveBody } from "./read_body.ts";
 import { writeOutcome, writeProblem } from "./_write_response.ts";
 import type { CallerOutcome } from "./caller_outcome.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -113,7 +113,7 @@
   const result = await readBody(incoming, {
     maxBytes: options.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     timeoutMs: options.bodyTimeoutMs ?? DEFAULT_BODY_TIMEOUT_MS,
-    budget,
+    memory: reserveBody(budget),
   });
   switch (result.type) {
     case "broken":
--- a/packages/jobs/member_options.ts
+++ b/packages/jobs/member_options.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { OwnerServerOptions } from "@lagoonloom/peers";
 import type { Configuration, ExecutorReport, UpkeepWave } from "./fleet.ts";
 import type { JobEventLog } from "./job_event_log.ts";
 import type { MemberCapacity } from "./owned/member_name.ts";
@@ -33,7 +34,7 @@
 export type MemberOptions = {
   /** Name under which this process holds the lease on the machines. */
   name: string;
-  peer: { host: string; port: number };
+  peer: OwnerServerOptions;
   /** What this member's machine can carry. */
   capacity: MemberCapacity;
   store: Store;
--- a/packages/peers/create_owner_server.ts
+++ b/packages/peers/create_owner_server.ts
@@ -6,7 +6,7 @@
 
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { createServer, type ServerHttp2Session } from "node:http2";
+import { createServer } from "node:http2";
 import type { AddressInfo } from "node:net";
 import {
   type CountPendingRequest,
@@ -20,6 +20,23 @@
   type ShowRequest,
   type ShowResponseSchema,
 } from "./gen/lagoonloom/peers/v1/owners_pb.ts";
+import { createSessionGuard, type SessionLimits } from "./session_guard.ts";
+
+/** Largest message of a call, in bytes. */
+const MAX_MESSAGE_BYTES = 4 * 1_024 * 1_024;
+
+/** Limits for a server that is given none. */
+const DEFAULT_LIMITS: SessionLimits = {
+  maxConnections: 1_024,
+  maxBytes: 16 * 1_024 * 1_024,
+};
+
+/** Where a member serves the calls of others, and the limits on them. */
+export type OwnerServerOptions = {
+  host: string;
+  port: number;
+  limits?: SessionLimits;
+};
 
 /** Handlers for the calls of other members. */
 export type OwnerHandlers = {
@@ -61,20 +78,17 @@
  */
 export async function createOwnerServer(
   handlers: OwnerHandlers,
-  { host, port }: { host: string; port: number },
+  { host, port, limits = DEFAULT_LIMITS }: OwnerServerOptions,
 ): Promise<OwnerServer> {
-  const sessions = new Set<ServerHttp2Session>();
-  const server = createServer(connectNodeAdapter({
+  const guard = createSessionGuard(limits);
+  const server = createServer(guard.wrap(connectNodeAdapter({
     grpc: false,
     grpcWeb: false,
     acceptCompression: [],
+    readMaxBytes: MAX_MESSAGE_BYTES,
     routes: (router) => router.service(OwnerService, { ...handlers }),
-  }));
-  server.on("session", (session) => {
-    sessions.add(session);
-    session.on("close", () => sessions.delete(session));
-    session.on("error", () => session.destroy());
-  });
+  })));
+  guard.watch(server);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, host, resolve);
@@ -85,7 +99,7 @@
     close: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
-        for (const session of sessions) session.destroy();
+        guard.close();
       }),
   };
 }
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -6,6 +6,7 @@
 
 export * from "./create_owner_client.ts";
 export * from "./create_owner_server.ts";
+export * from "./session_guard.ts";
 export * from "./create_peer_client.ts";
 export * from "./create_peer_server.ts";
 export * from "./gen/lagoonloom/peers/v1/owners_pb.ts";
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -40,6 +40,27 @@
     message: "changed settings are in force",
     fields: { graceMs: "number" },
   },
+  clientLimits: {
+    id: "LL6008",
+    level: "info",
+    message: "limits on what clients hold are in force",
+    fields: {
+      maxBytes: "number",
+      maxConnections: "number",
+      maxRequestsAhead: "number",
+      pauseRequests: "number",
+      smallChunksPerS: "number",
+      maxProbeConnections: "number",
+      maxPeerConnections: "number",
+      maxPeerBytes: "number",
+    },
+  },
+  clientRefused: {
+    id: "LL6107",
+    level: "warn",
+    message: "clients were refused because of the limits on what they hold",
+    fields: { port: "string", reason: "string", refused: "number" },
+  },
   configurationTaken: {
     id: "LL6004",
     level: "info",
--- a/packages/telemetry/job_metrics.ts
+++ b/packages/telemetry/job_metrics.ts
@@ -65,6 +65,12 @@
     buckets: TAKEOVER_BUCKETS_S,
     registers,
   });
+  const refusals = new Counter({
+    name: "lagoonloom_clients_refused_total",
+    help: "Clients refused because of the limits on them, by port and reason.",
+    labelNames: ["port", "reason"] as const,
+    registers,
+  });
   return {
     registry,
     observe({ id }, fields) {
@@ -79,6 +85,10 @@
           { how: String(fields["how"]) },
           toSeconds(fields["ranMs"]),
         );
+      } else if (id === JOB_LOG_EVENTS.clientRefused.id) {
+        const port = String(fields["port"]);
+        const reason = String(fields["reason"]);
+        refusals.inc({ port, reason }, Number(fields["refused"]));
       } else if (id === JOB_LOG_EVENTS.takeoverComplete.id) {
         takeovers.observe(toSeconds(fields["tookMs"]));
       }
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./client_metrics.ts";
 export * from "./event_log.ts";
 export * from "./executor_log_events.ts";
 export * from "./job_log_events.ts";
