--- a/packages/callers/limits/_client.ts
+++ b/packages/callers/limits/_client.ts
@@ -9,6 +9,8 @@
   reading: SocketPause;
   openRequests: number;
   answeredRequests: number;
+  /** Requests that were not handled, since they came too far ahead. */
+  droppedRequests: number;
   /** Requests whose bodies are being received. */
   receiving: number;
   bodyBytes: number;
@@ -35,6 +37,7 @@
     reading: createSocketPause(socket),
     openRequests: 0,
     answeredRequests: 0,
+    droppedRequests: 0,
     receiving: 0,
     bodyBytes: 0,
     unreadBytes: 0,
--- a/packages/callers/limits/client_guard.ts
+++ b/packages/callers/limits/client_guard.ts
@@ -191,6 +191,19 @@
     }
   };
 
+  /** Leaves a request unhandled, which came too far ahead. */
+  const dropAhead = (client: Client) => {
+    client.droppedRequests++;
+    // Dropped requests stay in memory as long as their connection is open.
+    if (client.droppedRequests > limits.maxRequestsAhead) {
+      return refuse(client, "ahead");
+    }
+    if (client.isClosing) return;
+    client.isClosing = true;
+    client.reading.pause();
+    onRefused("ahead");
+  };
+
   const checkClient = (client: Client, nowMs: number) => {
     // A refusal or the last answers may be left unread, too.
     const isEnding = client.isRefused || client.socket.writableEnded;
@@ -219,11 +232,9 @@
     wrap: (listener) => (request, response) => {
       const client = clients.get(request.socket);
       // What arrives after a client was refused is not handled.
-      if (client === undefined || client.isRefused || client.isClosing) return;
-      if (client.openRequests >= limits.maxRequestsAhead) {
-        client.isClosing = true;
-        client.reading.pause();
-        return onRefused("ahead");
+      if (client === undefined || client.isRefused) return;
+      if (client.isClosing || client.openRequests >= limits.maxRequestsAhead) {
+        return dropAhead(client);
       }
       if (!makeRoom(REQUEST_BYTES, client)) {
         onRefused("no-memory");
--- a/packages/callers/read_body.ts
+++ b/packages/callers/read_body.ts
@@ -6,7 +6,8 @@
 
 import type { MemoryBudget } from "@lagoonloom/endpoints";
 import type { IncomingMessage } from "node:http";
-import { createBodyBuffer } from "./limits/body_buffer.ts";
+import { createBodyBuffer, createSegmentPool } from "./limits/body_buffer.ts";
+import { createChunkCollection } from "./limits/chunk_collection.ts";
 import type { ChunkPace } from "./limits/chunk_pace.ts";
 
 const EMPTY_BODY = new Uint8Array(0);
@@ -17,6 +18,10 @@
  */
 const MAX_DISCARDED_BODIES = 4;
 
+const pool = createSegmentPool();
+
+const copiedChunks = createChunkCollection();
+
 /** Body of a request, or the reason why it was not read. */
 export type BodyResult =
   | { type: "body"; body: Uint8Array }
@@ -83,7 +88,7 @@
   }
   return new Promise((resolve) => {
     const { memory, pace } = options;
-    const buffer = createBodyBuffer(options.maxBytes);
+    const buffer = createBodyBuffer(pool);
     let chunkCount = 0;
     let isSettled = false;
     const settle = (result: BodyResult) => {
@@ -91,6 +96,7 @@
       isSettled = true;
       clearTimeout(timeout);
       incoming.off("data", onData);
+      buffer.drop();
       memory.end(result);
       resolve(result);
     };
@@ -112,15 +118,16 @@
         settle({ type: "too-large" });
         return discardRest(incoming, options.maxBytes);
       }
-      const isRefused = !memory.hold(buffer.capacityFor(chunk.length)) ||
+      const isRefused = !memory.hold(buffer.costAfter(chunk.length)) ||
         pace?.take(chunkCount, size) === false;
       if (isRefused) return settle({ type: "no-memory" });
       buffer.append(chunk);
+      copiedChunks.count(chunk.length);
       if (options.isIdleTimeout === true) timeout.refresh();
     };
     memory.onRefuse?.(() => settle({ type: "no-memory" }));
     incoming.on("data", onData);
-    incoming.on("end", () => settle({ type: "body", body: buffer.bytes() }));
+    incoming.on("end", () => settle({ type: "body", body: buffer.finish() }));
     incoming.on("close", () => settle({ type: "broken" }));
     incoming.on("error", () => settle({ type: "broken" }));
   });
@@ -131,6 +138,7 @@
   let discardedBytes = 0;
   incoming.on("data", (chunk: Uint8Array) => {
     discardedBytes += chunk.length;
+    copiedChunks.count(chunk.length);
     if (discardedBytes > MAX_DISCARDED_BODIES * maxBytes) incoming.destroy();
   });
 }
