--- a/packages/callers/limits/chunk_collection.ts
+++ b/packages/callers/limits/chunk_collection.ts
@@ -29,9 +29,11 @@
  * ```
  */
 export function createChunkCollection(
-  collect: () => void = createCollector(),
+  createCollect: () => () => void = createCollector,
 ): ChunkCollection {
   let bytes = 0;
+  // Its context costs all code of the process time, so it is created late.
+  let collect: (() => void) | undefined;
   return {
     count(chunkBytes) {
       if (chunkBytes < LARGE_CHUNK_BYTES) return;
@@ -39,6 +41,7 @@
       if (bytes < COLLECTION_BYTES) return;
       bytes = 0;
       // The chunk at hand is still in use.
+      collect ??= createCollect();
       setImmediate(collect);
     },
   };
--- a/packages/callers/limits/client_guard.ts
+++ b/packages/callers/limits/client_guard.ts
@@ -22,6 +22,9 @@
 /** Time between two checks of all connections. */
 const CHECK_INTERVAL_MS = 1_000;
 
+/** Requests of a connection that are dropped before it is closed at once. */
+const MAX_DROPPED_REQUESTS = 8;
+
 /** Part of the limit to which a refusal of several clients reduces the use. */
 const RELIEF = 7 / 8;
 
@@ -186,7 +189,7 @@
     client.movedMs = performance.now();
     if (client.isClosing) {
       if (client.openRequests === 0) closeAfterAnswers(client.socket);
-    } else if (2 * client.openRequests < limits.pauseRequests) {
+    } else if (2 * client.openRequests <= limits.pauseRequests) {
       client.reading.resume();
     }
   };
@@ -195,13 +198,19 @@
   const dropAhead = (client: Client) => {
     client.droppedRequests++;
     // Dropped requests stay in memory as long as their connection is open.
-    if (client.droppedRequests > limits.maxRequestsAhead) {
+    if (client.droppedRequests > MAX_DROPPED_REQUESTS) {
+      stopParser(client.socket);
       return refuse(client, "ahead");
     }
     if (client.isClosing) return;
+    stopReading(client);
+    onRefused("ahead");
+  };
+
+  /** Handles no further request of a client, and then closes it. */
+  const stopReading = (client: Client) => {
     client.isClosing = true;
     client.reading.pause();
-    onRefused("ahead");
   };
 
   const checkClient = (client: Client, nowMs: number) => {
@@ -236,8 +245,14 @@
       if (client.isClosing || client.openRequests >= limits.maxRequestsAhead) {
         return dropAhead(client);
       }
+      if (request.httpVersion === "1.1" && request.headers.host === undefined) {
+        stopReading(client);
+        response.writeHead(400, { Connection: "close" }).end();
+        return;
+      }
       if (!makeRoom(REQUEST_BYTES, client)) {
         onRefused("no-memory");
+        stopReading(client);
         return respondCrowded(response);
       }
       const release = beginRequest(client, response);
@@ -289,6 +304,14 @@
   };
 }
 
+/**
+ * Ends the parsing of what was read at once, which may hold a thousand further
+ * requests. Node.js then closes the connection as after invalid input.
+ */
+function stopParser(socket: Socket & { parser?: { pause?(): void } }): void {
+  socket.parser?.pause?.();
+}
+
 /** Sends what was answered and closes the connection. */
 function closeAfterAnswers(socket: Socket): void {
   socket.end(() => socket.destroy());
--- a/packages/callers/limits/client_limits.ts
+++ b/packages/callers/limits/client_limits.ts
@@ -13,7 +13,7 @@
 const MB = 1_024 * 1_024;
 
 /** Part of the memory that clients may hold: one of this many. */
-const MEMORY_DIVISOR = 4;
+const MEMORY_DIVISOR = 5;
 
 /** Part of the heap's limit that clients may hold: one of this many. */
 const HEAP_DIVISOR = 2;
@@ -109,6 +109,8 @@
       `maxConnections: ${limits.maxConnections} is below ${MIN_CONNECTIONS}`,
     );
   }
+  // At one request, the body of that request would not be read either.
+  if (limits.pauseRequests < 2) problems.push("pauseRequests: is below 2");
   if (limits.pauseRequests > limits.maxRequestsAhead) {
     problems.push("pauseRequests: must not exceed maxRequestsAhead");
   }
--- a/packages/callers/limits/guarded_server.ts
+++ b/packages/callers/limits/guarded_server.ts
@@ -61,7 +61,11 @@
     onCheck: applyBounds,
   });
   const server = createServer(
-    { connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS },
+    {
+      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      // The guard checks it, so that it counts such requests, too.
+      requireHostHeader: false,
+    },
     guard.wrap(createListener(guard)),
   );
   applyBounds();
--- a/packages/peers/session_guard.ts
+++ b/packages/peers/session_guard.ts
@@ -21,7 +21,7 @@
 const MESSAGE_TIMEOUT_MS = 5_000;
 
 /** Bytes that a call costs besides its message. */
-const CALL_BYTES = 16 * 1_024;
+const CALL_BYTES = 4 * 1_024;
 
 /** Limits on what the callers of the port hold. */
 export type SessionLimits = {
@@ -163,7 +163,7 @@
     const nowMs = performance.now();
     for (const session of sessions.values()) {
       const ageMs = nowMs - session.startedMs;
-      const isUnused = session.completedCalls === 0;
+      const isUnused = session.completedCalls === 0 && session.heldBytes === 0;
       if (isUnused && ageMs > FIRST_CALL_TIMEOUT_MS) end(session);
     }
     for (const [request, startedMs] of requests) {
