--- a/packages/callers/limits/_client.ts
+++ b/packages/callers/limits/_client.ts
@@ -21,8 +21,6 @@
   movedMs: number;
   /** Answers the request that is being received with a refusal. */
   refuseBody: (() => void) | undefined;
-  /** Releases of the requests whose answers are not complete. */
-  releases: Set<() => void>;
   isRefused: boolean;
   /** Whether the connection is closed after the answers to its requests. */
   isClosing: boolean;
@@ -44,7 +42,6 @@
     unreadSinceMs: nowMs,
     movedMs: nowMs,
     refuseBody: undefined,
-    releases: new Set(),
     isRefused: false,
     isClosing: false,
     isClosed: false,
--- a/packages/callers/limits/client_guard.ts
+++ b/packages/callers/limits/client_guard.ts
@@ -107,8 +107,7 @@
     client.isClosed = true;
     clients.delete(client.socket);
     usedBytes -= CONNECTION_BYTES + client.bodyBytes + client.unreadBytes;
-    for (const release of client.releases) release();
-    client.releases.clear();
+    usedBytes -= client.openRequests * REQUEST_BYTES / 2;
   };
 
   const destroy = (client: Client) => {
@@ -167,23 +166,19 @@
     client.openRequests++;
     usedBytes += REQUEST_BYTES;
     if (client.openRequests >= limits.pauseRequests) client.reading.pause();
-    // The handler and the connection both keep the request in memory.
-    let holds = 2;
-    const release = () => {
-      if (--holds > 0) return;
-      requests--;
-      usedBytes -= REQUEST_BYTES;
-    };
-    client.releases.add(release);
     response.on("close", () => {
-      if (!client.releases.delete(release)) return;
-      release();
-      endRequest(client);
+      if (!client.isClosed) endRequest(client);
     });
-    return release;
+  };
+
+  /** The handler and the connection each keep half of a request in memory. */
+  const endHandling = () => {
+    requests--;
+    usedBytes -= REQUEST_BYTES / 2;
   };
 
   const endRequest = (client: Client) => {
+    usedBytes -= REQUEST_BYTES / 2;
     client.openRequests--;
     client.answeredRequests++;
     client.movedMs = performance.now();
@@ -255,8 +250,9 @@
         stopReading(client);
         return respondCrowded(response);
       }
-      const release = beginRequest(client, response);
-      void Promise.resolve(listener(request, response)).finally(release);
+      beginRequest(client, response);
+      void Promise.resolve(listener(request, response))
+        .then(endHandling, endHandling);
     },
     watch(server) {
       server.on("connection", addConnection);
