--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -1,5 +1,6 @@
 import { EXECUTOR_LOG_EVENTS } from "./executor_log_events.ts";
 import type { LogEvent } from "./log_event.ts";
+import { ORGANISATION_LOG_EVENTS } from "./organisation_log_events.ts";
 
 /** Fields of an append of progress that the store did not take. */
 const APPEND_FAILURE_FIELDS = {
@@ -40,6 +41,27 @@
     message: "changed settings are in force",
     fields: { graceMs: "number" },
   },
+  clientLimits: {
+    id: "LL6008",
+    level: "info",
+    message: "limits on what clients hold are in force",
+    fields: {
+      maxBytes: "number",
+      maxConnections: "number",
+      maxRequestsAhead: "number",
+      pauseRequests: "number",
+      smallChunksPerS: "number",
+      maxProbeConnections: "number",
+      maxPeerConnections: "number",
+      maxPeerBytes: "number",
+    },
+  },
+  clientRefused: {
+    id: "LL6107",
+    level: "warn",
+    message: "clients were refused because of the limits on what they hold",
+    fields: { port: "string", reason: "string", refused: "number" },
+  },
   configurationTaken: {
     id: "LL6004",
     level: "info",
@@ -52,18 +74,6 @@
     message: "platform's store did not answer a read",
     fields: { topic: "string", reason: "string" },
   },
-  organisationUnreadable: {
-    id: "LL6021",
-    level: "warn",
-    message: "part of an organisation in the configuration can't be decoded",
-    fields: { version: "number", problem: "string" },
-  },
-  configurationFromMember: {
-    id: "LL6022",
-    level: "info",
-    message: "newer configuration comes from another member",
-    fields: { address: "string", version: "number", ageMs: "number" },
-  },
   recordUnreadable: {
     id: "LL6006",
     level: "warn",
@@ -121,37 +131,6 @@
     message: "queue accepts its first job for a service",
     fields: { queue: "string", service: "string", earlier: "number" },
   },
-  keysRejected: {
-    id: "LL6121",
-    level: "warn",
-    message: "calls were refused, since no organisation has their key",
-    fields: { queue: "string", calls: "number" },
-  },
-  callsOutdated: {
-    id: "LL6122",
-    level: "warn",
-    message: "calls with keys were refused, since the configuration is too old",
-    fields: { queue: "string", calls: "number", ageMs: "number" },
-  },
-  jobIdInUse: {
-    id: "LL6123",
-    level: "warn",
-    message:
-      "another organisation has sent the id of a job, which stays as it is",
-    fields: { job: "string", partition: "number" },
-  },
-  jobBeyondWeight: {
-    id: "LL6124",
-    level: "warn",
-    message: "job was refused: its service is full, its organisation sends " +
-      "more than its weight",
-    fields: {
-      job: "string",
-      queue: "string",
-      organisation: "string",
-      retryAfterMs: "number",
-    },
-  },
   jobsUnread: {
     id: "LL6211",
     level: "warn",
@@ -342,42 +321,6 @@
       how: "string",
     },
   },
-  organisationJobs: {
-    id: "LL6320",
-    level: "info",
-    message: "jobs of an organisation in the last ten seconds",
-    fields: {
-      organisation: "string",
-      partition: "number",
-      weight: "number",
-      jobs: "number",
-      beyondWeight: "number",
-    },
-  },
-  organisationAtCap: {
-    id: "LL6321",
-    level: "info",
-    message: "tasks of an organisation wait for its cap",
-    fields: {
-      organisation: "string",
-      partition: "number",
-      mayRunCpu: "number",
-      limitCpu: "number",
-      capCpu: "number",
-      mayRunMemoryMb: "number",
-      limitMemoryMb: "number",
-      capMemoryMb: "number",
-      mayRunAccelerators: "number",
-      limitAccelerators: "number",
-      capAccelerators: "number",
-    },
-  },
-  capBrokerReplaced: {
-    id: "LL6220",
-    level: "info",
-    message: "another member divides the caps of organisations",
-    fields: { epoch: "number" },
-  },
   progressDelayed: {
     id: "LL6308",
     level: "warn",
@@ -391,4 +334,5 @@
     fields: APPEND_FAILURE_FIELDS,
   },
   ...EXECUTOR_LOG_EVENTS,
+  ...ORGANISATION_LOG_EVENTS,
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/packages/telemetry/job_metrics.ts
+++ b/packages/telemetry/job_metrics.ts
@@ -105,6 +105,12 @@
     const organisation = organisations.label(String(name));
     organisationJobs.inc({ organisation, outcome }, jobs);
   };
+  const clientRefusals = new Counter({
+    name: "lagoonloom_clients_refused_total",
+    help: "Clients refused because of the limits on them, by port and reason.",
+    labelNames: ["port", "reason"] as const,
+    registers,
+  });
   return {
     registry,
     observe({ id }, fields) {
@@ -119,6 +125,10 @@
           { how: String(fields["how"]) },
           toSeconds(fields["ranMs"]),
         );
+      } else if (id === JOB_LOG_EVENTS.clientRefused.id) {
+        const port = String(fields["port"]);
+        const reason = String(fields["reason"]);
+        clientRefusals.inc({ port, reason }, Number(fields["refused"]));
       } else if (id === JOB_LOG_EVENTS.takeoverComplete.id) {
         takeovers.observe(toSeconds(fields["tookMs"]));
       } else if (id === JOB_LOG_EVENTS.keysRejected.id) {
