Count a request as long as it is handled, also without its client

Half of it was released with its connection, so that evicted connections made room for requests whose work went on.

--- a/packages/callers/limits/client_guard.ts
+++ b/packages/callers/limits/client_guard.ts
@@ -14,6 +14,7 @@
 import { isIdle, rankRefused } from "./choose_refused.ts";
 import { type Client, createClient, describeClient } from "./_client.ts";
 import {
+  ANSWER_BYTES,
   type ClientLimits,
   CONNECTION_BYTES,
   REQUEST_BYTES,
@@ -107,7 +108,7 @@
     client.isClosed = true;
     clients.delete(client.socket);
     usedBytes -= CONNECTION_BYTES + client.bodyBytes + client.unreadBytes;
-    usedBytes -= client.openRequests * REQUEST_BYTES / 2;
+    usedBytes -= client.openRequests * ANSWER_BYTES;
   };
 
   const destroy = (client: Client) => {
@@ -164,21 +165,21 @@
   const beginRequest = (client: Client, response: ServerResponse) => {
     requests++;
     client.openRequests++;
-    usedBytes += REQUEST_BYTES;
+    usedBytes += REQUEST_BYTES + ANSWER_BYTES;
     if (client.openRequests >= limits.pauseRequests) client.reading.pause();
     response.on("close", () => {
       if (!client.isClosed) endRequest(client);
     });
   };
 
-  /** The handler and the connection each keep half of a request in memory. */
+  /** A request stays in memory while it is handled, without its client too. */
   const endHandling = () => {
     requests--;
-    usedBytes -= REQUEST_BYTES / 2;
+    usedBytes -= REQUEST_BYTES;
   };
 
   const endRequest = (client: Client) => {
-    usedBytes -= REQUEST_BYTES / 2;
+    usedBytes -= ANSWER_BYTES;
     client.openRequests--;
     client.answeredRequests++;
     client.movedMs = performance.now();
@@ -245,7 +246,7 @@
         response.writeHead(400, { Connection: "close" }).end();
         return;
       }
-      if (!makeRoom(REQUEST_BYTES, client)) {
+      if (!makeRoom(REQUEST_BYTES + ANSWER_BYTES, client)) {
         onRefused("no-memory");
         stopReading(client);
         return respondCrowded(response);
--- a/packages/callers/limits/client_limits.ts
+++ b/packages/callers/limits/client_limits.ts
@@ -7,9 +7,12 @@
 /** Bytes that an open connection costs, with its parser and buffers. */
 export const CONNECTION_BYTES = 12 * 1_024;
 
-/** Bytes that a request costs from its header to the end of its answer. */
+/** Bytes that a request costs while it is handled. */
 export const REQUEST_BYTES = 24 * 1_024;
 
+/** Bytes that an answer costs its connection until it is sent. */
+export const ANSWER_BYTES = 12 * 1_024;
+
 const MB = 1_024 * 1_024;
 
 /** Part of the memory that clients may hold: one of this many. */
