Reserve room that is expected soon for tasks that fit nowhere

Change: with reservations, a task that has waited for 250 ms and fits nowhere gets places and a time by the expected ends of what runs there. Others may pass if they end before, leave the room, or would be late otherwise. A promise that estimates do not keep is given up, and its group reserves nothing for a while. Off by default; LAGOONLOOM_RESERVATIONS says where it acts. Measured: tests of packages/jobs/placed pass.

--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -102,6 +102,7 @@
       confirmedAtMs: () => ownership().confirmedAtMs(partition),
       undisputedAtMs: () => ownership().undisputedAtMs(partition),
       endedJobRetentionMs: options.endedJobRetentionMs,
+      reservesRoom: options.reservesRoom,
       events,
       onLoadTimeout: () => ownership().giveWay(),
       onLost(reason) {
--- a/packages/jobs/member_options.ts
+++ b/packages/jobs/member_options.ts
@@ -7,6 +7,7 @@
 import type { Configuration, ExecutorReport, UpkeepWave } from "./fleet.ts";
 import type { JobEventLog } from "./job_event_log.ts";
 import type { MemberCapacity } from "./owned/member_name.ts";
+import type { ReservationMode } from "./placed/reserved/reservation_books.ts";
 import type {
   AdviceClient,
   ExecutorClient,
@@ -46,6 +47,8 @@
   maxLeaseMs: number;
   /** Time for which callers can ask for the state of an ended job. */
   endedJobRetentionMs: number;
+  /** Whether tasks that fit nowhere are reserved room; never by default. */
+  reservesRoom?: ReservationMode | undefined;
   /** Starts to follow the platform; calls `onChange` after each change. */
   followPlatform(onChange: () => void): PlatformState;
 };
--- a/packages/jobs/mod.ts
+++ b/packages/jobs/mod.ts
@@ -17,6 +17,7 @@
 export * from "./owned/ownership.ts";
 export * from "./owned/owner_state.ts";
 export * from "./owned/partition_owner.ts";
+export type { ReservationMode } from "./placed/reserved/reservation_books.ts";
 export * from "./ports.ts";
 export * from "./queries/query_owner.ts";
 export * from "./queries/query_result.ts";
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -16,6 +16,10 @@
 } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
+import type {
+  ReservationBooks,
+  ReservationMode,
+} from "../placed/reserved/reservation_books.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
 import type { LostExecutor } from "../run/lost_executor.ts";
 import type { ExecutorSession } from "../run/session_types.ts";
@@ -56,6 +60,8 @@
   undisputedAtMs(): number;
   /** Time for which the state of an ended job is kept, in milliseconds. */
   endedJobRetentionMs: number;
+  /** Whether tasks that fit nowhere are reserved room; never by default. */
+  reservesRoom?: ReservationMode | undefined;
   events: JobEventLog;
   /** Called when the state of the partition could not be loaded in time. */
   onLoadTimeout(): void;
@@ -124,6 +130,7 @@
   blockedUntilMs: number;
   progress: ProgressLog;
   ticketCache: TicketCache | undefined;
+  reservations: ReservationBooks;
   /** Schedules a round of placement, unless one is scheduled already. */
   schedulePlacement(): void;
   /** Stops this owner because another one has taken over. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -23,6 +23,7 @@
   reportPartition,
 } from "../machines/partition_report.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
+import { createReservationBooks } from "../placed/reserved/reservation_books.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { recordKnownStarts } from "../placed/used_executors.ts";
 import { createWaitingLog } from "../placed/waiting_log.ts";
@@ -223,6 +224,7 @@
       createTicketCache(options.adviceClient, {
         onChange: () => owner.schedulePlacement(),
       }),
+    reservations: createReservationBooks(events),
     schedulePlacement() {
       if (placementTimer !== undefined || !owner.isLoaded) return;
       const delayMs = Math.max(MIN_PLACEMENT_DELAY_MS, lastRoundMs);
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -28,6 +28,11 @@
   priorityOf(job: Job): number;
   /** Most of each resource that any executor has free. */
   largestFree: Size;
+  /**
+   * Number of groups that fit on no executor and are returned all the same, to
+   * be reserved room: those in time that are due first.
+   */
+  blockedCount?: number;
 };
 
 /**
@@ -39,24 +44,58 @@
   jobs: Iterable<Job>,
   options: RankOptions,
 ): TaskGroup[] {
-  const ranked: { group: TaskGroup; rank: number[] }[] = [];
+  const { largestFree, blockedCount = 0 } = options;
+  const ranked: RankedGroup[] = [];
+  const blocked: BlockedGroup[] = [];
   for (const job of jobs) {
     if (job.endedAtMs !== undefined) continue;
     for (const [occurrence, groups] of groupsByOccurrence(job)) {
-      const waiting = groups.filter((group) => isWaiting(group, options));
-      if (waiting.length === 0) continue;
-      const rank = rankOf(job, occurrence, options);
-      for (const group of waiting) {
-        const lastingRank = group.step.isLasting ? 0 : 1;
-        const fillingRank = group.step.isFilling ? 2 : 0;
-        ranked.push({ group, rank: [lastingRank + fillingRank, ...rank] });
-      }
+      const fitting = groups.filter((group) =>
+        isWithin(occupiedBy(group), largestFree)
+      );
+      const waiting = fitting.filter((group) => isWaiting(group, options));
+      addRanked(ranked, { occurrence, groups: waiting }, options);
+      if (blockedCount === 0 || fitting.length === groups.length) continue;
+      const dueAtMs = dueTimeOf(job, occurrence);
+      if (dueAtMs < options.unixMs) continue;
+      if (dueAtMs >= (blocked[blockedCount - 1]?.dueAtMs ?? Infinity)) continue;
+      const others = groups.filter((group) =>
+        !fitting.includes(group) && isWaiting(group, options)
+      );
+      if (others.length === 0) continue;
+      blocked.push({ occurrence, groups: others, dueAtMs });
+      blocked.sort((left, right) => left.dueAtMs - right.dueAtMs);
+      blocked.length = Math.min(blocked.length, blockedCount);
     }
   }
+  for (const group of blocked) addRanked(ranked, group, options);
   ranked.sort((left, right) => compareRanks(left.rank, right.rank));
   return ranked.map(({ group }) => group);
 }
 
+type RankedGroup = { group: TaskGroup; rank: number[] };
+
+/** Groups of one occurrence of a job. */
+type OccurrenceGroups = { occurrence: number; groups: TaskGroup[] };
+
+/** Groups of one occurrence that fit on no executor. */
+type BlockedGroup = OccurrenceGroups & { dueAtMs: number };
+
+function addRanked(
+  ranked: RankedGroup[],
+  { occurrence, groups }: OccurrenceGroups,
+  options: RankOptions,
+): void {
+  const [first] = groups;
+  if (first === undefined) return;
+  const rank = rankOf(first.job, occurrence, options);
+  for (const group of groups) {
+    const lastingRank = group.step.isLasting ? 0 : 1;
+    const fillingRank = group.step.isFilling ? 2 : 0;
+    ranked.push({ group, rank: [lastingRank + fillingRank, ...rank] });
+  }
+}
+
 /** Order of occurrences by their lateness; lower numbers are served first. */
 const LATENESS_RANK = { inTime: 0, late: 1, overdue: 1, abandoned: 2 };
 
@@ -86,14 +125,12 @@
   return [...rank, magnitude, isOverdue, dueAtMs, job.offset];
 }
 
-/** Returns whether a group has tasks that could be placed now. */
+/** Returns whether a group has tasks that wait for room only. */
 function isWaiting(
   group: TaskGroup,
   options: RankOptions,
 ): boolean {
-  return !isGroupDone(group) &&
-    isWithin(occupiedBy(group), options.largestFree) &&
-    isGroupReady(group) &&
+  return !isGroupDone(group) && isGroupReady(group) &&
     group.tasks.some((task) => isPlaceable(task, options));
 }
 
--- a/packages/jobs/placed/choose_candidate.ts
+++ b/packages/jobs/placed/choose_candidate.ts
@@ -11,7 +11,8 @@
   rackOf,
 } from "../executor_state.ts";
 import type { Task, TaskGroup } from "../job.ts";
-import type { Size } from "../submission.ts";
+import { mayPass, type ReservableRoom } from "./reserved/reservation.ts";
+import type { Estimates } from "./reserved/estimate_end.ts";
 import { findObstacle, type FindObstacleOptions } from "./find_obstacle.ts";
 import {
   findNewTasks,
@@ -21,9 +22,7 @@
 } from "./probation.ts";
 
 /** Executor with the capacity that is left in a round of decisions. */
-export type Candidate = NewTasks & {
-  executor: ExecutorState;
-  free: Size;
+export type Candidate = NewTasks & ReservableRoom & {
   /** Tasks that this round has placed there, by group. */
   placed: Map<TaskGroup, number>;
 };
@@ -32,6 +31,8 @@
 export type ChooseOptions = Pick<FindObstacleOptions, "mayRun"> & {
   /** Current monotonic time in milliseconds. */
   monotonicMs: number;
+  /** Estimates of ends; needed where room is reserved. */
+  estimates?: Estimates | undefined;
 };
 
 /** Creates a candidate on which this round has placed nothing. */
@@ -39,6 +40,8 @@
   return {
     executor,
     free: freeCapacityOf(executor),
+    freed: [],
+    reservations: [],
     placed: new Map(),
     ...findNewTasks(executor),
   };
@@ -65,10 +68,11 @@
 
 function fits(
   task: Task,
-  { executor, free, placed, hasNewTask, hasSuspectTask }: Candidate,
-  { mayRun, monotonicMs }: ChooseOptions,
+  candidate: Candidate,
+  { mayRun, monotonicMs, estimates }: ChooseOptions,
 ): boolean {
   const { group } = task;
+  const { executor, free, placed, hasNewTask, hasSuspectTask } = candidate;
   if (hasSuspectTask && !group.step.isGang) return false;
   if (hasNewTask && mustStartAlone(task, monotonicMs)) return false;
   const obstacle = findObstacle(group, executor, {
@@ -76,7 +80,12 @@
     placedCount: placed.get(group) ?? 0,
     ...(mayRun === undefined ? {} : { mayRun }),
   });
-  return obstacle === undefined;
+  if (obstacle !== undefined) return false;
+  if (candidate.reservations.length === 0 || estimates === undefined) {
+    return true;
+  }
+  const times = { estimates, nowMs: monotonicMs };
+  return mayPass(group, candidate, times);
 }
 
 /** Cost of each latency-sensitive task beside a filling one, in millicores. */
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -31,11 +31,18 @@
 import {
   type Candidate,
   chooseCandidate,
+  type ChooseOptions,
   createCandidate,
   occupy,
   takePlace,
 } from "./choose_candidate.ts";
 import { mustStartAlone } from "./probation.ts";
+import type { ReservationBook } from "./reserved/reservation_book.ts";
+import {
+  MAX_RESERVING_GROUPS,
+  type RoundReservations,
+  startReservations,
+} from "./reserved/reserve_room.ts";
 
 /**
  * Time for which a lasting task waits before it may go to a reserved executor.
@@ -55,6 +62,11 @@
   priorityOf(job: Job): number;
   /** Whether an executor may run a step; true for all if undefined. */
   mayRun?(group: TaskGroup, executor: ExecutorState): boolean;
+  /**
+   * Returns the record of the reservations of a service, for tasks that fit
+   * nowhere now. No room is reserved if it is undefined.
+   */
+  reservationsOf?: ((service: string) => ReservationBook) | undefined;
 };
 
 /**
@@ -85,6 +97,7 @@
     placeOfService(ofService, {
       ...options,
       executors: executors.get(service) ?? [],
+      book: options.reservationsOf?.(service),
     })
   );
 }
@@ -102,12 +115,15 @@
   return groups;
 }
 
+/** Options of placement among the executors of one service. */
+type ServiceOptions = PlaceOptions & { book: ReservationBook | undefined };
+
 /** Chooses executors for the tasks of one service, which share no capacity. */
 function placeOfService(
   jobs: readonly Job[],
-  options: PlaceOptions,
+  options: ServiceOptions,
 ): Placement[] {
-  const { executors, monotonicMs } = options;
+  const { executors, monotonicMs, book } = options;
   const candidates = executors
     .filter((executor) => isSchedulable(executor, monotonicMs))
     .map(createCandidate);
@@ -117,13 +133,24 @@
   const largestFree = largestOf(
     [...candidates, ...lastResorts].map(({ free }) => free),
   );
-  const groups = rankGroups(jobs, { ...options, largestFree });
-  if (groups.length === 0) return [];
+  const blockedCount = book === undefined ? 0 : MAX_RESERVING_GROUPS;
+  const groups = rankGroups(jobs, { ...options, largestFree, blockedCount });
+  if (groups.length === 0) {
+    book?.endRound(monotonicMs);
+    return [];
+  }
+  const reservations = book && startReservations(book, {
+    candidates,
+    nowMs: monotonicMs,
+    unixMs: options.unixMs,
+    mayRun: options.mayRun,
+  });
   const round: PlacementRound = {
     candidates,
     lastResorts,
     placements: [],
-    options,
+    options: { ...options, estimates: reservations?.estimates },
+    reservations,
     failedSizes: [],
   };
   let arePlacesKept = false;
@@ -133,8 +160,10 @@
       arePlacesKept = true;
     }
     if (!hasFailed(group, round)) placeGroup(group, round);
+    else reserveIfPossible(group, round);
   }
   placeOnLastResorts(groups, round);
+  reservations?.end();
   return round.placements;
 }
 
@@ -154,6 +183,16 @@
   }
 }
 
+/** Reserves room for a group that certainly fits nowhere now. */
+function reserveIfPossible(
+  group: TaskGroup,
+  { reservations, options }: PlacementRound,
+): void {
+  if (reservations === undefined || !reservations.isOpen()) return;
+  const waiting = group.tasks.filter((task) => isPlaceable(task, options));
+  reservations.reserve(group, waiting.length);
+}
+
 /** Returns the most of each resource that one of the sizes has. */
 function largestOf(sizes: readonly Size[]): Size {
   const largest: Size = { cpu: 0, memoryMb: 0, accelerators: 0 };
@@ -187,7 +226,9 @@
   /** Reserved executors for lasting tasks that fit on no candidate. */
   lastResorts: Candidate[];
   placements: Placement[];
-  options: PlaceOptions;
+  options: PlaceOptions & Pick<ChooseOptions, "estimates">;
+  /** Reservations of this round; undefined if none are made. */
+  reservations: RoundReservations | undefined;
   /** Sizes of tasks for which no executor has had capacity. */
   failedSizes: Size[];
 };
@@ -206,7 +247,8 @@
       if (mustStartAlone(task, round.options.monotonicMs)) continue;
       // All tasks of a step have the same size, so none of the others fits.
       noteFailure(group, round);
-      return;
+      const left = waiting.length - waiting.indexOf(task);
+      return void round.reservations?.reserve(group, left);
     }
     assign(candidate, { task, round });
   }
@@ -254,7 +296,9 @@
   }
   if (!isGang) return placeOneByOne(waiting, round);
   const anywhere = chooseTogether(waiting, candidates, options);
-  if (anywhere === undefined) return;
+  if (anywhere === undefined) {
+    return void round.reservations?.reserve(group, waiting.length);
+  }
   if (isSameRack && !maySpreadGang(group, options.executors, options)) return;
   assignAll(anywhere, round);
 }
@@ -282,6 +326,7 @@
   const { executor, free } = candidate;
   const freeCpu = Math.round(free.cpu);
   occupy(candidate, task);
+  round.reservations?.addPlaced(task.group, candidate);
   const { length } = executor.isReserved ? round.lastResorts : round.candidates;
   const kind = executor.isReserved ? "reserved executors" : "executors";
   round.placements.push({
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -11,6 +11,7 @@
 import { createRun } from "../create_run.ts";
 import { openStart } from "../ended/open_start.ts";
 import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
+import { mayReserve } from "./reserved/reservation_books.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
 import { type Placement, placeTasks } from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
@@ -58,6 +59,7 @@
     unixMs: Date.now(),
     priorityOf: ({ accepted }) => policyOf(owner, accepted).priority,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
+    reservationsOf: mayReserve(owner.options) ? owner.reservations : undefined,
   });
   const unprepared = prepare(owner, placements);
   const gangRunNumbers = new Map<unknown, number>();
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -299,6 +299,29 @@
       how: "string",
     },
   },
+  roomReserved: {
+    id: "LL6314",
+    level: "info",
+    message: "room that is expected soon is reserved for tasks of a step",
+    fields: {
+      step: "string",
+      tasks: "number",
+      cpu: "number",
+      aheadMs: "number",
+    },
+  },
+  reservationMoved: {
+    id: "LL6315",
+    level: "info",
+    message: "reserved room is expected later than before",
+    fields: { step: "string", laterMs: "number", reason: "string" },
+  },
+  reservationOver: {
+    id: "LL6316",
+    level: "info",
+    message: "a reservation was kept, or given up as it was missed",
+    fields: { step: "string", isKept: "boolean", waitedMs: "number" },
+  },
   progressDelayed: {
     id: "LL6308",
     level: "warn",
