--- a/packages/jobs/ended/record_run_end.ts
+++ b/packages/jobs/ended/record_run_end.ts
@@ -9,6 +9,7 @@
 import { closeStart, hasEnded, type Run, type Task } from "../job.ts";
 import { type OwnerState, policyOf, stopRun } from "../owned/owner_state.ts";
 import { isOnProbation } from "../placed/probation.ts";
+import { mayReserve } from "../placed/reserved/reservation_books.ts";
 import type { RunEnd } from "../ports.ts";
 import type { ExecutorState } from "../executor_state.ts";
 import { finishIfComplete, finishJob, saveProgress } from "./finish_job.ts";
@@ -58,12 +59,25 @@
     executor.consecutiveFailures = 0;
     executor.failedJobs.clear();
     if (run.initialProgressPercent === 0) {
-      task.durationMs = performance.now() - run.startedAtMs;
+      const durationMs = performance.now() - run.startedAtMs;
+      task.durationMs = durationMs;
+      noteDuration(owner, task, durationMs);
     }
   }
   recordRunEnd(owner, task, { ...end, run: run.number, executor });
 }
 
+/** Notes how long a task ran, to estimate the ends of others. */
+function noteDuration(
+  { options, reservations }: OwnerState,
+  { group }: Task,
+  durationMs: number,
+): void {
+  if (!mayReserve(options)) return;
+  const { ratios } = reservations.bookOf(group.job.accepted.service);
+  ratios.noteEnd(group.step.estimateMs, durationMs);
+}
+
 /**
  * Records the end of a run of a task, which may be a run that this owner did
  * not track, and ends the job if all its tasks are done.
--- a/packages/jobs/executor_state.ts
+++ b/packages/jobs/executor_state.ts
@@ -86,6 +86,17 @@
   return hasUnknownSize ? subtract(free, capacity) : free;
 }
 
+/** Returns the most of each resource that one of the sizes has. */
+export function largestOf(sizes: readonly Size[]): Size {
+  const largest: Size = { cpu: 0, memoryMb: 0, accelerators: 0 };
+  for (const { cpu, memoryMb, accelerators } of sizes) {
+    largest.cpu = Math.max(largest.cpu, cpu);
+    largest.memoryMb = Math.max(largest.memoryMb, memoryMb);
+    largest.accelerators = Math.max(largest.accelerators, accelerators);
+  }
+  return largest;
+}
+
 function subtract(left: Size, right: Size): Size {
   return {
     cpu: left.cpu - right.cpu,
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -29,12 +29,16 @@
   /** Most of each resource that any executor has free. */
   largestFree: Size;
   /**
-   * Number of groups that fit on no executor and are returned all the same, to
-   * be reserved room: those in time that are due first.
+   * Whether room may be reserved for a group that fits on no executor now.
+   * Those of a few occurrences, which are in time and due first, are returned
+   * as well. None are if it is undefined.
    */
-  blockedCount?: number;
+  isReservable?: ((group: TaskGroup) => boolean) | undefined;
 };
 
+/** Most occurrences whose groups are returned although they do not fit. */
+const MAX_BLOCKED_OCCURRENCES = 4;
+
 /**
  * Returns the groups with tasks to place, in the order of placement. Groups
  * whose tasks fit on no executor are left out, which are most of them while a
@@ -44,31 +48,20 @@
   jobs: Iterable<Job>,
   options: RankOptions,
 ): TaskGroup[] {
-  const { largestFree, blockedCount = 0 } = options;
   const ranked: RankedGroup[] = [];
-  const blocked: BlockedGroup[] = [];
+  const blocked: BlockedGroups[] = [];
   for (const job of jobs) {
     if (job.endedAtMs !== undefined) continue;
     for (const [occurrence, groups] of groupsByOccurrence(job)) {
-      const fitting = groups.filter((group) =>
-        isWithin(occupiedBy(group), largestFree)
-      );
-      const waiting = fitting.filter((group) => isWaiting(group, options));
-      addRanked(ranked, { occurrence, groups: waiting }, options);
-      if (blockedCount === 0 || fitting.length === groups.length) continue;
-      const dueAtMs = dueTimeOf(job, occurrence);
-      if (dueAtMs < options.unixMs) continue;
-      if (dueAtMs >= (blocked[blockedCount - 1]?.dueAtMs ?? Infinity)) continue;
-      const others = groups.filter((group) =>
-        !fitting.includes(group) && isWaiting(group, options)
-      );
-      if (others.length === 0) continue;
-      blocked.push({ occurrence, groups: others, dueAtMs });
-      blocked.sort((left, right) => left.dueAtMs - right.dueAtMs);
-      blocked.length = Math.min(blocked.length, blockedCount);
+      const waiting = groups.filter((group) => isWaiting(group, options));
+      if (waiting.length > 0) {
+        addRanked(ranked, { occurrence, groups: waiting }, options);
+      }
+      if (options.isReservable === undefined) continue;
+      noteBlocked(blocked, { occurrence, groups }, options);
     }
   }
-  for (const group of blocked) addRanked(ranked, group, options);
+  for (const groups of blocked) addRanked(ranked, groups, options);
   ranked.sort((left, right) => compareRanks(left.rank, right.rank));
   return ranked.map(({ group }) => group);
 }
@@ -76,19 +69,44 @@
 type RankedGroup = { group: TaskGroup; rank: number[] };
 
 /** Groups of one occurrence of a job. */
-type OccurrenceGroups = { occurrence: number; groups: TaskGroup[] };
+type OccurrenceGroups = {
+  occurrence: number;
+  groups: readonly TaskGroup[];
+};
 
 /** Groups of one occurrence that fit on no executor. */
-type BlockedGroup = OccurrenceGroups & { dueAtMs: number };
+type BlockedGroups = OccurrenceGroups & { dueAtMs: number };
+
+/** Adds the groups that fit on no executor if they are due early enough. */
+function noteBlocked(
+  blocked: BlockedGroups[],
+  { occurrence, groups }: OccurrenceGroups,
+  options: RankOptions,
+): void {
+  const { largestFree, unixMs, isReservable } = options;
+  if (isReservable === undefined) return;
+  const latestMs = blocked[MAX_BLOCKED_OCCURRENCES - 1]?.dueAtMs ?? Infinity;
+  const waiting: TaskGroup[] = [];
+  let dueAtMs = Infinity;
+  for (const group of groups) {
+    if (isWithin(occupiedBy(group), largestFree)) continue;
+    dueAtMs = dueTimeOf(group.job, occurrence);
+    if (dueAtMs < unixMs || dueAtMs >= latestMs) return;
+    if (!isReservable(group) || !hasWaitingTasks(group, options)) continue;
+    waiting.push(group);
+  }
+  if (waiting.length === 0) return;
+  blocked.push({ occurrence, groups: waiting, dueAtMs });
+  blocked.sort((left, right) => left.dueAtMs - right.dueAtMs);
+  blocked.length = Math.min(blocked.length, MAX_BLOCKED_OCCURRENCES);
+}
 
 function addRanked(
   ranked: RankedGroup[],
   { occurrence, groups }: OccurrenceGroups,
   options: RankOptions,
 ): void {
-  const [first] = groups;
-  if (first === undefined) return;
-  const rank = rankOf(first.job, occurrence, options);
+  const rank = rankOf(groups[0]!.job, occurrence, options);
   for (const group of groups) {
     const lastingRank = group.step.isLasting ? 0 : 1;
     const fillingRank = group.step.isFilling ? 2 : 0;
@@ -125,11 +143,18 @@
   return [...rank, magnitude, isOverdue, dueAtMs, job.offset];
 }
 
-/** Returns whether a group has tasks that wait for room only. */
+/** Returns whether a group has tasks that could be placed now. */
 function isWaiting(
   group: TaskGroup,
   options: RankOptions,
 ): boolean {
+  return !isGroupDone(group) &&
+    isWithin(occupiedBy(group), options.largestFree) &&
+    hasWaitingTasks(group, options);
+}
+
+/** Returns whether a group has tasks that wait for nothing but room. */
+function hasWaitingTasks(group: TaskGroup, options: RankOptions): boolean {
   return !isGroupDone(group) && isGroupReady(group) &&
     group.tasks.some((task) => isPlaceable(task, options));
 }
--- a/packages/jobs/placed/choose_candidate.ts
+++ b/packages/jobs/placed/choose_candidate.ts
@@ -8,6 +8,8 @@
 import {
   type ExecutorState,
   freeCapacityOf,
+  isWithin,
+  occupiedBy,
   rackOf,
 } from "../executor_state.ts";
 import type { Task, TaskGroup } from "../job.ts";
@@ -42,6 +44,7 @@
     free: freeCapacityOf(executor),
     freed: [],
     reservations: [],
+    spare: undefined,
     placed: new Map(),
     ...findNewTasks(executor),
   };
@@ -61,7 +64,8 @@
   for (const candidate of candidates) {
     if (!fits(task, candidate, options)) continue;
     const cost = costOf(task, candidate);
-    if (cost < bestCost) [best, bestCost] = [candidate, cost];
+    if (cost >= bestCost || !leavesReserved(task, candidate, options)) continue;
+    [best, bestCost] = [candidate, cost];
   }
   return best;
 }
@@ -69,10 +73,12 @@
 function fits(
   task: Task,
   candidate: Candidate,
-  { mayRun, monotonicMs, estimates }: ChooseOptions,
+  { mayRun, monotonicMs }: ChooseOptions,
 ): boolean {
   const { group } = task;
   const { executor, free, placed, hasNewTask, hasSuspectTask } = candidate;
+  // Most candidates of a busy service are full.
+  if (!isWithin(occupiedBy(group), free)) return false;
   if (hasSuspectTask && !group.step.isGang) return false;
   if (hasNewTask && mustStartAlone(task, monotonicMs)) return false;
   const obstacle = findObstacle(group, executor, {
@@ -80,12 +86,19 @@
     placedCount: placed.get(group) ?? 0,
     ...(mayRun === undefined ? {} : { mayRun }),
   });
-  if (obstacle !== undefined) return false;
+  return obstacle === undefined;
+}
+
+/** Returns whether a task may run beside the reservations on a candidate. */
+function leavesReserved(
+  { group }: Task,
+  candidate: Candidate,
+  { monotonicMs, estimates }: ChooseOptions,
+): boolean {
   if (candidate.reservations.length === 0 || estimates === undefined) {
     return true;
   }
-  const times = { estimates, nowMs: monotonicMs };
-  return mayPass(group, candidate, times);
+  return mayPass(group, candidate, { estimates, nowMs: monotonicMs });
 }
 
 /** Cost of each latency-sensitive task beside a filling one, in millicores. */
@@ -167,5 +180,6 @@
   if (!isFilling) candidate.free.cpu -= size.cpu;
   candidate.free.memoryMb -= size.memoryMb;
   candidate.free.accelerators -= size.accelerators;
+  candidate.spare = undefined;
   candidate.placed.set(group, (candidate.placed.get(group) ?? 0) + 1);
 }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -19,6 +19,7 @@
   isLastResort,
   isSchedulable,
   isWithin,
+  largestOf,
   occupiedBy,
 } from "../executor_state.ts";
 import {
@@ -39,7 +40,6 @@
 import { mustStartAlone } from "./probation.ts";
 import type { ReservationBook } from "./reserved/reservation_book.ts";
 import {
-  MAX_RESERVING_GROUPS,
   type RoundReservations,
   startReservations,
 } from "./reserved/reserve_room.ts";
@@ -67,6 +67,11 @@
    * nowhere now. No room is reserved if it is undefined.
    */
   reservationsOf?: ((service: string) => ReservationBook) | undefined;
+  /**
+   * Whether an executor is known not to run a step, without a request; false
+   * for all if undefined.
+   */
+  isRefused?(group: TaskGroup, executor: ExecutorState): boolean;
 };
 
 /**
@@ -133,18 +138,15 @@
   const largestFree = largestOf(
     [...candidates, ...lastResorts].map(({ free }) => free),
   );
-  const blockedCount = book === undefined ? 0 : MAX_RESERVING_GROUPS;
-  const groups = rankGroups(jobs, { ...options, largestFree, blockedCount });
-  if (groups.length === 0) {
-    book?.endRound(monotonicMs);
-    return [];
-  }
   const reservations = book && startReservations(book, {
     candidates,
     nowMs: monotonicMs,
     unixMs: options.unixMs,
-    mayRun: options.mayRun,
+    isRefused: options.isRefused,
   });
+  const isReservable = reservations?.isReservable;
+  const groups = rankGroups(jobs, { ...options, largestFree, isReservable });
+  if (groups.length === 0) return [];
   const round: PlacementRound = {
     candidates,
     lastResorts,
@@ -160,10 +162,11 @@
       arePlacesKept = true;
     }
     if (!hasFailed(group, round)) placeGroup(group, round);
-    else reserveIfPossible(group, round);
+    else if (reservations?.isOpenTo(group)) {
+      placeGroup(group, { ...round, candidates: reservations.reserved });
+    }
   }
   placeOnLastResorts(groups, round);
-  reservations?.end();
   return round.placements;
 }
 
@@ -183,30 +186,9 @@
   }
 }
 
-/** Reserves room for a group that certainly fits nowhere now. */
-function reserveIfPossible(
-  group: TaskGroup,
-  { reservations, options }: PlacementRound,
-): void {
-  if (reservations === undefined || !reservations.isOpen()) return;
-  const waiting = group.tasks.filter((task) => isPlaceable(task, options));
-  reservations.reserve(group, waiting.length);
-}
-
-/** Returns the most of each resource that one of the sizes has. */
-function largestOf(sizes: readonly Size[]): Size {
-  const largest: Size = { cpu: 0, memoryMb: 0, accelerators: 0 };
-  for (const { cpu, memoryMb, accelerators } of sizes) {
-    largest.cpu = Math.max(largest.cpu, cpu);
-    largest.memoryMb = Math.max(largest.memoryMb, memoryMb);
-    largest.accelerators = Math.max(largest.accelerators, accelerators);
-  }
-  return largest;
-}
-
 /**
  * Returns whether a task of the same size or a smaller one fitted on no
- * executor in this round.
+ * executor without reservations in this round.
  */
 function hasFailed(group: TaskGroup, { failedSizes }: PlacementRound): boolean {
   const size = occupiedBy(group);
@@ -216,13 +198,15 @@
 /** Notes the size of a group if no executor has capacity for a task of it. */
 function noteFailure(group: TaskGroup, round: PlacementRound): void {
   const size = occupiedBy(group);
-  const hasCapacity = round.candidates.some(({ free }) => isWithin(size, free));
-  if (!hasCapacity) round.failedSizes.push(size);
+  const hasCapacity = round.candidates.some(({ free, reservations }) =>
+    reservations.length === 0 && isWithin(size, free)
+  );
+  if (!hasCapacity && !hasFailed(group, round)) round.failedSizes.push(size);
 }
 
 /** State of one call of {@linkcode placeOfService}. */
 type PlacementRound = {
-  candidates: Candidate[];
+  candidates: readonly Candidate[];
   /** Reserved executors for lasting tasks that fit on no candidate. */
   lastResorts: Candidate[];
   placements: Placement[];
@@ -247,7 +231,7 @@
       if (mustStartAlone(task, round.options.monotonicMs)) continue;
       // All tasks of a step have the same size, so none of the others fits.
       noteFailure(group, round);
-      const left = waiting.length - waiting.indexOf(task);
+      const left = waiting.slice(waiting.indexOf(task));
       return void round.reservations?.reserve(group, left);
     }
     assign(candidate, { task, round });
@@ -296,11 +280,10 @@
   }
   if (!isGang) return placeOneByOne(waiting, round);
   const anywhere = chooseTogether(waiting, candidates, options);
-  if (anywhere === undefined) {
-    return void round.reservations?.reserve(group, waiting.length);
-  }
-  if (isSameRack && !maySpreadGang(group, options.executors, options)) return;
-  assignAll(anywhere, round);
+  const mayStart = anywhere !== undefined &&
+    (!isSameRack || maySpreadGang(group, options.executors, options));
+  if (mayStart) assignAll(anywhere, round);
+  else round.reservations?.reserve(group, waiting);
 }
 
 /** Places as many tasks of one size as there is capacity for. */
@@ -310,7 +293,10 @@
 ): void {
   for (const task of waiting) {
     const candidate = chooseCandidate(task, round.candidates, round.options);
-    if (candidate === undefined) return;
+    if (candidate === undefined) {
+      const left = waiting.slice(waiting.indexOf(task));
+      return void round.reservations?.reserve(task.group, left);
+    }
     assign(candidate, { task, round });
   }
 }
--- a/packages/jobs/placed/reserved/_mixed_load.ts
+++ b/packages/jobs/placed/reserved/_mixed_load.ts
@@ -5,7 +5,11 @@
  * @module
  */
 
-import { createAccepted, createReport, createStep } from "../../_fixtures.ts";
+import {
+  createAccepted,
+  createReport,
+  createStep,
+} from "../../_record_fixtures.ts";
 import { createRun } from "../../create_run.ts";
 import {
   addRun,
@@ -18,6 +22,7 @@
 import { placeTasks } from "../place_tasks.ts";
 import {
   createReservationBook,
+  type ReservationBook,
   type ReservationEvent,
 } from "./reservation_book.ts";
 
@@ -73,7 +78,7 @@
   let usedCpu = 0;
   let startedCount = 0;
   for (let nowMs = 0; nowMs < lengthMs; nowMs += TICK_MS) {
-    endRuns(ends, nowMs);
+    endRuns(ends, { nowMs, book });
     for (const series of load) {
       if (nowMs % series.everyMs !== 0) continue;
       played.push({
@@ -97,6 +102,7 @@
       const { series } = open.find(({ job }) => job === task.group.job)!;
       ends.set(run, nowMs + series.durationMs(startedCount++));
     }
+    book.endRound(nowMs);
     for (const { job, series, arrivedAtMs } of open) {
       const tasks = job.groups.flatMap(({ tasks }) => tasks);
       if (tasks.some(({ runs, isDone }) => !isDone && runs.length === 0)) {
@@ -145,13 +151,18 @@
   return job;
 }
 
-function endRuns(ends: Map<Run, number>, nowMs: number): void {
+function endRuns(
+  ends: Map<Run, number>,
+  { nowMs, book }: { nowMs: number; book: ReservationBook },
+): void {
   for (const [run, endsAtMs] of ends) {
     if (endsAtMs > nowMs) continue;
     ends.delete(run);
     removeRun(run);
     run.task.isDone = true;
     run.task.durationMs = nowMs - run.startedAtMs;
+    const { estimateMs } = run.task.group.step;
+    book.ratios.noteEnd(estimateMs, run.task.durationMs);
   }
 }
 
--- a/packages/jobs/placed/reserved/estimate_end.ts
+++ b/packages/jobs/placed/reserved/estimate_end.ts
@@ -7,12 +7,13 @@
 
 import { dueTimeOf, type Run, type TaskGroup } from "../../job.ts";
 import { remainingCriticalPathMs, remainingStepsOf } from "../due_time.ts";
+import { DEFAULT_RATIO, type DurationRatio } from "./duration_ratios.ts";
 
 /** Least progress from which the end of a run is projected, in percent. */
 const MIN_PROGRESS_PERCENT = 10;
 
 /** Ratio of the longest to the expected duration, by what it is known from. */
-const SPREAD = { progress: 1.25, siblings: 1.5, declared: 2 };
+const SPREAD = { progress: 1.25, siblings: 1.5 };
 
 /** Longest time in milliseconds until a run that is being stopped has ended. */
 const STOP_MS = 500;
@@ -47,16 +48,20 @@
  * ```
  */
 export function createEstimates(
-  { nowMs, unixMs }: { nowMs: number; unixMs: number },
+  { nowMs, unixMs, ratio = DEFAULT_RATIO }: {
+    nowMs: number;
+    unixMs: number;
+    /** Ratio of the durations of the service to declared ones. */
+    ratio?: DurationRatio;
+  },
 ): Estimates {
-  const latestStarts = new Map<TaskGroup, number>();
-  const durations = new Map<TaskGroup, DurationEstimate | undefined>();
-  const durationOf = (group: TaskGroup) => {
-    if (durations.has(group)) return durations.get(group);
-    const duration = estimateDuration(group);
-    durations.set(group, duration);
-    return duration;
-  };
+  const durationOf = memoize((group) => estimateDuration(group, ratio));
+  const latestStartOf = memoize((group) => {
+    const { job, occurrence } = group;
+    const steps = remainingStepsOf(job, occurrence);
+    const dueInMs = dueTimeOf(job, occurrence) - unixMs;
+    return nowMs + dueInMs - remainingCriticalPathMs(steps);
+  });
   return {
     durationOf,
     remainingOf(run) {
@@ -67,26 +72,38 @@
       const duration = durationOf(run.task.group);
       return duration && shorten(duration, nowMs - run.startedAtMs);
     },
-    latestStartOf(group) {
-      let latestMs = latestStarts.get(group);
-      if (latestMs === undefined) {
-        const { job, occurrence } = group;
-        const steps = remainingStepsOf(job, occurrence);
-        const dueInMs = dueTimeOf(job, occurrence) - unixMs;
-        latestMs = nowMs + dueInMs - remainingCriticalPathMs(steps);
-        latestStarts.set(group, latestMs);
-      }
-      return latestMs;
-    },
+    latestStartOf,
+  };
+}
+
+/**
+ * Returns a function that computes a value for each group once. It is mostly
+ * asked for the same group again, on one executor after the other.
+ */
+function memoize<Value>(
+  compute: (group: TaskGroup) => Value,
+): (group: TaskGroup) => Value {
+  const values = new Map<TaskGroup, { value: Value }>();
+  let last: { group: TaskGroup; value: Value } | undefined;
+  return (group) => {
+    if (last?.group === group) return last.value;
+    let entry = values.get(group);
+    if (entry === undefined) {
+      entry = { value: compute(group) };
+      values.set(group, entry);
+    }
+    last = { group, value: entry.value };
+    return entry.value;
   };
 }
 
 /**
  * Estimates how long a task of a group runs: by those of the group that are
- * done, else as declared.
+ * done, else as declared, corrected by what other runs took.
  */
 function estimateDuration(
   { step, tasks }: TaskGroup,
+  ratio: DurationRatio,
 ): DurationEstimate | undefined {
   if (step.isLasting) return undefined;
   const durations = tasks
@@ -96,7 +113,10 @@
   const medianMs = durations[durations.length >> 1];
   if (medianMs !== undefined) return withSpread(medianMs, SPREAD.siblings);
   if (step.estimateMs === 0) return undefined;
-  return withSpread(step.estimateMs, SPREAD.declared);
+  return {
+    expectedMs: ratio.expected * step.estimateMs,
+    longestMs: ratio.longest * step.estimateMs,
+  };
 }
 
 /** Projects the end of a run from its progress under this owner. */
--- a/packages/jobs/placed/reserved/reservation.ts
+++ b/packages/jobs/placed/reserved/reservation.ts
@@ -15,7 +15,7 @@
 import type { TaskGroup } from "../../job.ts";
 import type { Size } from "../../submission.ts";
 import type { Estimates } from "./estimate_end.ts";
-import { addSize, fitTimes, type FreedRoom, roomAt } from "./room_forecast.ts";
+import { addSize, fitTimes, type FreedRoom } from "./room_forecast.ts";
 
 /** Room on an executor that a waiting task of a group is to get. */
 export type Reservation = { group: TaskGroup; size: Size; atMs: number };
@@ -26,6 +26,16 @@
   free: Size;
   freed: FreedRoom[];
   reservations: Reservation[];
+  /** What the reservations leave; undefined if it has to be computed anew. */
+  spare?: SpareRoom | undefined;
+};
+
+/** Room that the reservations on an executor leave. */
+export type SpareRoom = {
+  /** Time of the first reservation. */
+  firstMs: number;
+  /** Most of each resource that can be taken for good. */
+  size: Size;
 };
 
 /** Place for one task, at the time from which it fits there. */
@@ -42,20 +52,21 @@
  * for all of its tasks or none, in one rack if it asks for one.
  *
  * @param rooms those on which the group may run
+ * @param options.mostOn most tasks of the group that one of them may get
  */
 export function choosePlaces<Room extends ReservableRoom>(
   group: TaskGroup,
   rooms: readonly Room[],
-  { count, nowMs }: { count: number; nowMs: number },
+  { count, nowMs, mostOn }: {
+    count: number;
+    nowMs: number;
+    mostOn(room: Room): number;
+  },
 ): Place<Room>[] {
-  const { isGang, isSameRack, maxPerExecutor } = group.step;
-  const most = Math.min(
-    count,
-    isGang ? count : MAX_TASKS_PER_EXECUTOR,
-    maxPerExecutor > 0 ? maxPerExecutor : count,
-  );
+  const { isGang, isSameRack } = group.step;
+  const most = isGang ? count : Math.min(count, MAX_TASKS_PER_EXECUTOR);
   const places = rooms.flatMap((room) =>
-    findPlaces(group, room, { most, nowMs })
+    findPlaces(group, room, { most: Math.min(most, mostOn(room)), nowMs })
   )
     .sort((left, right) => left.atMs - right.atMs);
   if (!isGang) return places.slice(0, count);
@@ -93,25 +104,55 @@
   return [];
 }
 
+/** Adds a reservation to those on an executor. */
+export function addReservation(
+  room: ReservableRoom,
+  reservation: Reservation,
+): void {
+  room.reservations.push(reservation);
+  room.spare = undefined;
+}
+
 /**
  * Returns whether a task of a group may run on an executor beside the
- * reservations there: it ends before them or leaves their room. A group that is
- * in time now and would not be after them may run in any case.
+ * reservations there: it leaves their room or ends before them. A group that is
+ * in time now and would not be after them may run in any case, as well as
+ * lasting tasks, which nobody can do without meanwhile.
  */
 export function mayPass(
   group: TaskGroup,
-  { free, freed, reservations }: ReservableRoom,
+  room: ReservableRoom,
   { estimates, nowMs }: { estimates: Estimates; nowMs: number },
 ): boolean {
-  const others = reservations.filter((other) => other.group !== group);
-  if (others.length === 0) return true;
-  const firstMs = Math.min(...others.map(({ atMs }) => atMs));
+  if (room.reservations.length === 0 || group.step.isLasting) return true;
+  const { firstMs, size } = room.spare ??= spareRoomOf(room);
+  if (isWithin(occupiedBy(group), size)) return true;
   const longestMs = estimates.durationOf(group)?.longestMs ?? Infinity;
   if (nowMs + longestMs <= firstMs) return true;
   const latestStartMs = estimates.latestStartOf(group);
-  if (latestStartMs >= nowMs && latestStartMs < firstMs) return true;
-  const lastMs = Math.max(...others.map(({ atMs }) => atMs));
-  const room = roomAt(free, freed, lastMs);
-  for (const { size } of others) addSize(room, size, -1);
-  return isWithin(occupiedBy(group), room);
+  return latestStartMs >= nowMs && latestStartMs < firstMs;
+}
+
+/** Returns what is left at the time of each reservation, the least of it. */
+function spareRoomOf({ free, freed, reservations }: ReservableRoom): SpareRoom {
+  const inOrder = [...reservations]
+    .sort((left, right) => left.atMs - right.atMs);
+  const room = { ...free };
+  const size: Size = {
+    cpu: Infinity,
+    memoryMb: Infinity,
+    accelerators: Infinity,
+  };
+  let next = 0;
+  for (const reservation of inOrder) {
+    for (; next < freed.length; next++) {
+      if (freed[next]!.atMs > reservation.atMs) break;
+      addSize(room, freed[next]!.size);
+    }
+    addSize(room, reservation.size, -1);
+    size.cpu = Math.min(size.cpu, room.cpu);
+    size.memoryMb = Math.min(size.memoryMb, room.memoryMb);
+    size.accelerators = Math.min(size.accelerators, room.accelerators);
+  }
+  return { firstMs: inOrder[0]?.atMs ?? Infinity, size };
 }
--- a/packages/jobs/placed/reserved/reservation_books.ts
+++ b/packages/jobs/placed/reserved/reservation_books.ts
@@ -31,19 +31,29 @@
     view.configuration()?.organisations !== undefined;
 }
 
-/** Returns the record of the reservations of a service. */
-export type ReservationBooks = (service: string) => ReservationBook;
+/** Records of the reservations of an owner. */
+export type ReservationBooks = {
+  /** Returns the record of the reservations of a service. */
+  bookOf(service: string): ReservationBook;
+  /** Closes a round of placement, in which services may have had no jobs. */
+  endRound(nowMs: number): void;
+};
 
 /** Creates the records of an owner without any reservation. */
 export function createReservationBooks(events: JobEventLog): ReservationBooks {
   const books = new Map<string, ReservationBook>();
-  return (service) => {
-    let book = books.get(service);
-    if (book === undefined) {
-      book = createReservationBook((event) => logEvent(events, event));
-      books.set(service, book);
-    }
-    return book;
+  return {
+    bookOf(service) {
+      let book = books.get(service);
+      if (book === undefined) {
+        book = createReservationBook((event) => logEvent(events, event));
+        books.set(service, book);
+      }
+      return book;
+    },
+    endRound(nowMs) {
+      for (const book of books.values()) book.endRound(nowMs);
+    },
   };
 }
 
--- a/packages/jobs/placed/reserved/room_forecast.ts
+++ b/packages/jobs/placed/reserved/room_forecast.ts
@@ -27,25 +27,12 @@
   for (const run of runs) {
     const remaining = estimates.remainingOf(run);
     if (remaining === undefined) continue;
-    const atMs = nowMs + (remaining.expectedMs + remaining.longestMs) / 2;
+    const atMs = nowMs + remaining.longestMs;
     freed.push({ atMs, size: occupiedBy(run.task.group) });
   }
   return freed.sort((left, right) => left.atMs - right.atMs);
 }
 
-/** Returns the room at a time: what is free and what is freed until then. */
-export function roomAt(
-  free: Size,
-  freed: readonly FreedRoom[],
-  atMs: number,
-): Size {
-  const room = { ...free };
-  for (const { atMs: freedAtMs, size } of freed) {
-    if (freedAtMs <= atMs) addSize(room, size);
-  }
-  return room;
-}
-
 /**
  * Returns the times at which one, two and so on up to `most` tasks of a size
  * fit, as far as the expected ends make room for them.
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -13,7 +13,11 @@
 import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
 import { mayReserve } from "./reserved/reservation_books.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
-import { type Placement, placeTasks } from "./place_tasks.ts";
+import {
+  type Placement,
+  type PlaceOptions,
+  placeTasks,
+} from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
 import {
   hasEvidentlyBegun,
@@ -59,7 +63,7 @@
     unixMs: Date.now(),
     priorityOf: ({ accepted }) => policyOf(owner, accepted).priority,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
-    reservationsOf: mayReserve(owner.options) ? owner.reservations : undefined,
+    ...(mayReserve(owner.options) ? reservationOptions(owner) : {}),
   });
   const unprepared = prepare(owner, placements);
   const gangRunNumbers = new Map<unknown, number>();
@@ -75,9 +79,22 @@
     }
     startTask(owner, placement, number);
   }
+  owner.reservations.endRound(performance.now());
   if (hasMore && placements.length > 0) owner.schedulePlacement();
 }
 
+/** Returns what placement needs to reserve room. */
+function reservationOptions(
+  owner: OwnerState,
+): Pick<PlaceOptions, "reservationsOf" | "isRefused"> {
+  return {
+    reservationsOf: (service) => owner.reservations.bookOf(service),
+    isRefused: (group, executor) =>
+      policyOf(owner, group.job.accepted).needsAdvice &&
+      (owner.ticketCache?.isRefused(group, executor) ?? false),
+  };
+}
+
 /**
  * Stores what the next owner has to know of the placed tasks, and returns the
  * groups for which that is not stored yet.
@@ -138,6 +155,8 @@
     task: task.name,
     run: number,
     executor: executor.id,
+    cpu: task.group.step.size.cpu,
+    waitedMs: Math.round(performance.now() - task.waitingSinceMs),
     reason,
   });
   if (mayHaveCrashed(task)) openStart(owner, run);
--- a/packages/jobs/placed/ticket_cache.ts
+++ b/packages/jobs/placed/ticket_cache.ts
@@ -28,6 +28,11 @@
     executors: readonly ExecutorState[],
     executor: ExecutorState,
   ): boolean;
+  /**
+   * Whether an executor is known not to be allowed to run a step. Requests
+   * nothing.
+   */
+  isRefused(group: TaskGroup, executor: ExecutorState): boolean;
   /** Ticket to run a step on an executor; undefined if there is none. */
   ticketFor(group: TaskGroup, executor: ExecutorState): string | undefined;
   /** Drops a ticket that the executor has refused. */
@@ -109,6 +114,11 @@
       void request(group, executors);
       return false;
     },
+    isRefused(group, { id }) {
+      const entry = entries.get(keyOf(group));
+      return isValid(entry) && entry.askedExecutors.has(id) &&
+        !entry.tickets.has(id);
+    },
     ticketFor(group, executor) {
       return entries.get(keyOf(group))?.tickets.get(executor.id);
     },
--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -13,7 +13,11 @@
 import { CONTROL_SIZES, measureControl } from "./control/mod.ts";
 import { measureProcessesFlood } from "./demo/measure_processes_flood.ts";
 import type { Measure } from "./measure_row.ts";
-import { measureJobs, measureJobsDecideTime } from "./jobs/mod.ts";
+import {
+  measureJobs,
+  measureJobsDecideTime,
+  measurePlacementRound,
+} from "./jobs/mod.ts";
 import { measureClaimCost } from "./requests/measure_claim_cost.ts";
 import { measureFaults } from "./requests/measure_faults.ts";
 import { measureFlood } from "./requests/measure_flood.ts";
@@ -53,6 +57,7 @@
     }
     return rows;
   },
+  "placement-round": measurePlacementRound,
   "processes-flood": measureProcessesFlood,
   schedules: measureSchedules,
   ...Object.fromEntries(CONTROL_SIZES.flatMap((daemons) => [
--- a/packages/measure/soak/owner_series.ts
+++ b/packages/measure/soak/owner_series.ts
@@ -11,6 +11,7 @@
   type Machine,
   type OwnerView,
   type PartitionOwner,
+  type ReservationMode,
   type Store,
 } from "@lagoonloom/jobs";
 import type { Random } from "../random.ts";
@@ -72,6 +73,8 @@
   leaseMs: number;
   /** Longest lease that the platform grants. */
   maxLeaseMs: number;
+  /** Where owners reserve room; nowhere if undefined. */
+  reservesRoom?: ReservationMode | undefined;
   view: Omit<OwnerView, "executors" | "hasExecutorList" | "executorsReadAtMs">;
   listExecutors(): ReadonlyMap<string, ExecutorReport>;
   listMachines(): Machine[];
@@ -117,6 +120,7 @@
         },
         leaseMs: options.leaseMs,
         maxLeaseMs: options.maxLeaseMs,
+        reservesRoom: options.reservesRoom,
         confirmedAtMs: () => confirmedAtMs(own),
         undisputedAtMs: () => confirmedAtMs(own),
         endedJobRetentionMs: ENDED_JOB_RETENTION_MS,
--- a/packages/measure/soak/run_soak.ts
+++ b/packages/measure/soak/run_soak.ts
@@ -73,7 +73,9 @@
   owners.start();
   await advance(200);
   for (let count = world.between(1, 2); count > 0; count--) {
-    world.accept(drawStep({ between, isLasting: true }));
+    const step = plan.drawLastingStep?.(between) ??
+      drawStep({ between, isLasting: true });
+    world.accept(step);
   }
   await advance(1_500);
   for (let round = 0; round < ROUNDS; round++) {
@@ -86,7 +88,7 @@
       const ended: Promise<void> = fault(world)
         .finally(() => active.delete(ended));
       active.add(ended);
-      if (random() < 0.5) world.accept(drawStep({ between, isLasting: false }));
+      if (random() < 0.5) acceptShort(world, plan);
       await advance(world.between(50, 1_000));
     }
     while (active.size > 0) await advance(STEP_MS);
@@ -103,6 +105,13 @@
   return { seed, violations: checker.violations, world };
 }
 
+/** Accepts jobs of short tasks. */
+function acceptShort({ between, accept }: SoakWorld, plan: SoakPlan): void {
+  const steps = plan.drawSteps?.(between) ??
+    [drawStep({ between, isLasting: false })];
+  for (const step of steps) accept(step);
+}
+
 /** Returns whether executors crashed too recently for a long calm. */
 function isUnsettled({ crashed, lastReturnMs }: SoakWorld): boolean {
   return crashed.size > 0 ||
--- a/packages/measure/soak/soak_plans.ts
+++ b/packages/measure/soak/soak_plans.ts
@@ -4,13 +4,25 @@
  * @module
  */
 
+import type { Step } from "@lagoonloom/jobs";
 import type { SoakFault } from "./_fault_draws.ts";
 import { CAPACITY_FAULTS, DEADLY_FAULTS, SOAK_FAULTS } from "./fault_plan.ts";
+import {
+  type Between,
+  drawCompetingSteps,
+  drawSmallLastingStep,
+} from "./draw_step.ts";
 import { LEASE_FAULTS } from "./lease_faults.ts";
 import type { SoakWorldOptions } from "./soak_world.ts";
 
 /** Faults of a run and the kind of its executors. */
-export type SoakPlan = SoakWorldOptions & { faults: readonly SoakFault[] };
+export type SoakPlan = SoakWorldOptions & {
+  faults: readonly SoakFault[];
+  /** Draws short steps that are accepted at once; a single one by default. */
+  drawSteps?(between: Between): Partial<Step>[];
+  /** Draws a step of lasting tasks; one of any size by default. */
+  drawLastingStep?(between: Between): Partial<Step>;
+};
 
 /** Speed of the slowest clock of executors. */
 const MIN_CLOCK_RATE = 0.98;
@@ -54,4 +66,13 @@
       return { clockRate, clockOffsetMs: -clockRate * performance.now() };
     },
   },
+  // Owners that reserve room for large tasks, beside many small ones.
+  reservations: {
+    ...UNCHECKED,
+    ...LEASES,
+    faults: SOAK_FAULTS,
+    reservesRoom: "always",
+    drawSteps: drawCompetingSteps,
+    drawLastingStep: drawSmallLastingStep,
+  },
 } as const satisfies Record<string, SoakPlan>;
--- a/packages/measure/soak/soak_test.ts
+++ b/packages/measure/soak/soak_test.ts
@@ -62,6 +62,9 @@
   6,
 ];
 
+/** Seeds with reservations that run in CI. */
+const RESERVATION_CI_SEEDS = [1, 2];
+
 /** Seeds that run in CI, with the causes of those that failed once. */
 const CI_SEEDS = [
   1,
@@ -135,6 +138,19 @@
     },
   );
 
+  // Guards against room that is reserved for good, tasks that never start
+  // beside reservations, and reservations that outlast their owner.
+  test.each(seedsOr(RESERVATION_CI_SEEDS))(
+    "keep their promises as they reserve room, seed %i",
+    async (seed) => {
+      const plan = SOAK_PLANS.reservations;
+      const outcome = await runSoak(seed, { plan, advanceTime });
+      expect(describeOutcome(outcome)).toBe("");
+      const { history } = outcome.world;
+      expect(history.some((line) => line.includes("roomReserved"))).toBe(true);
+    },
+  );
+
   // Guards against owners that hold for expired what an executor still runs, as
   // its clock started anew or the next process carried out an earlier call.
   test.each(seedsOr(LEASE_CI_SEEDS))(
--- a/packages/measure/soak/soak_world.ts
+++ b/packages/measure/soak/soak_world.ts
@@ -9,6 +9,7 @@
   cancelKey,
   type ExecutorReport,
   JOBS_TOPIC,
+  type ReservationMode,
   type Step,
 } from "@lagoonloom/jobs";
 import {
@@ -105,6 +106,8 @@
    * it before.
    */
   keepsLateCalls: boolean;
+  /** Where owners reserve room; nowhere if undefined. */
+  reservesRoom?: ReservationMode;
   /** Returns the clock of a new process; undefined for one that all share. */
   createClock(random: Random): MemoryExecutorOptions["clock"];
 };
@@ -183,6 +186,7 @@
       random,
       leaseMs,
       maxLeaseMs,
+      reservesRoom: options.reservesRoom,
       view: {
         configuration: () => configuration,
         layout: () => new Map([["quoting", [PARTITION]]]),
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -244,6 +244,8 @@
       task: "string",
       run: "number",
       executor: "string",
+      cpu: "number",
+      waitedMs: "number",
       reason: "string",
     },
   },
--- a/packages/telemetry/job_metrics.ts
+++ b/packages/telemetry/job_metrics.ts
@@ -16,6 +16,16 @@
 
 const RUN_BUCKETS_S = [0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60, 300];
 
+const WAIT_BUCKETS_S = [0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 15, 30, 60];
+
+/** Widths of tasks by the most processor time, in thousandths of a core. */
+const WIDTHS = [
+  { width: "up_to_1_core", maxCpu: 1_000 },
+  { width: "up_to_4_cores", maxCpu: 4_000 },
+  { width: "up_to_16_cores", maxCpu: 16_000 },
+  { width: "over_16_cores", maxCpu: Infinity },
+] as const;
+
 const TAKEOVER_BUCKETS_S = [0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 
 /** Metrics of a member that owns jobs. */
@@ -67,6 +77,19 @@
     buckets: TAKEOVER_BUCKETS_S,
     registers,
   });
+  const waits = new Histogram({
+    name: "lagoonloom_task_wait_seconds",
+    help: "Time for which a task waited until it was placed, by its width.",
+    labelNames: ["width"] as const,
+    buckets: WAIT_BUCKETS_S,
+    registers,
+  });
+  const reservations = new Counter({
+    name: "lagoonloom_reservations_total",
+    help: "Reservations of room that were made, moved, kept or missed.",
+    labelNames: ["outcome"] as const,
+    registers,
+  });
   const refusals = new Counter({
     name: "lagoonloom_job_calls_refused_total",
     help: "Calls refused for their key or an old configuration, by queue.",
@@ -98,6 +121,16 @@
           { how: String(fields["how"]) },
           toSeconds(fields["ranMs"]),
         );
+      } else if (id === JOB_LOG_EVENTS.taskPlaced.id) {
+        const width = widthOf(Number(fields["cpu"]));
+        waits.observe({ width }, toSeconds(fields["waitedMs"]));
+      } else if (id === JOB_LOG_EVENTS.roomReserved.id) {
+        reservations.inc({ outcome: "made" });
+      } else if (id === JOB_LOG_EVENTS.reservationMoved.id) {
+        reservations.inc({ outcome: "moved" });
+      } else if (id === JOB_LOG_EVENTS.reservationOver.id) {
+        const outcome = fields["isKept"] === true ? "kept" : "missed";
+        reservations.inc({ outcome });
       } else if (id === JOB_LOG_EVENTS.takeoverComplete.id) {
         takeovers.observe(toSeconds(fields["tookMs"]));
       } else if (id === JOB_LOG_EVENTS.keysRejected.id) {
@@ -119,6 +152,10 @@
   };
 }
 
+function widthOf(cpu: number): string {
+  return WIDTHS.find(({ maxCpu }) => cpu <= maxCpu)?.width ?? "over_16_cores";
+}
+
 function toSeconds(ms: unknown): number {
   return Number(ms) / 1_000;
 }
--- a/packages/telemetry/job_metrics_test.ts
+++ b/packages/telemetry/job_metrics_test.ts
@@ -36,6 +36,29 @@
     expect(text).toContain('lagoonloom_task_run_seconds_sum{how="done"} 0.7');
   });
 
+  // Guards against large tasks that wait long, and reservations that are
+  // missed, without anybody seeing it.
+  test("records waits by width and what became of reservations", async () => {
+    const { metrics, events } = create();
+    const placed = { task: "a.0.0.0", run: 1, executor: "e1", reason: "" };
+    events.log("taskPlaced", { ...placed, cpu: 1_000, waitedMs: 20 });
+    events.log("taskPlaced", { ...placed, cpu: 12_000, waitedMs: 3_000 });
+    const step = "a.0.0";
+    events.log("roomReserved", { step, tasks: 1, cpu: 12_000, aheadMs: 800 });
+    events.log("reservationOver", { step, isKept: true, waitedMs: 700 });
+    events.log("reservationOver", { step, isKept: false, waitedMs: 700 });
+    const text = await metrics.registry.metrics();
+    for (
+      const line of [
+        'lagoonloom_task_wait_seconds_sum{width="up_to_1_core"} 0.02',
+        'lagoonloom_task_wait_seconds_sum{width="up_to_16_cores"} 3',
+        'lagoonloom_reservations_total{outcome="made"} 1',
+        'lagoonloom_reservations_total{outcome="kept"} 1',
+        'lagoonloom_reservations_total{outcome="missed"} 1',
+      ]
+    ) expect(text).toContain(line);
+  });
+
   // Guards against refusals and an old configuration that operators don't see.
   test("counts refused calls and reads the configuration's age", async () => {
     const { metrics, events } = create();
