--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -139,6 +139,7 @@
       caps,
       capOvershoot: options.capOvershoot ?? 0,
       endedJobRetentionMs: options.endedJobRetentionMs,
+      reservesRoom: options.reservesRoom,
       events,
       onLoadTimeout: () => ownership().giveWay(),
       onLost(reason) {
--- a/packages/jobs/member_options.ts
+++ b/packages/jobs/member_options.ts
@@ -9,6 +9,7 @@
 import type { JobEventLog } from "./job_event_log.ts";
 import type { HeldConfiguration } from "./organisations/held_configuration.ts";
 import type { MemberCapacity } from "./owned/member_name.ts";
+import type { ReservationMode } from "./placed/reserved/reservation_books.ts";
 import type {
   AdviceClient,
   ExecutorClient,
@@ -59,6 +60,8 @@
   capOvershoot?: number;
   /** Time for which callers can ask for the state of an ended job. */
   endedJobRetentionMs: number;
+  /** Whether tasks that fit nowhere are reserved room; never by default. */
+  reservesRoom?: ReservationMode | undefined;
   /** Starts to follow the platform; calls `onChange` after each change. */
   followPlatform(onChange: () => void): PlatformState;
 };
--- a/packages/jobs/organisations/full_services.ts
+++ b/packages/jobs/organisations/full_services.ts
@@ -27,7 +27,7 @@
 import { latenessOf, remainingStepsOf } from "../placed/due_time.ts";
 import { findObstacle } from "../placed/find_obstacle.ts";
 import type { Size } from "../submission.ts";
-import { addSize, noCapacity } from "./order_by_shares.ts";
+import { addSize, noCapacity } from "../_sizes.ts";
 import type { WeightBuckets } from "./weight_buckets.ts";
 
 /** Wait of a task that can't be a short peak any more, in milliseconds. */
--- a/packages/jobs/organisations/order_by_shares.ts
+++ b/packages/jobs/organisations/order_by_shares.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { addSize, noCapacity } from "../_sizes.ts";
 import type { Size } from "../submission.ts";
 import { divideShares, type Shares } from "./shares.ts";
 
@@ -130,15 +131,3 @@
   if (amount <= 0) return 0;
   return total > 0 ? amount / total : Infinity;
 }
-
-/** Returns a size of nothing, to which others may be added. */
-export function noCapacity(): Size {
-  return { cpu: 0, memoryMb: 0, accelerators: 0 };
-}
-
-/** Adds a size to another one, in place, `times` times. */
-export function addSize(sum: Size, size: Size, times = 1): void {
-  sum.cpu += times * size.cpu;
-  sum.memoryMb += times * size.memoryMb;
-  sum.accelerators += times * size.accelerators;
-}
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -22,6 +22,10 @@
   OrganisationLimits,
 } from "../organisations/organisation_limits.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
+import type {
+  ReservationBooks,
+  ReservationMode,
+} from "../placed/reserved/reservation_books.ts";
 import type { AdviceClient, ExecutorClient, Store } from "../ports.ts";
 import type { LostExecutor } from "../run/lost_executor.ts";
 import type { ExecutorSession } from "../run/session_types.ts";
@@ -66,6 +70,8 @@
   capOvershoot?: number;
   /** Time for which the state of an ended job is kept, in milliseconds. */
   endedJobRetentionMs: number;
+  /** Whether tasks that fit nowhere are reserved room; never by default. */
+  reservesRoom?: ReservationMode | undefined;
   events: JobEventLog;
   /** Called when the state of the partition could not be loaded in time. */
   onLoadTimeout(): void;
@@ -143,6 +149,7 @@
   /** Jobs that each organisation may still send within its weight. */
   weightBuckets: WeightBuckets;
   arrivals: ArrivalLog;
+  reservations: ReservationBooks;
   /** Schedules a round of placement, unless one is scheduled already. */
   schedulePlacement(): void;
   /** Stops this owner because another one has taken over. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -38,6 +38,7 @@
   readOrganisationUse,
 } from "../organisations/read_organisation_use.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
+import { createReservationBooks } from "../placed/reserved/reservation_books.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
 import { recordKnownStarts } from "../placed/used_executors.ts";
 import { createWaitingLog } from "../placed/waiting_log.ts";
@@ -285,6 +286,7 @@
       }),
     weightBuckets: createWeightBuckets(),
     arrivals: createArrivalLog(partition, events),
+    reservations: createReservationBooks(events),
     schedulePlacement() {
       if (placementTimer !== undefined || !owner.isLoaded) return;
       const delayMs = Math.max(MIN_PLACEMENT_DELAY_MS, lastRoundMs);
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { addSize, noCapacity } from "../_sizes.ts";
 import { type ExecutorState, isWithin, occupiedBy } from "../executor_state.ts";
 import {
   dueTimeOf,
@@ -18,8 +19,6 @@
   isGroupReady,
 } from "../occurrences.ts";
 import {
-  addSize,
-  noCapacity,
   orderByShares,
   type WaitingWork,
 } from "../organisations/order_by_shares.ts";
@@ -44,8 +43,17 @@
   shares?: Shares | undefined;
   /** Executors of the service, among which the organisations share. */
   executors: readonly ExecutorState[];
+  /**
+   * Whether room may be reserved for a group that fits on no executor now.
+   * Those of a few occurrences, which are in time and due first, are returned
+   * as well. None are if it is undefined.
+   */
+  isReservable?: ((group: TaskGroup) => boolean) | undefined;
 };
 
+/** Most occurrences whose groups are returned although they do not fit. */
+const MAX_BLOCKED_OCCURRENCES = 4;
+
 /** Group with its rank, of which earlier numbers decide before later ones. */
 type RankedGroup = WaitingWork & { group: TaskGroup; rank: number[] };
 
@@ -61,24 +69,19 @@
   const { shares, executors } = options;
   const shortTasks = shares && sumShortTasks(executors);
   const ranked: RankedGroup[] = [];
+  const blocked: BlockedGroups[] = [];
+  const add = (groups: OccurrenceGroups) =>
+    addRanked(ranked, groups, { options, shortTasks });
   for (const job of jobs) {
     if (job.endedAtMs !== undefined) continue;
     for (const [occurrence, groups] of groupsByOccurrence(job)) {
       const waiting = groups.filter((group) => isWaiting(group, options));
-      if (waiting.length === 0) continue;
-      const rank = rankOf(job, occurrence, options);
-      for (const group of waiting) {
-        ranked.push({
-          group,
-          rank: [classOf(group), ...rank],
-          organisation: job.accepted.organisation,
-          size: group.step.size,
-          count: group.tasks.length - group.doneCount -
-            (shortTasks?.runCounts.get(group) ?? 0),
-        });
-      }
+      if (waiting.length > 0) add({ occurrence, groups: waiting });
+      if (options.isReservable === undefined) continue;
+      noteBlocked(blocked, { occurrence, groups }, options);
     }
   }
+  for (const groups of blocked) add(groups);
   ranked.sort((left, right) => compareRanks(left.rank, right.rank));
   const ordered = shares === undefined || shortTasks === undefined
     ? ranked
@@ -162,6 +165,61 @@
   return true;
 }
 
+/** Groups of one occurrence of a job. */
+type OccurrenceGroups = {
+  occurrence: number;
+  groups: readonly TaskGroup[];
+};
+
+/** Groups of one occurrence that fit on no executor. */
+type BlockedGroups = OccurrenceGroups & { dueAtMs: number };
+
+/** Adds the groups that fit on no executor if they are due early enough. */
+function noteBlocked(
+  blocked: BlockedGroups[],
+  { occurrence, groups }: OccurrenceGroups,
+  options: RankOptions,
+): void {
+  const { largestFree, unixMs, isReservable } = options;
+  if (isReservable === undefined) return;
+  const latestMs = blocked[MAX_BLOCKED_OCCURRENCES - 1]?.dueAtMs ?? Infinity;
+  const waiting: TaskGroup[] = [];
+  let dueAtMs = Infinity;
+  for (const group of groups) {
+    if (isWithin(occupiedBy(group), largestFree)) continue;
+    dueAtMs = dueTimeOf(group.job, occurrence);
+    if (dueAtMs < unixMs || dueAtMs >= latestMs) return;
+    if (!isReservable(group) || !hasWaitingTasks(group, options)) continue;
+    waiting.push(group);
+  }
+  if (waiting.length === 0) return;
+  blocked.push({ occurrence, groups: waiting, dueAtMs });
+  blocked.sort((left, right) => left.dueAtMs - right.dueAtMs);
+  blocked.length = Math.min(blocked.length, MAX_BLOCKED_OCCURRENCES);
+}
+
+function addRanked(
+  ranked: RankedGroup[],
+  { occurrence, groups }: OccurrenceGroups,
+  { options, shortTasks }: {
+    options: RankOptions;
+    shortTasks: ShortTasks | undefined;
+  },
+): void {
+  const { job } = groups[0]!;
+  const rank = rankOf(job, occurrence, options);
+  for (const group of groups) {
+    ranked.push({
+      group,
+      rank: [classOf(group), ...rank],
+      organisation: job.accepted.organisation,
+      size: group.step.size,
+      count: group.tasks.length - group.doneCount -
+        (shortTasks?.runCounts.get(group) ?? 0),
+    });
+  }
+}
+
 /** Order of occurrences by their lateness; lower numbers are served first. */
 const LATENESS_RANK = { inTime: 0, late: 1, overdue: 1, abandoned: 4 };
 
@@ -211,7 +269,12 @@
 ): boolean {
   return !isGroupDone(group) &&
     isWithin(occupiedBy(group), options.largestFree) &&
-    isGroupReady(group) &&
+    hasWaitingTasks(group, options);
+}
+
+/** Returns whether a group has tasks that wait for nothing but room. */
+function hasWaitingTasks(group: TaskGroup, options: RankOptions): boolean {
+  return !isGroupDone(group) && isGroupReady(group) &&
     group.tasks.some((task) => isPlaceable(task, options));
 }
 
--- a/packages/jobs/placed/choose_candidate.ts
+++ b/packages/jobs/placed/choose_candidate.ts
@@ -8,10 +8,13 @@
 import {
   type ExecutorState,
   freeCapacityOf,
+  isWithin,
+  occupiedBy,
   rackOf,
 } from "../executor_state.ts";
 import type { Task, TaskGroup } from "../job.ts";
-import type { Size } from "../submission.ts";
+import { mayPass, type ReservableRoom } from "./reserved/reservation.ts";
+import type { Estimates } from "./reserved/estimate_end.ts";
 import { findObstacle, type FindObstacleOptions } from "./find_obstacle.ts";
 import {
   findNewTasks,
@@ -21,9 +24,7 @@
 } from "./probation.ts";
 
 /** Executor with the capacity that is left in a round of decisions. */
-export type Candidate = NewTasks & {
-  executor: ExecutorState;
-  free: Size;
+export type Candidate = NewTasks & ReservableRoom & {
   /** Tasks that this round has placed there, by group. */
   placed: Map<TaskGroup, number>;
 };
@@ -32,6 +33,8 @@
 export type ChooseOptions = Pick<FindObstacleOptions, "mayRun"> & {
   /** Current monotonic time in milliseconds. */
   monotonicMs: number;
+  /** Estimates of ends; needed where room is reserved. */
+  estimates?: Estimates | undefined;
 };
 
 /** Creates a candidate on which this round has placed nothing. */
@@ -39,6 +42,9 @@
   return {
     executor,
     free: freeCapacityOf(executor),
+    freed: [],
+    reservations: [],
+    spare: undefined,
     placed: new Map(),
     ...findNewTasks(executor),
   };
@@ -58,17 +64,21 @@
   for (const candidate of candidates) {
     if (!fits(task, candidate, options)) continue;
     const cost = costOf(task, candidate);
-    if (cost < bestCost) [best, bestCost] = [candidate, cost];
+    if (cost >= bestCost || !leavesReserved(task, candidate, options)) continue;
+    [best, bestCost] = [candidate, cost];
   }
   return best;
 }
 
 function fits(
   task: Task,
-  { executor, free, placed, hasNewTask, hasSuspectTask }: Candidate,
+  candidate: Candidate,
   { mayRun, monotonicMs }: ChooseOptions,
 ): boolean {
   const { group } = task;
+  const { executor, free, placed, hasNewTask, hasSuspectTask } = candidate;
+  // Most candidates of a busy service are full.
+  if (!isWithin(occupiedBy(group), free)) return false;
   if (hasSuspectTask && !group.step.isGang) return false;
   if (hasNewTask && mustStartAlone(task, monotonicMs)) return false;
   const obstacle = findObstacle(group, executor, {
@@ -79,6 +89,18 @@
   return obstacle === undefined;
 }
 
+/** Returns whether a task may run beside the reservations on a candidate. */
+function leavesReserved(
+  { group }: Task,
+  candidate: Candidate,
+  { monotonicMs, estimates }: ChooseOptions,
+): boolean {
+  if (candidate.reservations.length === 0 || estimates === undefined) {
+    return true;
+  }
+  return mayPass(group, candidate, { estimates, nowMs: monotonicMs });
+}
+
 /** Cost of each latency-sensitive task beside a filling one, in millicores. */
 const LATENCY_SENSITIVE_PENALTY_CPU = 20_000;
 
@@ -158,5 +180,6 @@
   if (!isFilling) candidate.free.cpu -= size.cpu;
   candidate.free.memoryMb -= size.memoryMb;
   candidate.free.accelerators -= size.accelerators;
+  candidate.spare = undefined;
   candidate.placed.set(group, (candidate.placed.get(group) ?? 0) + 1);
 }
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -20,6 +20,7 @@
   isLastResort,
   isSchedulable,
   isWithin,
+  largestOf,
   occupiedBy,
 } from "../executor_state.ts";
 import {
@@ -33,11 +34,17 @@
 import {
   type Candidate,
   chooseCandidate,
+  type ChooseOptions,
   createCandidate,
   occupy,
   takePlace,
 } from "./choose_candidate.ts";
 import { mustStartAlone } from "./probation.ts";
+import type { ReservationBook } from "./reserved/reservation_book.ts";
+import {
+  type RoundReservations,
+  startReservations,
+} from "./reserved/reserve_room.ts";
 
 /**
  * Time for which a lasting task waits before it may go to a reserved executor.
@@ -61,6 +68,16 @@
   shares?: Shares | undefined;
   /** What may start of each organisation; anything if undefined. */
   budget?: PlacementBudget | undefined;
+  /**
+   * Returns the record of the reservations of a service, for tasks that fit
+   * nowhere now. No room is reserved if it is undefined.
+   */
+  reservationsOf?: ((service: string) => ReservationBook) | undefined;
+  /**
+   * Whether an executor is known not to run a step, without a request; false
+   * for all if undefined.
+   */
+  isRefused?(group: TaskGroup, executor: ExecutorState): boolean;
 };
 
 /**
@@ -93,6 +110,7 @@
     placeOfService(ofService, {
       ...options,
       executors: executors.get(service) ?? [],
+      book: options.reservationsOf?.(service),
     })
   );
 }
@@ -110,12 +128,15 @@
   return groups;
 }
 
+/** Options of placement among the executors of one service. */
+type ServiceOptions = PlaceOptions & { book: ReservationBook | undefined };
+
 /** Chooses executors for the tasks of one service, which share no capacity. */
 function placeOfService(
   jobs: readonly Job[],
-  options: PlaceOptions,
+  options: ServiceOptions,
 ): Placement[] {
-  const { executors, monotonicMs } = options;
+  const { executors, monotonicMs, book } = options;
   const candidates = executors
     .filter((executor) => isSchedulable(executor, monotonicMs))
     .map(createCandidate);
@@ -125,13 +146,21 @@
   const largestFree = largestOf(
     [...candidates, ...lastResorts].map(({ free }) => free),
   );
-  const groups = rankGroups(jobs, { ...options, largestFree });
+  const reservations = book && startReservations(book, {
+    candidates,
+    nowMs: monotonicMs,
+    unixMs: options.unixMs,
+    isRefused: options.isRefused,
+  });
+  const isReservable = reservations?.isReservable;
+  const groups = rankGroups(jobs, { ...options, largestFree, isReservable });
   if (groups.length === 0) return [];
   const round: PlacementRound = {
     candidates,
     lastResorts,
     placements: [],
-    options,
+    options: { ...options, estimates: reservations?.estimates },
+    reservations,
     failedSizes: [],
   };
   let arePlacesKept = false;
@@ -141,6 +170,9 @@
       arePlacesKept = true;
     }
     if (!hasFailed(group, round)) placeGroup(group, round);
+    else if (reservations?.isOpenTo(group)) {
+      placeGroup(group, { ...round, candidates: reservations.reserved });
+    }
   }
   placeOnLastResorts(groups, round);
   return round.placements;
@@ -162,20 +194,9 @@
   }
 }
 
-/** Returns the most of each resource that one of the sizes has. */
-function largestOf(sizes: readonly Size[]): Size {
-  const largest: Size = { cpu: 0, memoryMb: 0, accelerators: 0 };
-  for (const { cpu, memoryMb, accelerators } of sizes) {
-    largest.cpu = Math.max(largest.cpu, cpu);
-    largest.memoryMb = Math.max(largest.memoryMb, memoryMb);
-    largest.accelerators = Math.max(largest.accelerators, accelerators);
-  }
-  return largest;
-}
-
 /**
  * Returns whether a task of the same size or a smaller one fitted on no
- * executor in this round.
+ * executor without reservations in this round.
  */
 function hasFailed(group: TaskGroup, { failedSizes }: PlacementRound): boolean {
   const size = occupiedBy(group);
@@ -185,17 +206,21 @@
 /** Notes the size of a group if no executor has capacity for a task of it. */
 function noteFailure(group: TaskGroup, round: PlacementRound): void {
   const size = occupiedBy(group);
-  const hasCapacity = round.candidates.some(({ free }) => isWithin(size, free));
-  if (!hasCapacity) round.failedSizes.push(size);
+  const hasCapacity = round.candidates.some(({ free, reservations }) =>
+    reservations.length === 0 && isWithin(size, free)
+  );
+  if (!hasCapacity && !hasFailed(group, round)) round.failedSizes.push(size);
 }
 
 /** State of one call of {@linkcode placeOfService}. */
 type PlacementRound = {
-  candidates: Candidate[];
+  candidates: readonly Candidate[];
   /** Reserved executors for lasting tasks that fit on no candidate. */
   lastResorts: Candidate[];
   placements: Placement[];
-  options: PlaceOptions;
+  options: PlaceOptions & Pick<ChooseOptions, "estimates">;
+  /** Reservations of this round; undefined if none are made. */
+  reservations: RoundReservations | undefined;
   /** Sizes of tasks for which no executor has had capacity. */
   failedSizes: Size[];
 };
@@ -216,7 +241,8 @@
       if (mustStartAlone(task, round.options.monotonicMs)) continue;
       // All tasks of a step have the same size, so none of the others fits.
       noteFailure(group, round);
-      return;
+      const left = waiting.slice(waiting.indexOf(task));
+      return void round.reservations?.reserve(group, left);
     }
     assign(candidate, { task, round });
   }
@@ -273,9 +299,10 @@
   }
   if (!isGang) return placeOneByOne(waiting, round);
   const anywhere = chooseTogether(waiting, candidates, options);
-  if (anywhere === undefined) return;
-  if (isSameRack && !maySpreadGang(group, options.executors, options)) return;
-  assignAll(anywhere, round);
+  const mayStart = anywhere !== undefined &&
+    (!isSameRack || maySpreadGang(group, options.executors, options));
+  if (mayStart) assignAll(anywhere, round);
+  else round.reservations?.reserve(group, waiting);
 }
 
 /** Places as many tasks of one size as there is capacity for. */
@@ -285,7 +312,10 @@
 ): void {
   for (const task of waiting) {
     const candidate = chooseCandidate(task, round.candidates, round.options);
-    if (candidate === undefined) return;
+    if (candidate === undefined) {
+      const left = waiting.slice(waiting.indexOf(task));
+      return void round.reservations?.reserve(task.group, left);
+    }
     assign(candidate, { task, round });
   }
 }
@@ -302,6 +332,7 @@
   const freeCpu = Math.round(free.cpu);
   occupy(candidate, task);
   round.options.budget?.take(task.group.job, task.group.step.size);
+  round.reservations?.addPlaced(task.group, candidate);
   const { length } = executor.isReserved ? round.lastResorts : round.candidates;
   const kind = executor.isReserved ? "reserved executors" : "executors";
   round.placements.push({
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -14,8 +14,13 @@
 import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
 import { logAtCap } from "../organisations/log_at_cap.ts";
 import { createPlacementBudget } from "../organisations/placement_budget.ts";
+import { mayReserve } from "./reserved/reservation_books.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
-import { type Placement, placeTasks } from "./place_tasks.ts";
+import {
+  type Placement,
+  type PlaceOptions,
+  placeTasks,
+} from "./place_tasks.ts";
 import { placeableJobs, prepareJob } from "./prepare_job.ts";
 import {
   hasEvidentlyBegun,
@@ -64,6 +69,7 @@
     priorityOf: ({ accepted }) => policyOf(owner, accepted).priority,
     mayRun: (group, executor) => mayRun(owner, group, { executors, executor }),
     shares: sharesOf(owner.options.view.configuration()),
+    ...(mayReserve(owner.options) ? reservationOptions(owner) : {}),
   });
   if (budget !== undefined) logAtCap(owner, budget);
   const unprepared = prepare(owner, placements);
@@ -80,9 +86,22 @@
     }
     startTask(owner, placement, number);
   }
+  owner.reservations.endRound(performance.now());
   if (hasMore && placements.length > 0) owner.schedulePlacement();
 }
 
+/** Returns what placement needs to reserve room. */
+function reservationOptions(
+  owner: OwnerState,
+): Pick<PlaceOptions, "reservationsOf" | "isRefused"> {
+  return {
+    reservationsOf: (service) => owner.reservations.bookOf(service),
+    isRefused: (group, executor) =>
+      policyOf(owner, group.job.accepted).needsAdvice &&
+      (owner.ticketCache?.isRefused(group, executor) ?? false),
+  };
+}
+
 /**
  * Stores what the next owner has to know of the placed tasks, and returns the
  * groups for which that is not stored yet.
@@ -143,6 +162,8 @@
     task: task.name,
     run: number,
     executor: executor.id,
+    cpu: task.group.step.size.cpu,
+    waitedMs: Math.round(performance.now() - task.waitingSinceMs),
     reason,
   });
   if (mayHaveCrashed(task)) openStart(owner, run);
--- a/packages/measure/soak/soak_world.ts
+++ b/packages/measure/soak/soak_world.ts
@@ -9,6 +9,7 @@
   cancelKey,
   type ExecutorReport,
   JOBS_TOPIC,
+  type ReservationMode,
   type Step,
 } from "@lagoonloom/jobs";
 import {
@@ -110,6 +111,8 @@
   keepsLateCalls: boolean;
   /** Cap of the organisation of all jobs; undefined if they have none. */
   capCpu?: number;
+  /** Where owners reserve room; nowhere if undefined. */
+  reservesRoom?: ReservationMode;
   /** Returns the clock of a new process; undefined for one that all share. */
   createClock(random: Random): MemoryExecutorOptions["clock"];
 };
@@ -197,6 +200,7 @@
       random,
       leaseMs,
       maxLeaseMs,
+      reservesRoom: options.reservesRoom,
       view: {
         configuration: () => configuration,
         layout: () => new Map([["quoting", [PARTITION]]]),
