Count refusals for the log in one place

Cause: the log of refused calls and that of refused clients had the same counter, and the same names.

--- a/packages/jobs/mod.ts
+++ b/packages/jobs/mod.ts
@@ -8,6 +8,7 @@
 
 export * from "./accepted/accept_job.ts";
 export * from "./accepted/refuse_beyond_weight.ts";
+export * from "./burst_counter.ts";
 export * from "./fleet.ts";
 export * from "./job_event_log.ts";
 export * from "./member_options.ts";
