Give keys, caps and shares of organisations folders of their own

Cause: one folder held 53 files of three subjects, written side by side. Change: packages/jobs/organisations has keys, caps and shares; only paths change. Measured: type check, linter and the tests of the moved modules, of placement and of docs/proofs.md pass.

--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -11,9 +11,9 @@
 import {
   createOrganisationCaps,
   type OrganisationCaps,
-} from "./organisations/organisation_caps.ts";
-import { runCapBroker } from "./organisations/run_cap_broker.ts";
-import { sendLimits } from "./organisations/send_limits.ts";
+} from "./organisations/caps/organisation_caps.ts";
+import { runCapBroker } from "./organisations/caps/run_cap_broker.ts";
+import { sendLimits } from "./organisations/caps/send_limits.ts";
 import {
   type Layout,
   machinesPartition,
--- a/packages/jobs/_record_fixtures.ts
+++ b/packages/jobs/_record_fixtures.ts
@@ -7,7 +7,7 @@
 import type { Configuration, ExecutorReport, Machine, Queue } from "./fleet.ts";
 import { createJob, type TaskGroup } from "./job.ts";
 import { openGroup } from "./occurrences.ts";
-import type { HeldConfiguration } from "./organisations/held_configuration.ts";
+import type { HeldConfiguration } from "./organisations/keys/held_configuration.ts";
 import type { AcceptedJob, Step } from "./submission.ts";
 
 export const PARTITION = 3;
--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -27,9 +27,9 @@
 import {
   mayAccess,
   replacesOrganisation,
-} from "../organisations/job_access.ts";
+} from "../organisations/keys/job_access.ts";
 import { decodeAccepted, decodeCancellation } from "../owned/load_partition.ts";
-import { sharesOf } from "../organisations/shares.ts";
+import { sharesOf } from "../organisations/shares/shares.ts";
 import { type OwnerState, policyOf } from "../owned/owner_state.ts";
 import { objectiveMs } from "../placed/due_time.ts";
 import { prepareEarly } from "../placed/prepare_job.ts";
--- a/packages/jobs/accepted/refuse_beyond_weight.ts
+++ b/packages/jobs/accepted/refuse_beyond_weight.ts
@@ -8,7 +8,7 @@
 import type {
   AdmissionView,
   ArrivingJob,
-} from "../organisations/admission_view.ts";
+} from "../organisations/shares/admission_view.ts";
 import type { QueryResult } from "../queries/query_result.ts";
 import type { JobState } from "../submission.ts";
 
--- a/packages/jobs/machines/partition_report.ts
+++ b/packages/jobs/machines/partition_report.ts
@@ -7,7 +7,7 @@
 
 import { isPlaceable } from "../job.ts";
 import { isGroupReady } from "../occurrences.ts";
-import { createPlacementBudget } from "../organisations/placement_budget.ts";
+import { createPlacementBudget } from "../organisations/caps/placement_budget.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { findFreePlaces } from "../placed/free_places.ts";
 import type { ExecutorState } from "../executor_state.ts";
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -28,19 +28,19 @@
 import { createLayoutWatch } from "./_layout_watch.ts";
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
-import { createAdmissionView } from "./organisations/admission_view.ts";
+import { createAdmissionView } from "./organisations/shares/admission_view.ts";
 import {
   authorizeCall,
   type CallDecision,
-} from "./organisations/authorize_call.ts";
-import { createConfigurationRefresh } from "./organisations/configuration_refresh.ts";
-import { callerOf } from "./organisations/job_access.ts";
-import { startMemberExchange } from "./organisations/member_exchange.ts";
-import { createOrganisationCaps } from "./organisations/organisation_caps.ts";
+} from "./organisations/keys/authorize_call.ts";
+import { createConfigurationRefresh } from "./organisations/keys/configuration_refresh.ts";
+import { callerOf } from "./organisations/keys/job_access.ts";
+import { startMemberExchange } from "./organisations/keys/member_exchange.ts";
+import { createOrganisationCaps } from "./organisations/caps/organisation_caps.ts";
 import {
   type OrganisationUse,
   sumOrganisationUse,
-} from "./organisations/read_organisation_use.ts";
+} from "./organisations/caps/read_organisation_use.ts";
 import { createCandidacy } from "./owned/candidacy.ts";
 import {
   type Layout,
--- a/packages/jobs/member_options.ts
+++ b/packages/jobs/member_options.ts
@@ -7,7 +7,7 @@
 import type { OwnerServerOptions } from "@lagoonloom/peers";
 import type { Configuration, ExecutorReport, UpkeepWave } from "./fleet.ts";
 import type { JobEventLog } from "./job_event_log.ts";
-import type { HeldConfiguration } from "./organisations/held_configuration.ts";
+import type { HeldConfiguration } from "./organisations/keys/held_configuration.ts";
 import type { MemberCapacity } from "./owned/member_name.ts";
 import type { ReservationMode } from "./placed/reserved/reservation_books.ts";
 import type {
--- a/packages/jobs/mod.ts
+++ b/packages/jobs/mod.ts
@@ -12,7 +12,7 @@
 export * from "./fleet.ts";
 export * from "./job_event_log.ts";
 export * from "./member_options.ts";
-export * from "./organisations/mod.ts";
+export * from "./organisations/keys/mod.ts";
 export * from "./owned/follow_topic.ts";
 export * from "./owned/layout.ts";
 export * from "./owned/member_name.ts";
--- a/packages/jobs/organisations/_amounts.ts
+++ b/packages/jobs/organisations/caps/_amounts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Size } from "../submission.ts";
+import type { Size } from "../../submission.ts";
 
 /** Resource that a {@linkcode Size} gives the amount of. */
 export type Resource = keyof Size;
--- a/packages/jobs/organisations/_cap_messages.ts
+++ b/packages/jobs/organisations/caps/_cap_messages.ts
@@ -5,9 +5,9 @@
  * @module
  */
 
-import { createConfiguration } from "../_record_fixtures.ts";
-import type { Configuration } from "../fleet.ts";
-import type { Size } from "../submission.ts";
+import { createConfiguration } from "../../_record_fixtures.ts";
+import type { Configuration } from "../../fleet.ts";
+import type { Size } from "../../submission.ts";
 import { NOTHING, plus } from "./_amounts.ts";
 import {
   type CapBroker,
--- a/packages/jobs/organisations/_caps_world.ts
+++ b/packages/jobs/organisations/caps/_caps_world.ts
@@ -14,14 +14,14 @@
   createAccepted,
   createConfiguration,
   createReport,
-} from "../_record_fixtures.ts";
-import type { Configuration, ExecutorReport } from "../fleet.ts";
+} from "../../_record_fixtures.ts";
+import type { Configuration, ExecutorReport } from "../../fleet.ts";
 import {
   createPartitionOwner,
   type PartitionOwner,
-} from "../owned/partition_owner.ts";
-import type { Size, Step } from "../submission.ts";
-import { cancelKey, JOBS_TOPIC } from "../topics.ts";
+} from "../../owned/partition_owner.ts";
+import type { Size, Step } from "../../submission.ts";
+import { cancelKey, JOBS_TOPIC } from "../../topics.ts";
 import { createOrganisationCaps } from "./organisation_caps.ts";
 import { type CapBrokerRun, runCapBroker } from "./run_cap_broker.ts";
 
--- a/packages/jobs/organisations/answer_limits.ts
+++ b/packages/jobs/organisations/caps/answer_limits.ts
@@ -8,7 +8,7 @@
   ADMISSION_GRACE_MS,
   isOwnershipConfirmed,
   type OwnerState,
-} from "../owned/owner_state.ts";
+} from "../../owned/owner_state.ts";
 import { isNothing, NOTHING, plus, roundUp } from "./_amounts.ts";
 import type { LimitAnswer } from "./cap_broker.ts";
 import type { CapUse } from "./cap_ledger.ts";
--- a/packages/jobs/organisations/cap_broker.ts
+++ b/packages/jobs/organisations/caps/cap_broker.ts
@@ -6,7 +6,7 @@
  */
 
 import { NOTHING } from "./_amounts.ts";
-import type { Size } from "../submission.ts";
+import type { Size } from "../../submission.ts";
 import { type CapLedger, type CapUse, createCapLedger } from "./cap_ledger.ts";
 import type { OrganisationCaps } from "./organisation_caps.ts";
 import type { LimitMessage } from "./organisation_limits.ts";
--- a/packages/jobs/organisations/cap_ledger.ts
+++ b/packages/jobs/organisations/caps/cap_ledger.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-import { isWithin } from "../executor_state.ts";
-import type { Size } from "../submission.ts";
+import { isWithin } from "../../executor_state.ts";
+import type { Size } from "../../submission.ts";
 import {
   isNothing,
   largerOf,
--- a/packages/jobs/organisations/caps_of_owners_test.ts
+++ b/packages/jobs/organisations/caps/caps_of_owners_test.ts
@@ -6,7 +6,12 @@
   jest,
   test,
 } from "@jest/globals";
-import { advanceTime, createStep, JOB_ID, NEXT_JOB_ID } from "../_fixtures.ts";
+import {
+  advanceTime,
+  createStep,
+  JOB_ID,
+  NEXT_JOB_ID,
+} from "../../_fixtures.ts";
 import { type CapsWorld, createCapsWorld, STOP_MS } from "./_caps_world.ts";
 
 const CAP = { cpu: 12_000, memoryMb: 0, accelerators: 0 };
--- a/packages/jobs/organisations/divide_cap.ts
+++ b/packages/jobs/organisations/caps/divide_cap.ts
@@ -6,8 +6,8 @@
  * @module
  */
 
-import { isWithin } from "../executor_state.ts";
-import type { Size } from "../submission.ts";
+import { isWithin } from "../../executor_state.ts";
+import type { Size } from "../../submission.ts";
 import {
   countFitting,
   isNothing,
--- a/packages/jobs/organisations/limit_records.ts
+++ b/packages/jobs/organisations/caps/limit_records.ts
@@ -13,7 +13,7 @@
   LimitResponse,
   LimitResponseSchema,
 } from "@lagoonloom/peers";
-import type { Size } from "../submission.ts";
+import type { Size } from "../../submission.ts";
 import { NOTHING } from "./_amounts.ts";
 import type { LimitAnswer } from "./cap_broker.ts";
 import type { LimitMessage } from "./organisation_limits.ts";
--- a/packages/jobs/organisations/limits_and_budgets_test.ts
+++ b/packages/jobs/organisations/caps/limits_and_budgets_test.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import { LimitRequestSchema, LimitResponseSchema } from "@lagoonloom/peers";
 import { describe, expect, test } from "@jest/globals";
-import { createConfiguration, createStep } from "../_record_fixtures.ts";
+import { createConfiguration, createStep } from "../../_record_fixtures.ts";
 import { NOTHING, plus } from "./_amounts.ts";
 import { createCapLedger } from "./cap_ledger.ts";
 import { type CapDemand, divideCap } from "./divide_cap.ts";
--- a/packages/jobs/organisations/log_at_cap.ts
+++ b/packages/jobs/organisations/caps/log_at_cap.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { OwnerState } from "../owned/owner_state.ts";
+import type { OwnerState } from "../../owned/owner_state.ts";
 import type { OwnerBudget } from "./placement_budget.ts";
 
 /** Shortest time between two log lines of an owner about an organisation. */
--- a/packages/jobs/organisations/organisation_caps.ts
+++ b/packages/jobs/organisations/caps/organisation_caps.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import type { Configuration } from "../fleet.ts";
-import type { Size } from "../submission.ts";
+import type { Configuration } from "../../fleet.ts";
+import type { Size } from "../../submission.ts";
 import { largerOf, NOTHING, RESOURCES, sizeOf } from "./_amounts.ts";
 
 /** Most organisations without an entry whose last caps are remembered. */
--- a/packages/jobs/organisations/organisation_limits.ts
+++ b/packages/jobs/organisations/caps/organisation_limits.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Size } from "../submission.ts";
+import type { Size } from "../../submission.ts";
 import { largerOf, NOTHING, sizeOf } from "./_amounts.ts";
 
 /** Message of a broker to the owner of a partition. */
--- a/packages/jobs/organisations/organisation_use.ts
+++ b/packages/jobs/organisations/caps/organisation_use.ts
@@ -5,17 +5,17 @@
  * @module
  */
 
-import { findStep } from "../accepted/apply_records.ts";
+import { findStep } from "../../accepted/apply_records.ts";
 import {
   freeCapacityOf,
   isSchedulable,
   occupiedBy,
-} from "../executor_state.ts";
-import { hasEnded, isPlaceable, type TaskGroup } from "../job.ts";
-import { isGroupReady } from "../occurrences.ts";
-import type { OwnerState } from "../owned/owner_state.ts";
-import { openLateStarts } from "../run/late_starts.ts";
-import type { Size } from "../submission.ts";
+} from "../../executor_state.ts";
+import { hasEnded, isPlaceable, type TaskGroup } from "../../job.ts";
+import { isGroupReady } from "../../occurrences.ts";
+import type { OwnerState } from "../../owned/owner_state.ts";
+import { openLateStarts } from "../../run/late_starts.ts";
+import type { Size } from "../../submission.ts";
 import {
   countFitting,
   isNothing,
--- a/packages/jobs/organisations/placement_budget.ts
+++ b/packages/jobs/organisations/caps/placement_budget.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
-import type { Job } from "../job.ts";
-import type { OwnerState } from "../owned/owner_state.ts";
-import type { Size } from "../submission.ts";
+import type { Job } from "../../job.ts";
+import type { OwnerState } from "../../owned/owner_state.ts";
+import type { Size } from "../../submission.ts";
 import { countFitting, NOTHING, plus, sizeOf } from "./_amounts.ts";
 import { countMayRun, type RunningUse } from "./organisation_use.ts";
 
--- a/packages/jobs/organisations/read_organisation_use.ts
+++ b/packages/jobs/organisations/caps/read_organisation_use.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import type { OwnerState } from "../owned/owner_state.ts";
-import type { Size } from "../submission.ts";
+import type { OwnerState } from "../../owned/owner_state.ts";
+import type { Size } from "../../submission.ts";
 import { NOTHING, plus } from "./_amounts.ts";
 import { countMayRun } from "./organisation_use.ts";
 
--- a/packages/jobs/organisations/run_cap_broker.ts
+++ b/packages/jobs/organisations/caps/run_cap_broker.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { JobEventLog } from "../job_event_log.ts";
+import type { JobEventLog } from "../../job_event_log.ts";
 import { createCapBroker, type LimitAnswer } from "./cap_broker.ts";
 import type { OrganisationCaps } from "./organisation_caps.ts";
 import type { LimitMessage } from "./organisation_limits.ts";
--- a/packages/jobs/organisations/send_limits.ts
+++ b/packages/jobs/organisations/caps/send_limits.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { OwnerAccess } from "../queries/query_owner.ts";
+import type { OwnerAccess } from "../../queries/query_owner.ts";
 import type { LimitAnswer } from "./cap_broker.ts";
 import { decodeAnswer, encodeLimits } from "./limit_records.ts";
 import type { LimitMessage } from "./organisation_limits.ts";
--- a/packages/jobs/organisations/_key_fixtures.ts
+++ b/packages/jobs/organisations/keys/_key_fixtures.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import { createConfiguration } from "../_record_fixtures.ts";
-import type { Configuration, Organisation, Queue } from "../fleet.ts";
+import { createConfiguration } from "../../_record_fixtures.ts";
+import type { Configuration, Organisation, Queue } from "../../fleet.ts";
 
 /** Queue of the configurations. */
 export const QUEUE: Queue = createConfiguration().queues[0]!;
--- a/packages/jobs/organisations/authorize_call.ts
+++ b/packages/jobs/organisations/keys/authorize_call.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Configuration, Queue } from "../fleet.ts";
+import type { Configuration, Queue } from "../../fleet.ts";
 import { findOrganisation } from "./find_organisation.ts";
 
 /** Part of the promised time that is left for differences of clocks. */
--- a/packages/jobs/organisations/authorize_call_test.ts
+++ b/packages/jobs/organisations/keys/authorize_call_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from "@jest/globals";
-import { createConfiguration } from "../_record_fixtures.ts";
+import { createConfiguration } from "../../_record_fixtures.ts";
 import {
   createKeyedConfiguration,
   createOrganisation,
--- a/packages/jobs/organisations/configuration_exchange.ts
+++ b/packages/jobs/organisations/keys/configuration_exchange.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { sleep } from "../_sleep.ts";
+import { sleep } from "../../_sleep.ts";
 import type { HeldConfiguration } from "./held_configuration.ts";
 import { earlierBy, readInstant } from "./instant.ts";
 
--- a/packages/jobs/organisations/configuration_rpc_test.ts
+++ b/packages/jobs/organisations/keys/configuration_rpc_test.ts
@@ -6,7 +6,7 @@
   type OwnerServer,
 } from "@lagoonloom/peers";
 import { afterEach, beforeEach, expect, test } from "@jest/globals";
-import { createOwnerHandlers } from "../owner_handlers.ts";
+import { createOwnerHandlers } from "../../owner_handlers.ts";
 import { decodeKeys, encodeKeys } from "./_key_fixtures.ts";
 import {
   createHeldConfiguration,
--- a/packages/jobs/organisations/find_organisation.ts
+++ b/packages/jobs/organisations/keys/find_organisation.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Organisation } from "../fleet.ts";
+import type { Organisation } from "../../fleet.ts";
 
 /** Organisation by key; undefined for a key that several hold. */
 type KeyIndex = ReadonlyMap<string, Organisation | undefined>;
--- a/packages/jobs/organisations/held_configuration.ts
+++ b/packages/jobs/organisations/keys/held_configuration.ts
@@ -7,7 +7,7 @@
  * @module
  */
 
-import type { Configuration } from "../fleet.ts";
+import type { Configuration } from "../../fleet.ts";
 import { ageOfInstant, type Instant } from "./instant.ts";
 
 /** Sequence of answers of one origin about the newest configuration. */
--- a/packages/jobs/organisations/instant.ts
+++ b/packages/jobs/organisations/keys/instant.ts
@@ -5,7 +5,7 @@
  */
 
 import { uptime } from "node:os";
-import { type ClockReading, readClocks } from "../_clock_reading.ts";
+import { type ClockReading, readClocks } from "../../_clock_reading.ts";
 
 /** Longest time for which the boot clock follows from the monotonic one. */
 const MAX_DERIVED_MS = 100;
--- a/packages/jobs/organisations/job_access.ts
+++ b/packages/jobs/organisations/keys/job_access.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-import type { Configuration, Queue } from "../fleet.ts";
-import type { AcceptedJob, Caller } from "../submission.ts";
+import type { Configuration, Queue } from "../../fleet.ts";
+import type { AcceptedJob, Caller } from "../../submission.ts";
 
 /** Returns a caller without fields that are undefined, as the RPCs need it. */
 export function compactCaller(
--- a/packages/jobs/organisations/member_exchange.ts
+++ b/packages/jobs/organisations/keys/member_exchange.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import type { JobEventLog } from "../job_event_log.ts";
-import type { OwnerAccess } from "../queries/query_owner.ts";
+import type { JobEventLog } from "../../job_event_log.ts";
+import type { OwnerAccess } from "../../queries/query_owner.ts";
 import {
   type ConfigurationExchange,
   createConfigurationExchange,
--- a/packages/jobs/organisations/owner_access_test.ts
+++ b/packages/jobs/organisations/keys/owner_access_test.ts
@@ -7,11 +7,11 @@
   JOBS,
   type OwnerFixture,
   setUpOwners,
-} from "../_fixtures.ts";
-import { decodeAccepted } from "../owned/load_partition.ts";
-import type { PartitionOwner } from "../owned/partition_owner.ts";
-import type { Caller } from "../submission.ts";
-import { cancelKey } from "../topics.ts";
+} from "../../_fixtures.ts";
+import { decodeAccepted } from "../../owned/load_partition.ts";
+import type { PartitionOwner } from "../../owned/partition_owner.ts";
+import type { Caller } from "../../submission.ts";
+import { cancelKey } from "../../topics.ts";
 import {
   createKeyedConfiguration,
   createOrganisation,
--- a/packages/jobs/organisations/refusal_log.ts
+++ b/packages/jobs/organisations/keys/refusal_log.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-import { createBurstCounter } from "../burst_counter.ts";
-import type { JobEventLog } from "../job_event_log.ts";
+import { createBurstCounter } from "../../burst_counter.ts";
+import type { JobEventLog } from "../../job_event_log.ts";
 
 /** Reason why a call was refused: its key, or the age of the configuration. */
 export type RefusalReason = "unknownKey" | "outdated";
--- a/packages/jobs/organisations/_load_play.ts
+++ b/packages/jobs/organisations/shares/_load_play.ts
@@ -6,18 +6,18 @@
  */
 
 import { jest } from "@jest/globals";
-import { createAccepted, createReport, createStep } from "../_fixtures.ts";
-import { createRun } from "../create_run.ts";
+import { createAccepted, createReport, createStep } from "../../_fixtures.ts";
+import { createRun } from "../../create_run.ts";
 import {
   addRun,
   createExecutorState,
   type ExecutorState,
   removeRun,
-} from "../executor_state.ts";
-import { createJob, type Job, type Run } from "../job.ts";
-import { openDueGroups } from "../occurrences.ts";
-import { placeTasks } from "../placed/place_tasks.ts";
-import type { Step } from "../submission.ts";
+} from "../../executor_state.ts";
+import { createJob, type Job, type Run } from "../../job.ts";
+import { openDueGroups } from "../../occurrences.ts";
+import { placeTasks } from "../../placed/place_tasks.ts";
+import type { Step } from "../../submission.ts";
 import { createAdmissionView } from "./admission_view.ts";
 import { findFullServices } from "./full_services.ts";
 import { createShares } from "./shares.ts";
--- a/packages/jobs/organisations/arrival_log.ts
+++ b/packages/jobs/organisations/shares/arrival_log.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { JobEventLog } from "../job_event_log.ts";
+import type { JobEventLog } from "../../job_event_log.ts";
 
 /** Interval in which the numbers of jobs are logged. */
 const LOG_INTERVAL_MS = 10_000;
--- a/packages/jobs/organisations/full_services.ts
+++ b/packages/jobs/organisations/shares/full_services.ts
@@ -13,8 +13,8 @@
   isSchedulable,
   isWithin,
   occupiedBy,
-} from "../executor_state.ts";
-import type { Configuration } from "../fleet.ts";
+} from "../../executor_state.ts";
+import type { Configuration } from "../../fleet.ts";
 import {
   dueTimeOf,
   hasEnded,
@@ -22,12 +22,12 @@
   type Job,
   type PlacementTimes,
   type TaskGroup,
-} from "../job.ts";
-import { isGroupDone, isGroupReady } from "../occurrences.ts";
-import { latenessOf, remainingStepsOf } from "../placed/due_time.ts";
-import { findObstacle } from "../placed/find_obstacle.ts";
-import type { Size } from "../submission.ts";
-import { addSize, noCapacity } from "../_sizes.ts";
+} from "../../job.ts";
+import { isGroupDone, isGroupReady } from "../../occurrences.ts";
+import { latenessOf, remainingStepsOf } from "../../placed/due_time.ts";
+import { findObstacle } from "../../placed/find_obstacle.ts";
+import type { Size } from "../../submission.ts";
+import { addSize, noCapacity } from "../../_sizes.ts";
 import type { WeightBuckets } from "./weight_buckets.ts";
 
 /** Wait of a task that can't be a short peak any more, in milliseconds. */
--- a/packages/jobs/organisations/full_services_rpc_test.ts
+++ b/packages/jobs/organisations/shares/full_services_rpc_test.ts
@@ -1,10 +1,10 @@
 import { expect, test } from "@jest/globals";
 import { createOwnerClient, createOwnerServer } from "@lagoonloom/peers";
-import { createOwnerHandlers } from "../owner_handlers.ts";
-import type { PartitionOwner } from "../owned/partition_owner.ts";
-import type { Store } from "../ports.ts";
+import { createOwnerHandlers } from "../../owner_handlers.ts";
+import type { PartitionOwner } from "../../owned/partition_owner.ts";
+import type { Store } from "../../ports.ts";
 import type { FullService } from "./full_services.ts";
-import type { HeldConfiguration } from "./held_configuration.ts";
+import type { HeldConfiguration } from "../keys/held_configuration.ts";
 
 // Guards against what an owner says of full services that does not reach the
 // other members, also for an organisation of weight 0.
--- a/packages/jobs/organisations/order_by_shares.ts
+++ b/packages/jobs/organisations/shares/order_by_shares.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-import { addSize, noCapacity } from "../_sizes.ts";
-import type { Size } from "../submission.ts";
+import { addSize, noCapacity } from "../../_sizes.ts";
+import type { Size } from "../../submission.ts";
 import { divideShares, type Shares } from "./shares.ts";
 
 /** Work that waits for capacity. */
--- a/packages/jobs/organisations/refusal_test.ts
+++ b/packages/jobs/organisations/shares/refusal_test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, describe, expect, test } from "@jest/globals";
-import { refuseBeyondWeight } from "../accepted/refuse_beyond_weight.ts";
+import { refuseBeyondWeight } from "../../accepted/refuse_beyond_weight.ts";
 import {
   advanceTime,
   createAccepted,
@@ -7,9 +7,9 @@
   JOBS,
   type OwnerFixture,
   setUpOwners,
-} from "../_fixtures.ts";
-import type { PartitionOwner } from "../owned/partition_owner.ts";
-import type { Step } from "../submission.ts";
+} from "../../_fixtures.ts";
+import type { PartitionOwner } from "../../owned/partition_owner.ts";
+import type { Step } from "../../submission.ts";
 import { type AdmissionView, createAdmissionView } from "./admission_view.ts";
 
 const HOT_JOB = { partition: 3, service: "quoting", organisation: "hot" };
--- a/packages/jobs/organisations/shares.ts
+++ b/packages/jobs/organisations/shares/shares.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import type { Configuration } from "../fleet.ts";
+import type { Configuration } from "../../fleet.ts";
 
 /** Weights of the organisations of a configuration. */
 export type Shares = {
--- a/packages/jobs/organisations/watch_full_services.ts
+++ b/packages/jobs/organisations/shares/watch_full_services.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { OwnerState } from "../owned/owner_state.ts";
+import type { OwnerState } from "../../owned/owner_state.ts";
 import { findFullServices, type FullService } from "./full_services.ts";
 
 /** Time for which it is not looked again whether services are full. */
--- a/packages/jobs/organisations/weight_of_jobs_test.ts
+++ b/packages/jobs/organisations/shares/weight_of_jobs_test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from "@jest/globals";
-import { createAccepted, createStep } from "../_fixtures.ts";
-import { JOBS, type OwnerFixture, setUpOwners } from "../_fixtures.ts";
+import { createAccepted, createStep } from "../../_fixtures.ts";
+import { JOBS, type OwnerFixture, setUpOwners } from "../../_fixtures.ts";
 
 let fixture: OwnerFixture;
 setUpOwners((created) => fixture = created);
--- a/packages/jobs/owned/follow_topic.ts
+++ b/packages/jobs/owned/follow_topic.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type Instant, readInstant } from "../organisations/instant.ts";
+import { type Instant, readInstant } from "../organisations/keys/instant.ts";
 import type {
   ReadOutcome,
   Store,
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -15,12 +15,12 @@
   UsedExecutor,
 } from "../model.ts";
 import type { JobEventLog } from "../job_event_log.ts";
-import type { ArrivalLog } from "../organisations/arrival_log.ts";
-import type { WeightBuckets } from "../organisations/weight_buckets.ts";
-import type { OrganisationCaps } from "../organisations/organisation_caps.ts";
+import type { ArrivalLog } from "../organisations/shares/arrival_log.ts";
+import type { WeightBuckets } from "../organisations/shares/weight_buckets.ts";
+import type { OrganisationCaps } from "../organisations/caps/organisation_caps.ts";
 import type {
   OrganisationLimits,
-} from "../organisations/organisation_limits.ts";
+} from "../organisations/caps/organisation_limits.ts";
 import type { TicketCache } from "../placed/ticket_cache.ts";
 import type {
   ReservationBooks,
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -22,21 +22,21 @@
   type PartitionReport,
   reportPartition,
 } from "../machines/partition_report.ts";
-import { createArrivalLog } from "../organisations/arrival_log.ts";
-import type { FullService } from "../organisations/full_services.ts";
-import { watchFullServices } from "../organisations/watch_full_services.ts";
-import { createWeightBuckets } from "../organisations/weight_buckets.ts";
-import { answerLimits } from "../organisations/answer_limits.ts";
-import type { LimitAnswer } from "../organisations/cap_broker.ts";
-import { createOrganisationCaps } from "../organisations/organisation_caps.ts";
+import { createArrivalLog } from "../organisations/shares/arrival_log.ts";
+import type { FullService } from "../organisations/shares/full_services.ts";
+import { watchFullServices } from "../organisations/shares/watch_full_services.ts";
+import { createWeightBuckets } from "../organisations/shares/weight_buckets.ts";
+import { answerLimits } from "../organisations/caps/answer_limits.ts";
+import type { LimitAnswer } from "../organisations/caps/cap_broker.ts";
+import { createOrganisationCaps } from "../organisations/caps/organisation_caps.ts";
 import {
   createOrganisationLimits,
   type LimitMessage,
-} from "../organisations/organisation_limits.ts";
+} from "../organisations/caps/organisation_limits.ts";
 import {
   type OrganisationUse,
   readOrganisationUse,
-} from "../organisations/read_organisation_use.ts";
+} from "../organisations/caps/read_organisation_use.ts";
 import { createTicketCache } from "../placed/ticket_cache.ts";
 import { createReservationBooks } from "../placed/reserved/reservation_books.ts";
 import { startWaitingTasks } from "../placed/start_tasks.ts";
@@ -54,7 +54,10 @@
 import type { Caller, JobState } from "../submission.ts";
 import { PROGRESS_TOPIC } from "../topics.ts";
 import type { ExecutorState } from "../executor_state.ts";
-import { isOrganisationGone, mayAccess } from "../organisations/job_access.ts";
+import {
+  isOrganisationGone,
+  mayAccess,
+} from "../organisations/keys/job_access.ts";
 import { takeOver } from "./_take_over.ts";
 import { storeHandover } from "./handover.ts";
 import { servicePartitions } from "./layout.ts";
--- a/packages/jobs/owner_handlers.ts
+++ b/packages/jobs/owner_handlers.ts
@@ -1,8 +1,11 @@
 import { type OwnerHandlers, RelayResponse_Outcome } from "@lagoonloom/peers";
 import { appendOnce } from "./accepted/accept_job.ts";
-import type { HeldConfiguration } from "./organisations/held_configuration.ts";
-import { compactCaller } from "./organisations/job_access.ts";
-import { decodeLimits, encodeAnswer } from "./organisations/limit_records.ts";
+import type { HeldConfiguration } from "./organisations/keys/held_configuration.ts";
+import { compactCaller } from "./organisations/keys/job_access.ts";
+import {
+  decodeLimits,
+  encodeAnswer,
+} from "./organisations/caps/limit_records.ts";
 import type { PartitionOwner } from "./owned/partition_owner.ts";
 import type { Store } from "./ports.ts";
 
--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -21,8 +21,8 @@
 import {
   orderByShares,
   type WaitingWork,
-} from "../organisations/order_by_shares.ts";
-import type { Shares } from "../organisations/shares.ts";
+} from "../organisations/shares/order_by_shares.ts";
+import type { Shares } from "../organisations/shares/shares.ts";
 import type { Size } from "../submission.ts";
 import {
   type Lateness,
--- a/packages/jobs/placed/_rank_groups_test.ts
+++ b/packages/jobs/placed/_rank_groups_test.ts
@@ -3,7 +3,7 @@
 import { createAccepted, createStep } from "../_fixtures.ts";
 import { createJob, dueTimeOf, type Job } from "../job.ts";
 import { openDueGroups } from "../occurrences.ts";
-import { createShares } from "../organisations/shares.ts";
+import { createShares } from "../organisations/shares/shares.ts";
 import { rankGroups } from "./_rank_groups.ts";
 import { latenessOf, remainingStepsOf, remainingWork } from "./due_time.ts";
 
--- a/packages/jobs/placed/capped_tasks_test.ts
+++ b/packages/jobs/placed/capped_tasks_test.ts
@@ -3,7 +3,7 @@
 import { createExecutorState } from "../executor_state.ts";
 import { createJob, type Job } from "../job.ts";
 import { openDueGroups } from "../occurrences.ts";
-import type { PlacementBudget } from "../organisations/placement_budget.ts";
+import type { PlacementBudget } from "../organisations/caps/placement_budget.ts";
 import type { Step } from "../submission.ts";
 import { placeTasks } from "./place_tasks.ts";
 
--- a/packages/jobs/placed/place_tasks.ts
+++ b/packages/jobs/placed/place_tasks.ts
@@ -13,7 +13,7 @@
   type Task,
   type TaskGroup,
 } from "../job.ts";
-import type { Shares } from "../organisations/shares.ts";
+import type { Shares } from "../organisations/shares/shares.ts";
 import type { Size } from "../submission.ts";
 import {
   type ExecutorState,
@@ -28,7 +28,7 @@
   chooseInOneRack,
   chooseTogether,
 } from "./_choose_together.ts";
-import type { PlacementBudget } from "../organisations/placement_budget.ts";
+import type { PlacementBudget } from "../organisations/caps/placement_budget.ts";
 import { maySpreadGang } from "./_may_spread_gang.ts";
 import { rankGroups } from "./_rank_groups.ts";
 import {
--- a/packages/jobs/placed/start_tasks.ts
+++ b/packages/jobs/placed/start_tasks.ts
@@ -7,13 +7,13 @@
 import { updateOccurrences } from "../accepted/apply_records.ts";
 import { avoidExecutor } from "../avoid_executor.ts";
 import { closeStart, type Run, type Task, type TaskGroup } from "../job.ts";
-import { sharesOf } from "../organisations/shares.ts";
+import { sharesOf } from "../organisations/shares/shares.ts";
 import { mayStart, type OwnerState, policyOf } from "../owned/owner_state.ts";
 import { createRun } from "../create_run.ts";
 import { openStart } from "../ended/open_start.ts";
 import { addRun, type ExecutorState, removeRun } from "../executor_state.ts";
-import { logAtCap } from "../organisations/log_at_cap.ts";
-import { createPlacementBudget } from "../organisations/placement_budget.ts";
+import { logAtCap } from "../organisations/caps/log_at_cap.ts";
+import { createPlacementBudget } from "../organisations/caps/placement_budget.ts";
 import { mayReserve } from "./reserved/reservation_books.ts";
 import { isCapacityKnown } from "./known_capacity.ts";
 import {
--- a/packages/jobs/placed/waiting_log.ts
+++ b/packages/jobs/placed/waiting_log.ts
@@ -16,7 +16,7 @@
 import {
   createPlacementBudget,
   type PlacementBudget,
-} from "../organisations/placement_budget.ts";
+} from "../organisations/caps/placement_budget.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { findObstacle } from "./find_obstacle.ts";
 import { mayRun } from "./start_tasks.ts";
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -5,10 +5,10 @@
  */
 
 import type { OwnerClient } from "@lagoonloom/peers";
-import { compactCaller } from "../organisations/job_access.ts";
+import { compactCaller } from "../organisations/keys/job_access.ts";
 import type { OwnerDirectory } from "../owned/owner_directory.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
-import type { FullService } from "../organisations/full_services.ts";
+import type { FullService } from "../organisations/shares/full_services.ts";
 import type { Caller, JobState } from "../submission.ts";
 import type { QueryResult } from "./query_result.ts";
 
--- a/packages/measure/soak/cap_play.ts
+++ b/packages/measure/soak/cap_play.ts
@@ -8,11 +8,11 @@
 import type { Configuration, PartitionOwner } from "@lagoonloom/jobs";
 import {
   createOrganisationCaps,
-} from "../../jobs/organisations/organisation_caps.ts";
+} from "../../jobs/organisations/caps/organisation_caps.ts";
 import {
   type CapBrokerRun,
   runCapBroker,
-} from "../../jobs/organisations/run_cap_broker.ts";
+} from "../../jobs/organisations/caps/run_cap_broker.ts";
 import type { ExecutorHosts } from "./executor_hosts.ts";
 import type { SoakJob } from "./soak_checker.ts";
 
