Log what becomes of machines while a pool is short of them

The log showed orders, but not how many machines a pool lacked, nor how many were in upkeep, on their way to the standby pool or idle elsewhere meanwhile, so that the hypotheses on late callers could not be told apart. LL6503 gives these for each round of the owner of the machines.

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -22,6 +22,7 @@
 import { planUpkeep } from "./plan_upkeep.ts";
 import type { PartitionReport, ServiceDemand } from "./partition_report.ts";
 import { countByPool, sumDemand } from "./pool_sums.ts";
+import { findShortages, type PoolState } from "./pool_shortages.ts";
 import { createWaveTracker } from "./wave_tracker.ts";
 
 /** Interval between two rounds of planning. */
@@ -256,23 +257,54 @@
     return (entry.runningCpu + entry.waitingCpu) / Math.max(size, 1);
   };
 
-  const planCurrentMoves = (unavailable: Set<string>): Move[] => {
-    const nowMs = performance.now();
+  const poolState = (): PoolState => {
     const destinations = new Map<string, string>();
     for (const [id, { kind, pool }] of orders.unsettled()) {
       if (kind === "move") destinations.set(id, pool);
-      unavailable.add(id);
     }
-    return planMoves({
+    return {
       machines: [...machines.values()],
-      unavailable,
       destinations,
       demand,
+      machineCpu: options.typicalMachineCpu(),
+    };
+  };
+
+  /** Logs the pools that are short, and what becomes of the other machines. */
+  const logShortages = (moves: readonly Move[]) => {
+    const state = poolState();
+    const standby = standbyPools();
+    const isToStandby = (pool: string) => standby.has(pool);
+    const toStandby =
+      [...state.destinations.values()].filter(isToStandby).length +
+      moves.filter(({ pool }) => isToStandby(pool)).length;
+    const moved = new Set(moves.map(({ machine }) => machine));
+    for (const { pool, size, missing, cpu } of findShortages(state)) {
+      const idle = state.machines.filter((machine) =>
+        machine.pool !== pool && !moved.has(machine.id) && isIdle(machine.id)
+      );
+      events.log("poolShort", {
+        pool,
+        cpu: Math.round(cpu),
+        machines: size,
+        missing,
+        ordered: moves.filter((move) => move.pool === pool).length,
+        inUpkeep: machinesInUpkeep().size,
+        toStandby,
+        idleElsewhere: idle.length,
+      });
+    }
+  };
+
+  const planCurrentMoves = (selected: Iterable<string>): Move[] => {
+    const nowMs = performance.now();
+    return planMoves({
+      ...poolState(),
+      unavailable: new Set([...selected, ...orders.unsettled().keys()]),
       idleMs: new Map(
         [...idleSinceMs].map(([id, sinceMs]) => [id, nowMs - sinceMs]),
       ),
       standbyPools: standbyPools(),
-      machineCpu: options.typicalMachineCpu(),
       minSizeOf: (pool) =>
         Math.max(
           Math.ceil((initialSizes.get(pool) ?? 1) * MIN_POOL_SIZE_SHARE),
@@ -314,7 +346,8 @@
     await refreshMachines();
     const upkeep = mayOrder() ? planCurrentUpkeep() : new Map<string, number>();
     draining = new Set(upkeep.keys());
-    const moves = mayOrder() ? planCurrentMoves(new Set(upkeep.keys())) : [];
+    const moves = mayOrder() ? planCurrentMoves(upkeep.keys()) : [];
+    if (mayOrder()) logShortages(moves);
     const selected = [
       ...upkeep.keys(),
       ...moves.map(({ machine }) => machine),
--- a/packages/jobs/machines/plan_moves.ts
+++ b/packages/jobs/machines/plan_moves.ts
@@ -5,13 +5,11 @@
  */
 
 import type { Machine } from "../fleet.ts";
-import type { ServiceDemand } from "./partition_report.ts";
-
-/** Share of a pool's processor time in use above which it needs machines. */
-const TARGET_LOAD = 0.7;
-
-/** Smallest shortage for which a machine is moved, in machines. */
-const MIN_SHORTAGE_MACHINES = 0.5;
+import {
+  countUsable,
+  findShortages,
+  type PoolState,
+} from "./pool_shortages.ts";
 
 /** Idle time after which a machine is returned to a standby pool. */
 const MIN_IDLE_BEFORE_RETURN_MS = 2_500;
@@ -26,20 +24,13 @@
 export type Move = { machine: string; pool: string; reason: string };
 
 /** Inputs of {@linkcode planMoves}. */
-export type MovePlanInput = {
-  machines: readonly Machine[];
+export type MovePlanInput = PoolState & {
   /** Machines with a pending order or selected for upkeep. */
   unavailable: ReadonlySet<string>;
-  /** Destination pool of each machine that is being moved. */
-  destinations: ReadonlyMap<string, string>;
-  /** Demand by service, which is also the name of its pool. */
-  demand: ReadonlyMap<string, ServiceDemand>;
   /** Time for which each idle executor has run nothing, in milliseconds. */
   idleMs: ReadonlyMap<string, number>;
   /** Pools whose machines are off and cost nothing. */
   standbyPools: ReadonlySet<string>;
-  /** Processor time of a typical machine, in thousandths of a core. */
-  machineCpu: number;
   /** Returns the number of machines that a pool may not go below. */
   minSizeOf(pool: string): number;
 };
@@ -58,19 +49,17 @@
 export function planMoves(input: MovePlanInput): Move[] {
   const moves: Move[] = [];
   const unavailable = new Set(input.unavailable);
-  const sizes = new Map<string, number>();
-  for (const { pool, state } of input.machines) {
-    if (state !== "up") continue;
-    sizes.set(pool, (sizes.get(pool) ?? 0) + 1);
-  }
+  const sizes = countUsable(input.machines);
   const add = (machine: Machine, pool: string, reason: string) => {
     unavailable.add(machine.id);
     sizes.set(machine.pool, sizes.get(machine.pool)! - 1);
     moves.push({ machine: machine.id, pool, reason });
   };
   const candidates = findSpareMachines(input);
-  for (const { pool, count, reason } of findShortages(input, sizes)) {
-    let missing = count;
+  for (const shortage of findShortages(input)) {
+    const { pool, size, cpu } = shortage;
+    const reason = `${Math.round(cpu)} mcpu on ${size} machines`;
+    let { missing } = shortage;
     for (const machine of candidates) {
       if (missing <= 0) break;
       if (machine.pool === pool || unavailable.has(machine.id)) continue;
@@ -96,32 +85,6 @@
   return moves;
 }
 
-type Shortage = { pool: string; count: number; reason: string };
-
-function findShortages(
-  input: MovePlanInput,
-  sizes: ReadonlyMap<string, number>,
-): Shortage[] {
-  const shortages: Shortage[] = [];
-  for (const entry of input.demand.values()) {
-    const { service, lastingCpu, runningCpu, waitingCpu } = entry;
-    let size = sizes.get(service) ?? 0;
-    for (const pool of input.destinations.values()) {
-      if (pool === service) size++;
-    }
-    const cpu = lastingCpu + runningCpu + waitingCpu;
-    const wanted = cpu / (TARGET_LOAD * input.machineCpu);
-    const missing = Math.max(wanted, entry.leastExecutors) - size;
-    if (missing < MIN_SHORTAGE_MACHINES) continue;
-    shortages.push({
-      pool: service,
-      count: Math.ceil(missing),
-      reason: `${Math.round(cpu)} mcpu on ${size} machines`,
-    });
-  }
-  return shortages.sort((a, b) => b.count - a.count);
-}
-
 /** Returns the machines that may be moved, those of standby pools first. */
 function findSpareMachines(input: MovePlanInput): Machine[] {
   const standby = input.machines.filter((machine) =>
--- a/packages/telemetry/executor_log_events.ts
+++ b/packages/telemetry/executor_log_events.ts
@@ -114,6 +114,21 @@
       reason: "string",
     },
   },
+  poolShort: {
+    id: "LL6503",
+    level: "info",
+    message: "pool has fewer machines than its demand needs",
+    fields: {
+      pool: "string",
+      cpu: "number",
+      machines: "number",
+      missing: "number",
+      ordered: "number",
+      inUpkeep: "number",
+      toStandby: "number",
+      idleElsewhere: "number",
+    },
+  },
   waveCompleted: {
     id: "LL6502",
     level: "info",
