Let upkeep wait while a pool is short of machines

The cause is the order of the plans: upkeep chose first, and took idle machines as fast as the wave allows, whatever its deadline.

Moves are planned first now. While a pool is short, upkeep takes idle machines only as fast as its deadline requires, and those on standby after other idle ones. Both tests fail without the change ("upkeep s1" before "move s1").

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -225,15 +225,19 @@
         .map(({ name }) => name),
     );
 
-  const planCurrentUpkeep = () =>
+  const planCurrentUpkeep = (moves: readonly Move[]) =>
     planUpkeep({
       waves: waves.active(),
       machines,
       down: machinesInUpkeep(),
-      ordered: new Set(orders.unsettled().keys()),
+      ordered: new Set([
+        ...orders.unsettled().keys(),
+        ...moves.map(({ machine }) => machine),
+      ]),
       draining,
       idle: new Set(idleSinceMs.keys()),
       standbyPools: standbyPools(),
+      isPoolShort: findShortages(poolState()).length > 0,
       loadOf,
       nowMs: performance.now(),
     });
@@ -344,9 +348,12 @@
   const reconcile = async (): Promise<void> => {
     waves.update(options.waves());
     await refreshMachines();
-    const upkeep = mayOrder() ? planCurrentUpkeep() : new Map<string, number>();
+    // Callers of a short pool wait now, whereas upkeep only has to end in time.
+    const moves = mayOrder() ? planCurrentMoves(draining) : [];
+    const upkeep = mayOrder()
+      ? planCurrentUpkeep(moves)
+      : new Map<string, number>();
     draining = new Set(upkeep.keys());
-    const moves = mayOrder() ? planCurrentMoves(upkeep.keys()) : [];
     if (mayOrder()) logShortages(moves);
     const selected = [
       ...upkeep.keys(),
--- a/packages/jobs/machines/machines_owner_test.ts
+++ b/packages/jobs/machines/machines_owner_test.ts
@@ -11,7 +11,7 @@
 import type { Machine, UpkeepWave } from "../fleet.ts";
 import type { MachineClient } from "../ports.ts";
 import { createMachinesOwner, type MachinesOwner } from "./machines_owner.ts";
-import type { PartitionReport } from "./partition_report.ts";
+import type { PartitionReport, ServiceDemand } from "./partition_report.ts";
 
 const WAVE: UpkeepWave = {
   wave: 1,
@@ -32,6 +32,8 @@
   isUnanswered: boolean;
   /** Executors that run tasks. */
   busy: Set<string>;
+  /** Demand that owners of partitions report. */
+  demand: ServiceDemand[];
   /** Executors that were reported to partition owners as ended. */
   ended: Set<string>;
   /** Number of times that reports were collected. */
@@ -43,7 +45,7 @@
 
 function createMachinesFixture(): MachinesFixture {
   const idle = (): PartitionReport => ({
-    demand: [],
+    demand: fixture.demand,
     busy: [],
     idle: [...fixture.machines.values()].flatMap(({ executor }) =>
       executor === undefined || fixture.busy.has(executor) ? [] : [executor]
@@ -86,6 +88,7 @@
     isUpkeepDone: false,
     isUnanswered: false,
     busy: new Set(),
+    demand: [],
     ended: new Set(),
     collectionCount: 0,
     confirmedAtMs: "now",
@@ -268,4 +271,31 @@
     await advanceTime(1_000);
     expect(fixture.orders).toEqual([]);
   });
+
+  // Guards against callers who wait for a machine whose upkeep could wait.
+  test("gives a machine to a short pool before its upkeep", async () => {
+    for (const { id } of [...fixture.machines.values()]) {
+      fixture.busy.add(`e${id.slice(1)}`);
+    }
+    fixture.machines.set("s1", {
+      id: "s1",
+      pool: "backoffice",
+      state: "up",
+      executor: undefined,
+    });
+    fixture.demand = [{
+      service: "quoting",
+      lastingCpu: 0,
+      runningCpu: 40_000,
+      waitingCpu: 0,
+      waitedMs: 0,
+      leastExecutors: 0,
+    }];
+    fixture.waves = [];
+    own(1);
+    await advanceTime(1_000);
+    fixture.waves = [{ ...WAVE, machines: ["s1"] }];
+    await advanceTime(1_500);
+    expect(fixture.orders[0]).toBe("move s1 1");
+  });
 });
--- a/packages/jobs/machines/plan_upkeep.ts
+++ b/packages/jobs/machines/plan_upkeep.ts
@@ -35,6 +35,8 @@
   idle: ReadonlySet<string>;
   /** Pools whose machines are off and cost nothing. */
   standbyPools: ReadonlySet<string>;
+  /** Whether a pool has fewer machines than its demand needs. */
+  isPoolShort: boolean;
   /** Returns the demand of a pool per machine, to compare pools. */
   loadOf(pool: string): number;
   nowMs: number;
@@ -45,11 +47,12 @@
 
 /**
  * Selects the machines to drain for upkeep next. Idle machines are selected at
- * once, busy ones only as fast as the deadline of the wave requires. A busy
- * machine stays selected until it is drained; otherwise, the machines of the
- * pools with the least load come first. At most as many machines as the wave
- * allows are down at a time, and at most a third of a pool that is not on
- * standby.
+ * once, busy ones only as fast as the deadline of the wave requires. While a
+ * pool is short of machines, this pace holds for idle ones, too, of which those
+ * on standby come last. A busy machine stays selected until it is drained;
+ * otherwise, the machines of the pools with the least load come first. At most
+ * as many machines as the wave allows are down at a time, and at most a third
+ * of a pool that is not on standby.
  *
  * @example
  * ```ts
@@ -78,7 +81,8 @@
     );
     for (const machine of remaining) {
       if (slots <= 0) break;
-      if (!isIdle(machine, input) && needed <= 0) break;
+      const isSpare = isIdle(machine, input) && !input.isPoolShort;
+      if (!isSpare && needed <= 0) break;
       if (!isWithinPoolLimit(machine, { input, unavailableByPool })) continue;
       plan.set(machine.id, active.wave.wave);
       countMachine(unavailableByPool, machine.pool);
@@ -105,11 +109,19 @@
   return machine.executor !== undefined && input.idle.has(machine.executor);
 }
 
+const STANDBY_RANK = 0;
+const IDLE_RANK = 1;
+const DRAINING_RANK = 2;
+const STANDBY_RANK_IF_SHORT = 3;
+const BUSY_RANK = 4;
+
 /** Returns the order of selection; a machine with a lower value comes first. */
 function rankOf(machine: Machine, input: UpkeepPlanInput): number {
-  if (input.standbyPools.has(machine.pool)) return 0;
-  if (isIdle(machine, input)) return 1;
-  return input.draining.has(machine.id) ? 2 : 3;
+  if (input.standbyPools.has(machine.pool)) {
+    return input.isPoolShort ? STANDBY_RANK_IF_SHORT : STANDBY_RANK;
+  }
+  if (isIdle(machine, input)) return IDLE_RANK;
+  return input.draining.has(machine.id) ? DRAINING_RANK : BUSY_RANK;
 }
 
 /** Largest share of a pool that upkeep may make unavailable. */
--- a/packages/jobs/machines/plan_upkeep_test.ts
+++ b/packages/jobs/machines/plan_upkeep_test.ts
@@ -19,6 +19,7 @@
     draining: new Set(),
     idle: new Set(ids.map((id) => `e-${id}`)),
     standbyPools: new Set(["spare"]),
+    isPoolShort: false,
     loadOf: () => 0,
     nowMs: 0,
     ...fields,
@@ -106,4 +107,20 @@
     );
     expect(planUpkeep({ ...input, machines }).size).toBe(3);
   });
+
+  // Guards against upkeep of machines that the callers of another pool need.
+  test("leaves idle machines beyond the deadline's pace to a short pool", () => {
+    const ids = ["s1", "s2", "q1", "q2", "q3", "q4"];
+    const machines = new Map(ids.map((id): [string, Machine] => [id, {
+      id,
+      pool: id.startsWith("s") ? "spare" : "quoting",
+      state: "up",
+      executor: `e-${id}`,
+    }]));
+    const input = inputOf({ machines, isPoolShort: true });
+    input.waves[0]!.wave.machines = ids;
+    expect([...planUpkeep(input).keys()]).toEqual(["q1", "s1"]);
+    expect([...planUpkeep({ ...input, nowMs: 20_000 }).keys()])
+      .toEqual(["q1", "s1", "s2"]);
+  });
 });
