Send no machine to standby while a pool is short

The cause: returns were planned without regard to what other pools lack.

Returns wait while any pool is short. The test fails without the change.

--- a/packages/jobs/machines/plan_moves.ts
+++ b/packages/jobs/machines/plan_moves.ts
@@ -38,8 +38,8 @@
 /**
  * Plans moves of machines between pools. Pools with a shortage get machines of
  * standby pools first, then idle machines of other pools. Machines that stay
- * idle return to a standby pool, where they cost nothing. Only machines that
- * run nothing are moved.
+ * idle return to a standby pool, where they cost nothing, unless a pool is
+ * short of machines. Only machines that run nothing are moved.
  *
  * @example
  * ```ts
@@ -56,7 +56,8 @@
     moves.push({ machine: machine.id, pool, reason });
   };
   const candidates = findSpareMachines(input);
-  for (const shortage of findShortages(input)) {
+  const shortages = findShortages(input);
+  for (const shortage of shortages) {
     const { pool, size, cpu } = shortage;
     const reason = `${Math.round(cpu)} mcpu on ${size} machines`;
     let { missing } = shortage;
@@ -69,7 +70,9 @@
     }
   }
   const standby = [...input.standbyPools][0];
-  if (standby === undefined) return moves;
+  // One on its way to the standby pool could serve a short pool only seconds
+  // later.
+  if (standby === undefined || shortages.length > 0) return moves;
   const idleCounts = new Map<string, number>();
   for (const machine of input.machines) {
     if (unavailable.has(machine.id) || !isIdle(machine, input)) continue;
--- a/packages/jobs/machines/plan_moves_test.ts
+++ b/packages/jobs/machines/plan_moves_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from "@jest/globals";
 import type { Machine } from "../fleet.ts";
-import { type MovePlanInput, planMoves } from "./plan_moves.ts";
+import { type Move, type MovePlanInput, planMoves } from "./plan_moves.ts";
 import type { ServiceDemand } from "./partition_report.ts";
 
 function machineOf(id: string, pool: string): Machine {
@@ -94,4 +94,23 @@
       { machine: "q2", pool: "spare", reason: "idle for 9000 ms" },
     ]);
   });
+
+  // Guards against machines on their way to the standby pool while the callers
+  // of another pool wait for them.
+  test("returns no idle machine while another pool is short", () => {
+    const input = inputOf({
+      machines: [
+        machineOf("q1", "quoting"),
+        ...["o1", "o2", "o3", "o4", "o5"].map((id) => machineOf(id, "orders")),
+      ],
+      idleMs: new Map(
+        ["o1", "o2", "o3", "o4", "o5"].map((id) => [`e-${id}`, 9_000]),
+      ),
+    });
+    const poolsOf = (moves: readonly Move[]) => moves.map(({ pool }) => pool);
+    expect(poolsOf(planMoves(input)))
+      .toEqual(["spare", "spare", "spare", "spare"]);
+    expect(poolsOf(planMoves({ ...input, demand: highDemand })))
+      .toEqual(["quoting", "quoting"]);
+  });
 });
