--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -17,6 +17,7 @@
 } from "../owned/owner_state.ts";
 import type { MachineClient, Store } from "../ports.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
+import { logShortages } from "./log_shortages.ts";
 import { createMachineOrders } from "./machine_orders.ts";
 import { type Move, planMoves } from "./plan_moves.ts";
 import { planUpkeep } from "./plan_upkeep.ts";
@@ -274,32 +275,6 @@
     };
   };
 
-  /** Logs the pools that are short, and what becomes of the other machines. */
-  const logShortages = (moves: readonly Move[]) => {
-    const state = poolState();
-    const standby = standbyPools();
-    const isToStandby = (pool: string) => standby.has(pool);
-    const toStandby =
-      [...state.destinations.values()].filter(isToStandby).length +
-      moves.filter(({ pool }) => isToStandby(pool)).length;
-    const moved = new Set(moves.map(({ machine }) => machine));
-    for (const { pool, size, missing, cpu } of findShortages(state)) {
-      const idle = state.machines.filter((machine) =>
-        machine.pool !== pool && !moved.has(machine.id) && isIdle(machine.id)
-      );
-      events.log("poolShort", {
-        pool,
-        cpu: Math.round(cpu),
-        machines: size,
-        missing,
-        ordered: moves.filter((move) => move.pool === pool).length,
-        inUpkeep: machinesInUpkeep().size,
-        toStandby,
-        idleElsewhere: idle.length,
-      });
-    }
-  };
-
   const planCurrentMoves = (selected: Iterable<string>): Move[] => {
     const nowMs = performance.now();
     return planMoves({
@@ -354,7 +329,14 @@
       ? planCurrentUpkeep(moves)
       : new Map<string, number>();
     draining = new Set(upkeep.keys());
-    if (mayOrder()) logShortages(moves);
+    if (mayOrder()) {
+      logShortages(events, poolState(), {
+        moves,
+        standbyPools: standbyPools(),
+        inUpkeep: machinesInUpkeep().size,
+        isIdle,
+      });
+    }
     const selected = [
       ...upkeep.keys(),
       ...moves.map(({ machine }) => machine),
