Order as many machines as a short pool needs once they come

A short pool is now given what its demand will need in two seconds if it grows as in the last second, at most twice the demand of now. A pool that is not short gets nothing, and a step between two reports, as after a takeover, is no growth. The test of the plan fails without the change.

--- a/packages/jobs/machines/machines_owner.ts
+++ b/packages/jobs/machines/machines_owner.ts
@@ -17,6 +17,7 @@
 } from "../owned/owner_state.ts";
 import type { MachineClient, Store } from "../ports.ts";
 import { HANDOVER_KEY, PROGRESS_TOPIC } from "../topics.ts";
+import { createDemandTrend } from "./demand_trend.ts";
 import { logShortages } from "./log_shortages.ts";
 import { createMachineOrders } from "./machine_orders.ts";
 import { type Move, planMoves } from "./plan_moves.ts";
@@ -119,6 +120,7 @@
   let machines = new Map<string, Machine>();
   let listedAtMs = -Infinity;
   let demand = new Map<string, ServiceDemand>();
+  const trend = createDemandTrend();
   /** Machines that were selected for upkeep and are draining. */
   let draining: ReadonlySet<string> = new Set();
   /** Monotonic time of the request for the last reports. */
@@ -212,6 +214,7 @@
   const applyReports = (collected: (PartitionReport | undefined)[]) => {
     const reports = collected.filter((it) => it !== undefined);
     demand = sumDemand(reports);
+    trend.add(demand);
     const nowMs = performance.now();
     const idle = new Set(reports.flatMap((report) => report.idle));
     for (const id of idleSinceMs.keys()) {
@@ -271,6 +274,7 @@
       machines: [...machines.values()],
       destinations,
       demand,
+      growthOf: trend.growthOf,
       machineCpu: options.typicalMachineCpu(),
     };
   };
--- a/packages/jobs/machines/plan_moves_test.ts
+++ b/packages/jobs/machines/plan_moves_test.ts
@@ -33,6 +33,7 @@
     demand: new Map(),
     idleMs: new Map(),
     standbyPools: new Set(["spare"]),
+    growthOf: () => 0,
     machineCpu: 16_000,
     minSizeOf: () => 1,
     ...fields,
@@ -113,4 +114,23 @@
     expect(poolsOf(planMoves({ ...input, demand: highDemand })))
       .toEqual(["quoting", "quoting"]);
   });
+
+  // Guards against a pool whose machines come as late as its backlog shows,
+  // two seconds after its callers do.
+  test("orders the machines that a short pool needs once they come", () => {
+    const standby = Array.from(
+      { length: 9 },
+      (_, index) => machineOf(`s${index}`, "spare"),
+    );
+    const countMoves = (cpu: number, growth: number) =>
+      planMoves(inputOf({
+        machines: [machineOf("q1", "quoting"), ...standby],
+        demand: new Map([["quoting", demandOf({ runningCpu: cpu })]]),
+        growthOf: () => growth,
+      })).length;
+    expect(countMoves(22_400, 0)).toBe(1);
+    expect(countMoves(22_400, 5_600)).toBe(2);
+    expect(countMoves(22_400, 90_000)).toBe(3);
+    expect(countMoves(11_000, 90_000)).toBe(0);
+  });
 });
