Finish in a flood what has begun, and begin only what fits

And a job counted as in time while 0.6 of its estimate fitted, so that jobs began that could hardly end in time.

Jobs in time that have begun now come before others, and one that has not begun is in time only if its whole estimate fits.

--- a/packages/jobs/placed/_rank_groups.ts
+++ b/packages/jobs/placed/_rank_groups.ts
@@ -237,10 +237,13 @@
 }
 
 /**
- * Returns the rank of an occurrence, after its class. Late ones with the least
- * work left come first, so that most callers are served while they wait: after
- * an outage or in a flood, by due time all would be served too late. As
- * estimates are rough, only the order of magnitude of the work counts.
+ * Returns the rank of an occurrence, after its class. Of those in time, the
+ * ones that have begun come first: in a flood, by due time alone more would
+ * begin than can be finished in time, and the work on the others would be in
+ * vain. Late ones with the least work left come first, so that most callers are
+ * served while they wait: after an outage or in a flood, by due time all would
+ * be served too late. As estimates are rough, only the order of magnitude of
+ * the work counts.
  */
 function rankOf(
   job: Job,
@@ -249,19 +252,32 @@
 ): number[] {
   const steps = remainingStepsOf(job, occurrence);
   const dueAtMs = dueTimeOf(job, occurrence);
+  const isBegun = hasBegun(job, occurrence);
   const lateness = latenessOf(steps, {
     objectiveMs: job.objectiveMs,
     remainingMs: dueAtMs - options.unixMs,
+    hasBegun: isBegun,
   });
   const rank = [standingOf(job, lateness), options.priorityOf(job)];
-  if (lateness === "inTime" || lateness === "abandoned") {
-    return [...rank, dueAtMs, job.offset];
+  if (lateness === "abandoned") return [...rank, dueAtMs, job.offset];
+  if (lateness === "inTime") {
+    return [...rank, isBegun ? 0 : 1, dueAtMs, job.offset];
   }
   const magnitude = Math.ceil(Math.log2(remainingWork(steps) + 1));
   const isOverdue = lateness === "overdue" ? 1 : 0;
   return [...rank, magnitude, isOverdue, dueAtMs, job.offset];
 }
 
+/** Returns whether a task of an occurrence runs or is done. */
+function hasBegun(job: Job, occurrence: number): boolean {
+  // Most jobs that wait in a flood have not started at all.
+  if (!job.isPlaced && !job.isInherited) return false;
+  return job.groups.some((group) =>
+    group.occurrence === occurrence &&
+    (group.doneCount > 0 || group.tasks.some(({ runs }) => runs.length > 0))
+  );
+}
+
 /** Returns whether a group has tasks that could be placed now. */
 function isWaiting(
   group: TaskGroup,
--- a/packages/jobs/placed/_rank_groups_test.ts
+++ b/packages/jobs/placed/_rank_groups_test.ts
@@ -44,6 +44,20 @@
   return job;
 }
 
+/** Job of two tasks that are due long after their estimate. */
+const SHORT_JOB: Fields = {
+  acceptedAtMs: UNIX_MS,
+  objectiveMs: 5_000,
+  estimateMs: 1_000,
+  cpu: 1_000,
+  count: 2,
+  isLasting: false,
+  isFilling: false,
+  priority: 0,
+  organisation: undefined,
+  isBeyondWeight: false,
+};
+
 const priorityOf = ({ accepted }: Job) => Number(accepted.queue);
 
 function rank(jobs: readonly Job[], hasShares: boolean): string[] {
@@ -132,4 +146,26 @@
       expect(beyond).toEqual([...beyond].sort());
     }));
   });
+
+  // Guards against work on a job that is in vain, since others which are due
+  // earlier begin before it goes on.
+  test("puts a job that has begun before others in time", () => {
+    const jobs = [
+      createRankedJob({ ...SHORT_JOB, objectiveMs: 3_000 }, 0),
+      createRankedJob(SHORT_JOB, 1),
+    ];
+    expect(rank(jobs, false)).toEqual(["0", "1"]);
+    jobs[1]!.isPlaced = true;
+    jobs[1]!.groups[0]!.doneCount = 1;
+    expect(rank(jobs, false)).toEqual(["1", "0"]);
+  });
+
+  // Guards against a job that uses a full service although it will be late.
+  test("counts a job as in time only if its whole estimate fits", () => {
+    const job = createRankedJob(SHORT_JOB, 0);
+    const times = { objectiveMs: 800, remainingMs: 800 };
+    const steps = remainingStepsOf(job, 0);
+    expect(latenessOf(steps, times)).toBe("late");
+    expect(latenessOf(steps, { ...times, hasBegun: true })).toBe("inTime");
+  });
 });
--- a/packages/jobs/placed/due_time.ts
+++ b/packages/jobs/placed/due_time.ts
@@ -81,7 +81,10 @@
 /** Largest ratio of an objective to the one that follows from estimates. */
 const ESTIMATE_ERROR_FACTOR = 1.5;
 
-/** Least share of its estimate that a job takes, as estimates are rough. */
+/**
+ * Least share of its estimate that the rest of a job takes which has begun, as
+ * estimates are rough.
+ */
 const MIN_WORK_SHARE = 0.6;
 
 /**
@@ -118,14 +121,20 @@
  */
 export function latenessOf(
   steps: readonly RemainingStep[],
-  { objectiveMs, remainingMs }: {
+  { objectiveMs, remainingMs, hasBegun = false }: {
     objectiveMs: number;
     /** Time until the due time, negative after it. */
     remainingMs: number;
+    /**
+     * Whether the occurrence has begun. If not, it is in time only if its whole
+     * estimate fits: otherwise, a flood would use its capacity for occurrences
+     * that end late.
+     */
+    hasBegun?: boolean;
   },
 ): Lateness {
-  const marginMs = remainingMs -
-    MIN_WORK_SHARE * remainingCriticalPathMs(steps);
+  const share = hasBegun ? MIN_WORK_SHARE : 1;
+  const marginMs = remainingMs - share * remainingCriticalPathMs(steps);
   if (marginMs >= 0) return "inTime";
   const patienceMs = PATIENCE_FACTOR * objectiveMs;
   if (marginMs + patienceMs - objectiveMs >= 0) return "late";
