--- a/review/standin-3/world.mjs
+++ b/review/standin-3/world.mjs
@@ -53,12 +53,23 @@
 const ZONES = ["rw-central-a", "rw-central-b", "rw-central-c"];
 const CAPACITY = { cpu: 64_000, memMb: 131_072, gpu: 0 };
 
+const takenPorts = new Set();
+
+/** Returns a free port below those that outgoing connections use. */
 async function freePort() {
-  const server = createSocketServer();
-  await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  while (true) {
+    const port = 12_000 + Math.floor(Math.random() * 18_000);
+    if (takenPorts.has(port)) continue;
+    takenPorts.add(port);
+    const server = createSocketServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 }
 
 /** Starts the deployment. `services` maps each service to its executors. */
