--- a/review/standin-3/world.mjs
+++ b/review/standin-3/world.mjs
@@ -416,6 +416,7 @@
           timeout: timeoutMs,
         }, (response) => {
           const chunks = [];
+          if (sent.reusedSocket) record(`... over an open channel`);
           response.on("data", (chunk) => chunks.push(chunk));
           response.on(
             "end",
