--- a/review/standin-3/world.mjs
+++ b/review/standin-3/world.mjs
@@ -55,10 +55,13 @@
 
 const takenPorts = new Set();
 
+/** Runs at the same time mostly draw from different ranges. */
+const FIRST_PORT = 12_000 + 500 * (process.pid % 36);
+
 /** Returns a free port below those that outgoing connections use. */
 async function freePort() {
   while (true) {
-    const port = 12_000 + Math.floor(Math.random() * 18_000);
+    const port = FIRST_PORT + Math.floor(Math.random() * 500);
     if (takenPorts.has(port)) continue;
     takenPorts.add(port);
     const server = createSocketServer();
