Keep the service of a job that a later record names differently

An owner keeps the first record of a job, but the store keeps the newest. If that one names another service, as a late append or a repeat through a member with an old configuration does, the next owner ran the rest of the job there. Where services share a partition, this needs no more than one late append.

The progress of a job now names the service that runs it, and the next owner goes by it. The test "keeps the service of a job whose newest record names another" fails without the change (tasks start on the other service). The test of lasting failures compares the whole progress, so its expectation has the new field; it is as strict as before.

--- a/packages/jobs/ended/lasting_failures_test.ts
+++ b/packages/jobs/ended/lasting_failures_test.ts
@@ -34,6 +34,7 @@
     expect(JSON.parse(fixture.progress().get(JOB_ID)!)).toEqual({
       done: { "0.1": "1" },
       failed: {},
+      service: "quoting",
     });
   });
 });
--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -37,6 +37,11 @@
   /** Tasks under which executors have crashed, by task name. */
   suspicions: z.record(z.string(), Suspicion).optional(),
   outcome: z.enum(["completed", "failed", "cancelled"]).optional(),
+  /**
+   * Service that runs the job. It holds against later records of the job that
+   * name another one. Progress of earlier versions and of ended jobs has none.
+   */
+  service: z.string().optional(),
   /** Unix time at which the job ended, in milliseconds. */
   endedAtMs: z.number().optional(),
 });
@@ -64,6 +69,7 @@
     progress.outcome = outcomeOf(job);
     return JSON.stringify(progress);
   }
+  progress.service = job.accepted.service;
   if (isScheduled(job)) progress.opened = openedOccurrences(job);
   for (const group of job.groups) {
     const isOpened =
--- a/packages/jobs/owned/_take_over.ts
+++ b/packages/jobs/owned/_take_over.ts
@@ -91,7 +91,11 @@
   }
   for (const { id, accepted, offset } of state.jobs) {
     const progress = state.progress.get(id);
-    const job = addJob(owner, id, { accepted, offset, progress });
+    // The newest record of the job may be of a late append, or of a member
+    // whose configuration was out of date.
+    const service = progress?.service ?? accepted.service;
+    const decided = { ...accepted, service };
+    const job = addJob(owner, id, { accepted: decided, offset, progress });
     restoreSuspicions(owner, job);
     // The earlier owner ended after it had stored the last end of a task.
     finishIfComplete(owner, job);
--- a/packages/jobs/owned/shared_partition_test.ts
+++ b/packages/jobs/owned/shared_partition_test.ts
@@ -49,6 +49,22 @@
     expect(orders.running.size).toBe(3);
   });
 
+  // Guards against a job that goes on at another service under the next owner
+  // (ROUTE), as a late append has replaced its record.
+  test("keeps the service of a job whose newest record names another", async () => {
+    const first = await fixture.startOwner(1);
+    fixture.accept(JOB_ID, [createStep({ count: 2 })], "orders");
+    await advanceTime(CHECK_MS);
+    fixture.accept(JOB_ID, [createStep({ count: 2 })]);
+    await advanceTime(CHECK_MS);
+    await first.release(1_000);
+    await fixture.startOwner(2);
+    for (const task of orders.running.keys()) orders.end(task, "failed");
+    await advanceTime(CHECK_MS);
+    expect(orders.starts).toHaveLength(4);
+    expect(quoting.starts).toEqual([]);
+  });
+
   // Guards against the same after a takeover, whose runs are adopted.
   test("keeps the service of a job under the next owner", async () => {
     const first = await fixture.startOwner(1);
