--- a/packages/jobs/out_of_date_member_test.ts
+++ b/packages/jobs/out_of_date_member_test.ts
@@ -19,6 +19,8 @@
 } from "./_rerouted_world.ts";
 import { sleep } from "./_sleep.ts";
 import type { RecordOutcome } from "./accepted/accept_job.ts";
+import type { KeyedRecord, TopicPartition } from "./ports.ts";
+import { JOBS_TOPIC } from "./topics.ts";
 
 /** Time in which an owner reads a record and starts its tasks. */
 const START_MS = 500;
@@ -138,4 +140,37 @@
     expect([accepted.type, cancelled.type]).toEqual(["refused", "refused"]);
     expect(performance.now() - startedAtMs).toBeLessThan(AT_ONCE_MS);
   }, 2 * WAIT_TIMEOUT_MS);
+
+  // Guards against a second run of each task (TWICE): a write without an answer
+  // was carried out after the queue had gone to another service.
+  test("runs a job once whose first record is stored late", async () => {
+    await acceptEarlier();
+    const late: { partition: TopicPartition; record: KeyedRecord }[] = [];
+    world.onAppend = (partition, { records }) => {
+      const [record] = records;
+      if (partition.topic !== JOBS_TOPIC || record?.key !== JOB_ID) {
+        return undefined;
+      }
+      late.push({ partition, record });
+      return "lost";
+    };
+    const { type } = await world.accept(outdated, JOB_ID, BEFORE);
+    expect(type).toBe("unknown");
+    world.onAppend = () => undefined;
+    reroute();
+    await runOnOrders();
+    for (const { partition, record } of late) {
+      world.store.put(partition, record);
+    }
+    await sleep(START_MS);
+    expect(startsOf(JOB_ID)).toHaveLength(2);
+    // The next owner of the queue's home reads the late record as the newest.
+    const next = await world.start();
+    await current.leave();
+    await outdated.leave();
+    expect(await world.readState(next, JOB_ID, AFTER))
+      .toEqual({ type: "known", value: "running" });
+    await sleep(START_MS);
+    expect(startsOf(JOB_ID)).toHaveLength(2);
+  }, 2 * WAIT_TIMEOUT_MS);
 });
