Hand on the cancelling of a job to the partition that runs it

Cause: it was stored for the services that the member knew, and taken for all.

It now stands at the home of the queue, whose owner hands it on after the job, until the store has taken it, and again under the next owner.

--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -7,7 +7,7 @@
 import { sleep } from "../_sleep.ts";
 import { finishJob } from "../ended/finish_job.ts";
 import { applyProgress } from "../ended/progress.ts";
-import { forwardJob } from "../forwarded/forward_jobs.ts";
+import { forwardCancellation, forwardJob } from "../forwarded/forward_jobs.ts";
 import type { RecordedJob } from "../forwarded/forwarded_job.ts";
 import { targetOf } from "../forwarded/forwarded_jobs.ts";
 import {
@@ -163,11 +163,15 @@
   cancellation: Cancellation,
 ): void {
   const job = owner.jobs.get(id);
+  const forwarded = owner.forwardedJobs.get(id);
   const { caller } = cancellation;
   // The record of a caller has a key of its own, which is removed by itself.
   if (job === undefined || caller !== undefined) {
     keepCancellation(owner, id, cancellation);
   }
+  if (forwarded !== undefined) {
+    forwardCancellation(owner, forwarded, cancellation);
+  }
   if (job === undefined) return;
   if (mayAccess(job.accepted, caller ?? {})) endCancelled(owner, job);
 }
--- a/packages/jobs/ended/remove_expired_jobs.ts
+++ b/packages/jobs/ended/remove_expired_jobs.ts
@@ -70,6 +70,8 @@
   const expired: KnownCancellation[] = [];
   for (const [id, cancellations] of owner.cancellations) {
     if (owner.jobs.get(id)?.isOutcomeStored === false) continue;
+    const unsent = owner.forwardedJobs.get(id)?.cancellations ?? [];
+    if (unsent.length > 0) continue;
     for (const cancellation of cancellations) {
       if (cancellation.cancelledAtMs > endedBeforeMs) continue;
       expired.push({ ...cancellation, id });
--- a/packages/jobs/forwarded/forward_jobs.ts
+++ b/packages/jobs/forwarded/forward_jobs.ts
@@ -1,13 +1,15 @@
 /**
- * Hands jobs on to the partition of their service.
+ * Hands jobs on to the partition of their service, with their cancellations.
  *
  * @module
  */
 
 import type { OwnerState } from "../owned/owner_state.ts";
 import type { KeyedRecord } from "../ports.ts";
+import type { Cancellation } from "../submission.ts";
 import { JOBS_TOPIC } from "../topics.ts";
 import {
+  encodeCancellation,
   encodeForwarded,
   type ForwardedJob,
   type RecordedJob,
@@ -61,7 +63,17 @@
 
 /** Adds a job that another partition may have to run. */
 export function forwardJob(owner: OwnerState, job: RecordedJob): void {
-  owner.forwardedJobs.set(job.id, createForwardedJob(job));
+  owner.forwardedJobs.set(job.id, createForwardedJob(owner, job));
+  owner.forwardSoon();
+}
+
+/** Hands on a cancellation of a forwarded job. */
+export function forwardCancellation(
+  owner: OwnerState,
+  job: ForwardedJob,
+  cancellation: Cancellation,
+): void {
+  job.cancellations.push(encodeCancellation(job.id, cancellation));
   owner.forwardSoon();
 }
 
@@ -112,8 +124,8 @@
   return isComplete && results.every((isStored) => isStored);
 }
 
-function hasUnsent({ accepted }: ForwardedJob): boolean {
-  return accepted !== undefined;
+function hasUnsent({ accepted, cancellations }: ForwardedJob): boolean {
+  return accepted !== undefined || cancellations.length > 0;
 }
 
 async function sendTo(
@@ -140,20 +152,23 @@
       });
       return false;
     }
-    for (const { job } of batch) noteSent(owner, job);
+    for (const { job, records } of batch) noteSent(owner, job, records);
   }
   return true;
 }
 
-/** Divides what waits into batches. */
+/** Divides what waits into batches, each job before its cancellations. */
 function toBatches(jobs: readonly ForwardedJob[]): Batch[] {
   const batches: Batch[] = [];
   let bytes = Infinity;
   for (const job of jobs) {
-    const { id, accepted } = job;
-    const records = [{ key: id, value: JSON.stringify(accepted) }];
+    const { id, accepted, cancellations } = job;
+    const records = [...cancellations];
+    if (accepted !== undefined) {
+      records.unshift({ key: id, value: JSON.stringify(accepted) });
+    }
     const length = records.reduce(
-      (sum, { key, value }) => sum + key.length + Buffer.byteLength(value),
+      (sum, { key, value = "" }) => sum + key.length + Buffer.byteLength(value),
       0,
     );
     if (bytes + length > MAX_APPEND_BYTES) {
@@ -166,8 +181,15 @@
   return batches;
 }
 
-function noteSent(owner: OwnerState, job: ForwardedJob): void {
+function noteSent(
+  owner: OwnerState,
+  job: ForwardedJob,
+  records: readonly KeyedRecord[],
+): void {
+  job.cancellations = job.cancellations
+    .filter((record) => !records.includes(record));
   job.seenAtMs = performance.now();
+  if (job.accepted === undefined) return;
   job.accepted = undefined;
   owner.progress.put(job.id, () => encodeForwarded(job));
 }
--- a/packages/jobs/forwarded/forward_jobs_test.ts
+++ b/packages/jobs/forwarded/forward_jobs_test.ts
@@ -12,7 +12,7 @@
   setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
-import { JOBS_TOPIC } from "../topics.ts";
+import { cancelKey, JOBS_TOPIC } from "../topics.ts";
 
 /** Partition of the service `orders`. */
 const ELSEWHERE = PARTITION + 1;
@@ -118,6 +118,26 @@
     expect(quoting.starts).toEqual([]);
   });
 
+  // Guards against tasks that run on after their job was cancelled (UNASKED).
+  test.each(["after it", "before it", "under the next owner"])(
+    "hands on a cancellation that comes %s",
+    async (order) => {
+      let owner = await fixture.startOwner(1);
+      if (order === "before it") fixture.cancel(JOB_ID);
+      await advanceTime(FORWARD_MS);
+      fixture.accept(JOB_ID, STEPS, "orders");
+      await advanceTime(FORWARD_MS);
+      if (order === "under the next owner") {
+        owner.close();
+        fixture.cancel(JOB_ID);
+        owner = await fixture.startOwner(2);
+      } else if (order === "after it") fixture.cancel(JOB_ID);
+      await advanceTime(FORWARD_MS);
+      expect([...handedOn().keys()]).toEqual([JOB_ID, cancelKey(JOB_ID)]);
+      expect(owner.countPending("quotes")).toBe(0);
+    },
+  );
+
   // Guards against an owner that holds all jobs that it has ever handed on, and
   // against a job that it forgets while it runs: its cancelling would be lost.
   test("forgets a job once the other partition has", async () => {
--- a/packages/jobs/forwarded/forwarded_job.ts
+++ b/packages/jobs/forwarded/forwarded_job.ts
@@ -6,11 +6,14 @@
 
 import type { Progress } from "../ended/progress.ts";
 import type { OwnedJob } from "../organisations/keys/job_access.ts";
-import type { AcceptedJob } from "../submission.ts";
+import type { KeyedRecord } from "../ports.ts";
+import type { AcceptedJob, Cancellation } from "../submission.ts";
+import { cancelKey } from "../topics.ts";
 
 /**
  * Job of a queue that has its home in this partition, for a service with
- * another partition. Its owner runs nothing of it, but hands it on.
+ * another partition. Its owner runs nothing of it, but hands on the job and its
+ * cancellations.
  */
 export type ForwardedJob = OwnedJob & {
   id: string;
@@ -28,6 +31,8 @@
    * before: another owner might decide by another record of the job.
    */
   decision: "open" | "storing" | "stored";
+  /** Records of cancellations to be stored in the partition of the service. */
+  cancellations: KeyedRecord[];
   /** Monotonic time at which the job was last known to exist there. */
   seenAtMs: number;
 };
@@ -40,6 +45,17 @@
   progress: Progress | undefined;
 };
 
+/** Encodes the record of a cancellation. */
+export function encodeCancellation(
+  id: string,
+  cancellation: Cancellation,
+): KeyedRecord {
+  return {
+    key: cancelKey(id, cancellation.caller),
+    value: JSON.stringify(cancellation),
+  };
+}
+
 /** Encodes the progress of a forwarded job as JSON for the store. */
 export function encodeForwarded({ service, accepted }: ForwardedJob): string {
   const isForwarded = accepted === undefined;
--- a/packages/jobs/forwarded/forwarded_jobs.ts
+++ b/packages/jobs/forwarded/forwarded_jobs.ts
@@ -7,7 +7,11 @@
 import { partitionOf } from "../owned/layout.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { mayAccess } from "../organisations/keys/job_access.ts";
-import type { ForwardedJob, RecordedJob } from "./forwarded_job.ts";
+import {
+  encodeCancellation,
+  type ForwardedJob,
+  type RecordedJob,
+} from "./forwarded_job.ts";
 
 /**
  * Returns the partition that runs a job; undefined if its service has none yet,
@@ -23,11 +27,13 @@
   return partition;
 }
 
-/** Creates a forwarded job, as far as an earlier owner has handed it on. */
+/** Creates a forwarded job with the cancellations that came before it. */
 export function createForwardedJob(
+  owner: OwnerState,
   { id, accepted, offset, progress }: RecordedJob,
 ): ForwardedJob {
   const { queue, organisation, service } = accepted;
+  const cancellations = owner.cancellations.get(id) ?? [];
   return {
     id,
     queue,
@@ -36,6 +42,7 @@
     offset,
     accepted: progress?.isForwarded === true ? undefined : accepted,
     decision: progress === undefined ? "open" : "stored",
+    cancellations: cancellations.map((it) => encodeCancellation(id, it)),
     seenAtMs: performance.now(),
   };
 }
--- a/packages/jobs/forwarded/remove_forwarded_jobs.ts
+++ b/packages/jobs/forwarded/remove_forwarded_jobs.ts
@@ -26,8 +26,9 @@
 async function removeGone(owner: OwnerState): Promise<void> {
   const seenBeforeMs = performance.now() - owner.options.endedJobRetentionMs;
   const due = [...owner.forwardedJobs.values()]
-    .filter(({ accepted, seenAtMs }) =>
-      accepted === undefined && seenAtMs < seenBeforeMs
+    .filter(({ accepted, cancellations, seenAtMs }) =>
+      accepted === undefined && cancellations.length === 0 &&
+      seenAtMs < seenBeforeMs
     ).slice(0, MAX_QUERIES);
   const isGone = await Promise.all(due.map((job) => isRemoved(owner, job)));
   const gone = due.filter((_, index) => isGone[index]);
--- a/packages/jobs/out_of_date_member_test.ts
+++ b/packages/jobs/out_of_date_member_test.ts
@@ -128,6 +128,9 @@
     }
     await sleep(START_MS);
     expect(startsOf(JOB_ID)).toHaveLength(2);
+    const { type } = await world.cancel(outdated, JOB_ID, BEFORE);
+    expect(type).toBe("stored");
+    await waitUntil(() => world.orders.running.size === 0);
   }, 2 * WAIT_TIMEOUT_MS);
 
   // Guards against a refusal that comes late, and against an id that is stored
@@ -173,4 +176,15 @@
     await sleep(START_MS);
     expect(startsOf(JOB_ID)).toHaveLength(2);
   }, 2 * WAIT_TIMEOUT_MS);
+
+  // Guards against tasks that start after the cancelling of their job was
+  // acknowledged (UNASKED): the member stored it for the former service alone.
+  test("cancels a job through a turned away member", async () => {
+    await rerouteUnnoticed();
+    await runOnOrders();
+    await untilStored(() => world.cancel(outdated, JOB_ID, BEFORE));
+    await waitUntil(() => world.orders.running.size === 0);
+    expect(await world.readState(current, JOB_ID, AFTER))
+      .toEqual({ type: "known", value: "cancelled" });
+  }, 2 * WAIT_TIMEOUT_MS);
 });
