--- a/packages/jobs/forwarded/remove_forwarded_jobs.ts
+++ b/packages/jobs/forwarded/remove_forwarded_jobs.ts
@@ -4,10 +4,10 @@
 import { targetOf } from "./forwarded_jobs.ts";
 
 /** Interval between searches for jobs that their partition has removed. */
-const INTERVAL_MS = 5_000;
+const INTERVAL_MS = 1_000;
 
-/** Most jobs that one search asks for. */
-const MAX_QUERIES = 50;
+/** Most jobs that one search asks for, at most one search at a time. */
+const MAX_QUERIES = 100;
 
 const APPEND_TIMEOUT_MS = 1_500;
 
@@ -17,9 +17,17 @@
  * job may come here.
  */
 export function startRemovingForwardedJobs(owner: OwnerState): void {
+  let isSearching = false;
+  const search = async () => {
+    isSearching = true;
+    await removeGone(owner);
+    isSearching = false;
+  };
   const timer = setInterval(() => {
     if (owner.isClosed) clearInterval(timer);
-    else if (owner.isLoaded && !owner.isReleasing) void removeGone(owner);
+    else if (owner.isLoaded && !owner.isReleasing && !isSearching) {
+      void search();
+    }
   }, INTERVAL_MS);
 }
 
