--- a/packages/jobs/_fixtures.ts
+++ b/packages/jobs/_fixtures.ts
@@ -23,7 +23,7 @@
   createPartitionOwner,
   type PartitionOwner,
 } from "./owned/partition_owner.ts";
-import type { AdviceClient, Store } from "./ports.ts";
+import type { AdviceClient, Store, TopicPartition } from "./ports.ts";
 import type { QueryResult } from "./queries/query_result.ts";
 import type { JobState, Step } from "./submission.ts";
 import { cancelKey, JOBS_TOPIC, PROGRESS_TOPIC } from "./topics.ts";
@@ -52,8 +52,8 @@
   services: string[];
   /** Partitions of the other services, by name. */
   servicesElsewhere: Map<string, number>;
-  /** Partition of the jobs to which owners can't append. */
-  unreachable: number | undefined;
+  /** Partition to which owners can't append. */
+  unreachable: TopicPartition | undefined;
   /** Answer of the owners of other partitions to a query for a job. */
   stateElsewhere: QueryResult<JobState>;
   /** Whether the list of executors has been read. */
@@ -78,7 +78,7 @@
     fields?: Partial<ExecutorReport>,
   ): MemoryExecutor;
   /** Starts an owner and waits until it has polled its executors. */
-  startOwner(epoch: number): Promise<PartitionOwner>;
+  startOwner(epoch: number, partition?: number): Promise<PartitionOwner>;
   /** Accepts a job, by default for the service `quoting`. */
   accept(id: string, steps: Step[], service?: string): void;
   cancel(id: string): void;
@@ -135,9 +135,9 @@
       fixture.reports.set(id, report);
       return fixture.executors.add(report);
     },
-    async startOwner(epoch) {
+    async startOwner(epoch, partition = PARTITION) {
       const owner = createPartitionOwner({
-        partition: PARTITION,
+        partition,
         epoch,
         store: createOwnerStore(fixture),
         executorClient: fixture.executors,
@@ -197,7 +197,8 @@
   return {
     ...store,
     append: (target, options) =>
-      target.topic === JOBS_TOPIC && target.partition === fixture.unreachable
+      target.topic === fixture.unreachable?.topic &&
+        target.partition === fixture.unreachable.partition
         ? Promise.resolve({
           type: "refused",
           reason: "status 503",
--- a/packages/jobs/forwarded/forward_jobs_test.ts
+++ b/packages/jobs/forwarded/forward_jobs_test.ts
@@ -12,7 +12,7 @@
   setUpOwners,
 } from "../_fixtures.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
-import { cancelKey, JOBS_TOPIC } from "../topics.ts";
+import { cancelKey, JOBS_TOPIC, PROGRESS_TOPIC } from "../topics.ts";
 
 /** Partition of the service `orders`. */
 const ELSEWHERE = PARTITION + 1;
@@ -89,11 +89,12 @@
   // that another one has got by then (TWICE).
   test("hands nothing on before its service is stored", async () => {
     const owner = await fixture.startOwner(1);
+    await advanceTime(FORWARD_MS);
     fixture.accept(JOB_ID, STEPS, "orders");
-    fixture.store.fault = "refusing";
+    fixture.unreachable = { topic: PROGRESS_TOPIC, partition: PARTITION };
     await advanceTime(FORWARD_MS);
-    fixture.store.fault = undefined;
     owner.close();
+    fixture.unreachable = undefined;
     fixture.accept(JOB_ID, STEPS, "quoting");
     await fixture.startOwner(2);
     await advanceTime(FORWARD_MS);
@@ -105,7 +106,7 @@
   // owner was lost before it had handed the job on.
   test("hands on what the earlier owner has not", async () => {
     const owner = await fixture.startOwner(1);
-    fixture.unreachable = ELSEWHERE;
+    fixture.unreachable = TARGET;
     fixture.accept(JOB_ID, STEPS, "orders");
     await advanceTime(FORWARD_MS);
     expect(await owner.getJobState(JOB_ID))
@@ -175,7 +176,7 @@
   // the next owner would hand on the job of another organisation.
   test("keeps the organisation of a job that it has to hand on", async () => {
     await fixture.startOwner(1);
-    fixture.unreachable = ELSEWHERE;
+    fixture.unreachable = TARGET;
     for (const organisation of ["north", "south"]) {
       const accepted = { ...createAccepted(STEPS), service: "orders" };
       const value = JSON.stringify({ ...accepted, organisation });
