--- a/packages/jobs/accepted/accept_job.ts
+++ b/packages/jobs/accepted/accept_job.ts
@@ -7,6 +7,7 @@
 import { sleep } from "../_sleep.ts";
 import type { Queue } from "../fleet.ts";
 import { type Layout, partitionOf } from "../owned/layout.ts";
+import { encodeCancellation } from "../owned/load_partition.ts";
 import type { Store } from "../ports.ts";
 import {
   type AcceptedJob,
@@ -15,7 +16,7 @@
   QueuePolicy,
   type Submission,
 } from "../submission.ts";
-import { cancelKey, JOBS_TOPIC } from "../topics.ts";
+import { JOBS_TOPIC } from "../topics.ts";
 
 /** Outcome of storing an accepted job or a cancellation. */
 export type RecordOutcome =
@@ -139,10 +140,7 @@
     cancelledAtMs: Date.now(),
     ...(Object.keys(caller).length === 0 ? {} : { caller }),
   };
-  const record = {
-    key: cancelKey(id, caller),
-    value: JSON.stringify(cancellation),
-  };
+  const record = encodeCancellation(id, cancellation);
   const outcomes = await Promise.all(
     options.services.map((service) =>
       storeRecord(id, record, { ...options, service })
--- a/packages/jobs/ended/remove_expired_jobs.ts
+++ b/packages/jobs/ended/remove_expired_jobs.ts
@@ -30,7 +30,7 @@
 }
 
 async function removeExpiredBatch(owner: OwnerState): Promise<void> {
-  const { store, partition, endedJobRetentionMs } = owner.options;
+  const { partition, endedJobRetentionMs } = owner.options;
   const endedBeforeMs = Date.now() - endedJobRetentionMs - RETENTION_MARGIN_MS;
   const expired = [...owner.jobs.values()]
     .filter((job) => isExpired(job, endedBeforeMs))
@@ -42,12 +42,8 @@
     ...expired.flatMap(({ id }) => [id, cancelKey(id)]),
     ...cancellations.map(({ id, caller }) => cancelKey(id, caller)),
   ];
-  const outcome = await store.append({ topic: JOBS_TOPIC, partition }, {
-    records: keys.map((key) => ({ key, value: undefined })),
-    timeoutMs: APPEND_TIMEOUT_MS,
-  });
   // If the outcome is not certain, the next search removes the jobs again.
-  if (outcome.type !== "stored" || owner.isClosed) return;
+  if (!await removeRecords(owner, keys)) return;
   for (const job of expired) removeJob(owner, job);
   forgetCancellations(owner, cancellations);
   if (expired.length === 0) return;
@@ -57,6 +53,23 @@
   });
 }
 
+/**
+ * Removes records of the jobs topic.
+ *
+ * @returns whether that is certain and the owner still open
+ */
+export async function removeRecords(
+  owner: OwnerState,
+  keys: readonly string[],
+): Promise<boolean> {
+  const { store, partition } = owner.options;
+  const outcome = await store.append({ topic: JOBS_TOPIC, partition }, {
+    records: keys.map((key) => ({ key, value: undefined })),
+    timeoutMs: APPEND_TIMEOUT_MS,
+  });
+  return outcome.type === "stored" && !owner.isClosed;
+}
+
 type KnownCancellation = Cancellation & { id: string };
 
 /**
--- a/packages/jobs/forwarded/forward_jobs.ts
+++ b/packages/jobs/forwarded/forward_jobs.ts
@@ -4,14 +4,16 @@
  * @module
  */
 
+import { shareCalls } from "../_share_calls.ts";
+import { encodeCancellation } from "../owned/load_partition.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import type { KeyedRecord } from "../ports.ts";
 import type { Cancellation } from "../submission.ts";
 import { JOBS_TOPIC } from "../topics.ts";
 import {
-  encodeCancellation,
   encodeForwarded,
   type ForwardedJob,
+  isHandedOn,
   type RecordedJob,
 } from "./forwarded_job.ts";
 import { createForwardedJob, targetOf } from "./forwarded_jobs.ts";
@@ -37,27 +39,19 @@
   owner: OwnerState,
   { addHere }: { addHere(job: RecordedJob): void },
 ): void {
-  let isRunning = false;
-  let isRequested = false;
   let retry: NodeJS.Timeout | undefined;
 
-  const run = async () => {
-    isRunning = true;
-    let isAllStored = true;
-    while (isRequested && !owner.isClosed) {
-      isRequested = false;
-      decide(owner, addHere);
-      isAllStored = await sendAll(owner);
-    }
-    isRunning = false;
-    if (isAllStored && !hasOpenDecision(owner)) return;
+  const run = shareCalls(async () => {
+    if (owner.isClosed) return;
+    const isDecided = decide(owner, addHere);
+    const isSent = await sendAll(owner);
+    if (isDecided && isSent) return;
     clearTimeout(retry);
     retry = setTimeout(owner.forwardSoon, RETRY_MS);
-  };
+  });
 
   owner.forwardSoon = () => {
-    isRequested = true;
-    if (!isRunning && !owner.isClosed && owner.isLoaded) void run();
+    if (!owner.isClosed && owner.isLoaded) void run();
   };
 }
 
@@ -77,17 +71,25 @@
   owner.forwardSoon();
 }
 
-/** Stores for new jobs which service runs them, once its partition is known. */
+/**
+ * Stores for new jobs which service runs them, once its partition is known.
+ *
+ * @returns whether it is known for all of them
+ */
 function decide(
   owner: OwnerState,
   addHere: (job: RecordedJob) => void,
-): void {
+): boolean {
   const { partition, events } = owner.options;
+  let isDecided = true;
   for (const job of owner.forwardedJobs.values()) {
     const { id, service, offset, accepted } = job;
     if (job.decision !== "open" || accepted === undefined) continue;
     const target = targetOf(owner, job);
-    if (target === undefined) continue;
+    if (target === undefined) {
+      isDecided = false;
+      continue;
+    }
     if (target === partition) {
       owner.forwardedJobs.delete(id);
       addHere({ id, accepted, offset, progress: undefined });
@@ -101,11 +103,7 @@
       owner.forwardSoon();
     });
   }
-}
-
-function hasOpenDecision(owner: OwnerState): boolean {
-  return [...owner.forwardedJobs.values()]
-    .some(({ decision }) => decision === "open");
+  return isDecided;
 }
 
 /** Sends what waits to each partition; returns whether all of it is stored. */
@@ -113,7 +111,7 @@
   const jobsByTarget = new Map<number, ForwardedJob[]>();
   let isComplete = true;
   for (const job of owner.forwardedJobs.values()) {
-    if (job.decision !== "stored" || !hasUnsent(job)) continue;
+    if (job.decision !== "stored" || isHandedOn(job)) continue;
     const target = targetOf(owner, job);
     if (target === undefined) isComplete = false;
     else jobsByTarget.set(target, [...jobsByTarget.get(target) ?? [], job]);
@@ -124,10 +122,6 @@
   return isComplete && results.every((isStored) => isStored);
 }
 
-function hasUnsent({ accepted, cancellations }: ForwardedJob): boolean {
-  return accepted !== undefined || cancellations.length > 0;
-}
-
 async function sendTo(
   owner: OwnerState,
   { target, jobs }: { target: number; jobs: readonly ForwardedJob[] },
--- a/packages/jobs/forwarded/forwarded_job.ts
+++ b/packages/jobs/forwarded/forwarded_job.ts
@@ -7,8 +7,7 @@
 import type { Progress } from "../ended/progress.ts";
 import type { OwnedJob } from "../organisations/keys/job_access.ts";
 import type { KeyedRecord } from "../ports.ts";
-import type { AcceptedJob, Cancellation } from "../submission.ts";
-import { cancelKey } from "../topics.ts";
+import type { AcceptedJob } from "../submission.ts";
 
 /**
  * Job of a queue that has its home in this partition, for a service with
@@ -45,15 +44,9 @@
   progress: Progress | undefined;
 };
 
-/** Encodes the record of a cancellation. */
-export function encodeCancellation(
-  id: string,
-  cancellation: Cancellation,
-): KeyedRecord {
-  return {
-    key: cancelKey(id, cancellation.caller),
-    value: JSON.stringify(cancellation),
-  };
+/** Returns whether a job and its cancellations are stored where it runs. */
+export function isHandedOn({ accepted, cancellations }: ForwardedJob): boolean {
+  return accepted === undefined && cancellations.length === 0;
 }
 
 /** Encodes the progress of a forwarded job as JSON for the store. */
--- a/packages/jobs/forwarded/forwarded_jobs.ts
+++ b/packages/jobs/forwarded/forwarded_jobs.ts
@@ -5,13 +5,10 @@
  */
 
 import { partitionOf } from "../owned/layout.ts";
+import { encodeCancellation } from "../owned/load_partition.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
 import { mayAccess } from "../organisations/keys/job_access.ts";
-import {
-  encodeCancellation,
-  type ForwardedJob,
-  type RecordedJob,
-} from "./forwarded_job.ts";
+import type { ForwardedJob, RecordedJob } from "./forwarded_job.ts";
 
 /**
  * Returns the partition that runs a job; undefined if its service has none yet,
--- a/packages/jobs/forwarded/remove_forwarded_jobs.ts
+++ b/packages/jobs/forwarded/remove_forwarded_jobs.ts
@@ -1,6 +1,8 @@
+import { sleep } from "../_sleep.ts";
+import { removeRecords } from "../ended/remove_expired_jobs.ts";
 import type { OwnerState } from "../owned/owner_state.ts";
-import { cancelKey, JOBS_TOPIC } from "../topics.ts";
-import type { ForwardedJob } from "./forwarded_job.ts";
+import { cancelKey } from "../topics.ts";
+import { type ForwardedJob, isHandedOn } from "./forwarded_job.ts";
 import { targetOf } from "./forwarded_jobs.ts";
 
 /** Interval between searches for jobs that their partition has removed. */
@@ -9,46 +11,34 @@
 /** Most jobs that one search asks for, at most one search at a time. */
 const MAX_QUERIES = 100;
 
-const APPEND_TIMEOUT_MS = 1_500;
-
 /**
  * Starts removing forwarded jobs that the partition of their service has
  * removed, until the owner closes. Until then, repeats and cancellations of the
  * job may come here.
  */
 export function startRemovingForwardedJobs(owner: OwnerState): void {
-  let isSearching = false;
-  const search = async () => {
-    isSearching = true;
-    await removeGone(owner);
-    isSearching = false;
-  };
-  const timer = setInterval(() => {
-    if (owner.isClosed) clearInterval(timer);
-    else if (owner.isLoaded && !owner.isReleasing && !isSearching) {
-      void search();
-    }
-  }, INTERVAL_MS);
+  void keepRemoving(owner);
+}
+
+async function keepRemoving(owner: OwnerState): Promise<void> {
+  while (!owner.isClosed) {
+    if (owner.isLoaded && !owner.isReleasing) await removeGone(owner);
+    await sleep(INTERVAL_MS);
+  }
 }
 
 async function removeGone(owner: OwnerState): Promise<void> {
   const seenBeforeMs = performance.now() - owner.options.endedJobRetentionMs;
   const due = [...owner.forwardedJobs.values()]
-    .filter(({ accepted, cancellations, seenAtMs }) =>
-      accepted === undefined && cancellations.length === 0 &&
-      seenAtMs < seenBeforeMs
-    ).slice(0, MAX_QUERIES);
+    .filter((job) => isHandedOn(job) && job.seenAtMs < seenBeforeMs)
+    .slice(0, MAX_QUERIES);
   const isGone = await Promise.all(due.map((job) => isRemoved(owner, job)));
   const gone = due.filter((_, index) => isGone[index]);
   if (gone.length === 0 || owner.isClosed) return;
-  const { store, partition, events } = owner.options;
+  const { partition, events } = owner.options;
   const keys = gone.flatMap(({ id }) => [id, cancelKey(id)]);
-  const outcome = await store.append({ topic: JOBS_TOPIC, partition }, {
-    records: keys.map((key) => ({ key, value: undefined })),
-    timeoutMs: APPEND_TIMEOUT_MS,
-  });
   // If the outcome is not certain, the next search removes the jobs again.
-  if (outcome.type !== "stored" || owner.isClosed) return;
+  if (!await removeRecords(owner, keys)) return;
   for (const { id } of gone) {
     owner.forwardedJobs.delete(id);
     owner.progress.put(id, () => undefined);
--- a/packages/jobs/owned/load_partition.ts
+++ b/packages/jobs/owned/load_partition.ts
@@ -8,6 +8,7 @@
 import { AcceptedJob, Cancellation } from "../submission.ts";
 import type { KeyedRecord, Store, StoredRecord } from "../ports.ts";
 import {
+  cancelKey,
   JOBS_TOPIC,
   parseJobKey,
   PROGRESS_TOPIC,
@@ -147,6 +148,17 @@
   return parsed.success ? parsed.data : { cancelledAtMs: Date.now() };
 }
 
+/** Encodes the record of a cancellation. */
+export function encodeCancellation(
+  id: string,
+  cancellation: Cancellation,
+): { key: string; value: string } {
+  return {
+    key: cancelKey(id, cancellation.caller),
+    value: JSON.stringify(cancellation),
+  };
+}
+
 function addJobRecord(state: LoadedPartition, record: StoredRecord): void {
   const { id, isCancellation } = parseJobKey(record.key);
   if (isCancellation) {
