Count a job once that is handed on meanwhile

Callers of a queue away from its home could be told a job too many: the test "counts the jobs that wait at both services" saw 3 in place of 2.

Cause: the owners are asked at the same time, and the home may answer before it hands a job on, the other owner after it has read it. The home is now asked last.

--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -376,15 +376,23 @@
         [...owners.values()].map((owner) => owner.organisationUse()),
       ),
     async countPending(queue, timeoutMs) {
-      const services = servicesOf(queue);
-      const partitions = new Set(
-        services.flatMap((service) => layout().get(service) ?? []),
-      );
-      const counts = await Promise.all(
-        [...partitions].map((partition) =>
-          queryPendingCount(access, { partition, queue: queue.name, timeoutMs })
-        ),
-      );
+      const deadlineMs = performance.now() + timeoutMs;
+      const queryAll = (partitions: readonly number[]) =>
+        Promise.all(partitions.map((partition) =>
+          queryPendingCount(access, {
+            partition,
+            queue: queue.name,
+            timeoutMs: Math.max(0, deadlineMs - performance.now()),
+          })
+        ));
+      const home = queueServices.homeOf(queue) ?? queue.service;
+      const atHome = layout().get(home) ?? [];
+      const elsewhere = servicesOf(queue)
+        .flatMap((service) => layout().get(service) ?? [])
+        .filter((partition) => !atHome.includes(partition));
+      // In the other order, a job that is handed on meanwhile counts twice.
+      const counts = await queryAll([...new Set(elsewhere)]);
+      counts.push(...await queryAll(atHome));
       let sum = 0;
       for (const count of counts) {
         if (count.type !== "known") return { type: "unavailable" };
