--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -65,7 +65,7 @@
     store: Store;
     access: OwnerAccess;
     layout(): Layout;
-    requestLayout(service: string): void;
+    requestLayout(): void;
     ownership(): Ownership;
     /** Caps of organisations; by default those of the configuration. */
     caps?: OrganisationCaps;
--- a/packages/jobs/_layout_watch.ts
+++ b/packages/jobs/_layout_watch.ts
@@ -21,7 +21,7 @@
   /** Layout as it was read last; empty at first. */
   layout(): Layout;
   /** Has the layout read again, as it lacks a service. */
-  request(service: string): void;
+  request(): void;
   start(): void;
   close(): void;
 };
@@ -36,8 +36,8 @@
 }): LayoutWatch {
   const { store, partitionCount } = options;
   let layout: Layout = new Map();
-  /** Services that are missed, beside those of the configuration. */
-  const requested = new Set<string>();
+  /** Whether a service is missed, beside those of the configuration. */
+  let isRequested = false;
   let isClosed = false;
 
   const extendLayout = async () => {
@@ -45,11 +45,11 @@
     if (configuration === undefined) return;
     const isComplete = () =>
       configuration.services.every(({ name }) => layout.has(name));
-    if (isComplete() && requested.size === 0) return;
+    if (isComplete() && !isRequested) return;
     const stored = await readLayout(store);
     if (stored === undefined) return;
     layout = stored.layout;
-    requested.clear();
+    isRequested = false;
     if (isComplete()) {
       options.onComplete();
       return;
@@ -74,7 +74,9 @@
 
   return {
     layout: () => layout,
-    request: (service) => void requested.add(service),
+    request() {
+      isRequested = true;
+    },
     start: () => void watchLayout(),
     close() {
       isClosed = true;
--- a/packages/jobs/accepted/apply_records.ts
+++ b/packages/jobs/accepted/apply_records.ts
@@ -234,12 +234,22 @@
   if (replacesOrganisation(first, accepted)) void restoreAcceptance(owner, id);
 }
 
-/** Adds a job of a record, to be run by this owner or to be handed on. */
-export function addRecordedJob(owner: OwnerState, job: RecordedJob): void {
-  const { id, accepted: { service } } = job;
-  const isHere = targetOf(owner, { id, service }) === owner.options.partition;
-  if (isHere) addJob(owner, job);
-  else forwardJob(owner, job);
+/**
+ * Adds a job of a record, to be run by this owner or to be handed on.
+ *
+ * @returns the job if this owner runs it
+ */
+export function addRecordedJob(
+  owner: OwnerState,
+  job: RecordedJob,
+): Job | undefined {
+  const { id, accepted: { service }, progress } = job;
+  // Earlier versions handed nothing on, and what has ended runs nowhere.
+  const isHere = (progress !== undefined && progress.service === undefined) ||
+    targetOf(owner, { id, service }) === owner.options.partition;
+  if (isHere) return addJob(owner, job);
+  forwardJob(owner, job);
+  return undefined;
 }
 
 /** Returns what is known of the first record of a job. */
@@ -266,9 +276,9 @@
   const { store, partition, events } = owner.options;
   events.log("jobIdInUse", { job: id, partition });
   const accepted = neededRecordOf(owner, id);
+  if (accepted === undefined) return;
   const record = { key: id, value: JSON.stringify(accepted) };
-  while (!owner.isClosed && accepted !== undefined) {
-    if (neededRecordOf(owner, id) !== accepted) return;
+  while (!owner.isClosed && neededRecordOf(owner, id) === accepted) {
     const outcome = await store.append({ topic: JOBS_TOPIC, partition }, {
       records: [record],
       timeoutMs: RESTORE_TIMEOUT_MS,
--- a/packages/jobs/accepted/queue_services.ts
+++ b/packages/jobs/accepted/queue_services.ts
@@ -94,8 +94,10 @@
   const services = new Map<string, Set<string>>();
   /** Known homes by queue, which never change. */
   const homes = new Map<string, string>();
-  /** Records that are being stored, by key. */
-  const recordings = new Map<string, Promise<RecordOutcome>>();
+  /** Homes that are being stored, by queue. */
+  const homeRecordings = new Map<string, Promise<RecordOutcome>>();
+  /** Keys of the services that are being stored. */
+  const serviceRecordings = new Set<string>();
 
   const applyRecords = (records: readonly KeyedRecord[]) => {
     for (const { key, value } of records) {
@@ -142,13 +144,16 @@
    * answer is carried out late.
    */
   const storeHome = async (queue: Queue): Promise<RecordOutcome> => {
-    let reason = "other members store records all the time";
+    const refuse = (reason: string): RecordOutcome => ({
+      type: "refused",
+      retryAfterMs: RETRY_AFTER_MS,
+      reason,
+    });
     for (let attempts = 0; attempts < MAX_HOME_ATTEMPTS; attempts++) {
       const nextOffset = await readAll();
       if (homeOf(queue) !== undefined) return { type: "stored" };
       if (nextOffset === undefined) {
-        reason = "the homes of the queues could not be read";
-        break;
+        return refuse("the homes of the queues could not be read");
       }
       const outcome = await store.append(QUEUES_PARTITION, {
         records: [encodeHome(queue)],
@@ -159,43 +164,28 @@
       if (outcome.type === "stored") {
         events.log("queueHomeStored", { queue: name, service });
       }
-      if (outcome.type !== "refused" && outcome.type !== "rejected") continue;
-      reason = `the home of the queue is not stored: ${outcome.reason}`;
-      break;
+      if (outcome.type === "refused" || outcome.type === "rejected") {
+        return refuse(`the home of the queue is not stored: ${outcome.reason}`);
+      }
     }
-    return { type: "refused", retryAfterMs: RETRY_AFTER_MS, reason };
+    return refuse("other members store records all the time");
   };
 
-  const storeService = async (queue: Queue): Promise<RecordOutcome> => {
+  const storeService = async (queue: Queue): Promise<void> => {
+    const record = encodeQueueService(queue);
+    if (serviceRecordings.has(record.key)) return;
+    serviceRecordings.add(record.key);
     const earlier = services.get(queueKey(queue))?.size ?? 0;
-    const outcome = await store.append(QUEUES_PARTITION, {
-      records: [encodeQueueService(queue)],
+    await store.append(QUEUES_PARTITION, {
+      records: [record],
       timeoutMs: APPEND_TIMEOUT_MS,
     });
     // This also shows whether an append without an answer was carried out.
     await readAll();
-    if (isKnown(queue)) {
-      const { name, service } = queue;
-      events.log("queueServiceStored", { queue: name, service, earlier });
-      return { type: "stored" };
-    }
-    return {
-      type: "refused",
-      retryAfterMs: RETRY_AFTER_MS,
-      reason: "reason" in outcome
-        ? `the service of the queue is not stored: ${outcome.reason}`
-        : "the services of the queues could not be read",
-    };
-  };
-
-  /** Shares a call that stores a record between those who need it. */
-  const share = (key: string, store: () => Promise<RecordOutcome>) => {
-    let recording = recordings.get(key);
-    if (recording === undefined) {
-      recording = store().finally(() => recordings.delete(key));
-      recordings.set(key, recording);
-    }
-    return recording;
+    serviceRecordings.delete(record.key);
+    if (!isKnown(queue)) return;
+    const { name, service } = queue;
+    events.log("queueServiceStored", { queue: name, service, earlier });
   };
 
   return {
@@ -206,16 +196,17 @@
     homeOf,
     async record(queue) {
       if (homeOf(queue) === undefined) {
-        const outcome = await share(
-          encodeHome(queue).key,
-          () => storeHome(queue),
-        );
+        const key = queueKey(queue);
+        let recording = homeRecordings.get(key);
+        if (recording === undefined) {
+          recording = storeHome(queue)
+            .finally(() => homeRecordings.delete(key));
+          homeRecordings.set(key, recording);
+        }
+        const outcome = await recording;
         if (outcome.type !== "stored") return outcome;
       }
-      if (!isKnown(queue)) {
-        const { key } = encodeQueueService(queue);
-        void share(key, () => storeService(queue));
-      }
+      if (!isKnown(queue)) void storeService(queue);
       return { type: "stored" };
     },
     refresh: async () => await readAll() !== undefined,
@@ -237,11 +228,11 @@
 }
 
 /** Encodes that a queue has its home at its present service. */
-function encodeHome({ host, pathPrefix, service }: QueueService) {
+function encodeHome(queue: QueueService) {
+  const { host, pathPrefix } = queue;
   const digest = createHash("sha256")
     .update(JSON.stringify({ host, pathPrefix })).digest("hex");
-  const value = JSON.stringify({ host, pathPrefix, service });
-  return { key: HOME_PREFIX + digest, value };
+  return { key: HOME_PREFIX + digest, value: encodeQueueService(queue).value };
 }
 
 function decodeQueueService(
--- a/packages/jobs/forwarded/forwarded_jobs.ts
+++ b/packages/jobs/forwarded/forwarded_jobs.ts
@@ -20,7 +20,7 @@
 ): number | undefined {
   const { view } = owner.options;
   const partition = partitionOf(view.layout(), { service, key: id });
-  if (partition === undefined) view.requestLayout(service);
+  if (partition === undefined) view.requestLayout();
   return partition;
 }
 
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -269,12 +269,7 @@
     return { type: "found", home: queueServices.homeOf(queue)! };
   };
 
-  /** Returns the services for which jobs of a queue may have been accepted. */
-  const servicesOf = (queue: Queue) => {
-    const home = queueServices.homeOf(queue);
-    const services = queueServices.servicesOf(queue);
-    return home === undefined ? services : [...new Set([home, ...services])];
-  };
+  const { servicesOf } = queueServices;
 
   const toCaller = (options: CallOptions) =>
     callerOf(platform.configuration(), options);
--- a/packages/jobs/owned/_take_over.ts
+++ b/packages/jobs/owned/_take_over.ts
@@ -6,15 +6,12 @@
 
 import { sleep } from "../_sleep.ts";
 import {
-  addJob,
   addRecordedJob,
   applyCancellation,
   readNewRecords,
 } from "../accepted/apply_records.ts";
 import { finishIfComplete } from "../ended/finish_job.ts";
-import { forwardJob } from "../forwarded/forward_jobs.ts";
 import type { RecordedJob } from "../forwarded/forwarded_job.ts";
-import { targetOf } from "../forwarded/forwarded_jobs.ts";
 import type { Job } from "../job.ts";
 import { startBackoff } from "../placed/crash_backoff.ts";
 import {
@@ -89,12 +86,11 @@
  */
 function knowsServices(owner: OwnerState, state: LoadedPartition): boolean {
   const { view } = owner.options;
-  const services = [...state.progress.values()].map(({ service }) => service);
-  const unknown = [...new Set(services)].filter((service) =>
-    service !== undefined && !view.layout().has(service)
+  const isKnown = [...state.progress.values()].every(({ service }) =>
+    service === undefined || view.layout().has(service)
   );
-  for (const service of unknown) view.requestLayout(service!);
-  return unknown.length === 0;
+  if (!isKnown) view.requestLayout();
+  return isKnown;
 }
 
 function applyState(owner: OwnerState, state: LoadedPartition): void {
@@ -142,14 +138,11 @@
  * member whose configuration was out of date.
  */
 function addLoadedJob(owner: OwnerState, recorded: RecordedJob): void {
-  const { id, progress } = recorded;
-  if (progress === undefined) return addRecordedJob(owner, recorded);
-  const service = progress.service ?? recorded.accepted.service;
-  const decided = { ...recorded, accepted: { ...recorded.accepted, service } };
-  const isHere = progress.service === undefined ||
-    targetOf(owner, { id, service }) === owner.options.partition;
-  if (!isHere) return forwardJob(owner, decided);
-  const job = addJob(owner, decided);
+  const { accepted, progress } = recorded;
+  const service = progress?.service ?? accepted.service;
+  const decided = { ...recorded, accepted: { ...accepted, service } };
+  const job = addRecordedJob(owner, decided);
+  if (job === undefined) return;
   restoreSuspicions(owner, job);
   // The earlier owner ended after it had stored the last end of a task.
   finishIfComplete(owner, job);
--- a/packages/jobs/owned/owner_state.ts
+++ b/packages/jobs/owned/owner_state.ts
@@ -46,7 +46,7 @@
   configuration(): Configuration | undefined;
   layout(): Layout;
   /** Has the layout read again, as it lacks a service. */
-  requestLayout(service: string): void;
+  requestLayout(): void;
   executors(): ReadonlyMap<string, ExecutorReport>;
   /** Whether the list of executors has been read. */
   hasExecutorList(): boolean;
