Say which call between members failed, for which job, and how

LL6209 has the call, the partition and job, the code, the time that the call took and had, the state of the connection, and the time since the member's last answer. LL6104 has the partition, its owner, the number of calls, the time and the reason. LL6009 tells on the owner that its process did not run, and how much processor time it used meanwhile. Two metrics count failed calls by state of the connection and served calls, so that a way that loses calls differs from one that loses answers. No decision is changed.

--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -25,6 +25,7 @@
 import { createRelayMonitor } from "./accepted/relay_monitor.ts";
 import { relayRecord } from "./accepted/relay_record.ts";
 import { createAcquisition } from "./_acquisition.ts";
+import { logCallFailure } from "./_log_call_failure.ts";
 import { createLayoutWatch } from "./_layout_watch.ts";
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
@@ -98,6 +99,8 @@
   countPending(queue: Queue, timeoutMs: number): Promise<QueryResult<number>>;
   /** Returns what the organisations with caps use at the owners here. */
   organisationUse(): ReadonlyMap<string, OrganisationUse>;
+  /** Returns how many calls of other members were served, by call. */
+  servedCalls(): ReadonlyMap<string, number>;
   /** Gives up all partitions, so that other members take them over at once. */
   leave(): Promise<void>;
   close(): Promise<void>;
@@ -132,6 +135,7 @@
   const { events } = options;
   const owners = new Map<number, PartitionOwner>();
   const clients = new Map<string, OwnerClient>();
+  const servedCalls = new Map<string, number>();
 
   const caps = createOrganisationCaps(() => platform.configuration());
   const refreshOwners = () => {
@@ -151,7 +155,11 @@
       held: platform.held,
       isStoreReached: () => !isUnreachable(),
     }),
-    options.peer,
+    {
+      ...options.peer,
+      onServed: (call) =>
+        servedCalls.set(call, (servedCalls.get(call) ?? 0) + 1),
+    },
   );
   const directory = createOwnerDirectory(store);
   const queueServices = createQueueServices({ store, events });
@@ -166,7 +174,7 @@
       let client = clients.get(address);
       if (client === undefined) {
         client = createOwnerClient(address, {
-          onFailure: (reason) => events.log("ownerSilent", { address, reason }),
+          onFailure: (failure) => logCallFailure(events, address, failure),
         });
         clients.set(address, client);
       }
@@ -395,6 +403,7 @@
       }
       return { type: "known", value: sum };
     },
+    servedCalls: () => servedCalls,
     leave: () => ownership.leave(),
     async close() {
       layoutWatch.close();
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -10,7 +10,11 @@
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { FullService } from "../organisations/shares/full_services.ts";
 import type { Caller, JobState } from "../submission.ts";
-import type { LocatedResult, QueryResult } from "./query_result.ts";
+import type {
+  LocatedResult,
+  QueryFailure,
+  QueryResult,
+} from "./query_result.ts";
 
 /** Longest wait for one answer of another member. */
 const REMOTE_TIMEOUT_MS = 800;
@@ -117,16 +121,17 @@
 ): Promise<QueryResult<JobState>> {
   return new Promise((resolve) => {
     let openCount = partitions.length;
-    let isUnavailable = false;
+    let unavailable:
+      | QueryResult<JobState> & { type: "unavailable" }
+      | undefined;
     if (openCount === 0) resolve({ type: "missing" });
     for (const partition of partitions) {
       void queryJobState(access, { partition, ...query }).then(
         (result) => {
           if (result.type === "known") resolve(result);
-          isUnavailable ||= result.type === "unavailable";
+          if (result.type === "unavailable") unavailable ??= result;
           openCount--;
-          if (openCount > 0) return;
-          resolve({ type: isUnavailable ? "unavailable" : "missing" });
+          if (openCount === 0) resolve(unavailable ?? { type: "missing" });
         },
       );
     }
@@ -174,16 +179,28 @@
 async function queryOwner<Result extends { type: string }>(
   access: OwnerAccess,
   query: OwnerQuery<Result>,
-): Promise<Result | { type: "unavailable" }> {
-  const deadlineMs = performance.now() + query.timeoutMs;
+): Promise<Result | { type: "unavailable"; failure: QueryFailure }> {
+  const startedMs = performance.now();
+  const deadlineMs = startedMs + query.timeoutMs;
+  const { partition } = query;
+  const failure = { partition, owner: "", calls: 0, reason: "no time left" };
   while (true) {
-    const owner = access.localOwner(query.partition);
+    const owner = access.localOwner(partition);
     if (owner?.isLoaded() === true) return await query.local(owner);
     const leftMs = deadlineMs - performance.now();
-    if (leftMs <= 0) return { type: "unavailable" };
-    const address = await access.directory.find(query.partition);
-    if (address !== undefined && address !== access.ownAddress) {
+    if (leftMs <= 0) {
+      const tookMs = performance.now() - startedMs;
+      return { type: "unavailable", failure: { ...failure, tookMs } };
+    }
+    const address = await access.directory.find(partition);
+    if (address === undefined) failure.reason = "no owner is known";
+    else if (address === access.ownAddress) {
+      failure.reason = "this member has not loaded the partition yet";
+    } else {
       const timeoutMs = Math.ceil(Math.min(REMOTE_TIMEOUT_MS, leftMs));
+      failure.calls++;
+      failure.owner = address;
+      failure.reason = "the owner gave no answer as such";
       const answer = await query.remote(access.client(address), timeoutMs);
       if (answer !== undefined) return answer;
     }
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -5,7 +5,7 @@
  */
 
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { createClient } from "@connectrpc/connect";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
 import {
   createConnectTransport,
   Http2SessionManager,
@@ -33,6 +33,30 @@
 /** Time in which the other member has to answer a ping. */
 const PING_TIMEOUT_MS = 700;
 
+/** Call between members that failed. */
+export type CallFailure = {
+  /** Name of the RPC. */
+  call: string;
+  /** Partition that the call is about; undefined if it is about none. */
+  partition: number | undefined;
+  /** Job that the call is about; undefined if it is about none. */
+  job: string | undefined;
+  /** Code of the RPC status, for example `deadline_exceeded`. */
+  code: string;
+  reason: string;
+  tookMs: number;
+  /** Time that the call had. */
+  timeoutMs: number;
+  /**
+   * State of the connection at the end of the call: `connecting` if it was not
+   * established yet, `verifying` if a ping was not answered yet, else `open`,
+   * `idle`, `closed` or `error`.
+   */
+  connection: string;
+  /** Time since the member's last answer; undefined if there was none. */
+  silentMs: number | undefined;
+};
+
 /** Client of one member; calls resolve with undefined if they fail. */
 export type OwnerClient = {
   /** Returns the state of a job. */
@@ -84,7 +108,7 @@
  */
 export function createOwnerClient(
   address: string,
-  { onFailure }: { onFailure(reason: string): void },
+  { onFailure }: { onFailure(failure: CallFailure): void },
 ): OwnerClient {
   const baseUrl = `http://${address}`;
   const sessionManager = new Http2SessionManager(baseUrl, {
@@ -101,30 +125,88 @@
       acceptCompression: [],
     }),
   );
-  const undefinedOnFailure = async <Response>(
-    call: Promise<Response>,
+  let answeredAtMs: number | undefined;
+  const callMember = async <Response>(
+    call: string,
+    send: () => Promise<Response>,
+    { partition, job, timeoutMs }: {
+      partition?: number | undefined;
+      job?: string | undefined;
+      timeoutMs: number;
+    },
   ): Promise<Response | undefined> => {
+    const sentAtMs = performance.now();
     try {
-      return await call;
+      const response = await send();
+      answeredAtMs = performance.now();
+      return response;
     } catch (error) {
-      onFailure(error instanceof Error ? error.message : String(error));
+      const nowMs = performance.now();
+      const { code, message } = ConnectError.from(error);
+      onFailure({
+        call,
+        partition,
+        job,
+        code: formatCode(code),
+        reason: message,
+        tookMs: nowMs - sentAtMs,
+        timeoutMs,
+        connection: sessionManager.state(),
+        silentMs: answeredAtMs === undefined ? undefined : nowMs - answeredAtMs,
+      });
       return undefined;
     }
   };
   return {
     show: (request, timeoutMs) =>
-      undefinedOnFailure(client.show(request, { timeoutMs })),
+      callMember("show", () => client.show(request, { timeoutMs }), {
+        ...subjectOf(request),
+        timeoutMs,
+      }),
     countPending: (request, timeoutMs) =>
-      undefinedOnFailure(client.countPending(request, { timeoutMs })),
+      callMember(
+        "countPending",
+        () => client.countPending(request, { timeoutMs }),
+        { ...subjectOf(request), timeoutMs },
+      ),
     report: (request, timeoutMs) =>
-      undefinedOnFailure(client.report(request, { timeoutMs })),
+      callMember("report", () => client.report(request, { timeoutMs }), {
+        ...subjectOf(request),
+        timeoutMs,
+      }),
     relay: (request, timeoutMs) =>
-      undefinedOnFailure(client.relay(request, { timeoutMs })),
+      callMember("relay", () => client.relay(request, { timeoutMs }), {
+        ...subjectOf({ partition: request.partition, job: request.key }),
+        timeoutMs,
+      }),
     limit: (request, timeoutMs) =>
-      undefinedOnFailure(client.limit(request, { timeoutMs })),
-    reach: (timeoutMs) => undefinedOnFailure(client.reach({}, { timeoutMs })),
+      callMember("limit", () => client.limit(request, { timeoutMs }), {
+        ...subjectOf(request),
+        timeoutMs,
+      }),
+    reach: (timeoutMs) =>
+      callMember("reach", () => client.reach({}, { timeoutMs }), { timeoutMs }),
     configuration: (request, timeoutMs) =>
-      undefinedOnFailure(client.configuration(request, { timeoutMs })),
+      callMember(
+        "configuration",
+        () => client.configuration(request, { timeoutMs }),
+        { timeoutMs },
+      ),
     close: () => sessionManager.abort(),
   };
 }
+
+/** Returns what a call is about, as its failure names it. */
+function subjectOf(
+  { partition, job }: {
+    partition?: number | undefined;
+    job?: string | undefined;
+  },
+): Pick<CallFailure, "partition" | "job"> {
+  return { partition, job };
+}
+
+/** Formats the code of an RPC status as its protocol names it. */
+function formatCode(code: Code): string {
+  return Code[code].replace(/(?!^)[A-Z]/g, "_$&").toLowerCase();
+}
--- a/packages/peers/create_owner_server.ts
+++ b/packages/peers/create_owner_server.ts
@@ -40,6 +40,8 @@
   host: string;
   port: number;
   limits?: SessionLimits;
+  /** Called after each call that was answered, with the name of its RPC. */
+  onServed?(call: string): void;
 };
 
 /** Handlers for the calls of other members. */
@@ -90,7 +92,7 @@
  */
 export async function createOwnerServer(
   handlers: OwnerHandlers,
-  { host, port, limits = DEFAULT_LIMITS }: OwnerServerOptions,
+  { host, port, limits = DEFAULT_LIMITS, onServed }: OwnerServerOptions,
 ): Promise<OwnerServer> {
   const guard = createSessionGuard(limits);
   const server = createServer(guard.wrap(connectNodeAdapter({
@@ -98,6 +100,11 @@
     grpcWeb: false,
     acceptCompression: [],
     readMaxBytes: MAX_MESSAGE_BYTES,
+    interceptors: [(next) => async (request) => {
+      const response = await next(request);
+      onServed?.(request.method.localName);
+      return response;
+    }],
     routes: (router) => router.service(OwnerService, { ...handlers }),
   })));
   guard.watch(server);
--- a/packages/telemetry/job_log_events.ts
+++ b/packages/telemetry/job_log_events.ts
@@ -1,5 +1,6 @@
 import { EXECUTOR_LOG_EVENTS } from "./executor_log_events.ts";
 import type { LogEvent } from "./log_event.ts";
+import { MEMBER_LOG_EVENTS } from "./member_log_events.ts";
 import { ORGANISATION_LOG_EVENTS } from "./organisation_log_events.ts";
 
 /** Fields of an append of progress that the store did not take. */
@@ -108,12 +109,6 @@
     message: "cancellation of a job is stored",
     fields: { job: "string", position: "string" },
   },
-  showFailed: {
-    id: "LL6104",
-    level: "warn",
-    message: "state of a job could not be fetched for its caller",
-    fields: { job: "string", queue: "string" },
-  },
   cancellationRead: {
     id: "LL6105",
     level: "info",
@@ -254,12 +249,6 @@
     message: "group of partition owners is left to other members",
     fields: { generation: "number", partitions: "number" },
   },
-  ownerSilent: {
-    id: "LL6209",
-    level: "warn",
-    message: "call to another member failed",
-    fields: { address: "string", reason: "string" },
-  },
   jobTaken: {
     id: "LL6301",
     level: "info",
@@ -398,5 +387,6 @@
     fields: APPEND_FAILURE_FIELDS,
   },
   ...EXECUTOR_LOG_EVENTS,
+  ...MEMBER_LOG_EVENTS,
   ...ORGANISATION_LOG_EVENTS,
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/packages/telemetry/job_metrics.ts
+++ b/packages/telemetry/job_metrics.ts
@@ -29,6 +29,8 @@
   { width: "over_16_cores", maxCpu: Infinity },
 ] as const;
 
+const CALL_BUCKETS_S = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5];
+
 const TAKEOVER_BUCKETS_S = [0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 
 /** Metrics of a member that owns jobs. */
@@ -38,6 +40,8 @@
   observe(event: LogEvent, fields: Readonly<Record<string, unknown>>): void;
   /** Exports the age of the configuration, which is read for each scrape. */
   readConfigurationAge(readMs: () => number): void;
+  /** Exports how many calls of other members were served, by call. */
+  readServedCalls(read: () => ReadonlyMap<string, number>): void;
 };
 
 /**
@@ -134,6 +138,14 @@
     labelNames: ["port", "reason"] as const,
     registers,
   });
+  const memberCallFailures = new Histogram({
+    name: "lagoonloom_member_call_failure_seconds",
+    help: "Time until a call to another member failed, by call and by the " +
+      "state of the connection.",
+    labelNames: ["call", "connection"] as const,
+    buckets: CALL_BUCKETS_S,
+    registers,
+  });
   return {
     registry,
     observe({ id }, fields) {
@@ -152,6 +164,13 @@
         const port = String(fields["port"]);
         const reason = String(fields["reason"]);
         clientRefusals.inc({ port, reason }, Number(fields["refused"]));
+      } else if (id === JOB_LOG_EVENTS.memberCallFailed.id) {
+        const call = String(fields["call"]);
+        const connection = String(fields["connection"]);
+        memberCallFailures.observe(
+          { call, connection },
+          toSeconds(fields["tookMs"]),
+        );
       } else if (id === JOB_LOG_EVENTS.taskPlaced.id) {
         const width = widthOf(Number(fields["cpu"]));
         waits.observe({ width }, toSeconds(fields["waitedMs"]));
@@ -187,6 +206,18 @@
         },
       });
     },
+    readServedCalls(read) {
+      new Counter({
+        name: "lagoonloom_member_calls_served_total",
+        help: "Calls of other members that were served, by call.",
+        labelNames: ["call"] as const,
+        registers,
+        collect() {
+          this.reset();
+          for (const [call, count] of read()) this.inc({ call }, count);
+        },
+      });
+    },
   };
 }
 
--- a/packages/telemetry/job_metrics_test.ts
+++ b/packages/telemetry/job_metrics_test.ts
@@ -40,6 +40,36 @@
     expect(text).toContain('lagoonloom_task_run_seconds_sum{how="done"} 0.7');
   });
 
+  // Guards against a silent owner of which nobody can tell whether calls
+  // reach it, and whether its connections stand.
+  test("tells calls between members that failed from those served", async () => {
+    const { metrics, events } = create();
+    metrics.readServedCalls(() => new Map([["show", 7]]));
+    events.log("memberCallFailed", {
+      address: "10.3.0.224:7120",
+      call: "show",
+      partition: 3,
+      job: "a",
+      code: "deadline_exceeded",
+      reason: "the operation timed out",
+      tookMs: 800,
+      timeoutMs: 800,
+      connection: "connecting",
+      silentMs: -1,
+    });
+    const text = await metrics.registry.metrics();
+    expect(text).toContain(
+      'lagoonloom_member_call_failure_seconds_sum{call="show",' +
+        'connection="connecting"} 0.8',
+    );
+    expect(text).toContain(
+      'lagoonloom_member_calls_served_total{call="show"} 7',
+    );
+    expect(await metrics.registry.metrics()).toContain(
+      'lagoonloom_member_calls_served_total{call="show"} 7',
+    );
+  });
+
   // Guards against large tasks that wait long, and reservations that are
   // missed, without anybody seeing it.
   test("records waits by width and what became of reservations", async () => {
--- /dev/null
+++ b/packages/telemetry/member_log_events.ts
@@ -0,0 +1,45 @@
+import type { LogEvent } from "./log_event.ts";
+
+/**
+ * Log events about the calls between members, and about a member that does not
+ * run. A number of -1 means that there is none, as does an empty text.
+ */
+export const MEMBER_LOG_EVENTS = {
+  processHeldUp: {
+    id: "LL6009",
+    level: "warn",
+    message: "process did not run for a while",
+    fields: { heldUpMs: "number", usedCpuMs: "number" },
+  },
+  showFailed: {
+    id: "LL6104",
+    level: "warn",
+    message: "state of a job could not be fetched for its caller",
+    fields: {
+      job: "string",
+      queue: "string",
+      partition: "number",
+      owner: "string",
+      calls: "number",
+      tookMs: "number",
+      reason: "string",
+    },
+  },
+  memberCallFailed: {
+    id: "LL6209",
+    level: "warn",
+    message: "call to another member failed",
+    fields: {
+      address: "string",
+      call: "string",
+      partition: "number",
+      job: "string",
+      code: "string",
+      reason: "string",
+      tookMs: "number",
+      timeoutMs: "number",
+      connection: "string",
+      silentMs: "number",
+    },
+  },
+} as const satisfies Readonly<Record<string, LogEvent>>;
--- a/packages/telemetry/mod.ts
+++ b/packages/telemetry/mod.ts
@@ -13,4 +13,6 @@
 export * from "./organisation_metrics.ts";
 export * from "./log_event.ts";
 export * from "./log_events.ts";
+export * from "./member_log_events.ts";
 export * from "./metrics.ts";
+export * from "./watch_held_up.ts";
