Wait for an answer of an owner that takes longer than a try

Callers got 503 for an accepted job although its owner would have told the state: each try ended after 800 ms, the next one asked anew, and the third one had 200 ms left.

A call to an owner now stays open until the caller's deadline, while the owner is looked up again every 0.4 s; if another member owns the partition by then, it is asked beside the first one. So a slow answer counts, and a slow owner gets one call for a question in place of three.

The test of an answer after 1.5 s fails before (unavailable after three calls).

--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -5,6 +5,7 @@
  */
 
 import type { OwnerClient } from "@lagoonloom/peers";
+import { sleep } from "../_sleep.ts";
 import { compactCaller } from "../organisations/keys/job_access.ts";
 import type { OwnerDirectory } from "../owned/owner_directory.ts";
 import type { PartitionOwner } from "../owned/partition_owner.ts";
@@ -16,8 +17,8 @@
   QueryResult,
 } from "./query_result.ts";
 
-/** Longest wait for one answer of another member. */
-const REMOTE_TIMEOUT_MS = 800;
+/** Time without an answer after which the owner is looked up again. */
+const LOOKUP_INTERVAL_MS = 400;
 
 /** Delay before the owner is looked up again. */
 const RETRY_DELAY_MS = 100;
@@ -175,15 +176,38 @@
   ): Promise<Result | undefined>;
 };
 
-/** Looks up the owner and queries it, again and again until the timeout. */
+/**
+ * Looks up the owner and queries it until the timeout. A call goes on while the
+ * owner is looked up again: a slow answer is better than none, and to ask again
+ * would only add to the load of a slow owner.
+ */
 async function queryOwner<Result extends { type: string }>(
   access: OwnerAccess,
   query: OwnerQuery<Result>,
 ): Promise<Result | { type: "unavailable"; failure: QueryFailure }> {
+  const { directory, ownAddress } = access;
+  const { partition } = query;
   const startedMs = performance.now();
   const deadlineMs = startedMs + query.timeoutMs;
-  const { partition } = query;
   const failure = { partition, owner: "", calls: 0, reason: "no time left" };
+  /** Calls that have not failed, by address. */
+  const openCalls = new Map<string, Promise<Result | undefined>>();
+
+  const call = (address: string, timeoutMs: number) => {
+    if (openCalls.has(address)) return;
+    failure.calls++;
+    failure.owner = address;
+    failure.reason = "the owner gave no answer as such";
+    const send = async () => {
+      const client = access.client(address);
+      const answer = await query.remote(client, Math.ceil(timeoutMs));
+      // An answer stays, as it may come between two looks at the calls.
+      if (answer === undefined) openCalls.delete(address);
+      return answer;
+    };
+    openCalls.set(address, send());
+  };
+
   while (true) {
     const owner = access.localOwner(partition);
     if (owner?.isLoaded() === true) return await query.local(owner);
@@ -192,19 +216,39 @@
       const tookMs = performance.now() - startedMs;
       return { type: "unavailable", failure: { ...failure, tookMs } };
     }
-    const address = await access.directory.find(partition);
-    if (address === undefined) failure.reason = "no owner is known";
-    else if (address === access.ownAddress) {
-      failure.reason = "this member has not loaded the partition yet";
-    } else {
-      const timeoutMs = Math.ceil(Math.min(REMOTE_TIMEOUT_MS, leftMs));
-      failure.calls++;
-      failure.owner = address;
-      failure.reason = "the owner gave no answer as such";
-      const answer = await query.remote(access.client(address), timeoutMs);
-      if (answer !== undefined) return answer;
-    }
-    access.directory.invalidate();
-    await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
+    const address = await directory.find(partition);
+    const isElsewhere = address !== undefined && address !== ownAddress;
+    if (isElsewhere) call(address, leftMs);
+    else failure.reason = "no other member is known as the owner";
+    const answer = await firstAnswer(
+      [...openCalls.values()],
+      Math.min(LOOKUP_INTERVAL_MS, leftMs),
+    );
+    if (answer !== undefined) return answer;
+    directory.invalidate();
+    await sleep(RETRY_DELAY_MS);
   }
 }
+
+/**
+ * Returns the first answer of several calls; undefined if none has one, or not
+ * within the timeout.
+ */
+function firstAnswer<Answer>(
+  calls: readonly Promise<Answer | undefined>[],
+  timeoutMs: number,
+): Promise<Answer | undefined> {
+  if (calls.length === 0) return Promise.resolve(undefined);
+  return new Promise((resolve) => {
+    let openCount = calls.length;
+    const timer = setTimeout(() => resolve(undefined), timeoutMs);
+    for (const call of calls) {
+      void call.then((answer) => {
+        openCount--;
+        if (answer === undefined && openCount > 0) return;
+        clearTimeout(timer);
+        resolve(answer);
+      });
+    }
+  });
+}
