Store that a job has started

Only the owner of a partition knew whether a task of a job has started: the record of a job at work was the same as that of one that fits on no executor. So neither another member nor the next owner could tell them apart, and the next owner showed a running job as queued until its executor answered.

A job's progress now says that it has started. Versions before ignore the field.

The expectation in lasting_failures_test.ts names the new field and stays exact.

--- a/packages/jobs/ended/finish_job.ts
+++ b/packages/jobs/ended/finish_job.ts
@@ -17,7 +17,10 @@
 ): void {
   owner.progress.put(
     job.id,
-    () => encodeProgress(job, owner.failedRuns),
+    () => {
+      job.isStartStored = job.hasStarted;
+      return encodeProgress(job, owner.failedRuns);
+    },
     options,
   );
 }
--- a/packages/jobs/ended/lasting_failures_test.ts
+++ b/packages/jobs/ended/lasting_failures_test.ts
@@ -35,6 +35,7 @@
       done: { "0.1": "1" },
       failed: {},
       service: "quoting",
+      hasStarted: true,
     });
   });
 });
--- a/packages/jobs/ended/progress.ts
+++ b/packages/jobs/ended/progress.ts
@@ -36,6 +36,8 @@
   failed: z.record(z.string(), z.array(z.number())),
   /** Tasks under which executors have crashed, by task name. */
   suspicions: z.record(z.string(), Suspicion).optional(),
+  /** Whether a task has started. Earlier versions store only ends. */
+  hasStarted: z.boolean().optional(),
   outcome: z.enum(["completed", "failed", "cancelled"]).optional(),
   /**
    * Service that runs the job. It holds against later records of the job that
@@ -72,6 +74,7 @@
     return JSON.stringify(progress);
   }
   progress.service = job.accepted.service;
+  if (job.hasStarted) progress.hasStarted = true;
   if (isScheduled(job)) progress.opened = openedOccurrences(job);
   for (const group of job.groups) {
     const isOpened =
@@ -126,6 +129,8 @@
   job.isOutcomeStored = progress.outcome !== undefined;
   job.hasFailed = progress.outcome === "failed";
   job.isCancelled ||= progress.outcome === "cancelled";
+  job.isStartStored = progress.hasStarted === true;
+  job.hasStarted ||= job.isStartStored;
   if (job.endedAtMs !== undefined) return;
   if (!isScheduled(job)) openDueGroups(job, { ...times, unixMs: 0 });
   const total = totalOccurrences(job);
--- a/packages/jobs/job.ts
+++ b/packages/jobs/job.ts
@@ -39,6 +39,8 @@
     isCancelled: false,
     hasFailed: false,
     hasStarted: false,
+    startSeenAtMs: undefined,
+    isStartStored: false,
     endedAtMs: undefined,
     isOutcomeStored: false,
     groups: [],
--- a/packages/jobs/model.ts
+++ b/packages/jobs/model.ts
@@ -127,6 +127,10 @@
   isCancelled: boolean;
   hasFailed: boolean;
   hasStarted: boolean;
+  /** Monotonic time at which that was first seen by a check. */
+  startSeenAtMs: number | undefined;
+  /** Whether it is stored that the job has started. */
+  isStartStored: boolean;
   /** Unix time at which the job ended; undefined while it has not. */
   endedAtMs: number | undefined;
   /** Whether the outcome is stored, so that callers may see it. */
--- a/packages/jobs/owned/partition_owner.ts
+++ b/packages/jobs/owned/partition_owner.ts
@@ -12,6 +12,7 @@
   updateOccurrences,
 } from "../accepted/apply_records.ts";
 import { finishIfComplete, finishJob } from "../ended/finish_job.ts";
+import { storeStart } from "../ended/store_start.ts";
 import { startRemovingExpiredJobs } from "../ended/remove_expired_jobs.ts";
 import {
   type AppendFailure,
@@ -387,6 +388,7 @@
   for (const job of owner.jobs.values()) {
     updateOccurrences(owner, job);
     finishIfComplete(owner, job);
+    if (!owner.isReleasing) storeStart(owner, job);
   }
   owner.schedulePlacement();
 }
