Show the stored state of a job while its owner is silent

Who owns a partition is decided at the store, where that owner renews its membership; whether its jobs can be asked for depended on one process and the way to it. All that callers may be told is in the store.

A member now reads a job's state from the store once the owner that the store names has not answered it for 1.2 s, or there has been no other owner for 3 s, which is longer than a takeover. LL6112 and LL6113 tell when this begins and ends.

--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -5,11 +5,7 @@
  * @module
  */
 
-import {
-  createOwnerClient,
-  createOwnerServer,
-  type OwnerClient,
-} from "@lagoonloom/peers";
+import { createOwnerServer } from "@lagoonloom/peers";
 import {
   acceptJob,
   cancelJob,
@@ -25,8 +21,8 @@
 import { createRelayMonitor } from "./accepted/relay_monitor.ts";
 import { relayRecord } from "./accepted/relay_record.ts";
 import { createAcquisition } from "./_acquisition.ts";
-import { logCallFailure } from "./_log_call_failure.ts";
 import { createLayoutWatch } from "./_layout_watch.ts";
+import { createOwnerAccess } from "./_owner_access.ts";
 import type { Queue } from "./fleet.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
 import { createAdmissionView } from "./organisations/shares/admission_view.ts";
@@ -50,15 +46,10 @@
   servicePartitions,
 } from "./owned/layout.ts";
 import { formatMemberName } from "./owned/member_name.ts";
-import { createOwnerDirectory } from "./owned/owner_directory.ts";
 import { joinOwners, type Ownership } from "./owned/ownership.ts";
 import type { PartitionOwner } from "./owned/partition_owner.ts";
 import { createOwnerHandlers } from "./owner_handlers.ts";
-import {
-  findJobState,
-  type OwnerAccess,
-  queryPendingCount,
-} from "./queries/query_owner.ts";
+import { findJobState, queryPendingCount } from "./queries/query_owner.ts";
 import type { QueryResult } from "./queries/query_result.ts";
 import type { JobState, Submission } from "./submission.ts";
 import { JOBS_TOPIC } from "./topics.ts";
@@ -134,7 +125,6 @@
 export async function startMember(options: MemberOptions): Promise<Member> {
   const { events } = options;
   const owners = new Map<number, PartitionOwner>();
-  const clients = new Map<string, OwnerClient>();
   const servedCalls = new Map<string, number>();
 
   const caps = createOrganisationCaps(() => platform.configuration());
@@ -161,26 +151,18 @@
         servedCalls.set(call, (servedCalls.get(call) ?? 0) + 1),
     },
   );
-  const directory = createOwnerDirectory(store);
   const queueServices = createQueueServices({ store, events });
 
   const admission = createAdmissionView();
-  const access: OwnerAccess = {
-    noteFullServices: admission.note,
-    localOwner: (partition) => owners.get(partition),
-    directory,
+  const access = createOwnerAccess({
+    owners,
+    store,
+    layout: () => layout(),
+    events,
     ownAddress: server.address,
-    client(address) {
-      let client = clients.get(address);
-      if (client === undefined) {
-        client = createOwnerClient(address, {
-          onFailure: (failure) => logCallFailure(events, address, failure),
-        });
-        clients.set(address, client);
-      }
-      return client;
-    },
-  };
+    noteFullServices: admission.note,
+  });
+  const { directory } = access;
 
   const layoutWatch = createLayoutWatch({
     store,
@@ -410,7 +392,7 @@
       queueServices.close();
       exchange?.close();
       relayMonitor.close();
-      for (const client of clients.values()) client.close();
+      access.close();
       await server.close();
     },
   };
--- a/packages/jobs/owned/_members_world.ts
+++ b/packages/jobs/owned/_members_world.ts
@@ -21,6 +21,7 @@
 } from "../_record_fixtures.ts";
 import type { ExecutorReport } from "../fleet.ts";
 import type { MemberOptions, PlatformState } from "../member_options.ts";
+import { createOwnerSilence } from "../queries/owner_silence.ts";
 import type { Step } from "../submission.ts";
 import { JOBS_TOPIC } from "../topics.ts";
 import { createCandidacy } from "./candidacy.ts";
@@ -219,6 +220,8 @@
       access: {
         localOwner: (partition) => owners.get(partition),
         noteFullServices: () => undefined,
+        silence: createOwnerSilence(member.events),
+        storedStates: { find: () => Promise.resolve(undefined) },
         directory: {
           find: () => Promise.resolve(undefined),
           members: () => [],
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -11,11 +11,13 @@
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { FullService } from "../organisations/shares/full_services.ts";
 import type { Caller, JobState } from "../submission.ts";
+import type { OwnerSilence } from "./owner_silence.ts";
 import type {
   LocatedResult,
   QueryFailure,
   QueryResult,
 } from "./query_result.ts";
+import type { StoredStates } from "./stored_states.ts";
 
 /** Time without an answer after which the owner is looked up again. */
 const LOOKUP_INTERVAL_MS = 400;
@@ -23,6 +25,18 @@
 /** Delay before the owner is looked up again. */
 const RETRY_DELAY_MS = 100;
 
+/**
+ * Time without an answer from the owner that the store names, after which the
+ * stored state of a job is shown.
+ */
+const MAX_OWNER_SILENCE_MS = 1_200;
+
+/**
+ * The same while the store names no other member as the owner. It is longer
+ * than a takeover, in which all members would read the partition at once.
+ */
+const MAX_VACANCY_MS = 3_000;
+
 /** Access to the owners of partitions, in this process and in others. */
 export type OwnerAccess = {
   /** Returns the owner of a partition if it is in this process. */
@@ -32,13 +46,17 @@
   client(address: string): OwnerClient;
   /** Peer address of this process. */
   ownAddress: string;
+  /** States of jobs as the store tells them. */
+  storedStates: StoredStates;
+  silence: OwnerSilence;
   /** Takes over which services of a partition are full, as its owner says. */
   noteFullServices(partition: number, full: readonly FullService[]): void;
 };
 
 /**
  * Queries the state of a job from the owner of the partition that keeps its
- * id, and from that of the one that runs it, if that is another one.
+ * id, and from that of the one that runs it, if that is another one. While an
+ * owner is silent, the state is the one that the store tells.
  *
  * @example
  * ```ts
@@ -102,6 +120,7 @@
       if (answer.state === "") return { type: "missing" };
       return { type: "known", value: answer.state as JobState };
     },
+    stored: () => access.storedStates.find(partition, { job, caller }),
   });
 }
 
@@ -174,6 +193,8 @@
     client: OwnerClient,
     timeoutMs: number,
   ): Promise<Result | undefined>;
+  /** Reads the result from the store; undefined if that can't tell. */
+  stored?(): Promise<Result | undefined>;
 };
 
 /**
@@ -185,7 +206,7 @@
   access: OwnerAccess,
   query: OwnerQuery<Result>,
 ): Promise<Result | { type: "unavailable"; failure: QueryFailure }> {
-  const { directory, ownAddress } = access;
+  const { directory, silence, ownAddress } = access;
   const { partition } = query;
   const startedMs = performance.now();
   const deadlineMs = startedMs + query.timeoutMs;
@@ -224,7 +245,23 @@
       [...openCalls.values()],
       Math.min(LOOKUP_INTERVAL_MS, leftMs),
     );
-    if (answer !== undefined) return answer;
+    if (answer !== undefined) {
+      silence.noteAnswer(partition);
+      return answer;
+    }
+    silence.noteUnanswered(partition, startedMs);
+    const maxMs = isElsewhere ? MAX_OWNER_SILENCE_MS : MAX_VACANCY_MS;
+    if (query.stored !== undefined && silence.silentMs(partition) >= maxMs) {
+      const stored = query.stored().then((state) => {
+        if (state !== undefined) silence.noteStored(partition, address ?? "");
+        return state;
+      });
+      const known = await firstAnswer(
+        [stored, ...openCalls.values()],
+        deadlineMs - performance.now(),
+      );
+      if (known !== undefined) return known;
+    }
     directory.invalidate();
     await sleep(RETRY_DELAY_MS);
   }
--- a/packages/jobs/queries/query_owner_test.ts
+++ b/packages/jobs/queries/query_owner_test.ts
@@ -10,7 +10,9 @@
 import { advanceTime } from "../_fixtures.ts";
 import { sleep } from "../_sleep.ts";
 import { JOB_ID, PARTITION } from "../_record_fixtures.ts";
+import { createOwnerSilence } from "./owner_silence.ts";
 import { type OwnerAccess, queryJobState } from "./query_owner.ts";
+import type { StoredState } from "./stored_states.ts";
 
 const TIMEOUT_MS = 2_000;
 
@@ -20,11 +22,14 @@
   named: string | undefined;
   /** Answers a call within its time; undefined for no answer. */
   answer(address: string): Promise<string | undefined>;
+  stored: StoredState | undefined;
+  storedReads: number;
   calls: string[];
 };
 
 let owners: Owners;
 let access: OwnerAccess;
+let logged: string[];
 
 const never = () => new Promise<undefined>(() => undefined);
 
@@ -50,6 +55,15 @@
     },
     client: createClient,
     ownAddress: "self:1",
+    silence: createOwnerSilence({
+      log: (name, fields) => logged.push(`${name} ${JSON.stringify(fields)}`),
+    }),
+    storedStates: {
+      find() {
+        owners.storedReads++;
+        return Promise.resolve(owners.stored);
+      },
+    },
     noteFullServices: () => undefined,
   };
 }
@@ -75,8 +89,11 @@
     owners = {
       named: "owner:1",
       answer: never,
+      stored: { type: "known", value: "completed" },
+      storedReads: 0,
       calls: [],
     };
+    logged = [];
     access = createAccess();
   });
 
@@ -84,8 +101,24 @@
     jest.useRealTimers();
   });
 
+  // Guards against the incident of 2026-12-08: an owner that renews its
+  // membership and answers no member.
+  test("shows the stored state while the named owner is silent", async () => {
+    const { result } = await query();
+    expect(result).toEqual({ type: "known", value: "completed" });
+  });
+
+  // Guards against each caller waiting anew for an owner known to be silent.
+  test("shows the stored state sooner to the next callers", async () => {
+    const first = await query();
+    const second = await query();
+    expect(second.result).toEqual(first.result);
+    expect(second.tookMs).toBeLessThan(first.tookMs);
+  });
+
   // Guards against tries that all end just before a slow answer comes.
   test("waits for an answer that takes longer than a lookup", async () => {
+    owners.stored = undefined;
     owners.answer = () => sleep(1_500).then(() => "running");
     const { result } = await query();
     expect(result).toEqual({ type: "known", value: "running" });
@@ -99,11 +132,29 @@
       address === "owner:2" ? Promise.resolve("queued") : never();
     const { result } = await query();
     expect(result).toEqual({ type: "known", value: "queued" });
+    expect(owners.storedReads).toBe(0);
+  });
+
+  // Guards against all members reading a partition in each takeover.
+  test("does not read the store while the store names no owner yet", async () => {
+    owners.named = undefined;
+    const { result } = await query();
+    expect(result).toMatchObject({ type: "unavailable" });
+    expect(owners.storedReads).toBe(0);
+  });
+
+  // Guards against a partition without an owner whose jobs can't be queried.
+  test("shows the stored state of a partition that stays without an owner", async () => {
+    owners.named = undefined;
+    await query();
+    const { result } = await query();
+    expect(result).toEqual({ type: "known", value: "completed" });
   });
 
   // Guards against a job that is denied since its owner is silent, and a log
   // line that doesn't say why.
   test("tells the owner, the calls and the reason when nothing is known", async () => {
+    owners.stored = undefined;
     const { result } = await query();
     expect(result).toEqual({
       type: "unavailable",
@@ -116,4 +167,29 @@
       },
     });
   });
+
+  // Guards against a silence that operators see only by its many calls.
+  test("logs a silence and its end once, whatever the number of queries", async () => {
+    await query();
+    await query();
+    expect(logged).toEqual([
+      expect.stringMatching(/^storedStatesShown .*"owner":"owner:1"/),
+    ]);
+    owners.answer = () => Promise.resolve("completed");
+    await query();
+    await query();
+    expect(logged).toHaveLength(2);
+    expect(logged[1]).toMatch(/^ownerAnswersAgain /);
+  });
+
+  // Guards against stored states that stay in use once the owner is back.
+  test("asks the owner again as soon as it answers", async () => {
+    await query();
+    owners.answer = () => Promise.resolve("completed");
+    await query();
+    const reads = owners.storedReads;
+    owners.answer = () => sleep(1_100).then(() => "completed");
+    await query();
+    expect(owners.storedReads).toBe(reads);
+  });
 });
--- a/packages/telemetry/member_log_events.ts
+++ b/packages/telemetry/member_log_events.ts
@@ -25,6 +25,18 @@
       reason: "string",
     },
   },
+  storedStatesShown: {
+    id: "LL6112",
+    level: "warn",
+    message: "owner of a partition is silent; the store tells the states",
+    fields: { partition: "number", owner: "string", silentMs: "number" },
+  },
+  ownerAnswersAgain: {
+    id: "LL6113",
+    level: "info",
+    message: "owner of a partition tells the states of its jobs again",
+    fields: { partition: "number", silentMs: "number" },
+  },
   memberCallFailed: {
     id: "LL6209",
     level: "warn",
