Show the stored state of a job whose owner can't read the store

The member now reads the state itself then. If it can't tell either, the answer stays 503. The test "shows the stored state while the owner can't read it" fails before (unavailable).

--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -98,8 +98,10 @@
     timeoutMs: number;
   },
 ): Promise<LocatedResult<JobState>> {
-  const { partition, job, caller } = options;
-  return await queryOwner<LocatedResult<JobState>>(access, {
+  const { partition, job, caller, timeoutMs } = options;
+  const deadlineMs = performance.now() + timeoutMs;
+  const stored = () => access.storedStates.find(partition, { job, caller });
+  const result = await queryOwner<LocatedResult<JobState>>(access, {
     ...options,
     async local(owner) {
       const result = await owner.getJobState(job, caller);
@@ -120,8 +122,14 @@
       if (answer.state === "") return { type: "missing" };
       return { type: "known", value: answer.state as JobState };
     },
-    stored: () => access.storedStates.find(partition, { job, caller }),
+    stored,
   });
+  if (result.type !== "unavailable" || result.failure !== undefined) {
+    return result;
+  }
+  // The owner doesn't know the job and can't read the store. This member may.
+  const leftMs = Math.max(0, deadlineMs - performance.now());
+  return await firstAnswer([stored()], leftMs) ?? result;
 }
 
 /**
--- a/packages/jobs/queries/query_owner_test.ts
+++ b/packages/jobs/queries/query_owner_test.ts
@@ -39,7 +39,9 @@
     const timeout = sleep(timeoutMs).then(() => undefined);
     const state = await Promise.race([owners.answer(address), timeout]);
     if (state === undefined) return undefined;
-    return { isOwner: true, state, full: [] } as unknown as ShowResponse;
+    const isUnavailable = state === "unavailable";
+    const answer = { isOwner: true, state, isUnavailable, full: [] };
+    return answer as unknown as ShowResponse;
   };
   return { show } as unknown as OwnerClient;
 }
@@ -168,6 +170,17 @@
     });
   });
 
+  // Guards against a job that was accepted while its owner does not reach the
+  // store, unlike the member that is asked.
+  test("shows the stored state while the owner can't read it", async () => {
+    owners.answer = () => Promise.resolve("unavailable");
+    const { result } = await query();
+    expect(result).toEqual({ type: "known", value: "completed" });
+    owners.stored = undefined;
+    const { result: unknown } = await query();
+    expect(unknown).toEqual({ type: "unavailable" });
+  });
+
   // Guards against a silence that operators see only by its many calls.
   test("logs a silence and its end once, whatever the number of queries", async () => {
     await query();
