Limit the time in which a connection between members is opened

All calls to a member share the connection that is being opened, and it had no limit of its own. Where its first packets are lost, the kernel sends the next one only seconds later, at last after half a minute and more, so that calls of less than a second fail alike long after packets pass again.

The socket is destroyed unless it is connected within 1.2 s, and the next call opens another one. The test has a port whose queue is full, so that the kernel drops the packets: a call with 5 s ended with deadline_exceeded while still connecting before, now it is unavailable.

--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -10,6 +10,7 @@
   createConnectTransport,
   Http2SessionManager,
 } from "@connectrpc/connect-node";
+import { connect, type Socket } from "node:net";
 import {
   type ConfigurationRequestSchema,
   type ConfigurationResponse,
@@ -27,6 +28,12 @@
   type ShowResponse,
 } from "./gen/lagoonloom/peers/v1/owners_pb.ts";
 
+/**
+ * Time in which a connection has to be established. All calls to the member
+ * share it, and the next packet after lost ones is sent only seconds later.
+ */
+const CONNECT_TIMEOUT_MS = 1_200;
+
 /** Time without traffic after which a connection is checked with a ping. */
 const PING_INTERVAL_MS = 1_000;
 
@@ -111,11 +118,15 @@
   { onFailure }: { onFailure(failure: CallFailure): void },
 ): OwnerClient {
   const baseUrl = `http://${address}`;
-  const sessionManager = new Http2SessionManager(baseUrl, {
-    pingIntervalMs: PING_INTERVAL_MS,
-    pingTimeoutMs: PING_TIMEOUT_MS,
-    idleConnectionTimeoutMs: 60_000,
-  });
+  const sessionManager = new Http2SessionManager(
+    baseUrl,
+    {
+      pingIntervalMs: PING_INTERVAL_MS,
+      pingTimeoutMs: PING_TIMEOUT_MS,
+      idleConnectionTimeoutMs: 60_000,
+    },
+    { createConnection: openSocket },
+  );
   const client = createClient(
     OwnerService,
     createConnectTransport({
@@ -196,6 +207,18 @@
   };
 }
 
+/** Opens a socket that is destroyed unless it is connected in time. */
+function openSocket({ hostname, port }: URL): Socket {
+  const socket = connect(Number(port), hostname);
+  const timer = setTimeout(() => {
+    const message = `not connected within ${CONNECT_TIMEOUT_MS} ms`;
+    socket.destroy(Object.assign(new Error(message), { code: "ETIMEDOUT" }));
+  }, CONNECT_TIMEOUT_MS);
+  socket.once("connect", () => clearTimeout(timer));
+  socket.once("close", () => clearTimeout(timer));
+  return socket;
+}
+
 /** Returns what a call is about, as its failure names it. */
 function subjectOf(
   { partition, job }: {
