Replace dead connections between members whatever calls end meanwhile

The library verifies a connection with a ping before a call, if nothing came for a second, and all calls wait for it. As another call ends, by its deadline, it stops the timer of that ping: it then waits without a limit, and every call to that member ends with deadline_exceeded, until the kernel gives the connection up. An owner that is well and reached by new connections so stays silent for a member that lost one connection while two calls overlapped.

The client checks the member itself now, with a call that has 1.2 s, once no call was answered for 0.8 s, and replaces a connection without any answer then. The check runs beside the calls, so that the first one after a pause no longer waits for a ping, and a way on which answers take 0.84 s longer, above the 0.7 s of the ping, keeps its connection. Nothing is sent while calls are answered.

Two tests failed before: a dead connection beside a call that ends (no answer in 10 calls), and the connection on a slow way (3 connections in place of one). The third one passed.

--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -27,6 +27,7 @@
   type ShowRequestSchema,
   type ShowResponse,
 } from "./gen/lagoonloom/peers/v1/owners_pb.ts";
+import { createSilenceCheck } from "./silence_check.ts";
 
 /**
  * Time in which a connection has to be established. All calls to the member
@@ -34,11 +35,8 @@
  */
 const CONNECT_TIMEOUT_MS = 1_200;
 
-/** Time without traffic after which a connection is checked with a ping. */
-const PING_INTERVAL_MS = 1_000;
-
-/** Time in which the other member has to answer a ping. */
-const PING_TIMEOUT_MS = 700;
+/** Time without calls after which a connection is closed. */
+const IDLE_TIMEOUT_MS = 60_000;
 
 /** Call between members that failed. */
 export type CallFailure = {
@@ -56,8 +54,7 @@
   timeoutMs: number;
   /**
    * State of the connection at the end of the call: `connecting` if it was not
-   * established yet, `verifying` if a ping was not answered yet, else `open`,
-   * `idle`, `closed` or `error`.
+   * established yet, else `open`, `idle`, `closed` or `error`.
    */
   connection: string;
   /** Time since the member's last answer; undefined if there was none. */
@@ -103,9 +100,9 @@
 };
 
 /**
- * Creates a client of another member. Pings detect a broken connection, which
- * otherwise might never be reported as closed. Failed calls are passed to
- * `onFailure`.
+ * Creates a client of another member. A connection on which calls get no
+ * answer is checked and replaced, as it might never be reported as closed.
+ * Failed calls are passed to `onFailure`.
  *
  * @example
  * ```ts
@@ -120,11 +117,8 @@
   const baseUrl = `http://${address}`;
   const sessionManager = new Http2SessionManager(
     baseUrl,
-    {
-      pingIntervalMs: PING_INTERVAL_MS,
-      pingTimeoutMs: PING_TIMEOUT_MS,
-      idleConnectionTimeoutMs: 60_000,
-    },
+    // Not its pings: a call that ends stops the timer of any open one.
+    { idleConnectionTimeoutMs: IDLE_TIMEOUT_MS },
     { createConnection: openSocket },
   );
   const client = createClient(
@@ -136,6 +130,22 @@
       acceptCompression: [],
     }),
   );
+  const silence = createSilenceCheck({
+    async check(timeoutMs) {
+      try {
+        await client.reach({}, { timeoutMs });
+        return false;
+      } catch (error) {
+        return ConnectError.from(error).code === Code.DeadlineExceeded;
+      }
+    },
+    onSilent() {
+      // A connection that is being opened has a time limit of its own.
+      if (sessionManager.state() === "connecting") return;
+      const reason = "the connection carries no answers";
+      sessionManager.abort(new ConnectError(reason, Code.Unavailable));
+    },
+  });
   let answeredAtMs: number | undefined;
   const callMember = async <Response>(
     call: string,
@@ -147,9 +157,11 @@
     },
   ): Promise<Response | undefined> => {
     const sentAtMs = performance.now();
+    silence.noteCall();
     try {
       const response = await send();
       answeredAtMs = performance.now();
+      silence.noteAnswer();
       return response;
     } catch (error) {
       const nowMs = performance.now();
@@ -203,7 +215,10 @@
         () => client.configuration(request, { timeoutMs }),
         { timeoutMs },
       ),
-    close: () => sessionManager.abort(),
+    close() {
+      silence.close();
+      sessionManager.abort();
+    },
   };
 }
 
--- a/packages/peers/slow_way_test.ts
+++ b/packages/peers/slow_way_test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test } from "@jest/globals";
 import { type BlockedPort, openBlockedPort } from "./_blocked_port.ts";
+import { openSlowWay, type SlowWay } from "./_slow_way.ts";
 import {
   type CallFailure,
   createOwnerClient,
@@ -11,7 +12,17 @@
   type OwnerServer,
 } from "./create_owner_server.ts";
 
+/** Time that each call takes longer on the slow way of issue 68. */
+const EXTRA_MS = 840;
+
+/** Time without calls after which a connection counts as idle. */
+const IDLE_MS = 1_100;
+
+/** Time after which a caller repeats a call. */
+const RETRY_DELAY_MS = 100;
+
 let server: OwnerServer;
+let way: SlowWay | undefined;
 let blocked: BlockedPort | undefined;
 let client: OwnerClient;
 let failures: CallFailure[];
@@ -38,8 +49,10 @@
 
 afterEach(async () => {
   client.close();
+  way?.close();
   await blocked?.close();
   await server.close();
+  way = undefined;
   blocked = undefined;
 });
 
@@ -49,6 +62,26 @@
   });
 }
 
+async function callOverWay(delayMs: number): Promise<SlowWay> {
+  way = await openSlowWay(server.address, { delayMs });
+  call(way.address);
+  return way;
+}
+
+/** Calls again and again until there is an answer. */
+async function callRepeatedly(
+  send: () => Promise<unknown>,
+  tries: number,
+): Promise<boolean> {
+  for (let calls = 0; calls < tries; calls++) {
+    if (await send() !== undefined) return true;
+    await sleep(RETRY_DELAY_MS);
+  }
+  return false;
+}
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
 // Guards against a connection that is opened for minutes, as its first packets
 // were lost, and that all calls to the member wait for.
 test("gives up a connection that is not established", async () => {
@@ -60,3 +93,35 @@
     connection: "error",
   }]);
 });
+
+// Guards against calls that wait for good for the check of a connection, as
+// another call to the member ends meanwhile.
+test("replaces a dead connection beside a call that ends", async () => {
+  const { dropOpen } = await callOverWay(0);
+  const show = () => client.show({ partition: 1, job: "a1" }, 800);
+  await show();
+  dropOpen();
+  await sleep(500);
+  void show();
+  await sleep(600);
+  expect(await callRepeatedly(show, 10)).toBe(true);
+});
+
+// Guards against a dead connection that is kept as no call lasts long enough.
+test("replaces a dead connection after short calls", async () => {
+  const { dropOpen } = await callOverWay(0);
+  await client.reach(800);
+  dropOpen();
+  expect(await callRepeatedly(() => client.reach(250), 10)).toBe(true);
+});
+
+// Guards against checks that end each connection to a member whose answers take
+// longer.
+test("keeps the connection on a slow way", async () => {
+  const { connectionCount } = await callOverWay(EXTRA_MS / 2);
+  for (let calls = 0; calls < 3; calls++) {
+    expect(await client.reach(3_000)).toBeDefined();
+    await sleep(IDLE_MS);
+  }
+  expect(connectionCount()).toBe(1);
+});
