Let the time of calls between members follow how long answers take

Calls had fixed times, so that all fail alike on a way on which an answer takes longer. A call may now name a range: calls without an answer double its time up to the most, an answer sets it to three times what it took. Each RPC counts for itself. Limits of organisations use it with 0.4 to 2 s: their messages are numbered and may be repeated, and no other partition waits for the answer.

A member tells as well whether its last call was answered.

--- a/packages/jobs/organisations/caps/send_limits.ts
+++ b/packages/jobs/organisations/caps/send_limits.ts
@@ -4,13 +4,17 @@
  * @module
  */
 
+import type { CallTimeout } from "@lagoonloom/peers";
 import type { OwnerAccess } from "../../queries/query_owner.ts";
 import type { LimitAnswer } from "./cap_broker.ts";
 import { decodeAnswer, encodeLimits } from "./limit_records.ts";
 import type { LimitMessage } from "./organisation_limits.ts";
 
-/** Longest wait for another member's answer. */
-const ANSWER_TIMEOUT_MS = 400;
+/**
+ * Longest wait for another member's answer. Messages may be repeated, as they
+ * are numbered, and only the partition that was called waits for its answer.
+ */
+const ANSWER_TIMEOUT: CallTimeout = { leastMs: 400, mostMs: 2_000 };
 
 /**
  * Sends a message to the owner of a partition, in this process or in another
@@ -39,7 +43,7 @@
   const answer = decodeAnswer(
     await access.client(address).limit(
       encodeLimits(partition, message),
-      ANSWER_TIMEOUT_MS,
+      ANSWER_TIMEOUT,
     ),
   );
   if (answer === undefined) directory.invalidate();
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -11,6 +11,7 @@
   Http2SessionManager,
 } from "@connectrpc/connect-node";
 import { connect, type Socket } from "node:net";
+import { type CallTimeout, createCallTimes } from "./call_times.ts";
 import {
   type ConfigurationRequestSchema,
   type ConfigurationResponse,
@@ -66,35 +67,37 @@
   /** Returns the state of a job. */
   show(
     request: MessageInitShape<typeof ShowRequestSchema>,
-    timeoutMs: number,
+    timeout: CallTimeout,
   ): Promise<ShowResponse | undefined>;
   /** Returns the number of accepted jobs of a queue that have not started. */
   countPending(
     request: MessageInitShape<typeof CountPendingRequestSchema>,
-    timeoutMs: number,
+    timeout: CallTimeout,
   ): Promise<CountPendingResponse | undefined>;
   /** Reserves executors for maintenance; returns what runs on them. */
   report(
     request: MessageInitShape<typeof ReportRequestSchema>,
-    timeoutMs: number,
+    timeout: CallTimeout,
   ): Promise<ReportResponse | undefined>;
   /** Asks the member to write a record to the store for this one. */
   relay(
     request: MessageInitShape<typeof RelayRequestSchema>,
-    timeoutMs: number,
+    timeout: CallTimeout,
   ): Promise<RelayResponse | undefined>;
   /** Sets what tasks of each organisation a partition's owner may run. */
   limit(
     request: MessageInitShape<typeof LimitRequestSchema>,
-    timeoutMs: number,
+    timeout: CallTimeout,
   ): Promise<LimitResponse | undefined>;
   /** Returns whether the member can reach the store. */
-  reach(timeoutMs: number): Promise<ReachResponse | undefined>;
+  reach(timeout: CallTimeout): Promise<ReachResponse | undefined>;
   /** Returns the member's configuration and how old it is. */
   configuration(
     request: MessageInitShape<typeof ConfigurationRequestSchema>,
-    timeoutMs: number,
+    timeout: CallTimeout,
   ): Promise<ConfigurationResponse | undefined>;
+  /** Whether the last call was answered; true before the first one. */
+  isAnswering(): boolean;
   /** Ends the connection; calls in progress fail. */
   close(): void;
 };
@@ -146,26 +149,33 @@
       sessionManager.abort(new ConnectError(reason, Code.Unavailable));
     },
   });
+  const times = createCallTimes();
   let answeredAtMs: number | undefined;
+  let isAnswering = true;
   const callMember = async <Response>(
     call: string,
-    send: () => Promise<Response>,
-    { partition, job, timeoutMs }: {
+    send: (options: { timeoutMs: number }) => Promise<Response>,
+    { partition, job, timeout }: {
       partition?: number | undefined;
       job?: string | undefined;
-      timeoutMs: number;
+      timeout: CallTimeout;
     },
   ): Promise<Response | undefined> => {
+    const timeoutMs = times.next(call, timeout);
     const sentAtMs = performance.now();
     silence.noteCall();
     try {
-      const response = await send();
+      const response = await send({ timeoutMs });
       answeredAtMs = performance.now();
       silence.noteAnswer();
+      times.noteAnswer(call, answeredAtMs - sentAtMs);
+      isAnswering = true;
       return response;
     } catch (error) {
       const nowMs = performance.now();
       const { code, message } = ConnectError.from(error);
+      isAnswering = false;
+      if (code === Code.DeadlineExceeded) times.noteTimeout(call, timeoutMs);
       onFailure({
         call,
         partition,
@@ -181,40 +191,41 @@
     }
   };
   return {
-    show: (request, timeoutMs) =>
-      callMember("show", () => client.show(request, { timeoutMs }), {
+    show: (request, timeout) =>
+      callMember("show", (options) => client.show(request, options), {
         ...subjectOf(request),
-        timeoutMs,
+        timeout,
       }),
-    countPending: (request, timeoutMs) =>
+    countPending: (request, timeout) =>
       callMember(
         "countPending",
-        () => client.countPending(request, { timeoutMs }),
-        { ...subjectOf(request), timeoutMs },
+        (options) => client.countPending(request, options),
+        { ...subjectOf(request), timeout },
       ),
-    report: (request, timeoutMs) =>
-      callMember("report", () => client.report(request, { timeoutMs }), {
+    report: (request, timeout) =>
+      callMember("report", (options) => client.report(request, options), {
         ...subjectOf(request),
-        timeoutMs,
+        timeout,
       }),
-    relay: (request, timeoutMs) =>
-      callMember("relay", () => client.relay(request, { timeoutMs }), {
+    relay: (request, timeout) =>
+      callMember("relay", (options) => client.relay(request, options), {
         ...subjectOf({ partition: request.partition, job: request.key }),
-        timeoutMs,
+        timeout,
       }),
-    limit: (request, timeoutMs) =>
-      callMember("limit", () => client.limit(request, { timeoutMs }), {
+    limit: (request, timeout) =>
+      callMember("limit", (options) => client.limit(request, options), {
         ...subjectOf(request),
-        timeoutMs,
+        timeout,
       }),
-    reach: (timeoutMs) =>
-      callMember("reach", () => client.reach({}, { timeoutMs }), { timeoutMs }),
-    configuration: (request, timeoutMs) =>
+    reach: (timeout) =>
+      callMember("reach", (options) => client.reach({}, options), { timeout }),
+    configuration: (request, timeout) =>
       callMember(
         "configuration",
-        () => client.configuration(request, { timeoutMs }),
-        { timeoutMs },
+        (options) => client.configuration(request, options),
+        { timeout },
       ),
+    isAnswering: () => isAnswering,
     close() {
       silence.close();
       sessionManager.abort();
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./call_times.ts";
 export * from "./create_owner_client.ts";
 export * from "./create_owner_server.ts";
 export * from "./session_guard.ts";
--- a/packages/peers/slow_way_test.ts
+++ b/packages/peers/slow_way_test.ts
@@ -125,3 +125,26 @@
   }
   expect(connectionCount()).toBe(1);
 });
+
+// Guards against calls that all fail alike, as an answer takes longer.
+test.each([300, 500, EXTRA_MS])(
+  "gets answers where calls take %d ms longer",
+  async (extraMs) => {
+    await callOverWay(extraMs / 2);
+    const report = () =>
+      client.report({ partition: 1 }, { leastMs: 250, mostMs: 2_000 });
+    expect(await callRepeatedly(report, 4)).toBe(true);
+    await sleep(IDLE_MS);
+    expect(await callRepeatedly(report, 1)).toBe(true);
+  },
+);
+
+// Guards against a silent member that is taken for one that answers.
+test("tells whether the member has answered last", async () => {
+  const { dropOpen } = await callOverWay(0);
+  await client.reach(1_000);
+  expect(client.isAnswering()).toBe(true);
+  dropOpen();
+  await client.reach(100);
+  expect(client.isAnswering()).toBe(false);
+});
