Ask other members for the configuration while some are silent

A round waited for the slowest of three members. Rounds go on now, and a member with an open question is left out, so that a question may have up to 2 s on a slow way. The age of an answer counts from its question, as before.

The test has 11 silent members that hold a question for 2 s and one that helps: with rounds that wait, the configuration got 2 s old.

--- a/packages/jobs/organisations/keys/configuration_exchange.ts
+++ b/packages/jobs/organisations/keys/configuration_exchange.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import type { CallTimeout } from "@lagoonloom/peers";
 import { sleep } from "../../_sleep.ts";
 import type { HeldConfiguration } from "./held_configuration.ts";
 import { earlierBy, readInstant } from "./instant.ts";
@@ -16,8 +17,8 @@
 /** Interval between two rounds of questions. */
 const INTERVAL_MS = 400;
 
-/** Longest wait for an answer. */
-const ANSWER_TIMEOUT_MS = 350;
+/** Longest wait for an answer, whose age counts from the question on. */
+const ANSWER_TIMEOUT: CallTimeout = { leastMs: 350, mostMs: 2_000 };
 
 /** Number of members that are asked in a round. */
 const FAN_OUT = 3;
@@ -46,7 +47,7 @@
   /** Asks a member; undefined if it does not answer. */
   ask(
     address: string,
-    options: { knownVersion: number; timeoutMs: number },
+    options: { knownVersion: number; timeout: CallTimeout },
   ): Promise<ConfigurationAnswer | undefined>;
   /** Called after an answer with a newer configuration. */
   onNewer(address: string, answer: ConfigurationAnswer): void;
@@ -80,14 +81,19 @@
   let lastHelper: string | undefined;
   let searchedAtMs = -Infinity;
 
+  /** Members that have not answered yet. */
+  const asked = new Set<string>();
+
   const askMember = async (address: string) => {
     const knownVersion = held.current()?.version ?? -1;
     const ageBeforeMs = held.ageMs();
     const sentAt = readInstant();
+    asked.add(address);
     const answer = await options.ask(address, {
       knownVersion,
-      timeoutMs: ANSWER_TIMEOUT_MS,
+      timeout: ANSWER_TIMEOUT,
     });
+    asked.delete(address);
     if (answer === undefined || isClosed) return;
     takeAnswer(held, { ...answer, sentAt });
     if (held.ageMs() < ageBeforeMs) lastHelper = address;
@@ -95,11 +101,12 @@
     if (version > knownVersion) options.onNewer(address, answer);
   };
 
-  const askMembers = async (members: readonly string[]) => {
+  /** Asks some members, without waiting for them in a round. */
+  const askMembers = (members: readonly string[]) => {
     if (held.ageMs() < ASKING_AGE_MS) return;
-    const addresses = chooseMembers(members, { turn, lastHelper });
+    const addresses = chooseMembers(members, { turn, lastHelper, asked });
     turn += FAN_OUT;
-    await Promise.all(addresses.map(askMember));
+    for (const address of addresses) void askMember(address);
   };
 
   const findMembers = async () => {
@@ -114,7 +121,7 @@
       if (options.isNeeded()) {
         const members = options.otherMembers();
         if (members.length === 0) await findMembers();
-        else await askMembers(members);
+        else askMembers(members);
       }
       await sleep(INTERVAL_MS);
     }
@@ -148,18 +155,23 @@
   }
 }
 
-/** Returns the last helper, and a few of the others from a turn on. */
+/**
+ * Returns the last helper, and a few of the others from a turn on, without
+ * those that have yet to answer.
+ */
 function chooseMembers(
   members: readonly string[],
-  { turn, lastHelper }: { turn: number; lastHelper: string | undefined },
+  { turn, lastHelper, asked }: {
+    turn: number;
+    lastHelper: string | undefined;
+    asked: ReadonlySet<string>;
+  },
 ): string[] {
-  const chosen = new Set<string>();
-  if (lastHelper !== undefined && members.includes(lastHelper)) {
-    chosen.add(lastHelper);
-  }
-  for (let index = 0; index < members.length; index++) {
-    if (chosen.size >= FAN_OUT) break;
-    chosen.add(members[(turn + index) % members.length]!);
-  }
-  return [...chosen];
+  const inTurn = members.map((_, index) =>
+    members[(turn + index) % members.length]!
+  );
+  const first = members.filter((address) => address === lastHelper);
+  const free = [...new Set([...first, ...inTurn])]
+    .filter((address) => !asked.has(address));
+  return free.slice(0, FAN_OUT);
 }
--- a/packages/jobs/organisations/keys/configuration_exchange_test.ts
+++ b/packages/jobs/organisations/keys/configuration_exchange_test.ts
@@ -25,6 +25,8 @@
   let asked: string[];
   /** Members that hold the newest version. */
   let helpers: Set<string>;
+  /** Time after which calls to the other members fail, in milliseconds. */
+  let silenceMs: number;
   let exchange: ConfigurationExchange;
 
   beforeEach(() => {
@@ -37,6 +39,7 @@
     isNeeded = true;
     asked = [];
     helpers = new Set();
+    silenceMs = 0;
     confirm(1);
     exchange = createConfigurationExchange({
       held,
@@ -46,7 +49,7 @@
       onNewer: () => undefined,
       ask(address, { knownVersion }) {
         asked.push(address);
-        if (!helpers.has(address)) return Promise.resolve(undefined);
+        if (!helpers.has(address)) return failLater();
         const record = knownVersion < 2 ? encodeKeys(2, []) : undefined;
         return Promise.resolve({ version: 2, ageMs: 700, record });
       },
@@ -58,6 +61,13 @@
     jest.useRealTimers();
   });
 
+  function failLater(): Promise<undefined> {
+    if (silenceMs === 0) return Promise.resolve(undefined);
+    return new Promise((resolve) =>
+      setTimeout(() => resolve(undefined), silenceMs)
+    );
+  }
+
   function confirm(version: number): void {
     const source = held.createSource();
     source.offer(encodeKeys(version, ["a"]));
@@ -91,6 +101,18 @@
     expect(asked).toContain("m7");
   });
 
+  // Guards against silent members that keep the one that answers from being
+  // asked.
+  test("asks the member that helps while others are silent", async () => {
+    helpers.add("m7");
+    await jest.advanceTimersByTimeAsync(4_000);
+    silenceMs = 2_000;
+    for (let tenth = 0; tenth < 100; tenth++) {
+      await jest.advanceTimersByTimeAsync(100);
+      expect(held.ageMs()).toBeLessThan(2_000);
+    }
+  });
+
   // Guards against a flood of messages from members that are all cut off.
   test("asks a few members at a time", async () => {
     await jest.advanceTimersByTimeAsync(60_000);
--- a/packages/jobs/organisations/keys/member_exchange.ts
+++ b/packages/jobs/organisations/keys/member_exchange.ts
@@ -44,9 +44,9 @@
     isNeeded: () => held.current()?.organisations !== undefined,
     otherMembers: options.otherMembers,
     findMembers: access.directory.readMembers,
-    async ask(address, { knownVersion, timeoutMs }) {
+    async ask(address, { knownVersion, timeout }) {
       const answer = await access.client(address)
-        .configuration({ knownVersion }, timeoutMs);
+        .configuration({ knownVersion }, timeout);
       if (answer === undefined) return undefined;
       const { version, ageMs = Infinity, record } = answer;
       return { version, ageMs, record };
