Count the last demand of a partition owner that is silent

A service whose owner gave no report within 0.4 s counted as one without demand at once: its pool got no machines. One silent owner also held up each round, and no report came where a call took longer than 0.4 s.

A partition now has one request at a time, of up to 2 s, and a round waits 0.4 s for those that it sends. A report that comes later, or the last one, counts with its demand for up to 5 s after its request: two calls in a row. It names no executors, since only an answer to the round tells that they are reserved, so that no machine is ordered away by an old report.

--- a/packages/jobs/_acquisition.ts
+++ b/packages/jobs/_acquisition.ts
@@ -5,7 +5,7 @@
  */
 
 import type { ExecutorReport } from "./fleet.ts";
-import { collectReports } from "./machines/collect_reports.ts";
+import { createReportCollector } from "./machines/collect_reports.ts";
 import { createMachinesOwner } from "./machines/machines_owner.ts";
 import type { MemberOptions, PlatformState } from "./member_options.ts";
 import {
@@ -91,6 +91,7 @@
         sendLimits(access, { partition: to, message, maySend: isConfirmed }),
       events,
     });
+    const reports = createReportCollector(access);
     const owner = createMachinesOwner({
       partition,
       epoch,
@@ -103,7 +104,7 @@
       typicalMachineCpu: () => medianExecutorCpu(platform.executors()),
       confirmedAtMs: () => ownership().confirmedAtMs(partition),
       collectReports: (reserved, ended) =>
-        collectReports(access, { layout: layout(), reserved, ended }),
+        reports.collect({ layout: layout(), reserved, ended }),
       onLost(reason) {
         events.log("partitionLost", { partition, epoch, reason });
         ownsMachines = false;
