Relay records last to members that did not answer

Records for the store go to up to three members in random order, 0.6 s each. A member that had just failed to answer was as likely to be the first as others. Now one that answered its last call comes before it.

--- a/packages/jobs/accepted/relay_record.ts
+++ b/packages/jobs/accepted/relay_record.ts
@@ -5,7 +5,10 @@
 /** Most members that one record is sent to. */
 const MAX_RELAYS = 3;
 
-/** Longest wait for one member's answer. */
+/**
+ * Longest wait for one member's answer. It doesn't grow, as the next member
+ * would have less time.
+ */
 const RELAY_TIMEOUT_MS = 600;
 
 /** Retry delay after a refusal through another member. */
@@ -13,7 +16,8 @@
 
 /**
  * Sends a record to other members, one after the other in random order, until
- * one has stored it. The outcome is `unknown` if a member did not answer, since
+ * one has stored it. Those that did not answer their last call come last. The
+ * outcome is `unknown` if a member did not answer, since
  * it may have stored the record.
  *
  * @returns undefined if no member was called
@@ -33,9 +37,9 @@
   for (let calls = 0; calls < MAX_RELAYS && candidates.length > 0; calls++) {
     const leftMs = Math.floor(deadlineMs - performance.now());
     if (leftMs <= 0) break;
-    const index = Math.floor(Math.random() * candidates.length);
-    const [address] = candidates.splice(index, 1);
-    const answer = await access.client(address!).relay(
+    const address = chooseCandidate(access, candidates);
+    candidates.splice(candidates.indexOf(address), 1);
+    const answer = await access.client(address).relay(
       record,
       Math.min(RELAY_TIMEOUT_MS, leftMs),
     );
@@ -53,3 +57,15 @@
   }
   return outcome;
 }
+
+/** Returns a random member, if possible one that answered its last call. */
+function chooseCandidate(
+  access: OwnerAccess,
+  candidates: readonly string[],
+): string {
+  const answering = candidates.filter((address) =>
+    access.client(address).isAnswering()
+  );
+  const eligible = answering.length > 0 ? answering : candidates;
+  return eligible[Math.floor(Math.random() * eligible.length)]!;
+}
