Let one check of a silent member end before the next

An answer during a check let another one begin beside it, and the end of the first then counted for both, so that a connection could be given up before its check had 1.2 s. Of the tests of the module, "has one check at a time" guards against it.

--- a/packages/peers/silence_check.ts
+++ b/packages/peers/silence_check.ts
@@ -41,13 +41,15 @@
   let timer: NodeJS.Timeout | undefined;
   let isChecking = false;
   let isClosed = false;
+  let answerCount = 0;
 
   const run = async () => {
     timer = undefined;
     isChecking = true;
+    const countBefore = answerCount;
     const hasTimedOut = await check(CHECK_TIMEOUT_MS);
-    const isSilent = isChecking && hasTimedOut;
     isChecking = false;
+    const isSilent = hasTimedOut && answerCount === countBefore;
     if (isSilent && !isClosed) onSilent();
   };
 
@@ -59,7 +61,7 @@
     noteAnswer() {
       clearTimeout(timer);
       timer = undefined;
-      isChecking = false;
+      answerCount++;
     },
     close() {
       isClosed = true;
