--- a/packages/jobs/accepted/relay_record_test.ts
+++ b/packages/jobs/accepted/relay_record_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "@jest/globals";
 import { type OwnerClient, RelayResponse_Outcome } from "@lagoonloom/peers";
+import { createOwnerSilence } from "../queries/owner_silence.ts";
 import type { OwnerAccess } from "../queries/query_owner.ts";
 import { relayRecord } from "./relay_record.ts";
 
@@ -33,6 +34,8 @@
     client: (address) => createClient(address) as OwnerClient,
     ownAddress: "own",
     noteFullServices: () => undefined,
+    silence: createOwnerSilence({ log: () => undefined }),
+    storedStates: { find: () => Promise.resolve(undefined) },
   };
   return { access, calls };
 }
--- a/packages/jobs/machines/collect_reports_test.ts
+++ b/packages/jobs/machines/collect_reports_test.ts
@@ -9,6 +9,7 @@
 import type { OwnerClient } from "@lagoonloom/peers";
 import { advanceTime } from "../_fixtures.ts";
 import type { Layout } from "../owned/layout.ts";
+import { createOwnerSilence } from "../queries/owner_silence.ts";
 import type { OwnerAccess } from "../queries/query_owner.ts";
 import { createReportCollector } from "./collect_reports.ts";
 import type { PartitionReport } from "./partition_report.ts";
@@ -69,6 +70,8 @@
     client: (address) => clients[Number(address)] as OwnerClient,
     ownAddress: "own",
     noteFullServices: () => undefined,
+    silence: createOwnerSilence({ log: () => undefined }),
+    storedStates: { find: () => Promise.resolve(undefined) },
   };
   const collector = createReportCollector(access);
   const fixture: OwnersFixture = {
