Let an owner give up its partitions that no other owner reaches

Reports of its pool, limits of organisations and pending counts failed likewise.

A member that gets no answer from a listed owner for 2 s, while another owner answers it, stores a report in the topic `reach`. Owners follow the topic and probe whom it names. An owner that more than half of all owners report gives up its partitions, if another one is left that is not reported so. It stays out until it is reached again, for a time that doubles.

A report needs another owner that answers the reporter, since a member that reaches nobody tells only of its own state. So nothing is stored while all links are down, also if they fail one after the other. More than half of all owners, not of the others, must report one, so that an even cut moves nothing.

--- a/packages/jobs/_owner_access.ts
+++ b/packages/jobs/_owner_access.ts
@@ -15,6 +15,7 @@
 import { createOwnerSilence } from "./queries/owner_silence.ts";
 import type { OwnerAccess } from "./queries/query_owner.ts";
 import { createStoredStates } from "./queries/stored_states.ts";
+import type { Reachability } from "./reachability/reachability.ts";
 
 /** Options of {@linkcode createOwnerAccess}. */
 export type OwnerAccessOptions =
@@ -25,11 +26,13 @@
     store: Store;
     layout(): Layout;
     events: JobEventLog;
+    /** Is told how each call to another member ends. */
+    observer: Pick<Reachability, "noteAnswer" | "noteFailure">;
   };
 
 /** Creates the access of a member; the clients of other members last. */
 export function createOwnerAccess(
-  { owners, store, layout, events, ...options }: OwnerAccessOptions,
+  { owners, store, layout, events, observer, ...options }: OwnerAccessOptions,
 ): OwnerAccess & { close(): void } {
   const clients = new Map<string, OwnerClient>();
   return {
@@ -42,7 +45,11 @@
       let client = clients.get(address);
       if (client === undefined) {
         client = createOwnerClient(address, {
-          onFailure: (failure) => logCallFailure(events, address, failure),
+          onFailure(failure) {
+            logCallFailure(events, address, failure);
+            observer.noteFailure(address, failure);
+          },
+          onAnswer: () => observer.noteAnswer(address),
         });
         clients.set(address, client);
       }
--- a/packages/jobs/_rerouted_world.ts
+++ b/packages/jobs/_rerouted_world.ts
@@ -26,6 +26,7 @@
 import { parseMemberName } from "./owned/member_name.ts";
 import type { Store } from "./ports.ts";
 import type { QueryResult } from "./queries/query_result.ts";
+import { REACH_PARTITION } from "./reachability/failure_report.ts";
 import type { JobState } from "./submission.ts";
 import { JOBS_TOPIC, OWNERS_GROUP } from "./topics.ts";
 
@@ -280,6 +281,7 @@
       }
       // Ends the reads that wait for a record.
       store.put(QUEUES_PARTITION, { key: "end", value: undefined });
+      store.put(REACH_PARTITION, { key: "end", value: undefined });
     },
   };
   world.configure(createQueue("quoting"));
--- a/packages/jobs/member.ts
+++ b/packages/jobs/member.ts
@@ -51,6 +51,7 @@
 import { createOwnerHandlers } from "./owner_handlers.ts";
 import { findJobState, queryPendingCount } from "./queries/query_owner.ts";
 import type { QueryResult } from "./queries/query_result.ts";
+import { createReachability } from "./reachability/reachability.ts";
 import type { JobState, Submission } from "./submission.ts";
 import { JOBS_TOPIC } from "./topics.ts";
 
@@ -161,9 +162,24 @@
     events,
     ownAddress: server.address,
     noteFullServices: admission.note,
+    observer: {
+      noteAnswer: (address) => reachability.noteAnswer(address),
+      noteFailure: (address, call) => reachability.noteFailure(address, call),
+    },
   });
   const { directory } = access;
 
+  const reachability = createReachability({
+    store,
+    events,
+    ownAddress: server.address,
+    directory,
+    isInGroup: () => ownership.isInGroup(),
+    async reach(address, timeoutMs) {
+      return await access.client(address).reach(timeoutMs) !== undefined;
+    },
+  });
+
   const layoutWatch = createLayoutWatch({
     store,
     partitionCount: options.partitionCount,
@@ -198,6 +214,7 @@
     }),
     isUsed: (partition) => isUsed(layout(), partition, options.partitionCount),
     acquire,
+    mayOwn: reachability.mayOwn,
   });
 
   layoutWatch.start();
@@ -392,6 +409,7 @@
       queueServices.close();
       exchange?.close();
       relayMonitor.close();
+      reachability.close();
       access.close();
       await server.close();
     },
--- a/packages/jobs/owned/ownership.ts
+++ b/packages/jobs/owned/ownership.ts
@@ -83,6 +83,8 @@
    * partition of this member, also not after the store has confirmed this one.
    */
   undisputedAtMs(partition: number): number;
+  /** Whether this member is in the group, as of the last join. */
+  isInGroup(): boolean;
   /** Gives up all partitions for a while, as this member can't serve them. */
   giveWay(): void;
   /** Gives up all partitions, so that other members take over at once. */
@@ -100,6 +102,8 @@
   /** Takes over a partition, under an epoch higher than all earlier ones. */
   acquire(partition: number, epoch: number): OwnedPartition;
   candidacy: Candidacy;
+  /** Whether this member may own partitions; by default always. */
+  mayOwn?(): boolean;
 };
 
 /**
@@ -118,7 +122,7 @@
   const assignedSince = new Map<number, number>();
   /** Partitions that another member may have owned in between. */
   const doubts = new Map<number, Doubt>();
-  const { store, events, candidacy } = options;
+  const { store, events, candidacy, mayOwn = () => true } = options;
   let member = options.createMemberName();
   const releases = new Set<Promise<void>>();
   let generation = 0;
@@ -283,7 +287,7 @@
     // A slow check must not delay the renewal of the membership.
     if (generation === 0) await checked;
     if (isLeaving) return;
-    const mayJoin = candidacy.isCandidate() &&
+    const mayJoin = candidacy.isCandidate() && mayOwn() &&
       performance.now() >= asideUntilMs;
     await (mayJoin ? join() : standAside());
     if (isLeaving) return;
@@ -310,6 +314,7 @@
     // The fenced epoch can't be used again. The next join counts as a new
     // assignment at the generation of that time.
     drop: forget,
+    isInGroup: () => generation > 0 && !isLeaving,
     giveWay() {
       asideUntilMs = performance.now() + GIVE_WAY_MS;
     },
--- a/packages/jobs/topics.ts
+++ b/packages/jobs/topics.ts
@@ -13,6 +13,9 @@
 /** Topic of the progress of jobs, to which only partition owners append. */
 export const PROGRESS_TOPIC = "progress";
 
+/** Topic of the members' reports that an owner gives them no answer. */
+export const REACH_TOPIC = "reach";
+
 /** Consumer group that shares the partitions of {@linkcode JOBS_TOPIC}. */
 export const OWNERS_GROUP = "owners";
 
--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -105,7 +105,8 @@
 /**
  * Creates a client of another member. A connection on which calls get no
  * answer is checked and replaced, as it might never be reported as closed.
- * Failed calls are passed to `onFailure`.
+ * Failed calls are passed to `onFailure`; `onAnswer` is called after each
+ * answer.
  *
  * @example
  * ```ts
@@ -115,7 +116,10 @@
  */
 export function createOwnerClient(
   address: string,
-  { onFailure }: { onFailure(failure: CallFailure): void },
+  { onFailure, onAnswer }: {
+    onFailure(failure: CallFailure): void;
+    onAnswer?(): void;
+  },
 ): OwnerClient {
   const baseUrl = `http://${address}`;
   const sessionManager = new Http2SessionManager(
@@ -170,6 +174,7 @@
       silence.noteAnswer();
       times.noteAnswer(call, answeredAtMs - sentAtMs);
       isAnswering = true;
+      onAnswer?.();
       return response;
     } catch (error) {
       const nowMs = performance.now();
--- a/packages/telemetry/member_log_events.ts
+++ b/packages/telemetry/member_log_events.ts
@@ -54,4 +54,34 @@
       silentMs: "number",
     },
   },
+  ownerReported: {
+    id: "LL6214",
+    level: "warn",
+    message: "owner of partitions gives no answer, which is reported to others",
+    fields: {
+      address: "string",
+      silentMs: "number",
+      failures: "number",
+      reached: "number",
+    },
+  },
+  ownerReportWithdrawn: {
+    id: "LL6215",
+    level: "info",
+    message: "report that an owner gives no answer is withdrawn",
+    fields: { address: "string", silentMs: "number" },
+  },
+  ownerIsolated: {
+    id: "LL6216",
+    level: "warn",
+    message:
+      "most owners get no answer from this member; it gives up its partitions",
+    fields: { reporters: "number", owners: "number", asideMs: "number" },
+  },
+  ownerReached: {
+    id: "LL6217",
+    level: "info",
+    message: "member may own partitions again",
+    fields: { asideMs: "number" },
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
