Report no owner for a time in which the reporter was cut off

One report alone moves nothing, but several members of that data centre could be alike.

Each probe that fails while no other owner answers, or the store does not, starts the silence anew. Test: "stores nothing at once when a member is reached again" failed before.

--- a/packages/jobs/reachability/isolated_owner_test.ts
+++ b/packages/jobs/reachability/isolated_owner_test.ts
@@ -92,6 +92,7 @@
   afterEach(async () => {
     clearInterval(asking);
     cut();
+    await sleep(TIMEOUT_MS);
     await world.close();
     unsubscribe(ACCEPTED, watch);
   });
--- a/packages/jobs/reachability/reachability_test.ts
+++ b/packages/jobs/reachability/reachability_test.ts
@@ -108,6 +108,18 @@
     expect(owners()).toEqual(ADDRESSES);
   });
 
+  // Guards against reports of a time in which the reporter was cut off.
+  test("stores nothing at once when a member is reached again", async () => {
+    cut = (from) => from === "a:1";
+    for (const to of ADDRESSES.slice(1)) call("a:1", to);
+    await advanceTime(SETTLE_MS);
+    cut = (from, to) => from === "a:1" && to === "d:1";
+    await advanceTime(1_000);
+    cut = () => false;
+    await advanceTime(SETTLE_MS);
+    expect(appends).toBe(0);
+  });
+
   // Guards against reports at each ordinary loss of a member.
   test("stores nothing for an owner that leaves the group", async () => {
     cut = (_, to) => to === "d:1";
--- a/packages/jobs/reachability/report_silent_owners.ts
+++ b/packages/jobs/reachability/report_silent_owners.ts
@@ -129,37 +129,46 @@
     return answers.filter(Boolean).length;
   };
 
-  const report = async (target: string, silence: Silence, reached: number) => {
-    const { failures, sinceMs, reportedAtMs = -Infinity } = silence;
-    if (performance.now() - reportedAtMs < REPEAT_MS) return;
-    if (reportedAtMs === -Infinity) {
-      const silentMs = Math.round(performance.now() - sinceMs);
-      events.log("ownerReported", {
-        address: target,
-        silentMs,
-        failures,
-        reached,
-      });
+  const reportIfDue = async (
+    target: string,
+    silence: Silence,
+    reached: number,
+  ) => {
+    const { failures, sinceMs, reportedAtMs } = silence;
+    const nowMs = performance.now();
+    const silentMs = Math.round(nowMs - sinceMs);
+    if (silentMs < SILENCE_MS || failures < MIN_FAILURES) return;
+    if (nowMs - (reportedAtMs ?? -Infinity) < REPEAT_MS) return;
+    if (!options.mayReport()) return;
+    if (reportedAtMs === undefined) {
+      const call = { address: target, silentMs, failures, reached };
+      events.log("ownerReported", call);
     }
-    silence.reportedAtMs = performance.now();
+    silence.reportedAtMs = nowMs;
     await append(encodeReport({ target, reporter: ownAddress }));
   };
 
+  /** Forgets failures in a time in which this member was cut off itself. */
+  const restart = (silence: Silence) => {
+    silence.sinceMs = performance.now();
+    silence.failures = 0;
+  };
+
   /** Probes a member once, and reports it if that is due. */
   const check = async (target: string, silence: Silence) => {
     await options.reach(target, PROBE_TIMEOUT_MS);
-    const silentMs = performance.now() - silence.sinceMs;
-    if (silentMs < SILENCE_MS || silence.failures < MIN_FAILURES) return;
+    if (silence.isOver) return;
     const owners = await options.readOwners();
-    if (owners === undefined || silence.isOver) return;
+    if (owners === undefined) return restart(silence);
     const isOwner = owners.includes(target);
     if (isOwner) silence.ownerAtMs = performance.now();
     const hasLeft = silence.reportedAtMs === undefined ||
       performance.now() - silence.ownerAtMs > PROBE_AFTER_LEAVE_MS;
-    silence.isOver = !isOwner && hasLeft;
-    if (silence.isOver || !options.mayReport()) return;
+    silence.isOver ||= !isOwner && hasLeft;
+    if (silence.isOver) return;
     const reached = await countReached(target, owners);
-    if (reached > 0 && !silence.isOver) await report(target, silence, reached);
+    if (reached === 0) return restart(silence);
+    if (!silence.isOver) await reportIfDue(target, silence, reached);
   };
 
   const withdraw = async (target: string, { sinceMs }: Silence) => {
