Replace a dead connection once another one is answered

Open connections between members may carry nothing more while new ones work.

After 0.5 s without an answer, or three times what the last one took and at most 1.2 s, the member is called on a new connection. If that is answered while the first one still is not, it takes its place, and the calls on the first one end and are repeated. If not, nothing changes: the member or the way is at fault.

The connection has a module of its own, as the client had grown.

--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -5,12 +5,7 @@
  */
 
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { Code, ConnectError, createClient } from "@connectrpc/connect";
-import {
-  createConnectTransport,
-  Http2SessionManager,
-} from "@connectrpc/connect-node";
-import { connect, type Socket } from "node:net";
+import { Code, ConnectError } from "@connectrpc/connect";
 import { type CallTimeout, createCallTimes } from "./call_times.ts";
 import {
   type ConfigurationRequestSchema,
@@ -19,7 +14,6 @@
   type CountPendingResponse,
   type LimitRequestSchema,
   type LimitResponse,
-  OwnerService,
   type ReachResponse,
   type RelayRequestSchema,
   type RelayResponse,
@@ -28,17 +22,12 @@
   type ShowRequestSchema,
   type ShowResponse,
 } from "./gen/lagoonloom/peers/v1/owners_pb.ts";
+import {
+  createMemberConnection,
+  type MemberConnection,
+} from "./member_connection.ts";
 import { createSilenceCheck } from "./silence_check.ts";
 
-/**
- * Time in which a connection has to be established. All calls to the member
- * share it, and the next packet after lost ones is sent only seconds later.
- */
-const CONNECT_TIMEOUT_MS = 1_200;
-
-/** Time without calls after which a connection is closed. */
-const IDLE_TIMEOUT_MS = 60_000;
-
 /** Call between members that failed. */
 export type CallFailure = {
   /** Name of the RPC. */
@@ -104,7 +93,8 @@
 
 /**
  * Creates a client of another member. A connection on which calls get no
- * answer is checked and replaced, as it might never be reported as closed.
+ * answer is replaced once another one is answered, as it might never be
+ * reported as closed.
  * Failed calls are passed to `onFailure`; `onAnswer` is called after each
  * answer.
  *
@@ -121,36 +111,21 @@
     onAnswer?(): void;
   },
 ): OwnerClient {
-  const baseUrl = `http://${address}`;
-  const sessionManager = new Http2SessionManager(
-    baseUrl,
-    // Not its pings: a call that ends stops the timer of any open one.
-    { idleConnectionTimeoutMs: IDLE_TIMEOUT_MS },
-    { createConnection: openSocket },
-  );
-  const client = createClient(
-    OwnerService,
-    createConnectTransport({
-      baseUrl,
-      httpVersion: "2",
-      sessionManager,
-      acceptCompression: [],
-    }),
-  );
-  const silence = createSilenceCheck({
-    async check(timeoutMs) {
+  let connection = createMemberConnection(address);
+  const silence = createSilenceCheck<MemberConnection>({
+    async tryAnother(timeoutMs) {
+      const other = createMemberConnection(address);
       try {
-        await client.reach({}, { timeoutMs });
-        return false;
-      } catch (error) {
-        return ConnectError.from(error).code === Code.DeadlineExceeded;
+        await other.client.reach({}, { timeoutMs });
+        return other;
+      } catch {
+        other.close();
+        return undefined;
       }
     },
-    onSilent() {
-      // A connection that is being opened has a time limit of its own.
-      if (sessionManager.state() === "connecting") return;
-      const reason = "the connection carries no answers";
-      sessionManager.abort(new ConnectError(reason, Code.Unavailable));
+    replace(other) {
+      connection.close();
+      connection = other;
     },
   });
   const times = createCallTimes();
@@ -158,7 +133,10 @@
   let isAnswering = true;
   const callMember = async <Response>(
     call: string,
-    send: (options: { timeoutMs: number }) => Promise<Response>,
+    send: (
+      client: MemberConnection["client"],
+      options: { timeoutMs: number },
+    ) => Promise<Response>,
     { partition, job, timeout }: {
       partition?: number | undefined;
       job?: string | undefined;
@@ -167,12 +145,14 @@
   ): Promise<Response | undefined> => {
     const timeoutMs = times.next(call, timeout);
     const sentAtMs = performance.now();
+    const used = connection;
     silence.noteCall();
     try {
-      const response = await send({ timeoutMs });
+      const response = await send(used.client, { timeoutMs });
       answeredAtMs = performance.now();
-      silence.noteAnswer();
-      times.noteAnswer(call, answeredAtMs - sentAtMs);
+      const tookMs = answeredAtMs - sentAtMs;
+      silence.noteAnswer(tookMs);
+      times.noteAnswer(call, tookMs);
       isAnswering = true;
       onAnswer?.();
       return response;
@@ -189,7 +169,7 @@
         reason: message,
         tookMs: nowMs - sentAtMs,
         timeoutMs,
-        connection: sessionManager.state(),
+        connection: used.state(),
         silentMs: answeredAtMs === undefined ? undefined : nowMs - answeredAtMs,
       });
       return undefined;
@@ -197,59 +177,53 @@
   };
   return {
     show: (request, timeout) =>
-      callMember("show", (options) => client.show(request, options), {
+      callMember("show", (client, options) => client.show(request, options), {
         ...subjectOf(request),
         timeout,
       }),
     countPending: (request, timeout) =>
       callMember(
         "countPending",
-        (options) => client.countPending(request, options),
+        (client, options) => client.countPending(request, options),
         { ...subjectOf(request), timeout },
       ),
     report: (request, timeout) =>
-      callMember("report", (options) => client.report(request, options), {
-        ...subjectOf(request),
-        timeout,
-      }),
+      callMember(
+        "report",
+        (client, options) => client.report(request, options),
+        {
+          ...subjectOf(request),
+          timeout,
+        },
+      ),
     relay: (request, timeout) =>
-      callMember("relay", (options) => client.relay(request, options), {
+      callMember("relay", (client, options) => client.relay(request, options), {
         ...subjectOf({ partition: request.partition, job: request.key }),
         timeout,
       }),
     limit: (request, timeout) =>
-      callMember("limit", (options) => client.limit(request, options), {
+      callMember("limit", (client, options) => client.limit(request, options), {
         ...subjectOf(request),
         timeout,
       }),
     reach: (timeout) =>
-      callMember("reach", (options) => client.reach({}, options), { timeout }),
+      callMember("reach", (client, options) => client.reach({}, options), {
+        timeout,
+      }),
     configuration: (request, timeout) =>
       callMember(
         "configuration",
-        (options) => client.configuration(request, options),
+        (client, options) => client.configuration(request, options),
         { timeout },
       ),
     isAnswering: () => isAnswering,
     close() {
       silence.close();
-      sessionManager.abort();
+      connection.close();
     },
   };
 }
 
-/** Opens a socket that is destroyed unless it is connected in time. */
-function openSocket({ hostname, port }: URL): Socket {
-  const socket = connect(Number(port), hostname);
-  const timer = setTimeout(() => {
-    const message = `not connected within ${CONNECT_TIMEOUT_MS} ms`;
-    socket.destroy(Object.assign(new Error(message), { code: "ETIMEDOUT" }));
-  }, CONNECT_TIMEOUT_MS);
-  socket.once("connect", () => clearTimeout(timer));
-  socket.once("close", () => clearTimeout(timer));
-  return socket;
-}
-
 /** Returns what a call is about, as its failure names it. */
 function subjectOf(
   { partition, job }: {
--- a/packages/peers/silence_check_test.ts
+++ b/packages/peers/silence_check_test.ts
@@ -8,26 +8,42 @@
 } from "@jest/globals";
 import { createSilenceCheck, type SilenceCheck } from "./silence_check.ts";
 
+/** Connection that a test tries. */
+type Connection = { isClosed: boolean; close(): void };
+
+function createConnection(): Connection {
+  return {
+    isClosed: false,
+    close() {
+      this.isClosed = true;
+    },
+  };
+}
+
+/** Time after which the other connection is answered in these tests. */
+const ANSWER_MS = 300;
+
 describe("createSilenceCheck", () => {
   let silence: SilenceCheck;
-  /** Whether checks end without an answer. */
-  let isSilent: boolean;
-  let checkCount: number;
-  let silentCount: number;
+  /** Whether calls on other connections are answered. */
+  let isAnswered: boolean;
+  let tried: Connection[];
+  let replacements: Connection[];
 
   beforeEach(() => {
     jest.useFakeTimers();
-    isSilent = true;
-    checkCount = 0;
-    silentCount = 0;
-    silence = createSilenceCheck({
-      check(timeoutMs) {
-        checkCount++;
-        return new Promise((resolve) =>
-          setTimeout(() => resolve(isSilent), timeoutMs)
-        );
+    isAnswered = true;
+    tried = [];
+    replacements = [];
+    silence = createSilenceCheck<Connection>({
+      async tryAnother(timeoutMs) {
+        const connection = createConnection();
+        tried.push(connection);
+        const tookMs = isAnswered ? ANSWER_MS : timeoutMs;
+        await new Promise((resolve) => setTimeout(resolve, tookMs));
+        return isAnswered ? connection : undefined;
       },
-      onSilent: () => silentCount++,
+      replace: (connection) => replacements.push(connection),
     });
   });
 
@@ -42,40 +58,61 @@
     for (let calls = 0; calls < 100; calls++) {
       silence.noteCall();
       await jest.advanceTimersByTimeAsync(100);
-      silence.noteAnswer();
+      silence.noteAnswer(100);
     }
     await jest.advanceTimersByTimeAsync(10_000);
-    expect(checkCount).toBe(0);
+    expect(tried).toEqual([]);
   });
 
   // Guards against a dead connection that is kept as calls go on.
-  test("finds a silent member however many calls there are", async () => {
+  test("replaces a dead connection however many calls there are", async () => {
     for (let calls = 0; calls < 21; calls++) {
       silence.noteCall();
       await jest.advanceTimersByTimeAsync(100);
     }
-    expect(silentCount).toBe(1);
+    expect(replacements).toEqual(tried.slice(0, 1));
+    expect(replacements).toHaveLength(1);
+  });
+
+  // Guards against connections that are ended although the way to the member,
+  // or the member, is what does not answer.
+  test("keeps the connection while another one has no answer either", async () => {
+    isAnswered = false;
+    for (let calls = 0; calls < 100; calls++) {
+      silence.noteCall();
+      await jest.advanceTimersByTimeAsync(100);
+    }
+    expect(tried.length).toBeGreaterThan(1);
+    expect(replacements).toEqual([]);
   });
 
   // Guards against a connection that is replaced although it carries answers.
-  test.each([
-    { what: "the check", answer: () => (isSilent = false) },
-    { what: "another call", answer: () => silence.noteAnswer() },
-  ])("keeps a member that answers $what", async ({ answer }) => {
+  test("keeps a connection that is answered meanwhile", async () => {
     silence.noteCall();
-    await jest.advanceTimersByTimeAsync(1_000);
-    answer();
+    await jest.advanceTimersByTimeAsync(1_300);
+    silence.noteAnswer(1_300);
     await jest.advanceTimersByTimeAsync(10_000);
-    expect(silentCount).toBe(0);
+    expect(replacements).toEqual([]);
+    expect(tried).toMatchObject([{ isClosed: true }]);
+  });
+
+  // Guards against a connection for each call to a member that is slow.
+  test("gives a call more time where answers take longer", async () => {
+    for (let calls = 0; calls < 10; calls++) {
+      silence.noteCall();
+      await jest.advanceTimersByTimeAsync(1_000);
+      silence.noteAnswer(1_000);
+    }
+    expect(tried).toEqual([]);
   });
 
   // Guards against the end of an earlier check that counts for a later one.
   test("has one check at a time", async () => {
     silence.noteCall();
-    await jest.advanceTimersByTimeAsync(900);
-    silence.noteAnswer();
+    await jest.advanceTimersByTimeAsync(1_250);
+    silence.noteAnswer(1_250);
     silence.noteCall();
-    await jest.advanceTimersByTimeAsync(1_000);
-    expect(checkCount).toBe(1);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(tried).toHaveLength(1);
   });
 });
