--- a/packages/jobs/owned/owner_directory.ts
+++ b/packages/jobs/owned/owner_directory.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { sleep } from "../_sleep.ts";
 import type { Store } from "../ports.ts";
 import { OWNERS_GROUP } from "../topics.ts";
 import { type NamedMember, parseMemberName } from "./member_name.ts";
@@ -14,6 +15,9 @@
 /** Shortest time between two reads of the list. */
 const MIN_AGE_MS = 200;
 
+/** Longest wait for the list while it has been read before. */
+const MAX_WAIT_MS = 300;
+
 /** Cached list of the owners of all partitions. */
 export type OwnerDirectory = {
   /** Address of a partition's owner for other members, if it is known. */
@@ -67,7 +71,13 @@
       if (ageMs > MAX_AGE_MS || (isStale && ageMs > MIN_AGE_MS)) {
         reading ??= read();
       }
-      if (reading !== undefined) await reading;
+      if (reading !== undefined) {
+        // The owner named before may still be right, and answers meanwhile.
+        const isNamed = parseMemberName(owners.get(partition) ?? "");
+        await (isNamed === undefined
+          ? reading
+          : Promise.race([reading, sleep(MAX_WAIT_MS)]));
+      }
       // The store reports an empty member for a partition without an owner.
       return parseMemberName(owners.get(partition) ?? "")?.address;
     },
--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -26,14 +26,15 @@
 const RETRY_DELAY_MS = 100;
 
 /**
- * Time without an answer from the owner that the store names, after which the
- * stored state of a job is shown.
+ * Time without an answer from an owner that the store names all the while,
+ * after which the stored state of a job is shown. The store names a lost owner
+ * for 1.6 s.
  */
-const MAX_OWNER_SILENCE_MS = 1_200;
+const MAX_OWNER_SILENCE_MS = 2_000;
 
 /**
- * The same while the store names no other member as the owner. It is longer
- * than a takeover, in which all members would read the partition at once.
+ * The same whatever owner the store names. It is longer than a takeover, in
+ * which all members would read the partition at once.
  */
 const MAX_VACANCY_MS = 3_000;
 
@@ -113,7 +114,7 @@
         { partition, job, caller: compactCaller(caller) },
         timeoutMs,
       );
-      if (answer?.isOwner !== true) return undefined;
+      if (answer?.isOwner !== true) return noAnswer(access, partition, answer);
       access.noteFullServices(partition, answer.full);
       if (answer.isUnavailable) return { type: "unavailable" };
       if (answer.runsIn !== undefined) {
@@ -184,13 +185,25 @@
         { partition, queue },
         timeoutMs,
       );
-      if (answer?.isOwner !== true) return undefined;
+      if (answer?.isOwner !== true) return noAnswer(access, partition, answer);
       access.noteFullServices(partition, answer.full);
       return { type: "known", value: answer.pending };
     },
   });
 }
 
+/** Notes that a member said not to be the owner, if it answered at all. */
+function noAnswer(
+  { silence }: OwnerAccess,
+  partition: number,
+  answer: object | undefined,
+): undefined {
+  if (answer !== undefined) silence.noteDenial(partition);
+}
+
+/** Stands for the store among the addresses that are called. */
+const STORE = "store";
+
 type OwnerQuery<Result> = {
   partition: number;
   timeoutMs: number;
@@ -221,58 +234,83 @@
   const failure = { partition, owner: "", calls: 0, reason: "no time left" };
   /** Calls that have not failed, by address. */
   const openCalls = new Map<string, Promise<Result | undefined>>();
+  const leftMs = () => Math.max(0, deadlineMs - performance.now());
+  let isOver = false;
 
-  const call = (address: string, timeoutMs: number) => {
+  const open = (
+    address: string,
+    send: () => Promise<Result | undefined>,
+    onAnswer: () => void,
+  ) => {
     if (openCalls.has(address)) return;
-    failure.calls++;
-    failure.owner = address;
-    failure.reason = "the owner gave no answer as such";
-    const send = async () => {
-      const client = access.client(address);
-      const answer = await query.remote(client, Math.ceil(timeoutMs));
+    const run = async () => {
+      const answer = await send();
       // An answer stays, as it may come between two looks at the calls.
       if (answer === undefined) openCalls.delete(address);
+      else onAnswer();
       return answer;
     };
-    openCalls.set(address, send());
+    openCalls.set(address, run());
   };
 
-  while (true) {
-    const owner = access.localOwner(partition);
-    if (owner?.isLoaded() === true) return await query.local(owner);
-    const leftMs = deadlineMs - performance.now();
-    if (leftMs <= 0) {
-      const tookMs = performance.now() - startedMs;
-      return { type: "unavailable", failure: { ...failure, tookMs } };
-    }
+  const callOwner = (address: string) =>
+    open(
+      address,
+      () => {
+        failure.calls++;
+        failure.owner = address;
+        failure.reason = "the owner gave no answer as such";
+        const client = access.client(address);
+        return query.remote(client, Math.ceil(leftMs()));
+      },
+      () => silence.noteAnswer(partition),
+    );
+
+  const readStored = (owner: string) =>
+    open(
+      STORE,
+      async () => await query.stored?.(),
+      () => silence.noteStored(partition, owner),
+    );
+
+  const lookUp = async () => {
     const address = await directory.find(partition);
+    if (isOver) return;
     const isElsewhere = address !== undefined && address !== ownAddress;
-    if (isElsewhere) call(address, leftMs);
+    const owner = isElsewhere ? address : "";
+    silence.noteUnanswered(partition, { owner, startedMs });
+    if (isElsewhere) callOwner(address);
     else failure.reason = "no other member is known as the owner";
-    const answer = await firstAnswer(
+    if (isSilent(silence, partition)) readStored(owner);
+  };
+
+  while (leftMs() > 0) {
+    const owner = access.localOwner(partition);
+    if (owner?.isLoaded() === true) return await query.local(owner);
+    // A lookup may wait for the store. An answer must not wait for the lookup.
+    const answer = await answerBefore(
+      [...openCalls.values()],
+      Promise.race([lookUp(), sleep(leftMs())]),
+    ) ?? await firstAnswer(
       [...openCalls.values()],
-      Math.min(LOOKUP_INTERVAL_MS, leftMs),
+      Math.min(LOOKUP_INTERVAL_MS, leftMs()),
     );
     if (answer !== undefined) {
-      silence.noteAnswer(partition);
+      isOver = true;
       return answer;
     }
-    silence.noteUnanswered(partition, startedMs);
-    const maxMs = isElsewhere ? MAX_OWNER_SILENCE_MS : MAX_VACANCY_MS;
-    if (query.stored !== undefined && silence.silentMs(partition) >= maxMs) {
-      const stored = query.stored().then((state) => {
-        if (state !== undefined) silence.noteStored(partition, address ?? "");
-        return state;
-      });
-      const known = await firstAnswer(
-        [stored, ...openCalls.values()],
-        deadlineMs - performance.now(),
-      );
-      if (known !== undefined) return known;
-    }
     directory.invalidate();
-    await sleep(RETRY_DELAY_MS);
+    await sleep(Math.min(RETRY_DELAY_MS, leftMs()));
   }
+  isOver = true;
+  const tookMs = performance.now() - startedMs;
+  return { type: "unavailable", failure: { ...failure, tookMs } };
+}
+
+/** Returns whether the stored state of jobs is shown in place of an owner's. */
+function isSilent(silence: OwnerSilence, partition: number): boolean {
+  return silence.ownerSilentMs(partition) >= MAX_OWNER_SILENCE_MS ||
+    silence.silentMs(partition) >= MAX_VACANCY_MS;
 }
 
 /**
@@ -297,3 +335,18 @@
     }
   });
 }
+
+/** Returns the first answer of several calls that comes before an event. */
+function answerBefore<Answer>(
+  calls: readonly Promise<Answer | undefined>[],
+  event: Promise<void>,
+): Promise<Answer | undefined> {
+  return new Promise((resolve) => {
+    for (const call of calls) {
+      void call.then((answer) => {
+        if (answer !== undefined) resolve(answer);
+      });
+    }
+    void event.then(() => resolve(undefined));
+  });
+}
--- a/packages/jobs/queries/stored_states.ts
+++ b/packages/jobs/queries/stored_states.ts
@@ -114,11 +114,15 @@
       }
       const progress = stored.progress.get(id);
       const service = progress?.service ?? job.service;
+      const runsIn = partitionOf(layout(), { service, key: id });
       if (progress?.isForwarded === true) {
-        const runsIn = partitionOf(layout(), { service, key: id });
         if (runsIn === undefined) return undefined;
         return { type: "elsewhere", partition: runsIn };
       }
+      // It may have been handed on by now, and be in any state there.
+      const isHandedOn = progress?.service !== undefined &&
+        runsIn !== partition;
+      if (isHandedOn) return undefined;
       return { type: "known", value: stateOf(progress) };
     },
   };
@@ -178,8 +182,8 @@
     jobs,
     progress,
     refresh: shareCalls(async () => {
-      const areRead = await Promise.all([readJobs(), readProgress()]);
-      return areRead.every((isRead) => isRead);
+      // A job is removed before its progress, so that this order misses none.
+      return await readProgress() && await readJobs();
     }),
     dropTimer: undefined,
   };
--- a/packages/jobs/queries/stored_states_test.ts
+++ b/packages/jobs/queries/stored_states_test.ts
@@ -113,8 +113,10 @@
   // Guards against a state that the partition of another service decides.
   test("names the partition of a job that was handed on", async () => {
     accept(JOB_ID, { service: "orders" });
-    putProgress(JOB_ID, { service: "orders" });
     expect(await find()).toEqual({ type: "known", value: "queued" });
+    // It is being handed on, and may have ended there.
+    putProgress(JOB_ID, { service: "orders" });
+    expect(await find()).toBeUndefined();
     putProgress(JOB_ID, { service: "orders", isForwarded: true });
     expect(await find()).toEqual({
       type: "elsewhere",
