--- a/packages/jobs/reachability/reachability.ts
+++ b/packages/jobs/reachability/reachability.ts
@@ -20,6 +20,13 @@
 /** Interval between two decisions. */
 const CHECK_INTERVAL_MS = 1_000;
 
+/**
+ * Time for which a member must be isolated before it gives up its partitions.
+ * The reports of a cut come one by one, so that some owners are reported by
+ * most before others are, although nobody reaches more than its own side.
+ */
+const SETTLE_MS = 4_000;
+
 /** Shortest time for which an isolated member stays out of the owners. */
 const MIN_ASIDE_MS = 5_000;
 
@@ -67,6 +74,8 @@
   const { store, events, ownAddress, directory, reach } = options;
   let isClosed = false;
   let withdrawal: Withdrawal | undefined;
+  /** Time since which this member has been isolated at each decision. */
+  let isolatedSinceMs: number | undefined;
   let lastWithdrawal: Withdrawal & { endedAtMs: number } | undefined;
   let follower: ReportFollower | undefined;
 
@@ -102,11 +111,15 @@
 
   const withdrawIfIsolated = async ({ reporters }: ReportFollower) => {
     const reportCount = reporters().get(ownAddress)?.size ?? 0;
-    if (reportCount < MIN_REPORTERS) return;
-    const owners = await readOwners();
-    if (owners === undefined) return;
-    const view = { owners, reporters: reporters() };
-    if (!isIsolated(ownAddress, view)) return;
+    const owners = reportCount < MIN_REPORTERS ? [] : await readOwners();
+    const view = { owners: owners ?? [], reporters: reporters() };
+    if (owners === undefined || !isIsolated(ownAddress, view)) {
+      isolatedSinceMs = undefined;
+      return;
+    }
+    isolatedSinceMs ??= performance.now();
+    if (performance.now() - isolatedSinceMs < SETTLE_MS) return;
+    isolatedSinceMs = undefined;
     withdrawal = { sinceMs: performance.now(), minMs: nextAsideMs() };
     events.log("ownerIsolated", {
       reporters: countReporters(ownAddress, view),
--- a/packages/jobs/reachability/report_silent_owners.ts
+++ b/packages/jobs/reachability/report_silent_owners.ts
@@ -168,7 +168,11 @@
     if (silence.isOver) return;
     const reached = await countReached(target, owners);
     if (reached === 0) return restart(silence);
-    if (!silence.isOver) await reportIfDue(target, silence, reached);
+    // The reports of other members don't count.
+    const isOwnerToo = owners.includes(ownAddress);
+    if (!silence.isOver && isOwnerToo) {
+      await reportIfDue(target, silence, reached);
+    }
   };
 
   const withdraw = async (target: string, { sinceMs }: Silence) => {
