Keep a connection on which a member answers a check

The check now calls the member on both connections, and only one that answers on the new one alone is replaced. Connections end 200 ms later, when a session has reported its failure.

--- a/packages/peers/create_owner_client.ts
+++ b/packages/peers/create_owner_client.ts
@@ -6,6 +6,7 @@
 
 import type { MessageInitShape } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type CallTimeout, createCallTimes } from "./call_times.ts";
 import {
   type ConfigurationRequestSchema,
@@ -28,6 +29,12 @@
 } from "./member_connection.ts";
 import { createSilenceCheck } from "./silence_check.ts";
 
+/**
+ * Time that the connection in use has to answer a check after another one has
+ * answered it.
+ */
+const MAX_LAG_MS = 300;
+
 /** Call between members that failed. */
 export type CallFailure = {
   /** Name of the RPC. */
@@ -115,16 +122,18 @@
   const silence = createSilenceCheck<MemberConnection>({
     async tryAnother(timeoutMs) {
       const other = createMemberConnection(address);
-      try {
-        await other.client.reach({}, { timeoutMs });
-        return other;
-      } catch {
-        other.close();
-        return undefined;
-      }
+      const isUsedAnswered = isReached(connection, timeoutMs);
+      const isOtherAnswered = await isReached(other, timeoutMs);
+      // The calls in progress may only be slow.
+      const late = sleep(MAX_LAG_MS).then(() => false);
+      const isBetter = isOtherAnswered &&
+        !await Promise.race([isUsedAnswered, late]);
+      if (isBetter) return other;
+      other.retire();
+      return undefined;
     },
     replace(other) {
-      connection.close();
+      connection.retire();
       connection = other;
     },
   });
@@ -224,6 +233,19 @@
   };
 }
 
+/** Returns whether the member answers on a connection within a time. */
+async function isReached(
+  { client }: MemberConnection,
+  timeoutMs: number,
+): Promise<boolean> {
+  try {
+    await client.reach({}, { timeoutMs });
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /** Returns what a call is about, as its failure names it. */
 function subjectOf(
   { partition, job }: {
--- a/packages/peers/member_connection.ts
+++ b/packages/peers/member_connection.ts
@@ -4,8 +4,12 @@
  * @module
  */
 
-import { type Client, ConnectError, createClient } from "@connectrpc/connect";
-import { Code } from "@connectrpc/connect";
+import {
+  type Client,
+  Code,
+  ConnectError,
+  createClient,
+} from "@connectrpc/connect";
 import {
   createConnectTransport,
   Http2SessionManager,
@@ -22,6 +26,9 @@
 /** Time without calls after which a connection is closed. */
 const IDLE_TIMEOUT_MS = 60_000;
 
+/** Time after which a session has reported that it failed. */
+const RETIRE_DELAY_MS = 200;
+
 /** Connection to a member, which is opened with the first call. */
 export type MemberConnection = {
   client: Client<typeof OwnerService>;
@@ -29,6 +36,8 @@
   state(): string;
   /** Ends the connection; calls in progress fail. */
   close(): void;
+  /** Ends it a little later. */
+  retire(): void;
 };
 
 /**
@@ -57,13 +66,17 @@
       acceptCompression: [],
     }),
   );
+  const close = () => {
+    const reason = "the connection is closed";
+    sessionManager.abort(new ConnectError(reason, Code.Unavailable));
+  };
   return {
     client,
     state: () => sessionManager.state(),
-    close() {
-      const reason = "the connection is closed";
-      sessionManager.abort(new ConnectError(reason, Code.Unavailable));
-    },
+    close,
+    // The library does not catch the error of a session that is ended between
+    // its failure and the event that reports it.
+    retire: () => void setTimeout(close, RETIRE_DELAY_MS).unref(),
   };
 }
 
--- a/packages/peers/silence_check.ts
+++ b/packages/peers/silence_check.ts
@@ -36,11 +36,11 @@
  * silence.noteCall();
  * ```
  */
-export function createSilenceCheck<Connection extends { close(): void }>(
+export function createSilenceCheck<Connection extends { retire(): void }>(
   { tryAnother, replace }: {
     /**
-     * Calls the member on another connection, which is returned if there is an
-     * answer within the time.
+     * Calls the member on another connection and on the first one. Returns the
+     * other one if only that is answered within the time.
      */
     tryAnother(timeoutMs: number): Promise<Connection | undefined>;
     /** Takes the other connection, as only that one is answered. */
@@ -62,7 +62,7 @@
     if (other === undefined) return;
     const isSilent = answerCount === countBefore;
     if (isSilent && !isClosed) replace(other);
-    else other.close();
+    else other.retire();
   };
 
   return {
--- a/packages/peers/silence_check_test.ts
+++ b/packages/peers/silence_check_test.ts
@@ -9,13 +9,13 @@
 import { createSilenceCheck, type SilenceCheck } from "./silence_check.ts";
 
 /** Connection that a test tries. */
-type Connection = { isClosed: boolean; close(): void };
+type Connection = { isRetired: boolean; retire(): void };
 
 function createConnection(): Connection {
   return {
-    isClosed: false,
-    close() {
-      this.isClosed = true;
+    isRetired: false,
+    retire() {
+      this.isRetired = true;
     },
   };
 }
@@ -93,7 +93,7 @@
     silence.noteAnswer(1_300);
     await jest.advanceTimersByTimeAsync(10_000);
     expect(replacements).toEqual([]);
-    expect(tried).toMatchObject([{ isClosed: true }]);
+    expect(tried).toMatchObject([{ isRetired: true }]);
   });
 
   // Guards against a connection for each call to a member that is slow.
--- a/packages/peers/slow_way_test.ts
+++ b/packages/peers/slow_way_test.ts
@@ -1,4 +1,5 @@
 import { afterEach, beforeEach, expect, test } from "@jest/globals";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { type BlockedPort, openBlockedPort } from "./_blocked_port.ts";
 import { openSlowWay, type SlowWay } from "./_slow_way.ts";
 import {
@@ -26,10 +27,14 @@
 let blocked: BlockedPort | undefined;
 let client: OwnerClient;
 let failures: CallFailure[];
+let showDelayMs: number;
 
 function createHandlers(): OwnerHandlers {
   return {
-    show: () => Promise.resolve({ isOwner: true }),
+    async show() {
+      await sleep(showDelayMs);
+      return { isOwner: true };
+    },
     countPending: () => ({ isOwner: true }),
     report: () => ({ isOwner: true }),
     relay: () => Promise.resolve({}),
@@ -41,6 +46,7 @@
 
 beforeEach(async () => {
   failures = [];
+  showDelayMs = 0;
   server = await createOwnerServer(createHandlers(), {
     host: "127.0.0.1",
     port: 0,
@@ -126,6 +132,39 @@
   expect(connectionCount()).toBe(1);
 });
 
+// Guards against a connection that is replaced while a call on it takes long,
+// as the next one would be, too.
+test("keeps the connection of a call that takes long", async () => {
+  const { connectionCount } = await callOverWay(0);
+  await client.reach(800);
+  showDelayMs = 1_500;
+  const show = () => client.show({ partition: 1, job: "a1" }, 2_500);
+  expect(await show()).toBeDefined();
+  expect(connectionCount()).toBeLessThanOrEqual(2);
+  expect(await show()).toBeDefined();
+});
+
+// Guards against an error that ends the process: what listens at the address
+// of a member speaks another protocol.
+test("outlives a member that answers with something else", async () => {
+  const sockets = new Set<Socket>();
+  const other = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => undefined);
+    socket.on("data", () => socket.write("HTTP/1.1 400 Bad Request\r\n\r\n"));
+  });
+  await new Promise<void>((resolve) =>
+    other.listen(0, "127.0.0.1", () => resolve())
+  );
+  call(`127.0.0.1:${(other.address() as AddressInfo).port}`);
+  for (let calls = 0; calls < 12; calls++) {
+    expect(await client.reach(300)).toBeUndefined();
+    await sleep(RETRY_DELAY_MS);
+  }
+  for (const socket of sockets) socket.destroy();
+  other.close();
+});
+
 // Guards against calls that all fail alike, as an answer takes longer.
 test.each([300, 500, EXTRA_MS])(
   "gets answers where calls take %d ms longer",
