--- a/packages/jobs/queries/query_owner.ts
+++ b/packages/jobs/queries/query_owner.ts
@@ -11,6 +11,7 @@
 import type { PartitionOwner } from "../owned/partition_owner.ts";
 import type { FullService } from "../organisations/shares/full_services.ts";
 import type { Caller, JobState } from "../submission.ts";
+import { answerBefore, firstAnswer } from "./first_answer.ts";
 import type { OwnerSilence } from "./owner_silence.ts";
 import type {
   LocatedResult,
@@ -237,6 +238,7 @@
   const leftMs = () => Math.max(0, deadlineMs - performance.now());
   let isOver = false;
 
+  /** Makes a call, unless one to the address is open already. */
   const open = (
     address: string,
     send: () => Promise<Result | undefined>,
@@ -273,6 +275,7 @@
       () => silence.noteStored(partition, owner),
     );
 
+  /** Calls the owner that the store names, and the store in its place. */
   const lookUp = async () => {
     const address = await directory.find(partition);
     if (isOver) return;
@@ -312,41 +315,3 @@
   return silence.ownerSilentMs(partition) >= MAX_OWNER_SILENCE_MS ||
     silence.silentMs(partition) >= MAX_VACANCY_MS;
 }
-
-/**
- * Returns the first answer of several calls; undefined if none has one, or not
- * within the timeout.
- */
-function firstAnswer<Answer>(
-  calls: readonly Promise<Answer | undefined>[],
-  timeoutMs: number,
-): Promise<Answer | undefined> {
-  if (calls.length === 0) return Promise.resolve(undefined);
-  return new Promise((resolve) => {
-    let openCount = calls.length;
-    const timer = setTimeout(() => resolve(undefined), timeoutMs);
-    for (const call of calls) {
-      void call.then((answer) => {
-        openCount--;
-        if (answer === undefined && openCount > 0) return;
-        clearTimeout(timer);
-        resolve(answer);
-      });
-    }
-  });
-}
-
-/** Returns the first answer of several calls that comes before an event. */
-function answerBefore<Answer>(
-  calls: readonly Promise<Answer | undefined>[],
-  event: Promise<void>,
-): Promise<Answer | undefined> {
-  return new Promise((resolve) => {
-    for (const call of calls) {
-      void call.then((answer) => {
-        if (answer !== undefined) resolve(answer);
-      });
-    }
-    void event.then(() => resolve(undefined));
-  });
-}
